--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every target sets up .venv from requirements.lock first; VENV points elsewhere if set.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+WORKERS ?= 6
+
+.PHONY: demo test lint format typecheck check
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.ready
+	PYTHON=$(PYTHON) bash demo/run.sh
+
+test: $(VENV)/.ready
+	$(PYTHON) -m pytest -n $(WORKERS)
+
+lint: $(VENV)/.ready
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+format: $(VENV)/.ready
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+typecheck: $(VENV)/.ready
+	$(PYTHON) -m mypy
+
+check: lint typecheck test
--- /dev/null
+++ b/ebonyrack/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: listener, sessions and statements."""
--- /dev/null
+++ b/ebonyrack/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' document: sections, checks and edits."""
--- /dev/null
+++ b/ebonyrack/config/document.py
@@ -0,0 +1,89 @@
+"""The operators' document: parsed, checked as a whole, one record for a revision."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from ebonyrack.config.sections import ApplicationSection
+from ebonyrack.config.sections import GroupSection
+from ebonyrack.config.sections import NetworkSection
+from ebonyrack.config.sections import OperatorSection
+from ebonyrack.core.ini import Fault
+from ebonyrack.core.ini import Section
+from ebonyrack.core.ini import check_section
+from ebonyrack.core.ini import parse_ini
+
+SECTION_KINDS: dict[str, type[Section]] = {
+    "group": GroupSection,
+    "application": ApplicationSection,
+    "network": NetworkSection,
+    "operator": OperatorSection,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """One revision of the operators' document.
+
+    Attributes:
+        revision: Number of the revision; 0 is the empty document.
+        text: The INI text.
+        groups: Database groups by name.
+        applications: Booking applications by name.
+        networks: Networks by name.
+        operators: Operators by name.
+    """
+
+    revision: int
+    text: str
+    groups: dict[str, GroupSection] = field(default_factory=dict)
+    applications: dict[str, ApplicationSection] = field(default_factory=dict)
+    networks: dict[str, NetworkSection] = field(default_factory=dict)
+    operators: dict[str, OperatorSection] = field(default_factory=dict)
+
+
+EMPTY_DOCUMENT = Document(0, "")
+
+
+def parse_document(
+    text: str, revision: int, source: str = "document"
+) -> tuple[Document | None, tuple[Fault, ...]]:
+    """Read and check a document as a whole.
+
+    Args:
+        text: The INI text.
+        revision: Revision that the text is or would become.
+        source: Name of the text, for faults.
+
+    Returns:
+        The document, or None with every fault found.
+    """
+    sections, faults = parse_ini(text, source)
+    if faults:
+        return None, faults
+    found: list[Fault] = []
+    records: dict[str, dict[str, Any]] = {kind: {} for kind in SECTION_KINDS}
+    for title, values in sections.items():
+        kind, _, name = title.partition(" ")
+        if kind not in SECTION_KINDS or not name:
+            allowed = ", ".join(f"[{known} NAME]" for known in SECTION_KINDS)
+            found.append(Fault(source, title, "", f"unknown; allowed: {allowed}"))
+            continue
+        record, section_faults = check_section(
+            SECTION_KINDS[kind], values, source, title
+        )
+        records[kind][name] = record
+        found.extend(section_faults)
+    if found:
+        return None, tuple(found)
+    document = Document(
+        revision=revision,
+        text=text,
+        groups=records["group"],
+        applications=records["application"],
+        networks=records["network"],
+        operators=records["operator"],
+    )
+    return document, ()
--- /dev/null
+++ b/ebonyrack/config/sections.py
@@ -0,0 +1,129 @@
+"""Typed sections of the operators' document."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import BeforeValidator
+from pydantic import Field
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.address import parse_address
+from ebonyrack.core.ini import Section
+from ebonyrack.core.ini import Words
+from ebonyrack.core.ini import read_words
+
+
+class UpstreamSpec(Section):
+    """One upstream of a group as the document names it.
+
+    Attributes:
+        name: Name of the upstream's VM.
+        address: Where it listens.
+        data_centre: Data centre of the VM.
+    """
+
+    name: str
+    address: Address
+    data_centre: str
+
+
+def parse_upstream(word: str) -> UpstreamSpec:
+    """Read an upstream from `name=IP:port@data-centre`.
+
+    Args:
+        word: One word of the `upstreams` key.
+
+    Returns:
+        The upstream.
+
+    Raises:
+        ValueError: If the word has another form.
+    """
+    name, equals, place = word.partition("=")
+    address, at, data_centre = place.rpartition("@")
+    if not (name and equals and at and data_centre):
+        raise ValueError(f"expected name=IP:port@data-centre, found {word!r}")
+    return UpstreamSpec(
+        name=name, address=parse_address(address), data_centre=data_centre
+    )
+
+
+def parse_upstreams(value: object) -> tuple[UpstreamSpec, ...]:
+    """Read the `upstreams` key, for use as a pydantic validator.
+
+    Args:
+        value: Text, or upstreams already read.
+
+    Returns:
+        The upstreams.
+    """
+    return tuple(
+        word if isinstance(word, UpstreamSpec) else parse_upstream(word)
+        for word in read_words(value)
+    )
+
+
+class GroupSection(Section):
+    """Section `[group NAME]`: a database group and how requests to it are treated.
+
+    Times are in seconds. `connection_limit` is what one upstream accepts in all;
+    `connection_reserve` of them are left to the group's own administrators.
+    """
+
+    owner: str
+    upstreams: Annotated[tuple[UpstreamSpec, ...], BeforeValidator(parse_upstreams)]
+    leaving: Words = ()
+    user: str = "ebonyrack"
+    password: str = ""
+    database: str = "booking"
+    contract: str = "ebonyrack"
+    connection_limit: int = Field(20, ge=2)
+    connection_reserve: int = Field(2, ge=0)
+    slots: int = Field(3, ge=1)
+    queue_limit: int = Field(200, ge=1)
+    queue_wait_s: float = Field(5.0, gt=0)
+    confirm_wait_s: float = Field(3.0, gt=0)
+    lag_refusal_s: float = Field(2.0, gt=0)
+    read_wait_s: float = Field(0.3, ge=0)
+    read_policy: str = "quorum"
+    acknowledge_policy: str = "majority"
+    probe_interval_s: float = Field(0.05, gt=0)
+    suspect_after_s: float = Field(0.2, gt=0)
+    idle_in_transaction_s: float = Field(10.0, gt=0)
+    leaving_limit_s: float = Field(10.0, gt=0)
+    key_retention_s: float = Field(86400.0, gt=0)
+
+
+class ApplicationSection(Section):
+    """Section `[application NAME]`: a booking application and its callers' user.
+
+    `verifier` is a SCRAM-SHA-256 verifier in PostgreSQL's text form.
+    """
+
+    owner: str
+    user: str
+    verifier: str
+    groups: Words
+    maximum_callers: int = Field(1000, ge=1)
+    weight: int = Field(1, ge=1, le=100)
+
+
+class NetworkSection(Section):
+    """Section `[network NAME]`: data centres and how far data centres are apart."""
+
+    owner: str
+    data_centres: Words
+    region: str = "default"
+    round_trip_ms: float = Field(2.0, gt=0)
+
+
+class OperatorSection(Section):
+    """Section `[operator NAME]`: a person and the owners that the person acts for.
+
+    `verifier` is a SCRAM-SHA-256 verifier in PostgreSQL's text form.
+    """
+
+    owner: str = "administrators"
+    acts_for: Words
+    verifier: str = ""
--- /dev/null
+++ b/ebonyrack/core/__init__.py
@@ -0,0 +1,1 @@
+"""Basic records and services that every other package may import."""
--- /dev/null
+++ b/ebonyrack/core/errors.py
@@ -0,0 +1,196 @@
+"""The closed list of error kinds and the answer for each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class ErrorKind(StrEnum):
+    """Every reason for which a request can be answered with an error."""
+
+    BAD_REQUEST = "bad_request"
+    BAD_TOKEN = "bad_token"
+    UNSUPPORTED = "unsupported"
+    AUTHENTICATION_FAILED = "authentication_failed"
+    NOT_ALLOWED = "not_allowed"
+    UNKNOWN_GROUP = "unknown_group"
+    TOO_MANY_CALLERS = "too_many_callers"
+    QUEUE_FULL = "queue_full"
+    WAIT_TOO_LONG = "wait_too_long"
+    NO_PRIMARY = "no_primary"
+    NO_UPSTREAM = "no_upstream"
+    REPLICAS_LAG = "replicas_lag"
+    POSITION_NOT_REACHED = "position_not_reached"
+    UPSTREAM_LOST = "upstream_lost"
+    ANSWER_CUT = "answer_cut"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ALREADY_RAN = "already_ran"
+    IDLE_IN_TRANSACTION = "idle_in_transaction"
+    CANCELLED = "cancelled"
+    SHUTTING_DOWN = "shutting_down"
+    CUT_OFF = "cut_off"
+    INTERNAL = "internal"
+
+
+class Ran(StrEnum):
+    """Whether the request took effect in the database group."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """What a caller is told for one kind of error.
+
+    Attributes:
+        sqlstate: Five-character code, from PostgreSQL's appendix A.
+        ran: Whether the request took effect.
+        retry: Whether the same request may succeed later.
+        text: The message.
+        fatal: Whether the caller's connection is closed after the answer.
+    """
+
+    sqlstate: str
+    ran: Ran
+    retry: bool
+    text: str
+    fatal: bool = False
+
+
+ERROR_ANSWERS: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.BAD_REQUEST: ErrorAnswer(
+        "08P01", Ran.NO, False, "the message is not valid", fatal=True
+    ),
+    ErrorKind.BAD_TOKEN: ErrorAnswer(
+        "22023", Ran.NO, False, "the session token is not valid"
+    ),
+    ErrorKind.UNSUPPORTED: ErrorAnswer(
+        "0A000", Ran.NO, False, "the request is not supported over pooled connections"
+    ),
+    ErrorKind.AUTHENTICATION_FAILED: ErrorAnswer(
+        "28P01", Ran.NO, False, "authentication failed", fatal=True
+    ),
+    ErrorKind.NOT_ALLOWED: ErrorAnswer(
+        "42501", Ran.NO, False, "the user may not use this database group", fatal=True
+    ),
+    ErrorKind.UNKNOWN_GROUP: ErrorAnswer(
+        "3D000", Ran.NO, False, "the database group is not configured", fatal=True
+    ),
+    ErrorKind.TOO_MANY_CALLERS: ErrorAnswer(
+        "53300", Ran.NO, True, "the proxy serves no more connections", fatal=True
+    ),
+    ErrorKind.QUEUE_FULL: ErrorAnswer(
+        "53400", Ran.NO, True, "the queue of the database group is full"
+    ),
+    ErrorKind.WAIT_TOO_LONG: ErrorAnswer(
+        "53400", Ran.NO, True, "no connection came free within the time allowed"
+    ),
+    ErrorKind.NO_PRIMARY: ErrorAnswer(
+        "57P03", Ran.NO, True, "the database group has no primary now"
+    ),
+    ErrorKind.NO_UPSTREAM: ErrorAnswer(
+        "57P03", Ran.NO, True, "no upstream of the database group can serve"
+    ),
+    ErrorKind.REPLICAS_LAG: ErrorAnswer(
+        "57P03", Ran.NO, True, "replicas are too far behind to confirm a write"
+    ),
+    ErrorKind.POSITION_NOT_REACHED: ErrorAnswer(
+        "57P03", Ran.NO, True, "no upstream has reached the session's position"
+    ),
+    ErrorKind.UPSTREAM_LOST: ErrorAnswer(
+        "08006", Ran.NO, True, "the upstream was lost; nothing was committed"
+    ),
+    ErrorKind.ANSWER_CUT: ErrorAnswer(
+        "08006", Ran.NO, True, "the answer of a read broke off; it is not whole"
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(
+        "08007", Ran.UNKNOWN, False, "the outcome of the transaction is not known"
+    ),
+    ErrorKind.ALREADY_RAN: ErrorAnswer(
+        "23505", Ran.YES, False, "a request with this idempotency key already ran"
+    ),
+    ErrorKind.IDLE_IN_TRANSACTION: ErrorAnswer(
+        "25P03", Ran.NO, True, "the transaction was idle too long; rolled back"
+    ),
+    ErrorKind.CANCELLED: ErrorAnswer(
+        "57014", Ran.NO, True, "the request was cancelled"
+    ),
+    ErrorKind.SHUTTING_DOWN: ErrorAnswer(
+        "57P01", Ran.NO, True, "the proxy is shutting down", fatal=True
+    ),
+    ErrorKind.CUT_OFF: ErrorAnswer(
+        "57P03",
+        Ran.NO,
+        True,
+        "the proxy is cut off from the platform's store and its peers",
+    ),
+    ErrorKind.INTERNAL: ErrorAnswer(
+        "XX000", Ran.UNKNOWN, False, "internal error of the proxy", fatal=True
+    ),
+}
+
+
+class RequestError(Exception):
+    """A request that ends with an error answer.
+
+    Attributes:
+        kind: Entry of the closed list.
+        reason: What happened, for the DETAIL field and the log.
+        retry_after_s: Seconds after which a repeat is worth while, or None.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        reason: str = "",
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(f"{kind}: {reason}" if reason else str(kind))
+        self.kind = kind
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+def build_error_fields(error: RequestError) -> dict[str, str]:
+    """Build the fields of the ErrorResponse for an error.
+
+    Args:
+        error: The error that ends the request.
+
+    Returns:
+        Field code to value, as in the PostgreSQL protocol. DETAIL always starts
+        with `ran=no`, `ran=yes` or `ran=unknown`; HINT says when to come back.
+    """
+    answer = ERROR_ANSWERS[error.kind]
+    severity = "FATAL" if answer.fatal else "ERROR"
+    detail = f"ran={answer.ran} kind={error.kind}"
+    if error.reason:
+        detail = f"{detail}: {error.reason}"
+    return {
+        "S": severity,
+        "V": severity,
+        "C": answer.sqlstate,
+        "M": answer.text,
+        "D": detail,
+        "H": build_retry_hint(answer, error.retry_after_s),
+    }
+
+
+def build_retry_hint(answer: ErrorAnswer, retry_after_s: float | None) -> str:
+    """Build the HINT field: whether and when a repeat is worth while.
+
+    Args:
+        answer: Answer of the error's kind.
+        retry_after_s: Seconds to wait before a repeat, or None.
+
+    Returns:
+        `retry=no` or `retry=yes`, with `after_ms=N` if a time is known.
+    """
+    if not answer.retry:
+        return "retry=no"
+    if retry_after_s is None:
+        return "retry=yes"
+    return f"retry=yes after_ms={round(retry_after_s * 1000)}"
--- /dev/null
+++ b/ebonyrack/core/errors_test.py
@@ -0,0 +1,26 @@
+from ebonyrack.core.errors import ERROR_ANSWERS
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import Ran
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.errors import build_error_fields
+
+
+def test_every_kind_has_one_answer():
+    assert set(ERROR_ANSWERS) == set(ErrorKind)
+
+
+def test_sqlstates_have_five_characters():
+    assert all(len(answer.sqlstate) == 5 for answer in ERROR_ANSWERS.values())
+
+
+def test_only_a_request_that_did_not_run_is_marked_for_retry():
+    retried = [answer for answer in ERROR_ANSWERS.values() if answer.retry]
+    assert all(answer.ran is Ran.NO for answer in retried)
+
+
+def test_fields_say_whether_it_ran_and_when_to_come_back():
+    error = RequestError(ErrorKind.NO_PRIMARY, "ballot running", retry_after_s=0.25)
+    fields = build_error_fields(error)
+    assert fields["D"] == "ran=no kind=no_primary: ballot running"
+    assert fields["H"] == "retry=yes after_ms=250"
+    assert fields["C"] == "57P03"
--- /dev/null
+++ b/ebonyrack/core/ini.py
@@ -0,0 +1,129 @@
+"""INI files checked against pydantic models, with every fault reported at once."""
+
+from __future__ import annotations
+
+import configparser
+from dataclasses import dataclass
+from typing import Annotated
+from typing import Any
+
+from pydantic import BaseModel
+from pydantic import BeforeValidator
+from pydantic import ConfigDict
+from pydantic import ValidationError
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.address import parse_address
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of an INI document.
+
+    Attributes:
+        source: File or document in which the fault is.
+        section: Section, or an empty string.
+        key: Key, or an empty string.
+        text: What is wrong and what is allowed.
+    """
+
+    source: str
+    section: str
+    key: str
+    text: str
+
+    def __str__(self) -> str:
+        place = f"[{self.section}]" if self.section else ""
+        if self.key:
+            place = f"{place} {self.key}"
+        return f"{self.source}: {place}: {self.text}"
+
+
+class Section(BaseModel):
+    """Base of all sections: unknown keys are faults and records don't change."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, arbitrary_types_allowed=True)
+
+
+def read_address(value: object) -> Address:
+    """Turn an INI value into an address, for use as a pydantic validator.
+
+    Args:
+        value: Text, or an address already read.
+
+    Returns:
+        The address.
+    """
+    if isinstance(value, Address):
+        return value
+    return parse_address(str(value))
+
+
+def read_words(value: object) -> tuple[Any, ...]:
+    """Split an INI value at commas and white space.
+
+    Args:
+        value: Text, or a sequence already split.
+
+    Returns:
+        The words.
+    """
+    if isinstance(value, str):
+        return tuple(value.replace(",", " ").split())
+    return tuple(value)  # type: ignore[arg-type]
+
+
+AddressField = Annotated[Address, BeforeValidator(read_address)]
+Words = Annotated[tuple[str, ...], BeforeValidator(read_words)]
+Addresses = Annotated[tuple[AddressField, ...], BeforeValidator(read_words)]
+
+
+def parse_ini(
+    text: str, source: str
+) -> tuple[dict[str, dict[str, str]], tuple[Fault, ...]]:
+    """Split an INI text into sections and keys.
+
+    Args:
+        text: The document.
+        source: Name of the document, for faults.
+
+    Returns:
+        Section to key to value, and the faults of form.
+    """
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    parser.optionxform = str  # type: ignore[assignment, method-assign]
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        return {}, (Fault(source, "", "", error.message),)
+    sections = {name: dict(parser.items(name)) for name in parser.sections()}
+    return sections, ()
+
+
+def check_section(
+    model: type[Section], values: dict[str, str], source: str, section: str
+) -> tuple[Any, tuple[Fault, ...]]:
+    """Check one section against its model.
+
+    Args:
+        model: Model of the section.
+        values: Key to value.
+        source: Name of the document, for faults.
+        section: Name of the section, for faults.
+
+    Returns:
+        The record, or None with all faults of the section.
+    """
+    try:
+        return model.model_validate(values), ()
+    except ValidationError as error:
+        faults = tuple(
+            Fault(
+                source,
+                section,
+                ".".join(str(part) for part in item["loc"]),
+                item["msg"],
+            )
+            for item in error.errors()
+        )
+        return None, faults
--- /dev/null
+++ b/ebonyrack/core/settings_test.py
@@ -0,0 +1,41 @@
+from ebonyrack.core.address import Address
+from ebonyrack.core.settings import parse_settings
+
+GOOD = """
+[proxy]
+name = proxy-1
+data_centre = bangkok-1
+caller_address = 127.0.1.1:6432
+peer_address = 127.0.1.1:7432
+[store]
+address = 127.0.0.1:8500
+[peers]
+seeds = 127.0.1.2:7432, 127.0.1.3:7432
+secret = long-enough
+"""
+
+
+def test_good_settings_are_read_as_records():
+    settings, faults = parse_settings(GOOD, "proxy.ini")
+    assert faults == ()
+    assert settings.proxy.caller_address == Address("127.0.1.1", 6432)
+    assert len(settings.peers.seeds) == 2
+
+
+def test_every_fault_is_reported_with_section_and_key():
+    text = GOOD.replace("127.0.1.1:6432", "somewhere").replace("name =", "nome =")
+    settings, faults = parse_settings(text + "[extra]\nx = 1\n", "proxy.ini")
+    assert settings is None
+    places = {(fault.section, fault.key) for fault in faults}
+    assert {
+        ("proxy", "name"),
+        ("proxy", "nome"),
+        ("proxy", "caller_address"),
+        ("extra", ""),
+    } <= places
+
+
+def test_a_document_that_is_no_ini_is_one_fault():
+    settings, faults = parse_settings("name = 1", "proxy.ini")
+    assert settings is None
+    assert len(faults) == 1
--- /dev/null
+++ b/ebonyrack/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of lost primaries, ballots and switchovers."""
--- /dev/null
+++ b/ebonyrack/load/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, experiments and reports of the load tool."""
--- /dev/null
+++ b/ebonyrack/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links and membership between the proxies."""
--- /dev/null
+++ b/ebonyrack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: the key-value store and the VM list."""
--- /dev/null
+++ b/ebonyrack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of reads and writes, admission and idempotency."""
--- /dev/null
+++ b/ebonyrack/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- /dev/null
+++ b/ebonyrack/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for a database group and the platform."""
--- /dev/null
+++ b/ebonyrack/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Database groups, their upstreams and connections."""
--- /dev/null
+++ b/ebonyrack/upstreams/status.py
@@ -0,0 +1,36 @@
+"""What an upstream reports about itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ebonyrack.core.position import LogPosition
+
+
+class Role(StrEnum):
+    """Part of an upstream in its database group."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamStatus:
+    """One answer of an upstream to a poll.
+
+    Attributes:
+        role: Whether it accepts writes or follows a primary.
+        term: Term in which it is primary, or term of the primary it follows.
+        fenced_term: Highest term that it has granted to a ballot.
+        received: Position of the last entry that its log holds.
+        applied: Position of the last entry that its reads show.
+        leaving: Whether it is about to leave the group.
+    """
+
+    role: Role
+    term: int
+    fenced_term: int
+    received: LogPosition
+    applied: LogPosition
+    leaving: bool
