--- /dev/null
+++ b/ebonyrack/service/__init__.py
@@ -0,0 +1,1 @@
+"""The running proxy: its parts put together, drain and status."""
