Add metrics and the life cycle of a proxy

Instruments are made once, by name, in core; the Prometheus exporter is loaded only where a scrape address is set, since it takes several megabytes.

--- /dev/null
+++ b/ebonyrack/core/metrics.py
@@ -0,0 +1,54 @@
+"""OpenTelemetry instruments and the address from which they are scraped."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from opentelemetry import metrics
+
+if TYPE_CHECKING:
+    from ebonyrack.core.address import Address
+
+meter = metrics.get_meter("ebonyrack")
+
+requests = meter.create_counter(
+    "ebonyrack_requests", description="Requests answered, by group, kind and outcome"
+)
+placements = meter.create_counter(
+    "ebonyrack_placements", description="Requests placed, by group, role and reason"
+)
+acknowledge_time = meter.create_histogram(
+    "ebonyrack_acknowledge", unit="s", description="Wait for a majority after a commit"
+)
+queue_time = meter.create_histogram(
+    "ebonyrack_queue", unit="s", description="Wait for an upstream connection"
+)
+primary_changes = meter.create_counter(
+    "ebonyrack_primary_changes", description="Changes of primary seen, by group"
+)
+store_calls = meter.create_counter(
+    "ebonyrack_store_calls", description="Calls to the platform's store, by kind"
+)
+peer_bytes = meter.create_counter(
+    "ebonyrack_peer_bytes", unit="By", description="Bytes exchanged with peers"
+)
+
+
+def start_metrics(address: Address | None) -> None:
+    """Collect metrics and serve them for scraping.
+
+    Nothing is collected without an address, which spares the memory of the
+    exporter.
+
+    Args:
+        address: Where the Prometheus text format is served, or None.
+    """
+    if address is None:
+        return
+    # The exporter takes several megabytes, so it is loaded only where it is used.
+    from opentelemetry.exporter.prometheus import PrometheusMetricReader
+    from opentelemetry.sdk.metrics import MeterProvider
+    from prometheus_client import start_http_server
+
+    metrics.set_meter_provider(MeterProvider(metric_readers=[PrometheusMetricReader()]))
+    start_http_server(address.port, addr=address.host)
--- /dev/null
+++ b/ebonyrack/service/drain_test.py
@@ -0,0 +1,19 @@
+from ebonyrack.service.drain import Drain
+
+
+async def test_a_second_request_hurries_the_shutdown():
+    drain = Drain()
+    drain.serve()
+    drain.request("SIGTERM")
+    assert drain.is_draining
+    assert not drain.hurried.is_set()
+    drain.request("SIGTERM")
+    assert drain.hurried.is_set()
+
+
+async def test_states_follow_one_another():
+    drain = Drain()
+    drain.serve()
+    drain.begin()
+    drain.finish()
+    assert drain.state == "stopped"
