--- /dev/null
+++ b/ebonyrack/service/services.py
@@ -0,0 +1,52 @@
+"""The parts of a running proxy that a caller's session uses."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ebonyrack.config.state import ConfigurationState
+    from ebonyrack.core.settings import Settings
+    from ebonyrack.peers.membership import Membership
+    from ebonyrack.routing.read_index import ReadIndex
+    from ebonyrack.service.drain import Drain
+    from ebonyrack.upstreams.group import DatabaseGroup
+
+
+@dataclass(slots=True)
+class Services:
+    """What sessions need from the proxy that they run in.
+
+    Attributes:
+        settings: Settings of the process.
+        configuration: The operators' document in force.
+        membership: The proxies known to this one.
+        drain: Whether the proxy is shutting down.
+        token_key: Key that signs session tokens; the same on every proxy.
+        groups: Database groups by name.
+        read_indexes: Read index of each group, by the group's name.
+    """
+
+    settings: Settings
+    configuration: ConfigurationState
+    membership: Membership
+    drain: Drain
+    token_key: bytes
+    groups: dict[str, DatabaseGroup] = field(default_factory=dict)
+    read_indexes: dict[str, ReadIndex] = field(default_factory=dict)
+
+
+def derive_token_key(secret: str) -> bytes:
+    """Derive the key of session tokens from the secret that all proxies share.
+
+    Args:
+        secret: Value of `secret` in the section `[peers]`.
+
+    Returns:
+        A key of 32 bytes.
+    """
+    return hmac.digest(secret.encode(), b"ebonyrack session token", hashlib.sha256)
