--- /dev/null
+++ b/ebonyrack/scripts/daemon.py
@@ -0,0 +1,123 @@
+"""Entry point of `ebonyrackd`: checks the settings, then runs one proxy."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from ebonyrack import __version__
+from ebonyrack.core import logs
+from ebonyrack.core import metrics
+from ebonyrack.core.settings import Settings
+from ebonyrack.core.settings import parse_settings
+from ebonyrack.service.proxy import Proxy
+
+EXIT_OK = 0
+EXIT_CUT = 1
+EXIT_BAD_SETTINGS = 2
+
+EPILOG = """\
+signals:
+  SIGTERM, SIGINT  graceful shutdown: finish what runs, take nothing new; a second
+                   one, or drain_limit_s, ends it and logs what was cut
+  SIGHUP           read the log settings of the file again; the rest needs a restart
+
+exit status: 0 nothing was cut, 1 requests were cut, 2 the settings have faults
+"""
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="ebonyrackd",
+        description="Run one proxy between callers and database groups.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--config", required=True, type=Path, help="INI file with the settings"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and leave"
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser
+
+
+def load_settings(path: Path) -> Settings | None:
+    """Read the settings and print every fault to standard error.
+
+    Args:
+        path: The INI file.
+
+    Returns:
+        The settings, or None if there are faults.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{path}: cannot be read: {error}", file=sys.stderr)
+        return None
+    settings, faults = parse_settings(text, str(path))
+    for fault in faults:
+        print(fault, file=sys.stderr)
+    return settings
+
+
+def reload_logging(path: Path) -> None:
+    """Put the log settings of the file in force.
+
+    Args:
+        path: The INI file.
+    """
+    settings = load_settings(path)
+    if settings is not None:
+        logs.start_logging(settings.log, settings.proxy.name)
+
+
+async def run_proxy(settings: Settings, path: Path) -> int:
+    """Run a proxy until it is told to stop.
+
+    Args:
+        settings: Checked settings.
+        path: File of the settings, read again on SIGHUP.
+
+    Returns:
+        The number of requests that the shutdown cut.
+    """
+    proxy = Proxy(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, proxy.drain.request, number.name)
+    loop.add_signal_handler(signal.SIGHUP, reload_logging, path)
+    async with proxy:
+        return await proxy.serve()
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the program.
+
+    Args:
+        arguments: Command line without the program's name; None takes sys.argv.
+
+    Returns:
+        The exit status.
+    """
+    options = build_parser().parse_args(arguments)
+    settings = load_settings(options.config)
+    if settings is None:
+        return EXIT_BAD_SETTINGS
+    if options.check:
+        print(f"{options.config}: no faults")
+        return EXIT_OK
+    logs.start_logging(settings.log, settings.proxy.name)
+    metrics.start_metrics(settings.proxy.metrics_address)
+    cut_requests = asyncio.run(run_proxy(settings, options.config))
+    return EXIT_CUT if cut_requests else EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
