Add upstream connections, their pool and the queue before it

Cause: nothing could talk to an upstream yet. Ruled out: reuse of a connection after a cancel request, which may strike late; reuse with unread bytes or an answer due. The queue lives in upstreams, not in routing: the pool needs it and imports go down the layers only.

--- /dev/null
+++ b/ebonyrack/upstreams/admission.py
@@ -0,0 +1,254 @@
+"""Bounded waiting for a connection: fairness, refusal at once, time to come back."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+
+INITIAL_SERVICE_S = 0.005
+# Weight of the newest measurement in the moving average of service times.
+SERVICE_SMOOTHING = 0.1
+MINIMUM_RETRY_S = 0.02
+MAXIMUM_RETRY_S = 10.0
+RETRY_JITTER = 0.25
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """One request that waits for a connection.
+
+    Attributes:
+        caller: Name of the application that asks.
+        deadline_s: Monotonic time at which the request gives up.
+        granted: Set when a place is granted; carries what the granter hands over.
+    """
+
+    caller: str
+    deadline_s: float
+    granted: asyncio.Future[object]
+
+
+@dataclass(slots=True)
+class CallerQueue:
+    """The waiters of one application.
+
+    Attributes:
+        weight: Share of the application relative to the others.
+        progress: Grants so far divided by the weight, on the queue's virtual clock.
+        waiters: Waiters in order of arrival.
+    """
+
+    weight: int
+    progress: float = 0.0
+    waiters: deque[Waiter] = field(default_factory=deque)
+
+
+class AdmissionQueue:
+    """Bounded queue, served in proportion to the weights of the applications.
+
+    The application with the least progress is served next (stride scheduling), so
+    a flood from one application costs the others nothing but its own share. When
+    the queue is full, the newest waiter of the application that holds the most for
+    its weight gives way to one that holds less.
+
+    Attributes:
+        limit: Largest number of waiters.
+        weights: Weight by application; others count 1.
+        callers: Queues of the applications that have waiters.
+        virtual_time: Progress of the application served last.
+        count: Number of waiters.
+        service_s: Moving average of how long a connection is held, in seconds.
+        next_retry_s: Monotonic time of the last return time handed out.
+    """
+
+    __slots__ = (
+        "limit",
+        "weights",
+        "callers",
+        "virtual_time",
+        "count",
+        "service_s",
+        "next_retry_s",
+    )
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.weights: dict[str, int] = {}
+        self.callers: dict[str, CallerQueue] = {}
+        self.virtual_time = 0.0
+        self.count = 0
+        self.service_s = INITIAL_SERVICE_S
+        self.next_retry_s = 0.0
+
+    def __len__(self) -> int:
+        return self.count
+
+    def add(self, caller: str, deadline_s: float, servers: int) -> Waiter:
+        """Queue a request, or refuse it at once.
+
+        Args:
+            caller: Name of the application.
+            deadline_s: Monotonic time at which the request gives up.
+            servers: Connections that serve the queue.
+
+        Returns:
+            The waiter.
+
+        Raises:
+            RequestError: WAIT_TOO_LONG if the expected wait passes the deadline,
+                QUEUE_FULL if there is no room.
+        """
+        expected_s = self.estimate_wait(caller, servers)
+        if now_s() + expected_s > deadline_s:
+            raise self.build_refusal(
+                ErrorKind.WAIT_TOO_LONG, f"expected wait {expected_s:.3f} s", servers
+            )
+        if self.count >= self.limit:
+            self.make_room(caller, servers)
+        waiter = Waiter(caller, deadline_s, asyncio.get_running_loop().create_future())
+        self.append(waiter)
+        return waiter
+
+    def append(self, waiter: Waiter, first: bool = False) -> None:
+        """Put a waiter into its application's queue.
+
+        Args:
+            waiter: The waiter.
+            first: Whether it goes before the others of its application.
+        """
+        queue = self.callers.get(waiter.caller)
+        if queue is None:
+            weight = self.weights.get(waiter.caller, 1)
+            queue = CallerQueue(weight, self.virtual_time)
+            self.callers[waiter.caller] = queue
+        if first:
+            queue.waiters.appendleft(waiter)
+        else:
+            queue.waiters.append(waiter)
+        self.count += 1
+
+    def take(self) -> Waiter | None:
+        """Remove and return the waiter to serve next, or None."""
+        if not self.callers:
+            return None
+        name, queue = min(self.callers.items(), key=lambda item: item[1].progress)
+        waiter = queue.waiters.popleft()
+        self.virtual_time = queue.progress
+        queue.progress += 1 / queue.weight
+        self.drop_if_empty(name)
+        self.count -= 1
+        return waiter
+
+    def discard(self, waiter: Waiter) -> None:
+        """Remove a waiter that gives up; one that was taken already is ignored.
+
+        Args:
+            waiter: The waiter.
+        """
+        queue = self.callers.get(waiter.caller)
+        if queue is None or waiter not in queue.waiters:
+            return
+        queue.waiters.remove(waiter)
+        self.drop_if_empty(waiter.caller)
+        self.count -= 1
+
+    def drop_if_empty(self, name: str) -> None:
+        """Forget an application without waiters.
+
+        Args:
+            name: Name of the application.
+        """
+        if not self.callers[name].waiters:
+            del self.callers[name]
+
+    def fail_all(self, build_error: Callable[[], Exception]) -> None:
+        """End every wait with an error.
+
+        Args:
+            build_error: Builds the error of one waiter.
+        """
+        while (waiter := self.take()) is not None:
+            if not waiter.granted.done():
+                waiter.granted.set_exception(build_error())
+
+    def make_room(self, caller: str, servers: int) -> None:
+        """Refuse the newest waiter of the application that holds the most.
+
+        Args:
+            caller: Application of the request that needs the room.
+            servers: Connections that serve the queue.
+
+        Raises:
+            RequestError: QUEUE_FULL if no other application holds more.
+        """
+        name, load = max(
+            (
+                (name, len(queue.waiters) / queue.weight)
+                for name, queue in self.callers.items()
+            ),
+            key=lambda item: item[1],
+        )
+        own = self.callers.get(caller)
+        held = len(own.waiters) if own is not None else 0
+        if (held + 1) / self.weights.get(caller, 1) >= load:
+            raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers)
+        waiter = self.callers[name].waiters[-1]
+        self.discard(waiter)
+        refusal = self.build_refusal(ErrorKind.QUEUE_FULL, "", servers)
+        if not waiter.granted.done():
+            waiter.granted.set_exception(refusal)
+
+    def note_service(self, held_s: float) -> None:
+        """Take a measurement of how long a connection was held.
+
+        Args:
+            held_s: Seconds between grant and release.
+        """
+        self.service_s += SERVICE_SMOOTHING * (held_s - self.service_s)
+
+    def estimate_wait(self, caller: str, servers: int) -> float:
+        """Return the expected wait of a new request of an application, in seconds.
+
+        Args:
+            caller: Name of the application.
+            servers: Connections that serve the queue.
+        """
+        own = self.callers.get(caller)
+        place = 1 + (len(own.waiters) if own is not None else 0)
+        weight = self.weights.get(caller, 1)
+        ahead = float(place)
+        for name, queue in self.callers.items():
+            if name != caller:
+                ahead += min(len(queue.waiters), place * queue.weight / weight)
+        return ahead * self.service_s / max(1, servers)
+
+    def build_refusal(self, kind: ErrorKind, reason: str, servers: int) -> RequestError:
+        """Build a refusal with a time to come back.
+
+        Return times are handed out one after another at the rate at which requests
+        are served, beginning after the backlog, so that refused callers don't
+        come back together.
+
+        Args:
+            kind: Kind of refusal.
+            reason: What happened.
+            servers: Connections that serve the queue.
+
+        Returns:
+            The error.
+        """
+        interval_s = self.service_s / max(1, servers)
+        now = now_s()
+        earliest_s = now + MINIMUM_RETRY_S + self.count * interval_s
+        self.next_retry_s = max(earliest_s, self.next_retry_s) + interval_s
+        self.next_retry_s = min(self.next_retry_s, now + MAXIMUM_RETRY_S)
+        jitter = 1 + random.uniform(0, RETRY_JITTER)
+        return RequestError(kind, reason, (self.next_retry_s - now) * jitter)
--- /dev/null
+++ b/ebonyrack/upstreams/authentication.py
@@ -0,0 +1,189 @@
+"""Start of a session with an upstream: startup message and SCRAM."""
+
+from __future__ import annotations
+
+import struct
+
+from pygwire.messages import AuthenticationSASL
+from pygwire.messages import AuthenticationSASLContinue
+from pygwire.messages import AuthenticationSASLFinal
+from pygwire.messages import BackendKeyData
+from pygwire.messages import ErrorResponse
+from pygwire.messages import SASLInitialResponse
+from pygwire.messages import SASLResponse
+from pygwire.messages import StartupMessage
+from scramp import ScramClient
+from scramp import ScramException
+
+from ebonyrack.upstreams.transport import FrameTransport
+from ebonyrack.upstreams.transport import Message
+from ebonyrack.upstreams.transport import UpstreamLostError
+
+MECHANISM = "SCRAM-SHA-256"
+AUTHENTICATION_CODE = struct.Struct("!I")
+CODE_OK = 0
+CODE_SASL = 10
+CODE_SASL_CONTINUE = 11
+CODE_SASL_FINAL = 12
+# Bounds what an upstream may send before it is ready.
+MAXIMUM_STARTUP_MESSAGES = 200
+
+
+def build_lost_error(message: Message, step: str) -> UpstreamLostError:
+    """Turn an ErrorResponse into the error that ends the connection.
+
+    Args:
+        message: The ErrorResponse.
+        step: What was being done.
+
+    Returns:
+        The error, with the upstream's SQLSTATE.
+    """
+    fields = ErrorResponse.decode(message.payload[:-1]).fields
+    sqlstate = fields.get("C", "")
+    text = fields.get("M", "")
+    return UpstreamLostError(f"{step} refused: {sqlstate} {text}", sqlstate)
+
+
+async def read_startup_message(frames: FrameTransport) -> Message:
+    """Read the next message that the start of a session depends on.
+
+    Args:
+        frames: The connection.
+
+    Returns:
+        The message, notices left out.
+
+    Raises:
+        UpstreamLostError: If the upstream answers an error or goes away.
+    """
+    for _ in range(MAXIMUM_STARTUP_MESSAGES):
+        message = await frames.read_frame()
+        if message.kind == b"E":
+            raise build_lost_error(message, "startup")
+        if message.kind not in (b"N", b"S", b"v"):
+            return message
+    raise UpstreamLostError("the upstream does not finish its startup")
+
+
+async def read_authentication(frames: FrameTransport, expected: int) -> memoryview:
+    """Read the authentication message with a given code.
+
+    Args:
+        frames: The connection.
+        expected: Code that must come now.
+
+    Returns:
+        Its payload.
+
+    Raises:
+        UpstreamLostError: If another message comes.
+    """
+    message = await read_startup_message(frames)
+    code = read_code(message)
+    if code != expected:
+        raise UpstreamLostError(f"authentication code {code}, expected {expected}")
+    return message.payload
+
+
+def read_code(message: Message) -> int:
+    """Return the code of an authentication message.
+
+    Args:
+        message: Any message.
+
+    Returns:
+        The code.
+
+    Raises:
+        UpstreamLostError: If it is another message.
+    """
+    if message.kind != b"R" or len(message.payload) < AUTHENTICATION_CODE.size:
+        raise UpstreamLostError(f"message {message.kind!r} during authentication")
+    (code,) = AUTHENTICATION_CODE.unpack_from(message.payload)
+    return int(code)
+
+
+async def authenticate(frames: FrameTransport, user: str, password: str) -> None:
+    """Answer the upstream's authentication request.
+
+    Trust and SCRAM-SHA-256 are answered. Clear text and MD5 are refused, since they
+    would show the password to whoever holds the upstream's address.
+
+    Args:
+        frames: The connection, after the startup message.
+        user: User name.
+        password: Password, or an empty string where the upstream trusts.
+
+    Raises:
+        UpstreamLostError: If the upstream refuses or asks for another method.
+    """
+    message = await read_startup_message(frames)
+    code = read_code(message)
+    if code == CODE_OK:
+        return
+    if code != CODE_SASL:
+        raise UpstreamLostError(f"authentication method {code} is not supported")
+    offer = AuthenticationSASL.decode(message.payload)
+    if MECHANISM not in offer.mechanisms or not password:
+        raise UpstreamLostError(f"cannot authenticate by {offer.mechanisms}")
+    try:
+        await exchange_scram(frames, user, password)
+    except ScramException as error:
+        raise UpstreamLostError(f"SCRAM failed: {error}") from error
+
+
+async def exchange_scram(frames: FrameTransport, user: str, password: str) -> None:
+    """Run SCRAM-SHA-256 and check the upstream's proof too.
+
+    Args:
+        frames: The connection.
+        user: User name.
+        password: Password.
+
+    Raises:
+        ScramException: If the upstream's messages don't prove the password.
+        UpstreamLostError: If it refuses or goes away.
+    """
+    client = ScramClient([MECHANISM], user, password)
+    first = client.get_client_first().encode()
+    frames.write(SASLInitialResponse(mechanism=MECHANISM, data=first).to_wire())
+    payload = await read_authentication(frames, CODE_SASL_CONTINUE)
+    client.set_server_first(AuthenticationSASLContinue.decode(payload).data.decode())
+    final = client.get_client_final().encode()
+    frames.write(SASLResponse(data=final).to_wire())
+    payload = await read_authentication(frames, CODE_SASL_FINAL)
+    client.set_server_final(AuthenticationSASLFinal.decode(payload).data.decode())
+    await read_authentication(frames, CODE_OK)
+
+
+async def start_session(
+    frames: FrameTransport, user: str, password: str, database: str
+) -> tuple[BackendKeyData, str]:
+    """Start a session up to the first ReadyForQuery.
+
+    Args:
+        frames: A fresh connection.
+        user: User name.
+        password: Password.
+        database: Database name.
+
+    Returns:
+        The key for cancel requests and the transaction status.
+
+    Raises:
+        UpstreamLostError: If the upstream refuses or goes away.
+    """
+    parameters = {"user": user, "database": database, "client_encoding": "UTF8"}
+    frames.write(StartupMessage(params=parameters).to_wire())
+    await authenticate(frames, user, password)
+    key = BackendKeyData()
+    for _ in range(MAXIMUM_STARTUP_MESSAGES):
+        message = await read_startup_message(frames)
+        if message.kind == b"K":
+            key = BackendKeyData.decode(message.payload)
+        elif message.kind == b"Z":
+            return key, chr(message.payload[0])
+        else:
+            raise UpstreamLostError(f"message {message.kind!r} during startup")
+    raise UpstreamLostError("the upstream does not finish its startup")
--- /dev/null
+++ b/ebonyrack/upstreams/connection.py
@@ -0,0 +1,395 @@
+"""One session with an upstream: raw messages, control queries, cancel requests."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from pygwire.exceptions import PygwireError
+from pygwire.messages import CancelRequest
+from pygwire.messages import CommandComplete
+from pygwire.messages import DataRow
+from pygwire.messages import ErrorResponse
+from pygwire.messages import Query
+from pygwire.messages import RowDescription
+
+from ebonyrack.core.address import Address
+from ebonyrack.upstreams.authentication import start_session
+from ebonyrack.upstreams.transport import HEADER
+from ebonyrack.upstreams.transport import FrameTransport
+from ebonyrack.upstreams.transport import Message
+from ebonyrack.upstreams.transport import UpstreamLostError
+
+__all__ = [
+    "Message",
+    "QueryAnswer",
+    "UpstreamConnection",
+    "UpstreamLostError",
+    "open_connection",
+]
+
+# Query, Sync and FunctionCall are each answered with one ReadyForQuery.
+KINDS_ANSWERED_READY = frozenset({b"Q", b"S", b"F"})
+TRANSACTION_STATUSES = frozenset({"I", "T", "E"})
+MAXIMUM_CONTROL_ROWS = 10000
+
+
+@dataclass(frozen=True, slots=True)
+class QueryAnswer:
+    """The whole answer to a simple query.
+
+    Attributes:
+        columns: Column names of the last result.
+        rows: Rows in text form; None stands for NULL.
+        tag: Command tag of the last statement.
+        error: Fields of the error answer, or None.
+    """
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[str | None, ...], ...]
+    tag: str
+    error: dict[str, str] | None
+
+
+class UpstreamConnection:
+    """A session with an upstream.
+
+    Attributes:
+        address: Address of the upstream.
+        process_id: Process number for cancel requests.
+        secret_key: Secret for cancel requests.
+        transaction_status: `I` idle, `T` in a transaction, `E` in a failed one.
+        answers_due: ReadyForQuery messages still to come.
+        is_unsynced: Whether messages were sent that no Sync has closed yet.
+        is_cancelled: Whether a cancel request was sent; it may strike late.
+        prepared: Prepared statements known to the upstream, in order of use.
+        opened_in_s: Seconds that opening took.
+    """
+
+    __slots__ = (
+        "address",
+        "frames",
+        "process_id",
+        "secret_key",
+        "transaction_status",
+        "answers_due",
+        "is_unsynced",
+        "is_cancelled",
+        "prepared",
+        "opened_in_s",
+    )
+
+    def __init__(self, address: Address, frames: FrameTransport) -> None:
+        self.address = address
+        self.frames = frames
+        self.process_id = 0
+        self.secret_key = b""
+        self.transaction_status = "I"
+        self.answers_due = 0
+        self.is_unsynced = False
+        self.is_cancelled = False
+        self.prepared: OrderedDict[str, str] = OrderedDict()
+        self.opened_in_s = 0.0
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection has ended, on either side."""
+        return self.frames.lost_reason is not None
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether another caller may use the connection."""
+        return (
+            not self.is_closed
+            and not self.is_cancelled
+            and not self.is_unsynced
+            and self.answers_due == 0
+            and self.transaction_status == "I"
+            and not self.frames.buffer
+        )
+
+    def send(self, data: bytes) -> None:
+        """Queue whole messages for sending.
+
+        Args:
+            data: One or more whole frontend messages.
+
+        Raises:
+            UpstreamLostError: If the connection has ended.
+            ValueError: If the data does not end with a whole message.
+        """
+        due, is_unsynced = count_answers_due(data, self.is_unsynced)
+        self.frames.write(data)
+        self.answers_due += due
+        self.is_unsynced = is_unsynced
+
+    async def drain(self) -> None:
+        """Wait until the queue of bytes to send is short."""
+        await self.frames.drain()
+
+    def take_message(self) -> Message | None:
+        """Take a message that has already arrived, or return None.
+
+        Raises:
+            UpstreamLostError: If the upstream breaks the protocol.
+        """
+        message = self.frames.take_frame()
+        if message is not None and message.kind == b"Z":
+            self.note_ready(message)
+        return message
+
+    async def read_message(self) -> Message:
+        """Wait for the next message.
+
+        Returns:
+            The message as it arrived.
+
+        Raises:
+            UpstreamLostError: If the connection ended or broke the protocol.
+        """
+        message = await self.frames.read_frame()
+        if message.kind == b"Z":
+            self.note_ready(message)
+        return message
+
+    def note_ready(self, message: Message) -> None:
+        """Keep the transaction status of a ReadyForQuery.
+
+        Args:
+            message: The ReadyForQuery.
+
+        Raises:
+            UpstreamLostError: If none was due or its status is unknown.
+        """
+        status = chr(message.raw[-1])
+        if self.answers_due == 0 or status not in TRANSACTION_STATUSES:
+            self.frames.close("the upstream sent a ReadyForQuery that was not due")
+            raise UpstreamLostError(self.frames.lost_reason or "")
+        self.answers_due -= 1
+        self.transaction_status = status
+
+    async def query(self, sql: str, timeout_s: float) -> QueryAnswer:
+        """Run a simple query and read its whole answer.
+
+        A query that is given up on closes the connection, since its answer would
+        otherwise reach the next reader.
+
+        Args:
+            sql: Statement.
+            timeout_s: Seconds to wait for the whole answer.
+
+        Returns:
+            The answer; an error answer is returned, not raised.
+
+        Raises:
+            UpstreamLostError: If the connection ended or the time is over.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                self.check_no_answer_due()
+                self.send(Query(query_string=sql).to_wire())
+                return await self.read_answer()
+        except TimeoutError:
+            reason = f"no answer from {self.address} within {timeout_s:.3f} s"
+            self.frames.close(reason)
+            raise UpstreamLostError(reason) from None
+        except PygwireError as error:
+            self.frames.close(f"the answer can't be decoded: {error}")
+            raise UpstreamLostError(self.frames.lost_reason or "") from error
+        except BaseException:
+            self.frames.close("given up in the middle of an answer")
+            raise
+
+    def check_no_answer_due(self) -> None:
+        """Raise UpstreamLostError while the answer to an earlier request is due."""
+        if self.answers_due or self.is_unsynced:
+            raise UpstreamLostError("an earlier answer is still due")
+
+    async def read_answer(self) -> QueryAnswer:
+        """Read messages up to ReadyForQuery and decode them."""
+        columns: tuple[str, ...] = ()
+        rows: list[tuple[str | None, ...]] = []
+        tag = ""
+        error: dict[str, str] | None = None
+        while True:
+            message = await self.read_message()
+            if message.kind == b"T":
+                fields = RowDescription.decode(message.payload).fields
+                columns = tuple(field.name for field in fields)
+                rows = []
+            elif message.kind == b"D":
+                rows.append(decode_row(message))
+                check_row_count(len(rows))
+            elif message.kind == b"C":
+                tag = CommandComplete.decode(message.payload).tag
+            elif message.kind == b"E":
+                error = ErrorResponse.decode(message.payload).fields
+            elif message.kind == b"Z":
+                return QueryAnswer(columns, tuple(rows), tag, error)
+
+    async def cancel(self, timeout_s: float) -> None:
+        """Ask the upstream to cancel what this session runs.
+
+        The connection is not reused afterwards: the request may strike after the
+        statement that it was meant for has ended.
+
+        Args:
+            timeout_s: Seconds to wait for the upstream to take the request.
+
+        Raises:
+            UpstreamLostError: If the upstream can't be reached in time.
+        """
+        self.is_cancelled = True
+        request = CancelRequest(process_id=self.process_id, secret_key=self.secret_key)
+        try:
+            async with asyncio.timeout(timeout_s):
+                frames = await connect(self.address)
+                try:
+                    frames.write(request.to_wire())
+                    # The upstream closes the connection when it has acted.
+                    while frames.lost_reason is None:
+                        await frames.wait_for_data()
+                        frames.buffer.clear()
+                finally:
+                    frames.close("cancel request sent")
+        except TimeoutError:
+            raise UpstreamLostError(f"no answer from {self.address}") from None
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.frames.close("closed by the proxy")
+
+
+def count_answers_due(data: bytes, is_unsynced: bool) -> tuple[int, bool]:
+    """Count the ReadyForQuery answers that messages ask for.
+
+    Args:
+        data: Whole frontend messages.
+        is_unsynced: Whether earlier messages still wait for a Sync.
+
+    Returns:
+        The number of answers, and whether messages are left without a Sync.
+
+    Raises:
+        ValueError: If the data does not end with a whole message.
+    """
+    due = 0
+    offset = 0
+    while offset < len(data):
+        try:
+            kind, length = HEADER.unpack_from(data, offset)
+        except struct.error:
+            raise ValueError("the data ends within a message header") from None
+        answered = kind in KINDS_ANSWERED_READY
+        due += answered
+        is_unsynced = not answered
+        offset += length + 1
+    if offset != len(data):
+        raise ValueError("the data does not end with a whole message")
+    return due, is_unsynced
+
+
+def decode_row(message: Message) -> tuple[str | None, ...]:
+    """Decode a DataRow in text form.
+
+    Args:
+        message: The DataRow.
+
+    Returns:
+        Its values.
+    """
+    return tuple(
+        None if value is None else value.decode("utf-8", "replace")
+        for value in DataRow.decode(message.payload).columns
+    )
+
+
+def check_row_count(count: int) -> None:
+    """Refuse an answer that would fill the memory.
+
+    Args:
+        count: Rows so far.
+
+    Raises:
+        UpstreamLostError: If there are too many.
+    """
+    if count > MAXIMUM_CONTROL_ROWS:
+        raise UpstreamLostError("the answer to a control query has too many rows")
+
+
+async def connect(address: Address) -> FrameTransport:
+    """Open the TCP connection.
+
+    Args:
+        address: Address by IP number.
+
+    Returns:
+        The connection.
+
+    Raises:
+        UpstreamLostError: If it is refused or unreachable.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        _, frames = await loop.create_connection(
+            FrameTransport, address.host, address.port
+        )
+    except OSError as error:
+        raise UpstreamLostError(f"can't connect to {address}: {error}") from error
+    return frames
+
+
+async def open_connection(
+    address: Address, user: str, password: str, database: str, timeout_s: float
+) -> UpstreamConnection:
+    """Open a session with an upstream.
+
+    Args:
+        address: Address of the upstream.
+        user: User name.
+        password: Password, or an empty string where the upstream trusts.
+        database: Database name.
+        timeout_s: Seconds for connecting and starting the session.
+
+    Returns:
+        The session, idle.
+
+    Raises:
+        UpstreamLostError: If the upstream refuses, goes away or takes too long.
+    """
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    frames: FrameTransport | None = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            frames = await connect(address)
+            key, status = await start_session(frames, user, password, database)
+    except TimeoutError:
+        close_frames(frames)
+        raise UpstreamLostError(
+            f"no session with {address} within {timeout_s:.3f} s"
+        ) from None
+    except PygwireError as error:
+        close_frames(frames)
+        raise UpstreamLostError(f"the startup can't be decoded: {error}") from error
+    except BaseException:
+        close_frames(frames)
+        raise
+    connection = UpstreamConnection(address, frames)
+    connection.process_id = key.process_id
+    connection.secret_key = key.secret_key
+    connection.transaction_status = status
+    connection.opened_in_s = loop.time() - started_s
+    return connection
+
+
+def close_frames(frames: FrameTransport | None) -> None:
+    """Close a connection whose session did not start.
+
+    Args:
+        frames: The connection, or None if there is none.
+    """
+    if frames is not None:
+        frames.close("the session did not start")
--- /dev/null
+++ b/ebonyrack/upstreams/pool.py
@@ -0,0 +1,431 @@
+"""Bounded pool of connections to one upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from types import TracebackType
+from typing import Self
+
+from loguru import logger
+
+from ebonyrack.config.sections import GroupSection
+from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.upstreams.admission import AdmissionQueue
+from ebonyrack.upstreams.admission import Waiter
+from ebonyrack.upstreams.connection import UpstreamConnection
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.connection import open_connection
+
+TOO_MANY_CONNECTIONS = "53300"
+OPEN_TIMEOUT_S = 2.0
+# How long a limit that the upstream enforced by a refusal stays as it is.
+REFUSED_LIMIT_S = 2.0
+# After that time the limit rises by one in each interval.
+RAISE_INTERVAL_S = 0.5
+
+
+class ConnectionPool:
+    """Connections to one upstream, each used by one caller at a time.
+
+    A place is an idle, busy or opening connection; there are never more places than
+    the limit allows. Whoever is granted a place holds it until `release`.
+
+    Attributes:
+        address: Address of the upstream.
+        section: Section of the database group.
+        limit: Largest number of connections.
+        queue: Requests that wait for a place.
+        idle: Connections that nobody uses, the one used last at the end.
+        busy: Connections in use, with the monotonic time of the grant.
+        opening: Number of connections being opened.
+        is_accepting: Whether new work is taken.
+        refused_limit: Places that were held when the upstream refused one more.
+        refused_at_s: Monotonic time of that refusal, or None.
+    """
+
+    __slots__ = (
+        "address",
+        "section",
+        "limit",
+        "queue",
+        "idle",
+        "busy",
+        "opening",
+        "is_accepting",
+        "refused_limit",
+        "refused_at_s",
+    )
+
+    def __init__(self, address: Address, section: GroupSection, limit: int) -> None:
+        self.address = address
+        self.section = section
+        self.limit = max(1, limit)
+        self.queue = AdmissionQueue(section.queue_limit)
+        self.idle: list[UpstreamConnection] = []
+        self.busy: dict[UpstreamConnection, float] = {}
+        self.opening = 0
+        self.is_accepting = True
+        self.refused_limit = 0
+        self.refused_at_s: float | None = None
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.stop_new_work()
+        for connection in list(self.busy):
+            connection.close()
+
+    @property
+    def open_count(self) -> int:
+        """Places held: idle, busy and opening connections."""
+        return len(self.idle) + len(self.busy) + self.opening
+
+    @property
+    def idle_count(self) -> int:
+        """Connections that nobody uses."""
+        return len(self.idle)
+
+    @property
+    def busy_count(self) -> int:
+        """Connections in use or being opened for a caller."""
+        return len(self.busy) + self.opening
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait for a place."""
+        return len(self.queue)
+
+    @property
+    def present_limit(self) -> int:
+        """The limit, lowered for a time after the upstream refused a connection."""
+        if self.refused_at_s is None:
+            return self.limit
+        elapsed_s = now_s() - self.refused_at_s - REFUSED_LIMIT_S
+        raised = max(0, int(elapsed_s / RAISE_INTERVAL_S))
+        present = max(1, self.refused_limit) + raised
+        if present >= self.limit:
+            self.refused_at_s = None
+        return min(self.limit, present)
+
+    def set_weights(self, weights: dict[str, int]) -> None:
+        """Set the shares of the applications in the queue.
+
+        Args:
+            weights: Weight by name of the application; others count 1.
+        """
+        self.queue.weights = weights
+
+    async def acquire(self, caller: str, deadline_s: float) -> UpstreamConnection:
+        """Wait for a connection.
+
+        Args:
+            caller: Name of the application that asks.
+            deadline_s: Monotonic time at which the request gives up.
+
+        Returns:
+            A clean connection, held until `release`.
+
+        Raises:
+            RequestError: QUEUE_FULL or WAIT_TOO_LONG; nothing was sent.
+            UpstreamLostError: If the upstream takes no work or can't be reached.
+        """
+        self.check_accepting()
+        if not self.queue and self.has_place():
+            connection = self.take_place()
+        else:
+            waiter = self.queue.add(caller, deadline_s, self.present_limit)
+            self.grant_places()
+            connection = await self.wait_for_grant(waiter)
+        if connection is None:
+            connection = await self.open_place(caller, deadline_s)
+        return connection
+
+    def check_accepting(self) -> None:
+        """Raise UpstreamLostError while the pool takes no new work."""
+        if not self.is_accepting:
+            raise self.build_stopped()
+
+    def build_stopped(self) -> UpstreamLostError:
+        """Build the error for work that comes while none is taken."""
+        return UpstreamLostError(f"{self.address} takes no new work")
+
+    def has_place(self) -> bool:
+        """Whether a caller can be served without waiting for a release."""
+        self.drop_lost_idle()
+        return bool(self.idle) or self.open_count < self.present_limit
+
+    def drop_lost_idle(self) -> None:
+        """Forget idle connections that have ended meanwhile."""
+        if all(connection.is_clean for connection in self.idle):
+            return
+        for connection in self.idle:
+            if not connection.is_clean:
+                connection.close()
+        self.idle = [connection for connection in self.idle if connection.is_clean]
+
+    def take_place(self) -> UpstreamConnection | None:
+        """Take an idle connection, or the place of one to be opened (None)."""
+        if not self.idle:
+            self.opening += 1
+            return None
+        connection = self.idle.pop()
+        self.busy[connection] = now_s()
+        return connection
+
+    def grant_places(self) -> None:
+        """Serve waiters as long as there are places."""
+        while self.queue and self.is_accepting and self.has_place():
+            waiter = self.queue.take()
+            if waiter is not None and not waiter.granted.done():
+                waiter.granted.set_result(self.take_place())
+
+    async def wait_for_grant(self, waiter: Waiter) -> UpstreamConnection | None:
+        """Wait until a place is granted, up to the waiter's deadline.
+
+        Args:
+            waiter: The queued waiter.
+
+        Returns:
+            A connection, or None for the place of one to be opened.
+
+        Raises:
+            RequestError: WAIT_TOO_LONG at the deadline; QUEUE_FULL if pushed out.
+            UpstreamLostError: If the pool stops taking work.
+        """
+        try:
+            async with asyncio.timeout(waiter.deadline_s - now_s()):
+                connection = await waiter.granted
+        except TimeoutError:
+            self.give_back_grant(waiter)
+            raise self.queue.build_refusal(
+                ErrorKind.WAIT_TOO_LONG, "the deadline passed", self.present_limit
+            ) from None
+        except asyncio.CancelledError:
+            self.give_back_grant(waiter)
+            raise
+        assert connection is None or isinstance(connection, UpstreamConnection)
+        return connection
+
+    def give_back_grant(self, waiter: Waiter) -> None:
+        """Return the place of a waiter that gives up, if it was granted one.
+
+        Args:
+            waiter: The waiter.
+        """
+        self.queue.discard(waiter)
+        granted = waiter.granted
+        if not granted.done() or granted.cancelled() or granted.exception():
+            return
+        connection = granted.result()
+        if isinstance(connection, UpstreamConnection):
+            self.release(connection)
+        else:
+            self.give_up_opening()
+
+    def give_up_opening(self) -> None:
+        """Free the place of a connection that was not opened."""
+        self.opening -= 1
+        self.grant_places()
+
+    async def open_place(self, caller: str, deadline_s: float) -> UpstreamConnection:
+        """Open the connection of a place that is held.
+
+        Args:
+            caller: Name of the application that asks.
+            deadline_s: Monotonic time at which the request gives up.
+
+        Returns:
+            The connection, busy.
+
+        Raises:
+            RequestError: WAIT_TOO_LONG if the upstream has no connection to spare.
+            UpstreamLostError: If it can't be reached.
+        """
+        try:
+            connection = await self.open_connection(deadline_s)
+        except UpstreamLostError as error:
+            self.opening -= 1
+            if error.sqlstate != TOO_MANY_CONNECTIONS:
+                self.grant_places()
+                raise
+            self.note_refusal()
+        except BaseException:
+            self.give_up_opening()
+            raise
+        else:
+            self.opening -= 1
+            self.busy[connection] = now_s()
+            return self.check_opened(connection)
+        return await self.wait_for_release(caller, deadline_s)
+
+    async def open_connection(self, deadline_s: float) -> UpstreamConnection:
+        """Open a connection with the group's user.
+
+        Args:
+            deadline_s: Monotonic time at which to give up.
+
+        Returns:
+            The connection.
+
+        Raises:
+            UpstreamLostError: If the upstream refuses or can't be reached.
+        """
+        section = self.section
+        timeout_s = max(0.0, min(OPEN_TIMEOUT_S, deadline_s - now_s()))
+        return await open_connection(
+            self.address, section.user, section.password, section.database, timeout_s
+        )
+
+    def check_opened(self, connection: UpstreamConnection) -> UpstreamConnection:
+        """Give a new connection up if the pool stopped taking work meanwhile.
+
+        Args:
+            connection: The connection, busy.
+
+        Returns:
+            The connection.
+
+        Raises:
+            UpstreamLostError: If no new work is taken.
+        """
+        if not self.is_accepting:
+            self.release(connection)
+            self.check_accepting()
+        return connection
+
+    def note_refusal(self) -> None:
+        """Lower the limit to what the upstream has let us open."""
+        self.refused_limit = self.open_count
+        self.refused_at_s = now_s()
+        logger.bind(address=str(self.address), limit=self.present_limit).warning(
+            "upstream refused a connection"
+        )
+
+    async def wait_for_release(
+        self, caller: str, deadline_s: float
+    ) -> UpstreamConnection:
+        """Wait for a connection that is open, after the upstream refused another.
+
+        Args:
+            caller: Name of the application that asks.
+            deadline_s: Monotonic time at which the request gives up.
+
+        Returns:
+            The connection.
+
+        Raises:
+            RequestError: WAIT_TOO_LONG if there is none or none comes free.
+            UpstreamLostError: If the pool stops taking work.
+        """
+        self.check_accepting()
+        if self.open_count == 0:
+            self.queue.fail_all(self.build_no_connection)
+            raise self.build_no_connection()
+        waiter = Waiter(caller, deadline_s, asyncio.get_running_loop().create_future())
+        self.queue.append(waiter, first=True)
+        self.grant_places()
+        connection = await self.wait_for_grant(waiter)
+        if connection is None:
+            # The limit rose while this one waited; the deadline bounds the tries.
+            return await self.open_place(caller, deadline_s)
+        return connection
+
+    def build_no_connection(self) -> RequestError:
+        """Build the refusal for an upstream that has no connection to spare."""
+        return self.queue.build_refusal(
+            ErrorKind.WAIT_TOO_LONG, "the upstream has no connection to spare", 1
+        )
+
+    def release(self, connection: UpstreamConnection) -> None:
+        """Take a connection back; one that is not clean is closed.
+
+        Args:
+            connection: A connection from `acquire`.
+
+        Raises:
+            ValueError: If the connection is not in use.
+        """
+        if connection not in self.busy:
+            raise ValueError("the connection is not in use")
+        granted_at_s = self.busy.pop(connection)
+        self.queue.note_service(now_s() - granted_at_s)
+        self.keep_or_close(connection)
+        self.grant_places()
+
+    def keep_or_close(self, connection: UpstreamConnection) -> None:
+        """Keep a connection that nobody uses, or close it.
+
+        Args:
+            connection: The connection, counted in no place.
+        """
+        has_room = self.open_count < self.present_limit
+        if self.is_accepting and has_room and connection.is_clean:
+            self.idle.append(connection)
+        else:
+            connection.close()
+
+    def resize(self, limit: int) -> None:
+        """Change the limit; busy connections above it close as they come back.
+
+        Args:
+            limit: New largest number of connections; at least 1 is kept.
+        """
+        self.limit = max(1, limit)
+        while self.idle and self.open_count > self.limit:
+            self.idle.pop(0).close()
+        self.grant_places()
+
+    def stop_new_work(self) -> None:
+        """Refuse new work; connections in use may finish what they run."""
+        self.is_accepting = False
+        self.close_idle()
+        self.queue.fail_all(self.build_stopped)
+
+    def resume_new_work(self) -> None:
+        """Take new work again."""
+        self.is_accepting = True
+
+    def close_idle(self) -> None:
+        """Close the connections that nobody uses."""
+        for connection in self.idle:
+            connection.close()
+        self.idle = []
+
+    async def warm(self, count: int) -> int:
+        """Open connections ahead of need.
+
+        Args:
+            count: Connections that should be open, within the limit.
+
+        Returns:
+            Connections that are open, counting those in use.
+
+        Raises:
+            UpstreamLostError: If the upstream can't be reached.
+        """
+        while self.is_accepting and self.open_count < min(count, self.present_limit):
+            self.opening += 1
+            try:
+                connection = await self.open_connection(now_s() + OPEN_TIMEOUT_S)
+            except UpstreamLostError as error:
+                self.give_up_opening()
+                if error.sqlstate != TOO_MANY_CONNECTIONS:
+                    raise
+                self.note_refusal()
+                break
+            except BaseException:
+                self.give_up_opening()
+                raise
+            self.opening -= 1
+            self.keep_or_close(connection)
+            self.grant_places()
+        return self.open_count
--- /dev/null
+++ b/ebonyrack/upstreams/transport.py
@@ -0,0 +1,208 @@
+"""Protocol frames over one TCP connection to an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from dataclasses import dataclass
+
+HEADER = struct.Struct("!cI")
+HEADER_BYTES = HEADER.size
+# The length field of a frame counts itself but not the kind byte.
+LENGTH_BYTES = 4
+MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024
+READ_BUFFER_BYTES = 256 * 1024
+
+
+class UpstreamLostError(Exception):
+    """The connection to an upstream can't be used any more.
+
+    Attributes:
+        reason: What happened.
+        sqlstate: Code of the upstream's own error answer, or an empty string.
+    """
+
+    def __init__(self, reason: str, sqlstate: str = "") -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.sqlstate = sqlstate
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One protocol message as it arrived.
+
+    Attributes:
+        kind: Kind byte.
+        raw: The whole frame, header included.
+    """
+
+    kind: bytes
+    raw: bytes
+
+    @property
+    def payload(self) -> memoryview:
+        """The frame without its header."""
+        return memoryview(self.raw)[HEADER_BYTES:]
+
+
+class FrameTransport(asyncio.Protocol):
+    """Splits what arrives into frames and stops reading when too much waits.
+
+    Attributes:
+        transport: The TCP transport, once connected.
+        buffer: Bytes that have arrived and are not taken yet.
+        lost_reason: Why the connection ended, or None while it is open.
+        is_paused: Whether reading is stopped until the buffer empties.
+    """
+
+    __slots__ = (
+        "transport",
+        "buffer",
+        "lost_reason",
+        "is_paused",
+        "data_waiter",
+        "drain_waiter",
+        "is_writing_paused",
+    )
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.buffer = bytearray()
+        self.lost_reason: str | None = None
+        self.is_paused = False
+        self.data_waiter: asyncio.Future[None] | None = None
+        self.drain_waiter: asyncio.Future[None] | None = None
+        self.is_writing_paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport (called by asyncio)."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Keep arrived bytes (called by asyncio)."""
+        self.buffer += data
+        if len(self.buffer) >= READ_BUFFER_BYTES and not self.is_paused:
+            self.is_paused = True
+            assert self.transport is not None
+            self.transport.pause_reading()
+        self.wake(self.data_waiter)
+
+    def eof_received(self) -> bool:
+        """Treat the end of the stream as a lost connection (called by asyncio)."""
+        self.mark_lost("the upstream closed the connection")
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note that the connection is gone (called by asyncio)."""
+        self.mark_lost(f"the connection broke: {error}" if error else "closed")
+
+    def pause_writing(self) -> None:
+        """Make `drain` wait (called by asyncio)."""
+        self.is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Let `drain` go on (called by asyncio)."""
+        self.is_writing_paused = False
+        self.wake(self.drain_waiter)
+
+    def wake(self, waiter: asyncio.Future[None] | None) -> None:
+        """Wake a waiting reader or writer, if there is one."""
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def mark_lost(self, reason: str) -> None:
+        """Keep the first reason for the end of the connection and wake waiters.
+
+        Args:
+            reason: What happened.
+        """
+        if self.lost_reason is None:
+            self.lost_reason = reason
+        self.wake(self.data_waiter)
+        self.wake(self.drain_waiter)
+
+    def close(self, reason: str) -> None:
+        """Drop the connection at once, without sending what is still queued.
+
+        Args:
+            reason: Why, for whoever reads from it later.
+        """
+        self.mark_lost(reason)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes for sending.
+
+        Args:
+            data: Bytes to send.
+
+        Raises:
+            UpstreamLostError: If the connection has ended.
+        """
+        if self.lost_reason is not None or self.transport is None:
+            raise UpstreamLostError(self.lost_reason or "not connected")
+        self.transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the queue of bytes to send is short.
+
+        Raises:
+            UpstreamLostError: If the connection has ended.
+        """
+        while self.is_writing_paused and self.lost_reason is None:
+            self.drain_waiter = asyncio.get_running_loop().create_future()
+            await self.drain_waiter
+        if self.lost_reason is not None:
+            raise UpstreamLostError(self.lost_reason)
+
+    def take_frame(self) -> Message | None:
+        """Take the next whole frame that has arrived, or return None.
+
+        Raises:
+            UpstreamLostError: If the length of the frame is not valid.
+        """
+        if len(self.buffer) < HEADER_BYTES:
+            return None
+        kind, length = HEADER.unpack_from(self.buffer)
+        if not LENGTH_BYTES <= length <= MAXIMUM_FRAME_BYTES:
+            self.close(f"the upstream sent a frame of {length} bytes")
+            raise UpstreamLostError(self.lost_reason or "")
+        end = length + 1
+        if len(self.buffer) < end:
+            return None
+        raw = bytes(self.buffer[:end])
+        del self.buffer[:end]
+        return Message(kind, raw)
+
+    async def read_frame(self) -> Message:
+        """Wait for the next whole frame.
+
+        Returns:
+            The frame. Frames that arrived before the connection ended still come.
+
+        Raises:
+            UpstreamLostError: If the connection ended before a whole frame came.
+        """
+        while True:
+            message = self.take_frame()
+            if message is not None:
+                return message
+            if self.lost_reason is not None:
+                raise UpstreamLostError(self.lost_reason)
+            await self.wait_for_data()
+
+    async def wait_for_data(self) -> None:
+        """Read on and wait until bytes arrive or the connection ends."""
+        if self.is_paused:
+            # The frame in work is longer than the buffer, or the buffer is empty.
+            self.is_paused = False
+            assert self.transport is not None
+            self.transport.resume_reading()
+        self.data_waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self.data_waiter
+        finally:
+            self.data_waiter = None
