Add links between proxies, membership and typed messages

Proxies need to know each other for connection shares, coordinators' ranks and the spread of the document. Links are msgpack streams with a hello, a protocol version and an HMAC of the shared secret; up to 8 proxies link to all others, above that each dials four neighbours and news is flooded over these links. Random probing over fresh connections was ruled out: each probe would cost a TCP and a secret handshake. A silent member is doubted only after witnesses were asked, so one cut link kills nobody; a wrong suspicion is refuted by a higher incarnation.

--- /dev/null
+++ b/ebonyrack/peers/heartbeat.py
@@ -0,0 +1,298 @@
+"""Heartbeats, piggybacked news and detection of silent peers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from types import TracebackType
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ebonyrack.core.clock import PauseDetector
+from ebonyrack.core.clock import now_s
+from ebonyrack.peers.link import PeerLink
+from ebonyrack.peers.link import PeerLostError
+from ebonyrack.peers.membership import MemberEntry
+from ebonyrack.peers.messages import AskMembers
+from ebonyrack.peers.messages import AskReach
+from ebonyrack.peers.messages import Heartbeat
+from ebonyrack.peers.messages import Member
+from ebonyrack.peers.messages import MembersReply
+from ebonyrack.peers.messages import MemberState
+from ebonyrack.peers.messages import Message
+from ebonyrack.peers.messages import ReachReply
+
+if TYPE_CHECKING:
+    from ebonyrack.peers.hub import PeerHub
+
+SPARSE_INTERVAL_FACTOR = 5
+MISSED_HEARTBEATS = 4
+NEWS_IN_HEARTBEAT = 16
+NEWS_DELAY_S = 0.02
+WITNESSES = 3
+SYNC_INTERVAL_S = 1.0
+SPARSE_SYNC_INTERVAL_S = 30.0
+SYNC_TIMEOUT_S = 2.0
+
+
+class HeartbeatTask:
+    """Sends heartbeats and judges silence: an async context manager.
+
+    Attributes:
+        hub: Links of this proxy.
+        news: Names of changed members that a link has not been told, by peer.
+        synced_at_s: Time of the last fetch of a whole table.
+        store_heard: Whether news is waiting to go out at once.
+    """
+
+    def __init__(self, hub: PeerHub) -> None:
+        self.hub = hub
+        self.news: dict[str, dict[str, None]] = {}
+        self.synced_at_s = 0.0
+        self.has_news = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+        self.checks: dict[str, asyncio.Task[None]] = {}
+        self.pauses = PauseDetector(hub.settings.peers.suspect_after_s)
+        hub.handle(Heartbeat, self.receive_heartbeat)
+        hub.handle(AskMembers, self.receive_ask_members)
+        hub.handle(AskReach, self.receive_ask_reach)
+
+    async def __aenter__(self) -> HeartbeatTask:
+        self.hub.membership.subscribe(self.spread)
+        self.task = asyncio.create_task(self.run())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    @property
+    def interval_s(self) -> float:
+        """Seconds between two heartbeats on a link."""
+        interval_s = self.hub.settings.peers.heartbeat_interval_s
+        if self.hub.contacts.is_sparse:
+            return interval_s * SPARSE_INTERVAL_FACTOR
+        return interval_s
+
+    async def run(self) -> None:
+        """Beat for as long as the hub is open."""
+        next_at_s = now_s()
+        while True:
+            await self.wait_until(next_at_s)
+            if now_s() < next_at_s:
+                self.send_news()
+                continue
+            self.check_pause()
+            self.check_silence()
+            self.hub.membership.forget_dead()
+            for name in tuple(self.hub.links):
+                self.send_heartbeat(name)
+            next_at_s = now_s() + self.interval_s * random.uniform(0.9, 1.0)
+
+    async def wait_until(self, next_at_s: float) -> None:
+        """Wait for the next heartbeat or for news to send at once."""
+        delay_s = max(0.0, next_at_s - now_s())
+        self.pauses.schedule(delay_s)
+        try:
+            async with asyncio.timeout(delay_s):
+                await self.has_news.wait()
+                # News that comes in a burst travels together.
+                await asyncio.sleep(NEWS_DELAY_S)
+        except TimeoutError:
+            return
+
+    def check_pause(self) -> None:
+        """After a pause of this process, don't blame the peers for the silence."""
+        pause_s = self.pauses.measure_pause()
+        if pause_s:
+            logger.bind(pause_s=round(pause_s, 3)).warning("process_was_paused")
+            self.hub.membership.forgive_silence()
+
+    def greet(self, link: PeerLink) -> None:
+        """Say hello on a new link with this proxy's heartbeat."""
+        self.news[link.member.name] = {}
+        self.send_heartbeat(link.member.name)
+
+    def spread(self, member: Member) -> None:
+        """Queue a changed member for all links."""
+        for name in self.hub.links:
+            if name != member.name or member.state is not MemberState.ALIVE:
+                self.news.setdefault(name, {})[member.name] = None
+        self.has_news.set()
+
+    def send_news(self) -> None:
+        """Send what is queued, without waiting for the next heartbeat."""
+        self.has_news.clear()
+        for name in [name for name, queued in self.news.items() if queued]:
+            if name in self.hub.links:
+                self.send_heartbeat(name)
+            else:
+                del self.news[name]
+
+    def send_heartbeat(self, name: str) -> None:
+        """Send one heartbeat with some news to a linked peer."""
+        queued = self.news.setdefault(name, {})
+        chosen = list(queued)[:NEWS_IN_HEARTBEAT]
+        members = [self.hub.membership.find(changed) for changed in chosen]
+        for changed in chosen:
+            del queued[changed]
+        if queued:
+            self.has_news.set()
+        heartbeat = Heartbeat(
+            incarnation=self.hub.membership.own.incarnation,
+            revision=self.hub.revision,
+            digest=self.hub.membership.digest,
+            interval_ms=round(self.interval_s * 1000),
+            news=tuple(member for member in members if member is not None),
+        )
+        self.hub.tell(name, heartbeat)
+
+    async def receive_heartbeat(self, link: PeerLink, heartbeat: Heartbeat) -> None:
+        """Take note of a sign of life and its news."""
+        name = link.member.name
+        membership = self.hub.membership
+        for member in heartbeat.news:
+            if not membership.merge(member):
+                self.correct(name, member)
+        self.check_incarnation(link, heartbeat)
+        membership.note_heard(name, heartbeat.interval_ms / 1000)
+        if heartbeat.digest != membership.digest:
+            await self.sync(link)
+
+    def correct(self, name: str, offered: Member) -> None:
+        """Tell a peer what is newer than what it said about a member."""
+        known = self.hub.membership.find(offered.name)
+        if known is not None and known != offered:
+            self.news.setdefault(name, {})[offered.name] = None
+            self.has_news.set()
+
+    def check_incarnation(self, link: PeerLink, heartbeat: Heartbeat) -> None:
+        """Tell a peer that lives what is held of it, so that it can refute it."""
+        known = self.hub.membership.find(link.member.name)
+        if known is None:
+            return
+        is_doubted = known.state in (MemberState.SUSPECT, MemberState.DEAD)
+        if is_doubted and known.incarnation >= heartbeat.incarnation:
+            self.news.setdefault(link.member.name, {})[known.name] = None
+            self.has_news.set()
+
+    async def sync(self, link: PeerLink) -> None:
+        """Fetch a peer's whole table when the digests differ, at a bounded rate."""
+        is_sparse = self.hub.contacts.is_sparse
+        pause_s = SPARSE_SYNC_INTERVAL_S if is_sparse else SYNC_INTERVAL_S
+        if now_s() < self.synced_at_s + pause_s:
+            return
+        self.synced_at_s = now_s()
+        try:
+            reply = await link.ask(AskMembers(), SYNC_TIMEOUT_S)
+        except PeerLostError:
+            return
+        if isinstance(reply, MembersReply):
+            for member in reply.members:
+                if not self.hub.membership.merge(member):
+                    self.correct(link.member.name, member)
+
+    async def receive_ask_members(
+        self, link: PeerLink, message: AskMembers
+    ) -> Message | None:
+        """Answer with the whole table."""
+        return MembersReply(self.hub.membership.all_members())
+
+    async def receive_ask_reach(
+        self, link: PeerLink, message: AskReach
+    ) -> Message | None:
+        """Answer whether this proxy reaches a member that another doesn't."""
+        return ReachReply(await self.probe(message.name))
+
+    async def probe(self, name: str) -> bool:
+        """Return whether a member gives a sign of life to this proxy itself."""
+        entry = self.hub.membership.entries.get(name)
+        if entry is None:
+            return False
+        if self.measure_silence(entry) < self.find_suspect_after(entry):
+            return name in self.hub.links
+        try:
+            await self.hub.ask(name, AskMembers(), self.interval_s)
+        except PeerLostError:
+            return False
+        self.hub.membership.note_heard(name)
+        return True
+
+    def check_silence(self) -> None:
+        """Start a check of each member that fell silent; bury the long silent."""
+        for name, entry in tuple(self.hub.membership.entries.items()):
+            state = entry.member.state
+            if state is MemberState.SUSPECT:
+                self.bury_if_due(name, entry)
+            elif state is not MemberState.DEAD and self.is_silent(entry):
+                self.start_check(name)
+
+    def bury_if_due(self, name: str, entry: MemberEntry) -> None:
+        """Hold a suspect for dead when it has not refuted in time."""
+        peers = self.hub.settings.peers
+        scale = self.find_suspect_after(entry) / peers.suspect_after_s
+        limit_s = (peers.dead_after_s - peers.suspect_after_s) * scale
+        if now_s() - entry.changed_at_s > limit_s:
+            self.hub.membership.bury(name)
+
+    def is_silent(self, entry: MemberEntry) -> bool:
+        """Tell whether a member that this proxy listens to fell silent."""
+        if entry.heard_at_s is None and self.hub.contacts.is_sparse:
+            return False
+        return self.measure_silence(entry) > self.find_suspect_after(entry)
+
+    def measure_silence(self, entry: MemberEntry) -> float:
+        """Return the seconds since a member's last direct sign of life."""
+        heard_at_s = entry.heard_at_s
+        return now_s() - (entry.changed_at_s if heard_at_s is None else heard_at_s)
+
+    def find_suspect_after(self, entry: MemberEntry) -> float:
+        """Return the seconds of silence after which a member is doubted."""
+        interval_s = max(entry.interval_s, self.interval_s)
+        return max(
+            self.hub.settings.peers.suspect_after_s, MISSED_HEARTBEATS * interval_s
+        )
+
+    def start_check(self, name: str) -> None:
+        """Ask others about a silent member, one check of it at a time."""
+        if name not in self.checks:
+            task = self.hub.own_task(self.check_member(name))
+            self.checks[name] = task
+            task.add_done_callback(lambda _: self.checks.pop(name, None))
+
+    async def check_member(self, name: str) -> None:
+        """Suspect a silent member that neither this proxy nor others reach."""
+        if await self.ask_witnesses(name):
+            self.hub.membership.note_heard(name)
+            return
+        entry = self.hub.membership.entries.get(name)
+        if entry is None or not self.is_silent(entry):
+            return
+        if entry.member.state is MemberState.LEAVING:
+            self.hub.membership.bury(name)
+        else:
+            self.hub.membership.suspect(name)
+
+    async def ask_witnesses(self, name: str) -> bool:
+        """Return whether any of a few other peers reaches a member."""
+        others = [peer for peer in self.hub.links if peer != name]
+        chosen = random.sample(others, min(WITNESSES, len(others)))
+        answers = await asyncio.gather(
+            *(self.ask_witness(peer, name) for peer in chosen)
+        )
+        return any(answers)
+
+    async def ask_witness(self, peer: str, name: str) -> bool:
+        """Return whether one peer reaches a member."""
+        try:
+            reply = await self.hub.ask(peer, AskReach(name), 2 * self.interval_s)
+        except PeerLostError:
+            return False
+        return isinstance(reply, ReachReply) and reply.is_reachable
--- /dev/null
+++ b/ebonyrack/peers/hub.py
@@ -0,0 +1,358 @@
+"""All links of one proxy: listening, dialling, asking and broadcasting."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import OrderedDict
+from collections.abc import Awaitable
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+from typing import TypeVar
+
+from loguru import logger
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.settings import Settings
+from ebonyrack.peers.contacts import Contacts
+from ebonyrack.peers.heartbeat import HeartbeatTask
+from ebonyrack.peers.link import PeerLink
+from ebonyrack.peers.link import PeerLostError
+from ebonyrack.peers.link import Traffic
+from ebonyrack.peers.link import build_hello
+from ebonyrack.peers.link import dial
+from ebonyrack.peers.membership import Membership
+from ebonyrack.peers.messages import MESSAGE_CODES
+from ebonyrack.peers.messages import BadMessageError
+from ebonyrack.peers.messages import Failure
+from ebonyrack.peers.messages import Flood
+from ebonyrack.peers.messages import Leaving
+from ebonyrack.peers.messages import Member
+from ebonyrack.peers.messages import MemberState
+from ebonyrack.peers.messages import Message
+from ebonyrack.peers.messages import build_message
+from ebonyrack.peers.messages import get_fields
+
+MAXIMUM_ACCEPTED = 600
+REMEMBERED_FLOODS = 4096
+FLUSH_LIMIT_S = 0.5
+PROXY_ROLE = "proxy"
+QUERY_ROLE = "query"
+OPERATOR_ROLE = "operator"
+
+AnyMessage = TypeVar("AnyMessage", bound=Message)
+Callback = Callable[[PeerLink, Any], Awaitable[Message | None]]
+
+
+class PeerHub:
+    """The links to the other proxies: an async context manager.
+
+    Attributes:
+        settings: Settings of the process.
+        membership: Table of proxies, filled by heartbeats; set while open.
+        links: Link to each peer by its name.
+        traffic: Counters of all links.
+        revision: Revision of the document that heartbeats carry.
+        server: Listener; set while open.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.links: dict[str, PeerLink] = {}
+        self.traffic = Traffic()
+        self.revision = 0
+        self.callbacks: dict[type[Message], list[Callback]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.seen_floods: OrderedDict[int, None] = OrderedDict()
+        self.membership = Membership(settings.proxy, settings.proxy.peer_address)
+        self.contacts = Contacts(self)
+        self.heartbeat = HeartbeatTask(self)
+        self.server: asyncio.Server | None = None
+        self.accepted = 0
+        self.handle(Flood, self.receive_flood)
+        self.handle(Leaving, self.receive_leaving)
+
+    async def __aenter__(self) -> PeerHub:
+        address = self.settings.proxy.peer_address
+        self.server = await asyncio.start_server(
+            self.accept, address.host, address.port
+        )
+        port = self.server.sockets[0].getsockname()[1]
+        self.membership.set_address(Address(address.host, port))
+        self.membership.subscribe(self.close_dead)
+        await self.contacts.__aenter__()
+        await self.heartbeat.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.heartbeat.__aexit__(kind, error, traceback)
+        await self.contacts.__aexit__(kind, error, traceback)
+        if self.server is not None:
+            self.server.close()
+        for task in tuple(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.server is not None:
+            await self.server.wait_closed()
+
+    @property
+    def address(self) -> Address:
+        """Where this proxy listens for peers."""
+        return self.membership.own.address
+
+    def handle(self, message_type: type[Message], callback: Callback) -> None:
+        """Register a coroutine for a type of message.
+
+        Args:
+            message_type: The type.
+            callback: Called with the link and the message; the first reply that
+                a callback of the type returns answers a request.
+        """
+        self.callbacks.setdefault(message_type, []).append(callback)
+
+    async def dispatch(self, link: PeerLink, message: Message) -> Message | None:
+        """Call what is registered for a message.
+
+        Args:
+            link: Link on which it came.
+            message: The message.
+
+        Returns:
+            The reply, if one is due.
+        """
+        callbacks = self.callbacks.get(type(message))
+        if callbacks is None:
+            return Failure(f"{type(message).__name__} is not handled here")
+        reply = None
+        for callback in callbacks:
+            answer = await callback(link, message)
+            reply = reply or answer
+        return reply
+
+    def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Start the task of an incoming link."""
+        if self.accepted >= MAXIMUM_ACCEPTED:
+            logger.bind(limit=MAXIMUM_ACCEPTED).warning("too_many_peer_links")
+            writer.transport.abort()
+            return
+        link = self.build_link(reader, writer)
+        self.own_task(self.run_accepted(link))
+
+    def own_task(self, coroutine: Any) -> asyncio.Task[None]:
+        """Start a task that ends with the hub."""
+        task: asyncio.Task[None] = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def build_link(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> PeerLink:
+        """Build the listening side of a link."""
+        return PeerLink(
+            reader,
+            writer,
+            build_hello(self.membership.own, PROXY_ROLE),
+            False,
+            self.settings.peers.secret,
+            self.dispatch,
+            self.traffic,
+        )
+
+    async def run_accepted(self, link: PeerLink) -> None:
+        """Serve an incoming link until it ends."""
+        self.accepted += 1
+        try:
+            await self.run_link(link)
+        except PeerLostError as error:
+            logger.bind(reason=error.reason).warning("peer_refused")
+        finally:
+            self.accepted -= 1
+
+    async def dial_peer(self, address: Address) -> None:
+        """Open a link to another proxy and serve it until it ends.
+
+        Args:
+            address: Its peer address.
+
+        Raises:
+            PeerLostError: If the link can't be opened.
+        """
+        link = await dial(
+            address,
+            build_hello(self.membership.own, PROXY_ROLE),
+            self.settings.peers.secret,
+            self.dispatch,
+            self.traffic,
+        )
+        await self.run_link(link)
+
+    async def run_link(self, link: PeerLink) -> None:
+        """Open a link, use it if it is a proxy's, and wait until it ends."""
+        async with link:
+            role = link.remote.role if link.remote is not None else ""
+            if role == PROXY_ROLE and not self.adopt(link):
+                return
+            try:
+                await link.is_closed.wait()
+            finally:
+                self.drop(link)
+
+    def adopt(self, link: PeerLink) -> bool:
+        """Make a link the one to its peer, unless the present one is to be kept.
+
+        Args:
+            link: A link that is open.
+
+        Returns:
+            Whether it is the one from now on.
+        """
+        name = link.member.name
+        if name == self.membership.own.name:
+            return False
+        present = self.links.get(name)
+        if present is not None and not self.is_better(link, present):
+            return False
+        if present is not None:
+            present.close()
+        self.links[name] = link
+        self.membership.merge(link.member)
+        self.membership.note_heard(name)
+        self.contacts.note_linked(link.member.address)
+        self.heartbeat.greet(link)
+        return True
+
+    def is_better(self, link: PeerLink, present: PeerLink) -> bool:
+        """Tell whether a new link to a peer replaces the present one.
+
+        Both sides decide alike: when each has dialled the other, the link of the
+        one with the lower name stays.
+        """
+        if link.member.incarnation > present.member.incarnation:
+            return True
+        silence_s = now_s() - present.heard_at_s
+        if silence_s > self.settings.peers.suspect_after_s:
+            return True
+        if link.is_dialler == present.is_dialler:
+            return True
+        return link.is_dialler == (self.membership.own.name < link.member.name)
+
+    def drop(self, link: PeerLink) -> None:
+        """Forget a link that ended."""
+        if link.remote is not None and self.links.get(link.member.name) is link:
+            del self.links[link.member.name]
+            self.contacts.wake()
+
+    def close_dead(self, member: Member) -> None:
+        """Close the link to a member that is held for dead."""
+        link = self.links.get(member.name)
+        if link is not None and member.state is MemberState.DEAD:
+            link.close()
+
+    async def ask(self, peer_name: str, message: Message, timeout_s: float) -> Message:
+        """Ask one peer, over a link of its own if there is none yet.
+
+        Args:
+            peer_name: Name of the member.
+            message: The request.
+            timeout_s: Seconds to wait in all.
+
+        Returns:
+            The reply.
+
+        Raises:
+            PeerLostError: If the peer can't be reached or doesn't answer in time.
+        """
+        link = self.links.get(peer_name)
+        if link is not None:
+            return await link.ask(message, timeout_s)
+        member = self.membership.find(peer_name)
+        if member is None:
+            raise PeerLostError(f"{peer_name} is not known")
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.ask_address(member.address, message, timeout_s)
+        except TimeoutError:
+            raise PeerLostError(f"no reply within {timeout_s} s") from None
+
+    async def ask_address(
+        self, address: Address, message: Message, timeout_s: float
+    ) -> Message:
+        """Ask over a link that lasts for one request."""
+        hello = build_hello(self.membership.own, QUERY_ROLE)
+        secret = self.settings.peers.secret
+        link = await dial(address, hello, secret, traffic=self.traffic)
+        async with link:
+            return await link.ask(message, timeout_s)
+
+    def tell(self, peer_name: str, message: Message) -> None:
+        """Send a one-way message to a linked peer; without a link it is dropped."""
+        link = self.links.get(peer_name)
+        if link is not None:
+            link.send(message)
+
+    def broadcast(self, message: Message) -> None:
+        """Send a one-way message to all proxies.
+
+        Args:
+            message: The message; peers pass it on when not all are linked.
+        """
+        if not self.contacts.is_sparse:
+            self.send_to_links(message, None)
+            return
+        identity = secrets.randbits(48)
+        self.remember_flood(identity)
+        code = MESSAGE_CODES[type(message)]
+        self.send_to_links(Flood(identity, code, get_fields(message)), None)
+
+    def send_to_links(self, message: Message, source: PeerLink | None) -> None:
+        """Send a one-way message on all links but the one it came from."""
+        for link in tuple(self.links.values()):
+            if link is not source:
+                link.send(message)
+
+    def remember_flood(self, identity: int) -> bool:
+        """Note a flooded message; return whether it was seen before."""
+        if identity in self.seen_floods:
+            return True
+        self.seen_floods[identity] = None
+        if len(self.seen_floods) > REMEMBERED_FLOODS:
+            self.seen_floods.popitem(last=False)
+        return False
+
+    async def receive_flood(self, link: PeerLink, flood: Flood) -> Message | None:
+        """Pass a flooded message on and serve it, the first time it comes."""
+        if self.remember_flood(flood.identity):
+            return None
+        try:
+            message = build_message(flood.code, flood.fields)
+        except BadMessageError as error:
+            logger.bind(reason=str(error)).warning("peer_sent_bad_message")
+            return None
+        self.send_to_links(flood, link)
+        if not isinstance(message, Flood):
+            await self.dispatch(link, message)
+        return None
+
+    async def receive_leaving(self, link: PeerLink, leaving: Leaving) -> None:
+        """Take note of a proxy that shuts down."""
+        self.membership.merge(leaving.member)
+
+    async def announce_leaving(self) -> None:
+        """Tell the peers that this proxy shuts down, and wait until it is sent."""
+        self.broadcast(Leaving(self.membership.leave()))
+        try:
+            async with asyncio.timeout(FLUSH_LIMIT_S):
+                for link in tuple(self.links.values()):
+                    await link.flush()
+        except TimeoutError:
+            logger.warning("leaving_not_told_to_all")
--- /dev/null
+++ b/ebonyrack/peers/hub_test.py
@@ -0,0 +1,256 @@
+import asyncio
+import contextlib
+from dataclasses import replace
+
+import msgpack
+import pytest
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.settings import parse_settings
+from ebonyrack.peers.hub import PeerHub
+from ebonyrack.peers.link import PeerLostError
+from ebonyrack.peers.link import build_hello
+from ebonyrack.peers.link import dial
+from ebonyrack.peers.messages import AskPrimary
+from ebonyrack.peers.messages import MemberState
+from ebonyrack.peers.messages import PrimaryOpinion
+from ebonyrack.peers.messages import PrimarySeen
+from ebonyrack.peers.messages import pack_message
+
+TEXT = """
+[proxy]
+name = {name}
+data_centre = bangkok-1
+caller_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+[store]
+address = 127.0.0.1:1
+[peers]
+seeds = {seeds}
+secret = {secret}
+heartbeat_interval_s = 0.05
+suspect_after_s = 0.4
+dead_after_s = 0.8
+"""
+
+
+def build_settings(name, seeds=(), secret="long-enough"):
+    text = TEXT.format(name=name, seeds=" ".join(map(str, seeds)), secret=secret)
+    settings, faults = parse_settings(text, name)
+    assert faults == ()
+    return settings
+
+
+@contextlib.asynccontextmanager
+async def start_hubs(count, prefix="proxy"):
+    async with contextlib.AsyncExitStack() as stack:
+        hubs = []
+        for number in range(count):
+            seeds = [hub.address for hub in hubs[:2]]
+            hub = PeerHub(build_settings(f"{prefix}-{number}", seeds))
+            hubs.append(await stack.enter_async_context(hub))
+        yield hubs
+
+
+async def wait_until(condition, limit_s=20.0):
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def live_names(hub):
+    return [member.name for member in hub.membership.live_members()]
+
+
+def all_live(hubs):
+    names = sorted(hub.membership.own.name for hub in hubs)
+    return all(live_names(hub) == names for hub in hubs)
+
+
+@pytest.mark.parametrize("count", [2, 5, 12])
+async def test_members_find_each_other(count):
+    async with start_hubs(count) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        await wait_until(lambda: len({hub.membership.digest for hub in hubs}) == 1)
+
+
+async def test_dead_member_is_found_and_a_new_incarnation_is_let_in():
+    async with start_hubs(3) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        async with PeerHub(build_settings("late", [hubs[0].address])) as late:
+            await wait_until(lambda: all_live([*hubs, late]))
+            address = late.address
+        await wait_until(lambda: all_live(hubs))
+        assert hubs[1].membership.find("late").state is MemberState.DEAD
+        settings = build_settings("late", [hubs[0].address])
+        proxy = settings.proxy.model_copy(update={"peer_address": address})
+        async with PeerHub(replace(settings, proxy=proxy)) as again:
+            again.membership.own = replace(again.membership.own, incarnation=1)
+            await wait_until(lambda: all_live([*hubs, again]))
+
+
+async def test_leaving_member_is_not_counted():
+    async with start_hubs(3) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        await hubs[2].announce_leaving()
+        await wait_until(
+            lambda: all(live_names(hub) == ["proxy-0", "proxy-1"] for hub in hubs)
+        )
+
+
+async def test_false_suspicion_is_refuted():
+    async with start_hubs(3) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        first = hubs[1].membership.own.incarnation
+        hubs[0].membership.bury("proxy-1")
+        await wait_until(lambda: hubs[1].membership.own.incarnation > first)
+        await wait_until(lambda: all_live(hubs))
+
+
+async def test_one_bad_link_kills_nobody():
+    async with start_hubs(3) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        seen = []
+        hubs[2].membership.subscribe(lambda member: seen.append(member.state))
+        for hub, other in ((hubs[0], "proxy-1"), (hubs[1], "proxy-0")):
+            hub.dial_peer = refuse_to_dial
+            hub.links[other].close()
+        entry = hubs[0].membership.entries["proxy-1"]
+        entry.heard_at_s -= 10
+        hubs[0].heartbeat.check_silence()
+        await wait_until(lambda: not hubs[0].heartbeat.checks)
+        assert MemberState.DEAD not in seen
+        assert all_live(hubs)
+
+
+async def refuse_to_dial(address):
+    raise PeerLostError("the link is cut")
+
+
+async def test_requests_are_answered_with_and_without_a_link():
+    async def answer(link, message):
+        return PrimaryOpinion(True, message.term, message.primary_name)
+
+    async with start_hubs(2) as hubs:
+        hubs[1].handle(AskPrimary, answer)
+        await wait_until(lambda: all_live(hubs))
+        question = AskPrimary("scheduling-a", "up-1", 7)
+        reply = await hubs[0].ask("proxy-1", question, 5.0)
+        assert reply == PrimaryOpinion(True, 7, "up-1")
+        reply = await hubs[0].ask_address(hubs[1].address, question, 5.0)
+        assert reply.reachable
+        with pytest.raises(PeerLostError):
+            await hubs[1].ask("proxy-0", question, 5.0)
+        with pytest.raises(PeerLostError):
+            await hubs[1].ask("nobody", question, 5.0)
+
+
+@pytest.mark.parametrize("count", [3, 14])
+async def test_broadcast_reaches_all_once(count):
+    async with start_hubs(count) as hubs:
+        received = {hub.membership.own.name: [] for hub in hubs}
+        for hub in hubs:
+
+            async def take(link, message, name=hub.membership.own.name):
+                received[name].append(message)
+
+            hub.handle(PrimarySeen, take)
+        await wait_until(lambda: all_live(hubs))
+        await wait_until(lambda: count > 8 or all(len(h.links) == 2 for h in hubs))
+        hubs[0].broadcast(PrimarySeen("scheduling-a", 3, "up-2"))
+        await wait_until(lambda: sum(map(len, received.values())) == count - 1)
+        assert received.pop("proxy-0") == []
+        assert all(len(messages) == 1 for messages in received.values())
+
+
+async def test_wrong_secret_and_other_version_are_refused():
+    async with start_hubs(1) as (hub,):
+        own = replace(hub.membership.own, name="stranger")
+        link = await dial(hub.address, build_hello(own, "proxy"), "wrong-secret")
+        with pytest.raises(PeerLostError):
+            async with link:
+                pass
+        hello = replace(build_hello(own, "proxy"), version=99)
+        link = await dial(hub.address, hello, "long-enough")
+        with pytest.raises(PeerLostError):
+            async with link:
+                pass
+        await wait_until(lambda: hub.accepted == 0)
+        assert hub.membership.find("stranger") is None
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xc1" * 10,
+        b"GET / HTTP/1.1\r\n\r\n",
+        msgpack.packb([1, 0, ["x"]]),
+        msgpack.packb([1, 0, [b"x" * 100_000]]),
+        msgpack.packb({"a": 1}),
+        msgpack.packb([[[[]]]])[:-1],
+        b"\x91" * 5000,
+        b"",
+    ],
+)
+async def test_garbage_ends_the_link_and_leaves_no_task(data):
+    async with start_hubs(1) as (hub,):
+        reader, writer = await asyncio.open_connection(*address_pair(hub.address))
+        writer.write(data)
+        writer.write_eof()
+        await read_until_closed(reader)
+        await wait_until(lambda: hub.accepted == 0 and not hub.tasks)
+        writer.close()
+
+
+async def test_oversized_frame_after_the_handshake_ends_the_link():
+    async with start_hubs(2) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        link = hubs[0].links["proxy-1"]
+        link.writer.write(b"\xc6\x10\x00\x00\x00" + b"x" * 3_000_000)
+        async with asyncio.timeout(10):
+            await link.is_closed.wait()
+        await wait_until(lambda: "proxy-1" in hubs[0].links)
+
+
+async def test_a_large_message_right_after_the_proof_is_read():
+    received = []
+
+    async def take(link, message):
+        received.append(message)
+
+    async with start_hubs(1) as (hub,):
+        hub.handle(PrimarySeen, take)
+        own = replace(hub.membership.own, name="tool")
+        link = await dial(hub.address, build_hello(own, "operator"), "long-enough")
+        async with link:
+            link.send(PrimarySeen("x" * 200_000, 1, "up-1"))
+            await wait_until(lambda: received)
+
+
+async def test_a_peer_that_reads_nothing_loses_its_link():
+    async with start_hubs(1) as (hub,):
+        own = replace(hub.membership.own, name="frozen")
+        link = await dial(hub.address, build_hello(own, "proxy"), "long-enough")
+        async with link:
+            await wait_until(lambda: "frozen" in hub.links)
+            link.reader._transport.pause_reading()
+            for _ in range(200):
+                hub.tell("frozen", PrimarySeen("x" * 100_000, 1, "up-1"))
+            await wait_until(lambda: "frozen" not in hub.links)
+
+
+def address_pair(address: Address):
+    return address.host, address.port
+
+
+async def read_until_closed(reader):
+    async with asyncio.timeout(10):
+        with contextlib.suppress(ConnectionError):
+            while await reader.read(4096):
+                pass
+
+
+def test_messages_pack_small():
+    from ebonyrack.peers.messages import Heartbeat
+
+    assert len(pack_message(Heartbeat(1_764_798_000_000, 500, 2**32 - 1, 200))) < 32
