Let the contract say what a log holds and how long a replica heard nothing

Cause: after a change of primary the proxy must be able to tell whether a commit is part of the new history, and a primary that is cut off from its replicas can't be told from replication lag by positions alone. Change: `ebonyrack_holds(term, offset)` and an optional seventh column `silence_ms` of the poll; a row of six columns is still read. Answers to fence, promote and holds are records. Ruled out: `ebonyrack_term_start(term)`, which needs every term between the two.

--- a/ebonyrack/upstreams/contract.py
+++ b/ebonyrack/upstreams/contract.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from ebonyrack.core.address import Address
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.position import parse_position
@@ -9,6 +11,37 @@
 from ebonyrack.upstreams.status import Role
 from ebonyrack.upstreams.status import UpstreamStatus
 
+
+@dataclass(frozen=True, slots=True)
+class FenceAnswer:
+    """Answer to the request for a grant of a term.
+
+    Attributes:
+        granted: Whether the term was granted.
+        fenced_term: Highest term that the upstream has granted.
+        received: Position of the last entry of its log.
+    """
+
+    granted: bool
+    fenced_term: int
+    received: LogPosition
+
+
+@dataclass(frozen=True, slots=True)
+class HoldsAnswer:
+    """Answer to the question whether a log has an entry.
+
+    Attributes:
+        held: Whether the entry of that term is at that offset.
+        term: Present term of the upstream.
+        received: Position of the last entry of its log.
+    """
+
+    held: bool
+    term: int
+    received: LogPosition
+
+
 CONTRACTS: Registry[type[EbonyrackContract]] = Registry("contract")
 
 
@@ -20,8 +53,11 @@
     single row that the upstream answers.
 
     * `ebonyrack_poll(term, offset, wait_ms)`: a row `(role, term, fenced_term,
-      received, applied, leaving)`. With `wait_ms` above 0 the answer waits until
-      the upstream's *applied* position reaches `term/offset`, or the time is over.
+      received, applied, leaving, silence_ms)`. With `wait_ms` above 0 the answer
+      waits until the upstream's *applied* position reaches `term/offset`, or the
+      time is over. `silence_ms` is the time since a replica last heard from the
+      primary that it follows (entries or heartbeats), empty on a primary; an
+      upstream that can't tell leaves the column out.
     * `ebonyrack_poll_received(...)`: the same, waiting for the *received* position.
     * `ebonyrack_fence(term)`: a row `(granted, fenced_term, received)`. Granted
       when `term` is higher than any granted before; from then on the upstream
@@ -33,6 +69,9 @@
       unless it granted a higher term. Entries that the primary lacks are dropped.
     * `ebonyrack_last_commit()`: a row with the position of the last transaction
       that *this connection* committed, or an empty string.
+    * `ebonyrack_holds(term, offset)`: a row `(held, term, received)`: whether the
+      upstream's log has an entry of exactly that term at that offset, with the
+      upstream's present term and last position, read at one moment.
     """
 
     __slots__ = ()
@@ -62,9 +101,17 @@
         """Build the question for the connection's last committed position."""
         return "SELECT ebonyrack_last_commit()"
 
-    def parse_status(self, row: tuple[str, ...]) -> UpstreamStatus:
-        """Read the row of a poll."""
-        role, term, fenced_term, received, applied, leaving = row
+    def build_holds(self, position: LogPosition) -> str:
+        """Build the question whether the log has the entry of a position."""
+        return f"SELECT * FROM ebonyrack_holds({position.term}, {position.offset})"
+
+    def parse_status(self, row: tuple[str | None, ...]) -> UpstreamStatus:
+        """Read the row of a poll.
+
+        Raises:
+            ValueError: If the row has another form.
+        """
+        role, term, fenced_term, received, applied, leaving, *rest = read_fields(row)
         return UpstreamStatus(
             role=Role(role),
             term=int(term),
@@ -72,9 +119,44 @@
             received=parse_position(received),
             applied=parse_position(applied),
             leaving=leaving == "t",
+            silence_s=int(rest[0]) / 1000 if rest and rest[0] else None,
         )
 
-    def parse_grant(self, row: tuple[str, ...]) -> tuple[bool, int, LogPosition]:
-        """Read the row of a fence: granted, highest granted term, last entry."""
-        granted, fenced_term, received = row
-        return granted == "t", int(fenced_term), parse_position(received)
+    def parse_grant(self, row: tuple[str | None, ...]) -> FenceAnswer:
+        """Read the row of a fence.
+
+        Raises:
+            ValueError: If the row has another form.
+        """
+        granted, fenced_term, received = read_fields(row)
+        return FenceAnswer(granted == "t", int(fenced_term), parse_position(received))
+
+    def parse_promotion(self, row: tuple[str | None, ...]) -> LogPosition:
+        """Read the row of a promotion: the position of the term-start record.
+
+        Raises:
+            ValueError: If the row has another form.
+        """
+        (received,) = read_fields(row)
+        return parse_position(received)
+
+    def parse_holds(self, row: tuple[str | None, ...]) -> HoldsAnswer:
+        """Read the row that says whether the log has an entry.
+
+        Raises:
+            ValueError: If the row has another form.
+        """
+        held, term, received = read_fields(row)
+        return HoldsAnswer(held == "t", int(term), parse_position(received))
+
+
+def read_fields(row: tuple[str | None, ...]) -> tuple[str, ...]:
+    """Replace NULL by an empty field.
+
+    Args:
+        row: Fields of one row in text form.
+
+    Returns:
+        The fields.
+    """
+    return tuple(field or "" for field in row)
--- a/ebonyrack/upstreams/status.py
+++ b/ebonyrack/upstreams/status.py
@@ -26,6 +26,8 @@
         received: Position of the last entry that its log holds.
         applied: Position of the last entry that its reads show.
         leaving: Whether it is about to leave the group.
+        silence_s: Seconds since a replica last heard from the primary that it
+            follows; None on a primary or if the upstream can't tell.
     """
 
     role: Role
@@ -34,3 +36,4 @@
     received: LogPosition
     applied: LogPosition
     leaving: bool
+    silence_s: float | None = None
