Add the stand-in upstream and group

The database group's contract needs a counterpart that tests, the demo and the load tool can run anywhere. SQL runs on sqlite3 in memory; a commit appends its writing statements to the log in the same event-loop step and replays them on the committed state, as a replica does.

Ruled out: one shared-cache database (readers block on an open write) and sqlite change sets (not in the standard library's module).

--- /dev/null
+++ b/ebonyrack/standins/extended.py
@@ -0,0 +1,219 @@
+"""Prepared statements and portals of a session."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from pygwire import messages
+
+from ebonyrack.standins import datatypes
+from ebonyrack.standins.contract_functions import COLUMNS
+from ebonyrack.standins.contract_functions import match_call
+from ebonyrack.standins.dialect import Statement
+from ebonyrack.standins.dialect import Verb
+from ebonyrack.standins.dialect import parse_script
+from ebonyrack.standins.execution import Outcome
+from ebonyrack.standins.execution import execute
+from ebonyrack.standins.log import SqlValue
+from ebonyrack.standins.parameter_types import find_parameter_types
+from ebonyrack.standins.rows import encode_row_description
+from ebonyrack.standins.rows import encode_rows
+from ebonyrack.standins.sql_engine import Column
+from ebonyrack.standins.sql_error import SqlError
+
+if TYPE_CHECKING:
+    from ebonyrack.standins.session import StandinSession
+
+
+@dataclass(slots=True)
+class PreparedStatement:
+    """A statement that Parse created; `statement` is None for an empty text."""
+
+    statement: Statement | None
+    parameter_oids: list[int]
+
+
+@dataclass(slots=True)
+class Portal:
+    """A bound statement.
+
+    Attributes:
+        prepared: What it runs.
+        values: Parameters.
+        formats: Result formats as the Bind message gave them.
+        outcome: What it answered, once it ran.
+        sent: Rows sent so far.
+    """
+
+    prepared: PreparedStatement
+    values: tuple[SqlValue, ...]
+    formats: list[int]
+    outcome: Outcome | None = None
+    sent: int = 0
+
+
+@dataclass(slots=True)
+class ExtendedQuery:
+    """The extended query protocol of one session.
+
+    Attributes:
+        session: The session.
+        statements: Prepared statements by name.
+        portals: Portals by name.
+        is_skipping: Whether messages are skipped until the next Sync.
+    """
+
+    session: StandinSession
+    statements: dict[str, PreparedStatement] = field(default_factory=dict)
+    portals: dict[str, Portal] = field(default_factory=dict)
+    is_skipping: bool = False
+
+    async def handle(self, message: messages.PGMessage) -> None:
+        """Handle one message of the extended protocol."""
+        if self.is_skipping:
+            return
+        try:
+            await self.dispatch(message)
+        except ValueError as error:
+            self.is_skipping = True
+            self.session.send_error(SqlError("22P02", str(error)))
+        except SqlError as error:
+            self.is_skipping = True
+            self.session.send_error(error)
+
+    async def dispatch(self, message: messages.PGMessage) -> None:
+        """Run the step that the message asks for."""
+        match message:
+            case messages.Parse():
+                self.parse(message)
+            case messages.Bind():
+                self.bind(message)
+            case messages.Describe():
+                self.describe(message)
+            case messages.Execute():
+                await self.execute(message)
+            case messages.Close():
+                self.close(message)
+
+    def parse(self, message: messages.Parse) -> None:
+        """Create a prepared statement."""
+        script = parse_script(message.query)
+        if len(script) > 1:
+            raise SqlError("42601", "a prepared statement holds one command only")
+        known = self.session.upstream.database.find_column_oids()
+        oids = find_parameter_types(message.query, list(message.param_types), known)
+        statement = script[0] if script else None
+        self.statements[message.statement] = PreparedStatement(statement, oids)
+        self.session.send(messages.ParseComplete())
+
+    def find_statement(self, name: str) -> PreparedStatement:
+        """Return a prepared statement or fail as PostgreSQL does."""
+        if name not in self.statements:
+            raise SqlError("26000", f"prepared statement {name!r} does not exist")
+        return self.statements[name]
+
+    def find_portal(self, name: str) -> Portal:
+        """Return a portal or fail as PostgreSQL does."""
+        if name not in self.portals:
+            raise SqlError("34000", f"portal {name!r} does not exist")
+        return self.portals[name]
+
+    def bind(self, message: messages.Bind) -> None:
+        """Create a portal."""
+        prepared = self.find_statement(message.statement)
+        if len(message.param_values) != len(prepared.parameter_oids):
+            raise SqlError(
+                "08P01",
+                f"{len(message.param_values)} parameters given,"
+                f" {len(prepared.parameter_oids)} needed",
+            )
+        values = tuple(
+            datatypes.decode_value(
+                value, oid, pick_format(message.param_formats, index) == 1
+            )
+            for index, (value, oid) in enumerate(
+                zip(message.param_values, prepared.parameter_oids, strict=True)
+            )
+        )
+        self.portals[message.portal] = Portal(
+            prepared, values, list(message.result_formats)
+        )
+        self.session.send(messages.BindComplete())
+
+    def describe(self, message: messages.Describe) -> None:
+        """Describe a statement or a portal."""
+        formats: Sequence[int] = ()
+        if message.kind == "S":
+            prepared = self.find_statement(message.name)
+            self.session.send(messages.ParameterDescription(prepared.parameter_oids))
+        else:
+            portal = self.find_portal(message.name)
+            prepared, formats = portal.prepared, portal.formats
+        columns = self.find_columns(prepared)
+        if columns:
+            self.session.out += encode_row_description(columns, formats)
+        else:
+            self.session.send(messages.NoData())
+
+    def find_columns(self, prepared: PreparedStatement) -> list[Column]:
+        """Find the result columns of a prepared statement."""
+        statement = prepared.statement
+        if statement is None:
+            return []
+        if statement.verb is Verb.SHOW:
+            name = statement.text.split(None, 1)[1].strip().lower()
+            return [Column(name, datatypes.TEXT)]
+        if statement.verb not in (Verb.READ, Verb.WRITE):
+            return []
+        call = match_call(statement.text)
+        if call is not None:
+            return COLUMNS[call[0]]
+        is_write = statement.verb is Verb.WRITE and not statement.has_lock
+        return self.session.upstream.database.describe(statement.sql, is_write)
+
+    async def execute(self, message: messages.Execute) -> None:
+        """Run a portal, or send its next rows."""
+        portal = self.find_portal(message.portal)
+        statement = portal.prepared.statement
+        if statement is None:
+            self.session.send(messages.EmptyQueryResponse())
+            return
+        if portal.outcome is None:
+            portal.outcome = await execute(self.session, statement, portal.values)
+        outcome = portal.outcome
+        rows = outcome.result.rows[portal.sent :]
+        if message.max_rows:
+            rows = rows[: message.max_rows]
+        columns = outcome.result.columns
+        if any(portal.formats):
+            columns = self.find_columns(portal.prepared)
+        self.session.out += encode_rows(rows, columns, portal.formats)
+        portal.sent += len(rows)
+        if portal.sent < len(outcome.result.rows):
+            self.session.send(messages.PortalSuspended())
+        else:
+            self.session.send(messages.CommandComplete(outcome.tag))
+
+    def close(self, message: messages.Close) -> None:
+        """Close a statement or a portal."""
+        if message.kind == "S":
+            self.statements.pop(message.name, None)
+        else:
+            self.portals.pop(message.name, None)
+        self.session.send(messages.CloseComplete())
+
+    def end_batch(self) -> None:
+        """Take messages again after a Sync."""
+        self.is_skipping = False
+        if self.session.transaction is None:
+            self.portals.clear()
+
+
+def pick_format(formats: Sequence[int], index: int) -> int:
+    """Return the format of a value from a list that may be short."""
+    if not formats:
+        return 0
+    return formats[index] if len(formats) > 1 else formats[0]
--- /dev/null
+++ b/ebonyrack/standins/faults.py
@@ -0,0 +1,81 @@
+"""Faults that tests and experiments inject into one stand-in upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Self
+
+PROXIES = "proxies"
+
+
+class UpstreamFaults:
+    """Switches that hold back or lose an upstream's traffic.
+
+    A cut link keeps its bytes and delivers them after it heals, as TCP does.
+
+    Attributes:
+        is_frozen: Whether the upstream neither reads nor answers anything.
+        cut_from: Peers whose bytes don't arrive here.
+        cut_to: Peers to whom this upstream's bytes don't arrive.
+        answer_delay_s: Extra delay before each answer, in seconds.
+        lost_commits: How many commits yet take effect with their answer lost.
+    """
+
+    __slots__ = (
+        "is_frozen",
+        "cut_from",
+        "cut_to",
+        "answer_delay_s",
+        "lost_commits",
+        "changed",
+    )
+
+    def __init__(self) -> None:
+        self.is_frozen = False
+        self.cut_from: set[str] = set()
+        self.cut_to: set[str] = set()
+        self.answer_delay_s = 0.0
+        self.lost_commits = 0
+        self.changed = asyncio.Event()
+
+    def apply(
+        self,
+        frozen: bool | None = None,
+        cut_from: set[str] | None = None,
+        cut_to: set[str] | None = None,
+    ) -> Self:
+        """Change the switches that are given and wake whoever waits for them."""
+        if frozen is not None:
+            self.is_frozen = frozen
+        if cut_from is not None:
+            self.cut_from = cut_from
+        if cut_to is not None:
+            self.cut_to = cut_to
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self
+
+    def can_receive(self, peer: str) -> bool:
+        """Return whether bytes of a peer arrive."""
+        return not self.is_frozen and peer not in self.cut_from
+
+    def can_send(self, peer: str) -> bool:
+        """Return whether bytes to a peer leave and arrive."""
+        return not self.is_frozen and peer not in self.cut_to
+
+    async def wait_receivable(self, peer: str) -> None:
+        """Return once bytes of a peer arrive."""
+        while not self.can_receive(peer):
+            await self.changed.wait()
+
+    async def wait_sendable(self, peer: str) -> None:
+        """Return once bytes to a peer arrive there."""
+        while not self.can_send(peer):
+            await self.changed.wait()
+
+    def take_lost_commit(self) -> bool:
+        """Use up one lost answer of a commit, if any is due."""
+        if not self.lost_commits:
+            return False
+        self.lost_commits -= 1
+        return True
--- /dev/null
+++ b/ebonyrack/standins/session.py
@@ -0,0 +1,369 @@
+"""One connection to a stand-in upstream, from its startup to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+from pygwire import ConnectionPhase
+from pygwire import FrontendMessageDecoder
+from pygwire import PygwireError
+from pygwire import TransactionStatus
+from pygwire import messages
+
+from ebonyrack.core.position import LogPosition
+from ebonyrack.standins.dialect import parse_script
+from ebonyrack.standins.execution import AnswerLostError
+from ebonyrack.standins.execution import end_implicit
+from ebonyrack.standins.execution import execute
+from ebonyrack.standins.execution import fail_transaction
+from ebonyrack.standins.extended import ExtendedQuery
+from ebonyrack.standins.faults import PROXIES
+from ebonyrack.standins.replication import REPLICA_PARAMETER
+from ebonyrack.standins.replication import LogSender
+from ebonyrack.standins.rows import encode_row_description
+from ebonyrack.standins.rows import encode_rows
+from ebonyrack.standins.sql_error import SqlError
+from ebonyrack.standins.transaction import Transaction
+
+if TYPE_CHECKING:
+    from ebonyrack.standins.upstream import StandinUpstream
+
+READ_BYTES = 65536
+STARTUP_TIMEOUT_S = 60.0
+KEY_BYTES = 4
+REPORTED_PARAMETERS = {
+    "server_version": "16.0",
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "application_name": "",
+    "DateStyle": "ISO, MDY",
+    "IntervalStyle": "postgres",
+    "TimeZone": "UTC",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+    "is_superuser": "off",
+    "default_transaction_read_only": "off",
+}
+READY = {
+    status: messages.ReadyForQuery(status).to_wire() for status in TransactionStatus
+}
+
+
+class StandinSession:
+    """Serves one connection: startup, queries, cancellation.
+
+    Attributes:
+        upstream: The upstream.
+        process_id: Number by which a CancelRequest names this session.
+        secret_key: Key that a CancelRequest must give.
+        task: Task that serves the connection.
+        decoder: Decoder of the caller's messages.
+        received: Bytes that arrived last.
+        out: Bytes of answers not sent yet.
+        transaction: Open transaction, if any.
+        last_commit: Position of the last transaction committed here.
+        parameters: Settings of the session, names in lower case.
+        extended: Prepared statements and portals.
+        is_executing: Whether a statement runs, so that it can be cancelled.
+        is_cancelled: Whether a cancel request waits to be noticed.
+    """
+
+    __slots__ = (
+        "upstream",
+        "reader",
+        "writer",
+        "process_id",
+        "secret_key",
+        "task",
+        "decoder",
+        "received",
+        "out",
+        "transaction",
+        "last_commit",
+        "parameters",
+        "extended",
+        "is_executing",
+        "is_cancelled",
+    )
+
+    def __init__(
+        self,
+        upstream: StandinUpstream,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        process_id: int,
+    ) -> None:
+        self.upstream = upstream
+        self.reader = reader
+        self.writer = writer
+        self.process_id = process_id
+        self.secret_key = secrets.token_bytes(KEY_BYTES)
+        self.task: asyncio.Task[None] | None = None
+        self.decoder = FrontendMessageDecoder()
+        self.received = b""
+        self.out = bytearray()
+        self.transaction: Transaction | None = None
+        self.last_commit: LogPosition | None = None
+        self.parameters = {
+            name.lower(): value for name, value in REPORTED_PARAMETERS.items()
+        }
+        self.extended = ExtendedQuery(self)
+        self.is_executing = False
+        self.is_cancelled = False
+
+    async def run(self) -> None:
+        """Serve the connection until it ends, then clean up."""
+        try:
+            async with asyncio.timeout(STARTUP_TIMEOUT_S):
+                is_open = await self.start()
+            if is_open:
+                await self.serve()
+        except AnswerLostError:
+            self.abort()
+        except ConnectionAbortedError:
+            await self.flush()
+        except (OSError, PygwireError, TimeoutError, UnicodeDecodeError):
+            pass
+        finally:
+            self.upstream.sessions.pop(self.process_id, None)
+            if self.transaction is not None and not self.transaction.is_doomed:
+                self.upstream.rollback(self.transaction)
+            self.writer.close()
+
+    def abort(self) -> None:
+        """Break the connection off."""
+        self.writer.transport.abort()
+
+    async def next_message(self) -> messages.PGMessage:
+        """Return the caller's next message; answers are sent before a wait.
+
+        Raises:
+            ConnectionError: If the caller has gone.
+        """
+        while True:
+            if not self.upstream.faults.can_receive(PROXIES):
+                await self.upstream.faults.wait_receivable(PROXIES)
+            message = next(self.decoder, None)
+            if message is not None:
+                return message
+            await self.flush()
+            await self.receive()
+
+    async def receive(self) -> None:
+        """Take in the bytes that come next.
+
+        Raises:
+            ConnectionError: If the caller has gone.
+        """
+        self.received = await self.reader.read(READ_BYTES)
+        await self.upstream.faults.wait_receivable(PROXIES)
+        if not self.received:
+            raise ConnectionResetError("the caller has gone")
+        if self.upstream.options.link_delay_s:
+            await asyncio.sleep(self.upstream.options.link_delay_s)
+        self.decoder.feed(self.received)
+
+    def send(self, message: messages.PGMessage) -> None:
+        """Add a message to the answers."""
+        self.out += message.to_wire()
+
+    def send_error(self, error: SqlError) -> None:
+        """Add an error to the answers; a fatal one ends the connection.
+
+        Raises:
+            ConnectionAbortedError: If the error is fatal.
+        """
+        self.send(messages.ErrorResponse(error.build_fields()))
+        if error.fatal:
+            raise ConnectionAbortedError(error.text)
+
+    async def flush(self) -> None:
+        """Send the answers, after whatever delay the faults ask for."""
+        if not self.out:
+            return
+        faults, options = self.upstream.faults, self.upstream.options
+        delay_s = faults.answer_delay_s + options.link_delay_s
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        await faults.wait_sendable(PROXIES)
+        data = bytes(self.out)
+        self.out.clear()
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def start(self) -> bool:
+        """Do the startup.
+
+        Returns:
+            Whether the session is open for queries.
+        """
+        while True:
+            message = await self.next_message()
+            match message:
+                case messages.SSLRequest():
+                    self.send(messages.SSLResponse(accepted=False))
+                case messages.GSSEncRequest():
+                    self.send(messages.GSSResponse(accepted=False))
+                case messages.CancelRequest():
+                    self.upstream.cancel(message.process_id, message.secret_key)
+                    return False
+                case messages.StartupMessage():
+                    if REPLICA_PARAMETER in message.params:
+                        await self.send_log(message.params[REPLICA_PARAMETER])
+                        return False
+                    if await self.admit(message.params):
+                        return True
+                case messages.PasswordMessage():
+                    self.check_password(message)
+                    await self.welcome()
+                    return True
+
+    async def send_log(self, replica_name: str) -> None:
+        """Send the log to a replica over this connection."""
+        sender = LogSender(self.upstream, self.reader, self.writer, replica_name)
+        if self.decoder.buffered:
+            sender.frames.unpacker.feed(self.received[-self.decoder.buffered :])
+        await sender.run()
+
+    async def admit(self, params: dict[str, str]) -> bool:
+        """Check limit and user.
+
+        Returns:
+            Whether the session is open; else a password was asked for.
+        """
+        options = self.upstream.options
+        if len(self.upstream.sessions) >= options.connection_limit:
+            self.send_error(SqlError("53300", "too many connections", fatal=True))
+        self.upstream.sessions[self.process_id] = self
+        if options.connection_cost_s:
+            await asyncio.sleep(options.connection_cost_s)
+        if options.user and params.get("user") != options.user:
+            self.send_error(SqlError("28000", "unknown user", fatal=True))
+        for name, value in params.items():
+            self.parameters[name.lower()] = value
+        if options.password:
+            self.send(messages.AuthenticationCleartextPassword())
+            self.decoder.phase = ConnectionPhase.AUTHENTICATING
+            return False
+        await self.welcome()
+        return True
+
+    def check_password(self, message: messages.PasswordMessage) -> None:
+        """End the connection if the password is wrong."""
+        if message.password != self.upstream.options.password:
+            self.send_error(SqlError("28P01", "wrong password", fatal=True))
+
+    async def welcome(self) -> None:
+        """Tell the caller the settings and that queries may come."""
+        self.decoder.phase = ConnectionPhase.READY
+        self.send(messages.AuthenticationOk())
+        for name in REPORTED_PARAMETERS:
+            value = self.parameters[name.lower()]
+            self.send(messages.ParameterStatus(name, value))
+        self.send(messages.BackendKeyData(self.process_id, self.secret_key))
+        self.send_ready()
+        await self.flush()
+
+    def set_parameter(self, name: str, value: str) -> None:
+        """Change a setting and report it if it is one that is reported."""
+        self.parameters[name.lower()] = value
+        for reported in REPORTED_PARAMETERS:
+            if reported.lower() == name.lower():
+                self.send(messages.ParameterStatus(reported, value))
+
+    def send_ready(self) -> None:
+        """Add ReadyForQuery with the transaction's status."""
+        status = TransactionStatus.IDLE
+        if self.transaction is not None:
+            status = TransactionStatus.IN_TRANSACTION
+            if self.transaction.is_failed:
+                status = TransactionStatus.ERROR_TRANSACTION
+        self.out += READY[status]
+
+    async def serve(self) -> None:
+        """Answer queries until the caller leaves."""
+        while True:
+            message = await self.next_message()
+            match message:
+                case messages.Query():
+                    await self.run_script(message.query_string)
+                case messages.Sync():
+                    self.sync()
+                case messages.Flush():
+                    await self.flush()
+                case messages.Terminate():
+                    return
+                case _:
+                    await self.extended.handle(message)
+
+    def sync(self) -> None:
+        """End a batch of the extended protocol."""
+        if self.extended.is_skipping:
+            fail_transaction(self)
+        else:
+            end_implicit(self)
+        self.extended.end_batch()
+        self.send_ready()
+
+    async def run_script(self, text: str) -> None:
+        """Run a simple query with all its statements."""
+        script = parse_script(text)
+        if not script:
+            self.send(messages.EmptyQueryResponse())
+        try:
+            for statement in script:
+                outcome = await execute(self, statement, ())
+                if outcome.result.columns:
+                    self.out += encode_row_description(outcome.result.columns)
+                    self.out += encode_rows(outcome.result.rows, outcome.result.columns)
+                self.send(messages.CommandComplete(outcome.tag))
+            end_implicit(self)
+        except SqlError as error:
+            self.send_error(error)
+        self.send_ready()
+
+    async def hold_slot(self, extra_s: float) -> None:
+        """Hold one of the upstream's execution slots for a statement's time.
+
+        Args:
+            extra_s: Time on top of the statement cost, in seconds.
+        """
+        duration_s = self.upstream.options.statement_cost_s + extra_s
+        if duration_s <= 0 and not self.upstream.slots.locked():
+            return
+        async with self.upstream.slots:
+            if duration_s > 0:
+                await asyncio.sleep(duration_s)
+
+    def cancel(self, secret_key: bytes) -> None:
+        """Cancel the running statement if the key is right."""
+        if secret_key == self.secret_key and self.is_executing:
+            assert self.task is not None
+            self.is_cancelled = True
+            self.task.cancel()
+
+    def take_cancel(self) -> bool:
+        """Return whether a cancellation came from a cancel request."""
+        if not self.is_cancelled:
+            return False
+        assert self.task is not None
+        self.is_cancelled = False
+        self.task.uncancel()
+        return True
+
+    def doom_transaction(self) -> None:
+        """Roll the open transaction back for a higher term and end the session."""
+        transaction = self.transaction
+        if transaction is None:
+            return
+        self.upstream.rollback(transaction)
+        transaction.is_doomed = True
+        if self.is_executing:
+            return
+        error = SqlError("57P01", "the upstream is no longer primary", fatal=True)
+        message = messages.ErrorResponse(error.build_fields())
+        if self.upstream.faults.can_send(PROXIES):
+            self.writer.write(message.to_wire())
+        self.writer.close()
--- /dev/null
+++ b/ebonyrack/standins/transaction.py
@@ -0,0 +1,31 @@
+"""An open transaction of a session with a stand-in upstream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from ebonyrack.standins.log import LoggedStatement
+
+
+@dataclass(slots=True, eq=False)
+class Transaction:
+    """A transaction between its first statement and its end.
+
+    Attributes:
+        is_explicit: Whether BEGIN opened it; else the next Sync ends it.
+        is_read_only: Whether it was opened READ ONLY.
+        is_failed: Whether a statement failed, so that only ROLLBACK is accepted.
+        is_doomed: Whether the upstream rolled it back for a higher term.
+        is_writing: Whether it holds the write lock.
+        time_us: Wall time of the first write, in microseconds.
+        statements: Writing statements so far.
+    """
+
+    is_explicit: bool
+    is_read_only: bool = False
+    is_failed: bool = False
+    is_doomed: bool = False
+    is_writing: bool = False
+    time_us: int = 0
+    statements: list[LoggedStatement] = field(default_factory=list)
--- /dev/null
+++ b/ebonyrack/standins/upstream.py
@@ -0,0 +1,347 @@
+"""One upstream of the stand-in group: its log, term and sessions."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from types import TracebackType
+from typing import Self
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.position import LogPosition
+from ebonyrack.standins.faults import UpstreamFaults
+from ebonyrack.standins.log import LogEntry
+from ebonyrack.standins.log import PositionWaiters
+from ebonyrack.standins.log import TransactionLog
+from ebonyrack.standins.options import UpstreamOptions
+from ebonyrack.standins.replication import LogFollower
+from ebonyrack.standins.session import StandinSession
+from ebonyrack.standins.sql_engine import Database
+from ebonyrack.standins.sql_error import SqlError
+from ebonyrack.standins.transaction import Transaction
+from ebonyrack.upstreams.status import Role
+from ebonyrack.upstreams.status import UpstreamStatus
+
+LISTEN_BACKLOG = 1024
+
+
+class StandinUpstream:
+    """A database server with terms, fencing, promotion and asynchronous replication.
+
+    What a killed upstream keeps is its log, its term and the terms it granted.
+
+    Attributes:
+        name: Name of the upstream.
+        options: Sizes and delays; may be changed at any time.
+        address: Where it listens; port 0 is replaced at the first start.
+        peer_names: Name of each other upstream by address.
+        faults: Faults to inject.
+        log: Committed transactions.
+        database: What the applied part of the log adds up to.
+        role: Whether it accepts writes.
+        term: Term in which it is primary, or term of the primary it follows.
+        fenced_term: Highest term that it granted or followed.
+        leaving: Whether it says that it leaves the group.
+        received: Waits for the end of the log.
+        applied: Waits for what reads show.
+        sessions: Open sessions by process number.
+        slots: Statements that may run at the same time.
+        write_lock: Held by the one transaction that writes.
+        writer: That transaction.
+        follower: Task that receives the primary's log.
+        appended: Set and replaced at each new entry, for the senders of the log.
+    """
+
+    __slots__ = (
+        "name",
+        "options",
+        "address",
+        "peer_names",
+        "faults",
+        "log",
+        "database",
+        "role",
+        "term",
+        "fenced_term",
+        "leaving",
+        "received",
+        "applied",
+        "sessions",
+        "slots",
+        "write_lock",
+        "writer",
+        "follower",
+        "appended",
+        "server",
+        "tasks",
+        "process_ids",
+    )
+
+    def __init__(self, name: str, options: UpstreamOptions, address: Address) -> None:
+        self.name = name
+        self.options = options
+        self.address = address
+        self.peer_names: dict[Address, str] = {}
+        self.faults = UpstreamFaults()
+        self.log = TransactionLog()
+        self.database = Database()
+        self.role = Role.REPLICA
+        self.term = 0
+        self.fenced_term = 0
+        self.leaving = False
+        self.received = PositionWaiters()
+        self.applied = PositionWaiters()
+        self.sessions: dict[int, StandinSession] = {}
+        self.slots = asyncio.Semaphore(options.slots)
+        self.write_lock = asyncio.Lock()
+        self.writer: Transaction | None = None
+        self.follower: LogFollower | None = None
+        self.appended = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.process_ids = itertools.count(1)
+
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.kill()
+        self.database.close()
+
+    @property
+    def can_write(self) -> bool:
+        """Whether it is the primary of the highest term that it knows of."""
+        return self.role is Role.PRIMARY and self.fenced_term <= self.term
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it listens."""
+        return self.server is not None
+
+    async def start(self) -> None:
+        """Listen for proxies and replicas."""
+        self.server = await asyncio.start_server(
+            self.accept, self.address.host, self.address.port, backlog=LISTEN_BACKLOG
+        )
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = Address(self.address.host, port)
+
+    def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Start the task that serves a new connection."""
+        session = StandinSession(self, reader, writer, next(self.process_ids))
+        task = asyncio.create_task(session.run())
+        session.task = task
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def kill(self) -> None:
+        """Stop at once, as a killed process does; only the log and terms stay."""
+        server, self.server = self.server, None
+        if server is not None:
+            server.close()
+        await self.stop_following()
+        for session in list(self.sessions.values()):
+            session.abort()
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def restart(self) -> None:
+        """Come back as a replica that waits for an order to follow."""
+        self.database.close()
+        self.rebuild(len(self.log.entries))
+        self.role = Role.REPLICA
+        self.sessions.clear()
+        self.slots = asyncio.Semaphore(self.options.slots)
+        self.write_lock = asyncio.Lock()
+        self.writer = None
+        self.faults.apply(frozen=False)
+        await self.start()
+
+    def rebuild(self, offset: int) -> None:
+        """Cut the log back to an offset and build the database again from it."""
+        self.log.truncate(offset)
+        self.database = Database()
+        for entry in self.log.entries:
+            self.database.apply(entry)
+        self.received.advance(self.log.last)
+        self.applied.advance(self.log.last)
+
+    def cancel(self, process_id: int, secret_key: bytes) -> None:
+        """Cancel the running statement of a session, if the key is right."""
+        session = self.sessions.get(process_id)
+        if session is not None:
+            session.cancel(secret_key)
+
+    def read_status(self) -> UpstreamStatus:
+        """Return what a poll answers now."""
+        return UpstreamStatus(
+            role=self.role,
+            term=self.term,
+            fenced_term=self.fenced_term,
+            received=self.log.last,
+            applied=self.applied.reached,
+            leaving=self.leaving,
+        )
+
+    def append(self, entry: LogEntry) -> None:
+        """Add an entry to the log and wake those who wait for it."""
+        self.log.append(entry)
+        self.received.advance(entry.position)
+        self.wake_senders()
+
+    def wake_senders(self) -> None:
+        """Let the senders of the log look again."""
+        self.appended.set()
+        self.appended = asyncio.Event()
+
+    def apply_received(self, limit: LogPosition) -> None:
+        """Show received entries up to a position in reads."""
+        applied = self.applied.reached
+        while applied < limit and applied.offset < len(self.log.entries):
+            entry = self.log.entries[applied.offset]
+            self.database.apply(entry)
+            applied = entry.position
+        self.applied.advance(applied)
+
+    def commit(self, transaction: Transaction) -> LogPosition:
+        """Commit the open write transaction together with its log entry.
+
+        Args:
+            transaction: The transaction that holds the write lock.
+
+        Returns:
+            Position of its entry.
+        """
+        position = LogPosition(self.term, len(self.log.entries) + 1)
+        entry = LogEntry(position, transaction.time_us, tuple(transaction.statements))
+        self.database.commit(entry)
+        self.append(entry)
+        self.applied.advance(position)
+        self.release_write(transaction)
+        return position
+
+    def rollback(self, transaction: Transaction) -> None:
+        """Roll a transaction back and let the next writer in."""
+        if transaction.is_writing:
+            self.database.rollback()
+            self.release_write(transaction)
+
+    def release_write(self, transaction: Transaction) -> None:
+        """Give the write lock back."""
+        transaction.is_writing = False
+        self.writer = None
+        self.write_lock.release()
+
+    async def begin_write(self, transaction: Transaction) -> None:
+        """Wait for the write lock and open the write transaction.
+
+        Args:
+            transaction: The session's transaction.
+
+        Raises:
+            SqlError: If the upstream accepts no writes (25006).
+        """
+        if transaction.is_writing:
+            return
+        if self.can_write:
+            await self.write_lock.acquire()
+            if self.can_write:
+                transaction.is_writing = True
+                transaction.time_us = self.database.begin_write()
+                self.writer = transaction
+                return
+            self.write_lock.release()
+        raise SqlError("25006", "cannot write in a read-only transaction")
+
+    async def fence(self, term: int) -> bool:
+        """Grant a term to a ballot, once and only if it is the highest yet.
+
+        Args:
+            term: The term.
+
+        Returns:
+            Whether it is granted.
+        """
+        if term <= self.fenced_term:
+            return False
+        self.fenced_term = term
+        await self.stop_following()
+        self.end_transactions()
+        self.wake_senders()
+        return True
+
+    def end_transactions(self) -> None:
+        """Roll back a primary's open transactions and close their sessions."""
+        if self.role is not Role.PRIMARY:
+            return
+        for session in list(self.sessions.values()):
+            if session.transaction is not None:
+                session.doom_transaction()
+
+    async def promote(self, term: int) -> LogPosition:
+        """Become primary in a granted term and write the term-start entry.
+
+        Args:
+            term: The term.
+
+        Returns:
+            Position of the term-start entry, or of the last if already primary.
+
+        Raises:
+            SqlError: If this term isn't the last one granted, or was followed.
+        """
+        if self.can_write and self.term == term:
+            return self.log.last
+        if term != self.fenced_term or term <= self.term:
+            raise SqlError("55000", f"term {term} is not open: {self.fenced_term}")
+        await self.stop_following()
+        self.apply_received(self.log.last)
+        self.database.prepare_for_writes()
+        self.role = Role.PRIMARY
+        self.term = term
+        position = LogPosition(term, len(self.log.entries) + 1)
+        self.append(LogEntry(position, 0, ()))
+        self.applied.advance(position)
+        return position
+
+    async def follow(self, term: int, primary: Address) -> None:
+        """Become a replica of a primary, unless a higher term was granted.
+
+        Args:
+            term: Term of the primary.
+            primary: Address of the primary.
+
+        Raises:
+            SqlError: If the term is too low, or this upstream is its primary.
+        """
+        if term < self.fenced_term or term < self.term:
+            raise SqlError("55000", f"term {term} is below {self.fenced_term}")
+        if primary == self.address or (self.role is Role.PRIMARY and term == self.term):
+            raise SqlError("55000", f"this upstream is the primary of term {term}")
+        follower = self.follower
+        if follower and (follower.term, follower.primary) == (term, primary):
+            return
+        await self.stop_following()
+        self.fenced_term = term
+        self.end_transactions()
+        self.role = Role.REPLICA
+        self.term = term
+        self.wake_senders()
+        self.follower = LogFollower(self, term, primary)
+        self.follower.start()
+
+    async def stop_following(self) -> None:
+        """Take no more entries from the primary."""
+        follower, self.follower = self.follower, None
+        if follower is not None:
+            await follower.stop()
