--- a/ebonyrack/standins/contract_functions.py
+++ b/ebonyrack/standins/contract_functions.py
@@ -39,12 +39,18 @@
     Column("received", datatypes.TEXT),
     Column("applied", datatypes.TEXT),
     Column("leaving", datatypes.BOOL),
+    Column("silence_ms", datatypes.INT8),
 ]
 GRANT_COLUMNS = [
     Column("granted", datatypes.BOOL),
     Column("fenced_term", datatypes.INT8),
     Column("received", datatypes.TEXT),
 ]
+HOLDS_COLUMNS = [
+    Column("held", datatypes.BOOL),
+    Column("term", datatypes.INT8),
+    Column("received", datatypes.TEXT),
+]
 RECEIVED_COLUMNS = [Column("received", datatypes.TEXT)]
 COLUMNS = {
     "ebonyrack_poll": STATUS_COLUMNS,
@@ -52,6 +58,7 @@
     "ebonyrack_fence": GRANT_COLUMNS,
     "ebonyrack_promote": RECEIVED_COLUMNS,
     "ebonyrack_follow": RECEIVED_COLUMNS,
+    "ebonyrack_holds": HOLDS_COLUMNS,
     "ebonyrack_last_commit": [Column("ebonyrack_last_commit", datatypes.TEXT)],
     "pg_is_in_recovery": [Column("pg_is_in_recovery", datatypes.BOOL)],
     "pg_sleep": [Column("pg_sleep", datatypes.TEXT)],
@@ -127,6 +134,7 @@
         str(status.received),
         str(status.applied),
         int(status.leaving),
+        None if status.silence_s is None else round(status.silence_s * 1000),
     )
     return ResultSet(STATUS_COLUMNS, [row], 1)
 
@@ -163,6 +171,15 @@
     return ResultSet(COLUMNS["ebonyrack_last_commit"], [(text,)], 1)
 
 
+@FUNCTIONS.register("ebonyrack_holds")
+async def holds(session: StandinSession, arguments: tuple[str, ...]) -> ResultSet:
+    """Answer whether the log has the entry of a position."""
+    upstream = session.upstream
+    held = upstream.log.holds(LogPosition(int(arguments[0]), int(arguments[1])))
+    row = (int(held), upstream.term, str(upstream.log.last))
+    return ResultSet(HOLDS_COLUMNS, [row], 1)
+
+
 @FUNCTIONS.register("pg_is_in_recovery")
 async def pg_is_in_recovery(
     session: StandinSession, arguments: tuple[str, ...]
--- a/ebonyrack/standins/group_test.py
+++ b/ebonyrack/standins/group_test.py
@@ -45,7 +45,8 @@
     async with await connect(upstream) as connection:
         rows = await fetch(connection, sql)
         return tuple(
-            "ft"[item] if isinstance(item, bool) else str(item) for item in rows[0]
+            "ft"[item] if isinstance(item, bool) else str(item or "0")
+            for item in rows[0]
         )
 
 
@@ -54,7 +55,7 @@
         CONTRACT.parse_grant(await ask(group[name], CONTRACT.build_fence(term)))
         for name in names
     ]
-    assert all(granted for granted, _, _ in grants)
+    assert all(grant.granted for grant in grants)
     return grants
 
 
@@ -203,14 +204,15 @@
         async with await connect(group["up-1"], autocommit=False) as writer:
             await writer.execute(INSERT, (1, "a", "r-1"))
             sql = CONTRACT.build_fence(3)
-            granted, _, last = CONTRACT.parse_grant(await ask(group["up-1"], sql))
-            assert granted and last == LogPosition(1, 1)
+            grant = CONTRACT.parse_grant(await ask(group["up-1"], sql))
+            assert grant.granted and grant.received == LogPosition(1, 1)
             with pytest.raises(psycopg.OperationalError):
                 await writer.commit()
         for term in (3, 2):
             sql = CONTRACT.build_fence(term)
             grant = CONTRACT.parse_grant(await ask(group["up-1"], sql))
-            assert grant == (False, 3, LogPosition(1, 1))
+            assert not grant.granted
+            assert (grant.fenced_term, grant.received) == (3, LogPosition(1, 1))
         async with await connect(group["up-1"]) as connection:
             with pytest.raises(psycopg.errors.ReadOnlySqlTransaction):
                 await connection.execute(INSERT, (1, "a", "r-1"))
@@ -333,3 +335,24 @@
                     "INSERT INTO flights (id) VALUES (1)"
                 )
             assert len(await fetch(connection, "SELECT id FROM flights")) == 1
+
+
+async def test_log_tells_which_entry_it_holds():
+    async with StandinGroup() as group:
+        for position, held in (("1, 1", "t"), ("1, 2", "f"), ("2, 1", "f")):
+            sql = f"SELECT * FROM ebonyrack_holds({position})"
+            assert await ask(group["up-1"], sql) == (held, "1", "1/1")
+
+
+async def test_replica_cut_off_from_its_primary_reports_silence():
+    async with StandinGroup() as group:
+        assert group["up-1"].read_status().silence_s is None
+        before_s = group["up-2"].heard_s
+        while group["up-2"].heard_s == before_s:
+            await asyncio.sleep(0.001)
+        group.freeze("up-1")
+        while group["up-2"].read_status().silence_s < 0.2:
+            await asyncio.sleep(0.01)
+        group.thaw("up-1")
+        while group["up-2"].read_status().silence_s >= 0.2:
+            await asyncio.sleep(0.01)
--- a/ebonyrack/standins/log.py
+++ b/ebonyrack/standins/log.py
@@ -62,6 +62,12 @@
         """Position of the last entry."""
         return self.entries[-1].position if self.entries else START
 
+    def holds(self, position: LogPosition) -> bool:
+        """Return whether the entry at an offset has exactly this term."""
+        if not 1 <= position.offset <= len(self.entries):
+            return False
+        return self.entries[position.offset - 1].position == position
+
     def append(self, entry: LogEntry) -> None:
         """Add the next entry.
 
--- a/ebonyrack/standins/replication.py
+++ b/ebonyrack/standins/replication.py
@@ -21,6 +21,7 @@
 
 REPLICA_PARAMETER = "ebonyrack_replica"
 RECONNECT_DELAY_S = 0.05
+HEARTBEAT_INTERVAL_S = 0.025
 CONNECT_TIMEOUT_S = 1.0
 BATCH_ENTRIES = 500
 QUEUED_FRAMES = 10_000
@@ -93,11 +94,19 @@
             appended = upstream.appended
             entries = upstream.log.entries[offset : offset + BATCH_ENTRIES]
             if not entries:
-                await appended.wait()
+                await self.wait_or_beat(appended)
                 continue
             await self.send(["entries", [pack_entry(entry) for entry in entries]])
             offset += len(entries)
 
+    async def wait_or_beat(self, appended: asyncio.Event) -> None:
+        """Wait for a new entry; after a while tell the replica that there is none."""
+        try:
+            async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+                await appended.wait()
+        except TimeoutError:
+            await self.send(["heartbeat", 0])
+
     async def send(self, frame: list[Any]) -> None:
         """Send one frame once the link to the replica lets it through."""
         await self.upstream.faults.wait_sendable(self.replica_name)
@@ -187,15 +196,20 @@
         while True:
             due_s, frame = await self.arrived.get()
             await sleep_until(due_s)
+            self.upstream.heard_s = now_s()
             kind, content = frame
             if kind == "start":
                 self.cut_log(content)
-                continue
-            for value in content:
-                entry = unpack_entry(value)
-                self.upstream.append(entry)
-                apply_s = now_s() + self.upstream.options.apply_delay_s
-                await self.due.put((apply_s, entry.position))
+            elif kind == "entries":
+                await self.store(content)
+
+    async def store(self, values: list[Any]) -> None:
+        """Put entries into the log and plan when each is applied."""
+        for value in values:
+            entry = unpack_entry(value)
+            self.upstream.append(entry)
+            apply_s = now_s() + self.upstream.options.apply_delay_s
+            await self.due.put((apply_s, entry.position))
 
     def cut_log(self, offset: int) -> None:
         """Drop the entries that the primary doesn't have."""
--- a/ebonyrack/standins/upstream.py
+++ b/ebonyrack/standins/upstream.py
@@ -8,6 +8,7 @@
 from typing import Self
 
 from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
 from ebonyrack.core.position import LogPosition
 from ebonyrack.standins.faults import UpstreamFaults
 from ebonyrack.standins.log import LogEntry
@@ -42,6 +43,7 @@
         term: Term in which it is primary, or term of the primary it follows.
         fenced_term: Highest term that it granted or followed.
         leaving: Whether it says that it leaves the group.
+        heard_s: Monotonic time at which it last heard from its primary.
         received: Waits for the end of the log.
         applied: Waits for what reads show.
         sessions: Open sessions by process number.
@@ -64,6 +66,7 @@
         "term",
         "fenced_term",
         "leaving",
+        "heard_s",
         "received",
         "applied",
         "sessions",
@@ -89,6 +92,7 @@
         self.term = 0
         self.fenced_term = 0
         self.leaving = False
+        self.heard_s = now_s()
         self.received = PositionWaiters()
         self.applied = PositionWaiters()
         self.sessions: dict[int, StandinSession] = {}
@@ -191,6 +195,7 @@
             received=self.log.last,
             applied=self.applied.reached,
             leaving=self.leaving,
+            silence_s=None if self.role is Role.PRIMARY else now_s() - self.heard_s,
         )
 
     def append(self, entry: LogEntry) -> None:
@@ -337,6 +342,7 @@
         self.role = Role.REPLICA
         self.term = term
         self.wake_senders()
+        self.heard_s = now_s()
         self.follower = LogFollower(self, term, primary)
         self.follower.start()
 
