--- a/ebonyrack/config/document.py
+++ b/ebonyrack/config/document.py
@@ -6,10 +6,12 @@
 from dataclasses import field
 from typing import Any
 
+from ebonyrack.config.references import check_references
 from ebonyrack.config.sections import ApplicationSection
 from ebonyrack.config.sections import GroupSection
 from ebonyrack.config.sections import NetworkSection
 from ebonyrack.config.sections import OperatorSection
+from ebonyrack.config.text import split_sections
 from ebonyrack.core.ini import Fault
 from ebonyrack.core.ini import Section
 from ebonyrack.core.ini import check_section
@@ -76,6 +78,8 @@
         )
         records[kind][name] = record
         found.extend(section_faults)
+    found.extend(check_headers(text, sections, source))
+    found.extend(check_references(records, source))
     if found:
         return None, tuple(found)
     document = Document(
@@ -87,3 +91,26 @@
         operators=records["operator"],
     )
     return document, ()
+
+
+def check_headers(
+    text: str, sections: dict[str, dict[str, str]], source: str
+) -> tuple[Fault, ...]:
+    """Check that sections begin where an edit takes them to begin.
+
+    Who may change what is decided by the text of a section, so there must be no
+    second way to write a header, nor values that reach into other sections.
+
+    Args:
+        text: The INI text.
+        sections: Title to values, as parsed.
+        source: Name of the text, for faults.
+
+    Returns:
+        One fault for each title that is read in two ways.
+    """
+    titles = {title for title in split_sections(text) if title}
+    return tuple(
+        Fault(source, title, "", "a header must be [KIND NAME] alone in its line")
+        for title in sorted(titles ^ set(sections))
+    )
--- /dev/null
+++ b/ebonyrack/config/references.py
@@ -0,0 +1,100 @@
+"""Checks of the document that look at several keys or sections."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+
+from ebonyrack.config.sections import ApplicationSection
+from ebonyrack.config.sections import GroupSection
+from ebonyrack.core.ini import Fault
+
+Records = dict[str, dict[str, Any]]
+
+
+def check_references(records: Records, source: str) -> tuple[Fault, ...]:
+    """Check what sections say of each other.
+
+    Args:
+        records: Kind to name to record; None stands for a section with faults.
+        source: Name of the document, for faults.
+
+    Returns:
+        Every fault found.
+    """
+    found: list[Fault] = []
+    for name, group in records["group"].items():
+        if group is not None:
+            texts = check_group(group)
+            found.extend(
+                Fault(source, f"group {name}", key, text) for key, text in texts
+            )
+    for name, application in records["application"].items():
+        if application is not None:
+            texts = check_application(application, records)
+            found.extend(
+                Fault(source, f"application {name}", key, text) for key, text in texts
+            )
+    found.extend(check_unique_users(records, source))
+    found.extend(check_unique_addresses(records, source))
+    return tuple(found)
+
+
+def check_group(group: GroupSection) -> Iterator[tuple[str, str]]:
+    """Check one group; yield key and text of each fault."""
+    names = [upstream.name for upstream in group.upstreams]
+    if not names:
+        yield "upstreams", "a group needs at least one upstream"
+    for name, count in Counter(names).items():
+        if count > 1:
+            yield "upstreams", f"upstream {name!r} is named {count} times"
+    for name in group.leaving:
+        if name not in names:
+            yield "leaving", f"{name!r} is no upstream; allowed: {', '.join(names)}"
+    if group.connection_limit <= group.connection_reserve:
+        yield (
+            "connection_reserve",
+            f"must be below connection_limit ({group.connection_limit})",
+        )
+    if group.suspect_after_s < group.probe_interval_s:
+        yield (
+            "suspect_after_s",
+            f"must not be below probe_interval_s ({group.probe_interval_s})",
+        )
+
+
+def check_application(
+    application: ApplicationSection, records: Records
+) -> Iterator[tuple[str, str]]:
+    """Check one application; yield key and text of each fault."""
+    known = ", ".join(records["group"])
+    if not application.groups:
+        yield "groups", f"an application needs at least one group; known: {known}"
+    for name in application.groups:
+        if name not in records["group"]:
+            yield "groups", f"there is no group {name!r}; known: {known}"
+
+
+def check_unique_users(records: Records, source: str) -> Iterator[Fault]:
+    """Check that no two applications have the same user."""
+    owners: dict[str, str] = {}
+    for name, application in records["application"].items():
+        if application is None:
+            continue
+        first = owners.setdefault(application.user, name)
+        if first != name:
+            text = f"{application.user!r} is the user of [application {first}] already"
+            yield Fault(source, f"application {name}", "user", text)
+
+
+def check_unique_addresses(records: Records, source: str) -> Iterator[Fault]:
+    """Check that no two upstreams listen at the same address."""
+    places: dict[Any, str] = {}
+    for name, group in records["group"].items():
+        for upstream in () if group is None else group.upstreams:
+            place = f"upstream {upstream.name} of [group {name}]"
+            first = places.setdefault(upstream.address, place)
+            if first != place:
+                text = f"{upstream.address} of {place} is {first} already"
+                yield Fault(source, f"group {name}", "upstreams", text)
--- a/ebonyrack/config/sections.py
+++ b/ebonyrack/config/sections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Annotated
+from typing import Literal
 
 from pydantic import BeforeValidator
 from pydantic import Field
@@ -77,7 +78,7 @@
     user: str = "ebonyrack"
     password: str = ""
     database: str = "booking"
-    contract: str = "ebonyrack"
+    contract: Literal["ebonyrack"] = "ebonyrack"
     connection_limit: int = Field(20, ge=2)
     connection_reserve: int = Field(2, ge=0)
     slots: int = Field(3, ge=1)
@@ -86,8 +87,10 @@
     confirm_wait_s: float = Field(3.0, gt=0)
     lag_refusal_s: float = Field(2.0, gt=0)
     read_wait_s: float = Field(0.3, ge=0)
-    read_policy: str = "quorum"
-    acknowledge_policy: str = "majority"
+    read_policy: Literal["quorum", "primary_only", "primary_after_write"] = "quorum"
+    acknowledge_policy: Literal["majority", "primary_alone", "primary_lease"] = (
+        "majority"
+    )
     probe_interval_s: float = Field(0.05, gt=0)
     suspect_after_s: float = Field(0.2, gt=0)
     idle_in_transaction_s: float = Field(10.0, gt=0)
--- /dev/null
+++ b/ebonyrack/config/state.py
@@ -0,0 +1,104 @@
+"""The revision of the document that a process runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from ebonyrack.config.document import EMPTY_DOCUMENT
+from ebonyrack.config.document import Document
+from ebonyrack.config.document import parse_document
+from ebonyrack.config.stored import EMPTY_STORED
+from ebonyrack.config.stored import BadStoredDocumentError
+from ebonyrack.config.stored import StoredDocument
+from ebonyrack.config.stored import unpack_stored
+
+Callback = Callable[[Document], None]
+
+
+class ConfigurationState:
+    """The document in force: one attribute, replaced as a whole.
+
+    A request takes `document` once and uses that record to its end, so that it
+    sees one revision only.
+
+    Attributes:
+        document: The document in force.
+        stored: Its stored form, for peers and edits.
+        rejected_revision: Highest revision that this process could not read.
+        callbacks: Called with each new document.
+    """
+
+    __slots__ = ("document", "stored", "rejected_revision", "callbacks")
+
+    def __init__(self) -> None:
+        self.document = EMPTY_DOCUMENT
+        self.stored = EMPTY_STORED
+        self.rejected_revision = 0
+        self.callbacks: list[Callback] = []
+
+    @property
+    def revision(self) -> int:
+        """Number of the revision in force."""
+        return self.document.revision
+
+    def subscribe(self, callback: Callback) -> None:
+        """Call a function with each new document."""
+        self.callbacks.append(callback)
+
+    def offer_bytes(self, data: bytes, source: str) -> bool:
+        """Offer a stored document as bytes.
+
+        Args:
+            data: The stored form.
+            source: Where it came from, for the log.
+
+        Returns:
+            Whether it is in force now.
+        """
+        try:
+            stored = unpack_stored(data)
+        except BadStoredDocumentError as error:
+            logger.bind(source=source, reason=str(error)).error("document_unreadable")
+            return False
+        return self.offer(stored, source)
+
+    def offer(self, stored: StoredDocument, source: str) -> bool:
+        """Put a document in force if its revision is higher than the present one.
+
+        Args:
+            stored: The document.
+            source: Where it came from, for the log.
+
+        Returns:
+            Whether it is in force now.
+        """
+        if stored.revision <= self.revision:
+            self.note_not_newer(stored, source)
+            return False
+        document, faults = parse_document(stored.text, stored.revision)
+        if document is None:
+            self.rejected_revision = max(self.rejected_revision, stored.revision)
+            reasons = [str(fault) for fault in faults]
+            logger.bind(source=source, revision=stored.revision, reasons=reasons).error(
+                "document_rejected"
+            )
+            return False
+        self.stored = stored
+        self.document = document
+        logger.bind(source=source, revision=stored.revision).info("document_in_force")
+        for callback in tuple(self.callbacks):
+            callback(document)
+        return True
+
+    def note_not_newer(self, stored: StoredDocument, source: str) -> None:
+        """Log an offer that would go back, or that contradicts the present one."""
+        if stored.revision < self.revision:
+            logger.bind(
+                source=source, revision=stored.revision, present=self.revision
+            ).debug("document_not_newer")
+        elif stored.text != self.stored.text:
+            logger.bind(source=source, revision=stored.revision).error(
+                "document_contradicts"
+            )
--- /dev/null
+++ b/ebonyrack/config/watch.py
@@ -0,0 +1,207 @@
+"""Watching the store for new revisions and for leaving VMs."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections.abc import Awaitable
+from collections.abc import Callable
+from types import TracebackType
+
+from loguru import logger
+from result import Err
+from result import Result
+
+from ebonyrack.config.spread import DocumentSpread
+from ebonyrack.config.state import ConfigurationState
+from ebonyrack.config.stored import DOCUMENT_KEY
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.settings import Settings
+from ebonyrack.peers.hub import PeerHub
+from ebonyrack.peers.link import PeerLink
+from ebonyrack.peers.messages import Member
+from ebonyrack.peers.messages import VmNews
+from ebonyrack.platform.backoff import Backoff
+from ebonyrack.platform.store import Store
+from ebonyrack.platform.store import StoreError
+from ebonyrack.platform.store import StoreValue
+from ebonyrack.platform.vm_list import VmList
+from ebonyrack.platform.vm_list import VmListing
+
+FIRST_BACKOFF_S = 0.2
+MAXIMUM_BACKOFF_S = 5.0
+EMPTY_PAUSE_S = 1.0
+MINIMUM_PAUSE_S = 0.05
+
+Step = Callable[[], Awaitable[Result[bool, StoreError]]]
+
+
+class ConfigurationWatch:
+    """Keeps the document and the VM list up to date: an async context manager.
+
+    Few proxies of each data centre watch the store, chosen by rendezvous hashing
+    over the live ones; the others hear from their peers.
+
+    Attributes:
+        settings: Settings of the process.
+        state: The document in force.
+        store: The platform's store.
+        hub: Links to the peers.
+        vm_list: The platform's VM list.
+        spread: Passes revisions on between peers.
+        started_at_s: Time from which silence is counted.
+        callbacks: Called when the VM list changed.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        state: ConfigurationState,
+        store: Store,
+        hub: PeerHub,
+    ) -> None:
+        self.settings = settings
+        self.state = state
+        self.store = store
+        self.hub = hub
+        self.vm_list = VmList(store)
+        self.spread = DocumentSpread(state, hub)
+        self.started_at_s = now_s()
+        self.index = 0
+        self.callbacks: list[Callable[[], None]] = []
+        self.members_changed = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+        hub.handle(VmNews, self.receive_vm_news)
+        hub.link_callbacks.append(self.tell_vms)
+
+    async def __aenter__(self) -> ConfigurationWatch:
+        self.started_at_s = now_s()
+        self.hub.membership.subscribe(self.notice_change)
+        self.tasks = [
+            asyncio.create_task(self.watch_forever("document", self.watch_document)),
+            asyncio.create_task(self.watch_forever("vms", self.watch_vms)),
+        ]
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call a function when the set of leaving VMs changed."""
+        self.callbacks.append(callback)
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this proxy watches the store for its data centre."""
+        own = self.hub.membership.own
+        peers = [
+            member
+            for member in self.hub.membership.live_members()
+            if member.data_centre == own.data_centre and member.name != own.name
+        ]
+        own_rank = rank_watcher(own)
+        better = sum(1 for member in peers if rank_watcher(member) < own_rank)
+        return better < self.settings.store.watchers_per_data_centre
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether neither the store nor any peer was heard for the stated time."""
+        heard_at_s = max(
+            self.started_at_s, self.store.heard_at_s or 0.0, self.hub.heard_at_s
+        )
+        return now_s() - heard_at_s > self.settings.peers.cut_off_after_s
+
+    def notice_change(self, member: Member) -> None:
+        """Look again who watches after a change of the members."""
+        self.members_changed.set()
+
+    async def watch_forever(self, name: str, step: Step) -> None:
+        """Repeat one kind of watch while this proxy is a watcher.
+
+        Args:
+            name: What is watched, for the log.
+            step: One watch; tells whether there was anything to wait for.
+        """
+        backoff = Backoff(FIRST_BACKOFF_S, MAXIMUM_BACKOFF_S)
+        while True:
+            await self.wait_until_watcher()
+            result = await step()
+            if isinstance(result, Err):
+                logger.bind(
+                    watch=name,
+                    kind=result.err_value.kind,
+                    reason=result.err_value.reason,
+                ).warning("watch_failed")
+                await asyncio.sleep(backoff.choose_delay())
+                continue
+            backoff.reset()
+            await asyncio.sleep(MINIMUM_PAUSE_S if result.ok_value else EMPTY_PAUSE_S)
+
+    async def wait_until_watcher(self) -> None:
+        """Wait while enough others of the data centre watch."""
+        while not self.is_watcher:
+            self.members_changed.clear()
+            await self.members_changed.wait()
+
+    async def watch_document(self) -> Result[bool, StoreError]:
+        """Wait once for a change of the document."""
+        answer = await self.store.watch(
+            DOCUMENT_KEY, self.index, self.settings.store.watch_s
+        )
+        return answer.map(self.take_value)
+
+    def take_value(self, value: StoreValue | None) -> bool:
+        """Offer what a watch brought."""
+        if value is None:
+            self.index = 0
+            return False
+        self.index = value.index
+        self.state.offer_bytes(value.value, "store")
+        return True
+
+    async def watch_vms(self) -> Result[bool, StoreError]:
+        """Wait once for a change of the VM list."""
+        before = self.vm_list.leaving
+        answer = await self.vm_list.watch(self.settings.store.watch_s)
+        return answer.map(lambda listing: self.take_listing(listing, before))
+
+    def take_listing(self, listing: VmListing, before: frozenset[str]) -> bool:
+        """Tell everybody when the set of leaving VMs changed."""
+        if listing.leaving != before:
+            self.hub.broadcast(self.build_vm_news())
+            self.report_vms()
+        return listing.index > 0
+
+    def build_vm_news(self) -> VmNews:
+        """Build the message that tells peers of the leaving VMs."""
+        return VmNews(self.vm_list.listing.index, tuple(sorted(self.vm_list.leaving)))
+
+    async def receive_vm_news(self, link: PeerLink, news: VmNews) -> None:
+        """Take over what a watcher heard of the VM list."""
+        before = self.vm_list.leaving
+        listing = VmListing(news.index, frozenset(news.leaving))
+        if self.vm_list.take_over(listing) and listing.leaving != before:
+            self.report_vms()
+
+    def tell_vms(self, link: PeerLink) -> None:
+        """Tell a new peer of the leaving VMs."""
+        if self.vm_list.leaving:
+            link.send(self.build_vm_news())
+
+    def report_vms(self) -> None:
+        """Log the leaving VMs and tell the subscribers."""
+        logger.bind(leaving=sorted(self.vm_list.leaving)).info("leaving_vms_changed")
+        for callback in tuple(self.callbacks):
+            callback()
+
+
+def rank_watcher(member: Member) -> tuple[int, str]:
+    """Return a member's rank among the watchers of its data centre."""
+    return zlib.crc32(f"watch {member.name}".encode()), member.name
--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -43,7 +43,9 @@
         hub: Links of this proxy.
         news: Names of changed members that a link has not been told, by peer.
         synced_at_s: Time of the last fetch of a whole table.
-        store_heard: Whether news is waiting to go out at once.
+        has_news: Set while news is waiting to go out at once.
+        checks: Checks of silent members that are running, by name.
+        pauses: Notices when this process was paused.
     """
 
     def __init__(self, hub: PeerHub) -> None:
@@ -158,6 +160,7 @@
         """Take note of a sign of life and its news."""
         name = link.member.name
         membership = self.hub.membership
+        self.hub.heard_at_s = now_s()
         for member in heartbeat.news:
             if not membership.merge(member):
                 self.correct(name, member)
--- a/ebonyrack/peers/hub.py
+++ b/ebonyrack/peers/hub.py
@@ -55,6 +55,8 @@
         links: Link to each peer by its name.
         traffic: Counters of all links.
         revision: Revision of the document that heartbeats carry.
+        heard_at_s: Time of the last heartbeat of any peer, 0 if there was none.
+        link_callbacks: Called with each new link to a peer.
         server: Listener; set while open.
     """
 
@@ -63,7 +65,9 @@
         self.links: dict[str, PeerLink] = {}
         self.traffic = Traffic()
         self.revision = 0
+        self.heard_at_s = 0.0
         self.callbacks: dict[type[Message], list[Callback]] = {}
+        self.link_callbacks: list[Callable[[PeerLink], None]] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.seen_floods: OrderedDict[int, None] = OrderedDict()
         self.membership = Membership(settings.proxy, settings.proxy.peer_address)
@@ -229,6 +233,8 @@
         self.membership.note_heard(name)
         self.contacts.note_linked(link.member.address)
         self.heartbeat.greet(link)
+        for callback in self.link_callbacks:
+            callback(link)
         return True
 
     def is_better(self, link: PeerLink, present: PeerLink) -> bool:
@@ -304,11 +310,8 @@
         """Send a one-way message to all proxies.
 
         Args:
-            message: The message; peers pass it on when not all are linked.
+            message: The message; peers pass it on while not all are linked.
         """
-        if not self.contacts.is_sparse:
-            self.send_to_links(message, None)
-            return
         identity = secrets.randbits(48)
         self.remember_flood(identity)
         code = MESSAGE_CODES[type(message)]
@@ -338,7 +341,8 @@
         except BadMessageError as error:
             logger.bind(reason=str(error)).warning("peer_sent_bad_message")
             return None
-        self.send_to_links(flood, link)
+        if self.contacts.is_sparse:
+            self.send_to_links(flood, link)
         if not isinstance(message, Flood):
             await self.dispatch(link, message)
         return None
--- a/ebonyrack/peers/messages.py
+++ b/ebonyrack/peers/messages.py
@@ -271,6 +271,40 @@
     stored: bytes
 
 
+@register_message(33)
+@dataclass(frozen=True, slots=True)
+class ChangesReply(Message):
+    """What changed in the document since the revision that was asked about.
+
+    Attributes:
+        base_revision: Revision to which the changes apply.
+        revision: Revision that they lead to.
+        changes: Title of each changed section to its text, None if removed.
+        history: The edits between the two, each as the list of its fields.
+        digest: Digest of the text that they lead to.
+    """
+
+    base_revision: int
+    revision: int
+    changes: dict[str, str | None]
+    history: list[list[Any]]
+    digest: bytes
+
+
+@register_message(34)
+@dataclass(frozen=True, slots=True)
+class VmNews(Message):
+    """The leaving VMs that the sender knows from the platform's list.
+
+    Attributes:
+        index: The list's own index.
+        leaving: Names of the VMs.
+    """
+
+    index: int
+    leaving: tuple[str, ...]
+
+
 @register_message(40)
 @dataclass(frozen=True, slots=True)
 class StatusRequest(Message):
@@ -338,13 +372,18 @@
         edit_id: Identity of the edit, by which a lost answer is settled.
         operator: Name of the operator.
         base_revision: Revision that the operator started from.
-        text: The whole document as the operator wants it.
+        changes: Title of each changed section to its text, None to remove it.
+        expected: Title of each changed section to the digest of the text that
+            the operator started from.
+        limit_s: Seconds within which the operator wants an answer.
     """
 
     edit_id: str
     operator: str
     base_revision: int
-    text: str
+    changes: dict[str, str | None]
+    expected: dict[str, bytes]
+    limit_s: float
 
 
 @register_message(51)
