--- /dev/null
+++ b/ebonyrack/failover/conftest.py
@@ -0,0 +1,5 @@
+"""Fixtures of the tests of failover."""
+
+import importlib
+
+start_bench = importlib.import_module("ebonyrack.failover.bench_test").start_bench
--- /dev/null
+++ b/ebonyrack/failover/coordinator.py
@@ -0,0 +1,293 @@
+"""The coordinator of a group: detection, pre-vote, ballot, repair and switchover."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ebonyrack.core.clock import PauseDetector
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.logs import log_decision
+from ebonyrack.failover.ballot import Ballot
+from ebonyrack.failover.ballot import BallotOutcome
+from ebonyrack.failover.detector import Detector
+from ebonyrack.failover.detector import Suspicion
+from ebonyrack.failover.pre_vote import ask_peers
+from ebonyrack.failover.ranking import COORDINATORS
+from ebonyrack.failover.ranking import rank_members
+from ebonyrack.failover.repair import Repair
+from ebonyrack.failover.safeguards import Safeguards
+from ebonyrack.failover.switchover import Switchover
+from ebonyrack.failover.switchover import SwitchoverOutcome
+from ebonyrack.peers.messages import PrimarySeen
+from ebonyrack.routing.write_path import ACKNOWLEDGE_POLICIES
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ebonyrack.failover.terms import TermSource
+    from ebonyrack.peers.hub import PeerHub
+    from ebonyrack.peers.membership import Membership
+    from ebonyrack.upstreams.group import DatabaseGroup
+
+# A wake-up that comes later than this shows that the process was paused.
+PAUSE_LIMIT_S = 0.25
+# Each rank waits this much longer before it acts.
+RANK_DELAY_S = 0.25
+RECHECK_INTERVAL_S = 0.02
+FIRST_BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 1.0
+NO_TERM_PAUSE_S = 1.0
+
+
+class Coordinator:
+    """Watches one group and replaces its primary when that fails.
+
+    Attributes:
+        group: The group.
+        terms: Source of terms.
+        hub: Links to the other proxies.
+        membership: Table of proxies.
+        safeguards: Safeguards; all are on unless a test switches one off.
+        rank: Place among the coordinators, or None if this proxy is none of them.
+        detector: Judges the primary.
+        failures: Ballots lost in a row.
+        pause: Notices pauses of this process.
+        ballot_lock: Held by the ballot in work.
+    """
+
+    def __init__(
+        self,
+        group: DatabaseGroup,
+        terms: TermSource,
+        hub: PeerHub,
+        membership: Membership,
+        safeguards: Safeguards | None = None,
+    ) -> None:
+        self.group = group
+        self.terms = terms
+        self.hub = hub
+        self.membership = membership
+        self.safeguards = safeguards or Safeguards()
+        self.rank: int | None = None
+        self.detector = Detector(group)
+        self.repair = Repair(group)
+        self.switchover = Switchover(self)
+        self.failures = 0
+        self.highest_term = 0
+        self.pause = PauseDetector(PAUSE_LIMIT_S)
+        self.ballot_lock = asyncio.Lock()
+        self.task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Coordinator:
+        self.task = asyncio.create_task(self.run())
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+            self.task = None
+        await self.repair.close()
+        self.group.is_coordinator = False
+
+    async def run(self) -> None:
+        """Watch the group for ever."""
+        while True:
+            interval_s = self.group.section.probe_interval_s
+            self.pause.schedule(interval_s)
+            await self.group.changed.wait(interval_s)
+            pause_s = self.pause.measure_pause()
+            self.update_rank()
+            if self.rank is None:
+                continue
+            if pause_s:
+                await self.revalidate(pause_s)
+                continue
+            try:
+                await self.watch_once(self.rank)
+            except Exception:
+                # A fault in one round must not end the watch over the group.
+                logger.bind(group=self.group.name).exception("coordinator_failed")
+                await asyncio.sleep(LONGEST_BACKOFF_S)
+
+    def update_rank(self) -> None:
+        """Work out whether and in which place this proxy coordinates the group."""
+        names = [member.name for member in self.membership.live_members()]
+        ranking = rank_members(self.group.name, names)[:COORDINATORS]
+        own_name = self.membership.own.name
+        rank = ranking.index(own_name) if own_name in ranking else None
+        if rank != self.rank:
+            log_decision("coordinator_rank", group=self.group.name, rank=rank)
+        self.rank = rank
+        self.group.is_coordinator = rank is not None
+
+    async def revalidate(self, pause_s: float) -> None:
+        """Learn the state of the group afresh after this process was paused.
+
+        Args:
+            pause_s: Seconds of the pause.
+        """
+        logger.bind(group=self.group.name, pause_s=pause_s).warning("pause_noticed")
+        self.detector.unfit_since_s = None
+        await self.group.poll_all()
+
+    async def watch_once(self, rank: int) -> None:
+        """Judge the primary once and do what is needed.
+
+        Args:
+            rank: Place of this proxy among the coordinators.
+        """
+        suspicion = self.detector.judge()
+        if suspicion is not None:
+            await self.react(suspicion, rank)
+            return
+        self.failures = 0
+        self.repair.check(rank)
+        if rank == 0:
+            await self.switchover.check()
+
+    async def react(self, suspicion: Suspicion, rank: int) -> None:
+        """Replace the primary if the peers agree and it is this proxy's turn.
+
+        Args:
+            suspicion: What is wrong with the primary.
+            rank: Place of this proxy among the coordinators.
+        """
+        parts = {"detection_s": now_s() - suspicion.since_s}
+        started_s = now_s()
+        if not await self.is_granted(suspicion):
+            await asyncio.sleep(RECHECK_INTERVAL_S)
+            return
+        parts["pre_vote_s"] = now_s() - started_s
+        started_s = now_s()
+        if not await self.wait_turn(rank):
+            return
+        parts["rank_delay_s"] = now_s() - started_s
+        outcome = await self.hold_ballot(None, str(suspicion.reason), parts)
+        if not outcome.won:
+            await self.back_off()
+
+    async def is_granted(self, suspicion: Suspicion) -> bool:
+        """Ask the peers whether a ballot may begin.
+
+        Args:
+            suspicion: What is wrong with the primary.
+
+        Returns:
+            Whether it may.
+        """
+        if not self.safeguards.asks_peers:
+            return True
+        vote = await ask_peers(
+            self.group, self.hub, self.membership, suspicion.reason.needs_votes
+        )
+        log_decision(
+            "pre_vote",
+            group=self.group.name,
+            reason=str(suspicion.reason),
+            upstream=self.group.primary_name,
+            term=self.group.term,
+            granted=vote.granted,
+            asked=vote.asked,
+            reached=vote.reached,
+            unreached=vote.unreached,
+        )
+        return vote.granted
+
+    async def wait_turn(self, rank: int) -> bool:
+        """Let the proxies of lower ranks act first.
+
+        Args:
+            rank: Place of this proxy among the coordinators.
+
+        Returns:
+            Whether the primary is still held for failed when the turn comes.
+        """
+        term = self.group.term
+        delay_s = rank * RANK_DELAY_S
+        policy = ACKNOWLEDGE_POLICIES.get(self.group.section.acknowledge_policy)()
+        delay_s += policy.compute_promotion_delay(self.group)
+        deadline_s = now_s() + delay_s
+        while now_s() < deadline_s:
+            await self.group.changed.wait(deadline_s - now_s())
+            if self.group.term > term or self.detector.judge() is None:
+                return False
+        return self.detector.judge() is not None
+
+    async def hold_ballot(
+        self, preferred: str | None, reason: str, parts: dict[str, float]
+    ) -> BallotOutcome:
+        """Hold one ballot in a term of its own.
+
+        Args:
+            preferred: Upstream to promote among equally advanced ones, or None.
+            reason: Why, for the log.
+            parts: Seconds of the steps so far, by name.
+
+        Returns:
+            How it ended.
+        """
+        async with self.ballot_lock:
+            term = self.terms.next_term(self.find_highest_term())
+            if term is None:
+                logger.bind(group=self.group.name).error("no_term_reserved")
+                await asyncio.sleep(NO_TERM_PAUSE_S)
+                return BallotOutcome(reason="no term could be reserved")
+
+            def broadcast(primary_name: str) -> None:
+                self.hub.broadcast(PrimarySeen(self.group.name, term, primary_name))
+
+            replaced = self.group.primary_name
+            ballot = Ballot(self.group, term, preferred, self.safeguards, broadcast)
+            outcome = await ballot.run()
+            self.highest_term = max(self.highest_term, outcome.highest_term)
+        parts.update(outcome.parts)
+        log_decision(
+            "ballot",
+            group=self.group.name,
+            won=outcome.won,
+            reason=reason,
+            failure=outcome.reason,
+            term=term,
+            replaced=replaced,
+            upstream=outcome.primary_name,
+            grants={name: str(g.received) for name, g in ballot.grants.items()},
+            gap_s=round(sum(parts.values()), 4),
+            **{name: round(seconds, 4) for name, seconds in parts.items()},
+        )
+        return outcome
+
+    def find_highest_term(self) -> int:
+        """Return the highest term that any upstream is known to have seen."""
+        fenced = (
+            upstream.status.fenced_term
+            for upstream in self.group.upstreams.values()
+            if upstream.status is not None
+        )
+        return max(self.highest_term, self.group.term, *fenced, 0)
+
+    async def back_off(self) -> None:
+        """Wait before the next ballot, longer after each that was lost."""
+        delay_s = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2**self.failures)
+        self.failures = min(self.failures + 1, 10)
+        await asyncio.sleep(random.uniform(delay_s / 2, delay_s))
+
+    async def switch_over(self, to: str | None = None) -> SwitchoverOutcome:
+        """Move the primary to another upstream without losing or cutting requests.
+
+        Args:
+            to: Upstream to promote, or None for the most advanced replica.
+
+        Returns:
+            Whether it succeeded, and how or why not.
+        """
+        return await self.switchover.run(to, forced=False)
--- /dev/null
+++ b/ebonyrack/failover/failover_test.py
@@ -0,0 +1,167 @@
+import asyncio
+
+import pytest
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.failover.bench_test import until
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+
+async def write_some(proxy, first, count):
+    for number in range(first, first + count):
+        await proxy.write(f"r-{number}")
+
+
+async def test_killed_primary_is_replaced_and_keeps_what_was_acknowledged(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    await write_some(proxy, 0, 5)
+    await bench.standins.kill("up-1")
+    await proxy.write_until_acknowledged("r-5")
+    new = proxy.group.primary_name
+    assert new in ("up-2", "up-3")
+    assert bench.read_requests(new) == [f"r-{number}" for number in range(6)]
+
+
+async def test_frozen_primary_wakes_and_follows(start_bench):
+    bench = await start_bench(proxies=3)
+    proxy = bench.proxies["proxy-1"]
+    await write_some(proxy, 0, 3)
+    bench.standins.freeze("up-1")
+    await proxy.write_until_acknowledged("r-3")
+    bench.standins.thaw("up-1")
+    term = proxy.group.term
+    await until(lambda: proxy.group.upstreams["up-1"].is_following(term))
+    await until(lambda: bench.read_requests("up-1") == ["r-0", "r-1", "r-2", "r-3"])
+
+
+async def test_restarted_primary_follows_the_new_one(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    await bench.standins.kill("up-1")
+    await proxy.write_until_acknowledged("r-0")
+    await bench.standins.restart("up-1")
+    await until(lambda: len(proxy.group.replicas()) == 2)
+
+
+async def test_primary_cut_from_its_replicas_is_replaced(start_bench):
+    bench = await start_bench(proxies=3)
+    proxy = bench.proxies["proxy-1"]
+    await write_some(proxy, 0, 2)
+    bench.standins.cut("up-1", "up-2")
+    bench.standins.cut("up-1", "up-3")
+    await until(lambda: proxy.group.primary_name != "up-1")
+    await proxy.write_until_acknowledged("r-2")
+    bench.standins.heal()
+    await until(lambda: bench.read_requests("up-1") == ["r-0", "r-1", "r-2"])
+
+
+async def test_one_proxys_bad_link_deposes_nobody(start_bench):
+    bench = await start_bench(proxies=3)
+    proxy = bench.by_rank()[0]
+    upstream = proxy.group.upstreams["up-1"]
+    ask_status = upstream.ask_status
+
+    async def fail(deadline_s):
+        raise UpstreamLostError("the link is cut")
+
+    upstream.ask_status = fail
+    await until(lambda: upstream.state == "lost")
+    for _ in range(20):
+        await proxy.group.poll_all()
+        await bench.proxies["proxy-1"].group.changed.wait(0.05)
+    assert {item.group.primary_name for item in bench.proxies.values()} == {"up-1"}
+    assert {item.group.term for item in bench.proxies.values()} == {1}
+    upstream.ask_status = ask_status
+    await proxy.write("r-0")
+
+
+async def test_group_without_a_majority_refuses_writes_truthfully(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    await bench.standins.kill("up-1")
+    await bench.standins.kill("up-2")
+    await until(lambda: proxy.group.primary() is None)
+    with pytest.raises(RequestError) as caught:
+        await proxy.write("r-0", wait_s=0.5)
+    assert caught.value.kind is ErrorKind.NO_PRIMARY
+    assert caught.value.retry_after_s > 0
+    await bench.standins.restart("up-2")
+    await proxy.write_until_acknowledged("r-0")
+    assert bench.read_requests("up-3") == ["r-0"]
+
+
+async def test_write_is_unknown_while_no_majority_can_hold_it(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    bench.standins.set_lag(0.0, receive_delay_s=60.0)
+    with pytest.raises(RequestError) as caught:
+        await proxy.write("r-0", wait_s=0.3)
+    assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+async def test_commit_that_the_new_primary_lacks_is_reported_as_undone(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    bench.standins.set_lag(0.0, receive_delay_s=60.0)
+    deadline_s = now_s() + 10
+    _, position = await proxy.insert("r-0", deadline_s)
+    confirming = asyncio.create_task(proxy.group.confirm(position, deadline_s))
+    await asyncio.sleep(0)
+    await bench.standins.kill("up-1")
+    bench.standins.set_lag(0.0)
+    with pytest.raises(RequestError) as caught:
+        await confirming
+    assert caught.value.kind is ErrorKind.UPSTREAM_LOST
+    assert bench.read_requests(proxy.group.primary_name) == []
+    await bench.standins.restart("up-1")
+    await until(lambda: bench.read_requests("up-1") == [])
+
+
+async def test_commit_that_the_new_primary_holds_is_acknowledged(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    deadline_s = now_s() + 10
+    _, position = await proxy.insert("r-0", deadline_s)
+    await until(lambda: bench.read_requests("up-2") == bench.read_requests("up-3"))
+    await bench.standins.kill("up-1")
+    await until(lambda: proxy.group.primary_name != "up-1")
+    await proxy.group.confirm(position, deadline_s)
+    assert bench.read_requests(proxy.group.primary_name) == ["r-0"]
+
+
+async def test_planned_switchover_cuts_no_write(start_bench):
+    bench = await start_bench(proxies=1)
+    proxy = bench.proxies["proxy-1"]
+    stop = asyncio.Event()
+    written = []
+
+    async def keep_writing(worker):
+        number = 0
+        while not stop.is_set():
+            await proxy.write(f"r-{worker}-{number}")
+            written.append(f"r-{worker}-{number}")
+            number += 1
+
+    workers = [asyncio.create_task(keep_writing(worker)) for worker in range(3)]
+    await until(lambda: len(written) > 20)
+    outcome = await proxy.coordinator.switch_over("up-3")
+    assert outcome.succeeded, outcome.text
+    count = len(written)
+    await until(lambda: len(written) > count + 20)
+    stop.set()
+    await asyncio.gather(*workers)
+    assert proxy.group.primary_name == "up-3"
+    assert sorted(bench.read_requests("up-3")) == sorted(written)
+
+
+async def test_leaving_primary_is_replaced(start_bench):
+    bench = await start_bench(proxies=3)
+    for proxy in bench.proxies.values():
+        proxy.group.mark_leaving("up-1", True)
+    proxy = bench.proxies["proxy-1"]
+    await until(lambda: proxy.group.primary_name not in (None, "up-1"))
+    await proxy.write_until_acknowledged("r-0")
+    assert not proxy.group.upstreams["up-1"].pool.is_accepting
--- /dev/null
+++ b/ebonyrack/failover/switchover.py
@@ -0,0 +1,171 @@
+"""Planned move of a primary: no acknowledged write lost, no request cut."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.logs import log_decision
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+if TYPE_CHECKING:
+    from ebonyrack.failover.coordinator import Coordinator
+    from ebonyrack.upstreams.group import DatabaseGroup
+    from ebonyrack.upstreams.upstream import Upstream
+
+# New writes are held at most this long.
+HOLD_S = 1.0
+DRAIN_S = 0.6
+CATCH_UP_S = 0.3
+DRAIN_CHECK_S = 0.005
+RETRY_S = 0.5
+# A primary that has been leaving for longer is replaced even under open transactions.
+FORCE_AFTER_S = 1.2
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchoverOutcome:
+    """How a planned switchover ended.
+
+    Attributes:
+        succeeded: Whether the wanted upstream is primary now.
+        text: The new primary, or why it failed.
+    """
+
+    succeeded: bool
+    text: str
+
+
+class Switchover:
+    """Moves the primary of one group on request or when it is leaving.
+
+    Attributes:
+        coordinator: The group's coordinator, which holds the ballot.
+        tried_at_s: Monotonic time of the last try.
+    """
+
+    __slots__ = ("coordinator", "tried_at_s")
+
+    def __init__(self, coordinator: Coordinator) -> None:
+        self.coordinator = coordinator
+        self.tried_at_s = 0.0
+
+    @property
+    def group(self) -> DatabaseGroup:
+        """The group."""
+        return self.coordinator.group
+
+    async def check(self) -> None:
+        """Move the primary if it is leaving."""
+        primary = self.group.upstreams.get(self.group.primary_name or "")
+        if primary is None or not primary.is_leaving:
+            return
+        if now_s() - self.tried_at_s < RETRY_S:
+            return
+        self.tried_at_s = now_s()
+        since_s = self.group.leaving_since_s.get(primary.name, now_s())
+        forced = now_s() - since_s > FORCE_AFTER_S
+        outcome = await self.run(None, forced)
+        log_decision(
+            "switchover",
+            group=self.group.name,
+            upstream=primary.name,
+            reason="leaving",
+            succeeded=outcome.succeeded,
+            text=outcome.text,
+        )
+
+    async def run(self, to: str | None, forced: bool) -> SwitchoverOutcome:
+        """Hold new writes, let the target catch up, and hold a ballot.
+
+        Args:
+            to: Upstream to promote, or None for the most advanced replica.
+            forced: Whether to go on although transactions are still open.
+
+        Returns:
+            How it ended.
+        """
+        primary = self.group.primary() or self.group.upstreams.get(
+            self.group.primary_name or ""
+        )
+        target = self.choose_target(to)
+        if primary is None or target is None:
+            return SwitchoverOutcome(False, "no replica can take over")
+        if target is primary:
+            return SwitchoverOutcome(True, f"{target.name} is primary already")
+        started_s = now_s()
+        self.group.hold_writes(HOLD_S)
+        try:
+            if not await self.drain(primary) and not forced:
+                return SwitchoverOutcome(False, "transactions are still open")
+            if not await self.catch_up(primary, target):
+                return SwitchoverOutcome(False, f"{target.name} does not catch up")
+            parts = {"hold_s": now_s() - started_s}
+            outcome = await self.coordinator.hold_ballot(
+                target.name, "switchover", parts
+            )
+        finally:
+            self.group.release_writes()
+        if not outcome.won:
+            return SwitchoverOutcome(False, outcome.reason)
+        succeeded = outcome.primary_name == target.name
+        return SwitchoverOutcome(succeeded, f"primary is {outcome.primary_name}")
+
+    def choose_target(self, to: str | None) -> Upstream | None:
+        """Choose the upstream that is to become primary.
+
+        Args:
+            to: Its name, or None for the most advanced replica.
+
+        Returns:
+            The upstream, or None if there is none that could.
+        """
+        if to is not None and to == self.group.primary_name:
+            return self.group.primary()
+        candidates = [
+            upstream
+            for upstream in self.group.replicas()
+            if to is None or upstream.name == to
+        ]
+        return max(candidates, key=get_received, default=None)
+
+    async def drain(self, primary: Upstream) -> bool:
+        """Wait until no transaction of this proxy runs on the primary.
+
+        Args:
+            primary: The primary.
+
+        Returns:
+            Whether all ended in time.
+        """
+        deadline_s = now_s() + DRAIN_S
+        while primary.pool.busy_count and now_s() < deadline_s:
+            await asyncio.sleep(DRAIN_CHECK_S)
+        return primary.pool.busy_count == 0
+
+    async def catch_up(self, primary: Upstream, target: Upstream) -> bool:
+        """Wait until the target has received all that the primary has.
+
+        Args:
+            primary: The primary.
+            target: The upstream to promote.
+
+        Returns:
+            Whether it has.
+        """
+        try:
+            wanted = (await primary.poll()).received
+            status = await target.poll(wanted, CATCH_UP_S, received=True)
+        except UpstreamLostError:
+            return False
+        return status.received >= wanted
+
+
+def get_received(upstream: Upstream) -> tuple[int, int]:
+    """Return the received position of an upstream, to compare by."""
+    if upstream.status is None:
+        return (0, 0)
+    received = upstream.status.received
+    return (received.term, received.offset)
--- /dev/null
+++ b/ebonyrack/failover/terms.py
@@ -0,0 +1,102 @@
+"""Terms that no other process ever uses."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from ebonyrack.platform.store import Store
+
+SLOT_COUNTER_KEY = "term-slots"
+# Terms are `round * MAXIMUM_SLOTS + slot`.
+MAXIMUM_SLOTS = 2**20
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 2.0
+
+
+class TermSource:
+    """Issues the terms of one process.
+
+    A slot number is reserved once from a counter in the store; no other process
+    ever gets the same. A slot gives a term in every round, so failover needs the
+    store no more after that.
+
+    Attributes:
+        slot: The reserved number, or None.
+        last_term: Highest term that was issued.
+    """
+
+    __slots__ = ("slot", "last_term")
+
+    def __init__(self) -> None:
+        self.slot: int | None = None
+        self.last_term = 0
+
+    async def reserve(self, store: Store) -> None:
+        """Reserve a slot, trying again until the store grants one.
+
+        An answer that is lost costs one number: the next try takes the one after.
+
+        Args:
+            store: The platform's store.
+
+        Raises:
+            OverflowError: If every slot number has been used.
+        """
+        delay_s = FIRST_RETRY_S
+        while self.slot is None:
+            self.slot = await reserve_next(store)
+            if self.slot is None:
+                await asyncio.sleep(random.uniform(delay_s / 2, delay_s))
+                delay_s = min(2 * delay_s, LONGEST_RETRY_S)
+        logger.bind(slot=self.slot).info("term_slot_reserved")
+
+    def next_term(self, above: int) -> int | None:
+        """Issue a term.
+
+        Args:
+            above: Highest term known so far.
+
+        Returns:
+            The smallest unused term of the slot above it, or None without a slot.
+        """
+        if self.slot is None:
+            return None
+        above = max(above, self.last_term)
+        term = above // MAXIMUM_SLOTS * MAXIMUM_SLOTS + self.slot
+        if term <= above:
+            term += MAXIMUM_SLOTS
+        self.last_term = term
+        return term
+
+
+async def reserve_next(store: Store) -> int | None:
+    """Try once to take the next number of the counter.
+
+    Args:
+        store: The platform's store.
+
+    Returns:
+        The number, or None if another process was faster or the store failed.
+
+    Raises:
+        OverflowError: If every slot number has been used.
+    """
+    found = await store.get(SLOT_COUNTER_KEY)
+    if found.is_err():
+        logger.bind(reason=str(found.unwrap_err())).warning("term_slot_not_reserved")
+        return None
+    value = found.unwrap()
+    slot = int(value.value) + 1 if value is not None else 1
+    if slot >= MAXIMUM_SLOTS:
+        raise OverflowError("every slot of the term counter has been used")
+    index = value.index if value is not None else 0
+    swapped = await store.compare_and_swap(SLOT_COUNTER_KEY, b"%d" % slot, index)
+    if swapped.is_err():
+        logger.bind(reason=str(swapped.unwrap_err())).warning("term_slot_not_reserved")
+        return None
+    return slot if swapped.unwrap() else None
--- /dev/null
+++ b/ebonyrack/routing/write_path.py
@@ -0,0 +1,180 @@
+"""When a write may begin and when it may be acknowledged."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.logs import log_decision
+from ebonyrack.core.registry import Registry
+
+if TYPE_CHECKING:
+    from ebonyrack.core.position import LogPosition
+    from ebonyrack.upstreams.connection import UpstreamConnection
+    from ebonyrack.upstreams.group import DatabaseGroup
+
+LEASE_S = 5.0
+# Bounds on the time to come back that a refusal for lag names.
+SHORTEST_RETRY_S = 0.2
+LONGEST_RETRY_S = 1.0
+
+
+class AcknowledgePolicy:
+    """Acknowledges a write as soon as the primary committed it."""
+
+    __slots__ = ()
+
+    def check_admitted(self, group: DatabaseGroup) -> None:
+        """Refuse a write that could not be acknowledged.
+
+        Args:
+            group: The group.
+
+        Raises:
+            RequestError: REPLICAS_LAG.
+        """
+
+    async def acknowledge(
+        self, group: DatabaseGroup, position: LogPosition, deadline_s: float
+    ) -> None:
+        """Wait until a committed write may be acknowledged.
+
+        Args:
+            group: The group.
+            position: Position of the commit.
+            deadline_s: Monotonic time at which to give up.
+
+        Raises:
+            RequestError: OUTCOME_UNKNOWN or UPSTREAM_LOST.
+        """
+
+    def compute_promotion_delay(self, group: DatabaseGroup) -> float:
+        """Return how long a failed primary may still acknowledge writes.
+
+        Args:
+            group: The group.
+
+        Returns:
+            Seconds that a ballot must wait; 0 if none.
+        """
+        return 0.0
+
+
+ACKNOWLEDGE_POLICIES: Registry[type[AcknowledgePolicy]] = Registry("acknowledge policy")
+
+
+@ACKNOWLEDGE_POLICIES.register("majority")
+class MajorityAcknowledgement(AcknowledgePolicy):
+    """Acknowledges a write that a majority of the upstreams holds."""
+
+    __slots__ = ()
+
+    def check_admitted(self, group: DatabaseGroup) -> None:
+        """Refuse a write while too few replicas could confirm it in time."""
+        lag_s = group.compute_confirm_lag()
+        if lag_s <= group.section.lag_refusal_s:
+            return
+        retry_after_s = random.uniform(SHORTEST_RETRY_S, LONGEST_RETRY_S)
+        raise RequestError(
+            ErrorKind.REPLICAS_LAG,
+            f"group {group.name}: lag of {lag_s:.1f} s",
+            retry_after_s,
+        )
+
+    async def acknowledge(
+        self, group: DatabaseGroup, position: LogPosition, deadline_s: float
+    ) -> None:
+        """Wait for the majority."""
+        await group.confirm(position, deadline_s)
+
+
+@ACKNOWLEDGE_POLICIES.register("primary_alone")
+class PrimaryAloneAcknowledgement(AcknowledgePolicy):
+    """Baseline: the primary's commit is enough; a failover can lose the write."""
+
+    __slots__ = ()
+
+
+@ACKNOWLEDGE_POLICIES.register("primary_lease")
+class PrimaryLeaseAcknowledgement(AcknowledgePolicy):
+    """Baseline: the primary's commit is enough while its lease lasts.
+
+    The lease begins with each poll that the primary answers; a ballot waits until
+    the last one is over.
+    """
+
+    __slots__ = ()
+
+    async def acknowledge(
+        self, group: DatabaseGroup, position: LogPosition, deadline_s: float
+    ) -> None:
+        """Acknowledge within the lease of the term's primary."""
+        if position.term < group.term or self.compute_promotion_delay(group) <= 0:
+            raise RequestError(
+                ErrorKind.OUTCOME_UNKNOWN, f"the lease ended before {position}"
+            )
+
+    def compute_promotion_delay(self, group: DatabaseGroup) -> float:
+        """Return the rest of the primary's lease, in seconds."""
+        primary = group.upstreams.get(group.primary_name or "")
+        if primary is None or primary.answered_at_s is None:
+            return 0.0
+        return max(0.0, primary.answered_at_s + LEASE_S - now_s())
+
+
+def check_write_admitted(group: DatabaseGroup) -> None:
+    """Refuse a write up front that could not be acknowledged.
+
+    Args:
+        group: The group.
+
+    Raises:
+        RequestError: NO_PRIMARY or REPLICAS_LAG; the write did not run.
+    """
+    if group.primary() is None:
+        raise group.build_no_primary()
+    ACKNOWLEDGE_POLICIES.get(group.section.acknowledge_policy)().check_admitted(group)
+
+
+async def acknowledge_write(
+    group: DatabaseGroup,
+    connection: UpstreamConnection,
+    position: LogPosition,
+    deadline_s: float,
+) -> None:
+    """Wait until a committed write may be acknowledged under the group's policy.
+
+    Args:
+        group: The group.
+        connection: Connection on which it was committed, for the log.
+        position: Position of the commit.
+        deadline_s: Monotonic time at which to give up.
+
+    Raises:
+        RequestError: OUTCOME_UNKNOWN if it was not confirmed in time; UPSTREAM_LOST
+            if a change of primary has undone it.
+    """
+    started_s = now_s()
+    policy_name = group.section.acknowledge_policy
+    outcome = "acknowledged"
+    try:
+        await ACKNOWLEDGE_POLICIES.get(policy_name)().acknowledge(
+            group, position, deadline_s
+        )
+    except RequestError as error:
+        outcome = str(error.kind)
+        raise
+    finally:
+        log_decision(
+            "write_acknowledged",
+            group=group.name,
+            upstream=str(connection.address),
+            reason=policy_name,
+            outcome=outcome,
+            term=group.term,
+            position=str(position),
+            waited_s=round(now_s() - started_s, 4),
+        )
--- /dev/null
+++ b/ebonyrack/upstreams/control.py
@@ -0,0 +1,101 @@
+"""One warm connection for control queries to an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.upstreams.connection import QueryAnswer
+from ebonyrack.upstreams.connection import UpstreamConnection
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.connection import open_connection
+
+if TYPE_CHECKING:
+    from ebonyrack.config.sections import GroupSection
+    from ebonyrack.core.address import Address
+
+
+class ControlConnection:
+    """A connection that serves control queries one after another.
+
+    It is opened by the first query and again after it was lost.
+
+    Attributes:
+        address: Address of the upstream.
+        section: Section of the group, for user, password and database.
+        connection: The open connection, or None.
+        lock: Held by the query in flight.
+    """
+
+    __slots__ = ("address", "section", "connection", "lock")
+
+    def __init__(self, address: Address, section: GroupSection) -> None:
+        self.address = address
+        self.section = section
+        self.connection: UpstreamConnection | None = None
+        self.lock = asyncio.Lock()
+
+    async def query(self, sql: str, timeout_s: float) -> QueryAnswer:
+        """Run one query after those that came before it.
+
+        Args:
+            sql: Statement that returns one row.
+            timeout_s: Seconds for waiting, connecting and the answer together.
+
+        Returns:
+            The answer, which has a row.
+
+        Raises:
+            UpstreamLostError: If no answer came in time, or an error answer.
+        """
+        deadline_s = now_s() + timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.lock.acquire()
+        except TimeoutError:
+            raise UpstreamLostError(
+                f"the control connection to {self.address} is busy"
+            ) from None
+        try:
+            return await self.run(sql, deadline_s)
+        finally:
+            self.lock.release()
+
+    async def run(self, sql: str, deadline_s: float) -> QueryAnswer:
+        """Run one query while holding the lock.
+
+        Args:
+            sql: Statement that returns one row.
+            deadline_s: Monotonic time at which it is given up.
+
+        Returns:
+            The answer.
+
+        Raises:
+            UpstreamLostError: If no answer came in time, or an error answer.
+        """
+        if self.connection is None or not self.connection.is_clean:
+            self.close()
+            self.connection = await open_connection(
+                self.address,
+                self.section.user,
+                self.section.password,
+                self.section.database,
+                deadline_s - now_s(),
+            )
+        answer = await self.connection.query(sql, deadline_s - now_s())
+        if answer.error is not None:
+            text = answer.error.get("M", "")
+            raise UpstreamLostError(
+                f"{self.address} answered: {text}", answer.error.get("C", "")
+            )
+        if not answer.rows:
+            raise UpstreamLostError(f"{self.address} answered without a row")
+        return answer
+
+    def close(self) -> None:
+        """Close the connection if it is open."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
--- /dev/null
+++ b/ebonyrack/upstreams/group.py
@@ -0,0 +1,578 @@
+"""A database group: its upstreams, its term and primary, confirmation of writes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.position import LogPosition
+from ebonyrack.core.signal import Signal
+from ebonyrack.upstreams.confirmations import Confirmations
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.lag import PrimaryHistory
+from ebonyrack.upstreams.status import Role
+from ebonyrack.upstreams.upstream import Upstream
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ebonyrack.config.sections import GroupSection
+    from ebonyrack.config.sections import UpstreamSpec
+
+# A proxy that coordinates nothing and carries no request polls at this interval.
+IDLE_PROBE_INTERVAL_S = 2.0
+# The group counts as carrying requests for this long after the last one.
+REQUEST_MEMORY_S = 2.0
+# Bounds on the time to come back that a refusal for want of a primary names.
+SHORTEST_RETRY_S = 0.3
+LONGEST_RETRY_S = 0.9
+CONFIRM_CALL_S = 0.5
+RETRY_PAUSE_S = 0.02
+CONTROL_TIMEOUT_S = 0.5
+# A primary that is leaving serves on for this long, to be replaced without a gap.
+LEAVING_PRIMARY_S = 2.0
+WARM_CONNECTIONS = 1
+
+
+class DatabaseGroup:
+    """The upstreams of one group and what this proxy knows of their primary.
+
+    Attributes:
+        name: Name of the group.
+        section: Its section of the operators' document.
+        connection_limit: This proxy's share of each upstream's connections.
+        upstreams: Upstreams by name.
+        term: Highest term in which a primary was seen.
+        primary_name: Name of that primary, or None.
+        learned_at_s: Monotonic time at which it was learned.
+        is_coordinator: Whether this proxy may order a promotion.
+        confirmations: Writes of the present term that wait for a majority.
+        history: Positions of the primary, for the lag of replicas.
+        changed: Notified when the primary, a term or reachability changes.
+        hold_until_s: Monotonic time until which new writes wait for a switchover.
+    """
+
+    def __init__(self, name: str, section: GroupSection, connection_limit: int) -> None:
+        self.name = name
+        self.section = section
+        self.connection_limit = connection_limit
+        self.upstreams: dict[str, Upstream] = {}
+        self.term = 0
+        self.primary_name: str | None = None
+        self.learned_at_s: float | None = None
+        self.is_coordinator = False
+        self.history = PrimaryHistory()
+        self.changed = Signal()
+        self.hold_until_s = 0.0
+        self.requested_at_s = 0.0
+        self.leaving_since_s: dict[str, float] = {}
+        self.wakes: dict[str, asyncio.Event] = {}
+        self.tasks: dict[str, tuple[asyncio.Task[None], ...]] = {}
+        self.removals: set[asyncio.Task[None]] = set()
+        for spec in section.upstreams:
+            self.add_upstream(spec)
+        self.confirmations = Confirmations(0, self.majority - 1)
+        self.apply_leaving()
+
+    async def __aenter__(self) -> DatabaseGroup:
+        for upstream in self.upstreams.values():
+            self.start_upstream(upstream)
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for name in tuple(self.upstreams):
+            self.remove_upstream(name)
+        await asyncio.gather(*self.removals)
+        self.confirmations.end_term()
+
+    @property
+    def majority(self) -> int:
+        """Upstreams in a majority, the primary included."""
+        return len(self.section.upstreams) // 2 + 1
+
+    def add_upstream(self, spec: UpstreamSpec) -> Upstream:
+        """Add an upstream without starting it.
+
+        Args:
+            spec: The upstream.
+
+        Returns:
+            The upstream.
+        """
+        upstream = Upstream(spec, self.section, self.connection_limit)
+        upstream.on_status = self.observe
+        upstream.on_change = self.note_change
+        self.upstreams[spec.name] = upstream
+        self.wakes[spec.name] = asyncio.Event()
+        return upstream
+
+    def start_upstream(self, upstream: Upstream) -> None:
+        """Start the tasks of an upstream.
+
+        Args:
+            upstream: An upstream of the group.
+        """
+        self.tasks[upstream.name] = (
+            asyncio.create_task(self.probe_upstream(upstream)),
+            asyncio.create_task(self.confirm_on(upstream)),
+        )
+
+    def remove_upstream(self, name: str) -> None:
+        """Take an upstream out; its tasks and connections end soon after.
+
+        Args:
+            name: Name of the upstream.
+        """
+        upstream = self.upstreams.pop(name)
+        self.wakes.pop(name)
+        self.leaving_since_s.pop(name, None)
+        removal = asyncio.create_task(stop_upstream(upstream, self.tasks.pop(name, ())))
+        self.removals.add(removal)
+        removal.add_done_callback(self.removals.discard)
+
+    def reconfigure(self, section: GroupSection) -> None:
+        """Take over a changed section.
+
+        Args:
+            section: The new section; its upstreams replace those of the old one.
+        """
+        for name in set(self.section.leaving) - set(section.leaving):
+            self.mark_leaving(name, False)
+        self.section = section
+        wanted = {spec.name: spec for spec in section.upstreams}
+        for name, upstream in tuple(self.upstreams.items()):
+            if wanted.get(name) != upstream.spec:
+                self.remove_upstream(name)
+        for spec in section.upstreams:
+            if spec.name not in self.upstreams:
+                self.start_upstream(self.add_upstream(spec))
+        for upstream in self.upstreams.values():
+            upstream.apply_section(section)
+        self.confirmations.needed = self.majority - 1
+        self.apply_leaving()
+        self.changed.notify()
+
+    def apply_leaving(self) -> None:
+        """Mark the upstreams that the document names as leaving."""
+        for name in self.section.leaving:
+            self.mark_leaving(name, True)
+
+    def set_connection_limit(self, per_upstream: int) -> None:
+        """Set this proxy's share of each upstream's connections.
+
+        Args:
+            per_upstream: Connections, those for control included.
+        """
+        self.connection_limit = per_upstream
+        for upstream in self.upstreams.values():
+            upstream.set_connection_limit(per_upstream)
+
+    def mark_leaving(self, upstream_name: str, leaving: bool) -> None:
+        """Mark an upstream as leaving or not.
+
+        Args:
+            upstream_name: Name of the upstream.
+            leaving: Whether it is leaving.
+        """
+        upstream = self.upstreams.get(upstream_name)
+        if upstream is not None:
+            upstream.set_leaving(leaving)
+            self.update_work(upstream)
+
+    def primary(self) -> Upstream | None:
+        """Return the primary if it can take writes now, or None."""
+        upstream = self.upstreams.get(self.primary_name or "")
+        if upstream is None or not upstream.is_reachable:
+            return None
+        if not upstream.is_primary_in(self.term):
+            return None
+        leaving_since_s = self.leaving_since_s.get(upstream.name)
+        if leaving_since_s is not None:
+            if now_s() - leaving_since_s > LEAVING_PRIMARY_S:
+                return None
+        return upstream
+
+    def replicas(self) -> list[Upstream]:
+        """Return the replicas that may serve reads of the present term."""
+        return [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.is_reachable
+            and not upstream.is_leaving
+            and upstream.is_following(self.term)
+        ]
+
+    async def wait_for_primary(self, deadline_s: float) -> Upstream:
+        """Wait until there is a primary that takes writes.
+
+        Args:
+            deadline_s: Monotonic time at which to give up.
+
+        Returns:
+            The primary.
+
+        Raises:
+            RequestError: NO_PRIMARY with the time to come back.
+        """
+        self.note_request()
+        while True:
+            held_s = self.hold_until_s - now_s()
+            primary = self.primary()
+            if primary is not None and held_s <= 0:
+                return primary
+            remaining_s = deadline_s - now_s()
+            if remaining_s <= 0:
+                raise self.build_no_primary()
+            wait_s = min(remaining_s, held_s) if held_s > 0 else remaining_s
+            await self.changed.wait(wait_s)
+
+    def hold_writes(self, hold_s: float) -> None:
+        """Let new writes wait for a switchover.
+
+        Args:
+            hold_s: Seconds for which they wait at most.
+        """
+        self.hold_until_s = now_s() + hold_s
+
+    def release_writes(self) -> None:
+        """Let writes go on."""
+        self.hold_until_s = 0.0
+        self.changed.notify()
+
+    def build_no_primary(self) -> RequestError:
+        """Build the refusal of a write for want of a primary."""
+        retry_after_s = random.uniform(SHORTEST_RETRY_S, LONGEST_RETRY_S)
+        reason = f"group {self.name}, last term {self.term}"
+        return RequestError(ErrorKind.NO_PRIMARY, reason, retry_after_s)
+
+    def note_request(self) -> None:
+        """Poll at the short interval while the group carries requests."""
+        was_idle = now_s() - self.requested_at_s > REQUEST_MEMORY_S
+        self.requested_at_s = now_s()
+        if was_idle and not self.is_coordinator:
+            self.wake_probes()
+
+    def wake_probes(self) -> None:
+        """Poll every upstream at once."""
+        for wake in self.wakes.values():
+            wake.set()
+
+    def report_lost(self, upstream_name: str, reason: str) -> None:
+        """Note that the data path saw a broken connection; polls at once.
+
+        Args:
+            upstream_name: Name of the upstream.
+            reason: What was seen.
+        """
+        wake = self.wakes.get(upstream_name)
+        if wake is not None:
+            logger.bind(group=self.name, upstream=upstream_name, reason=reason).info(
+                "connection_lost"
+            )
+            wake.set()
+
+    def learn(self, term: int, primary_name: str) -> None:
+        """Take over news of a primary if its term is higher.
+
+        Args:
+            term: Its term.
+            primary_name: Its name.
+        """
+        if term <= self.term:
+            return
+        previous = self.upstreams.get(self.primary_name or "")
+        self.term = term
+        self.primary_name = primary_name
+        self.learned_at_s = now_s()
+        self.hold_until_s = 0.0
+        self.history.clear()
+        waiting = self.confirmations
+        self.confirmations = Confirmations(term, self.majority - 1)
+        waiting.end_term()
+        if previous is not None and not previous.is_reachable:
+            # Whoever still waits for the lost primary can't be answered by it.
+            close_busy(previous)
+        for upstream in (previous, self.upstreams.get(primary_name)):
+            if upstream is not None:
+                self.update_work(upstream)
+        logger.bind(group=self.name, term=term, upstream=primary_name).info(
+            "primary_learned"
+        )
+        self.wake_probes()
+        self.changed.notify()
+
+    def observe(self, upstream: Upstream) -> None:
+        """Draw the conclusions from an upstream's answer.
+
+        Args:
+            upstream: The upstream that answered.
+        """
+        status = upstream.status
+        if status is None or self.upstreams.get(upstream.name) is not upstream:
+            return
+        if status.role is Role.PRIMARY:
+            self.learn(status.term, upstream.name)
+        if upstream.name == self.primary_name and upstream.is_primary_in(self.term):
+            self.history.add(status.received)
+        self.confirmations.observe(upstream.name, status)
+        if upstream.update_summary():
+            self.update_work(upstream)
+            upstream.set_connection_limit(self.connection_limit)
+            self.changed.notify()
+
+    def note_change(self, upstream: Upstream) -> None:
+        """Log a change of an upstream's state and let its pool follow.
+
+        Args:
+            upstream: The upstream.
+        """
+        logger.bind(group=self.name, upstream=upstream.name, state=upstream.state).info(
+            "upstream_state"
+        )
+        self.update_work(upstream)
+        self.changed.notify()
+
+    def update_work(self, upstream: Upstream) -> None:
+        """Let an upstream's pool take or refuse new work.
+
+        Args:
+            upstream: The upstream.
+        """
+        is_primary = upstream.name == self.primary_name
+        if upstream.is_leaving:
+            self.leaving_since_s.setdefault(upstream.name, now_s())
+        else:
+            self.leaving_since_s.pop(upstream.name, None)
+        if upstream.state == "lost":
+            upstream.pool.stop_new_work()
+            if not is_primary or upstream.is_refused:
+                close_busy(upstream)
+        elif upstream.is_leaving and not is_primary:
+            upstream.pool.stop_new_work()
+        else:
+            upstream.pool.resume_new_work()
+
+    async def confirm(self, position: LogPosition, deadline_s: float) -> None:
+        """Wait until a majority of the upstreams holds a committed write.
+
+        Args:
+            position: Position of the commit.
+            deadline_s: Monotonic time at which to give up.
+
+        Raises:
+            RequestError: OUTCOME_UNKNOWN if it was not confirmed in time;
+                UPSTREAM_LOST if a change of primary has undone it.
+        """
+        self.note_request()
+        try:
+            async with asyncio.timeout(max(0.0, deadline_s - now_s())):
+                while not await self.confirm_once(position):
+                    pass
+        except TimeoutError:
+            raise RequestError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                f"committed at {position}, not confirmed by a majority in time",
+            ) from None
+
+    async def confirm_once(self, position: LogPosition) -> bool:
+        """Try to confirm a write in what is the present term.
+
+        Args:
+            position: Position of the commit.
+
+        Returns:
+            Whether it is confirmed; False to try again.
+
+        Raises:
+            RequestError: UPSTREAM_LOST if a change of primary has undone it.
+        """
+        if position.term > self.term:
+            self.wake_probes()
+            await self.changed.wait(RETRY_PAUSE_S)
+            return False
+        if position.term < self.term:
+            return await self.confirm_in_history(position)
+        confirmed = await self.wait_confirmed(position)
+        return confirmed and position.term == self.term
+
+    async def wait_confirmed(self, position: LogPosition) -> bool:
+        """Wait for a majority within one term.
+
+        Args:
+            position: Position of the present term.
+
+        Returns:
+            Whether a majority holds it; False if the term ended.
+        """
+        confirmations = self.confirmations
+        if confirmations.term != position.term:
+            return False
+        return await confirmations.wait(position.offset)
+
+    async def confirm_in_history(self, position: LogPosition) -> bool:
+        """Find out whether a write of an earlier term is in the present one's log.
+
+        Args:
+            position: Position of the commit.
+
+        Returns:
+            Whether it is and a majority holds it; False to try again.
+
+        Raises:
+            RequestError: UPSTREAM_LOST if the present term's log lacks it for good.
+        """
+        primary = self.primary()
+        if primary is None:
+            await self.changed.wait(CONFIRM_CALL_S)
+            return False
+        term = self.term
+        contract = primary.contract
+        try:
+            answer = await primary.call(
+                contract.build_holds(position), CONTROL_TIMEOUT_S
+            )
+            holds = contract.parse_holds(answer.rows[0])
+        except (UpstreamLostError, ValueError):
+            await self.changed.wait(RETRY_PAUSE_S)
+            return False
+        if holds.term != term or holds.received.term != term:
+            await self.changed.wait(RETRY_PAUSE_S)
+            return False
+        # The log that answered counts only once a majority holds it too.
+        if not await self.wait_confirmed(holds.received):
+            return False
+        if not holds.held:
+            raise RequestError(
+                ErrorKind.UPSTREAM_LOST,
+                f"the commit at {position} was undone by term {term}",
+            )
+        return True
+
+    def compute_confirm_lag(self) -> float:
+        """Return how far the slowest replica of the best majority is behind.
+
+        Returns:
+            Seconds; infinite if too few replicas follow the primary.
+        """
+        needed = self.majority - 1
+        reachable = [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.is_reachable and upstream.name != self.primary_name
+        ]
+        if len(reachable) < needed:
+            return float("inf")
+        lags = sorted(
+            self.history.compute_lag(upstream.status.received)
+            for upstream in reachable
+            if upstream.status is not None and upstream.is_following(self.term)
+        )
+        if len(lags) < needed:
+            # Just after a promotion the replicas still turn to the new primary.
+            return now_s() - (self.learned_at_s or 0.0)
+        return lags[needed - 1] if needed else 0.0
+
+    async def poll_all(self) -> None:
+        """Poll every upstream once; those that don't answer are noted as lost."""
+        polls = [upstream.poll() for upstream in self.upstreams.values()]
+        await asyncio.gather(*polls, return_exceptions=True)
+
+    async def probe_upstream(self, upstream: Upstream) -> None:
+        """Poll an upstream for ever, at the interval that the group needs.
+
+        Args:
+            upstream: The upstream.
+        """
+        wake = self.wakes[upstream.name]
+        while True:
+            wake.clear()
+            started_s = now_s()
+            try:
+                await upstream.poll()
+                await self.warm_pool(upstream)
+            except UpstreamLostError as error:
+                logger.bind(group=self.name, upstream=upstream.name).debug(
+                    f"poll failed: {error}"
+                )
+            interval_s = self.compute_probe_interval() * random.uniform(0.9, 1.0)
+            try:
+                async with asyncio.timeout(max(0.0, started_s + interval_s - now_s())):
+                    await wake.wait()
+            except TimeoutError:
+                continue
+
+    def compute_probe_interval(self) -> float:
+        """Return the seconds between polls of an upstream."""
+        is_busy = now_s() - self.requested_at_s < REQUEST_MEMORY_S
+        if self.is_coordinator or is_busy:
+            return self.section.probe_interval_s
+        return IDLE_PROBE_INTERVAL_S
+
+    async def warm_pool(self, upstream: Upstream) -> None:
+        """Keep connections open to an upstream that is or may become primary.
+
+        Args:
+            upstream: The upstream.
+
+        Raises:
+            UpstreamLostError: If it can't be reached.
+        """
+        if upstream.state == "answering" and upstream.pool.open_count == 0:
+            await upstream.pool.warm(WARM_CONNECTIONS)
+
+    async def confirm_on(self, upstream: Upstream) -> None:
+        """Ask a replica for ever for the positions that waiting writes need.
+
+        Args:
+            upstream: The upstream.
+        """
+        while True:
+            confirmations = self.confirmations
+            offset = confirmations.find_lowest_missing(upstream.name)
+            if not upstream.is_following(confirmations.term):
+                await self.changed.wait(CONFIRM_CALL_S)
+                continue
+            if offset is None:
+                await confirmations.added.wait(CONFIRM_CALL_S)
+                continue
+            position = LogPosition(confirmations.term, offset)
+            try:
+                await upstream.poll(position, CONFIRM_CALL_S, received=True)
+            except UpstreamLostError:
+                await self.changed.wait(RETRY_PAUSE_S)
+
+
+def close_busy(upstream: Upstream) -> None:
+    """Close the connections that callers' requests use.
+
+    Args:
+        upstream: An upstream that will not answer them.
+    """
+    for connection in tuple(upstream.pool.busy):
+        connection.close()
+
+
+async def stop_upstream(
+    upstream: Upstream, tasks: tuple[asyncio.Task[None], ...]
+) -> None:
+    """End the tasks and connections of an upstream.
+
+    Args:
+        upstream: The upstream.
+        tasks: Its tasks.
+    """
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await upstream.__aexit__(None, None, None)
--- /dev/null
+++ b/ebonyrack/upstreams/lag.py
@@ -0,0 +1,60 @@
+"""How far replicas are behind, in time of this process."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from ebonyrack.core.clock import now_s
+
+if TYPE_CHECKING:
+    from ebonyrack.core.position import LogPosition
+
+SAMPLE_INTERVAL_S = 0.02
+MAXIMUM_SAMPLES = 512
+
+
+class PrimaryHistory:
+    """When this process first saw the primary at each position.
+
+    Attributes:
+        samples: Monotonic time and position, oldest first.
+    """
+
+    __slots__ = ("samples",)
+
+    def __init__(self) -> None:
+        self.samples: deque[tuple[float, LogPosition]] = deque(maxlen=MAXIMUM_SAMPLES)
+
+    def add(self, position: LogPosition) -> None:
+        """Note the primary's present position.
+
+        Args:
+            position: Last position of its log.
+        """
+        now = now_s()
+        if self.samples:
+            seen_at_s, last = self.samples[-1]
+            if position <= last or now - seen_at_s < SAMPLE_INTERVAL_S:
+                return
+        self.samples.append((now, position))
+
+    def compute_lag(self, position: LogPosition) -> float:
+        """Return for how long the primary has been past a position.
+
+        Args:
+            position: Position of a replica.
+
+        Returns:
+            Seconds since the primary was first seen past it; 0 if it was not.
+        """
+        lag_s = 0.0
+        for seen_at_s, seen in reversed(self.samples):
+            if seen <= position:
+                break
+            lag_s = now_s() - seen_at_s
+        return lag_s
+
+    def clear(self) -> None:
+        """Forget the positions of an earlier term."""
+        self.samples.clear()
--- /dev/null
+++ b/ebonyrack/upstreams/upstream.py
@@ -0,0 +1,364 @@
+"""One upstream of a database group: its connections, status and life cycle."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from transitions import Machine
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.position import START
+from ebonyrack.core.position import LogPosition
+from ebonyrack.upstreams.connection import QueryAnswer
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.contract import CONTRACTS
+from ebonyrack.upstreams.control import ControlConnection
+from ebonyrack.upstreams.pool import ConnectionPool
+from ebonyrack.upstreams.position_waits import PositionWaits
+from ebonyrack.upstreams.status import Role
+from ebonyrack.upstreams.status import UpstreamStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import TracebackType
+
+    from ebonyrack.config.sections import GroupSection
+    from ebonyrack.config.sections import UpstreamSpec
+
+# Lateness beyond a timeout that shows that this process itself was paused.
+PAUSE_LIMIT_S = 0.1
+# Connections to a replica that are not for callers: polls, and waits for positions.
+REPLICA_CONTROL_CONNECTIONS = 2
+PRIMARY_CONTROL_CONNECTIONS = 1
+TOO_MANY_CONNECTIONS = "53300"
+
+LIFE_CYCLE = Machine(
+    model=None,
+    states=["unknown", "answering", "departing", "lost"],
+    initial="unknown",
+    transitions=[
+        ["mark_answering", ["unknown", "departing", "lost"], "answering"],
+        ["mark_departing", ["unknown", "answering", "lost"], "departing"],
+        ["mark_lost", ["unknown", "answering", "departing"], "lost"],
+    ],
+    auto_transitions=False,
+)
+
+
+class Upstream:
+    """An upstream as this proxy sees it.
+
+    Attributes:
+        spec: Name, address and data centre from the operators' document.
+        section: Section of the group.
+        pool: Connections for callers' transactions.
+        status: Latest answer to a poll, or None.
+        answered_at_s: Monotonic time of that answer, or None.
+        lost_at_s: Monotonic time at which it was found lost, or None.
+        is_refused: Whether it was found lost because it refuses connections.
+        is_marked_leaving: Whether the document or the VM list says it is leaving.
+        on_status: Called after each answer.
+        on_change: Called after a change of state.
+        state: `unknown`, `answering`, `departing` (it answers but is leaving) or
+            `lost`.
+    """
+
+    state: str
+    mark_answering: Callable[[], bool]
+    mark_departing: Callable[[], bool]
+    mark_lost: Callable[[], bool]
+
+    def __init__(
+        self, spec: UpstreamSpec, section: GroupSection, connection_limit: int
+    ) -> None:
+        self.spec = spec
+        self.section = section
+        self.connection_limit = connection_limit
+        self.status: UpstreamStatus | None = None
+        self.answered_at_s: float | None = None
+        self.lost_at_s: float | None = None
+        self.is_refused = False
+        self.is_marked_leaving = False
+        self.summary: tuple[Role, int, int, bool] | None = None
+        self.contract = CONTRACTS.get(section.contract)()
+        self.pool = ConnectionPool(spec.address, section, self.compute_pool_limit())
+        self.control = ControlConnection(spec.address, section)
+        self.waits = PositionWaits(
+            ControlConnection(spec.address, section),
+            self.contract,
+            section.suspect_after_s,
+            self.note_status,
+        )
+        self.next_poll: asyncio.Task[UpstreamStatus] | None = None
+        self.polls: set[asyncio.Task[UpstreamStatus]] = set()
+        self.on_status: Callable[[Upstream], None] = ignore
+        self.on_change: Callable[[Upstream], None] = ignore
+        LIFE_CYCLE.add_model(self)
+
+    async def __aenter__(self) -> Upstream:
+        await self.pool.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        polls = tuple(self.polls)
+        for poll in polls:
+            poll.cancel()
+        await asyncio.gather(*polls, return_exceptions=True)
+        await self.waits.close()
+        self.control.close()
+        await self.pool.__aexit__(error_type, error, traceback)
+        LIFE_CYCLE.remove_model(self)
+
+    @property
+    def name(self) -> str:
+        """Name of the upstream's VM."""
+        return self.spec.name
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether it answered the latest poll."""
+        return self.state in ("answering", "departing")
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it is about to leave, by anyone's word."""
+        return self.is_marked_leaving or (
+            self.status is not None and self.status.leaving
+        )
+
+    def is_primary_in(self, term: int) -> bool:
+        """Tell whether it is primary in a term and granted no higher one.
+
+        Args:
+            term: The term.
+
+        Returns:
+            Whether its latest status says so.
+        """
+        status = self.status
+        return (
+            status is not None
+            and status.role is Role.PRIMARY
+            and status.term == term
+            and status.fenced_term <= term
+        )
+
+    def is_following(self, term: int) -> bool:
+        """Tell whether it is a replica of a term's primary and granted no higher one.
+
+        Args:
+            term: The term.
+
+        Returns:
+            Whether its latest status says so.
+        """
+        status = self.status
+        return (
+            status is not None
+            and status.role is Role.REPLICA
+            and status.term == term
+            and status.fenced_term <= term
+        )
+
+    async def poll(
+        self,
+        position: LogPosition = START,
+        wait_s: float = 0.0,
+        received: bool = False,
+    ) -> UpstreamStatus:
+        """Ask for the status, at once or when a position is reached.
+
+        Callers of a plain poll share one that has not been sent yet, so that the
+        answer always tells of a moment after the call.
+
+        Args:
+            position: Position to wait for.
+            wait_s: Seconds to wait for it at most; 0 for a plain poll.
+            received: Wait for the received rather than the applied position.
+
+        Returns:
+            The status; the position may not be reached if the time was over.
+
+        Raises:
+            UpstreamLostError: If the upstream does not answer.
+        """
+        if wait_s > 0:
+            status = await self.waits.wait(position, wait_s, received)
+            if status is not None:
+                return status
+        if self.next_poll is None:
+            self.next_poll = asyncio.create_task(self.run_poll())
+            self.polls.add(self.next_poll)
+            self.next_poll.add_done_callback(self.finish_poll)
+        return await asyncio.shield(self.next_poll)
+
+    def finish_poll(self, poll: asyncio.Task[UpstreamStatus]) -> None:
+        """Forget a poll that ended; marks its error as seen."""
+        self.polls.discard(poll)
+        if not poll.cancelled():
+            poll.exception()
+
+    async def run_poll(self) -> UpstreamStatus:
+        """Send one plain poll once the one before it is answered."""
+        timeout_s = self.section.suspect_after_s
+        async with self.control.lock:
+            self.next_poll = None
+            started_s = now_s()
+            try:
+                status = await self.ask_status(started_s + timeout_s)
+            except UpstreamLostError as error:
+                if error.sqlstate != TOO_MANY_CONNECTIONS:
+                    self.note_lost(error, now_s() - started_s - timeout_s)
+                raise
+        self.waits.settle(status)
+        self.note_status(status)
+        return status
+
+    async def ask_status(self, deadline_s: float) -> UpstreamStatus:
+        """Poll over the control connection, on a new one if the old one broke.
+
+        Args:
+            deadline_s: Monotonic time at which it is given up.
+
+        Returns:
+            The status.
+
+        Raises:
+            UpstreamLostError: If no valid answer came.
+        """
+        sql = self.contract.build_poll(START, 0)
+        was_open = self.control.connection is not None
+        try:
+            answer = await self.control.run(sql, deadline_s)
+        except UpstreamLostError:
+            if not was_open or now_s() >= deadline_s:
+                raise
+            answer = await self.control.run(sql, deadline_s)
+        try:
+            return self.contract.parse_status(answer.rows[0])
+        except ValueError as error:
+            raise UpstreamLostError(f"the status can't be read: {error}") from error
+
+    async def call(self, sql: str, timeout_s: float) -> QueryAnswer:
+        """Run a control query; never sent twice.
+
+        Args:
+            sql: Statement that returns a row.
+            timeout_s: Seconds for the whole answer.
+
+        Returns:
+            The answer, with a row.
+
+        Raises:
+            UpstreamLostError: If no answer came or the upstream answered an error.
+        """
+        return await self.control.query(sql, timeout_s)
+
+    def note_status(self, status: UpstreamStatus) -> None:
+        """Keep an answer and tell the group.
+
+        Args:
+            status: The answer.
+        """
+        self.status = status
+        self.answered_at_s = now_s()
+        self.lost_at_s = None
+        self.is_refused = False
+        self.update_state(is_lost=False)
+        self.on_status(self)
+
+    def note_lost(self, error: UpstreamLostError, late_s: float) -> None:
+        """Note that the upstream did not answer, unless this process was paused.
+
+        Args:
+            error: What happened.
+            late_s: Seconds by which this process noticed a timeout too late.
+        """
+        if late_s > PAUSE_LIMIT_S:
+            return
+        self.is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+        if self.lost_at_s is None:
+            self.lost_at_s = now_s()
+        self.update_state(is_lost=True)
+
+    def update_summary(self) -> bool:
+        """Keep what decisions depend on; tell whether it changed.
+
+        Returns:
+            Whether role, term, grants or leaving differ from the last call.
+        """
+        status = self.status
+        if status is None:
+            return False
+        summary = (status.role, status.term, status.fenced_term, status.leaving)
+        if summary == self.summary:
+            return False
+        self.summary = summary
+        return True
+
+    def apply_section(self, section: GroupSection) -> None:
+        """Take over a changed section of the group.
+
+        Args:
+            section: The section; address and name of this upstream are the same.
+        """
+        self.section = section
+        self.pool.section = section
+        self.control.section = section
+        self.waits.control.section = section
+        self.waits.answer_timeout_s = section.suspect_after_s
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Mark it as leaving or not.
+
+        Args:
+            leaving: What the document or the VM list says.
+        """
+        self.is_marked_leaving = leaving
+        self.update_state(is_lost=self.state == "lost")
+
+    def update_state(self, is_lost: bool) -> None:
+        """Move to the state that fits; tells the group of a change.
+
+        Args:
+            is_lost: Whether the latest poll failed.
+        """
+        if is_lost:
+            target = "lost"
+        else:
+            target = "departing" if self.is_leaving else "answering"
+        if target == self.state or (self.status is None and not is_lost):
+            return
+        {
+            "lost": self.mark_lost,
+            "departing": self.mark_departing,
+            "answering": self.mark_answering,
+        }[target]()
+        self.on_change(self)
+
+    def set_connection_limit(self, limit: int) -> None:
+        """Set this proxy's share of the upstream's connections.
+
+        Args:
+            limit: Connections of this proxy in all, those for control included.
+        """
+        self.connection_limit = limit
+        self.pool.resize(self.compute_pool_limit())
+
+    def compute_pool_limit(self) -> int:
+        """Return how many connections are left for callers' transactions."""
+        is_primary = self.status is not None and self.status.role is Role.PRIMARY
+        control = (
+            PRIMARY_CONTROL_CONNECTIONS if is_primary else REPLICA_CONTROL_CONNECTIONS
+        )
+        return max(1, self.connection_limit - control)
+
+
+def ignore(upstream: Upstream) -> None:
+    """Do nothing: the listener of an upstream that has no group."""
