--- a/ebonyrack/callers/statement_rules.py
+++ b/ebonyrack/callers/statement_rules.py
@@ -25,6 +25,14 @@
 CURSOR_OPTION_HOLD = 0x0020
 VARIABLE_PREFIX = "ebonyrack."
 PROXY_VARIABLES = frozenset({"application_name", "client_encoding"})
+# Upstream connections have fixed values of these; a session may set just those.
+FIXED_VARIABLES = frozenset(
+    """
+    client_min_messages datestyle default_transaction_isolation
+    default_transaction_read_only extra_float_digits geqo intervalstyle jit search_path
+    standard_conforming_strings timezone transaction_isolation transaction_read_only
+    """.split()
+)
 # The answers to these differ between primary and replica.
 PRIMARY_VARIABLES = frozenset(
     {"transaction_read_only", "default_transaction_read_only", "in_hot_standby"}
@@ -289,12 +297,13 @@
     name = node.name.lower()
     if kind == "VAR_RESET_ALL":
         return Statement(StatementKind.DISCARD, variable="variables")
-    if name.startswith(VARIABLE_PREFIX) or name in PROXY_VARIABLES:
-        if node.is_local:
-            return refuse(f"SET LOCAL of {name}")
-        return Statement(StatementKind.SET_VARIABLE, name, read_value(node.args))
+    is_kept = name.startswith(VARIABLE_PREFIX) or name in PROXY_VARIABLES
+    if is_kept and node.is_local:
+        return refuse(f"SET LOCAL of {name}")
     if node.is_local or name == "transaction":
         return UNSURE
+    if is_kept or name in FIXED_VARIABLES:
+        return Statement(StatementKind.SET_VARIABLE, name, read_value(node.args))
     return refuse(f"{name} belongs to a session; use SET LOCAL in a transaction")
 
 
--- /dev/null
+++ b/ebonyrack/routing/idempotency.py
@@ -0,0 +1,182 @@
+"""Requests that run once: their keys, kept in the group's own database."""
+
+from __future__ import annotations
+
+import datetime
+from dataclasses import dataclass
+from urllib.parse import quote
+from urllib.parse import unquote
+
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.upstreams.connection import QueryAnswer
+from ebonyrack.upstreams.connection import UpstreamConnection
+
+REQUEST_TABLE = "ebonyrack_requests"
+CREATE_REQUEST_TABLE = (
+    f"CREATE TABLE IF NOT EXISTS {REQUEST_TABLE} (key text PRIMARY KEY,"
+    " outcome text NOT NULL, created_at timestamptz NOT NULL)"
+)
+# The encoded key takes up to three times as much and must fit an index entry.
+MAXIMUM_KEY_BYTES = 800
+MAXIMUM_OUTCOME_BYTES = 1000
+DELETED_ROWS = 500
+# No repeat can bring these to an end: the table is missing or not to be written.
+LASTING_FAULTS = frozenset({"42P01", "42501", "42703"})
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Answer to the claim of a key.
+
+    Attributes:
+        is_first: Whether no request with this key has committed before.
+        outcome: Recorded outcome of the one that has; empty for the first.
+    """
+
+    is_first: bool
+    outcome: str
+
+
+def encode_text(text: str, limit: int) -> str:
+    """Encode a text so that it can stand in a literal whatever it contains.
+
+    Args:
+        text: The text.
+        limit: Largest number of bytes that it may have.
+
+    Returns:
+        Its percent-encoded form, which has no quote and no backslash.
+
+    Raises:
+        RequestError: UNSUPPORTED if it is too long.
+    """
+    data = text.encode("utf-8", "surrogatepass")
+    if len(data) > limit:
+        reason = f"text of {len(data)} bytes, {limit} allowed"
+        raise RequestError(ErrorKind.UNSUPPORTED, reason)
+    return quote(data, safe=" :/+,;=|@")
+
+
+def decode_text(text: str) -> str:
+    """Decode what `encode_text` built.
+
+    Args:
+        text: The percent-encoded form.
+    """
+    return unquote(text, errors="surrogatepass")
+
+
+async def claim_key(
+    connection: UpstreamConnection, key: str, timeout_s: float
+) -> Claim:
+    """Claim an idempotency key in the transaction that is open.
+
+    The database serialises requests with the same key: a second one waits until the
+    first has committed or rolled back, whichever proxies they came through.
+
+    Args:
+        connection: A connection of the primary with an open transaction.
+        key: The key.
+        timeout_s: Seconds for each of the two steps.
+
+    Returns:
+        Whether the request is the first with the key, or the recorded outcome.
+
+    Raises:
+        RequestError: UNSUPPORTED if the key or the table does not allow it,
+            UPSTREAM_LOST if the upstream refuses; nothing was committed.
+        UpstreamLostError: If the upstream is lost.
+    """
+    literal = encode_text(key, MAXIMUM_KEY_BYTES)
+    insert = (
+        f"INSERT INTO {REQUEST_TABLE} (key, outcome, created_at)"
+        f" VALUES ('{literal}', '', now()) ON CONFLICT (key) DO NOTHING"
+    )
+    answer = await connection.query(insert, timeout_s)
+    raise_refusal(answer)
+    if answer.tag == "INSERT 0 1":
+        return Claim(True, "")
+    select = f"SELECT outcome FROM {REQUEST_TABLE} WHERE key = '{literal}'"
+    answer = await connection.query(select, timeout_s)
+    raise_refusal(answer)
+    if not answer.rows:
+        # It was cleaned up in between: neither a first request nor a known outcome.
+        reason = "the key expired during the request"
+        raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
+    return Claim(False, decode_text(answer.rows[0][0] or ""))
+
+
+async def record_outcome(
+    connection: UpstreamConnection, key: str, outcome: str, timeout_s: float
+) -> None:
+    """Record the outcome of a claimed key, before the transaction commits.
+
+    Args:
+        connection: The connection that claimed the key, in the same transaction.
+        key: The key.
+        outcome: What a repeat is told.
+        timeout_s: Seconds to wait.
+
+    Raises:
+        RequestError: UNSUPPORTED if the outcome is too long, UPSTREAM_LOST if the
+            upstream refuses; nothing was committed.
+        UpstreamLostError: If the upstream is lost.
+    """
+    literal = encode_text(key, MAXIMUM_KEY_BYTES)
+    value = encode_text(outcome, MAXIMUM_OUTCOME_BYTES)
+    update = f"UPDATE {REQUEST_TABLE} SET outcome = '{value}' WHERE key = '{literal}'"
+    answer = await connection.query(update, timeout_s)
+    raise_refusal(answer)
+    if answer.tag != "UPDATE 1":
+        raise RequestError(ErrorKind.UPSTREAM_LOST, "the claimed key is gone")
+
+
+async def remove_expired(
+    connection: UpstreamConnection, retention_s: float, timeout_s: float
+) -> int:
+    """Remove keys older than the retention, a bounded number at a time.
+
+    The age is taken by the database's clock alone.
+
+    Args:
+        connection: A connection of the primary outside of a transaction.
+        retention_s: Seconds for which a key is kept.
+        timeout_s: Seconds for each of the two steps.
+
+    Returns:
+        Number of keys removed; call again while it is `DELETED_ROWS`.
+
+    Raises:
+        RequestError: UNSUPPORTED or UPSTREAM_LOST if the upstream refuses.
+        UpstreamLostError: If the upstream is lost.
+    """
+    answer = await connection.query("SELECT now()", timeout_s)
+    raise_refusal(answer)
+    present = datetime.datetime.fromisoformat(answer.rows[0][0] or "")
+    limit = present - datetime.timedelta(seconds=retention_s)
+    delete = (
+        f"DELETE FROM {REQUEST_TABLE} WHERE key IN (SELECT key FROM {REQUEST_TABLE}"
+        f" WHERE created_at < '{limit.isoformat(sep=' ')}' LIMIT {DELETED_ROWS})"
+    )
+    answer = await connection.query(delete, timeout_s)
+    raise_refusal(answer)
+    return int(answer.tag.rpartition(" ")[2])
+
+
+def raise_refusal(answer: QueryAnswer) -> None:
+    """Raise the error that an upstream answered, if it did.
+
+    Args:
+        answer: The answer.
+
+    Raises:
+        RequestError: UNSUPPORTED if a repeat can't help, else UPSTREAM_LOST.
+    """
+    if answer.error is None:
+        return
+    sqlstate = answer.error.get("C", "")
+    is_lasting = sqlstate in LASTING_FAULTS
+    kind = ErrorKind.UNSUPPORTED if is_lasting else ErrorKind.UPSTREAM_LOST
+    reason = f"{REQUEST_TABLE}: {sqlstate} {answer.error.get('M', '')}"
+    raise RequestError(kind, reason)
