Add the stand-in platform, fault control and entry point

The platform's stand-in answers Consul's calls for keys, sessions and nodes with blocking queries, counts each call by kind and loses, delays or ages answers on request.

--- /dev/null
+++ b/ebonyrack/scripts/standin.py
@@ -0,0 +1,206 @@
+"""Entry point of the stand-ins: the platform, one upstream, or a whole group."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.address import parse_address
+from ebonyrack.standins.control import FaultControl
+from ebonyrack.standins.group import FIRST_TERM
+from ebonyrack.standins.group import StandinGroup
+from ebonyrack.standins.options import UpstreamOptions
+from ebonyrack.standins.platform import StandinPlatform
+from ebonyrack.standins.upstream import StandinUpstream
+
+USAGE_ERROR = 2
+ROLES = ("primary", "replica", "none")
+
+
+def read_address_argument(text: str) -> Address:
+    """Read an address for argparse."""
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(str(error)) from None
+
+
+def read_peer_argument(text: str) -> tuple[str, Address]:
+    """Read `name=IP:port` for argparse."""
+    name, equals, address = text.partition("=")
+    if not (name and equals):
+        raise argparse.ArgumentTypeError(f"expected name=IP:port, found {text!r}")
+    return name, read_address_argument(address)
+
+
+def read_positive(text: str) -> float:
+    """Read a number of at least 0 for argparse."""
+    try:
+        value = float(text)
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"not a number: {text!r}") from None
+    if value < 0:
+        raise argparse.ArgumentTypeError(f"must be at least 0: {text!r}")
+    return value
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="ebonyrack-standin", description=__doc__)
+    commands = parser.add_subparsers(dest="command", required=True)
+    platform = commands.add_parser("platform", help="key-value service and VM list")
+    add_listen(platform)
+    upstream = commands.add_parser("upstream", help="one upstream of a group")
+    add_listen(upstream)
+    upstream.add_argument("--name", required=True)
+    upstream.add_argument("--initial-role", choices=ROLES, default="none")
+    upstream.add_argument(
+        "--peers",
+        nargs="*",
+        default=[],
+        type=read_peer_argument,
+        metavar="NAME=IP:PORT",
+        help="the other upstreams; an initial replica follows the first of them",
+    )
+    add_options(upstream)
+    group = commands.add_parser("group", help="a whole group in one process")
+    group.add_argument(
+        "--listen",
+        nargs="+",
+        required=True,
+        type=read_address_argument,
+        metavar="IP:PORT",
+        help="address of each upstream; the first starts as primary",
+    )
+    group.add_argument("--name-prefix", default="up")
+    group.add_argument(
+        "--control",
+        type=read_address_argument,
+        metavar="IP:PORT",
+        help="address of the HTTP interface for faults",
+    )
+    add_options(group)
+    return parser
+
+
+def add_listen(parser: argparse.ArgumentParser) -> None:
+    """Add the address to listen on."""
+    parser.add_argument(
+        "--listen", required=True, type=read_address_argument, metavar="IP:PORT"
+    )
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Add sizes and delays of an upstream."""
+    defaults = UpstreamOptions()
+    parser.add_argument(
+        "--connection-limit", type=int, default=defaults.connection_limit
+    )
+    parser.add_argument("--slots", type=int, default=defaults.slots)
+    for name in (
+        "connection-cost-s",
+        "statement-cost-s",
+        "receive-delay-s",
+        "apply-delay-s",
+        "link-delay-s",
+    ):
+        default = getattr(defaults, name.replace("-", "_"))
+        parser.add_argument(f"--{name}", type=read_positive, default=default)
+
+
+def build_options(arguments: argparse.Namespace) -> UpstreamOptions:
+    """Build the sizes and delays from the command line."""
+    return UpstreamOptions(
+        connection_limit=arguments.connection_limit,
+        slots=arguments.slots,
+        connection_cost_s=arguments.connection_cost_s,
+        statement_cost_s=arguments.statement_cost_s,
+        receive_delay_s=arguments.receive_delay_s,
+        apply_delay_s=arguments.apply_delay_s,
+        link_delay_s=arguments.link_delay_s,
+    )
+
+
+async def run_platform(arguments: argparse.Namespace, stack: AsyncExitStack) -> str:
+    """Start the platform and return where it listens."""
+    platform = await stack.enter_async_context(StandinPlatform(arguments.listen))
+    return str(platform.address)
+
+
+async def run_upstream(arguments: argparse.Namespace, stack: AsyncExitStack) -> str:
+    """Start one upstream in its first role and return where it listens."""
+    upstream = StandinUpstream(
+        arguments.name, build_options(arguments), arguments.listen
+    )
+    await stack.enter_async_context(upstream)
+    upstream.peer_names = {address: name for name, address in arguments.peers}
+    if arguments.initial_role == "primary":
+        await upstream.fence(FIRST_TERM)
+        await upstream.promote(FIRST_TERM)
+    elif arguments.initial_role == "replica":
+        _, primary = arguments.peers[0]
+        await upstream.follow(FIRST_TERM, primary)
+    return str(upstream.address)
+
+
+async def run_group(arguments: argparse.Namespace, stack: AsyncExitStack) -> str:
+    """Start a group in this process and return where its upstreams listen."""
+    group = StandinGroup(
+        len(arguments.listen),
+        build_options(arguments),
+        tuple(arguments.listen),
+        name_prefix=arguments.name_prefix,
+    )
+    await stack.enter_async_context(group)
+    places = [f"{spec.name}={spec.address}" for spec in group.specs()]
+    if arguments.control is not None:
+        control = FaultControl(group, arguments.control)
+        await stack.enter_async_context(control)
+        places.append(f"control={control.address}")
+    return " ".join(places)
+
+
+COMMANDS = {"platform": run_platform, "upstream": run_upstream, "group": run_group}
+
+
+async def run(arguments: argparse.Namespace) -> None:
+    """Start what the command line asks for and wait for SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    async with AsyncExitStack() as stack:
+        place = await COMMANDS[arguments.command](arguments, stack)
+        print(f"listening on {place}", flush=True)
+        await stopped.wait()
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command line.
+
+    Args:
+        argv: Arguments without the program's name; those of the process if None.
+
+    Returns:
+        Exit status.
+    """
+    parser = build_parser()
+    arguments = parser.parse_args(argv)
+    if arguments.command == "upstream":
+        if arguments.initial_role == "replica" and not arguments.peers:
+            parser.error("an initial replica needs --peers with the primary first")
+    try:
+        asyncio.run(run(arguments))
+    except OSError as error:
+        print(f"ebonyrack-standin: {error}", file=sys.stderr)
+        return USAGE_ERROR
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ebonyrack/scripts/standin_test.py
@@ -0,0 +1,27 @@
+import pytest
+
+from ebonyrack.scripts.standin import main
+
+
+@pytest.mark.parametrize(
+    "arguments, reason",
+    [
+        (["platform", "--listen", "localhost:1"], "not an IP number"),
+        (["upstream", "--listen", "127.0.0.1:0"], "--name"),
+        (
+            ["upstream", "--listen", "127.0.0.1:0", "--name", "a"]
+            + ["--initial-role", "replica"],
+            "needs --peers",
+        ),
+        (["group", "--listen", "127.0.0.1:0", "--slots", "x"], "invalid int"),
+        (
+            ["group", "--listen", "127.0.0.1:0", "--apply-delay-s", "-1"],
+            "at least 0",
+        ),
+    ],
+)
+def test_bad_arguments_are_named(arguments, reason, capsys):
+    with pytest.raises(SystemExit) as stopped:
+        main(arguments)
+    assert stopped.value.code == 2
+    assert reason in capsys.readouterr().err
--- a/ebonyrack/standins/group_test.py
+++ b/ebonyrack/standins/group_test.py
@@ -1,10 +1,13 @@
 import asyncio
 
+import aiohttp
 import asyncpg
 import psycopg
 import pytest
 
+from ebonyrack.core.address import Address
 from ebonyrack.core.position import LogPosition
+from ebonyrack.standins.control import FaultControl
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.standins.options import UpstreamOptions
 from ebonyrack.standins.upstream import StandinUpstream
@@ -356,3 +359,21 @@
         group.thaw("up-1")
         while group["up-2"].read_status().silence_s >= 0.2:
             await asyncio.sleep(0.01)
+
+
+async def test_fault_control_kills_and_reports():
+    async with StandinGroup() as group:
+        control = FaultControl(group, Address("127.0.0.1", 0))
+        async with control, aiohttp.ClientSession() as session:
+            url = f"http://{control.address}"
+            async with session.put(f"{url}/fault/kill", json={"name": "up-1"}) as reply:
+                assert reply.status == 200
+            async with session.put(f"{url}/fault/burn", json={}) as reply:
+                assert reply.status == 400
+            body = {"name": "up-2", "apply_delay_s": 0.5}
+            async with session.put(f"{url}/fault/options", json=body) as reply:
+                assert reply.status == 200
+            assert group["up-2"].options.apply_delay_s == 0.5
+            assert group["up-3"].options.apply_delay_s == 0.0
+            async with session.get(f"{url}/status") as reply:
+                assert not (await reply.json())["up-1"]["is_running"]
--- /dev/null
+++ b/ebonyrack/standins/key_value.py
@@ -0,0 +1,231 @@
+"""State of the stand-in for the platform's key-value service."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from dataclasses import dataclass
+
+from ebonyrack.core.clock import now_s
+
+MAXIMUM_VALUE_BYTES = 1024 * 1024
+DELETE_BEHAVIOUR = "delete"
+
+
+@dataclass(slots=True)
+class KeyValueEntry:
+    """One key.
+
+    Attributes:
+        value: Its value.
+        create_index: Index of the change that created it.
+        modify_index: Index of its last change.
+        lock_index: How often a session acquired it.
+        flags: Number that a client may set.
+        session: Session that holds it, or an empty string.
+        previous: Entry before the last change, for stale reads.
+    """
+
+    value: bytes
+    create_index: int
+    modify_index: int
+    lock_index: int = 0
+    flags: int = 0
+    session: str = ""
+    previous: KeyValueEntry | None = None
+
+
+@dataclass(slots=True)
+class LeaseSession:
+    """A session that holds keys until it is destroyed or its time is over.
+
+    Attributes:
+        ttl_s: Time to live in seconds, 0 for no limit.
+        behaviour: `release` or `delete`: what happens to its keys at its end.
+        lock_delay_s: Time for which its keys can't be acquired after it lapsed.
+        name: Name given by the client.
+        expires_s: Monotonic time at which it lapses.
+    """
+
+    ttl_s: float
+    behaviour: str
+    lock_delay_s: float
+    name: str
+    expires_s: float
+
+
+@dataclass(slots=True)
+class Node:
+    """A VM in the platform's list."""
+
+    name: str
+    address: str
+    data_centre: str
+    state: str = "live"
+
+
+class KeyValueState:
+    """Keys, sessions and VM list, each change with the next index.
+
+    Attributes:
+        index: Index of the last change.
+        entries: Present keys.
+        deleted: Index of the deletion of keys that are gone.
+        sessions: Sessions by id.
+        blocked_until_s: Time until which a key can't be acquired.
+        nodes: VM list.
+        nodes_index: Index of the last change of the VM list.
+        changed: Set and replaced at each change.
+    """
+
+    __slots__ = (
+        "index",
+        "entries",
+        "deleted",
+        "sessions",
+        "blocked_until_s",
+        "nodes",
+        "nodes_index",
+        "changed",
+    )
+
+    def __init__(self) -> None:
+        self.index = 1
+        self.entries: dict[str, KeyValueEntry] = {}
+        self.deleted: dict[str, int] = {}
+        self.sessions: dict[str, LeaseSession] = {}
+        self.blocked_until_s: dict[str, float] = {}
+        self.nodes: list[Node] = []
+        self.nodes_index = 1
+        self.changed = asyncio.Event()
+
+    def advance(self) -> int:
+        """Take the next index and wake every blocking query."""
+        self.index += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.index
+
+    def key_index(self, key: str) -> int:
+        """Return the index that a blocking query on a key compares."""
+        entry = self.entries.get(key)
+        if entry is not None:
+            return entry.modify_index
+        return self.deleted.get(key, 1)
+
+    def put(self, key: str, value: bytes, cas: int | None, flags: int) -> bool:
+        """Set a key, if its index is still the one given.
+
+        Args:
+            key: The key.
+            value: New value.
+            cas: Expected modify index, 0 for a new key, None for any.
+            flags: Number that a client may set.
+
+        Returns:
+            Whether it was set.
+        """
+        old = self.entries.get(key)
+        if cas is not None and cas != (old.modify_index if old else 0):
+            return False
+        index = self.advance()
+        self.entries[key] = build_next(old, value, index, flags)
+        return True
+
+    def acquire(self, key: str, value: bytes, session_id: str, flags: int) -> bool:
+        """Set a key and hold it for a session, unless another holds it.
+
+        Raises:
+            KeyError: If there is no such session.
+        """
+        if session_id not in self.sessions:
+            raise KeyError(session_id)
+        old = self.entries.get(key)
+        if old is not None and old.session not in ("", session_id):
+            return False
+        if self.blocked_until_s.get(key, 0.0) > now_s():
+            return False
+        index = self.advance()
+        entry = build_next(old, value, index, flags)
+        entry.lock_index += not (old is not None and old.session == session_id)
+        entry.session = session_id
+        self.entries[key] = entry
+        return True
+
+    def release(self, key: str, value: bytes, session_id: str, flags: int) -> bool:
+        """Set a key and let it go, if the session holds it."""
+        old = self.entries.get(key)
+        if old is None or old.session != session_id:
+            return False
+        index = self.advance()
+        entry = build_next(old, value, index, flags)
+        entry.session = ""
+        self.entries[key] = entry
+        return True
+
+    def delete(self, key: str, cas: int | None) -> bool:
+        """Delete a key, if its index is still the one given."""
+        old = self.entries.get(key)
+        if cas is not None and cas != (old.modify_index if old else 0):
+            return False
+        if old is not None:
+            del self.entries[key]
+            self.deleted[key] = self.advance()
+        return True
+
+    def create_session(
+        self, ttl_s: float, behaviour: str, lock_delay_s: float, name: str
+    ) -> str:
+        """Create a session and return its id."""
+        session_id = str(uuid.uuid4())
+        expires_s = now_s() + ttl_s if ttl_s else float("inf")
+        session = LeaseSession(ttl_s, behaviour, lock_delay_s, name, expires_s)
+        self.sessions[session_id] = session
+        self.advance()
+        return session_id
+
+    def renew_session(self, session_id: str) -> LeaseSession | None:
+        """Start a session's time to live again."""
+        session = self.sessions.get(session_id)
+        if session is not None and session.ttl_s:
+            session.expires_s = now_s() + session.ttl_s
+        return session
+
+    def destroy_session(self, session_id: str, lapsed: bool = False) -> None:
+        """End a session and let its keys go or delete them."""
+        session = self.sessions.pop(session_id, None)
+        if session is None:
+            return
+        self.advance()
+        held = [key for key, item in self.entries.items() if item.session == session_id]
+        for key in held:
+            if lapsed and session.lock_delay_s:
+                self.blocked_until_s[key] = now_s() + session.lock_delay_s
+            if session.behaviour == DELETE_BEHAVIOUR:
+                self.delete(key, None)
+            else:
+                self.release(key, self.entries[key].value, session_id, 0)
+
+    def expire_sessions(self) -> None:
+        """End every session whose time is over."""
+        present_s = now_s()
+        for session_id, session in list(self.sessions.items()):
+            if session.expires_s <= present_s:
+                self.destroy_session(session_id, lapsed=True)
+
+    def set_nodes(self, nodes: list[Node]) -> None:
+        """Replace the VM list."""
+        self.nodes = nodes
+        self.nodes_index = self.advance()
+
+
+def build_next(
+    old: KeyValueEntry | None, value: bytes, index: int, flags: int
+) -> KeyValueEntry:
+    """Build the entry that follows a change of its value."""
+    if old is None:
+        return KeyValueEntry(value, index, index, flags=flags)
+    old.previous = None
+    return KeyValueEntry(
+        value, old.create_index, index, old.lock_index, flags, old.session, old
+    )
--- /dev/null
+++ b/ebonyrack/standins/platform.py
@@ -0,0 +1,334 @@
+"""Stand-in for the platform: Consul-style key-value service and VM list by HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import re
+from collections import Counter
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any
+from typing import Self
+
+from aiohttp import web
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
+from ebonyrack.standins.key_value import MAXIMUM_VALUE_BYTES
+from ebonyrack.standins.key_value import KeyValueEntry
+from ebonyrack.standins.key_value import KeyValueState
+from ebonyrack.standins.key_value import Node
+
+DEFAULT_WAIT_S = 300.0
+MAXIMUM_WAIT_S = 600.0
+DEFAULT_LOCK_DELAY_S = 15.0
+EXPIRY_INTERVAL_S = 0.05
+SHUTDOWN_TIMEOUT_S = 0.05
+DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s|m|h)?$")
+UNIT_S = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, None: 1.0}
+FAULT_NAMES = ("is_down", "delay_s", "lose_answers", "stale_reads")
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclass(slots=True)
+class BlockingQuery:
+    """A query that waits until an index is passed."""
+
+    index: int
+    wait_s: float
+
+
+def parse_duration(text: str) -> float:
+    """Read a duration such as `10s`, in seconds.
+
+    Raises:
+        ValueError: If the text has another form.
+    """
+    match = DURATION.match(text.strip())
+    if match is None:
+        raise ValueError(f"not a duration: {text!r}")
+    return float(match.group(1)) * UNIT_S[match.group(2)]
+
+
+class StandinPlatform:
+    """The platform's HTTP service, with faults. Its state outlasts stop and start.
+
+    Attributes:
+        address: Where it listens; port 0 is replaced at the first start.
+        state: Keys, sessions and VM list.
+        calls: Number of calls by kind; a waiting watch counts as one.
+        is_down: Whether every call's connection breaks off without effect.
+        delay_s: Delay before each call takes effect, in seconds.
+        lose_answers: How many changes yet take effect with their answer lost.
+        stale_reads: How many reads yet answer the value before the last change.
+    """
+
+    __slots__ = (
+        "address",
+        "state",
+        "calls",
+        "is_down",
+        "delay_s",
+        "lose_answers",
+        "stale_reads",
+        "runner",
+        "expiry_task",
+    )
+
+    def __init__(self, address: Address | None = None) -> None:
+        self.address = address or Address("127.0.0.1", 0)
+        self.state = KeyValueState()
+        self.calls: Counter[str] = Counter()
+        self.is_down = False
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.stale_reads = 0
+        self.runner: web.AppRunner | None = None
+        self.expiry_task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.stop()
+
+    async def start(self) -> None:
+        """Listen."""
+        self.runner = web.AppRunner(
+            self.build_application(),
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, self.address.host, self.address.port)
+        await site.start()
+        self.address = Address(self.address.host, self.runner.addresses[0][1])
+        self.expiry_task = asyncio.create_task(self.expire())
+
+    async def stop(self) -> None:
+        """Refuse connections and break off those that are open."""
+        runner, self.runner = self.runner, None
+        task, self.expiry_task = self.expiry_task, None
+        if task is not None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        if runner is not None:
+            await runner.cleanup()
+
+    async def expire(self) -> None:
+        """End sessions whose time is over, again and again."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            self.state.expire_sessions()
+
+    def build_application(self) -> web.Application:
+        """Build the table of paths."""
+        application = web.Application(
+            client_max_size=MAXIMUM_VALUE_BYTES, middlewares=[self.inject_faults]
+        )
+        application.add_routes(
+            [
+                web.get("/v1/kv/{key:.+}", self.get_key),
+                web.put("/v1/kv/{key:.+}", self.put_key),
+                web.delete("/v1/kv/{key:.+}", self.delete_key),
+                web.put("/v1/session/create", self.create_session),
+                web.put("/v1/session/renew/{id}", self.renew_session),
+                web.put("/v1/session/destroy/{id}", self.destroy_session),
+                web.get("/v1/catalog/nodes", self.list_nodes),
+                web.put("/standin/nodes", self.set_nodes),
+                web.put("/standin/faults", self.set_faults),
+                web.get("/standin/calls", self.list_calls),
+            ]
+        )
+        return application
+
+    @web.middleware
+    async def inject_faults(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Count a call and apply the faults to it."""
+        if request.path.startswith("/standin/"):
+            return await handler(request)
+        self.calls[name_call(request)] += 1
+        if self.is_down:
+            return break_off(request)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        response = await handler(request)
+        if self.is_down:
+            return break_off(request)
+        if request.method != "GET" and self.lose_answers:
+            self.lose_answers -= 1
+            return break_off(request)
+        return response
+
+    async def wait_for_change(
+        self, request: web.Request, read_index: Callable[[], int]
+    ) -> None:
+        """Hold a blocking query until its index is passed or its wait is over."""
+        query = read_blocking(request)
+        deadline_s = now_s() + query.wait_s
+        while query.index and read_index() <= query.index and not self.is_down:
+            try:
+                async with asyncio.timeout(deadline_s - now_s()):
+                    await self.state.changed.wait()
+            except TimeoutError:
+                return
+
+    async def get_key(self, request: web.Request) -> web.Response:
+        """Answer a key, or 404, both with its index."""
+        key = request.match_info["key"]
+        await self.wait_for_change(request, lambda: self.state.key_index(key))
+        entry = self.state.entries.get(key)
+        index = self.state.key_index(key)
+        if self.stale_reads and entry is not None:
+            self.stale_reads -= 1
+            entry = entry.previous
+            index = entry.modify_index if entry else 1
+        headers = {"X-Consul-Index": str(index)}
+        if entry is None:
+            return web.Response(status=404, headers=headers)
+        return web.json_response([describe_entry(key, entry)], headers=headers)
+
+    async def put_key(self, request: web.Request) -> web.Response:
+        """Set a key, by itself or by compare-and-swap, acquire or release."""
+        key, query = request.match_info["key"], request.query
+        value = await request.read()
+        flags = int(query.get("flags", "0"))
+        if "acquire" in query:
+            try:
+                done = self.state.acquire(key, value, query["acquire"], flags)
+            except KeyError:
+                return web.Response(status=500, text="invalid session")
+        elif "release" in query:
+            done = self.state.release(key, value, query["release"], flags)
+        else:
+            cas = int(query["cas"]) if "cas" in query else None
+            done = self.state.put(key, value, cas, flags)
+        return answer_bool(done)
+
+    async def delete_key(self, request: web.Request) -> web.Response:
+        """Delete a key."""
+        cas = int(request.query["cas"]) if "cas" in request.query else None
+        return answer_bool(self.state.delete(request.match_info["key"], cas))
+
+    async def create_session(self, request: web.Request) -> web.Response:
+        """Create a session."""
+        body: dict[str, Any] = await request.json() if request.can_read_body else {}
+        session_id = self.state.create_session(
+            parse_duration(str(body.get("TTL") or "0s")),
+            str(body.get("Behavior") or "release"),
+            parse_duration(str(body.get("LockDelay", DEFAULT_LOCK_DELAY_S))),
+            str(body.get("Name", "")),
+        )
+        return web.json_response({"ID": session_id})
+
+    async def renew_session(self, request: web.Request) -> web.Response:
+        """Start a session's time to live again."""
+        session_id = request.match_info["id"]
+        session = self.state.renew_session(session_id)
+        if session is None:
+            return web.Response(status=404, text="session not found")
+        return web.json_response([{"ID": session_id, "TTL": f"{session.ttl_s}s"}])
+
+    async def destroy_session(self, request: web.Request) -> web.Response:
+        """End a session."""
+        self.state.destroy_session(request.match_info["id"])
+        return answer_bool(True)
+
+    async def list_nodes(self, request: web.Request) -> web.Response:
+        """Answer the VM list."""
+        await self.wait_for_change(request, lambda: self.state.nodes_index)
+        nodes = [
+            {
+                "Node": node.name,
+                "Address": node.address,
+                "Datacenter": node.data_centre,
+                "Meta": {"state": node.state},
+            }
+            for node in self.state.nodes
+        ]
+        headers = {"X-Consul-Index": str(self.state.nodes_index)}
+        return web.json_response(nodes, headers=headers)
+
+    async def set_nodes(self, request: web.Request) -> web.Response:
+        """Replace the VM list; only the stand-in has this."""
+        nodes = [Node(**item) for item in await request.json()]
+        self.state.set_nodes(nodes)
+        return answer_bool(True)
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Set faults; only the stand-in has this."""
+        for name, value in (await request.json()).items():
+            if name not in FAULT_NAMES:
+                return web.Response(status=400, text=f"no fault {name!r}")
+            setattr(self, name, value)
+        self.state.changed.set()
+        self.state.changed = asyncio.Event()
+        return answer_bool(True)
+
+    async def list_calls(self, request: web.Request) -> web.Response:
+        """Answer the number of calls by kind; only the stand-in has this."""
+        return web.json_response(dict(self.calls))
+
+
+def name_call(request: web.Request) -> str:
+    """Return the kind under which a call is counted."""
+    if request.method == "GET":
+        is_watch = request.query.get("index", "0") != "0"
+        kind = "nodes" if request.path.startswith("/v1/catalog") else "get"
+        return f"watch_{kind}" if is_watch else kind
+    if request.path.startswith("/v1/session/"):
+        return "session_" + request.path.split("/")[3]
+    for name in ("acquire", "release", "cas"):
+        if name in request.query:
+            return name
+    return request.method.lower()
+
+
+def read_blocking(request: web.Request) -> BlockingQuery:
+    """Read the index and the wait of a blocking query."""
+    index = int(request.query.get("index", "0"))
+    wait = request.query.get("wait")
+    wait_s = parse_duration(wait) if wait else DEFAULT_WAIT_S
+    return BlockingQuery(index, min(wait_s, MAXIMUM_WAIT_S))
+
+
+def describe_entry(key: str, entry: KeyValueEntry) -> dict[str, object]:
+    """Build the JSON form of a key."""
+    described: dict[str, object] = {
+        "Key": key,
+        "Value": base64.b64encode(entry.value).decode(),
+        "CreateIndex": entry.create_index,
+        "ModifyIndex": entry.modify_index,
+        "LockIndex": entry.lock_index,
+        "Flags": entry.flags,
+    }
+    if entry.session:
+        described["Session"] = entry.session
+    return described
+
+
+def answer_bool(value: bool) -> web.Response:
+    """Answer `true` or `false` as the service does."""
+    return web.Response(
+        text="true" if value else "false", content_type="application/json"
+    )
+
+
+def break_off(request: web.Request) -> web.Response:
+    """Close a call's connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
