Put the proxy together: groups of the document, shares, drain, status

Cause: the parts exist and no process runs them. Change: Proxy owns the store, the hub, the watch, the group table and the listener; a caller is let in only once a document is in force, so that the balancer sends none to a proxy without one.

--- /dev/null
+++ b/ebonyrack/service/group_table.py
@@ -0,0 +1,143 @@
+"""The database groups of the document in force, each with its coordinator."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ebonyrack.failover.coordinator import Coordinator
+from ebonyrack.routing.read_index import ReadIndex
+from ebonyrack.service.shares import compute_share
+from ebonyrack.upstreams.group import DatabaseGroup
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ebonyrack.config.sections import GroupSection
+    from ebonyrack.config.watch import ConfigurationWatch
+    from ebonyrack.failover.terms import TermSource
+    from ebonyrack.peers.hub import PeerHub
+    from ebonyrack.service.services import Services
+
+
+class GroupTable:
+    """Starts, changes and stops groups as the document says: a context manager.
+
+    Attributes:
+        services: Where the groups and read indexes are put for the sessions.
+        terms: Source of terms for the coordinators.
+        hub: Links to the other proxies.
+        watch: Knows which VMs are leaving.
+        coordinators: Coordinator of each group, by the group's name.
+        changed: Set when the document, the members or the VM list changed.
+    """
+
+    def __init__(
+        self,
+        services: Services,
+        terms: TermSource,
+        hub: PeerHub,
+        watch: ConfigurationWatch,
+    ) -> None:
+        self.services = services
+        self.terms = terms
+        self.hub = hub
+        self.watch = watch
+        self.coordinators: dict[str, Coordinator] = {}
+        self.stacks: dict[str, AsyncExitStack] = {}
+        self.changed = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> GroupTable:
+        self.services.configuration.subscribe(lambda document: self.changed.set())
+        self.services.membership.subscribe(lambda member: self.changed.set())
+        self.watch.subscribe(self.changed.set)
+        self.changed.set()
+        self.task = asyncio.create_task(self.follow_changes())
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        await asyncio.gather(*(self.stop_group(name) for name in tuple(self.stacks)))
+
+    async def follow_changes(self) -> None:
+        """Bring the groups up to date after each change."""
+        while True:
+            await self.changed.wait()
+            self.changed.clear()
+            await self.update_groups()
+
+    async def update_groups(self) -> None:
+        """Make the running groups those of the document in force."""
+        document = self.services.configuration.document
+        for name in tuple(self.stacks):
+            if name not in document.groups:
+                await self.stop_group(name)
+        for name, section in document.groups.items():
+            if name not in self.stacks:
+                await self.start_group(name, section)
+            self.update_group(name, section)
+
+    def update_group(self, name: str, section: GroupSection) -> None:
+        """Give a group its section, its share and its leaving upstreams.
+
+        Args:
+            name: Name of the group.
+            section: Its section of the document in force.
+        """
+        group = self.services.groups[name]
+        if group.section is not section:
+            group.reconfigure(section)
+        live_proxies = len(self.services.membership.live_members())
+        share = compute_share(section, live_proxies)
+        if group.connection_limit != share:
+            logger.bind(group=name, share=share, live_proxies=live_proxies).info(
+                "connection_share_changed"
+            )
+            group.set_connection_limit(share)
+        leaving_vms = self.watch.vm_list.leaving
+        for upstream in section.upstreams:
+            is_leaving = (
+                upstream.name in leaving_vms or upstream.name in section.leaving
+            )
+            group.mark_leaving(upstream.name, is_leaving)
+
+    async def start_group(self, name: str, section: GroupSection) -> None:
+        """Start a group and its coordinator.
+
+        Args:
+            name: Name of the group.
+            section: Its section of the document in force.
+        """
+        live_proxies = len(self.services.membership.live_members())
+        group = DatabaseGroup(name, section, compute_share(section, live_proxies))
+        coordinator = Coordinator(group, self.terms, self.hub, self.services.membership)
+        stack = AsyncExitStack()
+        await stack.enter_async_context(group)
+        await stack.enter_async_context(coordinator)
+        self.stacks[name] = stack
+        self.coordinators[name] = coordinator
+        read_index = await stack.enter_async_context(ReadIndex(group))
+        self.services.read_indexes[name] = read_index
+        self.services.groups[name] = group
+
+    async def stop_group(self, name: str) -> None:
+        """Stop a group that the document names no more.
+
+        Args:
+            name: Name of the group.
+        """
+        self.services.groups.pop(name, None)
+        self.services.read_indexes.pop(name, None)
+        self.coordinators.pop(name, None)
+        await self.stacks.pop(name).aclose()
--- /dev/null
+++ b/ebonyrack/service/operator_desk.py
@@ -0,0 +1,139 @@
+"""Answers operators' questions and orders that reach this proxy."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from ebonyrack.peers.messages import CommandReply
+from ebonyrack.peers.messages import DrainRequest
+from ebonyrack.peers.messages import StatusReply
+from ebonyrack.peers.messages import StatusRequest
+from ebonyrack.peers.messages import SwitchoverRequest
+
+if TYPE_CHECKING:
+    from ebonyrack.peers.link import PeerLink
+    from ebonyrack.service.proxy import Proxy
+    from ebonyrack.upstreams.group import DatabaseGroup
+    from ebonyrack.upstreams.upstream import Upstream
+
+
+class OperatorDesk:
+    """Handles the operators' messages of one proxy.
+
+    Attributes:
+        proxy: The proxy.
+    """
+
+    __slots__ = ("proxy",)
+
+    def __init__(self, proxy: Proxy) -> None:
+        self.proxy = proxy
+        proxy.hub.handle(StatusRequest, self.answer_status)
+        proxy.hub.handle(DrainRequest, self.start_drain)
+        proxy.hub.handle(SwitchoverRequest, self.switch_over)
+
+    async def answer_status(
+        self, link: PeerLink, message: StatusRequest
+    ) -> StatusReply:
+        """Report the state of the proxy.
+
+        Args:
+            link: Link of the operator.
+            message: The question.
+
+        Returns:
+            The state.
+        """
+        proxy = self.proxy
+        return StatusReply(
+            proxy=proxy.settings.proxy.name,
+            revision=proxy.configuration.revision,
+            is_cut_off=proxy.watch.is_cut_off,
+            members=proxy.hub.membership.all_members(),
+            groups={
+                name: describe_group(group)
+                for name, group in proxy.services.groups.items()
+            },
+            sessions=self.list_sessions() if message.include_sessions else [],
+        )
+
+    def list_sessions(self) -> list[dict[str, Any]]:
+        """List the callers' sessions."""
+        return [session.describe() for session in self.proxy.listener.sessions.values()]
+
+    async def start_drain(self, link: PeerLink, message: DrainRequest) -> CommandReply:
+        """Start the graceful shutdown of this proxy.
+
+        Args:
+            link: Link of the operator.
+            message: The order.
+
+        Returns:
+            The outcome.
+        """
+        self.proxy.drain.request(f"operator {link.member.name}")
+        return CommandReply(True, "draining")
+
+    async def switch_over(
+        self, link: PeerLink, message: SwitchoverRequest
+    ) -> CommandReply:
+        """Move the primary of a group.
+
+        Args:
+            link: Link of the operator.
+            message: The order.
+
+        Returns:
+            The outcome.
+        """
+        coordinator = self.proxy.group_table.coordinators.get(message.group)
+        if coordinator is None:
+            return CommandReply(False, f"no group {message.group!r}")
+        outcome = await coordinator.switch_over(message.to or None)
+        return CommandReply(outcome.succeeded, outcome.text)
+
+
+def describe_group(group: DatabaseGroup) -> dict[str, Any]:
+    """Describe what this proxy knows of a group.
+
+    Args:
+        group: The group.
+
+    Returns:
+        Field to value, as the status message carries it.
+    """
+    return {
+        "term": group.term,
+        "primary": group.primary_name or "",
+        "is_coordinator": group.is_coordinator,
+        "connection_share": group.connection_limit,
+        "upstreams": {
+            name: describe_upstream(upstream)
+            for name, upstream in group.upstreams.items()
+        },
+    }
+
+
+def describe_upstream(upstream: Upstream) -> dict[str, Any]:
+    """Describe what this proxy knows of an upstream.
+
+    Args:
+        upstream: The upstream.
+
+    Returns:
+        Field to value, as the status message carries it.
+    """
+    status = upstream.status
+    return {
+        "address": str(upstream.spec.address),
+        "data_centre": upstream.spec.data_centre,
+        "state": upstream.state,
+        "role": status.role.value if status else "",
+        "received": str(status.received) if status else "",
+        "applied": str(status.applied) if status else "",
+        "busy": upstream.pool.busy_count,
+        "open": upstream.pool.open_count,
+        "waiting": upstream.pool.waiting_count,
+        "limit": upstream.pool.present_limit,
+    }
--- /dev/null
+++ b/ebonyrack/service/proxy.py
@@ -0,0 +1,138 @@
+"""The running proxy: owns all of its parts, from start to drained."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ebonyrack.callers.listener import CallerListener
+from ebonyrack.config.state import ConfigurationState
+from ebonyrack.config.watch import ConfigurationWatch
+from ebonyrack.failover.pre_vote import OpinionDesk
+from ebonyrack.failover.terms import TermSource
+from ebonyrack.peers.hub import PeerHub
+from ebonyrack.platform.store import Store
+from ebonyrack.service.drain import Drain
+from ebonyrack.service.group_table import GroupTable
+from ebonyrack.service.operator_desk import OperatorDesk
+from ebonyrack.service.services import Services
+from ebonyrack.service.services import derive_token_key
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ebonyrack.core.settings import Settings
+
+
+class Proxy:
+    """One proxy process: an async context manager that runs all parts.
+
+    Attributes:
+        settings: Settings of the process.
+        drain: Life cycle of the proxy.
+        configuration: The operators' document in force.
+        store: The platform's store.
+        hub: Links to the other proxies.
+        watch: Keeps the document and the VM list up to date.
+        terms: Source of terms for ballots.
+        services: What callers' sessions use.
+        group_table: The database groups.
+        listener: Takes callers' connections.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.drain = Drain()
+        self.configuration = ConfigurationState()
+        self.store = Store(settings.store)
+        self.hub = PeerHub(settings)
+        self.watch = ConfigurationWatch(
+            settings, self.configuration, self.store, self.hub
+        )
+        self.terms = TermSource()
+        self.services = Services(
+            settings=settings,
+            configuration=self.configuration,
+            membership=self.hub.membership,
+            drain=self.drain,
+            token_key=derive_token_key(settings.peers.secret),
+        )
+        self.group_table = GroupTable(self.services, self.terms, self.hub, self.watch)
+        self.listener = CallerListener(self.services)
+        self.opinions = OpinionDesk(self.hub, self.services.groups)
+        self.operators = OperatorDesk(self)
+        self.stack = AsyncExitStack()
+        self.term_task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Proxy:
+        await self.stack.enter_async_context(self.store)
+        await self.stack.enter_async_context(self.hub)
+        await self.stack.enter_async_context(self.watch)
+        await self.stack.enter_async_context(self.group_table)
+        self.term_task = asyncio.create_task(self.terms.reserve(self.store))
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self.term_task is not None:
+            self.term_task.cancel()
+            await asyncio.gather(self.term_task, return_exceptions=True)
+        await self.stack.aclose()
+
+    async def serve(self) -> int:
+        """Serve callers until a shutdown is asked for, then drain.
+
+        Returns:
+            The number of requests that the shutdown cut.
+        """
+        if not await self.wait_for_document():
+            return 0
+        async with self.listener:
+            self.drain.serve()
+            logger.bind(
+                address=str(self.settings.proxy.caller_address),
+                revision=self.configuration.revision,
+            ).info("proxy_serving")
+            await self.drain.requested.wait()
+            return await self.shut_down()
+
+    async def wait_for_document(self) -> bool:
+        """Wait until a document is in force.
+
+        No caller is let in before, so that the balancer sends none here.
+
+        Returns:
+            Whether there is one; False if a shutdown was asked for first.
+        """
+        in_force = asyncio.Event()
+        self.configuration.subscribe(lambda document: in_force.set())
+        if self.configuration.revision > 0:
+            return True
+        waits = [
+            asyncio.create_task(in_force.wait()),
+            asyncio.create_task(self.drain.requested.wait()),
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        return in_force.is_set()
+
+    async def shut_down(self) -> int:
+        """Finish what runs and take nothing new.
+
+        Returns:
+            The number of requests that were cut.
+        """
+        self.drain.begin()
+        await self.hub.announce_leaving()
+        cut_requests = await self.listener.drain(self.settings.proxy.drain_limit_s)
+        self.drain.finish()
+        logger.bind(cut_requests=cut_requests).info("proxy_drained")
+        return cut_requests
--- a/ebonyrack/service/services.py
+++ b/ebonyrack/service/services.py
@@ -9,12 +9,12 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ebonyrack.config.state import ConfigurationState  # type: ignore[import-not-found]
+    from ebonyrack.config.state import ConfigurationState
     from ebonyrack.core.settings import Settings
-    from ebonyrack.peers.membership import Membership  # type: ignore[import-not-found]
-    from ebonyrack.routing.read_index import ReadIndex  # type: ignore[import-not-found]
+    from ebonyrack.peers.membership import Membership
+    from ebonyrack.routing.read_index import ReadIndex
     from ebonyrack.service.drain import Drain
-    from ebonyrack.upstreams.group import DatabaseGroup  # type: ignore[import-not-found]
+    from ebonyrack.upstreams.group import DatabaseGroup
 
 
 @dataclass(slots=True)
