--- a/ebonyrack/callers/answers.py
+++ b/ebonyrack/callers/answers.py
@@ -11,6 +11,7 @@
 from pygwire.messages import ErrorResponse
 from pygwire.messages import FieldDescription
 from pygwire.messages import ParameterStatus
+from pygwire.messages import Query
 from pygwire.messages import ReadyForQuery
 from pygwire.messages import RowDescription
 
@@ -65,6 +66,18 @@
     return CommandComplete(tag=tag).to_wire()
 
 
+def build_query(sql: str) -> bytes:
+    """Build a simple query for an upstream.
+
+    Args:
+        sql: The statement.
+
+    Returns:
+        The frame.
+    """
+    return Query(query_string=sql).to_wire()
+
+
 def build_parameter(name: str, value: str) -> bytes:
     """Build a ParameterStatus.
 
--- a/ebonyrack/callers/exchange.py
+++ b/ebonyrack/callers/exchange.py
@@ -8,6 +8,9 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from ebonyrack.callers.answers import build_complete
+from ebonyrack.callers.prepared import HEADER_BYTES
+
 if TYPE_CHECKING:
     from ebonyrack.upstreams.connection import UpstreamConnection
 
@@ -29,13 +32,16 @@
         frame: The answer itself for LOCAL steps, else empty.
         prepares: Name under which the upstream knows a statement once the step
             has succeeded, or an empty string.
+        is_done: Whether the step has succeeded.
     """
 
     completion: Completion
     frame: bytes = b""
     prepares: str = ""
+    is_done: bool = False
 
 
+# Steps that prepare nothing can be shared: nobody asks whether they are done.
 RELAYED = Step(Completion.RELAY)
 SWALLOWED = Step(Completion.SWALLOW)
 
@@ -66,6 +72,16 @@
             The exchange.
         """
 
+    def build_replay(self, tags: list[str]) -> bytes:
+        """Build the answer without an upstream.
+
+        Args:
+            tags: Command tags, one for each command.
+
+        Returns:
+            The frames.
+        """
+
 
 @dataclass(frozen=True, slots=True)
 class SimpleRequest:
@@ -80,3 +96,12 @@
     def render(self, connection: UpstreamConnection) -> Exchange:
         """Build the exchange, the same for every connection."""
         return Exchange(self.raw)
+
+    def build_replay(self, tags: list[str]) -> bytes:
+        """Build the answer from command tags."""
+        return b"".join(build_complete(tag) for tag in tags)
+
+    @property
+    def text(self) -> str:
+        """Text of the query."""
+        return self.raw[HEADER_BYTES:-1].decode()
--- a/ebonyrack/callers/reading.py
+++ b/ebonyrack/callers/reading.py
@@ -113,7 +113,7 @@
     try:
         return await relay_read(session, request, placement)
     finally:
-        session.transaction.abandon("the read has ended")
+        session.transaction.abandon()
 
 
 async def relay_read(
--- a/ebonyrack/callers/relay.py
+++ b/ebonyrack/callers/relay.py
@@ -44,7 +44,7 @@
         is_held: Whether frames are kept back by now.
         error: ErrorResponse frame of the upstream, or None.
         completed: Commands that the upstream has completed.
-        last_complete: Last CommandComplete frame, or empty.
+        tags: Their command tags, kept only with `holds`.
     """
 
     __slots__ = (
@@ -57,7 +57,7 @@
         "is_held",
         "error",
         "completed",
-        "last_complete",
+        "tags",
     )
 
     def __init__(
@@ -76,18 +76,13 @@
         self.is_held = False
         self.error: bytes | None = None
         self.completed = 0
-        self.last_complete = b""
+        self.tags: list[str] = []
 
     @property
     def sqlstate(self) -> str:
         """SQLSTATE of the upstream's error, or an empty string."""
         return "" if self.error is None else read_sqlstate(self.error)
 
-    @property
-    def tag(self) -> str:
-        """Command tag of the last completed command."""
-        return self.last_complete[TAG_OFFSET:-1].decode("utf-8", "replace")
-
     async def run(self) -> None:
         """Relay up to ReadyForQuery, which is not passed on.
 
@@ -166,10 +161,12 @@
         kind = message.kind
         if kind in COMMAND_KINDS:
             self.completed += 1
-            self.last_complete = message.raw
-            self.is_held = self.is_held or self.holds
+            if self.holds:
+                self.is_held = True
+                self.tags.append(read_tag(message))
         if self.steps and kind in COMPLETING_KINDS:
             step = self.steps.popleft()
+            step.is_done = True
             if step.prepares:
                 self.connection.prepared[step.prepares] = step.prepares
             if step.completion is Completion.RELAY:
@@ -181,7 +178,9 @@
     def add_local_steps(self) -> None:
         """Add the answers that the proxy gives itself, in their places."""
         while self.steps and self.steps[0].completion is Completion.LOCAL:
-            self.output += self.steps.popleft().frame
+            step = self.steps.popleft()
+            step.is_done = True
+            self.output += step.frame
 
     def refuse_copy(self, message: Message) -> None:
         """End a COPY that was not recognised in time.
@@ -199,3 +198,17 @@
             return
         self.connection.close()
         raise UpstreamLostError("COPY is not supported over pooled connections")
+
+
+def read_tag(message: Message) -> str:
+    """Read the command tag of a message that completes a command.
+
+    Args:
+        message: CommandComplete, EmptyQueryResponse or PortalSuspended.
+
+    Returns:
+        The tag, empty unless it is a CommandComplete.
+    """
+    if message.kind != b"C":
+        return ""
+    return message.raw[TAG_OFFSET:-1].decode("utf-8", "replace")
--- a/ebonyrack/callers/session.py
+++ b/ebonyrack/callers/session.py
@@ -5,18 +5,16 @@
 import asyncio
 from enum import StrEnum
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from loguru import logger
 from pygwire.exceptions import PygwireError
 from pygwire.messages import Query
 
-from ebonyrack.callers.answers import EMPTY_QUERY_FRAME
-from ebonyrack.callers.answers import build_complete
 from ebonyrack.callers.answers import build_error
+from ebonyrack.callers.answers import build_query
 from ebonyrack.callers.answers import build_ready
-from ebonyrack.callers.answers import build_text_columns
-from ebonyrack.callers.answers import build_text_row
-from ebonyrack.callers.dispatch import dispatch
+from ebonyrack.callers.dispatch import run_simple
 from ebonyrack.callers.exchange import SimpleRequest
 from ebonyrack.callers.pipeline import Pipeline
 from ebonyrack.callers.statement import classify_statement
@@ -26,8 +24,12 @@
 from ebonyrack.core.errors import ERROR_ANSWERS
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.status import Role
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from ebonyrack.callers.startup import CallerIdentity
     from ebonyrack.callers.statement import Statement
     from ebonyrack.callers.stream import CallerStream
@@ -36,7 +38,11 @@
     from ebonyrack.service.services import Services
     from ebonyrack.upstreams.connection import Message
     from ebonyrack.upstreams.connection import UpstreamConnection
+    from ebonyrack.upstreams.connection import QueryAnswer
     from ebonyrack.upstreams.group import DatabaseGroup
+    from ebonyrack.upstreams.upstream import Upstream
+
+Result = TypeVar("Result")
 
 COPY_KINDS = frozenset({b"d", b"c", b"f"})
 PIPELINE_KINDS = frozenset({b"P", b"B", b"D", b"E", b"C", b"H", b"S"})
@@ -61,7 +67,9 @@
         number: Number of the session, which is its process id for the caller.
         secret_key: Secret that a cancel request must name.
         variables: Session variables.
-        transaction: The transaction and the connection that it holds.
+        transaction: The caller's transaction, if there is one.
+        upstream: Upstream whose connection the session holds, or None.
+        connection: That connection, or None.
         pipeline: Messages of the extended query protocol, once there were any.
         phase: What the session waits for.
         phase_since_s: Monotonic time at which the wait began.
@@ -78,6 +86,8 @@
         "secret_key",
         "variables",
         "transaction",
+        "upstream",
+        "connection",
         "pipeline",
         "phase",
         "phase_since_s",
@@ -101,6 +111,8 @@
         self.secret_key = secret_key
         self.variables = SessionVariables(identity.group, services.token_key)
         self.transaction = Transaction(self)
+        self.upstream: Upstream | None = None
+        self.connection: UpstreamConnection | None = None
         self.pipeline: Pipeline | None = None
         self.phase = Phase.IDLE
         self.phase_since_s = now_s()
@@ -151,7 +163,7 @@
         except RequestError as error:
             self.stream.write(build_error(error))
         finally:
-            self.transaction.abandon("the session ended")
+            self.transaction.abandon()
 
     async def read_request(self) -> Message | None:
         """Wait for the next frame of the caller.
@@ -187,6 +199,108 @@
         self.phase = Phase.WORKING
         return message
 
+    async def read_control_answer(self) -> QueryAnswer:
+        """Wait for the answer to a control query that was sent already.
+
+        Returns:
+            The answer.
+
+        Raises:
+            UpstreamLostError: If the connection has ended.
+        """
+        assert self.connection is not None
+        self.enter(Phase.UPSTREAM)
+        answer = await self.connection.read_answer()
+        self.phase = Phase.WORKING
+        return answer
+
+    async def wait_before_sending(
+        self, waiting: Awaitable[Result], deadline_s: float
+    ) -> Result:
+        """Wait for something that a request needs before anything is sent for it.
+
+        Args:
+            waiting: What to wait for.
+            deadline_s: Monotonic time at which the wait ends, in seconds.
+
+        Returns:
+            What the wait was for.
+
+        Raises:
+            RequestError: CANCELLED if the caller asked for it, WAIT_TOO_LONG if
+                the time is over.
+        """
+        try:
+            async with asyncio.timeout_at(deadline_s) as self.scope:
+                return await waiting
+        except TimeoutError:
+            if self.is_cancel_requested:
+                raise RequestError(ErrorKind.CANCELLED) from None
+            raise RequestError(ErrorKind.WAIT_TOO_LONG) from None
+        finally:
+            self.scope = None
+
+    def hold_connection(
+        self, upstream: Upstream, connection: UpstreamConnection
+    ) -> None:
+        """Keep a connection that was taken from a pool.
+
+        Args:
+            upstream: Its upstream.
+            connection: The connection.
+        """
+        self.upstream = upstream
+        self.connection = connection
+
+    def release_connection(self) -> None:
+        """Give the connection back to its pool, which closes it if it isn't clean."""
+        upstream, connection = self.upstream, self.connection
+        self.upstream = None
+        self.connection = None
+        if upstream is not None and connection is not None:
+            upstream.pool.release(connection)
+
+    def lose_upstream(self, error: UpstreamLostError, kind: ErrorKind) -> RequestError:
+        """Give up the connection held after the upstream was lost.
+
+        Args:
+            error: How it was lost.
+            kind: What that means for the request.
+
+        Returns:
+            The error to raise.
+        """
+        if self.upstream is not None:
+            self.group.report_lost(self.upstream.name, error.reason)
+        if self.connection is not None:
+            self.connection.close()
+        self.release_connection()
+        return RequestError(kind, error.reason)
+
+    def send_surely(self, data: bytes, question: str) -> None:
+        """Send a request together with the question for the commit's position.
+
+        Args:
+            data: Frames of the request.
+            question: The question.
+
+        Raises:
+            RequestError: UPSTREAM_LOST if nothing of it was sent.
+        """
+        assert self.connection is not None
+        try:
+            self.connection.send(data + build_query(question))
+        except UpstreamLostError as error:
+            raise self.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+
+    def note_served(self) -> None:
+        """Remember which upstream serves, for `SHOW ebonyrack.served_by`."""
+        upstream = self.upstream
+        if upstream is not None:
+            is_primary = upstream.name == self.group.primary_name
+            role = Role.PRIMARY if is_primary else Role.REPLICA
+            self.variables.served_by = f"{upstream.name} {role}"
+
     async def drain_caller(self) -> None:
         """Wait until the caller has taken most of its answer."""
         if self.stream.is_writing_paused:
@@ -250,7 +364,7 @@
         """
         self.is_cancel_requested = False
         try:
-            return await dispatch(self, statement, request)
+            return await run_simple(self, statement, request)
         except RequestError as error:
             self.fail(error)
             return False
@@ -267,7 +381,8 @@
         logger.bind(
             kind=error.kind, reason=error.reason, group=self.identity.group
         ).debug("request_failed")
-        self.transaction.fail(str(error))
+        if error.kind is not ErrorKind.TRANSACTION_FAILED:
+            self.transaction.fail()
         if ERROR_ANSWERS[error.kind].fatal:
             raise error
         self.stream.write(build_error(error))
@@ -275,25 +390,3 @@
     def write_ready(self) -> None:
         """Tell the caller that the next request may come."""
         self.stream.write(build_ready(self.transaction.status))
-
-    def answer_complete(self, tag: str) -> None:
-        """Answer a statement that the proxy served itself.
-
-        Args:
-            tag: Command tag.
-        """
-        self.stream.write(build_complete(tag))
-
-    def answer_value(self, name: str, value: str) -> None:
-        """Answer a SHOW.
-
-        Args:
-            name: Name of the variable.
-            value: Its value.
-        """
-        self.stream.write(build_text_columns((name,)) + build_text_row((value,)))
-        self.stream.write(build_complete("SHOW"))
-
-    def answer_empty(self) -> None:
-        """Answer an empty query."""
-        self.stream.write(EMPTY_QUERY_FRAME)
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ebonyrack.callers.answers import build_query
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import ask_last_commit
 from ebonyrack.callers.upstream_use import ask_position
@@ -15,6 +16,7 @@
 from ebonyrack.callers.upstream_use import run_control
 from ebonyrack.callers.upstream_use import take_primary
 from ebonyrack.callers.upstream_use import take_upstream
+from ebonyrack.callers.upstream_use import write_token
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
@@ -35,6 +37,7 @@
 ROLLBACK_TAG = "ROLLBACK"
 OWN_BEGIN = "BEGIN"
 OWN_COMMIT = "COMMIT"
+OWN_ROLLBACK = "ROLLBACK"
 
 
 class Transaction:
@@ -155,7 +158,7 @@
         assert connection is not None
         question = get_contract(session).build_last_commit()
         try:
-            session.send_control(question)
+            connection.send(build_query(question))
             position = await ask_last_commit(session, question)
         except UpstreamLostError as error:
             raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
@@ -191,6 +194,7 @@
         else:
             await take_primary(session)
         await run_control(session, self.begin_sql)
+        session.note_served()
         if self.key:
             await self.claim()
 
@@ -299,12 +303,13 @@
             position = await ask_last_commit(session, question)
         except UpstreamLostError as error:
             raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
-        has_committed = relay.error is None and relay.tag != ROLLBACK_TAG
+        has_committed = relay.error is None and relay.tags != [ROLLBACK_TAG]
         self.follow_status()
         if has_committed:
             await finish_write(session, connection, position)
         session.stream.write(relay.output)
-        session.write_token(position if has_committed else START)
+        if has_committed:
+            write_token(session)
         return relay.error is None
 
     async def commit_read(self, request: Request) -> bool:
@@ -362,23 +367,15 @@
             session.stream.write(request.build_replay([ROLLBACK_TAG]))
             return True
 
-    def fail(self, reason: str) -> None:
-        """Roll back after an error of the proxy.
-
-        Args:
-            reason: What happened, for the log.
-        """
+    def fail(self) -> None:
+        """Roll back after an error of the proxy."""
         if self.status == IDLE:
             return
-        self.abandon(reason)
+        self.abandon()
         self.status = FAILED
 
-    def abandon(self, reason: str) -> None:
-        """Give the connection back; a transaction open on it is cut off.
-
-        Args:
-            reason: What happened, for the log.
-        """
+    def abandon(self) -> None:
+        """Give the connection back; a transaction open on it is cut off."""
         connection = self.session.connection
         if connection is not None and not connection.is_clean:
             connection.close()
@@ -386,5 +383,5 @@
 
     def expire(self) -> None:
         """Roll back because the caller was idle for too long."""
-        self.fail("idle in transaction")
+        self.fail()
         self.failure = RequestError(ErrorKind.IDLE_IN_TRANSACTION)
--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.answers import build_parameter
+from ebonyrack.callers.answers import build_query
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import ask_last_commit
 from ebonyrack.callers.upstream_use import confirm_replay
@@ -25,6 +26,7 @@
     from ebonyrack.callers.session import CallerSession
 
 IDLE = "I"
+OPEN = "T"
 READ_ONLY_SQLSTATE = "25006"
 TAG_SEPARATOR = "\n"
 
@@ -51,7 +53,7 @@
         return await relay_write(session, request)
     finally:
         if session.transaction.status == IDLE:
-            session.transaction.abandon("the write has ended")
+            session.transaction.abandon()
 
 
 async def relay_write(session: CallerSession, request: Request) -> bool:
@@ -118,7 +120,7 @@
             return await replay(session, request, outcome)
         return await relay_keyed_write(session, request, key)
     finally:
-        session.transaction.abandon("the write has ended")
+        session.transaction.abandon()
 
 
 async def claim(session: CallerSession, key: str) -> str | None:
@@ -194,6 +196,7 @@
             await run_control(session, "ROLLBACK")
             session.stream.write(relay.output)
             return False
+        check_still_open(session)
         outcome = TAG_SEPARATOR.join(relay.tags)
         limit_s = session.group.section.answer_wait_s
         await record_outcome(connection, key, outcome, limit_s)
@@ -218,7 +221,7 @@
     connection = session.connection
     assert connection is not None
     question = get_contract(session).build_last_commit()
-    session.send_surely(session.build_control("COMMIT"), question)
+    session.send_surely(build_query("COMMIT"), question)
     try:
         answer = await session.read_control_answer()
         position = await ask_last_commit(session, question)
@@ -230,3 +233,18 @@
     session.note_served()
     session.release_connection()
     await finish_write(session, connection, position)
+
+
+def check_still_open(session: CallerSession) -> None:
+    """Refuse to go on if a statement has ended the proxy's transaction.
+
+    Args:
+        session: The session, which holds the connection.
+
+    Raises:
+        RequestError: OUTCOME_UNKNOWN, since the statement may have committed.
+    """
+    connection = session.connection
+    if connection is None or connection.transaction_status != OPEN:
+        reason = "the statement ended the transaction of its idempotency key"
+        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, reason)
