--- a/ebonyrack/callers/pipeline.py
+++ b/ebonyrack/callers/pipeline.py
@@ -77,6 +77,7 @@
         items: Messages that have not run yet.
         collected_bytes: Their size.
         is_skipping: Whether messages are skipped up to Sync after an error.
+        has_unsynced: Whether messages have run that no Sync has closed yet.
     """
 
     __slots__ = (
@@ -86,6 +87,7 @@
         "items",
         "collected_bytes",
         "is_skipping",
+        "has_unsynced",
     )
 
     def __init__(self, session: CallerSession) -> None:
@@ -95,6 +97,12 @@
         self.items: list[ChunkItem] = []
         self.collected_bytes = 0
         self.is_skipping = False
+        self.has_unsynced = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages have come that no Sync has closed yet."""
+        return bool(self.items) or self.is_skipping or self.has_unsynced
 
     def forget_unnamed(self) -> None:
         """Drop the unnamed statement, as a simple query does."""
@@ -169,6 +177,7 @@
         if not self.is_skipping:
             await self.run_collected(is_whole=True)
         self.is_skipping = False
+        self.has_unsynced = False
         transaction = self.session.transaction
         if transaction.is_implicit:
             await self.end_implicit()
@@ -205,6 +214,7 @@
         """
         items, self.items = self.items, []
         self.collected_bytes = 0
+        self.has_unsynced = bool(items) and not is_whole
         for chunk in split_items(items):
             if not await self.attempt(chunk, is_whole):
                 self.is_skipping = True
--- a/ebonyrack/callers/session.py
+++ b/ebonyrack/callers/session.py
@@ -18,6 +18,7 @@
 from ebonyrack.callers.exchange import SimpleRequest
 from ebonyrack.callers.pipeline import Pipeline
 from ebonyrack.callers.statement import classify_statement
+from ebonyrack.callers.transaction import IDLE
 from ebonyrack.callers.transaction import Transaction
 from ebonyrack.callers.variables import SessionVariables
 from ebonyrack.core.clock import now_s
@@ -37,8 +38,8 @@
     from ebonyrack.routing.read_index import ReadIndex
     from ebonyrack.service.services import Services
     from ebonyrack.upstreams.connection import Message
-    from ebonyrack.upstreams.connection import UpstreamConnection
     from ebonyrack.upstreams.connection import QueryAnswer
+    from ebonyrack.upstreams.connection import UpstreamConnection
     from ebonyrack.upstreams.group import DatabaseGroup
     from ebonyrack.upstreams.upstream import Upstream
 
@@ -75,7 +76,8 @@
         phase_since_s: Monotonic time at which the wait began.
         scope: Time limit of the step that waits before anything was sent, or None.
         is_cancel_requested: Whether the caller asked to cancel the request.
-        is_ending: Whether the session ends as soon as its request is over.
+        is_committing: Whether a COMMIT was sent, which is not cancelled any more.
+        cancel_done: Set when a cancel request has reached the upstream, or None.
     """
 
     __slots__ = (
@@ -93,7 +95,8 @@
         "phase_since_s",
         "scope",
         "is_cancel_requested",
-        "is_ending",
+        "is_committing",
+        "cancel_done",
     )
 
     def __init__(
@@ -118,7 +121,8 @@
         self.phase_since_s = now_s()
         self.scope: asyncio.Timeout | None = None
         self.is_cancel_requested = False
-        self.is_ending = False
+        self.is_committing = False
+        self.cancel_done: asyncio.Event | None = None
 
     @property
     def group(self) -> DatabaseGroup:
@@ -152,9 +156,9 @@
         self.phase_since_s = now_s()
 
     async def run(self) -> None:
-        """Serve requests until the caller goes away or the session is ended."""
+        """Serve requests until the caller goes away or the proxy shuts down."""
         try:
-            while not self.is_ending:
+            while True:
                 frame = await self.read_request()
                 if frame is None or frame.kind == b"X":
                     return
@@ -182,6 +186,20 @@
         self.enter(Phase.WORKING)
         return frame
 
+    def end_if_idle(self) -> None:
+        """End the session if it is between two requests (for a shutdown)."""
+        has_request = bool(self.stream.buffer) or self.is_in_pipeline
+        if self.phase is not Phase.IDLE or self.transaction.status != IDLE:
+            return
+        if not has_request and not self.stream.is_lost:
+            self.stream.write(build_error(RequestError(ErrorKind.SHUTTING_DOWN)))
+            self.stream.finish()
+
+    @property
+    def is_in_pipeline(self) -> bool:
+        """Whether messages have come that no Sync has closed yet."""
+        return self.pipeline is not None and self.pipeline.is_open
+
     async def wait_for_message(self, connection: UpstreamConnection) -> Message:
         """Wait for the next message of the upstream that serves the request.
 
@@ -199,6 +217,12 @@
         self.phase = Phase.WORKING
         return message
 
+    async def await_cancel(self) -> None:
+        """Let a cancel request strike before the next statement is sent."""
+        if self.cancel_done is not None:
+            await self.cancel_done.wait()
+            self.cancel_done = None
+
     async def read_control_answer(self) -> QueryAnswer:
         """Wait for the answer to a control query that was sent already.
 
--- a/ebonyrack/callers/stream.py
+++ b/ebonyrack/callers/stream.py
@@ -116,6 +116,11 @@
             self.drain_waiter = asyncio.get_running_loop().create_future()
             await self.drain_waiter
 
+    def finish(self) -> None:
+        """Treat the caller as gone, and close once what is queued was sent."""
+        self.close()
+        self.mark_lost()
+
     def close(self) -> None:
         """Send what is queued, then close."""
         if self.transport is not None:
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -128,6 +128,7 @@
         session = self.session
         if session.connection is None:
             await self.open()
+        await session.await_cancel()
         assert session.connection is not None
         self.has_written = self.has_written or not is_read
         exchange = request.render(session.connection)
@@ -258,11 +259,21 @@
             self.reset()
             session.stream.write(request.build_replay([tag]))
             return True
-        if self.key and self.status == OPEN:
-            await self.record()
-        if self.has_written:
-            return await self.commit_write(request)
-        return await self.commit_read(request)
+        await session.await_cancel()
+        session.is_committing = True
+        try:
+            if self.key and self.status == OPEN:
+                await self.record()
+            if self.has_written:
+                return await self.commit_write(request)
+            return await self.commit_read(request)
+        except RequestError:
+            # The transaction is over for the caller, whatever became of it.
+            self.abandon()
+            self.reset()
+            raise
+        finally:
+            session.is_committing = False
 
     async def record(self) -> None:
         """Record the outcome under the idempotency key, before the commit.
--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -139,9 +139,7 @@
     connection = session.connection
     assert connection is not None
     try:
-        claimed = await claim_key(
-            connection, key, session.group.section.answer_wait_s
-        )
+        claimed = await claim_key(connection, key, session.group.section.answer_wait_s)
     except UpstreamLostError as error:
         raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
     return None if claimed.is_first else claimed.outcome
@@ -168,9 +166,7 @@
     return True
 
 
-async def relay_keyed_write(
-    session: CallerSession, request: Request, key: str
-) -> bool:
+async def relay_keyed_write(session: CallerSession, request: Request, key: str) -> bool:
     """Run a write whose key is claimed, record its outcome and commit.
 
     Args:
