--- a/ebonyrack/callers/authentication.py
+++ b/ebonyrack/callers/authentication.py
@@ -16,6 +16,7 @@
 from pygwire.messages import SASLResponse
 from scramp import ScramException
 from scramp import ScramMechanism
+from scramp.core import ScramServer
 
 from ebonyrack.callers.stream import HEADER_BYTES
 from ebonyrack.core.errors import ErrorKind
@@ -26,6 +27,8 @@
 
 MECHANISM = "SCRAM-SHA-256"
 MAXIMUM_PASSWORD_BYTES = 4096
+EMPTY_USER = ",n=,"
+PLACEHOLDER_USER = ",n=caller,"
 DUMMY_ITERATIONS = 4096
 KEY_BYTES = 32
 SALT_BYTES = 16
@@ -109,7 +112,7 @@
         first = SASLInitialResponse.decode(await read_response(stream))
         if first.mechanism != MECHANISM:
             raise RequestError(ErrorKind.AUTHENTICATION_FAILED, "unknown mechanism")
-        server.set_client_first(first.data.decode())
+        set_client_first(server, first.data.decode())
         answer = server.get_server_first().encode()
         stream.write(AuthenticationSASLContinue(data=answer).to_wire())
         final = SASLResponse.decode(await read_response(stream))
@@ -120,6 +123,23 @@
     stream.write(AuthenticationSASLFinal(data=proof).to_wire())
 
 
+def set_client_first(server: ScramServer, message: str) -> None:
+    """Hand over the client's first message, which may name no user.
+
+    PostgreSQL's drivers leave the name empty, since the startup message has it;
+    scramp takes no empty name. The proof covers the message as it was sent.
+
+    Args:
+        server: Server side of the exchange.
+        message: The message.
+
+    Raises:
+        ScramException: If the message is not valid.
+    """
+    server.set_client_first(message.replace(EMPTY_USER, PLACEHOLDER_USER, 1))
+    server.client_first_bare = message.split(",", 2)[2]
+
+
 async def read_response(stream: CallerStream) -> memoryview:
     """Read the payload of a SASL response.
 
--- a/ebonyrack/callers/cancel.py
+++ b/ebonyrack/callers/cancel.py
@@ -67,3 +67,15 @@
         logger.bind(reason=error.reason).warning("cancel_not_forwarded")
     finally:
         session.cancel_done.set()
+
+
+async def cancel_abandoned(connection: UpstreamConnection) -> None:
+    """Cancel what an upstream still runs for nobody, to free its slot.
+
+    Args:
+        connection: The connection, closed already.
+    """
+    try:
+        await connection.cancel(CANCEL_TIMEOUT_S)
+    except UpstreamLostError as error:
+        logger.bind(reason=error.reason).debug("cancel_not_forwarded")
--- a/ebonyrack/callers/listener.py
+++ b/ebonyrack/callers/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import secrets
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 
 from ebonyrack.callers.answers import build_error
 from ebonyrack.callers.answers import build_ready
+from ebonyrack.callers.cancel import cancel_abandoned
 from ebonyrack.callers.cancel import cancel_request
 from ebonyrack.callers.parameters import build_parameters
 from ebonyrack.callers.session import CallerSession
@@ -32,6 +34,7 @@
 
     from ebonyrack.callers.startup import CallerIdentity
     from ebonyrack.service.services import Services
+    from ebonyrack.upstreams.connection import UpstreamConnection
 
 SECRET_BYTES = 4
 MAXIMUM_SESSION_NUMBER = 2**31 - 1
@@ -39,6 +42,9 @@
 # Connections that are starting may exceed the sessions by this many.
 MAXIMUM_STARTING = 256
 DRAIN_CHECK_S = 0.02
+# A caller may take this long to read why its session has ended.
+LINGER_S = 1.0
+MAXIMUM_CANCELS = 64
 
 
 class CallerListener:
@@ -50,6 +56,8 @@
         tasks: Task of each connection.
         server: The listening socket, while there is one.
         address: Address that it listens at.
+        watchdog: Task that ends waits over their limits.
+        cancels: Tasks that stop statements nobody waits for.
     """
 
     def __init__(self, services: Services) -> None:
@@ -59,6 +67,7 @@
         self.server: asyncio.Server | None = None
         self.address: Address = services.settings.proxy.caller_address
         self.watchdog: asyncio.Task[None] | None = None
+        self.cancels: set[asyncio.Task[None]] = set()
         self.last_number = 0
 
     async def __aenter__(self) -> CallerListener:
@@ -82,7 +91,7 @@
         traceback: TracebackType | None,
     ) -> None:
         self.stop_listening()
-        tasks = list(self.tasks.values())
+        tasks = [*self.tasks.values(), *self.cancels]
         if self.watchdog is not None:
             tasks.append(self.watchdog)
         for task in tasks:
@@ -110,7 +119,6 @@
             return
         task = asyncio.get_running_loop().create_task(self.serve(stream))
         self.tasks[stream] = task
-        stream.on_lost = lambda: task.cancel() and None
         task.add_done_callback(lambda _: self.forget(stream))
 
     def forget(self, stream: CallerStream) -> None:
@@ -144,8 +152,35 @@
         finally:
             if session is not None:
                 self.sessions.pop(session.number, None)
+            stream.on_lost = None
+            if stream.is_finished:
+                await self.linger(stream)
             stream.close()
 
+    async def linger(self, stream: CallerStream) -> None:
+        """Let a caller read why its session has ended.
+
+        Args:
+            stream: The connection.
+        """
+        try:
+            async with asyncio.timeout(LINGER_S):
+                await stream.linger()
+        except TimeoutError:
+            logger.debug("caller_lingers")
+
+    def stop_statement(self, connection: UpstreamConnection) -> None:
+        """Cancel what an upstream still runs for a session that gave it up.
+
+        Args:
+            connection: The connection, which nobody uses any more.
+        """
+        if len(self.cancels) >= MAXIMUM_CANCELS:
+            return
+        task = asyncio.get_running_loop().create_task(cancel_abandoned(connection))
+        self.cancels.add(task)
+        task.add_done_callback(self.cancels.discard)
+
     async def start(self, stream: CallerStream) -> CallerSession | None:
         """Read the startup within its time limit and open the session.
 
@@ -197,11 +232,14 @@
             identity,
             self.choose_number(),
             secrets.token_bytes(SECRET_BYTES),
+            self.stop_statement,
         )
         for name, value in identity.variables.items():
             session.variables.set(name, value)
         identity.variables = {}
         self.sessions[session.number] = session
+        # From here on a caller that goes away ends what runs for it.
+        stream.on_lost = functools.partial(cancel_task, self.tasks[stream])
         key = BackendKeyData(process_id=session.number, secret_key=session.secret_key)
         parameters = build_parameters(identity.user, session.variables)
         stream.write(parameters + key.to_wire() + build_ready("I"))
@@ -250,7 +288,8 @@
             if self.services.drain.hurried.is_set():
                 break
             for session in tuple(self.sessions.values()):
-                session.end_if_idle()
+                if session.phase is Phase.IDLE:
+                    session.end_if_between_requests()
             await asyncio.sleep(DRAIN_CHECK_S)
         cut = [
             session
@@ -264,3 +303,12 @@
                 phase=session.phase,
             ).warning("session_cut")
         return len(cut)
+
+
+def cancel_task(task: asyncio.Task[None]) -> None:
+    """Cancel the task of a caller that has gone.
+
+    Args:
+        task: The task.
+    """
+    task.cancel()
--- a/ebonyrack/callers/session.py
+++ b/ebonyrack/callers/session.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
+    from collections.abc import Callable
 
     from ebonyrack.callers.startup import CallerIdentity
     from ebonyrack.callers.statement import Statement
@@ -45,6 +46,8 @@
 
 Result = TypeVar("Result")
 
+# What is waited for knows the deadline too and can say more about it.
+DEADLINE_SLACK_S = 0.2
 COPY_KINDS = frozenset({b"d", b"c", b"f"})
 PIPELINE_KINDS = frozenset({b"P", b"B", b"D", b"E", b"C", b"H", b"S"})
 
@@ -67,6 +70,7 @@
         identity: Who the caller is.
         number: Number of the session, which is its process id for the caller.
         secret_key: Secret that a cancel request must name.
+        stop_statement: Cancels what an abandoned upstream connection still runs.
         variables: Session variables.
         transaction: The caller's transaction, if there is one.
         upstream: Upstream whose connection the session holds, or None.
@@ -86,6 +90,7 @@
         "identity",
         "number",
         "secret_key",
+        "stop_statement",
         "variables",
         "transaction",
         "upstream",
@@ -106,12 +111,14 @@
         identity: CallerIdentity,
         number: int,
         secret_key: bytes,
+        stop_statement: Callable[[UpstreamConnection], None],
     ) -> None:
         self.services = services
         self.stream = stream
         self.identity = identity
         self.number = number
         self.secret_key = secret_key
+        self.stop_statement = stop_statement
         self.variables = SessionVariables(identity.group, services.token_key)
         self.transaction = Transaction(self)
         self.upstream: Upstream | None = None
@@ -164,6 +171,8 @@
                     return
                 await self.handle(frame)
                 await self.drain_caller()
+                if self.services.drain.is_draining:
+                    self.end_if_between_requests()
         except RequestError as error:
             self.stream.write(build_error(error))
         finally:
@@ -186,14 +195,14 @@
         self.enter(Phase.WORKING)
         return frame
 
-    def end_if_idle(self) -> None:
-        """End the session if it is between two requests (for a shutdown)."""
-        has_request = bool(self.stream.buffer) or self.is_in_pipeline
-        if self.phase is not Phase.IDLE or self.transaction.status != IDLE:
+    def end_if_between_requests(self) -> None:
+        """End the session if no request or transaction is open (for a shutdown)."""
+        if self.transaction.status != IDLE or self.is_in_pipeline:
             return
-        if not has_request and not self.stream.is_lost:
-            self.stream.write(build_error(RequestError(ErrorKind.SHUTTING_DOWN)))
-            self.stream.finish()
+        if self.stream.buffer or self.stream.is_lost or self.stream.is_finished:
+            return
+        self.stream.write(build_error(RequestError(ErrorKind.SHUTTING_DOWN)))
+        self.stream.finish()
 
     @property
     def is_in_pipeline(self) -> bool:
@@ -255,7 +264,7 @@
                 the time is over.
         """
         try:
-            async with asyncio.timeout_at(deadline_s) as self.scope:
+            async with asyncio.timeout_at(deadline_s + DEADLINE_SLACK_S) as self.scope:
                 return await waiting
         except TimeoutError:
             if self.is_cancel_requested:
--- a/ebonyrack/callers/stream.py
+++ b/ebonyrack/callers/stream.py
@@ -30,6 +30,7 @@
         transport: The TCP transport, once connected.
         buffer: Bytes that have arrived and are not taken yet.
         is_lost: Whether the caller has closed or lost the connection.
+        is_finished: Whether the proxy has sent the end of the stream.
         on_connected: Called once with this stream when the caller has connected.
         on_lost: Called when the connection has ended, or None.
     """
@@ -38,6 +39,7 @@
         "transport",
         "buffer",
         "is_lost",
+        "is_finished",
         "is_paused",
         "is_writing_paused",
         "data_waiter",
@@ -50,6 +52,7 @@
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.is_lost = False
+        self.is_finished = False
         self.is_paused = False
         self.is_writing_paused = False
         self.data_waiter: asyncio.Future[None] | None = None
@@ -66,6 +69,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Keep arrived bytes (called by asyncio)."""
+        if self.is_finished:
+            return
         self.buffer += data
         if len(self.buffer) >= READ_BUFFER_BYTES and not self.is_paused:
             self.is_paused = True
@@ -117,9 +122,21 @@
             await self.drain_waiter
 
     def finish(self) -> None:
-        """Treat the caller as gone, and close once what is queued was sent."""
-        self.close()
-        self.mark_lost()
+        """Send what is queued and the end of the stream; drop all that comes."""
+        self.is_finished = True
+        self.buffer.clear()
+        wake(self.data_waiter)
+        if self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+
+    async def linger(self) -> None:
+        """Wait until the caller has read the end of the stream and closes too.
+
+        Closing earlier could reset the connection under a request on its way, and
+        the caller would not learn why.
+        """
+        while not self.is_lost:
+            await self.wait_for_bytes()
 
     def close(self) -> None:
         """Send what is queued, then close."""
@@ -196,8 +213,13 @@
         Returns:
             False if the connection has ended instead.
         """
-        if self.is_lost:
+        if self.is_lost or self.is_finished:
             return False
+        await self.wait_for_bytes()
+        return bool(self.buffer) or not (self.is_lost or self.is_finished)
+
+    async def wait_for_bytes(self) -> None:
+        """Read on and wait until bytes arrive or the connection ends."""
         if self.is_paused:
             # The frame in work is longer than the buffer, or the buffer is empty.
             self.is_paused = False
@@ -208,7 +230,6 @@
             await self.data_waiter
         finally:
             self.data_waiter = None
-        return bool(self.buffer) or not self.is_lost
 
 
 def wake(waiter: asyncio.Future[None] | None) -> None:
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -387,10 +387,13 @@
 
     def abandon(self) -> None:
         """Give the connection back; a transaction open on it is cut off."""
-        connection = self.session.connection
+        session = self.session
+        connection = session.connection
         if connection is not None and not connection.is_clean:
+            if connection.answers_due > 0 and not connection.is_closed:
+                session.stop_statement(connection)
             connection.close()
-        self.session.release_connection()
+        session.release_connection()
 
     def expire(self) -> None:
         """Roll back because the caller was idle for too long."""
--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -218,11 +218,14 @@
     assert connection is not None
     question = get_contract(session).build_last_commit()
     session.send_surely(build_query("COMMIT"), question)
+    session.is_committing = True
     try:
         answer = await session.read_control_answer()
         position = await ask_last_commit(session, question)
     except UpstreamLostError as error:
         raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+    finally:
+        session.is_committing = False
     if answer.error is not None or answer.tag != "COMMIT":
         message = (answer.error or {}).get("M", "rolled back")
         raise RequestError(ErrorKind.UPSTREAM_LOST, f"COMMIT was refused: {message}")
