--- a/ebonyrack/callers/reading.py
+++ b/ebonyrack/callers/reading.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.relay import Relay
-from ebonyrack.callers.upstream_use import ask_position
+from ebonyrack.callers.upstream_use import build_position_question
 from ebonyrack.callers.upstream_use import confirm_read
 from ebonyrack.callers.upstream_use import make_requirement
+from ebonyrack.callers.upstream_use import read_position
 from ebonyrack.callers.upstream_use import take_upstream
 from ebonyrack.callers.writing import run_write
 from ebonyrack.core.clock import now_s
@@ -139,11 +140,12 @@
     needs_confirmation = placement.hold_until_confirmed
     exchange = request.render(connection)
     relay = Relay(session, connection, exchange, holds=needs_confirmation)
+    question = build_position_question(session) if needs_confirmation else b""
     try:
-        connection.send(exchange.data)
+        connection.send(exchange.data + question)
         await relay.run()
-        if needs_confirmation and relay.error is None:
-            position = await ask_position(session)
+        if needs_confirmation:
+            position = await read_position(session)
     except UpstreamLostError as error:
         name = placement.upstream.name
         session.group.report_lost(name, error.reason)
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -7,12 +7,13 @@
 from ebonyrack.callers.answers import build_query
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import ask_last_commit
-from ebonyrack.callers.upstream_use import ask_position
+from ebonyrack.callers.upstream_use import build_position_question
 from ebonyrack.callers.upstream_use import confirm_read
 from ebonyrack.callers.upstream_use import confirm_replay
 from ebonyrack.callers.upstream_use import finish_write
 from ebonyrack.callers.upstream_use import get_contract
 from ebonyrack.callers.upstream_use import make_requirement
+from ebonyrack.callers.upstream_use import read_position
 from ebonyrack.callers.upstream_use import run_control
 from ebonyrack.callers.upstream_use import take_primary
 from ebonyrack.callers.upstream_use import take_upstream
@@ -20,7 +21,6 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
-from ebonyrack.core.position import START
 from ebonyrack.routing.idempotency import claim_key
 from ebonyrack.routing.idempotency import record_outcome
 from ebonyrack.routing.read_placement import place_read
@@ -342,12 +342,12 @@
         exchange = request.render(connection)
         relay = Relay(session, connection, exchange, holds=True)
         needs_confirmation = self.needs_confirmation
-        position = START
+        question = build_position_question(session) if needs_confirmation else b""
         try:
-            connection.send(exchange.data)
+            connection.send(exchange.data + question)
             await relay.run()
             if needs_confirmation:
-                position = await ask_position(session)
+                position = await read_position(session)
         except UpstreamLostError as error:
             raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
         self.follow_status()
--- a/ebonyrack/callers/upstream_use.py
+++ b/ebonyrack/callers/upstream_use.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.answers import build_parameter
+from ebonyrack.callers.answers import build_query
 from ebonyrack.callers.variables import TOKEN
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
@@ -50,6 +51,7 @@
         minimum=variables.token_minimum,
         max_age_s=variables.maximum_age_s,
         own_writes=variables.own_writes,
+        wrote_at_s=variables.wrote_at_s,
     )
 
 
@@ -157,8 +159,20 @@
         raise UpstreamLostError(str(error)) from error
 
 
-async def ask_position(session: CallerSession) -> LogPosition:
-    """Ask the upstream in use for the position that its log has reached.
+def build_position_question(session: CallerSession) -> bytes:
+    """Build the question for the position that the upstream's log has reached.
+
+    Args:
+        session: The session.
+
+    Returns:
+        The frame, to be sent behind a read.
+    """
+    return build_query(get_contract(session).build_poll(START, 0))
+
+
+async def read_position(session: CallerSession) -> LogPosition:
+    """Read the answer to the question for the position that was sent already.
 
     Args:
         session: A session that holds a connection.
@@ -169,12 +183,8 @@
     Raises:
         UpstreamLostError: If there is no answer.
     """
-    connection = session.connection
-    assert connection is not None
-    contract = get_contract(session)
-    limit_s = session.group.section.answer_wait_s
-    answer = await connection.query(contract.build_poll(START, 0), limit_s)
-    return read_polled_position(contract, answer)
+    answer = await session.read_control_answer()
+    return read_polled_position(get_contract(session), answer)
 
 
 def read_polled_position(
@@ -192,8 +202,7 @@
     if answer.error is not None or not answer.rows:
         raise UpstreamLostError("the position can't be read")
     try:
-        row = tuple(value or "" for value in answer.rows[0])
-        return contract.parse_status(row).received
+        return contract.parse_status(answer.rows[0]).received
     except (ValueError, TypeError) as error:
         raise UpstreamLostError(f"the position can't be read: {error}") from error
 
@@ -227,7 +236,9 @@
     group = session.group
     await run_control(session, "ROLLBACK")
     try:
-        position = await ask_position(session)
+        assert session.connection is not None
+        session.connection.send(build_position_question(session))
+        position = await read_position(session)
     except UpstreamLostError as error:
         raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
     session.release_connection()
--- a/ebonyrack/callers/variables.py
+++ b/ebonyrack/callers/variables.py
@@ -7,6 +7,7 @@
 
 from ebonyrack.callers.token import build_token
 from ebonyrack.callers.token import read_token
+from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.position import START
@@ -55,6 +56,7 @@
         token_key: Key that signs tokens.
         token_minimum: Position from a token that the caller handed over, or None.
         own_writes: Position of the last write acknowledged in this session.
+        wrote_at_s: Monotonic time of that acknowledgement, or None.
         other_positions: Positions of other groups from the caller's token.
         maximum_age_s: Age that reads may have, in seconds, or None.
         idempotency_key: Key for the next transaction, or an empty string.
@@ -67,6 +69,7 @@
         "token_key",
         "token_minimum",
         "own_writes",
+        "wrote_at_s",
         "other_positions",
         "maximum_age_s",
         "idempotency_key",
@@ -79,6 +82,7 @@
         self.token_key = token_key
         self.token_minimum: LogPosition | None = None
         self.own_writes: LogPosition = START
+        self.wrote_at_s: float | None = None
         self.other_positions: dict[str, LogPosition] | None = None
         self.maximum_age_s: float | None = None
         self.idempotency_key = ""
@@ -185,6 +189,7 @@
             position: Position of the commit.
         """
         self.own_writes = max(self.own_writes, position)
+        self.wrote_at_s = now_s()
 
     def build_token(self) -> str:
         """Build the token of the session, empty if it has no position to keep."""
