--- a/ebonyrack/callers/dispatch.py
+++ b/ebonyrack/callers/dispatch.py
@@ -166,7 +166,7 @@
         if target in ("all", "statements"):
             session.pipeline.statements.clear()
         elif target == "statement":
-            session.pipeline.statements.pop(statement.value, None)
+            session.pipeline.statements.pop(statement.value.encode(), None)
     tags = {"variables": "RESET", "statements": "DEALLOCATE ALL", "all": "DISCARD ALL"}
     tags |= {"statement": "DEALLOCATE", "session": "RESET"}
     return LocalAnswer(build_complete(tags.get(target, f"DISCARD {target.upper()}")))
