Add a whole system in one event loop and tests of the proxy

Cause: nothing showed the parts together. Change: standins.system starts platform, group and proxies in one loop; tests cover roaming sessions, a killed primary, a new revision, shares, drain, a start without the store and a leaving primary.

--- a/ebonyrack/service/drain.py
+++ b/ebonyrack/service/drain.py
@@ -16,7 +16,7 @@
     """Whether the proxy serves, finishes its work or has ended.
 
     Attributes:
-        state: `starting`, `serving`, `draining` or `stopped`.
+        state: `starting`, `serving`, `finishing` or `stopped`.
         requested: Set once a shutdown was asked for.
         hurried: Set once the rest of the work is to be cut.
     """
@@ -31,12 +31,12 @@
         self.hurried = asyncio.Event()
         Machine(
             model=self,
-            states=["starting", "serving", "draining", "stopped"],
+            states=["starting", "serving", "finishing", "stopped"],
             initial="starting",
             transitions=[
                 ["serve", "starting", "serving"],
-                ["begin", ["starting", "serving"], "draining"],
-                ["finish", "draining", "stopped"],
+                ["begin", ["starting", "serving"], "finishing"],
+                ["finish", "finishing", "stopped"],
             ],
             auto_transitions=False,
         )
@@ -57,4 +57,5 @@
             self.hurried.set()
             return
         logger.bind(reason=reason).info("shutdown_requested")
+        self.begin()
         self.requested.set()
--- a/ebonyrack/service/drain_test.py
+++ b/ebonyrack/service/drain_test.py
@@ -14,6 +14,6 @@
 async def test_states_follow_one_another():
     drain = Drain()
     drain.serve()
-    drain.begin()
+    drain.request("SIGTERM")
     drain.finish()
     assert drain.state == "stopped"
--- a/ebonyrack/service/proxy.py
+++ b/ebonyrack/service/proxy.py
@@ -93,6 +93,7 @@
             The number of requests that the shutdown cut.
         """
         if not await self.wait_for_document():
+            self.drain.finish()
             return 0
         async with self.listener:
             self.drain.serve()
@@ -130,7 +131,6 @@
         Returns:
             The number of requests that were cut.
         """
-        self.drain.begin()
         await self.hub.announce_leaving()
         cut_requests = await self.listener.drain(self.settings.proxy.drain_limit_s)
         self.drain.finish()
--- /dev/null
+++ b/ebonyrack/service/proxy_test.py
@@ -0,0 +1,151 @@
+import asyncio
+from contextlib import asynccontextmanager
+
+import psycopg
+import pytest
+
+from ebonyrack.standins.key_value import Node
+from ebonyrack.standins.system import GROUP
+from ebonyrack.standins.system import USER
+from ebonyrack.standins.system import System
+
+BOOK = "INSERT INTO bookings (slot, booker, request) VALUES (%s, %s, %s)"
+FIND = "SELECT count(*) FROM bookings WHERE request = %s"
+CONDITION_LIMIT_S = 20.0
+
+
+async def until(condition):
+    async with asyncio.timeout(CONDITION_LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def connect(proxy, **options):
+    address = proxy.listener.address
+    connection = await psycopg.AsyncConnection.connect(
+        host=address.host,
+        port=address.port,
+        user=USER,
+        dbname=GROUP,
+        autocommit=True,
+        connect_timeout=10,
+        **options,
+    )
+    async with connection:
+        yield connection
+
+
+async def count(connection, request):
+    cursor = await connection.execute(FIND, (request,))
+    return (await cursor.fetchone())[0]
+
+
+async def book_until_acknowledged(proxy, request):
+    """Book as a caller that repeats a refused request under one key."""
+    for _ in range(500):
+        try:
+            async with connect(proxy) as connection:
+                await connection.execute(
+                    f"SET ebonyrack.idempotency_key = '{request}'"
+                )
+                await connection.execute(BOOK, (1, "Mali", request))
+                return
+        except psycopg.Error:
+            await asyncio.sleep(0.02)
+    raise AssertionError(f"{request} was never acknowledged")
+
+
+async def test_a_session_reads_its_own_writes_through_any_proxy():
+    async with System(proxies=3) as system:
+        proxies = list(system.proxies.values())
+        system.group.set_lag(0.05)
+        for number in range(12):
+            async with connect(proxies[number % 3]) as connection:
+                await connection.execute(BOOK, (number, "Mali", f"r-{number}"))
+            async with connect(proxies[(number + 1) % 3]) as connection:
+                assert await count(connection, f"r-{number}") == 1
+
+
+async def test_acknowledged_bookings_outlive_a_killed_primary():
+    async with System(proxies=3) as system:
+        proxies = list(system.proxies.values())
+        for number in range(10):
+            if number == 5:
+                await system.group.kill("up-1")
+            await book_until_acknowledged(proxies[number % 3], f"r-{number}")
+        for number in range(10):
+            async with connect(proxies[0]) as connection:
+                assert await count(connection, f"r-{number}") == 1
+
+
+async def test_a_new_revision_is_in_force_on_every_proxy():
+    async with System(proxies=3) as system:
+        system.put_document(queue_limit=77)
+        await until(
+            lambda: all(
+                proxy.services.groups[GROUP].section.queue_limit == 77
+                for proxy in system.proxies.values()
+            )
+        )
+
+
+async def test_shares_follow_the_live_proxies():
+    async with System(proxies=2, connection_limit=20, connection_reserve=2) as system:
+        proxy = system.proxies["proxy-1"]
+        group = proxy.services.groups[GROUP]
+        await until(lambda: group.connection_limit == 9)
+        await system.kill_proxy("proxy-2")
+        await until(lambda: group.connection_limit == 18)
+
+
+async def test_graceful_shutdown_cuts_no_request():
+    async with System(proxies=2) as system:
+        stop = asyncio.Event()
+
+        async def keep_booking(worker):
+            number = 0
+            while not stop.is_set():
+                name = sorted(system.proxies)[number % len(system.proxies)]
+                await book_until_acknowledged(
+                    system.proxies[name], f"r-{worker}-{number}"
+                )
+                number += 1
+            return number
+
+        workers = [asyncio.create_task(keep_booking(worker)) for worker in range(4)]
+        await asyncio.sleep(0.2)
+        assert await system.stop_proxy("proxy-1") == 0
+        stop.set()
+        assert all(count > 0 for count in await asyncio.gather(*workers))
+
+
+async def test_a_proxy_starts_from_its_peer_while_the_store_is_down():
+    async with System(proxies=1) as system:
+        system.platform.is_down = True
+        proxy = await system.start_proxy("proxy-2")
+        assert proxy.configuration.revision == 1
+        async with connect(proxy) as connection:
+            await connection.execute(BOOK, (1, "Mali", "r-1"))
+
+
+@pytest.mark.parametrize("by", ["document", "vm_list"])
+async def test_a_leaving_primary_is_moved_and_gets_no_new_work(by):
+    async with System(proxies=2) as system:
+        proxies = list(system.proxies.values())
+        if by == "document":
+            system.put_document(leaving=("up-1",))
+        else:
+            system.platform.state.set_nodes(
+                [Node("up-1", "127.0.0.1", "bangkok-1", "leaving")]
+            )
+        await until(
+            lambda: all(
+                proxy.services.groups[GROUP].primary_name not in (None, "up-1")
+                for proxy in proxies
+            )
+        )
+        await book_until_acknowledged(proxies[0], "r-1")
+        leaving = proxies[0].services.groups[GROUP].upstreams["up-1"]
+        await until(lambda: leaving.pool.busy_count == 0)
+        assert leaving.pool.is_stopped
--- /dev/null
+++ b/ebonyrack/standins/system.py
@@ -0,0 +1,171 @@
+"""A whole system in one event loop: platform, one database group and proxies."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Self
+
+from ebonyrack.config.stored import StoredDocument
+from ebonyrack.config.stored import pack_stored
+from ebonyrack.core.settings import parse_settings
+from ebonyrack.service.proxy import Proxy
+from ebonyrack.standins.group import StandinGroup
+from ebonyrack.standins.platform import StandinPlatform
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ebonyrack.config.sections import GroupSection
+
+GROUP = "scheduling-a"
+USER = "booking"
+START_LIMIT_S = 20.0
+
+SETTINGS = """
+[proxy]
+name = {name}
+data_centre = bangkok-1
+caller_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+trust_loopback_callers = true
+[store]
+address = {store}
+[peers]
+seeds = {seeds}
+secret = the secret of a test
+"""
+
+APPLICATION = f"""
+[application booking]
+owner = booking
+user = {USER}
+verifier = none
+groups = {GROUP}
+"""
+
+
+def write_group_section(section: GroupSection) -> str:
+    """Write the INI text of a group's section.
+
+    Args:
+        section: The section.
+
+    Returns:
+        Its text, with the header.
+    """
+    values: dict[str, Any] = section.model_dump()
+    values["upstreams"] = " ".join(
+        f"{spec.name}={spec.address}@{spec.data_centre}" for spec in section.upstreams
+    )
+    values["leaving"] = " ".join(section.leaving)
+    lines = [f"{key} = {value}" for key, value in values.items()]
+    return "\n".join([f"[group {GROUP}]", *lines, ""])
+
+
+class System:
+    """Stand-ins and proxies of one process: an async context manager.
+
+    Attributes:
+        platform: The platform's stand-in.
+        group: The database group's stand-in.
+        proxies: Running proxies by name.
+        overrides: Values of the group's section.
+    """
+
+    def __init__(self, proxies: int = 2, **overrides: Any) -> None:
+        self.platform = StandinPlatform()
+        self.group = StandinGroup()
+        self.proxies: dict[str, Proxy] = {}
+        self.serving: dict[str, asyncio.Task[int]] = {}
+        self.overrides = overrides
+        self.wanted = proxies
+        self.revision = 0
+        self.stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        await self.stack.enter_async_context(self.platform)
+        await self.stack.enter_async_context(self.group)
+        self.put_document()
+        for number in range(self.wanted):
+            await self.start_proxy(f"proxy-{number + 1}")
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for name in tuple(self.proxies):
+            await self.stop_proxy(name)
+        await self.stack.aclose()
+
+    def put_document(self, **overrides: Any) -> None:
+        """Put a new revision of the document into the store, without a check.
+
+        Args:
+            **overrides: Further values of the group's section.
+        """
+        self.overrides.update(overrides)
+        self.revision += 1
+        section = self.group.section(**self.overrides)
+        text = write_group_section(section) + APPLICATION
+        stored = pack_stored(StoredDocument(self.revision, text, ()))
+        self.platform.state.put("ebonyrack/document", stored, None, 0)
+
+    async def start_proxy(self, name: str) -> Proxy:
+        """Start a proxy and wait until it serves callers.
+
+        Args:
+            name: Its name.
+
+        Returns:
+            The proxy.
+        """
+        seeds = [str(proxy.hub.address) for proxy in self.proxies.values()]
+        text = SETTINGS.format(
+            name=name, store=self.platform.address, seeds=" ".join(seeds)
+        )
+        settings, faults = parse_settings(text, name)
+        if settings is None:
+            raise ValueError("; ".join(map(str, faults)))
+        proxy = Proxy(settings)
+        await proxy.__aenter__()
+        self.proxies[name] = proxy
+        self.serving[name] = asyncio.create_task(proxy.serve())
+        async with asyncio.timeout(START_LIMIT_S):
+            while proxy.listener.server is None:
+                await asyncio.sleep(0.01)
+            while GROUP not in proxy.services.groups:
+                await asyncio.sleep(0.01)
+        return proxy
+
+    async def stop_proxy(self, name: str) -> int:
+        """Shut a proxy down gracefully.
+
+        Args:
+            name: Its name.
+
+        Returns:
+            The number of requests that were cut.
+        """
+        proxy = self.proxies.pop(name)
+        proxy.drain.request("test")
+        cut_requests = await self.serving.pop(name)
+        await proxy.__aexit__(None, None, None)
+        return cut_requests
+
+    async def kill_proxy(self, name: str) -> None:
+        """End a proxy at once, as a crash would.
+
+        Args:
+            name: Its name.
+        """
+        proxy = self.proxies.pop(name)
+        task = self.serving.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await proxy.__aexit__(None, None, None)
