Add a kind for statements in a failed transaction and a limit on answers

Both change files of other parts: the closed list of kinds gets PostgreSQL's 25P02, and the group section a limit on the time an upstream may take between two messages, which no other key bounds.

--- a/ebonyrack/config/sections.py
+++ b/ebonyrack/config/sections.py
@@ -85,6 +85,7 @@
     queue_limit: int = Field(200, ge=1)
     queue_wait_s: float = Field(5.0, gt=0)
     confirm_wait_s: float = Field(3.0, gt=0)
+    answer_wait_s: float = Field(60.0, gt=0)
     lag_refusal_s: float = Field(2.0, gt=0)
     read_wait_s: float = Field(0.3, ge=0)
     read_policy: Literal["quorum", "primary_only", "primary_after_write"] = "quorum"
--- a/ebonyrack/core/errors.py
+++ b/ebonyrack/core/errors.py
@@ -27,6 +27,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     ALREADY_RAN = "already_ran"
     IDLE_IN_TRANSACTION = "idle_in_transaction"
+    TRANSACTION_FAILED = "transaction_failed"
     CANCELLED = "cancelled"
     SHUTTING_DOWN = "shutting_down"
     CUT_OFF = "cut_off"
@@ -115,6 +116,13 @@
     ErrorKind.IDLE_IN_TRANSACTION: ErrorAnswer(
         "25P03", Ran.NO, True, "the transaction was idle too long; rolled back"
     ),
+    ErrorKind.TRANSACTION_FAILED: ErrorAnswer(
+        "25P02",
+        Ran.NO,
+        False,
+        "current transaction is aborted, commands ignored until end of transaction"
+        " block",
+    ),
     ErrorKind.CANCELLED: ErrorAnswer(
         "57014", Ran.NO, True, "the request was cancelled"
     ),
