--- a/ebonyrack/callers/__init__.py
+++ b/ebonyrack/callers/__init__.py
@@ -1,1 +1,1 @@
-"""The callers' side: listener, sessions and statements."""
+"""The callers' side: listener, startup, sessions and the relay of answers."""
--- /dev/null
+++ b/ebonyrack/callers/answers.py
@@ -0,0 +1,136 @@
+"""Frames that the proxy itself builds for callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pygwire.constants import TransactionStatus
+from pygwire.messages import CommandComplete
+from pygwire.messages import DataRow
+from pygwire.messages import EmptyQueryResponse
+from pygwire.messages import ErrorResponse
+from pygwire.messages import FieldDescription
+from pygwire.messages import ParameterStatus
+from pygwire.messages import Query
+from pygwire.messages import ReadyForQuery
+from pygwire.messages import RowDescription
+
+from ebonyrack.core.errors import build_error_fields
+
+if TYPE_CHECKING:
+    from ebonyrack.core.errors import RequestError
+
+TEXT_OID = 25
+VARIABLE_SIZE = -1
+SQLSTATE_FIELD = b"\x00C"
+
+READY_FRAMES = {
+    status.value: ReadyForQuery(status=status).to_wire() for status in TransactionStatus
+}
+EMPTY_QUERY_FRAME = EmptyQueryResponse().to_wire()
+
+
+def build_ready(status: str) -> bytes:
+    """Build a ReadyForQuery.
+
+    Args:
+        status: `I`, `T` or `E`.
+
+    Returns:
+        The frame.
+    """
+    return READY_FRAMES[status]
+
+
+def build_error(error: RequestError) -> bytes:
+    """Build the ErrorResponse for an error of the closed list.
+
+    Args:
+        error: The error that ends the request.
+
+    Returns:
+        The frame.
+    """
+    return ErrorResponse(fields=build_error_fields(error)).to_wire()
+
+
+def build_complete(tag: str) -> bytes:
+    """Build a CommandComplete.
+
+    Args:
+        tag: Command tag, such as `BEGIN`.
+
+    Returns:
+        The frame.
+    """
+    return CommandComplete(tag=tag).to_wire()
+
+
+def build_query(sql: str) -> bytes:
+    """Build a simple query for an upstream.
+
+    Args:
+        sql: The statement.
+
+    Returns:
+        The frame.
+    """
+    return Query(query_string=sql).to_wire()
+
+
+def build_parameter(name: str, value: str) -> bytes:
+    """Build a ParameterStatus.
+
+    Args:
+        name: Name of the parameter.
+        value: Its value.
+
+    Returns:
+        The frame.
+    """
+    return ParameterStatus(name=name, value=value).to_wire()
+
+
+def build_text_columns(names: tuple[str, ...]) -> bytes:
+    """Build a RowDescription of text columns.
+
+    Args:
+        names: Column names.
+
+    Returns:
+        The frame.
+    """
+    fields = [
+        FieldDescription(
+            name=name, type_oid=TEXT_OID, type_size=VARIABLE_SIZE, type_modifier=-1
+        )
+        for name in names
+    ]
+    return RowDescription(fields=fields).to_wire()
+
+
+def build_text_row(values: tuple[str, ...]) -> bytes:
+    """Build a DataRow of text values.
+
+    Args:
+        values: Values in column order.
+
+    Returns:
+        The frame.
+    """
+    return DataRow(columns=[value.encode() for value in values]).to_wire()
+
+
+def read_sqlstate(raw: bytes) -> str:
+    """Find the SQLSTATE in an ErrorResponse frame.
+
+    Args:
+        raw: The frame.
+
+    Returns:
+        Five characters, or an empty string if the field is missing.
+    """
+    start = raw.find(SQLSTATE_FIELD)
+    if start < 0:
+        return ""
+    return raw[start + 2 : start + 7].decode("ascii", "replace")
--- /dev/null
+++ b/ebonyrack/callers/cancel.py
@@ -0,0 +1,81 @@
+"""Cancel requests: they reach the request of one session and no other."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ebonyrack.callers.session import Phase
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+if TYPE_CHECKING:
+    from pygwire.messages import CancelRequest
+
+    from ebonyrack.callers.session import CallerSession
+    from ebonyrack.upstreams.connection import UpstreamConnection
+
+CANCEL_TIMEOUT_S = 2.0
+
+
+async def cancel_request(
+    sessions: dict[int, CallerSession], request: CancelRequest
+) -> None:
+    """Cancel what the named session runs now, if the secret is right.
+
+    As PostgreSQL does, it answers nothing.
+
+    Args:
+        sessions: Sessions by number.
+        request: The cancel request.
+    """
+    session = sessions.get(request.process_id)
+    if session is None or not hmac.compare_digest(
+        session.secret_key, request.secret_key
+    ):
+        return
+    logger.bind(session=session.number).info("cancel_requested")
+    session.is_cancel_requested = True
+    if session.scope is not None:
+        session.scope.reschedule(asyncio.get_running_loop().time())
+        return
+    connection = session.connection
+    if connection is None or session.phase is not Phase.UPSTREAM:
+        return
+    if not session.is_committing:
+        await forward(session, connection)
+
+
+async def forward(session: CallerSession, connection: UpstreamConnection) -> None:
+    """Pass a cancel request on to the upstream that serves the session.
+
+    The session holds the connection until its request is over, and a connection
+    that a cancel request was sent for is closed instead of reused, so a request
+    that strikes late finds no other caller's statement. Within a transaction the
+    session sends nothing more before the upstream has taken the request.
+
+    Args:
+        session: The session.
+        connection: Its connection.
+    """
+    session.cancel_done = asyncio.Event()
+    try:
+        await connection.cancel(CANCEL_TIMEOUT_S)
+    except UpstreamLostError as error:
+        logger.bind(reason=error.reason).warning("cancel_not_forwarded")
+    finally:
+        session.cancel_done.set()
+
+
+async def cancel_abandoned(connection: UpstreamConnection) -> None:
+    """Cancel what an upstream still runs for nobody, to free its slot.
+
+    Args:
+        connection: The connection, closed already.
+    """
+    try:
+        await connection.cancel(CANCEL_TIMEOUT_S)
+    except UpstreamLostError as error:
+        logger.bind(reason=error.reason).debug("cancel_not_forwarded")
--- /dev/null
+++ b/ebonyrack/callers/chunk.py
@@ -0,0 +1,258 @@
+"""Messages of a pipeline that run together on one upstream connection."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from pygwire.messages import BindComplete
+from pygwire.messages import CloseComplete
+from pygwire.messages import NoData
+from pygwire.messages import ParameterDescription
+from pygwire.messages import ParseComplete
+from pygwire.messages import Sync
+
+from ebonyrack.callers.answers import build_complete
+from ebonyrack.callers.exchange import RELAYED
+from ebonyrack.callers.exchange import SWALLOWED
+from ebonyrack.callers.exchange import Completion
+from ebonyrack.callers.exchange import Exchange
+from ebonyrack.callers.exchange import Step
+from ebonyrack.callers.prepared import build_frame
+from ebonyrack.callers.statement import Statement
+from ebonyrack.callers.statement import StatementKind
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.prepared import PipelineMessage
+    from ebonyrack.callers.prepared import PreparedStatement
+    from ebonyrack.upstreams.connection import UpstreamConnection
+
+PARSE_COMPLETE = ParseComplete().to_wire()
+BIND_COMPLETE = BindComplete().to_wire()
+CLOSE_COMPLETE = CloseComplete().to_wire()
+NO_DATA = NoData().to_wire()
+NO_PARAMETERS = ParameterDescription(type_oids=[]).to_wire()
+SYNC = Sync().to_wire()
+# Statements that one upstream connection keeps prepared.
+MAXIMUM_PREPARED = 256
+
+READS = Statement(StatementKind.READ)
+WRITES = Statement(StatementKind.WRITE)
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkItem:
+    """One message and the prepared statement that it is about.
+
+    Attributes:
+        message: The message.
+        prepared: The statement, or None if the session knows none of that name.
+    """
+
+    message: PipelineMessage
+    prepared: PreparedStatement | None
+
+
+@dataclass(slots=True)
+class Chunk:
+    """Consecutive messages that are served as one request.
+
+    Attributes:
+        items: The messages.
+        definitions: Steps that define a statement, with its name in the session.
+    """
+
+    items: list[ChunkItem] = field(default_factory=list)
+    definitions: list[tuple[Step, bytes, PreparedStatement]] = field(
+        default_factory=list
+    )
+
+    @property
+    def statement(self) -> Statement:
+        """What the messages together need: a read only if all of them are reads."""
+        for item in self.items:
+            is_read = (
+                item.prepared is not None
+                and item.prepared.statement.kind is StatementKind.READ
+            )
+            if item.message.kind in (b"B", b"E") and not is_read:
+                return WRITES
+        return READS
+
+    @property
+    def executes(self) -> bool:
+        """Whether anything is executed."""
+        return any(item.message.kind == b"E" for item in self.items)
+
+    @property
+    def is_local(self) -> bool:
+        """Whether the proxy can answer all of it without an upstream."""
+        return all(
+            item.message.kind == b"C" and item.message.is_about_statement
+            for item in self.items
+        )
+
+    def render(self, connection: UpstreamConnection) -> Exchange:
+        """Build the exchange for a connection.
+
+        Statements that the connection does not know are prepared on the way.
+
+        Args:
+            connection: The connection that will serve the messages.
+
+        Returns:
+            The exchange.
+        """
+        self.definitions = []
+        renderer = ChunkRenderer(connection, self)
+        renderer.evict()
+        for item in self.items:
+            renderer.add(item)
+        renderer.data += SYNC
+        return Exchange(bytes(renderer.data), renderer.steps)
+
+    def build_replay(self, tags: list[str]) -> bytes:
+        """Build the answer from the command tags of an earlier run.
+
+        Args:
+            tags: Command tag of each Execute.
+
+        Returns:
+            The frames.
+        """
+        remaining = deque(tags)
+        frames = bytearray()
+        for item in self.items:
+            kind = item.message.kind
+            if kind == b"E":
+                frames += build_complete(remaining.popleft() if remaining else "")
+            elif kind == b"D" and item.message.is_about_statement:
+                frames += NO_PARAMETERS + NO_DATA
+            else:
+                frames += LOCAL_ANSWERS[kind]
+        return bytes(frames)
+
+
+LOCAL_ANSWERS = {
+    b"P": PARSE_COMPLETE,
+    b"B": BIND_COMPLETE,
+    b"C": CLOSE_COMPLETE,
+    b"D": NO_DATA,
+}
+
+
+class ChunkRenderer:
+    """Builds the frames and steps of one chunk for one connection.
+
+    Attributes:
+        connection: The connection.
+        chunk: The chunk.
+        data: Frames so far.
+        steps: Steps of their answers.
+        parsed: Names that the frames so far prepare.
+        unnamed: The unnamed statement as it stands on the connection, or None.
+    """
+
+    __slots__ = ("connection", "chunk", "data", "steps", "parsed", "unnamed")
+
+    def __init__(self, connection: UpstreamConnection, chunk: Chunk) -> None:
+        self.connection = connection
+        self.chunk = chunk
+        self.data = bytearray()
+        self.steps: deque[Step] = deque()
+        self.parsed: set[str] = set()
+        self.unnamed: PreparedStatement | None = None
+
+    def evict(self) -> None:
+        """Close the statements used longest ago, if the connection has many."""
+        prepared = self.connection.prepared
+        while len(prepared) >= MAXIMUM_PREPARED:
+            name, _ = prepared.popitem(last=False)
+            self.data += build_frame(b"C", b"S" + name.encode() + b"\x00")
+            self.steps.append(SWALLOWED)
+
+    def add(self, item: ChunkItem) -> None:
+        """Add the frames of one message.
+
+        Args:
+            item: The message with its statement.
+        """
+        message = item.message
+        if message.kind == b"P":
+            self.add_parse(item)
+            return
+        if message.kind == b"C" and message.is_about_statement:
+            self.steps.append(Step(Completion.LOCAL, CLOSE_COMPLETE))
+            return
+        frame = message.raw
+        prepared = item.prepared
+        if prepared is not None and message.kind == b"B":
+            self.ensure(prepared)
+            names = message.portal + b"\x00" + prepared.upstream_name + b"\x00"
+            frame = build_frame(b"B", names + message.rest)
+        elif prepared is not None and message.is_about_statement:
+            self.ensure(prepared)
+            frame = build_frame(b"D", b"S" + prepared.upstream_name + b"\x00")
+        self.data += frame
+        self.steps.append(RELAYED)
+
+    def add_parse(self, item: ChunkItem) -> None:
+        """Add a Parse, or its answer if the connection knows the statement.
+
+        Args:
+            item: The message with its statement.
+        """
+        prepared = item.prepared
+        assert prepared is not None
+        if self.is_known(prepared):
+            step = Step(Completion.LOCAL, PARSE_COMPLETE)
+        else:
+            step = self.parse(prepared, Completion.RELAY)
+        self.steps.append(step)
+        self.chunk.definitions.append((step, item.message.statement, prepared))
+
+    def ensure(self, prepared: PreparedStatement) -> None:
+        """Prepare a statement unless the connection knows it.
+
+        Args:
+            prepared: The statement.
+        """
+        if not self.is_known(prepared):
+            self.steps.append(self.parse(prepared, Completion.SWALLOW))
+
+    def is_known(self, prepared: PreparedStatement) -> bool:
+        """Tell whether a statement is prepared at this point.
+
+        Args:
+            prepared: The statement.
+
+        Returns:
+            Whether a Bind may follow at once.
+        """
+        if not prepared.upstream_name:
+            return self.unnamed is prepared
+        name = prepared.upstream_name.decode()
+        if name in self.connection.prepared:
+            self.connection.prepared.move_to_end(name)
+            return True
+        return name in self.parsed
+
+    def parse(self, prepared: PreparedStatement, completion: Completion) -> Step:
+        """Add the frame that prepares a statement.
+
+        Args:
+            prepared: The statement.
+            completion: Whether the caller sees the answer.
+
+        Returns:
+            The step of the answer.
+        """
+        self.data += prepared.build_parse()
+        name = prepared.upstream_name.decode()
+        if name:
+            self.parsed.add(name)
+        else:
+            self.unnamed = prepared
+        return Step(completion, prepares=name)
--- /dev/null
+++ b/ebonyrack/callers/exchange.py
@@ -0,0 +1,107 @@
+"""What is sent to an upstream for a request and which answers are expected."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from ebonyrack.callers.answers import build_complete
+from ebonyrack.callers.prepared import HEADER_BYTES
+
+if TYPE_CHECKING:
+    from ebonyrack.upstreams.connection import UpstreamConnection
+
+
+class Completion(StrEnum):
+    """What happens to the message that completes one step of an exchange."""
+
+    RELAY = "relay"
+    SWALLOW = "swallow"
+    LOCAL = "local"
+
+
+@dataclass(slots=True)
+class Step:
+    """One step of an exchange by the extended query protocol.
+
+    Attributes:
+        completion: Whether the caller sees the completing message.
+        frame: The answer itself for LOCAL steps, else empty.
+        prepares: Name under which the upstream knows a statement once the step
+            has succeeded, or an empty string.
+        is_done: Whether the step has succeeded.
+    """
+
+    completion: Completion
+    frame: bytes = b""
+    prepares: str = ""
+    is_done: bool = False
+
+
+# Steps that prepare nothing can be shared: nobody asks whether they are done.
+RELAYED = Step(Completion.RELAY)
+SWALLOWED = Step(Completion.SWALLOW)
+
+
+@dataclass(slots=True)
+class Exchange:
+    """The bytes of a request and the steps of its answer.
+
+    Attributes:
+        data: Whole frames, the last of which is answered by ReadyForQuery.
+        steps: Steps in order, or None for a simple query.
+    """
+
+    data: bytes
+    steps: deque[Step] | None = None
+
+
+class Request(Protocol):
+    """A request that can be rendered for whichever connection serves it."""
+
+    def render(self, connection: UpstreamConnection) -> Exchange:
+        """Build the exchange for a connection.
+
+        Args:
+            connection: The connection that will serve the request.
+
+        Returns:
+            The exchange.
+        """
+
+    def build_replay(self, tags: list[str]) -> bytes:
+        """Build the answer without an upstream.
+
+        Args:
+            tags: Command tags, one for each command.
+
+        Returns:
+            The frames.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class SimpleRequest:
+    """A simple query, sent on as it came.
+
+    Attributes:
+        raw: The Query frame.
+    """
+
+    raw: bytes
+
+    def render(self, connection: UpstreamConnection) -> Exchange:
+        """Build the exchange, the same for every connection."""
+        return Exchange(self.raw)
+
+    def build_replay(self, tags: list[str]) -> bytes:
+        """Build the answer from command tags."""
+        return b"".join(build_complete(tag) for tag in tags)
+
+    @property
+    def text(self) -> str:
+        """Text of the query."""
+        return self.raw[HEADER_BYTES:-1].decode()
--- /dev/null
+++ b/ebonyrack/callers/pipeline.py
@@ -0,0 +1,409 @@
+"""The extended query protocol: messages collected up to Sync or Flush and run."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pygwire.messages import Query
+
+from ebonyrack.callers.answers import build_text_columns
+from ebonyrack.callers.chunk import LOCAL_ANSWERS
+from ebonyrack.callers.chunk import NO_DATA
+from ebonyrack.callers.chunk import NO_PARAMETERS
+from ebonyrack.callers.chunk import Chunk
+from ebonyrack.callers.chunk import ChunkItem
+from ebonyrack.callers.dispatch import CONTROL_KINDS
+from ebonyrack.callers.dispatch import LOCAL_KINDS
+from ebonyrack.callers.dispatch import run_control
+from ebonyrack.callers.dispatch import run_data
+from ebonyrack.callers.dispatch import run_local
+from ebonyrack.callers.exchange import SWALLOWED
+from ebonyrack.callers.exchange import Exchange
+from ebonyrack.callers.exchange import SimpleRequest
+from ebonyrack.callers.prepared import read_message
+from ebonyrack.callers.prepared import read_statement
+from ebonyrack.callers.statement import StatementKind
+from ebonyrack.callers.transaction import IDLE
+from ebonyrack.callers.transaction import OPEN
+from ebonyrack.callers.transaction import OWN_BEGIN
+from ebonyrack.callers.transaction import OWN_COMMIT
+from ebonyrack.callers.transaction import OWN_ROLLBACK
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.prepared import PreparedStatement
+    from ebonyrack.callers.session import CallerSession
+    from ebonyrack.upstreams.connection import Message
+    from ebonyrack.upstreams.connection import UpstreamConnection
+
+# A pipeline longer than this runs in parts, as if the caller had sent a Flush.
+COLLECTED_BYTES = 256 * 1024
+MAXIMUM_STATEMENTS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class OwnRequest:
+    """Transaction control by the proxy itself, of which the caller sees nothing.
+
+    Attributes:
+        sql: The statement.
+    """
+
+    sql: str
+
+    def render(self, connection: UpstreamConnection) -> Exchange:
+        """Build the exchange, the same for every connection."""
+        return Exchange(Query(query_string=self.sql).to_wire(), deque([SWALLOWED]))
+
+    def build_replay(self, tags: list[str]) -> bytes:
+        """Build no answer at all."""
+        return b""
+
+
+class Pipeline:
+    """Extended-query messages of one session.
+
+    Outside a transaction, messages up to Sync are one transaction in PostgreSQL.
+    They are served as one request if they come in one piece; a Flush makes the
+    proxy open a transaction of its own, which ends at Sync.
+
+    Attributes:
+        session: The session.
+        statements: Prepared statements by the caller's name for them.
+        portals: Statement of each portal.
+        items: Messages that have not run yet.
+        collected_bytes: Their size.
+        is_skipping: Whether messages are skipped up to Sync after an error.
+        has_unsynced: Whether messages have run that no Sync has closed yet.
+    """
+
+    __slots__ = (
+        "session",
+        "statements",
+        "portals",
+        "items",
+        "collected_bytes",
+        "is_skipping",
+        "has_unsynced",
+    )
+
+    def __init__(self, session: CallerSession) -> None:
+        self.session = session
+        self.statements: dict[bytes, PreparedStatement] = {}
+        self.portals: dict[bytes, PreparedStatement | None] = {}
+        self.items: list[ChunkItem] = []
+        self.collected_bytes = 0
+        self.is_skipping = False
+        self.has_unsynced = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages have come that no Sync has closed yet."""
+        return bool(self.items) or self.is_skipping or self.has_unsynced
+
+    def forget_unnamed(self) -> None:
+        """Drop the unnamed statement, as a simple query does."""
+        self.statements.pop(b"", None)
+
+    async def accept(self, frame: Message) -> None:
+        """Take a message and run what is due.
+
+        Args:
+            frame: The frame.
+
+        Raises:
+            RequestError: If the session ends with it.
+        """
+        if frame.kind == b"S":
+            await self.finish()
+        elif self.is_skipping:
+            return
+        elif frame.kind == b"H":
+            await self.run_collected(is_whole=False)
+        else:
+            self.collect(frame)
+            if self.collected_bytes > COLLECTED_BYTES:
+                await self.run_collected(is_whole=False)
+
+    def collect(self, frame: Message) -> None:
+        """Keep a message until Sync or Flush, with the statement it is about.
+
+        Args:
+            frame: The frame.
+
+        Raises:
+            RequestError: BAD_REQUEST if it can't be read.
+        """
+        message = read_message(frame.kind, frame.raw)
+        prepared = None
+        if message.kind == b"P":
+            prepared = read_statement(message)
+        elif message.kind == b"B" or message.is_about_statement:
+            prepared = self.find_statement(message.statement)
+        else:
+            prepared = self.portals.get(message.portal)
+        if message.kind == b"B":
+            self.portals[message.portal] = prepared
+        self.items.append(ChunkItem(message, prepared))
+        self.collected_bytes += len(frame.raw)
+
+    def find_statement(self, name: bytes) -> PreparedStatement | None:
+        """Find a statement, also among those collected but not run yet.
+
+        Args:
+            name: The caller's name for it.
+
+        Returns:
+            The statement, or None if there is none of that name.
+        """
+        for item in reversed(self.items):
+            message = item.message
+            if message.statement == name and message.kind == b"P":
+                return item.prepared
+            if message.statement == name and message.kind == b"C":
+                if message.is_about_statement:
+                    return None
+        return self.statements.get(name)
+
+    async def finish(self) -> None:
+        """Run what is left at Sync and tell the caller to go on.
+
+        Raises:
+            RequestError: If the session ends with it.
+        """
+        if not self.is_skipping:
+            await self.run_collected(is_whole=True)
+        self.is_skipping = False
+        self.has_unsynced = False
+        transaction = self.session.transaction
+        if transaction.is_implicit:
+            await self.end_implicit()
+        if transaction.status == IDLE:
+            self.portals.clear()
+        self.session.write_ready()
+
+    async def end_implicit(self) -> None:
+        """End the transaction that a Flush made the proxy open.
+
+        Raises:
+            RequestError: If the session ends with it.
+        """
+        session = self.session
+        transaction = session.transaction
+        try:
+            if transaction.status == OPEN:
+                await transaction.commit(OwnRequest(OWN_COMMIT))
+            else:
+                await transaction.roll_back(OwnRequest(OWN_ROLLBACK))
+        except RequestError as error:
+            session.fail(error)
+        # Whatever happened, the caller never opened this transaction.
+        transaction.reset()
+
+    async def run_collected(self, is_whole: bool) -> None:
+        """Run the messages collected so far.
+
+        Args:
+            is_whole: Whether a Sync follows them.
+
+        Raises:
+            RequestError: If the session ends with it.
+        """
+        items, self.items = self.items, []
+        self.collected_bytes = 0
+        self.has_unsynced = bool(items) and not is_whole
+        for chunk in split_items(items):
+            if not await self.attempt(chunk, is_whole):
+                self.is_skipping = True
+                return
+
+    async def attempt(self, chunk: Chunk, is_whole: bool) -> bool:
+        """Run a chunk; an error that does not end the session is answered.
+
+        Args:
+            chunk: The chunk.
+            is_whole: Whether a Sync follows it.
+
+        Returns:
+            Whether it succeeded.
+
+        Raises:
+            RequestError: If the session ends with it.
+        """
+        session = self.session
+        session.is_cancel_requested = False
+        try:
+            if is_control(chunk.items[0]):
+                return await self.run_control_chunk(chunk)
+            return await self.run_data_chunk(chunk, is_whole)
+        except RequestError as error:
+            session.fail(error)
+            return False
+
+    async def run_data_chunk(self, chunk: Chunk, is_whole: bool) -> bool:
+        """Run messages about reads and writes.
+
+        Args:
+            chunk: The chunk.
+            is_whole: Whether a Sync follows it.
+
+        Returns:
+            Whether it succeeded.
+
+        Raises:
+            RequestError: If it could not be served.
+        """
+        session = self.session
+        if chunk.is_local:
+            session.stream.write(chunk.build_replay([]))
+            self.note_closed(chunk)
+            return True
+        if not is_whole and session.transaction.status == IDLE and chunk.executes:
+            session.transaction.begin(OWN_BEGIN, False, is_implicit=True)
+        try:
+            return await run_data(session, chunk.statement, chunk)
+        finally:
+            self.note_closed(chunk)
+            self.note_defined(chunk)
+
+    def note_closed(self, chunk: Chunk) -> None:
+        """Forget the statements that a chunk closes.
+
+        Args:
+            chunk: A chunk that has run.
+        """
+        for item in chunk.items:
+            if item.message.kind == b"C" and item.message.is_about_statement:
+                self.statements.pop(item.message.statement, None)
+
+    def note_defined(self, chunk: Chunk) -> None:
+        """Keep the statements that a chunk has prepared.
+
+        Args:
+            chunk: A chunk that has run, perhaps not to its end.
+
+        Raises:
+            RequestError: UNSUPPORTED if the session has too many.
+        """
+        for step, name, prepared in chunk.definitions:
+            if step.is_done:
+                self.define(name, prepared)
+
+    def define(self, name: bytes, prepared: PreparedStatement) -> None:
+        """Keep a prepared statement.
+
+        Args:
+            name: The caller's name for it.
+            prepared: The statement.
+
+        Raises:
+            RequestError: UNSUPPORTED if the session has too many.
+        """
+        if len(self.statements) >= MAXIMUM_STATEMENTS and name not in self.statements:
+            reason = f"more than {MAXIMUM_STATEMENTS} prepared statements"
+            raise RequestError(ErrorKind.UNSUPPORTED, reason)
+        self.statements[name] = prepared
+
+    async def run_control_chunk(self, chunk: Chunk) -> bool:
+        """Run messages about one statement that the proxy serves itself.
+
+        Args:
+            chunk: The chunk.
+
+        Returns:
+            Whether it succeeded.
+
+        Raises:
+            RequestError: If it could not be served.
+        """
+        for item in chunk.items:
+            prepared = item.prepared
+            assert prepared is not None
+            if prepared.statement.kind is StatementKind.UNSUPPORTED:
+                raise RequestError(ErrorKind.UNSUPPORTED, prepared.statement.reason)
+            if item.message.kind == b"E":
+                if not await self.execute_control(prepared):
+                    return False
+            else:
+                self.answer_control(item, prepared)
+        return True
+
+    def answer_control(self, item: ChunkItem, prepared: PreparedStatement) -> None:
+        """Answer a Parse, Bind or Describe of such a statement.
+
+        Args:
+            item: The message.
+            prepared: The statement.
+        """
+        session = self.session
+        message = item.message
+        if message.kind == b"P":
+            self.define(message.statement, prepared)
+        if message.kind != b"D":
+            session.stream.write(LOCAL_ANSWERS[message.kind])
+            return
+        columns = NO_DATA
+        if prepared.statement.kind is StatementKind.SHOW_VARIABLE:
+            columns = build_text_columns((prepared.statement.variable,))
+        if message.is_about_statement:
+            session.stream.write(NO_PARAMETERS)
+        session.stream.write(columns)
+
+    async def execute_control(self, prepared: PreparedStatement) -> bool:
+        """Execute such a statement.
+
+        Args:
+            prepared: The statement.
+
+        Returns:
+            Whether it succeeded.
+
+        Raises:
+            RequestError: If it could not be served.
+        """
+        session = self.session
+        if prepared.statement.kind in LOCAL_KINDS:
+            answer = run_local(session, prepared.statement)
+            session.stream.write(answer.row + answer.complete)
+            return True
+        request = SimpleRequest(Query(query_string=prepared.text).to_wire())
+        return await run_control(session, prepared.statement, request)
+
+
+def is_control(item: ChunkItem) -> bool:
+    """Tell whether a message is about a statement that the proxy serves itself.
+
+    Args:
+        item: The message.
+
+    Returns:
+        Whether it is.
+    """
+    if item.message.kind == b"C" or item.prepared is None:
+        return False
+    return item.prepared.statement.kind in CONTROL_KINDS
+
+
+def split_items(items: list[ChunkItem]) -> list[Chunk]:
+    """Split messages where transaction control or a local statement stands.
+
+    Args:
+        items: Messages in order.
+
+    Returns:
+        Chunks in order.
+    """
+    chunks: list[Chunk] = []
+    for item in items:
+        belongs = (
+            chunks
+            and is_control(chunks[-1].items[0]) == is_control(item)
+            and (not is_control(item) or chunks[-1].items[0].prepared is item.prepared)
+        )
+        if not belongs:
+            chunks.append(Chunk())
+        chunks[-1].items.append(item)
+    return chunks
--- /dev/null
+++ b/ebonyrack/callers/prepared.py
@@ -0,0 +1,161 @@
+"""Prepared statements of a session and the frames that name them upstream."""
+
+from __future__ import annotations
+
+import hashlib
+import struct
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ebonyrack.callers.statement import classify_statement
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.statement import Statement
+
+HEADER = struct.Struct("!cI")
+HEADER_BYTES = HEADER.size
+LENGTH_BYTES = 4
+NAME_PREFIX = b"ebonyrack_"
+NAME_DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedStatement:
+    """A statement that a caller has prepared.
+
+    Attributes:
+        statement: What the statement is.
+        text: Query text.
+        body: Query and parameter types as in the Parse message.
+        upstream_name: Name for it on upstream connections; empty if the caller
+            gave it none. It depends on nothing but the body.
+    """
+
+    statement: Statement
+    text: str
+    body: bytes
+    upstream_name: bytes
+
+    def build_parse(self) -> bytes:
+        """Build the Parse frame for an upstream."""
+        return build_frame(b"P", self.upstream_name + b"\x00" + self.body)
+
+
+@dataclass(frozen=True, slots=True)
+class PipelineMessage:
+    """One message of the extended query protocol, its names read.
+
+    Attributes:
+        kind: Kind byte.
+        raw: The frame.
+        target: `S` for a statement, `P` for a portal.
+        portal: Name of the portal.
+        statement: Name of the statement.
+        rest: What follows the names.
+    """
+
+    kind: bytes
+    raw: bytes
+    target: bytes
+    portal: bytes
+    statement: bytes
+    rest: bytes
+
+    @property
+    def is_about_statement(self) -> bool:
+        """Whether a Describe or Close names a statement."""
+        return self.target == b"S"
+
+
+def build_frame(kind: bytes, payload: bytes) -> bytes:
+    """Build a frame.
+
+    Args:
+        kind: Kind byte.
+        payload: Payload.
+
+    Returns:
+        The frame.
+    """
+    return HEADER.pack(kind, len(payload) + LENGTH_BYTES) + payload
+
+
+def read_message(kind: bytes, raw: bytes) -> PipelineMessage:
+    """Read the names in a Parse, Bind, Describe, Execute or Close frame.
+
+    Args:
+        kind: Kind byte.
+        raw: The frame.
+
+    Returns:
+        The message.
+
+    Raises:
+        RequestError: BAD_REQUEST if the frame is not whole.
+    """
+    body = raw[HEADER_BYTES:]
+    target = b""
+    portal = b""
+    statement = b""
+    try:
+        if kind == b"P":
+            statement, rest = split_name(body)
+        elif kind == b"B":
+            portal, rest = split_name(body)
+            statement, rest = split_name(rest)
+        elif kind == b"E":
+            portal, rest = split_name(body)
+        else:
+            target = body[:1]
+            name, rest = split_name(body[1:])
+            if target == b"S":
+                statement = name
+            elif target == b"P":
+                portal = name
+            else:
+                raise ValueError(f"target {target!r}")
+    except ValueError as error:
+        reason = f"message {kind!r} can't be read: {error}"
+        raise RequestError(ErrorKind.BAD_REQUEST, reason) from error
+    return PipelineMessage(kind, raw, target, portal, statement, rest)
+
+
+def split_name(body: bytes) -> tuple[bytes, bytes]:
+    """Split a name off a payload.
+
+    Args:
+        body: Payload that starts with a name.
+
+    Returns:
+        The name and the rest.
+
+    Raises:
+        ValueError: If the name has no end.
+    """
+    end = body.index(b"\x00")
+    return body[:end], body[end + 1 :]
+
+
+def read_statement(message: PipelineMessage) -> PreparedStatement:
+    """Read the statement of a Parse message.
+
+    Args:
+        message: The message.
+
+    Returns:
+        The statement.
+
+    Raises:
+        RequestError: BAD_REQUEST if the text is not whole or not UTF-8.
+    """
+    try:
+        text = split_name(message.rest)[0].decode()
+    except ValueError as error:
+        raise RequestError(ErrorKind.BAD_REQUEST, str(error)) from error
+    name = b""
+    if message.statement:
+        digest = hashlib.blake2b(message.rest, digest_size=NAME_DIGEST_BYTES)
+        name = NAME_PREFIX + digest.hexdigest().encode()
+    return PreparedStatement(classify_statement(text), text, message.rest, name)
--- /dev/null
+++ b/ebonyrack/callers/reading.py
@@ -0,0 +1,160 @@
+"""Reads outside a transaction: placed on an upstream, relayed, tried once more."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ebonyrack.callers.relay import Relay
+from ebonyrack.callers.upstream_use import build_position_question
+from ebonyrack.callers.upstream_use import confirm_read
+from ebonyrack.callers.upstream_use import make_requirement
+from ebonyrack.callers.upstream_use import read_position
+from ebonyrack.callers.upstream_use import take_upstream
+from ebonyrack.callers.writing import run_write
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.routing.read_placement import place_read
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.exchange import Request
+    from ebonyrack.callers.session import CallerSession
+    from ebonyrack.routing.read_placement import ReadPlacement
+
+# What a replica answers to a statement that writes after all.
+READ_ONLY_SQLSTATE = "25006"
+
+
+class ReadBrokenError(Exception):
+    """A read whose answer did not come, or not whole.
+
+    Attributes:
+        upstream_name: The upstream that was to serve it.
+        reason: What happened.
+        has_sent: Whether a part of the answer has gone to the caller.
+    """
+
+    def __init__(self, upstream_name: str, reason: str, has_sent: bool) -> None:
+        super().__init__(reason)
+        self.upstream_name = upstream_name
+        self.reason = reason
+        self.has_sent = has_sent
+
+
+class WriteInDisguiseError(Exception):
+    """A statement taken for a read that an upstream refused as a write."""
+
+
+async def run_read(session: CallerSession, request: Request) -> bool:
+    """Serve a read, at most twice and on different upstreams.
+
+    Args:
+        session: The session.
+        request: What to send.
+
+    Returns:
+        Whether the upstream answered without an error.
+
+    Raises:
+        RequestError: If no whole answer could be given.
+    """
+    deadline_s = now_s() + session.group.section.queue_wait_s
+    try:
+        return await read_once(session, request, deadline_s, frozenset())
+    except ReadBrokenError as error:
+        if error.has_sent:
+            raise RequestError(ErrorKind.ANSWER_CUT, error.reason) from error
+        excluded = frozenset({error.upstream_name})
+    except WriteInDisguiseError:
+        return await run_write(session, request)
+    try:
+        return await read_once(session, request, deadline_s, excluded)
+    except ReadBrokenError as error:
+        kind = ErrorKind.ANSWER_CUT if error.has_sent else ErrorKind.UPSTREAM_LOST
+        raise RequestError(kind, error.reason) from error
+    except WriteInDisguiseError:
+        return await run_write(session, request)
+
+
+async def read_once(
+    session: CallerSession,
+    request: Request,
+    deadline_s: float,
+    excluded: frozenset[str],
+) -> bool:
+    """Place a read and serve it.
+
+    Args:
+        session: The session.
+        request: What to send.
+        deadline_s: Monotonic time by which it must have been sent, in seconds.
+        excluded: Names of upstreams that are not to serve it.
+
+    Returns:
+        Whether the upstream answered without an error.
+
+    Raises:
+        ReadBrokenError: If the upstream was lost.
+        WriteInDisguiseError: If it is no read.
+        RequestError: If it can't be served.
+    """
+    group = session.group
+    requirement = make_requirement(session)
+    placement = await session.wait_before_sending(
+        place_read(group, session.read_index, requirement, deadline_s, excluded),
+        deadline_s,
+    )
+    name = placement.upstream.name
+    try:
+        await take_upstream(session, placement.upstream, deadline_s)
+    except UpstreamLostError as error:
+        group.report_lost(name, error.reason)
+        raise ReadBrokenError(name, error.reason, False) from error
+    try:
+        return await relay_read(session, request, placement)
+    finally:
+        session.transaction.abandon()
+
+
+async def relay_read(
+    session: CallerSession, request: Request, placement: ReadPlacement
+) -> bool:
+    """Send a read on the connection held and relay its answer.
+
+    Args:
+        session: The session, which holds a connection.
+        request: What to send.
+        placement: Where the read was placed and on what terms.
+
+    Returns:
+        Whether the upstream answered without an error.
+
+    Raises:
+        ReadBrokenError: If the upstream was lost.
+        WriteInDisguiseError: If it is no read.
+        RequestError: POSITION_NOT_REACHED if what it saw was not confirmed.
+    """
+    connection = session.connection
+    assert connection is not None
+    needs_confirmation = placement.hold_until_confirmed
+    exchange = request.render(connection)
+    relay = Relay(session, connection, exchange, holds=needs_confirmation)
+    question = build_position_question(session) if needs_confirmation else b""
+    try:
+        connection.send(exchange.data + question)
+        await relay.run()
+        if needs_confirmation:
+            position = await read_position(session)
+    except UpstreamLostError as error:
+        name = placement.upstream.name
+        session.group.report_lost(name, error.reason)
+        raise ReadBrokenError(name, error.reason, relay.has_sent) from error
+    if relay.sqlstate == READ_ONLY_SQLSTATE and not relay.has_sent:
+        raise WriteInDisguiseError
+    session.note_served()
+    session.release_connection()
+    if needs_confirmation and relay.error is None:
+        await confirm_read(session, position)
+    session.stream.write(relay.output)
+    return relay.error is None
--- /dev/null
+++ b/ebonyrack/callers/relay.py
@@ -0,0 +1,214 @@
+"""Relay of one answer from an upstream to a caller, as the bytes that arrived."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pygwire.messages import CopyFail
+
+from ebonyrack.callers.answers import read_sqlstate
+from ebonyrack.callers.exchange import Completion
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.exchange import Exchange
+    from ebonyrack.callers.session import CallerSession
+    from ebonyrack.upstreams.connection import Message
+    from ebonyrack.upstreams.connection import UpstreamConnection
+
+# An answer shorter than this reaches the caller in one piece or not at all.
+FLUSH_BYTES = 32 * 1024
+# Messages that end a step: ParseComplete, BindComplete, CloseComplete, NoData,
+# RowDescription, CommandComplete, EmptyQueryResponse and PortalSuspended.
+COMPLETING_KINDS = frozenset({b"1", b"2", b"3", b"n", b"T", b"C", b"I", b"s"})
+COMMAND_KINDS = frozenset({b"C", b"I", b"s"})
+COPY_KINDS = frozenset({b"G", b"H", b"W"})
+# NotificationResponse belongs to a LISTEN, which sessions here can't have.
+DROPPED_KINDS = frozenset({b"A"})
+TAG_OFFSET = 5
+
+
+class Relay:
+    """Collects and passes on the answer to one exchange.
+
+    The end of the answer stays in `output` until the caller of `run` decides about
+    it; with `holds`, all from the first CommandComplete on stays there.
+
+    Attributes:
+        session: The caller's session.
+        connection: The upstream connection that answers.
+        holds: Whether completed commands are kept back.
+        steps: Steps still to come, or None for a simple query.
+        output: Frames that have not gone to the caller.
+        has_sent: Whether any frame has gone to the caller.
+        is_held: Whether frames are kept back by now.
+        error: ErrorResponse frame of the upstream, or None.
+        completed: Commands that the upstream has completed.
+        tags: Their command tags, kept only with `holds`.
+    """
+
+    __slots__ = (
+        "session",
+        "connection",
+        "holds",
+        "steps",
+        "output",
+        "has_sent",
+        "is_held",
+        "error",
+        "completed",
+        "tags",
+    )
+
+    def __init__(
+        self,
+        session: CallerSession,
+        connection: UpstreamConnection,
+        exchange: Exchange,
+        holds: bool,
+    ) -> None:
+        self.session = session
+        self.connection = connection
+        self.holds = holds
+        self.steps = exchange.steps
+        self.output = bytearray()
+        self.has_sent = False
+        self.is_held = False
+        self.error: bytes | None = None
+        self.completed = 0
+        self.tags: list[str] = []
+
+    @property
+    def sqlstate(self) -> str:
+        """SQLSTATE of the upstream's error, or an empty string."""
+        return "" if self.error is None else read_sqlstate(self.error)
+
+    async def run(self) -> None:
+        """Relay up to ReadyForQuery, which is not passed on.
+
+        Raises:
+            UpstreamLostError: If the upstream is lost before ReadyForQuery, or
+                the answer is one that can't be passed on.
+        """
+        self.add_local_steps()
+        while True:
+            message = self.connection.take_message()
+            if message is None:
+                message = await self.session.wait_for_message(self.connection)
+            if message.kind == b"Z":
+                return
+            self.accept(message)
+            if len(self.output) >= FLUSH_BYTES:
+                await self.flush()
+
+    async def flush(self) -> None:
+        """Pass on what has been collected, unless it is held."""
+        if self.is_held:
+            self.check_held_size()
+            return
+        self.has_sent = True
+        self.session.stream.write(self.output)
+        self.output = bytearray()
+        await self.session.drain_caller()
+
+    def check_held_size(self) -> None:
+        """Give up on an answer that is too large to hold.
+
+        Raises:
+            UpstreamLostError: If it is; the connection is closed.
+        """
+        if len(self.output) > self.session.settings.maximum_message_bytes:
+            self.connection.close()
+            raise UpstreamLostError("the answer is too large to be held")
+
+    def accept(self, message: Message) -> None:
+        """Take one message of the answer.
+
+        Args:
+            message: A message other than ReadyForQuery.
+
+        Raises:
+            UpstreamLostError: For data of a COPY to the caller.
+        """
+        kind = message.kind
+        if kind == b"D":
+            self.output += message.raw
+        elif kind == b"E":
+            self.accept_error(message)
+        elif kind in COPY_KINDS:
+            self.refuse_copy(message)
+        elif kind not in DROPPED_KINDS:
+            self.accept_completion(message)
+
+    def accept_error(self, message: Message) -> None:
+        """Keep an error; the upstream skips all further steps.
+
+        Args:
+            message: The ErrorResponse.
+        """
+        self.error = message.raw
+        self.is_held = True
+        self.output += message.raw
+        if self.steps is not None:
+            self.steps.clear()
+
+    def accept_completion(self, message: Message) -> None:
+        """Take a message that may complete a step.
+
+        Args:
+            message: Any other message.
+        """
+        kind = message.kind
+        if kind in COMMAND_KINDS:
+            self.completed += 1
+            if self.holds:
+                self.is_held = True
+                self.tags.append(read_tag(message))
+        if self.steps and kind in COMPLETING_KINDS:
+            step = self.steps.popleft()
+            step.is_done = True
+            if step.prepares:
+                self.connection.prepared[step.prepares] = step.prepares
+            if step.completion is Completion.RELAY:
+                self.output += message.raw
+            self.add_local_steps()
+            return
+        self.output += message.raw
+
+    def add_local_steps(self) -> None:
+        """Add the answers that the proxy gives itself, in their places."""
+        while self.steps and self.steps[0].completion is Completion.LOCAL:
+            step = self.steps.popleft()
+            step.is_done = True
+            self.output += step.frame
+
+    def refuse_copy(self, message: Message) -> None:
+        """End a COPY that was not recognised in time.
+
+        A copy from the caller is failed, so that the upstream answers the rest.
+
+        Args:
+            message: CopyInResponse, CopyOutResponse or CopyBothResponse.
+
+        Raises:
+            UpstreamLostError: For copies to the caller; the connection is closed.
+        """
+        if message.kind == b"G":
+            self.connection.send(CopyFail(error_message="not supported").to_wire())
+            return
+        self.connection.close()
+        raise UpstreamLostError("COPY is not supported over pooled connections")
+
+
+def read_tag(message: Message) -> str:
+    """Read the command tag of a message that completes a command.
+
+    Args:
+        message: CommandComplete, EmptyQueryResponse or PortalSuspended.
+
+    Returns:
+        The tag, empty unless it is a CommandComplete.
+    """
+    if message.kind != b"C":
+        return ""
+    return message.raw[TAG_OFFSET:-1].decode("utf-8", "replace")
--- /dev/null
+++ b/ebonyrack/callers/session_test.py
@@ -0,0 +1,260 @@
+import asyncio
+
+import psycopg
+import pytest
+
+from ebonyrack.callers.conftest import error_of
+from ebonyrack.callers.conftest import kinds
+from ebonyrack.callers.conftest import open_proxy
+from ebonyrack.callers.conftest import wait_until
+from ebonyrack.callers.watchdog import check_sessions
+from ebonyrack.core.clock import now_s
+from ebonyrack.upstreams.connection import UpstreamConnection
+
+INSERT = "INSERT INTO bookings (slot, booker, request) VALUES (1, 'me', '{}')"
+COUNT = "SELECT count(*) FROM bookings"
+
+
+async def fetch(connection, sql, values=None):
+    return await (await connection.execute(sql, values)).fetchall()
+
+
+async def test_a_session_that_roams_by_token_reads_its_writes_on_replicas(proxy):
+    proxy.standins.set_lag(0.02)
+    async with await proxy.connect() as writer:
+        for number in range(5):
+            await writer.execute(INSERT.format(number))
+            token = writer.info.parameter_status("ebonyrack.token")
+            options = f"-c ebonyrack.token={token}"
+            async with await proxy.connect(options=options) as reader:
+                assert await fetch(reader, COUNT) == [(number + 1,)]
+                served_by = await fetch(reader, "SHOW ebonyrack.served_by")
+                assert served_by[0][0].endswith("replica")
+                assert (await fetch(reader, "SHOW ebonyrack.token"))[0][0]
+
+
+async def test_a_read_without_a_token_sees_every_acknowledged_write(proxy):
+    proxy.standins.set_lag(0.02)
+    async with await proxy.connect() as writer, await proxy.connect() as reader:
+        for number in range(5):
+            await writer.execute(INSERT.format(number))
+            assert await fetch(reader, COUNT) == [(number + 1,)]
+
+
+async def test_a_transaction_stays_on_one_connection_of_the_primary(proxy):
+    async with await proxy.connect(autocommit=False) as connection:
+        await connection.execute(INSERT.format("a"))
+        assert await fetch(connection, COUNT) == [(1,)]
+        assert proxy.pool().busy_count == 1
+        await connection.rollback()
+        assert proxy.pool().busy_count == 0
+        assert await fetch(connection, COUNT) == [(0,)]
+        await connection.commit()
+    assert proxy.pool().busy_count == 0
+
+
+async def test_begin_holds_no_connection_before_the_first_statement(proxy):
+    caller = await proxy.start_wire()
+    assert await caller.query("BEGIN") == [(b"C", b"BEGIN\x00"), (b"Z", b"T")]
+    assert proxy.pool().busy_count == 0
+    assert await caller.query("COMMIT") == [(b"C", b"COMMIT\x00"), (b"Z", b"I")]
+
+
+async def test_a_read_only_transaction_may_use_a_replica(proxy):
+    async with await proxy.connect() as connection:
+        await connection.execute("BEGIN READ ONLY")
+        assert await fetch(connection, COUNT) == [(0,)]
+        assert proxy.pool().busy_count == 0
+        await connection.execute("COMMIT")
+
+
+async def test_a_failed_transaction_answers_as_postgresql_does(proxy):
+    caller = await proxy.start_wire()
+    await caller.query("BEGIN")
+    assert (await caller.query("SELECT nonsense FROM nowhere"))[-1] == (b"Z", b"E")
+    frames = await caller.query("SELECT 1")
+    assert error_of(frames)[0] == "25P02" and frames[-1] == (b"Z", b"E")
+    frames = await caller.query("SET ebonyrack.max_age = '5s'")
+    assert error_of(frames)[0] == "25P02"
+    assert await caller.query("COMMIT") == [(b"C", b"ROLLBACK\x00"), (b"Z", b"I")]
+
+
+async def test_a_refusal_in_a_transaction_fails_it(proxy):
+    caller = await proxy.start_wire()
+    await caller.query("BEGIN")
+    await caller.query(INSERT.format("a"))
+    frames = await caller.query("LISTEN news")
+    assert error_of(frames)[0] == "0A000" and frames[-1] == (b"Z", b"E")
+    assert error_of(await caller.query("SELECT 1"))[0] == "25P02"
+    assert await caller.query("ROLLBACK") == [(b"C", b"ROLLBACK\x00"), (b"Z", b"I")]
+    assert proxy.count_rows("up-1", "a") == 0
+
+
+@pytest.mark.parametrize(
+    "sql",
+    [
+        "COPY bookings FROM STDIN",
+        "COPY bookings TO STDOUT",
+        "LISTEN news",
+        "SET work_mem = '1GB'",
+        "SET timezone = 'Asia/Tokyo'",
+        "CREATE TEMPORARY TABLE t (id integer)",
+        "SELECT 1; COMMIT",
+        "SET ebonyrack.max_age = 'long'",
+    ],
+)
+async def test_what_a_pooled_connection_can_not_keep_is_refused(proxy, sql):
+    caller = await proxy.start_wire()
+    frames = await caller.query(sql)
+    sqlstate, detail = error_of(frames)
+    assert sqlstate == "0A000" and detail.startswith("ran=no")
+    assert kinds(await caller.query("SELECT 1")) == "TDCZ"
+
+
+@pytest.mark.parametrize(
+    "sql",
+    [
+        "SET client_encoding TO 'UTF8'",
+        "SET application_name = 'tool'",
+        "SET extra_float_digits = 3",
+        "SET standard_conforming_strings = on",
+        "SET TIME ZONE 'UTC'",
+        'SET search_path = "$user", public',
+        "SET search_path TO DEFAULT",
+        "RESET ALL",
+        "DISCARD ALL",
+        "DEALLOCATE ALL",
+    ],
+)
+async def test_settings_that_change_nothing_are_accepted(proxy, sql):
+    caller = await proxy.start_wire()
+    assert kinds(await caller.query(sql)) == "CZ"
+
+
+async def test_a_read_is_tried_once_more_while_nothing_was_sent(proxy, monkeypatch):
+    lost = []
+
+    async def lose_once(connection):
+        if not lost:
+            lost.append(connection)
+            connection.close()
+        return await read_message(connection)
+
+    read_message = UpstreamConnection.read_message
+    monkeypatch.setattr(UpstreamConnection, "take_message", lambda connection: None)
+    caller = await proxy.start_wire()
+    monkeypatch.setattr(UpstreamConnection, "read_message", lose_once)
+    assert kinds(await caller.query(COUNT)) == "TDCZ"
+    assert len(lost) == 1
+
+
+async def test_a_cancel_request_ends_the_statement_of_its_session_only(proxy):
+    async with await proxy.connect() as slow, await proxy.connect() as other:
+        running = asyncio.create_task(slow.execute("SELECT pg_sleep(60)"))
+        await wait_until(lambda: any(s.phase == "upstream" for s in proxy.sessions))
+        await other.cancel_safe()
+        assert not running.done()
+        await slow.cancel_safe()
+        with pytest.raises(psycopg.errors.QueryCanceled):
+            await running
+        assert await fetch(slow, COUNT) == [(0,)]
+        busy = [upstream.pool.busy_count for upstream in proxy.group.upstreams.values()]
+        assert sum(busy) == 0
+
+
+async def test_a_request_that_waits_for_a_connection_can_be_cancelled():
+    async with open_proxy(limit=2) as proxy:
+        async with await proxy.connect() as holder, await proxy.connect() as waiting:
+            await holder.execute("BEGIN")
+            await holder.execute(INSERT.format("a"))
+            running = asyncio.create_task(waiting.execute(INSERT.format("b")))
+            await wait_until(lambda: proxy.pool().waiting_count == 1)
+            await waiting.cancel_safe()
+            with pytest.raises(psycopg.errors.QueryCanceled) as raised:
+                await running
+            assert raised.value.diag.message_detail.startswith("ran=no")
+            await holder.execute("COMMIT")
+            assert proxy.pool().waiting_count == 0
+
+
+async def test_a_caller_that_leaves_frees_its_connection(proxy):
+    caller = await proxy.start_wire()
+    running = asyncio.create_task(caller.query("SELECT pg_sleep(60)"))
+    await wait_until(lambda: any(s.phase == "upstream" for s in proxy.sessions))
+    caller.abort()
+    await asyncio.gather(running, return_exceptions=True)
+    await wait_until(lambda: not proxy.sessions)
+    await wait_until(lambda: not proxy.listener.cancels)
+    for upstream in proxy.group.upstreams.values():
+        assert upstream.pool.busy_count == 0
+        running_there = proxy.standins[upstream.name].sessions.values()
+        assert not any(session.is_executing for session in running_there)
+
+
+async def test_a_transaction_that_is_idle_too_long_is_rolled_back(proxy):
+    caller = await proxy.start_wire()
+    await caller.query("BEGIN")
+    await caller.query(INSERT.format("a"))
+    limit_s = proxy.group.section.idle_in_transaction_s
+    await wait_until(lambda: proxy.sessions[0].phase == "idle")
+    check_sessions(proxy.sessions, now_s() + limit_s + 1)
+    assert proxy.pool().busy_count == 0
+    frames = await caller.query("SELECT 1")
+    assert error_of(frames)[0] == "25P03" and frames[-1] == (b"Z", b"E")
+    await caller.query("COMMIT")
+    assert kinds(await caller.query(COUNT)) == "TDCZ"
+    assert proxy.count_rows("up-1", "a") == 0
+
+
+async def test_an_upstream_that_does_not_answer_is_given_up(proxy):
+    caller = await proxy.start_wire()
+    await caller.query("BEGIN")
+    await caller.query(INSERT.format("a"))
+    proxy.standins.freeze("up-1")
+    running = asyncio.create_task(caller.query(INSERT.format("b")))
+    await wait_until(lambda: proxy.sessions[0].phase == "upstream")
+    check_sessions(proxy.sessions, now_s() + proxy.group.section.answer_wait_s + 1)
+    frames = await running
+    assert error_of(frames)[0] == "08006" and frames[-1] == (b"Z", b"E")
+    proxy.standins.thaw("up-1")
+
+
+async def test_a_key_makes_a_lone_write_run_once(proxy):
+    async with await proxy.connect() as connection:
+        for replayed in ("off", "on"):
+            await connection.execute("SET ebonyrack.idempotency_key = 'k'")
+            cursor = await connection.execute(INSERT.format("a"))
+            assert cursor.statusmessage == "INSERT 0 1"
+            status = connection.info.parameter_status("ebonyrack.replayed")
+            assert status == replayed
+        assert await fetch(connection, COUNT) == [(1,)]
+        # The key is used up by one transaction.
+        await connection.execute(INSERT.format("b"))
+        assert await fetch(connection, COUNT) == [(2,)]
+
+
+async def test_a_key_makes_a_transaction_run_once(proxy):
+    async with await proxy.connect() as connection:
+        await connection.execute("SET ebonyrack.idempotency_key = 'k'")
+        async with connection.transaction():
+            await connection.execute(INSERT.format("a"))
+        await connection.execute("SET ebonyrack.idempotency_key = 'k'")
+        with pytest.raises(psycopg.errors.UniqueViolation) as raised:
+            async with connection.transaction():
+                await connection.execute(INSERT.format("b"))
+        assert raised.value.diag.message_detail.startswith("ran=yes")
+        assert "COMMIT" in raised.value.diag.message_detail
+        assert await fetch(connection, COUNT) == [(1,)]
+
+
+async def test_a_keyed_write_that_fails_leaves_its_key_free(proxy):
+    async with await proxy.connect() as connection:
+        await connection.execute(INSERT.format("a"))
+        for request, error in (("a", psycopg.errors.UniqueViolation), ("b", None)):
+            await connection.execute("SET ebonyrack.idempotency_key = 'k'")
+            if error is None:
+                await connection.execute(INSERT.format(request))
+                continue
+            with pytest.raises(error):
+                await connection.execute(INSERT.format(request))
+        assert await fetch(connection, COUNT) == [(2,)]
--- /dev/null
+++ b/ebonyrack/callers/transaction.py
@@ -0,0 +1,401 @@
+"""A caller's explicit transaction and the upstream connection that it holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.relay import Relay
+from ebonyrack.callers.upstream_use import ask_last_commit
+from ebonyrack.callers.upstream_use import build_position_question
+from ebonyrack.callers.upstream_use import confirm_read
+from ebonyrack.callers.upstream_use import confirm_replay
+from ebonyrack.callers.upstream_use import finish_write
+from ebonyrack.callers.upstream_use import get_contract
+from ebonyrack.callers.upstream_use import make_requirement
+from ebonyrack.callers.upstream_use import read_position
+from ebonyrack.callers.upstream_use import run_control
+from ebonyrack.callers.upstream_use import take_primary
+from ebonyrack.callers.upstream_use import take_upstream
+from ebonyrack.callers.upstream_use import write_token
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.routing.idempotency import claim_key
+from ebonyrack.routing.idempotency import record_outcome
+from ebonyrack.routing.read_placement import place_read
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.exchange import Request
+    from ebonyrack.callers.session import CallerSession
+
+IDLE = "I"
+OPEN = "T"
+FAILED = "E"
+COMMIT_TAG = "COMMIT"
+ROLLBACK_TAG = "ROLLBACK"
+OWN_BEGIN = "BEGIN"
+OWN_COMMIT = "COMMIT"
+OWN_ROLLBACK = "ROLLBACK"
+
+
+class Transaction:
+    """The transaction of one session, if there is one.
+
+    BEGIN is answered at once and reaches an upstream together with the first
+    statement, so that a connection is held only while it is needed. What fails on
+    the proxy's side rolls back: the status is then `E` without a connection.
+
+    Attributes:
+        session: The session.
+        status: `I`, `T` or `E`, as the caller sees it.
+        begin_sql: Text of the caller's BEGIN.
+        is_read_only: Whether a replica may serve it.
+        is_implicit: Whether the proxy opened it for a pipeline of the caller.
+        has_written: Whether a statement was sent that may write.
+        needs_confirmation: Whether it reads from a primary whose answers wait.
+        key: Idempotency key of the transaction, or an empty string.
+        failure: Error to answer the next statement with, or None.
+    """
+
+    __slots__ = (
+        "session",
+        "status",
+        "begin_sql",
+        "is_read_only",
+        "is_implicit",
+        "has_written",
+        "needs_confirmation",
+        "key",
+        "failure",
+    )
+
+    def __init__(self, session: CallerSession) -> None:
+        self.session = session
+        self.failure: RequestError | None = None
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget the transaction."""
+        self.status = IDLE
+        self.begin_sql = ""
+        self.is_read_only = False
+        self.is_implicit = False
+        self.has_written = False
+        self.needs_confirmation = False
+        self.key = ""
+
+    def begin(self, sql: str, is_read_only: bool, is_implicit: bool = False) -> None:
+        """Start a transaction, without any upstream yet.
+
+        Args:
+            sql: Text of the BEGIN.
+            is_read_only: Whether a replica may serve it.
+            is_implicit: Whether the proxy opens it for a pipeline.
+        """
+        self.reset()
+        self.status = OPEN
+        self.begin_sql = sql
+        self.is_read_only = is_read_only
+        self.is_implicit = is_implicit
+        self.key = self.session.variables.idempotency_key
+        self.session.variables.idempotency_key = ""
+
+    def raise_failure(self) -> None:
+        """Raise the error that was met while the caller was idle.
+
+        Raises:
+            RequestError: That error, once.
+        """
+        failure, self.failure = self.failure, None
+        if failure is not None:
+            raise failure
+
+    async def run(self, request: Request, is_read: bool) -> bool:
+        """Run a statement in the transaction.
+
+        Args:
+            request: What to send.
+            is_read: Whether it surely writes nothing.
+
+        Returns:
+            Whether it succeeded.
+
+        Raises:
+            RequestError: If the proxy or the loss of the upstream ends it.
+        """
+        session = self.session
+        if session.connection is None:
+            await self.open()
+        await session.await_cancel()
+        assert session.connection is not None
+        self.has_written = self.has_written or not is_read
+        exchange = request.render(session.connection)
+        relay = Relay(session, session.connection, exchange, holds=not is_read)
+        try:
+            session.connection.send(exchange.data)
+            await relay.run()
+        except UpstreamLostError as error:
+            kind = ErrorKind.ANSWER_CUT if relay.has_sent else ErrorKind.UPSTREAM_LOST
+            raise session.lose_upstream(error, kind) from error
+        if session.connection.transaction_status == IDLE and not is_read:
+            await self.acknowledge_inner_commit(relay)
+        self.follow_status()
+        session.stream.write(relay.output)
+        return relay.error is None
+
+    async def acknowledge_inner_commit(self, relay: Relay) -> None:
+        """Acknowledge a commit that stood among the statements of one query.
+
+        Args:
+            relay: The answer, still held.
+
+        Raises:
+            RequestError: OUTCOME_UNKNOWN if it can't be acknowledged.
+        """
+        session = self.session
+        connection = session.connection
+        assert connection is not None
+        question = get_contract(session).build_last_commit()
+        try:
+            connection.send(build_query(question))
+            position = await ask_last_commit(session, question)
+        except UpstreamLostError as error:
+            raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+        await finish_write(session, connection, position)
+
+    def adopt(self) -> None:
+        """Go on with a transaction that the statements of one query have opened."""
+        connection = self.session.connection
+        assert connection is not None
+        self.reset()
+        self.status = connection.transaction_status
+        self.has_written = True
+
+    def follow_status(self) -> None:
+        """Take over the status that the upstream reported."""
+        connection = self.session.connection
+        if connection is None:
+            return
+        self.status = connection.transaction_status
+        if self.status == IDLE:
+            self.session.release_connection()
+            self.reset()
+
+    async def open(self) -> None:
+        """Take a connection, begin on it and claim the idempotency key.
+
+        Raises:
+            RequestError: If no upstream can serve, or the key was used before.
+        """
+        session = self.session
+        if self.is_read_only and not self.key:
+            await self.place()
+        else:
+            await take_primary(session)
+        await run_control(session, self.begin_sql)
+        session.note_served()
+        if self.key:
+            await self.claim()
+
+    async def place(self) -> None:
+        """Take a connection of the upstream that is to serve the reads.
+
+        Raises:
+            RequestError: If no upstream can serve.
+        """
+        session = self.session
+        group = session.group
+        deadline_s = now_s() + group.section.queue_wait_s
+        placement = await session.wait_before_sending(
+            place_read(
+                group, session.read_index, make_requirement(session), deadline_s
+            ),
+            deadline_s,
+        )
+        try:
+            await take_upstream(session, placement.upstream, deadline_s)
+        except UpstreamLostError as error:
+            group.report_lost(placement.upstream.name, error.reason)
+            raise RequestError(ErrorKind.UPSTREAM_LOST, error.reason) from error
+        self.needs_confirmation = placement.hold_until_confirmed
+
+    async def claim(self) -> None:
+        """Claim the idempotency key within the transaction.
+
+        Raises:
+            RequestError: ALREADY_RAN once a majority holds the earlier outcome.
+        """
+        session = self.session
+        assert session.connection is not None
+        limit_s = session.group.section.answer_wait_s
+        try:
+            claim = await claim_key(session.connection, self.key, limit_s)
+        except UpstreamLostError as error:
+            raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+        if claim.is_first:
+            self.has_written = True
+            return
+        await confirm_replay(session)
+        raise RequestError(ErrorKind.ALREADY_RAN, f"outcome {claim.outcome}")
+
+    async def commit(self, request: Request) -> bool:
+        """Commit, and answer once a majority holds the transaction.
+
+        Args:
+            request: The caller's COMMIT.
+
+        Returns:
+            Whether it succeeded.
+
+        Raises:
+            RequestError: OUTCOME_UNKNOWN if the fate of the commit is not known,
+                UPSTREAM_LOST if it was surely not sent.
+        """
+        session = self.session
+        if session.connection is None:
+            tag = COMMIT_TAG if self.status == OPEN else ROLLBACK_TAG
+            self.reset()
+            session.stream.write(request.build_replay([tag]))
+            return True
+        await session.await_cancel()
+        session.is_committing = True
+        try:
+            if self.key and self.status == OPEN:
+                await self.record()
+            if self.has_written:
+                return await self.commit_write(request)
+            return await self.commit_read(request)
+        except RequestError:
+            # The transaction is over for the caller, whatever became of it.
+            self.abandon()
+            self.reset()
+            raise
+        finally:
+            session.is_committing = False
+
+    async def record(self) -> None:
+        """Record the outcome under the idempotency key, before the commit.
+
+        Raises:
+            RequestError: UPSTREAM_LOST; the transaction is rolled back.
+        """
+        session = self.session
+        assert session.connection is not None
+        limit_s = session.group.section.answer_wait_s
+        try:
+            await record_outcome(session.connection, self.key, COMMIT_TAG, limit_s)
+        except UpstreamLostError as error:
+            raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+
+    async def commit_write(self, request: Request) -> bool:
+        """Send COMMIT and the question for its position in one go.
+
+        Args:
+            request: The caller's COMMIT.
+
+        Returns:
+            Whether it succeeded.
+
+        Raises:
+            RequestError: OUTCOME_UNKNOWN or UPSTREAM_LOST.
+        """
+        session = self.session
+        connection = session.connection
+        assert connection is not None
+        exchange = request.render(connection)
+        relay = Relay(session, connection, exchange, holds=True)
+        question = get_contract(session).build_last_commit()
+        session.send_surely(exchange.data, question)
+        try:
+            await relay.run()
+            self.status = connection.transaction_status
+            position = await ask_last_commit(session, question)
+        except UpstreamLostError as error:
+            raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+        has_committed = relay.error is None and relay.tags != [ROLLBACK_TAG]
+        self.follow_status()
+        if has_committed:
+            await finish_write(session, connection, position)
+        session.stream.write(relay.output)
+        if has_committed:
+            write_token(session)
+        return relay.error is None
+
+    async def commit_read(self, request: Request) -> bool:
+        """Commit a transaction that wrote nothing.
+
+        Args:
+            request: The caller's COMMIT.
+
+        Returns:
+            Whether it succeeded.
+
+        Raises:
+            RequestError: POSITION_NOT_REACHED if what it read was not confirmed,
+                UPSTREAM_LOST if the upstream went away.
+        """
+        session = self.session
+        connection = session.connection
+        assert connection is not None
+        exchange = request.render(connection)
+        relay = Relay(session, connection, exchange, holds=True)
+        needs_confirmation = self.needs_confirmation
+        question = build_position_question(session) if needs_confirmation else b""
+        try:
+            connection.send(exchange.data + question)
+            await relay.run()
+            if needs_confirmation:
+                position = await read_position(session)
+        except UpstreamLostError as error:
+            raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+        self.follow_status()
+        if needs_confirmation:
+            await confirm_read(session, position)
+        session.stream.write(relay.output)
+        return relay.error is None
+
+    async def roll_back(self, request: Request) -> bool:
+        """Roll back.
+
+        Args:
+            request: The caller's ROLLBACK.
+
+        Returns:
+            Whether it succeeded; it does unless the upstream says otherwise.
+        """
+        session = self.session
+        if session.connection is None:
+            self.reset()
+            session.stream.write(request.build_replay([ROLLBACK_TAG]))
+            return True
+        try:
+            return await self.run(request, is_read=True)
+        except RequestError:
+            # A connection that is lost has rolled back as well.
+            self.reset()
+            session.stream.write(request.build_replay([ROLLBACK_TAG]))
+            return True
+
+    def fail(self) -> None:
+        """Roll back after an error of the proxy."""
+        if self.status == IDLE:
+            return
+        self.abandon()
+        self.status = FAILED
+
+    def abandon(self) -> None:
+        """Give the connection back; a transaction open on it is cut off."""
+        session = self.session
+        connection = session.connection
+        if connection is not None and not connection.is_clean:
+            if connection.answers_due > 0 and not connection.is_closed:
+                session.stop_statement(connection)
+            connection.close()
+        session.release_connection()
+
+    def expire(self) -> None:
+        """Roll back because the caller was idle for too long."""
+        self.fail()
+        self.failure = RequestError(ErrorKind.IDLE_IN_TRANSACTION)
--- /dev/null
+++ b/ebonyrack/callers/upstream_use.py
@@ -0,0 +1,278 @@
+"""Steps that sessions take with upstreams: acquire, ask, confirm, acknowledge."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ebonyrack.callers.answers import build_parameter
+from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.variables import TOKEN
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.position import START
+from ebonyrack.core.position import parse_position
+from ebonyrack.routing.read_placement import ReadRequirement
+from ebonyrack.routing.write_path import acknowledge_write
+from ebonyrack.routing.write_path import check_write_admitted
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.contract import CONTRACTS
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.session import CallerSession
+    from ebonyrack.core.position import LogPosition
+    from ebonyrack.upstreams.connection import QueryAnswer
+    from ebonyrack.upstreams.connection import UpstreamConnection
+    from ebonyrack.upstreams.contract import EbonyrackContract
+    from ebonyrack.upstreams.upstream import Upstream
+
+# Between attempts to reach a primary that has just been lost.
+PRIMARY_RETRY_S = 0.02
+
+
+def get_contract(session: CallerSession) -> EbonyrackContract:
+    """Return the contract of the session's group.
+
+    Args:
+        session: The session.
+    """
+    return CONTRACTS.get(session.group.section.contract)()
+
+
+def make_requirement(session: CallerSession) -> ReadRequirement:
+    """State what a read of the session must see.
+
+    Args:
+        session: The session.
+    """
+    variables = session.variables
+    return ReadRequirement(
+        minimum=variables.token_minimum,
+        max_age_s=variables.maximum_age_s,
+        own_writes=variables.own_writes,
+        wrote_at_s=variables.wrote_at_s,
+    )
+
+
+async def take_primary(session: CallerSession) -> None:
+    """Take a connection of the primary, waiting for a new one if need be.
+
+    Nothing of the request has been sent yet, so waiting repeats nothing.
+
+    Args:
+        session: The session, which holds the connection afterwards.
+
+    Raises:
+        RequestError: If the wait is over, or the write can't be admitted.
+    """
+    group = session.group
+    deadline_s = now_s() + group.section.queue_wait_s
+    while True:
+        upstream = await session.wait_before_sending(
+            group.wait_for_primary(deadline_s), deadline_s
+        )
+        check_write_admitted(group)
+        try:
+            await take_upstream(session, upstream, deadline_s)
+        except UpstreamLostError as error:
+            group.report_lost(upstream.name, error.reason)
+            await session.wait_before_sending(
+                asyncio.sleep(PRIMARY_RETRY_S), deadline_s
+            )
+            continue
+        if group.primary_name == upstream.name:
+            return
+        session.release_connection()
+
+
+async def take_upstream(
+    session: CallerSession, upstream: Upstream, deadline_s: float
+) -> None:
+    """Take a connection of an upstream from its pool.
+
+    Args:
+        session: The session, which holds the connection afterwards.
+        upstream: The upstream.
+        deadline_s: Monotonic time at which the wait ends, in seconds.
+
+    Raises:
+        RequestError: QUEUE_FULL, WAIT_TOO_LONG or CANCELLED.
+        UpstreamLostError: If the upstream can't be reached.
+    """
+    connection = await session.wait_before_sending(
+        upstream.pool.acquire(session.identity.application, deadline_s), deadline_s
+    )
+    session.hold_connection(upstream, connection)
+
+
+async def run_control(session: CallerSession, sql: str) -> QueryAnswer:
+    """Run a statement of the proxy's own before anything is committed.
+
+    Args:
+        session: A session that holds a connection.
+        sql: The statement.
+
+    Returns:
+        The answer.
+
+    Raises:
+        RequestError: UPSTREAM_LOST if the upstream is lost or refuses.
+    """
+    assert session.connection is not None
+    limit_s = session.group.section.answer_wait_s
+    try:
+        answer = await session.connection.query(sql, limit_s)
+    except UpstreamLostError as error:
+        raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+    if answer.error is not None:
+        reason = f"{sql} was refused: {answer.error.get('M', '')}"
+        raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
+    return answer
+
+
+async def ask_last_commit(session: CallerSession, question: str) -> LogPosition:
+    """Read the answer to a question for the last commit that was sent already.
+
+    Args:
+        session: A session that holds a connection.
+        question: The question, asked again if a late cancel request hit it.
+
+    Returns:
+        The position; START if the connection never committed anything.
+
+    Raises:
+        UpstreamLostError: If there is no answer.
+    """
+    connection = session.connection
+    assert connection is not None
+    limit_s = session.group.section.answer_wait_s
+    answer = await session.read_control_answer()
+    if answer.error is not None:
+        answer = await connection.query(question, limit_s)
+    if answer.error is not None or not answer.rows:
+        raise UpstreamLostError("the position of the commit can't be read")
+    text = answer.rows[0][0]
+    try:
+        return parse_position(text) if text else START
+    except ValueError as error:
+        raise UpstreamLostError(str(error)) from error
+
+
+def build_position_question(session: CallerSession) -> bytes:
+    """Build the question for the position that the upstream's log has reached.
+
+    Args:
+        session: The session.
+
+    Returns:
+        The frame, to be sent behind a read.
+    """
+    return build_query(get_contract(session).build_poll(START, 0))
+
+
+async def read_position(session: CallerSession) -> LogPosition:
+    """Read the answer to the question for the position that was sent already.
+
+    Args:
+        session: A session that holds a connection.
+
+    Returns:
+        A position that covers everything that was read on the connection so far.
+
+    Raises:
+        UpstreamLostError: If there is no answer.
+    """
+    answer = await session.read_control_answer()
+    return read_polled_position(get_contract(session), answer)
+
+
+def read_polled_position(
+    contract: EbonyrackContract, answer: QueryAnswer
+) -> LogPosition:
+    """Read the received position from the answer to a poll.
+
+    Args:
+        contract: Contract of the group.
+        answer: The answer.
+
+    Raises:
+        UpstreamLostError: If the answer is an error or has another form.
+    """
+    if answer.error is not None or not answer.rows:
+        raise UpstreamLostError("the position can't be read")
+    try:
+        return contract.parse_status(answer.rows[0]).received
+    except (ValueError, TypeError) as error:
+        raise UpstreamLostError(f"the position can't be read: {error}") from error
+
+
+async def confirm_read(session: CallerSession, position: LogPosition) -> None:
+    """Wait until a majority holds what a read on the primary has seen.
+
+    Args:
+        session: The session.
+        position: Position that covers what was read.
+
+    Raises:
+        RequestError: POSITION_NOT_REACHED if that does not happen in time.
+    """
+    group = session.group
+    try:
+        await group.confirm(position, now_s() + group.section.confirm_wait_s)
+    except RequestError as error:
+        raise RequestError(ErrorKind.POSITION_NOT_REACHED, error.reason) from error
+
+
+async def confirm_replay(session: CallerSession) -> None:
+    """Wait until a majority holds the recorded outcome of an earlier request.
+
+    Args:
+        session: A session whose connection has found the outcome.
+
+    Raises:
+        RequestError: OUTCOME_UNKNOWN if that does not happen in time.
+    """
+    group = session.group
+    await run_control(session, "ROLLBACK")
+    try:
+        assert session.connection is not None
+        session.connection.send(build_position_question(session))
+        position = await read_position(session)
+    except UpstreamLostError as error:
+        raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+    session.release_connection()
+    await group.confirm(position, now_s() + group.section.confirm_wait_s)
+    session.variables.note_write(position)
+
+
+async def finish_write(
+    session: CallerSession, connection: UpstreamConnection, position: LogPosition
+) -> None:
+    """Wait until a majority holds a commit, and keep its position.
+
+    Args:
+        session: The session.
+        connection: The connection that committed.
+        position: Position of the commit; START if there was none.
+
+    Raises:
+        RequestError: OUTCOME_UNKNOWN.
+    """
+    if position == START:
+        return
+    group = session.group
+    deadline_s = now_s() + group.section.confirm_wait_s
+    await acknowledge_write(group, connection, position, deadline_s)
+    session.variables.note_write(position)
+
+
+def write_token(session: CallerSession) -> None:
+    """Report the session's token to the caller.
+
+    Args:
+        session: The session.
+    """
+    token = session.variables.build_token()
+    if token:
+        session.stream.write(build_parameter(TOKEN, token))
--- /dev/null
+++ b/ebonyrack/callers/watchdog.py
@@ -0,0 +1,84 @@
+"""Ends what sessions have waited for too long."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ebonyrack.callers.session import Phase
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import RequestError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ebonyrack.callers.session import CallerSession
+
+CHECK_INTERVAL_S = 0.25
+
+
+async def watch_sessions(sessions: dict[int, CallerSession]) -> None:
+    """Check all sessions again and again.
+
+    One task for all sessions costs less than a timer for each message.
+
+    Args:
+        sessions: Sessions by number.
+    """
+    while True:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        check_sessions(sessions.values(), now_s())
+
+
+def check_sessions(sessions: Iterable[CallerSession], at_s: float) -> None:
+    """Check sessions once.
+
+    Args:
+        sessions: The sessions.
+        at_s: The present monotonic time, in seconds.
+    """
+    for session in tuple(sessions):
+        if session.connection is not None:
+            check_session(session, at_s - session.phase_since_s)
+
+
+def check_session(session: CallerSession, waited_s: float) -> None:
+    """End the wait of a session that holds a connection, if it is over its limit.
+
+    Args:
+        session: The session.
+        waited_s: Seconds that its present wait has lasted.
+    """
+    try:
+        section = session.group.section
+    except RequestError:
+        # The group has left the document; its upstreams close the connections.
+        return
+    if session.phase is Phase.UPSTREAM and waited_s > section.answer_wait_s:
+        log_end(session, "answer_wait", waited_s)
+        assert session.connection is not None
+        session.connection.close()
+    elif session.phase is Phase.IDLE and waited_s > section.idle_in_transaction_s:
+        log_end(session, "idle_in_transaction", waited_s)
+        session.transaction.expire()
+    elif session.phase is Phase.CALLER and waited_s > section.idle_in_transaction_s:
+        log_end(session, "caller_takes_no_answer", waited_s)
+        session.stream.abort()
+
+
+def log_end(session: CallerSession, reason: str, waited_s: float) -> None:
+    """Log that a wait was ended.
+
+    Args:
+        session: The session.
+        reason: What it waited for.
+        waited_s: Seconds that it has waited.
+    """
+    logger.bind(
+        session=session.number,
+        group=session.identity.group,
+        reason=reason,
+        waited_s=round(waited_s, 3),
+    ).warning("wait_ended")
--- /dev/null
+++ b/ebonyrack/callers/writing.py
@@ -0,0 +1,249 @@
+"""Writes outside a transaction: sent once, answered when a majority holds them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ebonyrack.callers.answers import build_parameter
+from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.relay import Relay
+from ebonyrack.callers.upstream_use import ask_last_commit
+from ebonyrack.callers.upstream_use import confirm_replay
+from ebonyrack.callers.upstream_use import finish_write
+from ebonyrack.callers.upstream_use import get_contract
+from ebonyrack.callers.upstream_use import run_control
+from ebonyrack.callers.upstream_use import take_primary
+from ebonyrack.callers.upstream_use import write_token
+from ebonyrack.callers.variables import REPLAYED
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.routing.idempotency import claim_key
+from ebonyrack.routing.idempotency import record_outcome
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.exchange import Request
+    from ebonyrack.callers.session import CallerSession
+
+IDLE = "I"
+OPEN = "T"
+READ_ONLY_SQLSTATE = "25006"
+TAG_SEPARATOR = "\n"
+
+
+async def run_write(session: CallerSession, request: Request) -> bool:
+    """Serve a write that is a transaction of its own.
+
+    Args:
+        session: The session.
+        request: What to send, once.
+
+    Returns:
+        Whether the upstream answered without an error.
+
+    Raises:
+        RequestError: Its kind says whether the write ran.
+    """
+    key = session.variables.idempotency_key
+    if key:
+        session.variables.idempotency_key = ""
+        return await run_keyed_write(session, request, key)
+    await take_primary(session)
+    try:
+        return await relay_write(session, request)
+    finally:
+        if session.transaction.status == IDLE:
+            session.transaction.abandon()
+
+
+async def relay_write(session: CallerSession, request: Request) -> bool:
+    """Send a write on the connection held and answer it.
+
+    Args:
+        session: The session, which holds a connection of the primary.
+        request: What to send.
+
+    Returns:
+        Whether the upstream answered without an error.
+
+    Raises:
+        RequestError: NO_PRIMARY or UPSTREAM_LOST if it did not run,
+            OUTCOME_UNKNOWN if that is not known.
+    """
+    connection = session.connection
+    assert connection is not None
+    exchange = request.render(connection)
+    relay = Relay(session, connection, exchange, holds=True)
+    question = get_contract(session).build_last_commit()
+    session.send_surely(exchange.data, question)
+    try:
+        await relay.run()
+        position = await ask_last_commit(session, question)
+    except UpstreamLostError as error:
+        raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+    if relay.sqlstate == READ_ONLY_SQLSTATE and relay.completed == 0:
+        raise RequestError(ErrorKind.NO_PRIMARY, "the upstream is a replica now")
+    session.note_served()
+    if connection.transaction_status == IDLE:
+        session.release_connection()
+    else:
+        session.transaction.adopt()
+    # An error after a completed command may follow a COMMIT within the query.
+    if relay.error is None or relay.completed:
+        await finish_write(session, connection, position)
+        session.stream.write(relay.output)
+        write_token(session)
+    else:
+        session.stream.write(relay.output)
+    return relay.error is None
+
+
+async def run_keyed_write(session: CallerSession, request: Request, key: str) -> bool:
+    """Serve a write that must run at most once.
+
+    Args:
+        session: The session.
+        request: What to send.
+        key: Idempotency key.
+
+    Returns:
+        Whether it succeeded, now or earlier.
+
+    Raises:
+        RequestError: Its kind says whether the write ran.
+    """
+    await take_primary(session)
+    try:
+        await run_control(session, "BEGIN")
+        outcome = await claim(session, key)
+        if outcome is not None:
+            return await replay(session, request, outcome)
+        return await relay_keyed_write(session, request, key)
+    finally:
+        session.transaction.abandon()
+
+
+async def claim(session: CallerSession, key: str) -> str | None:
+    """Claim an idempotency key in the transaction that is open.
+
+    Args:
+        session: The session, which holds a connection of the primary.
+        key: The key.
+
+    Returns:
+        None if the key is new, else the recorded outcome.
+
+    Raises:
+        RequestError: UPSTREAM_LOST.
+    """
+    connection = session.connection
+    assert connection is not None
+    try:
+        claimed = await claim_key(connection, key, session.group.section.answer_wait_s)
+    except UpstreamLostError as error:
+        raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+    return None if claimed.is_first else claimed.outcome
+
+
+async def replay(session: CallerSession, request: Request, outcome: str) -> bool:
+    """Answer a request that ran earlier with its recorded outcome.
+
+    Args:
+        session: The session, whose connection has found the outcome.
+        request: The request.
+        outcome: Command tags as they were recorded.
+
+    Returns:
+        True.
+
+    Raises:
+        RequestError: OUTCOME_UNKNOWN if no majority holds the outcome in time.
+    """
+    await confirm_replay(session)
+    session.stream.write(request.build_replay(outcome.split(TAG_SEPARATOR)))
+    session.stream.write(build_parameter(REPLAYED, "on"))
+    write_token(session)
+    return True
+
+
+async def relay_keyed_write(session: CallerSession, request: Request, key: str) -> bool:
+    """Run a write whose key is claimed, record its outcome and commit.
+
+    Args:
+        session: The session, with an open transaction on its connection.
+        request: What to send.
+        key: The key.
+
+    Returns:
+        Whether the upstream answered without an error.
+
+    Raises:
+        RequestError: UPSTREAM_LOST if it did not run, OUTCOME_UNKNOWN if that is
+            not known.
+    """
+    connection = session.connection
+    assert connection is not None
+    exchange = request.render(connection)
+    relay = Relay(session, connection, exchange, holds=True)
+    try:
+        connection.send(exchange.data)
+        await relay.run()
+        if relay.error is not None:
+            await run_control(session, "ROLLBACK")
+            session.stream.write(relay.output)
+            return False
+        check_still_open(session)
+        outcome = TAG_SEPARATOR.join(relay.tags)
+        limit_s = session.group.section.answer_wait_s
+        await record_outcome(connection, key, outcome, limit_s)
+    except UpstreamLostError as error:
+        raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+    await commit_keyed_write(session)
+    session.stream.write(relay.output)
+    session.stream.write(build_parameter(REPLAYED, "off"))
+    write_token(session)
+    return True
+
+
+async def commit_keyed_write(session: CallerSession) -> None:
+    """Commit the transaction that the proxy opened for a keyed write.
+
+    Args:
+        session: The session, with the transaction on its connection.
+
+    Raises:
+        RequestError: OUTCOME_UNKNOWN, or UPSTREAM_LOST if it did not run.
+    """
+    connection = session.connection
+    assert connection is not None
+    question = get_contract(session).build_last_commit()
+    session.send_surely(build_query("COMMIT"), question)
+    session.is_committing = True
+    try:
+        answer = await session.read_control_answer()
+        position = await ask_last_commit(session, question)
+    except UpstreamLostError as error:
+        raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+    finally:
+        session.is_committing = False
+    if answer.error is not None or answer.tag != "COMMIT":
+        message = (answer.error or {}).get("M", "rolled back")
+        raise RequestError(ErrorKind.UPSTREAM_LOST, f"COMMIT was refused: {message}")
+    session.note_served()
+    session.release_connection()
+    await finish_write(session, connection, position)
+
+
+def check_still_open(session: CallerSession) -> None:
+    """Refuse to go on if a statement has ended the proxy's transaction.
+
+    Args:
+        session: The session, which holds the connection.
+
+    Raises:
+        RequestError: OUTCOME_UNKNOWN, since the statement may have committed.
+    """
+    connection = session.connection
+    if connection is None or connection.transaction_status != OPEN:
+        reason = "the statement ended the transaction of its idempotency key"
+        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, reason)
