--- /dev/null
+++ b/ebonyrack/load/booking.py
@@ -0,0 +1,128 @@
+"""The booking workload: run it, check the group, say what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
+from ebonyrack.load.caller import BookingCaller
+from ebonyrack.load.caller import WorkloadOptions
+from ebonyrack.load.group_check import GroupFindings
+from ebonyrack.load.group_check import check_group
+from ebonyrack.load.group_check import create_tables
+from ebonyrack.load.record import WorkloadRecord
+from ebonyrack.load.record import find_quantile
+
+FINISH_LIMIT_S = 15.0
+GAP_DIGITS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class BookingResult:
+    """A finished workload.
+
+    Attributes:
+        record: What callers were told.
+        findings: What the group holds.
+        duration_s: How long it ran, in seconds.
+        failover_gap_s: Longest time between two acknowledged writes around the
+            fault, or in the whole run if no fault was marked.
+    """
+
+    record: WorkloadRecord
+    findings: GroupFindings
+    duration_s: float
+    failover_gap_s: float
+
+    @property
+    def is_correct(self) -> bool:
+        """Whether nothing was lost, doubled, read stale or refused untruly."""
+        faults = (
+            self.findings.lost,
+            self.findings.doubled,
+            self.findings.untrue_refusals,
+            self.record.untrue_refusals,
+            self.record.stale_reads,
+        )
+        return not any(faults)
+
+    def summarize(self) -> dict[str, Any]:
+        """Return the figures by name."""
+        record = self.record
+        share = record.replica_share()
+        return {
+            "acknowledged": len(record.acknowledged),
+            "lost": self.findings.lost,
+            "doubled": self.findings.doubled,
+            "stale_reads": record.stale_reads,
+            "replica_read_share": None if share is None else round(share, 4),
+            "failover_gap_s": round(self.failover_gap_s, GAP_DIGITS),
+            "reads": record.reads,
+            "unfinished": len(record.unfinished),
+            "refused": len(record.refused),
+            "untrue_refusals": record.untrue_refusals + self.findings.untrue_refusals,
+            "duration_s": round(self.duration_s, 2),
+            "write_median_ms": to_ms(find_quantile(record.write_latencies_s, 0.5)),
+            "write_p99_ms": to_ms(find_quantile(record.write_latencies_s, 0.99)),
+            "read_median_ms": to_ms(find_quantile(record.read_latencies_s, 0.5)),
+            "read_p99_ms": to_ms(find_quantile(record.read_latencies_s, 0.99)),
+            "failures": dict(record.failures),
+        }
+
+
+def to_ms(value_s: float | None) -> float | None:
+    """Return seconds as milliseconds."""
+    return None if value_s is None else round(value_s * 1000, 2)
+
+
+def read_mark(path: Path | None) -> float | None:
+    """Return the monotonic time of a fault from a file with its wall time."""
+    if path is None or not path.exists():
+        return None
+    wall_s = float(path.read_text(encoding="utf-8").split()[0])
+    return now_s() - (time.time() - wall_s)
+
+
+async def run_booking(
+    upstreams: tuple[Address, ...],
+    options: WorkloadOptions,
+    callers: int,
+    duration_s: float,
+    mark: Path | None = None,
+) -> BookingResult:
+    """Run the workload against proxies and check the group behind them.
+
+    Args:
+        upstreams: Addresses of the group's upstreams, for the check.
+        options: How callers behave.
+        callers: Number of callers.
+        duration_s: How long callers start operations, in seconds.
+        mark: File that holds the wall time of a fault, once it was injected.
+
+    Returns:
+        What came of it.
+    """
+    await create_tables(upstreams)
+    record = WorkloadRecord()
+    started_s = now_s()
+    stop_s = started_s + duration_s
+    crowd = [BookingCaller(number, options, record) for number in range(callers)]
+    async with asyncio.TaskGroup() as tasks:
+        for caller in crowd:
+            tasks.create_task(caller.run(stop_s, stop_s + FINISH_LIMIT_S))
+    elapsed_s = now_s() - started_s
+    findings = await check_group(upstreams, record, options.run_id)
+    gap_s = record.find_gap_s(read_mark(mark))
+    return BookingResult(record, findings, elapsed_s, gap_s)
+
+
+def format_table(summary: dict[str, Any]) -> str:
+    """Lay figures out as two columns."""
+    width = max(len(name) for name in summary)
+    lines = [f"{name:<{width}}  {value}" for name, value in summary.items()]
+    return "\n".join(lines)
--- /dev/null
+++ b/ebonyrack/load/bootstrap.py
@@ -0,0 +1,45 @@
+"""Puts the first operators' document into an empty store."""
+
+from __future__ import annotations
+
+from result import Err
+
+from ebonyrack.config.document import parse_document
+from ebonyrack.config.stored import DOCUMENT_KEY
+from ebonyrack.config.stored import StoredDocument
+from ebonyrack.config.stored import pack_stored
+from ebonyrack.core.address import Address
+from ebonyrack.core.settings import StoreSettings
+from ebonyrack.platform.store import Store
+
+FIRST_REVISION = 1
+
+
+class BootstrapError(Exception):
+    """The first document was not accepted."""
+
+
+async def put_document(store_address: Address, prefix: str, text: str) -> None:
+    """Check a document and write it as the first revision.
+
+    Args:
+        store_address: Address of the platform's store.
+        prefix: Prefix of the system's keys.
+        text: The INI text.
+
+    Raises:
+        BootstrapError: If it has faults, or the store holds a document already.
+    """
+    document, faults = parse_document(text, FIRST_REVISION)
+    if document is None:
+        raise BootstrapError("\n".join(str(fault) for fault in faults))
+    stored = StoredDocument(FIRST_REVISION, text, ())
+    settings = StoreSettings.model_validate(
+        {"address": store_address, "prefix": prefix}
+    )
+    async with Store(settings) as store:
+        answer = await store.compare_and_swap(DOCUMENT_KEY, pack_stored(stored), 0)
+    if isinstance(answer, Err):
+        raise BootstrapError(f"the store gave no answer: {answer.err_value.reason}")
+    if not answer.ok_value:
+        raise BootstrapError("the store holds a document already")
--- /dev/null
+++ b/ebonyrack/load/caller.py
@@ -0,0 +1,288 @@
+"""A booking program that roams between proxies and never gives up."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import LiteralString
+
+import psycopg
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
+from ebonyrack.load.attempt import Failure
+from ebonyrack.load.attempt import Verdict
+from ebonyrack.load.attempt import classify_error
+from ebonyrack.load.record import WorkloadRecord
+
+INSERT: LiteralString = (
+    "INSERT INTO reservations (slot, booker, request) VALUES (%s, %s, %s)"
+)
+SELECT: LiteralString = "SELECT slot, booker FROM reservations WHERE request = %s"
+TOKEN_PARAMETER = b"ebonyrack.token"
+REPLAYED_PARAMETER = b"ebonyrack.replayed"
+SERVED_BY: LiteralString = "SHOW ebonyrack.served_by"
+KEPT_OWN = 200
+CONNECT_TIMEOUT_S = 3
+RETRY_JITTER = 0.5
+
+Connection = psycopg.AsyncConnection[tuple[object, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class WorkloadOptions:
+    """How callers behave.
+
+    Attributes:
+        proxies: Proxies that callers roam between.
+        user: User.
+        password: Password.
+        database: Name of the database group.
+        write_share: Share of operations that reserve a slot.
+        token_share: Share of callers that hand a token from proxy to proxy.
+        sample_share: Share of reads after which the serving upstream is asked for.
+        think_s: Mean pause between two operations, in seconds.
+        attempt_timeout_s: Longest wait for an answer, in seconds.
+        use_keys: Whether reservations carry an idempotency key.
+        run_id: Start of every request key of the run.
+    """
+
+    proxies: tuple[Address, ...]
+    user: str = "booking"
+    password: str = ""
+    database: str = "booking"
+    write_share: float = 0.1
+    token_share: float = 0.5
+    sample_share: float = 0.2
+    think_s: float = 0.0
+    attempt_timeout_s: float = 15.0
+    use_keys: bool = True
+    run_id: str = "run"
+
+
+class BookingCaller:
+    """One caller with a connection to each proxy, used in turn.
+
+    Attributes:
+        number: Number of the caller, in its request keys.
+        options: How it behaves.
+        record: Where it notes what it was told.
+        random: Its own source of random choices.
+        connections: Open connections by proxy.
+        own: Request keys of reservations that it knows as made.
+        token: Last token received, if it hands tokens on.
+        uses_token: Whether it hands tokens on.
+        requests: Number of reservations asked for.
+    """
+
+    __slots__ = (
+        "number",
+        "options",
+        "record",
+        "random",
+        "connections",
+        "own",
+        "token",
+        "uses_token",
+        "requests",
+    )
+
+    def __init__(
+        self, number: int, options: WorkloadOptions, record: WorkloadRecord
+    ) -> None:
+        self.number = number
+        self.options = options
+        self.record = record
+        self.random = random.Random(number)
+        self.connections: dict[Address, Connection] = {}
+        self.own: list[str] = []
+        self.token = ""
+        self.uses_token = self.random.random() < options.token_share
+        self.requests = 0
+
+    async def run(self, stop_s: float, give_up_s: float) -> None:
+        """Reserve and read until it is time to stop.
+
+        Args:
+            stop_s: Monotonic time after which no new operation starts.
+            give_up_s: Monotonic time after which a request counts as unfinished.
+        """
+        try:
+            while now_s() < stop_s:
+                await self.step(give_up_s)
+                if self.options.think_s:
+                    await asyncio.sleep(
+                        self.random.expovariate(1 / self.options.think_s)
+                    )
+        finally:
+            for connection in self.connections.values():
+                await connection.close()
+
+    async def step(self, give_up_s: float) -> None:
+        """Do one operation."""
+        if not self.own or self.random.random() < self.options.write_share:
+            proxy = await self.reserve(give_up_s)
+            if proxy is not None:
+                await self.read_back(self.own[-1], proxy, give_up_s)
+            return
+        await self.read_back(self.random.choice(self.own), None, give_up_s)
+
+    def choose_proxy(self, other_than: Address | None) -> Address:
+        """Choose a proxy, another one than given if there is one."""
+        choices = [item for item in self.options.proxies if item != other_than]
+        return self.random.choice(choices or list(self.options.proxies))
+
+    async def reserve(self, give_up_s: float) -> Address | None:
+        """Reserve a slot, with as many attempts as it takes.
+
+        Args:
+            give_up_s: Monotonic time after which it counts as unfinished.
+
+        Returns:
+            The proxy that acknowledged it, or None.
+        """
+        self.requests += 1
+        key = f"{self.options.run_id}-{self.number}-{self.requests}"
+        slot = next(self.record.slots)
+        started_s = now_s()
+        all_refused = True
+        proxy: Address | None = None
+        while now_s() < give_up_s:
+            proxy = self.choose_proxy(proxy)
+            failure = await self.attempt_reserve(proxy, key, slot, all_refused)
+            if failure is None or failure.verdict is Verdict.RAN:
+                self.note_acknowledged(key, slot, started_s)
+                return proxy
+            self.record.note_failure(failure)
+            if failure.verdict is Verdict.FINAL:
+                self.record.refused.add(key)
+                return None
+            all_refused = all_refused and failure.verdict is Verdict.REFUSED
+            await self.pause(failure)
+        self.record.unfinished.add(key)
+        return None
+
+    def note_acknowledged(self, key: str, slot: int, started_s: float) -> None:
+        """Note a reservation that was told as made."""
+        present_s = now_s()
+        self.record.acknowledged[key] = slot
+        self.record.acknowledged_s.append(present_s)
+        self.record.write_latencies_s.append(present_s - started_s)
+        self.record.attempts["acknowledged"] += 1
+        self.own = [*self.own[-KEPT_OWN:], key]
+
+    async def attempt_reserve(
+        self, proxy: Address, key: str, slot: int, all_refused: bool
+    ) -> Failure | None:
+        """Make one attempt to reserve; None means that it was acknowledged."""
+        is_sent = False
+        try:
+            async with asyncio.timeout(self.options.attempt_timeout_s):
+                connection = await self.connect(proxy)
+                if self.options.use_keys:
+                    await connection.execute(build_set("idempotency_key", key))
+                is_sent = True
+                await connection.execute(INSERT, (slot, f"caller-{self.number}", key))
+        except (psycopg.Error, OSError, TimeoutError) as error:
+            await self.drop_if_broken(proxy, error)
+            return classify_error(error, is_sent)
+        self.check_replayed(connection, key, all_refused)
+        self.take_token(connection)
+        return None
+
+    def check_replayed(
+        self, connection: Connection, key: str, all_refused: bool
+    ) -> None:
+        """Find a refusal that said `not run` although the request ran."""
+        replayed = connection.pgconn.parameter_status(REPLAYED_PARAMETER)
+        if all_refused and replayed == b"on":
+            self.record.untrue_refusals += 1
+            self.record.note_example(f"{key} ran although each answer said no")
+
+    def take_token(self, connection: Connection) -> None:
+        """Keep the token that came with an answer."""
+        token = connection.pgconn.parameter_status(TOKEN_PARAMETER)
+        if self.uses_token and token:
+            self.token = token.decode()
+
+    async def read_back(
+        self, key: str, written_at: Address | None, give_up_s: float
+    ) -> None:
+        """Read a reservation through another proxy than the one that made it.
+
+        Args:
+            key: Request key of the reservation.
+            written_at: Proxy that acknowledged it, if it was just made.
+            give_up_s: Monotonic time after which the read is given up.
+        """
+        proxy = written_at
+        started_s = now_s()
+        while now_s() < give_up_s:
+            proxy = self.choose_proxy(proxy)
+            try:
+                async with asyncio.timeout(self.options.attempt_timeout_s):
+                    await self.read_once(proxy, key, started_s)
+                return
+            except (psycopg.Error, OSError, TimeoutError) as error:
+                await self.drop_if_broken(proxy, error)
+                failure = classify_error(error, is_sent=False)
+                self.record.failures[f"read {failure.sqlstate or 'connection'}"] += 1
+                await self.pause(failure)
+
+    async def read_once(self, proxy: Address, key: str, started_s: float) -> None:
+        """Read a reservation and note whether it was there."""
+        connection = await self.connect(proxy)
+        if self.token:
+            await connection.execute(build_set("token", self.token))
+        cursor = await connection.execute(SELECT, (key,))
+        rows = await cursor.fetchall()
+        self.record.read_latencies_s.append(now_s() - started_s)
+        self.record.reads += 1
+        if not rows:
+            self.record.stale_reads += 1
+        if not rows or self.random.random() < self.options.sample_share:
+            cursor = await connection.execute(SERVED_BY)
+            answer = await cursor.fetchone()
+            served_by = str(answer[0]) if answer else ""
+            self.record.served[served_by.rpartition(" ")[2]] += 1
+            if not rows:
+                self.record.note_example(f"{key} missing at {served_by} by {proxy}")
+
+    async def connect(self, proxy: Address) -> Connection:
+        """Return the open connection to a proxy, or open one."""
+        connection = self.connections.get(proxy)
+        if connection is None or connection.closed:
+            connection = await psycopg.AsyncConnection.connect(
+                host=proxy.host,
+                port=proxy.port,
+                user=self.options.user,
+                password=self.options.password,
+                dbname=self.options.database,
+                sslmode="disable",
+                gssencmode="disable",
+                autocommit=True,
+                connect_timeout=CONNECT_TIMEOUT_S,
+            )
+            self.connections[proxy] = connection
+        return connection
+
+    async def drop_if_broken(self, proxy: Address, error: Exception) -> None:
+        """Forget a connection that broke or whose answer is still due."""
+        connection = self.connections.get(proxy)
+        if connection is None:
+            return
+        if connection.closed or isinstance(error, TimeoutError):
+            del self.connections[proxy]
+            await connection.close()
+
+    async def pause(self, failure: Failure) -> None:
+        """Wait as long as the refusal says, with some jitter."""
+        jitter = 1 + RETRY_JITTER * self.random.random()
+        await asyncio.sleep(failure.retry_after_s * jitter)
+
+
+def build_set(variable: str, value: str) -> bytes:
+    """Build the statement that sets one of the proxy's variables."""
+    escaped = value.replace("'", "''")
+    return f"SET ebonyrack.{variable} = '{escaped}'".encode()
