--- /dev/null
+++ b/ebonyrack/load/lean_client.py
@@ -0,0 +1,124 @@
+"""A small client of the PostgreSQL protocol for measurements with many callers."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from types import TracebackType
+from typing import Self
+
+from pygwire.messages import Query
+from pygwire.messages import StartupMessage
+from pygwire.messages import Terminate
+
+from ebonyrack.core.address import Address
+
+HEADER = struct.Struct("!cI")
+READY = b"Z"
+ERROR = b"E"
+DATA_ROW = b"D"
+LENGTH_BYTES = 4
+READ_LIMIT = 65536
+
+
+class LeanError(Exception):
+    """The server refused, or the connection broke."""
+
+
+class LeanClient:
+    """One connection without a password that sends simple queries.
+
+    Attributes:
+        address: Where it connects.
+        database: Database asked for.
+        user: User.
+        error: Raw ErrorResponse of the last query, or empty.
+        rows: Number of rows of the last query.
+    """
+
+    __slots__ = ("address", "database", "user", "error", "rows", "reader", "writer")
+
+    def __init__(
+        self, address: Address, database: str = "booking", user: str = "booking"
+    ) -> None:
+        self.address = address
+        self.database = database
+        self.user = user
+        self.error = b""
+        self.rows = 0
+        self.reader: asyncio.StreamReader
+        self.writer: asyncio.StreamWriter
+
+    async def __aenter__(self) -> Self:
+        await self.open()
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    async def open(self) -> None:
+        """Connect and do the startup.
+
+        Raises:
+            LeanError: If the server refuses or asks for a password.
+        """
+        self.reader, self.writer = await asyncio.open_connection(
+            self.address.host, self.address.port, limit=READ_LIMIT
+        )
+        params = {"user": self.user, "database": self.database}
+        self.writer.write(StartupMessage(params).to_wire())
+        await self.read_answer()
+        if self.error:
+            raise LeanError(self.error.decode(errors="replace"))
+
+    async def query(self, sql: str) -> bool:
+        """Run a simple query.
+
+        Args:
+            sql: The statement.
+
+        Returns:
+            Whether it succeeded.
+
+        Raises:
+            LeanError: If the connection breaks.
+        """
+        return await self.send(Query(sql).to_wire())
+
+    async def send(self, frame: bytes) -> bool:
+        """Send a query that is encoded already; return whether it succeeded."""
+        self.writer.write(frame)
+        await self.read_answer()
+        return not self.error
+
+    async def read_answer(self) -> None:
+        """Read up to the next ReadyForQuery.
+
+        Raises:
+            LeanError: If the connection breaks.
+        """
+        self.error = b""
+        self.rows = 0
+        try:
+            while True:
+                header = await self.reader.readexactly(HEADER.size)
+                kind, length = HEADER.unpack(header)
+                body = await self.reader.readexactly(length - LENGTH_BYTES)
+                if kind == READY:
+                    return
+                if kind == ERROR:
+                    self.error = body
+                elif kind == DATA_ROW:
+                    self.rows += 1
+        except (asyncio.IncompleteReadError, OSError) as error:
+            raise LeanError(repr(error) + repr(self.error)) from error
+
+    def close(self) -> None:
+        """Leave."""
+        self.writer.write(Terminate().to_wire())
+        self.writer.close()
