--- a/ebonyrack/callers/variables.py
+++ b/ebonyrack/callers/variables.py
@@ -38,7 +38,7 @@
     "integer_datetimes": ("on",),
     "intervalstyle": ("postgres",),
     "jit": ("off", "on"),
-    "search_path": ('"$user", public', "public", '"$user",public'),
+    "search_path": ('"$user", public', "$user, public", "public"),
     "server_encoding": ("UTF8",),
     "server_version": ("16.0",),
     "standard_conforming_strings": ("on", "true", "1"),
