Let writers of different values run side by side in the stand-in

Open write transactions now share the work database in turn: a switch replays the statements of the other one, and a commit whose replay does something else ends with 40001. Values that a statement names are locked, so that two claims of one key still wait for each other.

--- a/ebonyrack/standins/dialect.py
+++ b/ebonyrack/standins/dialect.py
@@ -96,7 +96,8 @@
         verb: What to do with it.
         tag: Command tag without counts.
         words: Its words in upper case.
-        has_lock: Whether a locking clause makes a read need the write lock.
+        has_lock: Whether a locking clause makes a read take locks.
+        literals: Strings and numbers in its text.
     """
 
     text: str
@@ -105,6 +106,7 @@
     tag: str
     words: tuple[str, ...]
     has_lock: bool
+    literals: frozenset[str] = frozenset()
 
 
 @lru_cache(CACHED_STATEMENTS)
@@ -139,9 +141,13 @@
     if not words:
         return Statement(text, "", Verb.EMPTY, "", (), False)
     verb = choose_verb(words, has_lock)
-    return Statement(
-        text, translate(tokens), verb, build_tag(words, verb), words, has_lock
+    tag = build_tag(words, verb)
+    literals = frozenset(
+        token.group().strip("'")
+        for token in tokens
+        if token.lastgroup in ("string", "number")
     )
+    return Statement(text, translate(tokens), verb, tag, words, has_lock, literals)
 
 
 def choose_verb(words: tuple[str, ...], has_lock: bool) -> Verb:
--- a/ebonyrack/standins/execution.py
+++ b/ebonyrack/standins/execution.py
@@ -193,8 +193,8 @@
     await session.hold_slot(0.0)
     transaction = session.transaction
     check_not_doomed(transaction)
-    in_write = transaction is not None and transaction.is_writing
-    result = session.upstream.database.read(statement.sql, values, in_write)
+    writing = transaction if transaction and transaction.is_writing else None
+    result = session.upstream.database.read(statement.sql, values, writing)
     return Outcome(result, build_tag(statement, result))
 
 
@@ -208,13 +208,12 @@
     transaction = session.transaction
     if transaction.is_read_only:
         raise SqlError("25006", f"cannot run {statement.tag}: read-only transaction")
-    await upstream.begin_write(transaction)
+    named = frozenset(str(value) for value in values if value is not None)
+    await upstream.begin_write(transaction, (statement.literals | named) - {""})
     await session.hold_slot(0.0)
     check_not_doomed(transaction)
     logged = LoggedStatement(statement.sql, values)
-    index = len(transaction.statements)
-    result = upstream.database.write(logged, transaction.time_us, index)
-    transaction.statements.append(logged)
+    result = upstream.database.write(logged, transaction)
     if statement.tag == "ROLLBACK":
         transaction.is_failed = False
     return Outcome(result, build_tag(statement, result))
--- a/ebonyrack/standins/sql_engine.py
+++ b/ebonyrack/standins/sql_engine.py
@@ -1,8 +1,10 @@
 """The database of one stand-in upstream, on the standard library's sqlite3.
 
 Two in-memory databases are kept: `committed`, which every read sees, and
-`work`, in which the one open write transaction runs. A commit replays the
-transaction's writing statements on `committed`, exactly as a replica does.
+`work`, which shows one open write transaction at a time. Several may be open: a
+change to another one undoes `work` and replays that one's statements. A commit
+replays them on `committed`, exactly as a replica does. A statement that then does
+something else than before ends its transaction with a serialization failure.
 """
 
 from __future__ import annotations
@@ -22,6 +24,8 @@
 from ebonyrack.standins.log import SqlValue
 from ebonyrack.standins.sql_error import SqlError
 from ebonyrack.standins.sql_error import translate_error
+from ebonyrack.standins.transaction import StatementResult
+from ebonyrack.standins.transaction import Transaction
 
 SCHEMA = (
     "CREATE TABLE ebonyrack_requests"
@@ -30,7 +34,7 @@
     " (slot INTEGER, booker TEXT, request TEXT UNIQUE, state TEXT,"
     " created_at TEXT DEFAULT (now()))",
 )
-RANDOM_BITS = 63
+SERIALIZATION_FAILURE = "40001"
 RETURNING = re.compile(r"\bRETURNING\b(.*)$", re.IGNORECASE | re.DOTALL)
 TARGET_TABLE = re.compile(
     r"\b(?:INTO|UPDATE|FROM)\s+\"?(\w+)\"?", re.IGNORECASE | re.DOTALL
@@ -68,7 +72,8 @@
 
     Attributes:
         committed: What reads see.
-        work: What the open write transaction sees.
+        work: What the shown write transaction sees.
+        shown: Write transaction whose statements `work` holds, or None.
         time_us: Wall time that `now()` gives, in microseconds.
         random: Source of `random()`, seeded for each logged statement.
         described: Result columns found for a text, until the schema changes.
@@ -78,6 +83,7 @@
     __slots__ = (
         "committed",
         "work",
+        "shown",
         "time_us",
         "random",
         "described",
@@ -89,6 +95,7 @@
         self.random = random.Random(0)
         self.committed = self.open_engine()
         self.work = self.open_engine()
+        self.shown: Transaction | None = None
         self.described: dict[str, list[Column]] = {}
         self.column_oids: dict[str, int] = {}
         for connection in (self.committed, self.work):
@@ -115,19 +122,23 @@
         """Return a random number of at least 0 and below 1."""
         return self.random.random()
 
-    def read(self, sql: str, values: tuple[SqlValue, ...], in_write: bool) -> ResultSet:
+    def read(
+        self, sql: str, values: tuple[SqlValue, ...], transaction: Transaction | None
+    ) -> ResultSet:
         """Run a reading statement.
 
         Args:
             sql: Text for the engine.
             values: Parameters.
-            in_write: Whether it belongs to the open write transaction.
+            transaction: Write transaction whose own writes it sees, or None.
 
         Returns:
             The rows.
         """
-        engine = self.work if in_write else self.committed
-        return self.run(engine, sql, values)
+        if transaction is None:
+            return self.run(self.committed, sql, values)
+        self.show(transaction)
+        return self.run(self.work, sql, values)
 
     def run(
         self, engine: sqlite3.Connection, sql: str, values: tuple[SqlValue, ...]
@@ -144,23 +155,56 @@
         count = cursor.rowcount if cursor.rowcount >= 0 else len(rows)
         return ResultSet(self.name_columns(names, rows), rows, count)
 
-    def begin_write(self) -> int:
-        """Open the write transaction and return its time in microseconds."""
+    def show(self, transaction: Transaction) -> None:
+        """Let `work` show an open write transaction.
+
+        Raises:
+            SqlError: If its statements do something else than before (40001).
+        """
+        if self.shown is transaction:
+            return
+        self.undo_work()
         self.work.execute("BEGIN")
-        return time.time_ns() // 1000
+        self.shown = transaction
+        self.replay(self.work, transaction)
 
-    def write(self, statement: LoggedStatement, time_us: int, index: int) -> ResultSet:
-        """Run one writing statement of the open write transaction.
+    def undo_work(self) -> None:
+        """Bring `work` back to what is committed."""
+        if self.work.in_transaction:
+            self.work.execute("ROLLBACK")
+        self.shown = None
+
+    def replay(self, engine: sqlite3.Connection, transaction: Transaction) -> None:
+        """Run a transaction's statements again and compare what they do.
+
+        Raises:
+            SqlError: If they do something else than before (40001).
+        """
+        pairs = zip(transaction.statements, transaction.results, strict=True)
+        for index, (statement, before) in enumerate(pairs):
+            try:
+                result = self.write_on(engine, statement, transaction.time_us, index)
+            except SqlError as error:
+                raise SqlError(SERIALIZATION_FAILURE, error.text) from error
+            if build_result(result) != before:
+                raise SqlError(SERIALIZATION_FAILURE, "a concurrent write came first")
+
+    def write(self, statement: LoggedStatement, transaction: Transaction) -> ResultSet:
+        """Run one writing statement and add it to its transaction.
 
         Args:
             statement: The statement.
-            time_us: Time of the transaction.
-            index: Number of the statement in the transaction.
+            transaction: The open write transaction.
 
         Returns:
             Rows changed, and rows returned.
         """
-        return self.write_on(self.work, statement, time_us, index)
+        self.show(transaction)
+        index = len(transaction.statements)
+        result = self.write_on(self.work, statement, transaction.time_us, index)
+        transaction.statements.append(statement)
+        transaction.results.append(build_result(result))
+        return result
 
     def write_on(
         self,
@@ -177,15 +221,25 @@
         finally:
             self.time_us = 0
 
-    def commit(self, entry: LogEntry) -> None:
-        """End the write transaction and show it to readers."""
+    def commit(self, entry: LogEntry, transaction: Transaction) -> None:
+        """Show a write transaction to readers.
+
+        Args:
+            entry: The transaction's entry of the log.
+            transaction: The transaction.
+
+        Raises:
+            SqlError: If its statements do something else than before (40001).
+        """
+        self.show(transaction)
         self.work.execute("COMMIT")
+        self.shown = None
         self.apply(entry)
 
-    def rollback(self) -> None:
-        """Undo the open write transaction."""
-        if self.work.in_transaction:
-            self.work.execute("ROLLBACK")
+    def rollback(self, transaction: Transaction) -> None:
+        """Undo an open write transaction."""
+        if self.shown is transaction:
+            self.undo_work()
 
     def apply(self, entry: LogEntry) -> None:
         """Replay one entry of the log."""
@@ -200,7 +254,7 @@
 
     def prepare_for_writes(self) -> None:
         """Bring `work` to the state of `committed`."""
-        self.rollback()
+        self.undo_work()
         self.committed.backup(self.work)
 
     def forget_schema(self) -> None:
@@ -300,6 +354,11 @@
         self.work.close()
 
 
+def build_result(result: ResultSet) -> StatementResult:
+    """Build the record of what a writing statement did."""
+    return StatementResult(result.count, tuple(result.rows))
+
+
 def is_schema_change(sql: str) -> bool:
     """Return whether a statement changes the schema."""
     return sql.lstrip()[:6].upper() in ("CREATE", "ALTER ", "DROP T", "DROP I")
