--- /dev/null
+++ b/ebonyrack/load/context.py
@@ -0,0 +1,54 @@
+"""What every experiment is given, and the registry of experiments."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.registry import Registry
+from ebonyrack.load.caller import WorkloadOptions
+from ebonyrack.load.cluster import Cluster
+from ebonyrack.load.results import Row
+
+
+@dataclass(slots=True)
+class ExperimentContext:
+    """A running cluster and the size of the experiment.
+
+    Attributes:
+        cluster: Stand-ins and document.
+        upstreams: Addresses of the upstreams.
+        options: How callers reach the proxies.
+        proxy_logs: Log file of each proxy.
+        trials: Trials of each condition.
+        duration_s: Length of each condition, in seconds.
+        policies: Policies to compare; empty for all.
+    """
+
+    cluster: Cluster
+    upstreams: tuple[Address, ...]
+    options: WorkloadOptions
+    proxy_logs: tuple[Path, ...]
+    trials: int
+    duration_s: float
+    policies: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ExperimentResult:
+    """Rows of an experiment.
+
+    Attributes:
+        trials: One row for each trial, or for each condition.
+        summary: Rows of the table.
+    """
+
+    trials: list[Row]
+    summary: list[Row]
+
+
+Experiment = Callable[[ExperimentContext], Awaitable[ExperimentResult]]
+EXPERIMENTS: Registry[Experiment] = Registry("experiment")
--- /dev/null
+++ b/ebonyrack/load/experiments.py
@@ -0,0 +1,8 @@
+"""Imports every experiment, so that each registers itself."""
+
+from ebonyrack.load import acknowledge_cost
+from ebonyrack.load import failover_gap
+from ebonyrack.load import goodput
+from ebonyrack.load import replica_share
+
+__all__ = ["acknowledge_cost", "failover_gap", "goodput", "replica_share"]
--- /dev/null
+++ b/ebonyrack/load/experiments_test.py
@@ -0,0 +1,76 @@
+import json
+
+from ebonyrack.core.address import Address
+from ebonyrack.load import experiments
+from ebonyrack.load.bootstrap import put_document
+from ebonyrack.load.cluster import Cluster
+from ebonyrack.load.cluster import is_whole
+from ebonyrack.load.cluster import set_group_keys
+from ebonyrack.load.context import EXPERIMENTS
+from ebonyrack.load.failover_gap import PRIMARY_FAULTS
+from ebonyrack.load.failover_gap import find_parts
+from ebonyrack.load.results import format_rows
+from ebonyrack.load.results import read_results
+from ebonyrack.load.results import write_results
+from ebonyrack.standins.control import FaultControl
+from ebonyrack.standins.group import StandinGroup
+from ebonyrack.standins.platform import StandinPlatform
+
+
+def build_text(group):
+    places = " ".join(f"{spec.name}={spec.address}@dc-1" for spec in group.specs())
+    return f"[group booking]\nowner = db\nupstreams = {places}\n"
+
+
+def test_every_experiment_is_registered():
+    assert set(experiments.__all__) <= set(EXPERIMENTS.entries)
+
+
+def test_group_keys_are_changed_and_the_rest_kept():
+    text = set_group_keys("[group a]\nx = 1\n[group b]\nx = 1\n", "a", {"x": "2"})
+    assert text.split() == "[group a] x = 2 [group b] x = 1".split()
+
+
+async def test_faults_are_injected_and_mended(monkeypatch):
+    monkeypatch.setattr("ebonyrack.load.cluster.SPREAD_WAIT_S", 0.0)
+    async with StandinGroup() as group, StandinPlatform() as platform:
+        control = FaultControl(group, Address("127.0.0.1", 0))
+        text = build_text(group)
+        await put_document(platform.address, "ebonyrack", text)
+        async with (
+            control,
+            Cluster(control.address, platform.address, text) as cluster,
+        ):
+            await cluster.wait_whole()
+            assert await cluster.find_primary() == "up-1"
+            await cluster.change_group(slots=7)
+            await cluster.change_group(slots=8)
+            for fault in ("freeze", "cut", "cut_replicas", "kill"):
+                async with PRIMARY_FAULTS.get(fault)(cluster, "up-1"):
+                    status = await cluster.read_status()
+                    assert status["up-1"]["is_running"] == (fault != "kill")
+            faults = group["up-1"].faults
+            assert not faults.is_frozen and not faults.cut_to
+            # The killed primary came back as a replica that follows nobody.
+            assert not is_whole(await cluster.read_status())
+
+
+def test_parts_come_from_the_first_ballot_won_after_the_fault(tmp_path):
+    path = tmp_path / "proxy.log"
+    lines = [
+        {"time": "2026-01-01T00:00:01+00:00", "won": True, "fence_s": 1.0},
+        {"time": "2026-01-01T00:00:03+00:00", "won": False, "fence_s": 2.0},
+        {"time": "2026-01-01T00:00:05+00:00", "won": True, "fence_s": 3.0},
+    ]
+    text = "\n".join(json.dumps({"event": "ballot", **line}) for line in lines)
+    path.write_text(text + "\nTraceback: not JSON\n")
+    after_s = 1767225602.0
+    assert find_parts((path,), after_s)["fence_s"] == 3.0
+    assert find_parts((path,), after_s + 60)["fence_s"] is None
+
+
+def test_results_are_read_back_and_laid_out(tmp_path):
+    rows = [{"a": 1, "b": None}, {"a": 0.123456, "b": "x"}]
+    header, read = read_results(write_results(tmp_path, "name", rows))
+    assert read == rows and header["processors"]
+    assert format_rows(rows).splitlines()[-1] == "| 0.1235 | x |"
--- /dev/null
+++ b/ebonyrack/load/failover_gap.py
@@ -0,0 +1,240 @@
+"""Experiment: how long writes cannot land after a primary is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Iterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.registry import Registry
+from ebonyrack.load.caller import BookingCaller
+from ebonyrack.load.caller import WorkloadOptions
+from ebonyrack.load.cluster import Cluster
+from ebonyrack.load.cluster import ClusterError
+from ebonyrack.load.context import EXPERIMENTS
+from ebonyrack.load.context import ExperimentContext
+from ebonyrack.load.context import ExperimentResult
+from ebonyrack.load.group_check import check_group
+from ebonyrack.load.group_check import create_tables
+from ebonyrack.load.record import WorkloadRecord
+from ebonyrack.load.record import find_quantile
+from ebonyrack.load.results import Row
+
+WRITERS = 12
+THINK_S = 0.02
+WARM_UP_S = 1.0
+RESUME_LIMIT_S = 20.0
+AFTER_FAULT_S = 1.5
+FINISH_LIMIT_S = 20.0
+LONG_AFTER_S = 3600.0
+STORE_STATES = (True, False)
+POLICIES = ("majority", "primary_alone", "primary_lease")
+PARTS = (
+    "detection_s",
+    "pre_vote_s",
+    "rank_delay_s",
+    "fence_s",
+    "promotion_s",
+    "opening_s",
+)
+
+PrimaryFault = Any
+PRIMARY_FAULTS: Registry[PrimaryFault] = Registry("primary fault")
+
+
+@PRIMARY_FAULTS.register("kill")
+@asynccontextmanager
+async def kill_primary(cluster: Cluster, name: str) -> Any:
+    """Kill the primary, and start it again as a replica afterwards."""
+    await cluster.inject("kill", name=name)
+    yield
+    await cluster.inject("restart", name=name)
+
+
+@PRIMARY_FAULTS.register("freeze")
+@asynccontextmanager
+async def freeze_primary(cluster: Cluster, name: str) -> Any:
+    """Let the primary keep its sockets but answer nothing."""
+    await cluster.inject("freeze", name=name)
+    yield
+    await cluster.inject("thaw", name=name)
+
+
+@PRIMARY_FAULTS.register("cut")
+@asynccontextmanager
+async def cut_primary(cluster: Cluster, name: str) -> Any:
+    """Cut the primary off from the proxies and from its replicas."""
+    others = [other for other in await cluster.read_status() if other != name]
+    for target in ("proxies", *others):
+        await cluster.inject("cut", source=name, target=target)
+    yield
+    await cluster.inject("heal")
+
+
+@PRIMARY_FAULTS.register("cut_replicas")
+@asynccontextmanager
+async def cut_from_replicas(cluster: Cluster, name: str) -> Any:
+    """Cut the primary off from its replicas only; proxies still reach it."""
+    for other in await cluster.read_status():
+        if other != name:
+            await cluster.inject("cut", source=name, target=other)
+    yield
+    await cluster.inject("heal")
+
+
+@EXPERIMENTS.register("failover_gap")
+async def measure_failover_gap(context: ExperimentContext) -> ExperimentResult:
+    """Fail the primary again and again in every way, with the store up and down."""
+    await create_tables(context.upstreams)
+    trials: list[Row] = []
+    summary: list[Row] = []
+    for policy in context.policies or POLICIES:
+        await context.cluster.change_group(acknowledge_policy=policy)
+        for store_is_up in STORE_STATES:
+            await context.cluster.set_platform(is_down=not store_is_up)
+            try:
+                for fault in PRIMARY_FAULTS.entries:
+                    rows = await run_condition(context, policy, store_is_up, fault)
+                    trials += rows
+                    summary.append(summarize(rows))
+                    print(json.dumps(summary[-1]), flush=True)
+            finally:
+                await context.cluster.set_platform(is_down=False)
+    return ExperimentResult(trials, summary)
+
+
+async def run_condition(
+    context: ExperimentContext, policy: str, store_is_up: bool, fault: str
+) -> list[Row]:
+    """Run all trials of one condition under one set of writers."""
+    run_id = f"gap{time.time_ns():x}"
+    options = replace(context.options, run_id=run_id, write_share=1.0, think_s=THINK_S)
+    condition = {"policy": policy, "store_up": store_is_up, "fault": fault}
+    record = WorkloadRecord()
+    rows: list[Row] = []
+    async with run_writers(options, record):
+        for trial in range(context.trials):
+            row = await run_trial(context, record, fault)
+            rows.append({**condition, "trial": trial, **row})
+    findings = await check_group(context.upstreams, record, run_id)
+    for row in rows:
+        row["lost"] = findings.lost
+        row["doubled"] = findings.doubled
+        row["unfinished"] = len(record.unfinished)
+        row["untrue_refusals"] = record.untrue_refusals + findings.untrue_refusals
+    return rows
+
+
+@asynccontextmanager
+async def run_writers(options: WorkloadOptions, record: WorkloadRecord) -> Any:
+    """Let callers write until the block ends, then finish their last requests."""
+    callers = [BookingCaller(number, options, record) for number in range(WRITERS)]
+    stopped = [False]
+    long_after_s = now_s() + LONG_AFTER_S
+
+    async def run(caller: BookingCaller) -> None:
+        while not stopped[0]:
+            await caller.reserve(long_after_s)
+            await asyncio.sleep(caller.random.expovariate(1 / options.think_s))
+
+    tasks = [asyncio.create_task(run(caller)) for caller in callers]
+    try:
+        yield
+    finally:
+        stopped[0] = True
+        _, late = await asyncio.wait(tasks, timeout=FINISH_LIMIT_S)
+        for task in late:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        record.unfinished.update(f"late-{number}" for number in range(len(late)))
+        for caller in callers:
+            for connection in caller.connections.values():
+                await connection.close()
+
+
+async def run_trial(
+    context: ExperimentContext, record: WorkloadRecord, fault: str
+) -> Row:
+    """Fail the primary once and wait until the group is whole again."""
+    cluster = context.cluster
+    await cluster.wait_whole()
+    await asyncio.sleep(WARM_UP_S)
+    primary = await cluster.find_primary()
+    failed_s, failed_wall_s = now_s(), time.time()
+    async with PRIMARY_FAULTS.get(fault)(cluster, primary):
+        is_resumed = await wait_resumed(cluster, record, primary, failed_s)
+        await asyncio.sleep(AFTER_FAULT_S)
+    gap_s = record.find_gap_s(failed_s, within_s=RESUME_LIMIT_S)
+    row: Row = {"gap_s": round(gap_s, 4), "resumed": is_resumed}
+    row.update(find_parts(context.proxy_logs, failed_wall_s))
+    return row
+
+
+async def wait_resumed(
+    cluster: Cluster, record: WorkloadRecord, failed: str, failed_s: float
+) -> bool:
+    """Wait until another upstream is primary and acknowledges writes."""
+    deadline_s = failed_s + RESUME_LIMIT_S
+    while now_s() < deadline_s:
+        await asyncio.sleep(0.05)
+        try:
+            primary = await cluster.find_primary()
+        except ClusterError:
+            continue
+        acknowledged_s = record.acknowledged_s[-1] if record.acknowledged_s else 0.0
+        if primary != failed and acknowledged_s > now_s() - 0.1:
+            return True
+    return False
+
+
+def find_parts(logs: tuple[Path, ...], after_wall_s: float) -> Row:
+    """Find the parts of the gap in the log of the proxy that won the ballot."""
+    won = [
+        line
+        for line in read_ballots(logs)
+        if datetime.fromisoformat(line["time"]).timestamp() > after_wall_s
+    ]
+    first = min(won, key=lambda line: str(line["time"]), default=None)
+    if first is None:
+        return {"reason": None, **dict.fromkeys(PARTS)}
+    parts = {name: first.get(name) for name in PARTS}
+    return {"reason": first.get("reason"), **parts}
+
+
+def read_ballots(logs: tuple[Path, ...]) -> Iterator[dict[str, Any]]:
+    """Yield the log lines of ballots that were won."""
+    for path in logs:
+        for text in path.read_text(encoding="utf-8").splitlines():
+            if '"event": "ballot"' not in text:
+                continue
+            line = json.loads(text)
+            if line.get("won"):
+                yield line
+
+
+def summarize(rows: list[Row]) -> Row:
+    """Summarize the trials of one condition."""
+    gaps = [row["gap_s"] for row in rows if row["resumed"]]
+    first = rows[0]
+    summary: Row = {
+        "policy": first["policy"],
+        "store_up": first["store_up"],
+        "fault": first["fault"],
+        "trials": len(rows),
+        "resumed": len(gaps),
+        "median_s": find_quantile(gaps, 0.5),
+        "p99_s": find_quantile(gaps, 0.99),
+    }
+    for name in PARTS:
+        values = [row[name] for row in rows if row.get(name) is not None]
+        summary[name.removesuffix("_s") + "_median_s"] = find_quantile(values, 0.5)
+    for name in ("lost", "doubled", "unfinished", "untrue_refusals"):
+        summary[name] = first[name]
+    return summary
--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -10,12 +10,21 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from ebonyrack.load import experiments  # noqa: F401 (fills the registry)
+from ebonyrack.load.bench import BenchOptions
+from ebonyrack.load.bench import run_bench
 from ebonyrack.load.booking import format_table
 from ebonyrack.load.booking import run_booking
 from ebonyrack.load.bootstrap import BootstrapError
 from ebonyrack.load.bootstrap import put_document
 from ebonyrack.load.caller import WorkloadOptions
+from ebonyrack.load.cluster import Cluster
+from ebonyrack.load.cluster import ClusterError
+from ebonyrack.load.context import EXPERIMENTS
+from ebonyrack.load.context import ExperimentContext
 from ebonyrack.load.group_check import NoPrimaryError
+from ebonyrack.load.results import format_rows
+from ebonyrack.load.results import write_results
 from ebonyrack.scripts.standin import read_address_argument
 from ebonyrack.scripts.standin import read_positive
 
@@ -30,6 +39,8 @@
     commands = parser.add_subparsers(dest="command", required=True)
     add_booking(commands)
     add_document(commands)
+    add_bench(commands)
+    add_experiment(commands)
     return parser
 
 
@@ -66,6 +77,87 @@
     document.add_argument("--file", required=True, type=Path)
 
 
+def add_bench(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the command that compares a proxy with the direct connection."""
+    bench = commands.add_parser("bench", help="compare with the direct connection")
+    bench.add_argument("--proxy", required=True, type=read_address_argument)
+    bench.add_argument("--upstream", required=True, type=read_address_argument)
+    bench.add_argument("--proxy-pid", required=True, type=int)
+    bench.add_argument("--callers", type=int, default=32)
+    bench.add_argument("--duration-s", type=read_positive, default=5.0)
+    bench.add_argument("--idle-callers", type=int, default=2500)
+    bench.add_argument("--results", type=Path, default=Path("results"))
+
+
+def add_experiment(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    """Add the command that runs an experiment around a running cluster."""
+    experiment = commands.add_parser("experiment", help="run one experiment")
+    experiment.add_argument("name", choices=sorted(EXPERIMENTS.entries))
+    for name in ("proxies", "upstreams"):
+        experiment.add_argument(
+            f"--{name}",
+            nargs="+",
+            required=True,
+            type=read_address_argument,
+            metavar="IP:PORT",
+        )
+    for name in ("store", "control"):
+        experiment.add_argument(
+            f"--{name}", required=True, type=read_address_argument, metavar="IP:PORT"
+        )
+    experiment.add_argument("--proxy-logs", nargs="*", type=Path, default=[])
+    experiment.add_argument("--document", required=True, type=Path)
+    experiment.add_argument("--user", default="booking")
+    experiment.add_argument("--password", default="")
+    experiment.add_argument("--trials", type=int, default=20)
+    experiment.add_argument("--duration-s", type=read_positive, default=15.0)
+    experiment.add_argument("--policies", nargs="*", default=[])
+    experiment.add_argument("--results", type=Path, default=Path("results"))
+
+
+async def run_bench_command(arguments: argparse.Namespace) -> int:
+    """Run the bench, print its table and keep its figures."""
+    options = BenchOptions(
+        proxy=arguments.proxy,
+        upstream=arguments.upstream,
+        proxy_pid=arguments.proxy_pid,
+        callers=arguments.callers,
+        duration_s=arguments.duration_s,
+        idle_callers=arguments.idle_callers,
+    )
+    figures = await run_bench(options)
+    path = write_results(arguments.results, "bench", [figures])
+    print(format_table(figures))
+    print(path)
+    return EXIT_OK
+
+
+async def run_experiment_command(arguments: argparse.Namespace) -> int:
+    """Run an experiment, print its table and keep its rows."""
+    text = arguments.document.read_text(encoding="utf-8")
+    async with Cluster(arguments.control, arguments.store, text) as cluster:
+        context = ExperimentContext(
+            cluster=cluster,
+            upstreams=tuple(arguments.upstreams),
+            options=WorkloadOptions(
+                proxies=tuple(arguments.proxies),
+                user=arguments.user,
+                password=arguments.password,
+            ),
+            proxy_logs=tuple(arguments.proxy_logs),
+            trials=arguments.trials,
+            duration_s=arguments.duration_s,
+            policies=tuple(arguments.policies),
+        )
+        result = await EXPERIMENTS.get(arguments.name)(context)
+    path = write_results(arguments.results, arguments.name, result.trials)
+    print(format_rows(result.summary))
+    print(path)
+    return EXIT_OK
+
+
 async def run_booking_command(arguments: argparse.Namespace) -> int:
     """Run the booking workload and print its table and its JSON line."""
     options = WorkloadOptions(
@@ -100,7 +192,12 @@
     return EXIT_OK
 
 
-COMMANDS = {"booking": run_booking_command, "document": run_document_command}
+COMMANDS = {
+    "booking": run_booking_command,
+    "document": run_document_command,
+    "bench": run_bench_command,
+    "experiment": run_experiment_command,
+}
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -115,7 +212,7 @@
     arguments = build_parser().parse_args(argv)
     try:
         return asyncio.run(COMMANDS[arguments.command](arguments))
-    except (OSError, NoPrimaryError, BootstrapError) as error:
+    except (OSError, NoPrimaryError, BootstrapError, ClusterError) as error:
         print(f"ebonyrack-load: {error}", file=sys.stderr)
         return EXIT_USAGE
 
--- a/ebonyrack/standins/control.py
+++ b/ebonyrack/standins/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from types import TracebackType
 from typing import Any
 from typing import Self
@@ -77,6 +78,8 @@
         for key, value in body.items():
             if key != "name":
                 setattr(group[name].options, key, value)
+        if "slots" in body:
+            group[name].slots = asyncio.Semaphore(body["slots"])
 
 
 class FaultControl:
