--- a/ebonyrack/config/edit.py
+++ b/ebonyrack/config/edit.py
@@ -45,6 +45,7 @@
         changes: Title of each changed section to its new text, None to remove it.
         expected: Title of each changed section to the digest of the text that the
             operator started from.
+        is_repeat: Whether an earlier attempt with this identity may have been made.
     """
 
     edit_id: str
@@ -52,6 +53,7 @@
     base_revision: int
     changes: dict[str, str | None]
     expected: dict[str, bytes]
+    is_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,7 +159,7 @@
 
     def give_up(self) -> Outcome:
         """Tell truthfully what is known when the time is over."""
-        if self.pending_index is not None:
+        if self.pending_index is not None or self.edit.is_repeat:
             return Unknown(self.edit.edit_id, self.reason)
         return NotAccepted(self.reason)
 
@@ -186,7 +188,12 @@
         return await self.swap(checked, index)
 
     def refuse(self, refusal: Refused) -> Outcome | None:
-        """Refuse, unless a lost swap of this edit may still take effect."""
+        """Refuse, unless a lost swap of this attempt may still take effect.
+
+        An earlier attempt needs no such wait: it swapped only if the document that
+        it read allowed the edit, so the document has changed since then and the
+        index that it named is gone.
+        """
         if self.pending_index is not None:
             self.reason = "; ".join(refusal.reasons)
             return None
