Move the SCRAM verifier to core

Operators are authenticated by the same kind of verifier as callers, and the document's check reads both; config must not import callers. Nothing but the place changed.

--- a/ebonyrack/callers/authentication.py
+++ b/ebonyrack/callers/authentication.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
 import secrets
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from pygwire.exceptions import PygwireError
@@ -21,11 +18,12 @@
 from ebonyrack.callers.stream import HEADER_BYTES
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.verifier import MECHANISM
+from ebonyrack.core.verifier import Verifier
 
 if TYPE_CHECKING:
     from ebonyrack.callers.stream import CallerStream
 
-MECHANISM = "SCRAM-SHA-256"
 MAXIMUM_PASSWORD_BYTES = 4096
 EMPTY_USER = ",n=,"
 PLACEHOLDER_USER = ",n=caller,"
@@ -34,51 +32,6 @@
 SALT_BYTES = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Verifier:
-    """What the proxy knows of a password.
-
-    Attributes:
-        salt: Salt of the password.
-        stored_key: Hash of the client's key.
-        server_key: Key that proves the server.
-        iterations: Number of hash iterations.
-    """
-
-    salt: bytes
-    stored_key: bytes
-    server_key: bytes
-    iterations: int
-
-
-def parse_verifier(text: str) -> Verifier:
-    """Read a verifier in PostgreSQL's text form.
-
-    Args:
-        text: `SCRAM-SHA-256$iterations:salt$stored key:server key`.
-
-    Returns:
-        The verifier.
-
-    Raises:
-        ValueError: If the text has another form.
-    """
-    try:
-        mechanism, cost, keys = text.split("$")
-        iterations, salt = cost.split(":")
-        stored_key, server_key = keys.split(":")
-        if mechanism != MECHANISM:
-            raise ValueError(mechanism)
-        return Verifier(
-            base64.b64decode(salt, validate=True),
-            base64.b64decode(stored_key, validate=True),
-            base64.b64decode(server_key, validate=True),
-            int(iterations),
-        )
-    except (ValueError, binascii.Error) as error:
-        raise ValueError(f"not a {MECHANISM} verifier") from error
-
-
 def make_dummy_verifier() -> Verifier:
     """Make a verifier that no password fits, for users that are not known."""
     return Verifier(
--- a/ebonyrack/callers/startup.py
+++ b/ebonyrack/callers/startup.py
@@ -18,9 +18,9 @@
 
 from ebonyrack.callers.authentication import check_password
 from ebonyrack.callers.authentication import make_dummy_verifier
-from ebonyrack.callers.authentication import parse_verifier
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.verifier import parse_verifier
 
 if TYPE_CHECKING:
     from ebonyrack.callers.stream import CallerStream
