Let an administrator into a full stand-in upstream

The check of a group failed with 'no primary' in a trial when the proxies had used up all 20 connections. As in PostgreSQL, one user is let in beyond the limit.

--- a/ebonyrack/load/group_check.py
+++ b/ebonyrack/load/group_check.py
@@ -18,6 +18,7 @@
     "CREATE TABLE IF NOT EXISTS reservations (slot INTEGER, booker TEXT, request TEXT)",
     "CREATE INDEX IF NOT EXISTS reservations_by_request ON reservations (request)",
 )
+ADMINISTRATOR = "postgres"
 CONNECT_TIMEOUT_S = 3
 
 
@@ -75,7 +76,7 @@
 
 
 async def open_primary(
-    upstreams: tuple[Address, ...], user: str = "ebonyrack", password: str = ""
+    upstreams: tuple[Address, ...], user: str = ADMINISTRATOR, password: str = ""
 ) -> psycopg.AsyncConnection[tuple[object, ...]]:
     """Open a connection to the primary of the highest term.
 
--- a/ebonyrack/standins/group_test.py
+++ b/ebonyrack/standins/group_test.py
@@ -24,11 +24,10 @@
     return await psycopg.AsyncConnection.connect(
         host=address.host,
         port=address.port,
-        user="ebonyrack",
         dbname="booking",
         autocommit=autocommit,
         connect_timeout=10,
-        **options,
+        **{"user": "ebonyrack", **options},
     )
 
 
@@ -345,6 +344,8 @@
         async with await connect(group["up-1"]):
             with pytest.raises(psycopg.OperationalError, match="too many"):
                 await connect(group["up-1"])
+            async with await connect(group["up-1"], user="postgres") as administrator:
+                assert await fetch(administrator, "SELECT 1") == [(1,)]
         async with await connect(group["up-1"]) as connection:
             assert await fetch(connection, "SELECT 1") == [(1,)]
 
--- a/ebonyrack/standins/options.py
+++ b/ebonyrack/standins/options.py
@@ -18,6 +18,7 @@
         apply_delay_s: Time from receiving an entry to showing it in reads.
         link_delay_s: One-way delay between this upstream and the proxies.
         user: User that may connect, or an empty string for anyone.
+        administrator: User that is let in when the connections are used up.
         password: Clear-text password asked for, or an empty string for none.
     """
 
@@ -29,4 +30,5 @@
     apply_delay_s: float = 0.0
     link_delay_s: float = 0.0
     user: str = ""
+    administrator: str = "postgres"
     password: str = ""
--- a/ebonyrack/standins/session.py
+++ b/ebonyrack/standins/session.py
@@ -234,12 +234,14 @@
             Whether the session is open; else a password was asked for.
         """
         options = self.upstream.options
-        if len(self.upstream.sessions) >= options.connection_limit:
+        is_administrator = params.get("user") == options.administrator
+        if self.upstream.is_full and not is_administrator:
             self.send_error(SqlError("53300", "too many connections", fatal=True))
         self.upstream.sessions[self.process_id] = self
         if options.connection_cost_s:
             await asyncio.sleep(options.connection_cost_s)
-        if options.user and params.get("user") != options.user:
+        users = (options.user, options.administrator)
+        if options.user and params.get("user") not in users:
             self.send_error(SqlError("28000", "unknown user", fatal=True))
         for name, value in params.items():
             self.parameters[name.lower()] = value
--- a/ebonyrack/standins/upstream.py
+++ b/ebonyrack/standins/upstream.py
@@ -127,6 +127,11 @@
         """Whether it listens."""
         return self.server is not None
 
+    @property
+    def is_full(self) -> bool:
+        """Whether all of its connections are used."""
+        return len(self.sessions) >= self.options.connection_limit
+
     async def start(self) -> None:
         """Listen for proxies and replicas."""
         self.server = await asyncio.start_server(
