Refuse to change more than one upstream of a group at a time

Cause: an edit that swaps one upstream of three for another makes two sets whose majorities need not meet ({1,3} of the old, {2,4} of the new), while proxies take the revision over one after the other: a write acknowledged by one could be overlooked by the ballot of another. Ruled out: joint majorities of both sets, which every confirm, read index and ballot would carry for a rare task. Change: an edit adds or removes one upstream, and none within 30 s of another edit of that section, by when a proxy that did not hear of it has stopped taking new work.

--- a/ebonyrack/config/edit.py
+++ b/ebonyrack/config/edit.py
@@ -25,6 +25,7 @@
 from ebonyrack.config.text import compute_digest
 from ebonyrack.config.text import find_changes
 from ebonyrack.config.text import split_sections
+from ebonyrack.config.upstream_change import check_upstream_changes
 from ebonyrack.core.clock import now_s
 from ebonyrack.platform.backoff import Backoff
 from ebonyrack.platform.store import Store
@@ -259,12 +260,15 @@
     wanted, faults = parse_document(text, revision)
     if wanted is None:
         return Refused(tuple(str(fault) for fault in faults))
-    present, _ = parse_document(stored.text, stored.revision)
-    denied = find_denied_sections(edit, present or Document(0, ""), wanted)
+    found, _ = parse_document(stored.text, stored.revision)
+    present = found or Document(0, "")
+    present_time_s = int(time.time())
+    denied = find_denied_sections(edit, present, wanted)
+    denied += check_upstream_changes(present, wanted, stored.history, present_time_s)
     if denied:
         return Refused(denied)
     record = EditRecord(
-        revision, edit.edit_id, edit.operator, int(time.time()), tuple(edit.changes)
+        revision, edit.edit_id, edit.operator, present_time_s, tuple(edit.changes)
     )
     history = trim_history((*stored.history, record))
     return StoredDocument(revision, text, history)
--- a/ebonyrack/config/stored.py
+++ b/ebonyrack/config/stored.py
@@ -30,7 +30,8 @@
         edit_id: Identity of the edit.
         operator: Who made it.
         accepted_at: Wall-clock time of the proxy that accepted it, in seconds
-            since 1970; for people only.
+            since 1970; for people, and for the pause between changes of the
+            upstreams of one group.
         sections: Titles of the sections that it changed.
     """
 
--- /dev/null
+++ b/ebonyrack/config/upstream_change.py
@@ -0,0 +1,90 @@
+"""Rules for changing the upstreams of a running group."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ebonyrack.config.document import Document
+    from ebonyrack.config.sections import GroupSection
+    from ebonyrack.config.stored import EditRecord
+
+# A proxy that has heard nobody for so long has stopped taking new work.
+SETTLE_S = 30
+
+
+def check_upstream_changes(
+    present: Document,
+    wanted: Document,
+    history: Iterable[EditRecord],
+    present_time_s: int,
+) -> tuple[str, ...]:
+    """Refuse changes after which two majorities of a group need not meet.
+
+    Proxies take a revision over one after the other. As long as sets of upstreams
+    that are in force at the same time differ by one member, each majority of one
+    meets each majority of the other, so no acknowledged write is overlooked by a
+    ballot.
+
+    Args:
+        present: The document in force.
+        wanted: The document that would replace it.
+        history: Recent edits.
+        present_time_s: The wall clock, in seconds since 1970.
+
+    Returns:
+        One reason for each group that may not change so.
+    """
+    reasons = []
+    for name, section in wanted.groups.items():
+        before = present.groups.get(name)
+        if before is None:
+            continue
+        count = count_differences(before, section)
+        if count > 1:
+            reasons.append(
+                f"[group {name}] upstreams: add or remove one upstream at a time;"
+                f" this changes {count}"
+            )
+        elif count == 1:
+            reasons.extend(find_unsettled(name, history, present_time_s))
+    return tuple(reasons)
+
+
+def count_differences(before: GroupSection, after: GroupSection) -> int:
+    """Count the upstreams that one section has and the other lacks.
+
+    An upstream whose address changes counts twice, since it is another server.
+    """
+    old = {(spec.name, spec.address) for spec in before.upstreams}
+    new = {(spec.name, spec.address) for spec in after.upstreams}
+    return len(old ^ new)
+
+
+def find_unsettled(
+    name: str, history: Iterable[EditRecord], present_time_s: int
+) -> list[str]:
+    """Find a recent edit of the same group that may not be in force everywhere.
+
+    Args:
+        name: Name of the group.
+        history: Recent edits.
+        present_time_s: The wall clock, in seconds since 1970.
+
+    Returns:
+        At most one reason.
+    """
+    recent = [
+        edit
+        for edit in history
+        if f"group {name}" in edit.sections
+        and present_time_s - edit.accepted_at < SETTLE_S
+    ]
+    if not recent:
+        return []
+    return [
+        f"[group {name}] upstreams: revision {recent[-1].revision} changed this section"
+        f" less than {SETTLE_S} s ago; try again later"
+    ]
