Depose a primary cut from its replicas for good, and drop late answers

(2) Silence that a replica had heard from the old primary counted against the new one. (3) An answer polled before a promotion and read after it made the new primary look like a replica, which started another ballot and cut a write of a planned switchover. Ruled out: counting the excluded upstream's grant for the majority, since a write held by it and one replica could then be lost.

--- a/ebonyrack/failover/ballot.py
+++ b/ebonyrack/failover/ballot.py
@@ -71,6 +71,9 @@
         group: The group.
         term: The term, never used by another ballot.
         preferred: Upstream to promote among equally advanced ones, or None.
+        excluded: Upstream that must not be promoted, or None. It is fenced too, but
+            the majority is counted without it, so nothing that it alone holds was
+            acknowledged.
         safeguards: Safeguards.
         on_promoted: Called as soon as the promotion was answered.
         grants: Answers of the upstreams that granted the term.
@@ -90,12 +93,14 @@
         group: DatabaseGroup,
         term: int,
         preferred: str | None,
+        excluded: str | None,
         safeguards: Safeguards,
         on_promoted: Callable[[str], None],
     ) -> None:
         self.group = group
         self.term = term
         self.preferred = preferred
+        self.excluded = excluded
         self.safeguards = safeguards
         self.on_promoted = on_promoted
         self.grants: dict[str, FenceAnswer] = {}
@@ -176,7 +181,7 @@
                 timeout=deadline_s - now_s(),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if len(self.grants) >= self.group.majority:
+            if len(self.list_candidates()) >= self.group.majority:
                 deadline_s = min(deadline_s, now_s() + FENCE_GRACE_S)
 
     async def fence_one(self, upstream: Upstream) -> None:
@@ -207,11 +212,7 @@
             self.give_up(f"an upstream has granted {self.outcome.highest_term}")
             return None
         needed = self.group.majority if self.safeguards.needs_majority else 1
-        candidates = [
-            self.group.upstreams[name]
-            for name in self.grants
-            if name in self.group.upstreams
-        ]
+        candidates = self.list_candidates()
         if len(candidates) < needed:
             self.give_up(f"{len(candidates)} grants, {needed} needed")
             return None
@@ -219,6 +220,14 @@
             return min(candidates, key=self.rank_candidate)
         return max(candidates, key=self.rank_candidate)
 
+    def list_candidates(self) -> list[Upstream]:
+        """Return the upstreams that granted the term and may be promoted."""
+        return [
+            self.group.upstreams[name]
+            for name in self.grants
+            if name in self.group.upstreams and name != self.excluded
+        ]
+
     def rank_candidate(self, upstream: Upstream) -> tuple[LogPosition, bool, bool, str]:
         """Return the key by which candidates compare.
 
@@ -283,7 +292,8 @@
         """
         leaving = winner.status is not None and winner.status.leaving
         winner.note_status(
-            UpstreamStatus(Role.PRIMARY, self.term, self.term, start, start, leaving)
+            UpstreamStatus(Role.PRIMARY, self.term, self.term, start, start, leaving),
+            now_s(),
         )
         self.on_promoted(winner.name)
 
--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -15,6 +15,7 @@
 from ebonyrack.failover.ballot import BallotOutcome
 from ebonyrack.failover.detector import Detector
 from ebonyrack.failover.detector import Suspicion
+from ebonyrack.failover.detector import SuspicionReason
 from ebonyrack.failover.pre_vote import ask_peers
 from ebonyrack.failover.ranking import COORDINATORS
 from ebonyrack.failover.ranking import rank_members
@@ -172,7 +173,12 @@
         if not await self.wait_turn(rank):
             return
         parts["rank_delay_s"] = now_s() - started_s
-        outcome = await self.hold_ballot(None, str(suspicion.reason), parts)
+        excluded = None
+        if suspicion.reason is SuspicionReason.CUT_FROM_REPLICAS:
+            excluded = self.group.primary_name
+        outcome = await self.hold_ballot(
+            str(suspicion.reason), parts, excluded=excluded
+        )
         if not outcome.won:
             await self.back_off()
 
@@ -224,14 +230,19 @@
         return self.detector.judge() is not None
 
     async def hold_ballot(
-        self, preferred: str | None, reason: str, parts: dict[str, float]
+        self,
+        reason: str,
+        parts: dict[str, float],
+        preferred: str | None = None,
+        excluded: str | None = None,
     ) -> BallotOutcome:
         """Hold one ballot in a term of its own.
 
         Args:
-            preferred: Upstream to promote among equally advanced ones, or None.
             reason: Why, for the log.
             parts: Seconds of the steps so far, by name.
+            preferred: Upstream to promote among equally advanced ones, or None.
+            excluded: Upstream that must not be promoted, or None.
 
         Returns:
             How it ended.
@@ -247,7 +258,9 @@
                 self.hub.broadcast(PrimarySeen(self.group.name, term, primary_name))
 
             replaced = self.group.primary_name
-            ballot = Ballot(self.group, term, preferred, self.safeguards, broadcast)
+            ballot = Ballot(
+                self.group, term, preferred, excluded, self.safeguards, broadcast
+            )
             outcome = await ballot.run()
             self.highest_term = max(self.highest_term, outcome.highest_term)
         parts.update(outcome.parts)
--- a/ebonyrack/failover/detector.py
+++ b/ebonyrack/failover/detector.py
@@ -155,4 +155,7 @@
         if status.silence_s is None:
             lag_s = self.group.history.compute_lag(status.received)
             return lag_s > self.group.section.lag_refusal_s
-        return status.silence_s > self.group.section.suspect_after_s
+        # A replica that has just been ordered to follow has not heard anything yet.
+        term_age_s = now_s() - (self.group.learned_at_s or 0.0)
+        silence_s = min(status.silence_s, term_age_s)
+        return silence_s > self.group.section.suspect_after_s
--- a/ebonyrack/failover/failover_test.py
+++ b/ebonyrack/failover/failover_test.py
@@ -52,8 +52,18 @@
     await write_some(proxy, 0, 2)
     bench.standins.cut("up-1", "up-2")
     bench.standins.cut("up-1", "up-3")
+    _, position = await proxy.insert("r-alone", now_s() + 5)
     await until(lambda: proxy.group.primary_name != "up-1")
     await proxy.write_until_acknowledged("r-2")
+    assert proxy.group.primary_name != "up-1"
+    with pytest.raises(RequestError) as caught:
+        await proxy.group.confirm(position, now_s() + 5)
+    assert caught.value.kind is ErrorKind.UPSTREAM_LOST
+    term = proxy.group.term
+    for _ in range(10):
+        await proxy.group.poll_all()
+        await proxy.group.changed.wait(0.05)
+    assert proxy.group.term == term
     bench.standins.heal()
     await until(lambda: bench.read_requests("up-1") == ["r-0", "r-1", "r-2"])
 
--- a/ebonyrack/failover/fault_matrix_test.py
+++ b/ebonyrack/failover/fault_matrix_test.py
@@ -129,7 +129,7 @@
 def compete(strike):
     async def fault(ballot):
         rival = strike.bench.by_rank()[-1].coordinator
-        strike.start(rival.hold_ballot(None, "rival", {}))
+        strike.start(rival.hold_ballot("rival", {}))
         await asyncio.sleep(0)
 
     strike.before_step(fault)
--- a/ebonyrack/failover/switchover.py
+++ b/ebonyrack/failover/switchover.py
@@ -104,7 +104,7 @@
                 return SwitchoverOutcome(False, f"{target.name} does not catch up")
             parts = {"hold_s": now_s() - started_s}
             outcome = await self.coordinator.hold_ballot(
-                target.name, "switchover", parts
+                "switchover", parts, preferred=target.name
             )
         finally:
             self.group.release_writes()
--- a/ebonyrack/upstreams/position_waits.py
+++ b/ebonyrack/upstreams/position_waits.py
@@ -55,7 +55,7 @@
         control: Connection of its own, so that a wait delays no poll.
         contract: Builds and reads the calls.
         answer_timeout_s: Seconds that an answer may take beyond the wait itself.
-        on_status: Called with each status.
+        on_status: Called with each status and the time at which it was asked for.
         heaps: Waiting callers, by whether they wait for the received position.
         task: The task that makes the calls, or None if none is needed.
     """
@@ -77,7 +77,7 @@
         control: ControlConnection,
         contract: EbonyrackContract,
         answer_timeout_s: float,
-        on_status: Callable[[UpstreamStatus], None],
+        on_status: Callable[[UpstreamStatus, float], None],
     ) -> None:
         self.control = control
         self.contract = contract
@@ -165,6 +165,7 @@
         """
         longest_s = SHARED_CALL_S if self.heaps[not received] else LONGEST_CALL_S
         wait_ms = round(longest_s * 1000)
+        asked_at_s = now_s()
         sql = self.contract.build_poll(entry.position, wait_ms, received)
         try:
             answer = await self.control.query(sql, longest_s + self.answer_timeout_s)
@@ -173,7 +174,7 @@
             self.fail(UpstreamLostError(str(error)))
             return
         self.settle(status)
-        self.on_status(status)
+        self.on_status(status, asked_at_s)
 
     def settle(self, status: UpstreamStatus) -> None:
         """Answer every caller whose position a status covers.
--- a/ebonyrack/upstreams/upstream.py
+++ b/ebonyrack/upstreams/upstream.py
@@ -217,7 +217,7 @@
                     self.note_lost(error, now_s() - started_s - timeout_s)
                 raise
         self.waits.settle(status)
-        self.note_status(status)
+        self.note_status(status, started_s)
         return status
 
     async def ask_status(self, deadline_s: float) -> UpstreamStatus:
@@ -260,12 +260,22 @@
         """
         return await self.control.query(sql, timeout_s)
 
-    def note_status(self, status: UpstreamStatus) -> None:
+    def note_status(self, status: UpstreamStatus, asked_at_s: float) -> None:
         """Keep an answer and tell the group.
 
+        Two connections may answer in another order than they were asked. An answer
+        of a lower term is dropped if it was asked for before the present one came.
+
         Args:
             status: The answer.
+            asked_at_s: Monotonic time at which it was asked for.
         """
+        if (
+            self.status is not None
+            and status.term < self.status.term
+            and asked_at_s <= (self.answered_at_s or 0.0)
+        ):
+            return
         self.status = status
         self.answered_at_s = now_s()
         self.lost_at_s = None
