Hold the writes of every proxy during a planned switchover

And only the coordinator held its writes, so a transaction of another proxy was rolled back by the fence. Change: no judgement while a ballot of this proxy runs; replicas fenced by another ballot count as cut off only after the time that a ballot takes; HoldWrites and WritesHeld ask every proxy to wait until its transactions have ended.

--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -147,6 +147,9 @@
         Args:
             rank: Place of this proxy among the coordinators.
         """
+        if self.ballot_lock.locked():
+            # A switchover is in work; what it does to the group is no failure.
+            return
         suspicion = self.detector.judge()
         if suspicion is not None:
             await self.react(suspicion, rank)
@@ -163,6 +166,7 @@
             suspicion: What is wrong with the primary.
             rank: Place of this proxy among the coordinators.
         """
+        term = self.group.term
         parts = {"detection_s": now_s() - suspicion.since_s}
         started_s = now_s()
         if not await self.is_granted(suspicion):
@@ -173,6 +177,8 @@
         if not await self.wait_turn(rank):
             return
         parts["rank_delay_s"] = now_s() - started_s
+        if self.ballot_lock.locked() or self.group.term > term:
+            return
         excluded = None
         if suspicion.reason is SuspicionReason.CUT_FROM_REPLICAS:
             excluded = self.group.primary_name
--- a/ebonyrack/failover/detector.py
+++ b/ebonyrack/failover/detector.py
@@ -16,6 +16,7 @@
 START_GRACE_S = 0.5
 # A primary fenced by a ballot of another proxy gets this long to be replaced by it.
 FENCED_GRACE_S = 0.3
+MAXIMUM_FENCES = 100
 
 
 class SuspicionReason(StrEnum):
@@ -54,14 +55,17 @@
         started_at_s: Monotonic time of the first judgement.
         unfit_since_s: Monotonic time since which the primary answers but is no
             primary in the group's term, or None.
+        fenced_since_s: Name and granted term of a replica that granted a higher
+            term than the group's, to the monotonic time when that was first seen.
     """
 
-    __slots__ = ("group", "started_at_s", "unfit_since_s")
+    __slots__ = ("group", "started_at_s", "unfit_since_s", "fenced_since_s")
 
     def __init__(self, group: DatabaseGroup) -> None:
         self.group = group
         self.started_at_s: float | None = None
         self.unfit_since_s: float | None = None
+        self.fenced_since_s: dict[tuple[str, int], float] = {}
 
     def judge(self) -> Suspicion | None:
         """Judge the primary now.
@@ -143,13 +147,14 @@
 
         Returns:
             Whether it was silent for too long; judged by its lag if the upstream
-            can't tell. A replica that has granted a higher term is cut off too.
+            can't tell. A replica that has granted a higher term is cut off too,
+            unless the ballot of that term may still be in work.
         """
         status = upstream.status
         if status is None:
             return False
         if status.fenced_term > self.group.term:
-            return True
+            return self.is_fenced_for_long(upstream.name, status.fenced_term)
         if not upstream.is_following(self.group.term):
             return False
         if status.silence_s is None:
@@ -159,3 +164,18 @@
         term_age_s = now_s() - (self.group.learned_at_s or 0.0)
         silence_s = min(status.silence_s, term_age_s)
         return silence_s > self.group.section.suspect_after_s
+
+    def is_fenced_for_long(self, name: str, fenced_term: int) -> bool:
+        """Tell whether the ballot that fenced a replica has had its time.
+
+        Args:
+            name: Name of the replica.
+            fenced_term: Term that it granted.
+
+        Returns:
+            Whether it granted the term longer ago than a ballot takes.
+        """
+        if len(self.fenced_since_s) > MAXIMUM_FENCES:
+            self.fenced_since_s.clear()
+        since_s = self.fenced_since_s.setdefault((name, fenced_term), now_s())
+        return now_s() - since_s > FENCED_GRACE_S
--- a/ebonyrack/failover/failover_test.py
+++ b/ebonyrack/failover/failover_test.py
@@ -143,30 +143,49 @@
 
 
 async def test_planned_switchover_cuts_no_write(start_bench):
-    bench = await start_bench(proxies=1)
-    proxy = bench.proxies["proxy-1"]
+    bench = await start_bench(proxies=3)
+    coordinator = bench.by_rank()[0].coordinator
     stop = asyncio.Event()
     written = []
 
-    async def keep_writing(worker):
+    async def keep_writing(worker, proxy):
         number = 0
         while not stop.is_set():
             await proxy.write(f"r-{worker}-{number}")
             written.append(f"r-{worker}-{number}")
             number += 1
 
-    workers = [asyncio.create_task(keep_writing(worker)) for worker in range(3)]
+    workers = [
+        asyncio.create_task(keep_writing(worker, proxy))
+        for worker, proxy in enumerate(2 * list(bench.proxies.values()))
+    ]
     await until(lambda: len(written) > 20)
-    outcome = await proxy.coordinator.switch_over("up-3")
+    outcome = await coordinator.switch_over("up-3")
     assert outcome.succeeded, outcome.text
     count = len(written)
     await until(lambda: len(written) > count + 20)
     stop.set()
     await asyncio.gather(*workers)
-    assert proxy.group.primary_name == "up-3"
+    assert {item.group.primary_name for item in bench.proxies.values()} == {"up-3"}
     assert sorted(bench.read_requests("up-3")) == sorted(written)
 
 
+async def test_switchover_leaves_an_open_transaction_alone(start_bench):
+    bench = await start_bench(proxies=2)
+    first, second = bench.by_rank()
+    primary = second.group.primary()
+    connection = await primary.pool.acquire("tests", now_s() + 5)
+    await connection.query("BEGIN", 5.0)
+    outcome = await first.coordinator.switch_over(None)
+    assert (outcome.succeeded, outcome.text) == (False, "transactions are still open")
+    assert second.group.hold_until_s == 0.0
+    answer = await connection.query("COMMIT", 5.0)
+    assert answer.error is None
+    primary.pool.release(connection)
+    outcome = await first.coordinator.switch_over(None)
+    assert outcome.succeeded, outcome.text
+
+
 async def test_leaving_primary_is_replaced(start_bench):
     bench = await start_bench(proxies=3)
     for proxy in bench.proxies.values():
--- a/ebonyrack/failover/pre_vote.py
+++ b/ebonyrack/failover/pre_vote.py
@@ -10,9 +10,11 @@
 from ebonyrack.failover.ranking import rank_members
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.messages import AskPrimary
+from ebonyrack.peers.messages import HoldWrites
 from ebonyrack.peers.messages import Message
 from ebonyrack.peers.messages import PrimaryOpinion
 from ebonyrack.peers.messages import PrimarySeen
+from ebonyrack.peers.messages import WritesHeld
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
@@ -26,6 +28,8 @@
 VOTERS = 4
 # A peer takes this long at most to poll the primary afresh before it answers.
 FRESH_POLL_S = 0.04
+# No peer may make this proxy hold its writes for longer.
+LONGEST_HOLD_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +121,7 @@
         self.groups = groups
         hub.handle(AskPrimary, self.answer)
         hub.handle(PrimarySeen, self.take_news)
+        hub.handle(HoldWrites, self.hold_writes)
 
     async def answer(self, link: PeerLink, message: AskPrimary) -> Message:
         """Say whether this proxy reaches a group's primary.
@@ -147,6 +152,26 @@
         if group is not None:
             group.learn(message.term, message.primary_name)
 
+    async def hold_writes(self, link: PeerLink, message: HoldWrites) -> Message:
+        """Let new writes wait while a peer moves the primary.
+
+        Args:
+            link: Link on which the request came.
+            message: The request.
+
+        Returns:
+            Whether no request of this proxy uses the primary any more.
+        """
+        group = self.groups.get(message.group)
+        if group is None or group.term != message.term:
+            return WritesHeld(True)
+        if message.hold_ms == 0:
+            group.release_writes()
+            return WritesHeld(True)
+        hold_s = min(message.hold_ms / 1000, LONGEST_HOLD_S)
+        group.hold_writes(hold_s)
+        return WritesHeld(await group.drain_primary(hold_s / 2))
+
 
 async def is_answering(group: DatabaseGroup, primary: Upstream) -> bool:
     """Tell whether a primary answers this proxy.
--- a/ebonyrack/failover/switchover.py
+++ b/ebonyrack/failover/switchover.py
@@ -8,9 +8,14 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.logs import log_decision
+from ebonyrack.peers.link import PeerLostError
+from ebonyrack.peers.messages import HoldWrites
+from ebonyrack.peers.messages import WritesHeld
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from ebonyrack.failover.coordinator import Coordinator
     from ebonyrack.upstreams.group import DatabaseGroup
     from ebonyrack.upstreams.upstream import Upstream
@@ -19,7 +24,7 @@
 HOLD_S = 1.0
 DRAIN_S = 0.6
 CATCH_UP_S = 0.3
-DRAIN_CHECK_S = 0.005
+ASK_TIMEOUT_S = 0.8
 RETRY_S = 0.5
 # A primary that has been leaving for longer is replaced even under open transactions.
 FORCE_AFTER_S = 1.2
@@ -98,7 +103,7 @@
         started_s = now_s()
         self.group.hold_writes(HOLD_S)
         try:
-            if not await self.drain(primary) and not forced:
+            if not await self.drain() and not forced:
                 return SwitchoverOutcome(False, "transactions are still open")
             if not await self.catch_up(primary, target):
                 return SwitchoverOutcome(False, f"{target.name} does not catch up")
@@ -107,7 +112,7 @@
                 "switchover", parts, preferred=target.name
             )
         finally:
-            self.group.release_writes()
+            await self.release()
         if not outcome.won:
             return SwitchoverOutcome(False, outcome.reason)
         succeeded = outcome.primary_name == target.name
@@ -131,19 +136,56 @@
         ]
         return max(candidates, key=get_received, default=None)
 
-    async def drain(self, primary: Upstream) -> bool:
-        """Wait until no transaction of this proxy runs on the primary.
+    async def drain(self) -> bool:
+        """Wait until no transaction of any proxy runs on the primary.
+
+        Returns:
+            Whether all ended in time. A proxy that can't be asked is not waited for;
+            the fence rolls its open transactions back, and it answers "not run".
+        """
+        message = HoldWrites(self.group.name, self.group.term, round(HOLD_S * 1000))
+        drained = await asyncio.gather(
+            self.group.drain_primary(DRAIN_S), *self.ask_peers(message)
+        )
+        return all(drained)
+
+    def ask_peers(self, message: HoldWrites) -> list[Coroutine[None, None, bool]]:
+        """Build the request to each live peer.
 
         Args:
-            primary: The primary.
+            message: The request.
 
         Returns:
-            Whether all ended in time.
+            Coroutines that tell whether the peer has no transaction open.
         """
-        deadline_s = now_s() + DRAIN_S
-        while primary.pool.busy_count and now_s() < deadline_s:
-            await asyncio.sleep(DRAIN_CHECK_S)
-        return primary.pool.busy_count == 0
+        membership = self.coordinator.membership
+        return [
+            self.ask_peer(member.name, message)
+            for member in membership.live_members()
+            if member.name != membership.own.name
+        ]
+
+    async def ask_peer(self, name: str, message: HoldWrites) -> bool:
+        """Ask one peer to hold its writes.
+
+        Args:
+            name: Name of the peer.
+            message: The request.
+
+        Returns:
+            Whether it has no transaction open, or can't be asked.
+        """
+        try:
+            reply = await self.coordinator.hub.ask(name, message, ASK_TIMEOUT_S)
+        except PeerLostError:
+            return True
+        return not isinstance(reply, WritesHeld) or reply.is_drained
+
+    async def release(self) -> None:
+        """Let the writes of every proxy go on."""
+        self.group.release_writes()
+        message = HoldWrites(self.group.name, self.group.term, 0)
+        await asyncio.gather(*self.ask_peers(message))
 
     async def catch_up(self, primary: Upstream, target: Upstream) -> bool:
         """Wait until the target has received all that the primary has.
--- a/ebonyrack/peers/messages.py
+++ b/ebonyrack/peers/messages.py
@@ -246,6 +246,30 @@
     primary_name: str
 
 
+@register_message(23)
+@dataclass(frozen=True, slots=True)
+class HoldWrites(Message):
+    """Request to let new writes of a group wait while its primary is moved.
+
+    Attributes:
+        group: Name of the group.
+        term: Term of the primary that is to be replaced.
+        hold_ms: Milliseconds for which they wait at most; 0 lets them go on.
+    """
+
+    group: str
+    term: int
+    hold_ms: int
+
+
+@register_message(24)
+@dataclass(frozen=True, slots=True)
+class WritesHeld(Message):
+    """Answer to `HoldWrites`: whether no transaction is open on the primary."""
+
+    is_drained: bool
+
+
 @register_message(30)
 @dataclass(frozen=True, slots=True)
 class DocumentNews(Message):
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -38,6 +38,7 @@
 # A primary that is leaving serves on for this long, to be replaced without a gap.
 LEAVING_PRIMARY_S = 2.0
 WARM_CONNECTIONS = 1
+DRAIN_CHECK_S = 0.005
 
 
 class DatabaseGroup:
@@ -245,6 +246,23 @@
         """
         self.hold_until_s = now_s() + hold_s
 
+    async def drain_primary(self, limit_s: float) -> bool:
+        """Wait until no request of this proxy uses the primary.
+
+        Args:
+            limit_s: Seconds to wait at most.
+
+        Returns:
+            Whether all ended in time.
+        """
+        primary = self.upstreams.get(self.primary_name or "")
+        if primary is None:
+            return True
+        deadline_s = now_s() + limit_s
+        while primary.pool.busy_count and now_s() < deadline_s:
+            await asyncio.sleep(DRAIN_CHECK_S)
+        return primary.pool.busy_count == 0
+
     def release_writes(self) -> None:
         """Let writes go on."""
         self.hold_until_s = 0.0
