Prove the pool and its queue under any order of events

Cause: a request that gave up in the moment of its grant, an upstream that refuses connections, and resizes meet in the pool; each could lose a place. Change: requests keep their number of arrival, so one whose connection was refused stands where it stood; a timer serves waiters when a lowered limit rises again, without it they waited for the next release; each waiter gets an error of its own. Proof: a hypothesis state machine (acquire, open, refuse, lose, release, give up at the moment of a grant, resize, leave, warm) and tests of fairness, room and return times.

--- a/ebonyrack/routing/read_index.py
+++ b/ebonyrack/routing/read_index.py
@@ -18,8 +18,8 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-    from ebonyrack.upstreams.group import DatabaseGroup  # type: ignore[import-not-found]
-    from ebonyrack.upstreams.upstream import Upstream  # type: ignore[import-not-found]
+    from ebonyrack.upstreams.group import DatabaseGroup
+    from ebonyrack.upstreams.upstream import Upstream
 
 # The primary is asked too if a majority of replicas has not answered by then.
 HEDGE_AFTER_S = 0.005
--- a/ebonyrack/routing/read_placement.py
+++ b/ebonyrack/routing/read_placement.py
@@ -22,8 +22,8 @@
 
 if TYPE_CHECKING:
     from ebonyrack.routing.read_index import ReadIndex
-    from ebonyrack.upstreams.group import DatabaseGroup  # type: ignore[import-not-found]
-    from ebonyrack.upstreams.upstream import Upstream  # type: ignore[import-not-found]
+    from ebonyrack.upstreams.group import DatabaseGroup
+    from ebonyrack.upstreams.upstream import Upstream
 
 RETRY_AFTER_S = 0.2
 # Between looks for an upstream that can serve while there is none.
--- a/ebonyrack/upstreams/admission.py
+++ b/ebonyrack/upstreams/admission.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Any
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
@@ -21,19 +23,23 @@
 RETRY_JITTER = 0.25
 
 
-@dataclass(slots=True, eq=False)
 class Waiter:
-    """One request that waits for a connection.
+    """One request for a connection.
 
     Attributes:
         caller: Name of the application that asks.
         deadline_s: Monotonic time at which the request gives up.
+        number: Place in the order of arrival.
         granted: Set when a place is granted; carries what the granter hands over.
     """
 
-    caller: str
-    deadline_s: float
-    granted: asyncio.Future[object]
+    __slots__ = ("caller", "deadline_s", "number", "granted")
+
+    def __init__(self, caller: str, deadline_s: float, number: int) -> None:
+        self.caller = caller
+        self.deadline_s = deadline_s
+        self.number = number
+        self.granted: asyncio.Future[Any] | None = None
 
 
 @dataclass(slots=True)
@@ -67,6 +73,7 @@
         count: Number of waiters.
         service_s: Moving average of how long a connection is held, in seconds.
         next_retry_s: Monotonic time of the last return time handed out.
+        arrivals: Numbers for requests in the order of arrival.
     """
 
     __slots__ = (
@@ -77,6 +84,7 @@
         "count",
         "service_s",
         "next_retry_s",
+        "arrivals",
     )
 
     def __init__(self, limit: int) -> None:
@@ -87,52 +95,47 @@
         self.count = 0
         self.service_s = INITIAL_SERVICE_S
         self.next_retry_s = 0.0
+        self.arrivals = itertools.count()
 
     def __len__(self) -> int:
         return self.count
 
-    def add(self, caller: str, deadline_s: float, servers: int) -> Waiter:
+    def add(self, waiter: Waiter, servers: int) -> None:
         """Queue a request, or refuse it at once.
 
         Args:
-            caller: Name of the application.
-            deadline_s: Monotonic time at which the request gives up.
+            waiter: The request.
             servers: Connections that serve the queue.
 
-        Returns:
-            The waiter.
-
         Raises:
             RequestError: WAIT_TOO_LONG if the expected wait passes the deadline,
                 QUEUE_FULL if there is no room.
         """
-        expected_s = self.estimate_wait(caller, servers)
-        if now_s() + expected_s > deadline_s:
+        expected_s = self.estimate_wait(waiter.caller, servers)
+        if now_s() + expected_s > waiter.deadline_s:
             raise self.build_refusal(
                 ErrorKind.WAIT_TOO_LONG, f"expected wait {expected_s:.3f} s", servers
             )
         if self.count >= self.limit:
-            self.make_room(caller, servers)
-        waiter = Waiter(caller, deadline_s, asyncio.get_running_loop().create_future())
-        self.append(waiter)
-        return waiter
+            self.make_room(waiter.caller, servers)
+        self.insert(waiter)
 
-    def append(self, waiter: Waiter, first: bool = False) -> None:
-        """Put a waiter into its application's queue.
+    def insert(self, waiter: Waiter) -> None:
+        """Put a request into its application's queue, in the order of arrival.
 
         Args:
-            waiter: The waiter.
-            first: Whether it goes before the others of its application.
+            waiter: The request, which may have been granted a place before.
         """
+        waiter.granted = asyncio.get_running_loop().create_future()
         queue = self.callers.get(waiter.caller)
         if queue is None:
             weight = self.weights.get(waiter.caller, 1)
             queue = CallerQueue(weight, self.virtual_time)
             self.callers[waiter.caller] = queue
-        if first:
-            queue.waiters.appendleft(waiter)
-        else:
-            queue.waiters.append(waiter)
+        place = len(queue.waiters)
+        while place > 0 and queue.waiters[place - 1].number > waiter.number:
+            place -= 1
+        queue.waiters.insert(place, waiter)
         self.count += 1
 
     def take(self) -> Waiter | None:
@@ -176,8 +179,7 @@
             build_error: Builds the error of one waiter.
         """
         while (waiter := self.take()) is not None:
-            if not waiter.granted.done():
-                waiter.granted.set_exception(build_error())
+            fail_waiter(waiter, build_error())
 
     def make_room(self, caller: str, servers: int) -> None:
         """Refuse the newest waiter of the application that holds the most.
@@ -202,9 +204,7 @@
             raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers)
         waiter = self.callers[name].waiters[-1]
         self.discard(waiter)
-        refusal = self.build_refusal(ErrorKind.QUEUE_FULL, "", servers)
-        if not waiter.granted.done():
-            waiter.granted.set_exception(refusal)
+        fail_waiter(waiter, self.build_refusal(ErrorKind.QUEUE_FULL, "", servers))
 
     def note_service(self, held_s: float) -> None:
         """Take a measurement of how long a connection was held.
@@ -252,3 +252,14 @@
         self.next_retry_s = min(self.next_retry_s, now + MAXIMUM_RETRY_S)
         jitter = 1 + random.uniform(0, RETRY_JITTER)
         return RequestError(kind, reason, (self.next_retry_s - now) * jitter)
+
+
+def fail_waiter(waiter: Waiter, error: Exception) -> None:
+    """End one wait with an error.
+
+    Args:
+        waiter: The request.
+        error: The error.
+    """
+    if waiter.granted is not None and not waiter.granted.done():
+        waiter.granted.set_exception(error)
--- a/ebonyrack/upstreams/pool.py
+++ b/ebonyrack/upstreams/pool.py
@@ -44,6 +44,7 @@
         is_accepting: Whether new work is taken.
         refused_limit: Places that were held when the upstream refused one more.
         refused_at_s: Monotonic time of that refusal, or None.
+        raise_timer: Serves waiters again when the lowered limit rises.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         "is_accepting",
         "refused_limit",
         "refused_at_s",
+        "raise_timer",
     )
 
     def __init__(self, address: Address, section: GroupSection, limit: int) -> None:
@@ -70,6 +72,7 @@
         self.is_accepting = True
         self.refused_limit = 0
         self.refused_at_s: float | None = None
+        self.raise_timer: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> Self:
         return self
@@ -81,6 +84,7 @@
         traceback: TracebackType | None,
     ) -> None:
         self.stop_new_work()
+        self.stop_raising()
         for connection in list(self.busy):
             connection.close()
 
@@ -139,14 +143,15 @@
             UpstreamLostError: If the upstream takes no work or can't be reached.
         """
         self.check_accepting()
+        waiter = Waiter(caller, deadline_s, next(self.queue.arrivals))
         if not self.queue and self.has_place():
             connection = self.take_place()
         else:
-            waiter = self.queue.add(caller, deadline_s, self.present_limit)
+            self.queue.add(waiter, self.present_limit)
             self.grant_places()
             connection = await self.wait_for_grant(waiter)
-        if connection is None:
-            connection = await self.open_place(caller, deadline_s)
+        while connection is None:
+            connection = await self.open_place(waiter)
         return connection
 
     def check_accepting(self) -> None:
@@ -185,8 +190,9 @@
         """Serve waiters as long as there are places."""
         while self.queue and self.is_accepting and self.has_place():
             waiter = self.queue.take()
-            if waiter is not None and not waiter.granted.done():
-                waiter.granted.set_result(self.take_place())
+            granted = waiter.granted if waiter is not None else None
+            if granted is not None and not granted.done():
+                granted.set_result(self.take_place())
 
     async def wait_for_grant(self, waiter: Waiter) -> UpstreamConnection | None:
         """Wait until a place is granted, up to the waiter's deadline.
@@ -201,9 +207,10 @@
             RequestError: WAIT_TOO_LONG at the deadline; QUEUE_FULL if pushed out.
             UpstreamLostError: If the pool stops taking work.
         """
+        assert waiter.granted is not None
         try:
             async with asyncio.timeout(waiter.deadline_s - now_s()):
-                connection = await waiter.granted
+                connection: UpstreamConnection | None = await waiter.granted
         except TimeoutError:
             self.give_back_grant(waiter)
             raise self.queue.build_refusal(
@@ -212,7 +219,6 @@
         except asyncio.CancelledError:
             self.give_back_grant(waiter)
             raise
-        assert connection is None or isinstance(connection, UpstreamConnection)
         return connection
 
     def give_back_grant(self, waiter: Waiter) -> None:
@@ -223,35 +229,37 @@
         """
         self.queue.discard(waiter)
         granted = waiter.granted
-        if not granted.done() or granted.cancelled() or granted.exception():
+        if granted is None or not granted.done():
+            return
+        if granted.cancelled() or granted.exception() is not None:
             return
         connection = granted.result()
-        if isinstance(connection, UpstreamConnection):
-            self.release(connection)
-        else:
+        if connection is None:
             self.give_up_opening()
+        else:
+            self.release(connection)
 
     def give_up_opening(self) -> None:
         """Free the place of a connection that was not opened."""
         self.opening -= 1
         self.grant_places()
 
-    async def open_place(self, caller: str, deadline_s: float) -> UpstreamConnection:
+    async def open_place(self, waiter: Waiter) -> UpstreamConnection | None:
         """Open the connection of a place that is held.
 
         Args:
-            caller: Name of the application that asks.
-            deadline_s: Monotonic time at which the request gives up.
+            waiter: The request that holds the place.
 
         Returns:
-            The connection, busy.
+            The connection, busy; None if another place was granted after the
+            upstream had refused the connection.
 
         Raises:
             RequestError: WAIT_TOO_LONG if the upstream has no connection to spare.
             UpstreamLostError: If it can't be reached.
         """
         try:
-            connection = await self.open_connection(deadline_s)
+            connection = await self.open_connection(waiter.deadline_s)
         except UpstreamLostError as error:
             self.opening -= 1
             if error.sqlstate != TOO_MANY_CONNECTIONS:
@@ -265,7 +273,7 @@
             self.opening -= 1
             self.busy[connection] = now_s()
             return self.check_opened(connection)
-        return await self.wait_for_release(caller, deadline_s)
+        return await self.wait_for_release(waiter)
 
     async def open_connection(self, deadline_s: float) -> UpstreamConnection:
         """Open a connection with the group's user.
@@ -309,18 +317,39 @@
         logger.bind(address=str(self.address), limit=self.present_limit).warning(
             "upstream refused a connection"
         )
+        self.raise_after(REFUSED_LIMIT_S)
 
-    async def wait_for_release(
-        self, caller: str, deadline_s: float
-    ) -> UpstreamConnection:
-        """Wait for a connection that is open, after the upstream refused another.
+    def raise_after(self, delay_s: float) -> None:
+        """Serve waiters again after a time.
 
         Args:
-            caller: Name of the application that asks.
-            deadline_s: Monotonic time at which the request gives up.
+            delay_s: Seconds until then.
+        """
+        self.stop_raising()
+        loop = asyncio.get_running_loop()
+        self.raise_timer = loop.call_later(delay_s, self.serve_raised_limit)
+
+    def serve_raised_limit(self) -> None:
+        """Serve waiters by the present limit until it is no longer lowered."""
+        self.raise_timer = None
+        self.grant_places()
+        if self.present_limit < self.limit:
+            self.raise_after(RAISE_INTERVAL_S)
+
+    def stop_raising(self) -> None:
+        """Cancel the timer that raises the limit."""
+        if self.raise_timer is not None:
+            self.raise_timer.cancel()
+            self.raise_timer = None
+
+    async def wait_for_release(self, waiter: Waiter) -> UpstreamConnection | None:
+        """Wait for another place, after the upstream refused a connection.
+
+        Args:
+            waiter: The request, which holds no place any more.
 
         Returns:
-            The connection.
+            The connection, or None for the place of one to be opened.
 
         Raises:
             RequestError: WAIT_TOO_LONG if there is none or none comes free.
@@ -330,14 +359,9 @@
         if self.open_count == 0:
             self.queue.fail_all(self.build_no_connection)
             raise self.build_no_connection()
-        waiter = Waiter(caller, deadline_s, asyncio.get_running_loop().create_future())
-        self.queue.append(waiter, first=True)
+        self.queue.insert(waiter)
         self.grant_places()
-        connection = await self.wait_for_grant(waiter)
-        if connection is None:
-            # The limit rose while this one waited; the deadline bounds the tries.
-            return await self.open_place(caller, deadline_s)
-        return connection
+        return await self.wait_for_grant(waiter)
 
     def build_no_connection(self) -> RequestError:
         """Build the refusal for an upstream that has no connection to spare."""
--- /dev/null
+++ b/ebonyrack/upstreams/pool_machine_test.py
@@ -0,0 +1,218 @@
+"""Any order of requests, releases, losses and resizes against a pool."""
+
+import asyncio
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from loguru import logger
+
+from ebonyrack.config.sections import GroupSection
+from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import RequestError
+from ebonyrack.upstreams import pool as pool_module
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.pool import ConnectionPool
+
+CALLERS = st.sampled_from(["booking", "calendar", "confirmation"])
+SETTLE_STEPS = 20
+WAIT_S = 3600.0
+
+
+class FakeConnection:
+    """A connection that is clean until the test says otherwise."""
+
+    def __init__(self):
+        self.is_clean = True
+        self.users = 0
+
+    def close(self):
+        self.is_clean = False
+
+
+class PoolMachine(RuleBasedStateMachine):
+    """Drives a pool whose connections open when a rule says so."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        section = GroupSection(owner="database", upstreams=(), queue_limit=6)
+        self.pool = ConnectionPool(Address("127.0.0.1", 1), section, 2)
+        self.pool.queue.weights = {"booking": 3}
+        self.opens = []
+        self.requests = []
+        self.held = []
+        logger.disable(pool_module.__name__)
+        self.allowed = 2
+        self.original = pool_module.open_connection
+        pool_module.open_connection = self.open_connection
+
+    async def open_connection(self, *arguments):
+        gate = self.loop.create_future()
+        self.opens.append(gate)
+        try:
+            return await gate
+        finally:
+            self.opens.remove(gate)
+
+    def settle(self):
+        async def step():
+            for _ in range(SETTLE_STEPS):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(step())
+        for request in [item for item in self.requests if item.done()]:
+            self.requests.remove(request)
+            if request.cancelled():
+                continue
+            error = request.exception()
+            assert error is None or isinstance(error, (RequestError, UpstreamLostError))
+            if error is None:
+                connection = request.result()
+                assert connection.is_clean
+                connection.users += 1
+                self.held.append(connection)
+
+    @rule(caller=CALLERS)
+    def acquire(self, caller):
+        async def start():
+            request = self.pool.acquire(caller, now_s() + WAIT_S)
+            self.requests.append(asyncio.ensure_future(request))
+
+        self.loop.run_until_complete(start())
+        self.settle()
+
+    @rule(caller=CALLERS)
+    def acquire_and_open(self, caller):
+        self.acquire(caller)
+        for gate in self.opens:
+            gate.set_result(FakeConnection())
+        self.settle()
+
+    @precondition(lambda self: self.opens)
+    @rule(data=st.data(), outcome=st.sampled_from(["opened", "opened", "lost", "full"]))
+    def finish_open(self, data, outcome):
+        gate = data.draw(st.sampled_from(self.opens))
+        if outcome == "opened":
+            gate.set_result(FakeConnection())
+        else:
+            sqlstate = "53300" if outcome == "full" else ""
+            gate.set_exception(UpstreamLostError(outcome, sqlstate))
+        self.settle()
+
+    @precondition(lambda self: self.held)
+    @rule(data=st.data(), is_clean=st.sampled_from([True, True, False]))
+    def release(self, data, is_clean):
+        connection = self.held.pop(data.draw(st.integers(0, len(self.held) - 1)))
+        connection.is_clean = is_clean
+        connection.users -= 1
+        self.pool.release(connection)
+        self.settle()
+
+    @precondition(lambda self: self.held)
+    @rule()
+    def release_all(self):
+        while self.held:
+            connection = self.held.pop()
+            connection.users -= 1
+            self.pool.release(connection)
+            self.settle()
+
+    @precondition(lambda self: self.held and self.pool.waiting_count)
+    @rule(data=st.data())
+    def release_while_a_waiter_gives_up(self, data):
+        connection = self.held.pop()
+        connection.users -= 1
+        self.pool.release(connection)
+        data.draw(st.sampled_from(self.requests)).cancel()
+        self.settle()
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data())
+    def give_up(self, data):
+        data.draw(st.sampled_from(self.requests)).cancel()
+        self.settle()
+
+    @precondition(lambda self: self.pool.idle)
+    @rule(data=st.data())
+    def lose_idle(self, data):
+        data.draw(st.sampled_from(self.pool.idle)).is_clean = False
+
+    @rule(limit=st.integers(0, 4))
+    def resize(self, limit):
+        self.pool.resize(limit)
+        self.settle()
+
+    @precondition(lambda self: self.pool.refused_at_s is not None)
+    @rule()
+    def let_time_pass(self):
+        self.pool.refused_at_s -= 1.0
+        self.loop.call_soon(self.pool.serve_raised_limit)
+        self.settle()
+
+    @precondition(lambda self: self.held and self.pool.open_count > 1)
+    @rule()
+    def leave_and_return(self):
+        self.pool.stop_new_work()
+        self.settle()
+        assert not self.pool.waiting_count and not self.pool.idle
+        self.pool.resume_new_work()
+
+    @rule(count=st.integers(0, 4))
+    def warm(self, count):
+        self.requests.append(self.loop.create_task(self.warm_up(count)))
+        self.settle()
+
+    async def warm_up(self, count):
+        await self.pool.warm(count)
+        raise UpstreamLostError("warm connections belong to nobody")
+
+    @invariant()
+    def places_are_counted_and_bounded(self):
+        pool = self.pool
+        assert pool.opening == len(self.opens)
+        assert set(pool.busy) == set(self.held)
+        assert all(connection.users == 1 for connection in self.held)
+        assert pool.open_count <= max(self.allowed, pool.limit)
+        self.allowed = max(pool.open_count, pool.limit)
+        if pool.open_count > pool.limit:
+            assert not pool.idle
+
+    @invariant()
+    def nobody_waits_while_there_is_a_place(self):
+        pool = self.pool
+        assert len(pool.queue) <= pool.queue.limit
+        if pool.queue:
+            assert not pool.has_place()
+            assert pool.open_count > 0
+
+    @invariant()
+    def waiters_stand_in_order_of_arrival(self):
+        for queue in self.pool.queue.callers.values():
+            numbers = [waiter.number for waiter in queue.waiters]
+            assert numbers == sorted(numbers)
+
+    def teardown(self):
+        try:
+            for request in self.requests:
+                request.cancel()
+            self.settle()
+            for connection in self.held:
+                self.pool.release(connection)
+            assert self.pool.busy_count == 0 and self.pool.waiting_count == 0
+            assert self.pool.open_count == len(self.pool.idle) <= self.allowed
+        finally:
+            logger.enable(pool_module.__name__)
+            self.pool.stop_raising()
+            pool_module.open_connection = self.original
+            self.loop.close()
+
+
+PoolMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestPool = PoolMachine.TestCase
