Start the polls of a read index without a task around each

Change: the round waits for the upstreams' shared polls themselves and cancels none; a poll that ends because the document dropped its upstream counts as no answer, where it cancelled the readers before.

--- a/ebonyrack/routing/conftest.py
+++ b/ebonyrack/routing/conftest.py
@@ -44,6 +44,10 @@
         self.polls = 0
         self.pool = SimpleNamespace(busy_count=0, waiting_count=0, limit=10)
 
+    def start_poll(self) -> asyncio.Task[UpstreamStatus]:
+        """Start a plain poll."""
+        return asyncio.create_task(self.poll())
+
     async def poll(
         self, position: LogPosition = START, wait_s: float = 0.0
     ) -> UpstreamStatus:
--- a/ebonyrack/routing/read_index.py
+++ b/ebonyrack/routing/read_index.py
@@ -132,19 +132,16 @@
         reserve = list(self.group.upstreams.values())
         first = self.choose_first(reserve)
         reserve = [upstream for upstream in reserve if upstream not in first]
-        polls = {asyncio.create_task(upstream.poll()) for upstream in first}
+        polls = {upstream.start_poll() for upstream in first}
         received: list[LogPosition] = []
-        try:
-            while len(received) < majority and (polls or reserve):
-                timeout_s = HEDGE_AFTER_S if reserve else None
-                done, polls = await wait_first(polls, timeout_s)
-                answers = [read_answer(task) for task in done]
-                received += [item.received for item in answers if item is not None]
-                if not done or len(received) + len(polls) < majority:
-                    polls |= {asyncio.create_task(item.poll()) for item in reserve}
-                    reserve = []
-        finally:
-            await cancel_all(polls)
+        while len(received) < majority and (polls or reserve):
+            timeout_s = HEDGE_AFTER_S if reserve else None
+            done, polls = await wait_first(polls, timeout_s)
+            answers = [read_answer(task) for task in done]
+            received += [item.received for item in answers if item is not None]
+            if not done or len(received) + len(polls) < majority:
+                polls |= {upstream.start_poll() for upstream in reserve}
+                reserve = []
         if len(received) < majority:
             reason = f"{len(received)} of {majority} upstreams answered"
             raise RequestError(ErrorKind.NO_UPSTREAM, reason, RETRY_AFTER_S)
@@ -217,11 +214,13 @@
     """Return the answer of a poll that has ended, or None if it failed.
 
     Args:
-        poll: The poll.
+        poll: The poll; cancelled if the document has its upstream no more.
 
     Raises:
         BaseException: Whatever else than a lost upstream ended it.
     """
+    if poll.cancelled():
+        return None
     error = poll.exception()
     if error is None:
         return poll.result()
@@ -230,17 +229,6 @@
     raise error
 
 
-async def cancel_all(tasks: set[asyncio.Task[UpstreamStatus]]) -> None:
-    """Cancel tasks and wait for their end.
-
-    Args:
-        tasks: The tasks.
-    """
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-
-
 def note_error(task: asyncio.Task[DatedIndex]) -> None:
     """Mark the error of a round as seen, for rounds whose readers have left.
 
--- a/ebonyrack/upstreams/upstream.py
+++ b/ebonyrack/upstreams/upstream.py
@@ -192,11 +192,19 @@
             status = await self.waits.wait(position, wait_s, received)
             if status is not None:
                 return status
+        return await asyncio.shield(self.start_poll())
+
+    def start_poll(self) -> asyncio.Task[UpstreamStatus]:
+        """Start a plain poll, or join one that has not been sent yet.
+
+        Returns:
+            The poll, which others may share: it is waited for, never cancelled.
+        """
         if self.next_poll is None:
             self.next_poll = asyncio.create_task(self.run_poll())
             self.polls.add(self.next_poll)
             self.next_poll.add_done_callback(self.finish_poll)
-        return await asyncio.shield(self.next_poll)
+        return self.next_poll
 
     def finish_poll(self, poll: asyncio.Task[UpstreamStatus]) -> None:
         """Forget a poll that ended; marks its error as seen."""
