--- /dev/null
+++ b/ebonyrack/callers/pipeline_test.py
@@ -0,0 +1,212 @@
+import asyncpg
+import psycopg
+import pytest
+
+from ebonyrack.callers.chunk import MAXIMUM_PREPARED
+from ebonyrack.callers.conftest import FLUSH
+from ebonyrack.callers.conftest import GROUP
+from ebonyrack.callers.conftest import SYNC
+from ebonyrack.callers.conftest import USER
+from ebonyrack.callers.conftest import bind
+from ebonyrack.callers.conftest import close
+from ebonyrack.callers.conftest import describe
+from ebonyrack.callers.conftest import error_of
+from ebonyrack.callers.conftest import execute
+from ebonyrack.callers.conftest import kinds
+from ebonyrack.callers.conftest import open_proxy
+from ebonyrack.callers.conftest import parse
+from ebonyrack.callers.conftest import wait_until
+
+INSERT = b"INSERT INTO bookings (slot, booker, request) VALUES (1, 'me', '%s')"
+COUNT = b"SELECT count(*) FROM bookings"
+
+
+def run(sql, name=b""):
+    return parse(name, sql) + bind(name) + describe(b"P", b"") + execute()
+
+
+async def test_a_read_is_served_by_a_replica(proxy):
+    caller = await proxy.start_wire()
+    assert kinds(await caller.ask(run(COUNT), SYNC)) == "12TDCZ"
+    frames = await caller.query("SHOW ebonyrack.served_by")
+    assert frames[1][1].endswith(b"replica")
+
+
+async def test_a_write_is_reported_with_its_token(proxy):
+    caller = await proxy.start_wire()
+    frames = await caller.ask(run(INSERT % b"a"), SYNC)
+    assert kinds(frames) == "12nCSZ"
+    assert proxy.count_rows("up-2", "a") + proxy.count_rows("up-3", "a") >= 1
+
+
+async def test_a_named_statement_is_prepared_wherever_it_is_used(proxy):
+    caller = await proxy.start_wire()
+    frames = await caller.ask(parse(b"s", COUNT), describe(b"S", b"s"), SYNC)
+    assert kinds(frames) == "1tTZ"
+    for _ in range(6):
+        assert kinds(await caller.ask(bind(b"s"), execute(), SYNC)) == "2DCZ"
+    await caller.query("BEGIN")
+    assert kinds(await caller.ask(bind(b"s"), execute(), SYNC)) == "2DCZ"
+    await caller.query("COMMIT")
+    assert kinds(await caller.ask(close(b"S", b"s"), SYNC)) == "3Z"
+    frames = await caller.ask(bind(b"s"), execute(), SYNC)
+    assert error_of(frames)[0] == "26000"
+
+
+async def test_names_of_two_sessions_do_not_collide(proxy):
+    first, second = [await proxy.start_wire() for _ in range(2)]
+    await first.ask(parse(b"s", b"SELECT 1"), SYNC)
+    await second.ask(parse(b"s", b"SELECT 2"), SYNC)
+    for _ in range(4):
+        for caller, value in ((first, b"1"), (second, b"2")):
+            frames = await caller.ask(bind(b"s"), execute(), SYNC)
+            assert frames[1][1].endswith(value)
+
+
+async def test_the_unnamed_statement_lasts_until_the_next_one(proxy):
+    caller = await proxy.start_wire()
+    await caller.ask(parse(b"", b"SELECT 1"), SYNC)
+    for _ in range(3):
+        assert kinds(await caller.ask(bind(b""), execute(), SYNC)) == "2DCZ"
+    await caller.query("SELECT 2")
+    assert error_of(await caller.ask(bind(b""), execute(), SYNC))[0] == "26000"
+
+
+async def test_an_error_skips_to_sync_and_what_came_before_stays_prepared(proxy):
+    caller = await proxy.start_wire()
+    frames = await caller.ask(
+        parse(b"good", b"SELECT 1"), parse(b"bad", b"SELEC"), run(COUNT), SYNC
+    )
+    assert kinds(frames) == "1EZ"
+    assert kinds(await caller.ask(bind(b"good"), execute(), SYNC)) == "2DCZ"
+    assert error_of(await caller.ask(bind(b"bad"), SYNC))[0] == "26000"
+
+
+async def test_a_pipeline_without_a_transaction_is_one(proxy):
+    caller = await proxy.start_wire()
+    frames = await caller.ask(run(INSERT % b"a"), run(INSERT % b"a"), SYNC)
+    assert error_of(frames)[0] == "23505"
+    assert "C" not in kinds(frames)[-2:]
+    assert proxy.count_rows("up-1", "a") == 0
+
+
+@pytest.mark.parametrize("last", [b"b", b"a"])
+async def test_a_flush_keeps_the_pipeline_one_transaction(proxy, last):
+    caller = await proxy.start_wire()
+    caller.send(run(INSERT % b"a"), FLUSH)
+    assert [(await caller.read_frame())[0] for _ in range(4)] == [
+        b"1",
+        b"2",
+        b"n",
+        b"C",
+    ]
+    frames = await caller.ask(run(INSERT % last), SYNC)
+    assert frames[-1] == (b"Z", b"I")
+    assert ("E" in kinds(frames)) == (last == b"a")
+    assert proxy.count_rows("up-1", "a") == (last != b"a")
+    assert proxy.pool().busy_count == 0
+
+
+async def test_transaction_control_and_variables_within_a_pipeline(proxy):
+    caller = await proxy.start_wire()
+    frames = await caller.ask(
+        run(b"SET ebonyrack.max_age = '0'"),
+        run(b"BEGIN"),
+        run(INSERT % b"a"),
+        run(b"SHOW ebonyrack.max_age"),
+        run(b"COMMIT"),
+        run(COUNT),
+        SYNC,
+    )
+    assert kinds(frames) == "12nC12nC12nC12TDC12nCS12TDCZ"
+    assert frames[-3][1].endswith(b"1")
+
+
+async def test_several_syncs_in_one_send(proxy):
+    caller = await proxy.start_wire()
+    caller.send(run(COUNT), SYNC, run(b"SELECT nowhere"), SYNC, run(COUNT), SYNC)
+    assert kinds(await caller.read_until_ready()) == "12TDCZ"
+    assert "E" in kinds(await caller.read_until_ready())
+    assert kinds(await caller.read_until_ready()) == "12TDCZ"
+
+
+async def test_a_portal_is_read_in_parts_within_a_transaction(proxy):
+    caller = await proxy.start_wire()
+    for request in (b"a", b"b", b"c"):
+        await caller.ask(run(INSERT % request), SYNC)
+    await caller.query("BEGIN")
+    sql = b"SELECT request FROM bookings"
+    frames = await caller.ask(
+        parse(b"", sql), bind(b"", b"p"), execute(b"p", 2), SYNC, SYNC
+    )
+    assert kinds(frames) == "12DDsZ"
+    assert await caller.read_until_ready() == [(b"Z", b"T")]
+    assert kinds(await caller.ask(execute(b"p", 2), SYNC)) == "DCZ"
+
+
+async def test_a_keyed_pipeline_runs_once(proxy):
+    caller = await proxy.start_wire()
+    for number in range(2):
+        await caller.query("SET ebonyrack.idempotency_key = 'k'")
+        frames = await caller.ask(run(INSERT % b"a"), run(INSERT % b"b"), SYNC)
+        assert kinds(frames) == "12nC12nCSSZ"
+        assert (b"C", b"INSERT 0 1\x00") in frames
+        assert any(payload.endswith(b"on\x00") for _, payload in frames) == number
+    assert proxy.count_rows("up-1", "a") == 1
+
+
+async def test_connections_keep_a_bounded_number_of_statements():
+    async with open_proxy(limit=3) as proxy:
+        caller = await proxy.start_wire()
+        await caller.query("BEGIN")
+        for number in range(MAXIMUM_PREPARED + 3):
+            sql = b"SELECT %d" % number
+            name = b"s%d" % number
+            assert kinds(await caller.ask(run(sql, name), SYNC)) == "12TDCZ"
+        assert len(proxy.sessions[0].connection.prepared) <= MAXIMUM_PREPARED
+        assert kinds(await caller.ask(bind(b"s0"), execute(), SYNC)) == "2DCZ"
+
+
+async def test_psycopg_runs_unmodified(proxy):
+    async with await proxy.connect() as connection:
+        insert = "INSERT INTO bookings (slot, booker, request) VALUES (%s, %s, %s)"
+        async with connection.cursor() as cursor:
+            await cursor.executemany(insert, [(n, "me", f"r{n}") for n in range(20)])
+        for number in range(12):
+            sql = "SELECT request FROM bookings WHERE slot = %s"
+            cursor = await connection.execute(sql, (number,), prepare=True)
+            assert await cursor.fetchall() == [(f"r{number}",)]
+        async with connection.transaction():
+            with pytest.raises(psycopg.errors.UniqueViolation):
+                async with connection.transaction():
+                    await connection.execute(insert, (1, "me", "r1"))
+            await connection.execute(insert, (30, "me", "r30"))
+        async with connection.pipeline():
+            cursor = await connection.execute("SELECT count(*) FROM bookings")
+            assert await cursor.fetchone() == (21,)
+
+
+async def test_asyncpg_runs_unmodified(proxy):
+    address = proxy.listener.address
+    options = {"host": address.host, "port": address.port, "min_size": 1}
+    async with asyncpg.create_pool(
+        user=USER, database=GROUP, max_size=2, **options
+    ) as pool:
+        insert = "INSERT INTO bookings (slot, booker, request) VALUES ($1, $2, $3)"
+        async with pool.acquire() as connection:
+            await connection.execute(insert, 1, "me", "r1")
+            rows = [(number, "me", f"r{number}") for number in range(2, 20)]
+            await connection.executemany(insert, rows)
+        for number in range(1, 20):
+            sql = "SELECT request FROM bookings WHERE slot = $1"
+            assert await pool.fetchval(sql, number) == f"r{number}"
+        async with pool.acquire() as connection:
+            with pytest.raises(asyncpg.UniqueViolationError):
+                async with connection.transaction():
+                    await connection.execute(insert, 30, "me", "r30")
+                    await connection.execute(insert, 31, "me", "r30")
+            async with connection.transaction(readonly=True):
+                cursor = await connection.cursor("SELECT request FROM bookings")
+                assert len(await cursor.fetch(5)) == 5
+        assert await pool.fetchval("SELECT count(*) FROM bookings") == 19
+    await wait_until(lambda: not proxy.sessions)
