Accept the text by which drivers' pools reset a session

asyncpg sends four statements in one text when a pooled connection comes back; three of them were refused, so its pool failed at the first release.

--- a/ebonyrack/callers/statement_kinds.py
+++ b/ebonyrack/callers/statement_kinds.py
@@ -29,7 +29,8 @@
         kind: How it is treated.
         variable: Variable of SET and SHOW in lower case. For DISCARD one of `all`,
             `plans`, `sequences`, `temp`, `variables` (RESET ALL), `statements`
-            (DEALLOCATE ALL) or `statement` (DEALLOCATE of the name in `value`).
+            (DEALLOCATE ALL), `statement` (DEALLOCATE of the name in `value`) or
+            `session` (the several statements by which a driver's pool resets it).
         value: Value of SET; empty for RESET and SET TO DEFAULT.
         reason: Why the statement is not supported.
         read_only: Whether BEGIN asks for a read-only transaction.
--- a/ebonyrack/callers/statement_rules.py
+++ b/ebonyrack/callers/statement_rules.py
@@ -70,6 +70,9 @@
     "LoadStmt": "LOAD changes the session",
 }
 
+# Fields of a SELECT that has nothing but its list of expressions.
+PLAIN_SELECT_FIELDS = frozenset({"target_list", "limit_option", "op"})
+
 Rule = Callable[[Any], Statement]
 STATEMENT_RULES: Registry[Rule] = Registry("statement rule")
 
@@ -89,6 +92,8 @@
         return EMPTY
     if len(statements) == 1:
         return statements[0]
+    if all(is_session_reset(unwrap(raw.stmt)) for raw in tree.stmts):
+        return Statement(StatementKind.DISCARD, variable="session")
     for statement in statements:
         if statement.kind is StatementKind.UNSUPPORTED:
             return statement
@@ -99,6 +104,44 @@
     return WRITE if all(item.is_literal_free for item in statements) else UNSURE
 
 
+def is_session_reset(node: Any) -> bool:
+    """Whether a statement only ends what a session may have left behind.
+
+    Drivers' pools send several of these in one text when a connection comes back.
+
+    Args:
+        node: Statement node.
+    """
+    match type(node).__name__:
+        case "ClosePortalStmt":
+            return not node.portalname
+        case "UnlistenStmt":
+            return not node.conditionname
+        case "VariableSetStmt":
+            return node.kind == pg_query_pb2.VAR_RESET_ALL
+        case "DiscardStmt":
+            return True
+        case "SelectStmt":
+            return is_unlock_call(node)
+    return False
+
+
+def is_unlock_call(node: Any) -> bool:
+    """Whether a SELECT does nothing but call pg_advisory_unlock_all.
+
+    Args:
+        node: SelectStmt node.
+    """
+    if {field.name for field, _ in node.ListFields()} - PLAIN_SELECT_FIELDS:
+        return False
+    targets = [target.res_target.val for target in node.target_list]
+    if len(targets) != 1 or not targets[0].HasField("func_call"):
+        return False
+    call = targets[0].func_call
+    name = read_function_name(call)
+    return name == ("pg_advisory_unlock_all", True) and not call.args
+
+
 def classify_node(node: Any) -> Statement:
     """Classify one statement of a parse tree.
 
--- a/ebonyrack/callers/statement_test.py
+++ b/ebonyrack/callers/statement_test.py
@@ -137,6 +137,12 @@
         ("SET DateStyle = ISO, MDY", "set_variable", "datestyle", "iso, mdy"),
         ("SET TIME ZONE 'UTC'", "set_variable", "timezone", "UTC"),
         ("DISCARD ALL", "discard", "all", ""),
+        (
+            "SELECT pg_advisory_unlock_all(); CLOSE ALL; UNLISTEN *; RESET ALL;",
+            "discard",
+            "session",
+            "",
+        ),
         ("RESET ALL", "discard", "variables", ""),
         ("DEALLOCATE ALL", "discard", "statements", ""),
         ("DEALLOCATE p", "discard", "statement", "p"),
@@ -193,3 +199,13 @@
     for number in range(10):
         cache.classify(f"SELECT * FROM slots WHERE id = {number}")
     assert (len(cache.texts), len(cache.fingerprints)) == (10, 1)
+
+
+def test_a_reset_that_does_more_is_refused():
+    for sql in (
+        "SELECT pg_advisory_unlock_all() WHERE f(1); RESET ALL",
+        "SELECT pg_advisory_unlock_all(), f(1); RESET ALL",
+        "UNLISTEN news; RESET ALL",
+        "INSERT INTO t VALUES (1); RESET ALL",
+    ):
+        assert classify_statement(sql).kind is StatementKind.UNSUPPORTED
