--- a/ebonyrack/callers/pipeline_test.py
+++ b/ebonyrack/callers/pipeline_test.py
@@ -75,7 +75,10 @@
 async def test_an_error_skips_to_sync_and_what_came_before_stays_prepared(proxy):
     caller = await proxy.start_wire()
     frames = await caller.ask(
-        parse(b"good", b"SELECT 1"), parse(b"bad", b"SELEC"), run(COUNT), SYNC
+        parse(b"good", b"SELECT 1"),
+        parse(b"bad", b"SELECT 1; SELECT 2"),
+        run(COUNT),
+        SYNC,
     )
     assert kinds(frames) == "1EZ"
     assert kinds(await caller.ask(bind(b"good"), execute(), SYNC)) == "2DCZ"
