Wait without a timer before a request is sent; count requests

What is waited for keeps the deadline itself, so the outer timer only cost time: the scope is now a timeout without a deadline, which a cancel request ends. A pool that refuses for ever is given up at the deadline in take_primary. The bytes test runs its proxy in the thread that draws the examples, since hypothesis warned of random numbers drawn elsewhere meanwhile.

--- a/ebonyrack/callers/bytes_test.py
+++ b/ebonyrack/callers/bytes_test.py
@@ -1,8 +1,8 @@
 """Bad bytes, oversized frames and half messages never leave a task behind."""
 
 import asyncio
-import socket
 import struct
+from contextlib import AsyncExitStack
 
 import pytest
 from hypothesis import HealthCheck
@@ -26,7 +26,6 @@
 from ebonyrack.callers.prepared import build_frame
 
 START = StartupMessage(params={"user": USER, "database": GROUP}).to_wire()
-SOCKET_TIMEOUT_S = 20.0
 MAXIMUM_ANSWER_BYTES = 1 << 20
 
 VALID = strategies.sampled_from(
@@ -71,28 +70,25 @@
 ).map(b"".join)
 
 
-def converse(address, data):
-    """Send bytes and the end of the stream; return all that is answered."""
-    answer = b""
-    with socket.create_connection(
-        (address.host, address.port), timeout=SOCKET_TIMEOUT_S
-    ) as connection:
-        try:
-            connection.sendall(data)
-            connection.shutdown(socket.SHUT_WR)
-            while len(answer) < MAXIMUM_ANSWER_BYTES:
-                part = connection.recv(65536)
-                if not part:
-                    return answer
-                answer += part
-        except ConnectionError:
-            return answer
-    raise AssertionError("the answer does not end")
+async def converse(proxy, data):
+    """Send bytes and the end of the stream; read all that is answered."""
+    caller = await proxy.open_wire()
+    caller.send(data)
+    caller.writer.write_eof()
+    try:
+        assert len(await caller.read_to_end()) < MAXIMUM_ANSWER_BYTES
+    except ConnectionError:
+        return
+    finally:
+        caller.abort()
 
 
 @pytest.mark.parametrize("prefix", [b"", START])
-async def test_any_bytes_end_the_connection_and_leave_nothing(prefix):
-    async with open_proxy(proxy={"maximum_message_bytes": 4096}) as proxy:
+def test_any_bytes_end_the_connection_and_leave_nothing(prefix):
+    with asyncio.Runner() as runner:
+        stack = AsyncExitStack()
+        opening = open_proxy(proxy={"maximum_message_bytes": 4096})
+        proxy = runner.run(stack.enter_async_context(opening))
 
         @settings(
             max_examples=150,
@@ -103,15 +99,23 @@
         )
         @given(STREAMS)
         def send(data):
-            converse(proxy.listener.address, prefix + data)
+            runner.run(converse(proxy, prefix + data))
 
-        await asyncio.to_thread(send)
-        await wait_until(lambda: not proxy.listener.tasks)
-        assert not proxy.sessions
-        for upstream in proxy.group.upstreams.values():
-            assert not upstream.pool.busy
-        caller = await proxy.start_wire()
-        assert kinds(await caller.query("SELECT 1")) == "TDCZ"
+        try:
+            send()
+            runner.run(check_unharmed(proxy))
+        finally:
+            runner.run(stack.aclose())
+
+
+async def check_unharmed(proxy):
+    """Nothing is left behind and a good caller is served."""
+    await wait_until(lambda: not proxy.listener.tasks)
+    assert not proxy.sessions
+    for upstream in proxy.group.upstreams.values():
+        assert not upstream.pool.busy
+    caller = await proxy.start_wire()
+    assert kinds(await caller.query("SELECT 1")) == "TDCZ"
 
 
 @pytest.mark.parametrize("length", [0, 3, 4097, 2**31, 2**32 - 1])
--- a/ebonyrack/callers/cancel.py
+++ b/ebonyrack/callers/cancel.py
@@ -37,7 +37,6 @@
     ):
         return
     logger.bind(session=session.number).info("cancel_requested")
-    session.is_cancel_requested = True
     if session.scope is not None:
         session.scope.reschedule(asyncio.get_running_loop().time())
         return
--- a/ebonyrack/callers/pipeline.py
+++ b/ebonyrack/callers/pipeline.py
@@ -234,14 +234,16 @@
             RequestError: If the session ends with it.
         """
         session = self.session
-        session.is_cancel_requested = False
         try:
             if is_control(chunk.items[0]):
-                return await self.run_control_chunk(chunk)
-            return await self.run_data_chunk(chunk, is_whole)
+                is_success = await self.run_control_chunk(chunk)
+            else:
+                is_success = await self.run_data_chunk(chunk, is_whole)
         except RequestError as error:
             session.fail(error)
-            return False
+            is_success = False
+        session.count_request(chunk.statement, is_success)
+        return is_success
 
     async def run_data_chunk(self, chunk: Chunk, is_whole: bool) -> bool:
         """Run messages about reads and writes.
--- a/ebonyrack/callers/reading.py
+++ b/ebonyrack/callers/reading.py
@@ -102,8 +102,7 @@
     group = session.group
     requirement = make_requirement(session)
     placement = await session.wait_before_sending(
-        place_read(group, session.read_index, requirement, deadline_s, excluded),
-        deadline_s,
+        place_read(group, session.read_index, requirement, deadline_s, excluded)
     )
     name = placement.upstream.name
     try:
--- a/ebonyrack/callers/session.py
+++ b/ebonyrack/callers/session.py
@@ -21,6 +21,7 @@
 from ebonyrack.callers.transaction import IDLE
 from ebonyrack.callers.transaction import Transaction
 from ebonyrack.callers.variables import SessionVariables
+from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ERROR_ANSWERS
 from ebonyrack.core.errors import ErrorKind
@@ -46,8 +47,6 @@
 
 Result = TypeVar("Result")
 
-# What is waited for knows the deadline too and can say more about it.
-DEADLINE_SLACK_S = 0.2
 COPY_KINDS = frozenset({b"d", b"c", b"f"})
 PIPELINE_KINDS = frozenset({b"P", b"B", b"D", b"E", b"C", b"H", b"S"})
 
@@ -78,8 +77,7 @@
         pipeline: Messages of the extended query protocol, once there were any.
         phase: What the session waits for.
         phase_since_s: Monotonic time at which the wait began.
-        scope: Time limit of the step that waits before anything was sent, or None.
-        is_cancel_requested: Whether the caller asked to cancel the request.
+        scope: Scope of a wait before anything was sent, ended to cancel it, or None.
         is_committing: Whether a COMMIT was sent, which is not cancelled any more.
         cancel_done: Set when a cancel request has reached the upstream, or None.
     """
@@ -99,7 +97,6 @@
         "phase",
         "phase_since_s",
         "scope",
-        "is_cancel_requested",
         "is_committing",
         "cancel_done",
     )
@@ -127,7 +124,6 @@
         self.phase = Phase.IDLE
         self.phase_since_s = now_s()
         self.scope: asyncio.Timeout | None = None
-        self.is_cancel_requested = False
         self.is_committing = False
         self.cancel_done: asyncio.Event | None = None
 
@@ -258,29 +254,23 @@
         self.phase = Phase.WORKING
         return answer
 
-    async def wait_before_sending(
-        self, waiting: Awaitable[Result], deadline_s: float
-    ) -> Result:
+    async def wait_before_sending(self, waiting: Awaitable[Result]) -> Result:
         """Wait for something that a request needs before anything is sent for it.
 
         Args:
-            waiting: What to wait for.
-            deadline_s: Monotonic time at which the wait ends, in seconds.
+            waiting: What to wait for; it keeps to the request's deadline itself.
 
         Returns:
             What the wait was for.
 
         Raises:
-            RequestError: CANCELLED if the caller asked for it, WAIT_TOO_LONG if
-                the time is over.
+            RequestError: CANCELLED if the caller asked for it.
         """
         try:
-            async with asyncio.timeout_at(deadline_s + DEADLINE_SLACK_S) as self.scope:
+            async with asyncio.timeout(None) as self.scope:
                 return await waiting
         except TimeoutError:
-            if self.is_cancel_requested:
-                raise RequestError(ErrorKind.CANCELLED) from None
-            raise RequestError(ErrorKind.WAIT_TOO_LONG) from None
+            raise RequestError(ErrorKind.CANCELLED) from None
         finally:
             self.scope = None
 
@@ -406,12 +396,24 @@
         Raises:
             RequestError: If the session ends with it.
         """
-        self.is_cancel_requested = False
         try:
-            return await run_simple(self, statement, request)
+            is_success = await run_simple(self, statement, request)
         except RequestError as error:
             self.fail(error)
-            return False
+            is_success = False
+        self.count_request(statement, is_success)
+        return is_success
+
+    def count_request(self, statement: Statement, is_success: bool) -> None:
+        """Count a request that was answered.
+
+        Args:
+            statement: What the statement was.
+            is_success: Whether it succeeded.
+        """
+        outcome = "success" if is_success else "error"
+        labels = {"group": self.identity.group, "kind": statement.kind.value}
+        metrics.requests.add(1, {**labels, "outcome": outcome})
 
     def fail(self, error: RequestError) -> None:
         """Answer an error and roll back the transaction, if there is one.
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -209,10 +209,7 @@
         group = session.group
         deadline_s = now_s() + group.section.queue_wait_s
         placement = await session.wait_before_sending(
-            place_read(
-                group, session.read_index, make_requirement(session), deadline_s
-            ),
-            deadline_s,
+            place_read(group, session.read_index, make_requirement(session), deadline_s)
         )
         try:
             await take_upstream(session, placement.upstream, deadline_s)
--- a/ebonyrack/callers/upstream_use.py
+++ b/ebonyrack/callers/upstream_use.py
@@ -71,17 +71,15 @@
     group = session.group
     deadline_s = now_s() + group.section.queue_wait_s
     while True:
-        upstream = await session.wait_before_sending(
-            group.wait_for_primary(deadline_s), deadline_s
-        )
+        upstream = await session.wait_before_sending(group.wait_for_primary(deadline_s))
         check_write_admitted(group)
         try:
             await take_upstream(session, upstream, deadline_s)
         except UpstreamLostError as error:
             group.report_lost(upstream.name, error.reason)
-            await session.wait_before_sending(
-                asyncio.sleep(PRIMARY_RETRY_S), deadline_s
-            )
+            if now_s() >= deadline_s:
+                raise RequestError(ErrorKind.UPSTREAM_LOST, error.reason) from error
+            await session.wait_before_sending(asyncio.sleep(PRIMARY_RETRY_S))
             continue
         if group.primary_name == upstream.name:
             return
@@ -105,7 +103,7 @@
     if session.services.is_cut_off():
         raise RequestError(ErrorKind.CUT_OFF, retry_after_s=CUT_OFF_RETRY_S)
     connection = await session.wait_before_sending(
-        upstream.pool.acquire(session.identity.application, deadline_s), deadline_s
+        upstream.pool.acquire(session.identity.application, deadline_s)
     )
     session.hold_connection(upstream, connection)
 
