--- a/ebonyrack/service/proxy.py
+++ b/ebonyrack/service/proxy.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from ebonyrack.callers.listener import CallerListener
+from ebonyrack.config.edit_desk import EditDesk
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.watch import ConfigurationWatch
 from ebonyrack.failover.pre_vote import OpinionDesk
@@ -65,6 +66,7 @@
         self.listener = CallerListener(self.services)
         self.opinions = OpinionDesk(self.hub, self.services.groups)
         self.operators = OperatorDesk(self)
+        self.edits = EditDesk(self.configuration, self.store, self.hub)
         self.stack = AsyncExitStack()
         self.term_task: asyncio.Task[None] | None = None
 
