--- a/ebonyrack/load/failover_gap.py
+++ b/ebonyrack/load/failover_gap.py
@@ -172,6 +172,9 @@
         is_resumed = await wait_resumed(cluster, record, primary, failed_s)
         await asyncio.sleep(AFTER_FAULT_S)
     gap_s = record.find_gap_s(failed_s, within_s=RESUME_LIMIT_S)
+    if not is_resumed:
+        # The gap is still open: its length so far is a lower bound.
+        gap_s = now_s() - record.acknowledged_s[-1]
     row: Row = {"gap_s": round(gap_s, 4), "resumed": is_resumed}
     row.update(find_parts(context.proxy_logs, failed_wall_s))
     return row
