--- a/ebonyrack/load/caller.py
+++ b/ebonyrack/load/caller.py
@@ -20,6 +20,7 @@
     "INSERT INTO reservations (slot, booker, request) VALUES (%s, %s, %s)"
 )
 SELECT: LiteralString = "SELECT slot, booker FROM reservations WHERE request = %s"
+LIST: LiteralString = "SELECT slot FROM reservations ORDER BY slot DESC LIMIT 20"
 TOKEN_PARAMETER = b"ebonyrack.token"
 REPLAYED_PARAMETER = b"ebonyrack.replayed"
 SERVED_BY: LiteralString = "SHOW ebonyrack.served_by"
@@ -40,6 +41,8 @@
         password: Password.
         database: Name of the database group.
         write_share: Share of operations that reserve a slot.
+        visitor_share: Share of callers that never write and read a list instead.
+        visitor_age: Age that visitors accept, such as `2s`; empty for none.
         token_share: Share of callers that hand a token from proxy to proxy.
         sample_share: Share of reads after which the serving upstream is asked for.
         think_s: Mean pause between two operations, in seconds.
@@ -53,6 +56,8 @@
     password: str = ""
     database: str = "booking"
     write_share: float = 0.1
+    visitor_share: float = 0.0
+    visitor_age: str = ""
     token_share: float = 0.5
     sample_share: float = 0.2
     think_s: float = 0.0
@@ -73,6 +78,7 @@
         own: Request keys of reservations that it knows as made.
         token: Last token received, if it hands tokens on.
         uses_token: Whether it hands tokens on.
+        is_visitor: Whether it only reads.
         requests: Number of reservations asked for.
     """
 
@@ -85,6 +91,7 @@
         "own",
         "token",
         "uses_token",
+        "is_visitor",
         "requests",
     )
 
@@ -99,6 +106,7 @@
         self.own: list[str] = []
         self.token = ""
         self.uses_token = self.random.random() < options.token_share
+        self.is_visitor = self.random.random() < options.visitor_share
         self.requests = 0
 
     async def run(self, stop_s: float, give_up_s: float) -> None:
@@ -121,12 +129,15 @@
 
     async def step(self, give_up_s: float) -> None:
         """Do one operation."""
+        if self.is_visitor:
+            await self.repeat_read("", None, give_up_s)
+            return
         if not self.own or self.random.random() < self.options.write_share:
             proxy = await self.reserve(give_up_s)
             if proxy is not None:
-                await self.read_back(self.own[-1], proxy, give_up_s)
+                await self.repeat_read(self.own[-1], proxy, give_up_s)
             return
-        await self.read_back(self.random.choice(self.own), None, give_up_s)
+        await self.repeat_read(self.random.choice(self.own), None, give_up_s)
 
     def choose_proxy(self, other_than: Address | None) -> Address:
         """Choose a proxy, another one than given if there is one."""
@@ -206,13 +217,13 @@
         if self.uses_token and token:
             self.token = token.decode()
 
-    async def read_back(
+    async def repeat_read(
         self, key: str, written_at: Address | None, give_up_s: float
     ) -> None:
-        """Read a reservation through another proxy than the one that made it.
+        """Read through another proxy than the last one until there is an answer.
 
         Args:
-            key: Request key of the reservation.
+            key: Request key of a reservation, or an empty string for the list.
             written_at: Proxy that acknowledged it, if it was just made.
             give_up_s: Monotonic time after which the read is given up.
         """
@@ -235,20 +246,28 @@
         connection = await self.connect(proxy)
         if self.token:
             await connection.execute(build_set("token", self.token))
-        cursor = await connection.execute(SELECT, (key,))
+        if key:
+            cursor = await connection.execute(SELECT, (key,))
+        else:
+            cursor = await connection.execute(LIST)
         rows = await cursor.fetchall()
         self.record.read_latencies_s.append(now_s() - started_s)
         self.record.reads += 1
-        if not rows:
-            self.record.stale_reads += 1
-        if not rows or self.random.random() < self.options.sample_share:
-            cursor = await connection.execute(SERVED_BY)
-            answer = await cursor.fetchone()
-            served_by = str(answer[0]) if answer else ""
-            self.record.served[served_by.rpartition(" ")[2]] += 1
-            if not rows:
+        is_stale = bool(key) and not rows
+        self.record.stale_reads += is_stale
+        if is_stale or self.random.random() < self.options.sample_share:
+            served_by = await self.note_served(connection)
+            if is_stale:
                 self.record.note_example(f"{key} missing at {served_by} by {proxy}")
 
+    async def note_served(self, connection: Connection) -> str:
+        """Ask which upstream served last, and count its role."""
+        cursor = await connection.execute(SERVED_BY)
+        answer = await cursor.fetchone()
+        served_by = str(answer[0]) if answer else ""
+        self.record.served[served_by.rpartition(" ")[2]] += 1
+        return served_by
+
     async def connect(self, proxy: Address) -> Connection:
         """Return the open connection to a proxy, or open one."""
         connection = self.connections.get(proxy)
@@ -265,6 +284,8 @@
                 connect_timeout=CONNECT_TIMEOUT_S,
             )
             self.connections[proxy] = connection
+            if self.is_visitor and self.options.visitor_age:
+                await connection.execute(build_set("max_age", self.options.visitor_age))
         return connection
 
     async def drop_if_broken(self, proxy: Address, error: Exception) -> None:
