--- /dev/null
+++ b/ebonyrack/ops/error_table_test.py
@@ -0,0 +1,10 @@
+from pathlib import Path
+
+import ebonyrack
+from ebonyrack.ops.error_table import format_error_table
+
+PAGE = Path(ebonyrack.__file__).parent.parent / "docs" / "OPERATING.md"
+
+
+def test_the_operators_page_has_the_present_table():
+    assert format_error_table() in PAGE.read_text(encoding="utf-8")
