Recheck rights on a new document; share and bound prepared statements

A session whose application lost its group was served for as long as it stayed connected; now the first request after the change is refused, while an open transaction ends as it would have. Equal prepared statements are one record for all sessions, and a session keeps at most one megabyte of them. A connection whose prepared statements went stale is closed instead of reused. A second cancel request no longer ends the wait for the first. A chunk that executes nothing needs no primary and uses up no idempotency key. Tests take keyed and plain bookings through a change of primary.

--- a/ebonyrack/callers/cancel.py
+++ b/ebonyrack/callers/cancel.py
@@ -43,7 +43,7 @@
     connection = session.connection
     if connection is None or session.phase is not Phase.UPSTREAM:
         return
-    if not session.is_committing:
+    if not session.is_committing and session.cancel_done is None:
         await forward(session, connection)
 
 
@@ -59,13 +59,13 @@
         session: The session.
         connection: Its connection.
     """
-    session.cancel_done = asyncio.Event()
+    done = session.cancel_done = asyncio.Event()
     try:
         await connection.cancel(CANCEL_TIMEOUT_S)
     except UpstreamLostError as error:
         logger.bind(reason=error.reason).warning("cancel_not_forwarded")
     finally:
-        session.cancel_done.set()
+        done.set()
 
 
 async def cancel_abandoned(connection: UpstreamConnection) -> None:
--- a/ebonyrack/callers/chunk.py
+++ b/ebonyrack/callers/chunk.py
@@ -71,13 +71,17 @@
 
     @property
     def statement(self) -> Statement:
-        """What the messages together need: a read only if all of them are reads."""
+        """What the messages together need: a read only if all they execute is one.
+
+        A statement that is only prepared or described changes nothing, and any
+        upstream can tell about it.
+        """
         for item in self.items:
             is_read = (
                 item.prepared is not None
                 and item.prepared.statement.kind is StatementKind.READ
             )
-            if item.message.kind in (b"B", b"E") and not is_read:
+            if item.message.kind == b"E" and not is_read:
                 return WRITES
         return READS
 
--- /dev/null
+++ b/ebonyrack/callers/failover_test.py
@@ -0,0 +1,108 @@
+"""Callers through a change of primary: nothing lost, nothing doubled."""
+
+import asyncio
+
+import psycopg
+import pytest
+
+from ebonyrack.callers.conftest import GROUP
+from ebonyrack.callers.conftest import error_of
+from ebonyrack.callers.conftest import open_proxy
+from ebonyrack.callers.conftest import wait_until
+from ebonyrack.config.document import Document
+
+INSERT = "INSERT INTO bookings (slot, booker, request) VALUES (1, 'me', '{}')"
+CALLERS = 6
+BOOKINGS = 12
+RETRY_S = 0.01
+LIMITS = {"queue_wait_s": 0.5, "answer_wait_s": 0.5, "confirm_wait_s": 0.5}
+
+
+async def book(proxy, number, is_keyed, acknowledged):
+    """Make bookings, each repeated until the answer leaves no doubt.
+
+    Without a key only what surely did not run is repeated.
+    """
+    connection = await proxy.connect()
+    for count in range(BOOKINGS):
+        request = f"b{number}-{count}"
+        while True:
+            try:
+                if is_keyed:
+                    sql = f"SET ebonyrack.idempotency_key = '{request}'"
+                    await connection.execute(sql)
+                await connection.execute(INSERT.format(request))
+            except psycopg.Error as error:
+                detail = error.diag.message_detail or ""
+                if not is_keyed and detail.startswith("ran=unknown"):
+                    break
+                assert detail.startswith(("ran=no", "ran=unknown")), error
+                await asyncio.sleep(RETRY_S)
+                continue
+            acknowledged.append(request)
+            break
+    await connection.close()
+
+
+async def promote(proxy):
+    """Do what a coordinator does after the loss of the primary."""
+    standins = proxy.standins
+    survivors = [standins[name] for name in ("up-2", "up-3")]
+    for survivor in survivors:
+        assert await survivor.fence(2)
+    survivors.sort(key=lambda survivor: survivor.log.last)
+    await survivors[1].promote(2)
+    await survivors[0].follow(2, survivors[1].address)
+    return survivors[1].name
+
+
+@pytest.mark.parametrize("is_keyed", [True, False])
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+async def test_bookings_through_a_change_of_primary(fault, is_keyed):
+    async with open_proxy(**LIMITS) as proxy:
+        standins = proxy.standins
+        acknowledged = []
+        tasks = [
+            asyncio.create_task(book(proxy, number, is_keyed, acknowledged))
+            for number in range(CALLERS)
+        ]
+        await wait_until(lambda: len(acknowledged) > CALLERS * BOOKINGS // 3)
+        if fault == "kill":
+            await standins.kill("up-1")
+        else:
+            standins.freeze("up-1")
+        freshest = await promote(proxy)
+        await asyncio.gather(*tasks)
+        assert proxy.group.primary_name == freshest
+        for request in acknowledged:
+            assert proxy.count_rows(freshest, f"'{request}'") == 1
+        if is_keyed:
+            assert len(acknowledged) == CALLERS * BOOKINGS
+
+
+async def test_a_transaction_of_a_replaced_primary_does_not_commit():
+    async with open_proxy(**LIMITS) as proxy:
+        caller = await proxy.start_wire()
+        await caller.query("BEGIN")
+        await caller.query(INSERT.format("a"))
+        assert await proxy.standins["up-1"].fence(2)
+        frames = await caller.query(INSERT.format("b"))
+        assert error_of(frames)[1].startswith("ran=no")
+        assert frames[-1] == (b"Z", b"E")
+        await caller.query("COMMIT")
+        for name in ("up-1", "up-2", "up-3"):
+            assert proxy.count_rows(name, "'a'") == 0
+
+
+async def test_a_right_that_the_document_takes_ends_with_the_request(proxy):
+    caller = await proxy.start_wire()
+    await caller.query("BEGIN")
+    services = proxy.listener.services
+    groups = services.configuration.document.groups
+    services.configuration.document = Document(2, "", groups=groups)
+    assert GROUP in groups
+    # What is open is finished.
+    assert (await caller.query(INSERT.format("a")))[0][0] == b"C"
+    assert (await caller.query("COMMIT"))[-1] == (b"Z", b"I")
+    caller.send(b"Q\x00\x00\x00\x0dSELECT 1\x00")
+    assert b"C42501" in await caller.read_to_end()
--- a/ebonyrack/callers/pipeline.py
+++ b/ebonyrack/callers/pipeline.py
@@ -42,6 +42,7 @@
 # A pipeline longer than this runs in parts, as if the caller had sent a Flush.
 COLLECTED_BYTES = 256 * 1024
 MAXIMUM_STATEMENTS = 1000
+MAXIMUM_STATEMENT_BYTES = 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +74,7 @@
     Attributes:
         session: The session.
         statements: Prepared statements by the caller's name for them.
+        statement_bytes: Their size.
         portals: Statement of each portal.
         items: Messages that have not run yet.
         collected_bytes: Their size.
@@ -83,6 +85,7 @@
     __slots__ = (
         "session",
         "statements",
+        "statement_bytes",
         "portals",
         "items",
         "collected_bytes",
@@ -93,6 +96,7 @@
     def __init__(self, session: CallerSession) -> None:
         self.session = session
         self.statements: dict[bytes, PreparedStatement] = {}
+        self.statement_bytes = 0
         self.portals: dict[bytes, PreparedStatement | None] = {}
         self.items: list[ChunkItem] = []
         self.collected_bytes = 0
@@ -104,10 +108,6 @@
         """Whether messages have come that no Sync has closed yet."""
         return bool(self.items) or self.is_skipping or self.has_unsynced
 
-    def forget_unnamed(self) -> None:
-        """Drop the unnamed statement, as a simple query does."""
-        self.statements.pop(b"", None)
-
     async def accept(self, frame: Message) -> None:
         """Take a message and run what is due.
 
@@ -140,7 +140,7 @@
         message = read_message(frame.kind, frame.raw)
         prepared = None
         if message.kind == b"P":
-            prepared = read_statement(message)
+            prepared = read_statement(message.rest, bool(message.statement))
         elif message.kind == b"B" or message.is_about_statement:
             prepared = self.find_statement(message.statement)
         else:
@@ -279,7 +279,7 @@
         """
         for item in chunk.items:
             if item.message.kind == b"C" and item.message.is_about_statement:
-                self.statements.pop(item.message.statement, None)
+                self.forget(item.message.statement)
 
     def note_defined(self, chunk: Chunk) -> None:
         """Keep the statements that a chunk has prepared.
@@ -304,11 +304,32 @@
         Raises:
             RequestError: UNSUPPORTED if the session has too many.
         """
-        if len(self.statements) >= MAXIMUM_STATEMENTS and name not in self.statements:
-            reason = f"more than {MAXIMUM_STATEMENTS} prepared statements"
+        known = self.statements.get(name)
+        added_bytes = len(prepared.body) - (0 if known is None else len(known.body))
+        if (
+            len(self.statements) >= MAXIMUM_STATEMENTS
+            or self.statement_bytes + added_bytes > MAXIMUM_STATEMENT_BYTES
+        ):
+            reason = "the session has too many or too long prepared statements"
             raise RequestError(ErrorKind.UNSUPPORTED, reason)
+        self.statement_bytes += added_bytes
         self.statements[name] = prepared
 
+    def forget(self, name: bytes) -> None:
+        """Drop a prepared statement, if there is one of that name.
+
+        Args:
+            name: The caller's name for it.
+        """
+        known = self.statements.pop(name, None)
+        if known is not None:
+            self.statement_bytes -= len(known.body)
+
+    def forget_all(self) -> None:
+        """Drop all prepared statements."""
+        self.statements.clear()
+        self.statement_bytes = 0
+
     async def run_control_chunk(self, chunk: Chunk) -> bool:
         """Run messages about one statement that the proxy serves itself.
 
--- a/ebonyrack/callers/prepared.py
+++ b/ebonyrack/callers/prepared.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import struct
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
 LENGTH_BYTES = 4
 NAME_PREFIX = b"ebonyrack_"
 NAME_DIGEST_BYTES = 16
+CACHED_STATEMENTS = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,11 +140,13 @@
     return body[:end], body[end + 1 :]
 
 
-def read_statement(message: PipelineMessage) -> PreparedStatement:
-    """Read the statement of a Parse message.
+@functools.lru_cache(maxsize=CACHED_STATEMENTS)
+def read_statement(body: bytes, is_named: bool) -> PreparedStatement:
+    """Read the statement of a Parse message; sessions share equal ones.
 
     Args:
-        message: The message.
+        body: Query and parameter types.
+        is_named: Whether the caller gave the statement a name.
 
     Returns:
         The statement.
@@ -151,11 +155,11 @@
         RequestError: BAD_REQUEST if the text is not whole or not UTF-8.
     """
     try:
-        text = split_name(message.rest)[0].decode()
+        text = split_name(body)[0].decode()
     except ValueError as error:
         raise RequestError(ErrorKind.BAD_REQUEST, str(error)) from error
     name = b""
-    if message.statement:
-        digest = hashlib.blake2b(message.rest, digest_size=NAME_DIGEST_BYTES)
+    if is_named:
+        digest = hashlib.blake2b(body, digest_size=NAME_DIGEST_BYTES)
         name = NAME_PREFIX + digest.hexdigest().encode()
-    return PreparedStatement(classify_statement(text), text, message.rest, name)
+    return PreparedStatement(classify_statement(text), text, body, name)
--- a/ebonyrack/callers/relay.py
+++ b/ebonyrack/callers/relay.py
@@ -26,6 +26,9 @@
 # NotificationResponse belongs to a LISTEN, which sessions here can't have.
 DROPPED_KINDS = frozenset({b"A"})
 TAG_OFFSET = 5
+# The tables of a prepared statement have changed (feature_not_supported), or the
+# connection's memory of what it has prepared is wrong (duplicate_prepared_statement).
+STALE_SQLSTATES = frozenset({"0A000", "42P05"})
 
 
 class Relay:
@@ -151,6 +154,8 @@
         self.output += message.raw
         if self.steps is not None:
             self.steps.clear()
+            if self.sqlstate in STALE_SQLSTATES:
+                self.session.has_stale_statements = True
 
     def accept_completion(self, message: Message) -> None:
         """Take a message that may complete a step.
--- a/ebonyrack/callers/session.py
+++ b/ebonyrack/callers/session.py
@@ -17,6 +17,7 @@
 from ebonyrack.callers.dispatch import run_simple
 from ebonyrack.callers.exchange import SimpleRequest
 from ebonyrack.callers.pipeline import Pipeline
+from ebonyrack.callers.startup import check_allowed
 from ebonyrack.callers.statement import classify_statement
 from ebonyrack.callers.transaction import IDLE
 from ebonyrack.callers.transaction import Transaction
@@ -67,6 +68,7 @@
         services: Parts of the proxy.
         stream: The caller's connection.
         identity: Who the caller is.
+        document: Document against which the identity was checked last.
         number: Number of the session, which is its process id for the caller.
         secret_key: Secret that a cancel request must name.
         stop_statement: Cancels what an abandoned upstream connection still runs.
@@ -79,6 +81,8 @@
         phase_since_s: Monotonic time at which the wait began.
         scope: Scope of a wait before anything was sent, ended to cancel it, or None.
         is_committing: Whether a COMMIT was sent, which is not cancelled any more.
+        has_stale_statements: Whether the connection held is closed after use, since
+            its prepared statements can't be relied on.
         cancel_done: Set when a cancel request has reached the upstream, or None.
     """
 
@@ -86,6 +90,7 @@
         "services",
         "stream",
         "identity",
+        "document",
         "number",
         "secret_key",
         "stop_statement",
@@ -99,6 +104,7 @@
         "scope",
         "is_committing",
         "cancel_done",
+        "has_stale_statements",
     )
 
     def __init__(
@@ -113,6 +119,7 @@
         self.services = services
         self.stream = stream
         self.identity = identity
+        self.document = services.configuration.document
         self.number = number
         self.secret_key = secret_key
         self.stop_statement = stop_statement
@@ -126,6 +133,7 @@
         self.scope: asyncio.Timeout | None = None
         self.is_committing = False
         self.cancel_done: asyncio.Event | None = None
+        self.has_stale_statements = False
 
     @property
     def group(self) -> DatabaseGroup:
@@ -165,7 +173,7 @@
                 frame = await self.read_request()
                 if frame is None or frame.kind == b"X":
                     return
-                self.check_not_draining()
+                self.check_admitted()
                 await self.handle(frame)
                 await self.drain_caller()
         finally:
@@ -193,14 +201,23 @@
         """Whether neither a request nor a transaction nor a pipeline is open."""
         return self.transaction.status == IDLE and not self.is_in_pipeline
 
-    def check_not_draining(self) -> None:
-        """Refuse a new request during a shutdown.
+    def check_admitted(self) -> None:
+        """Refuse a new request in a shutdown or after the document took the right.
 
         Raises:
-            RequestError: SHUTTING_DOWN; the request did not run.
+            RequestError: SHUTTING_DOWN, UNKNOWN_GROUP or NOT_ALLOWED; the request
+                did not run.
         """
-        if self.services.drain.is_draining and self.is_between_requests:
+        document = self.services.configuration.document
+        is_draining = self.services.drain.is_draining
+        if document is self.document and not is_draining:
+            return
+        if not self.is_between_requests:
+            return
+        if is_draining:
             raise RequestError(ErrorKind.SHUTTING_DOWN)
+        check_allowed(document, self.identity)
+        self.document = document
 
     def end_idle(self) -> None:
         """End the session unasked, if it waits for a request (for a shutdown)."""
@@ -291,8 +308,13 @@
         upstream, connection = self.upstream, self.connection
         self.upstream = None
         self.connection = None
-        if upstream is not None and connection is not None:
-            upstream.pool.release(connection)
+        self.cancel_done = None
+        if upstream is None or connection is None:
+            return
+        if self.has_stale_statements:
+            self.has_stale_statements = False
+            connection.close()
+        upstream.pool.release(connection)
 
     def lose_upstream(self, error: UpstreamLostError, kind: ErrorKind) -> RequestError:
         """Give up the connection held after the upstream was lost.
@@ -374,7 +396,8 @@
             RequestError: If the session ends with it.
         """
         if self.pipeline is not None:
-            self.pipeline.forget_unnamed()
+            # As in PostgreSQL, a simple query drops the unnamed statement.
+            self.pipeline.forget(b"")
         try:
             sql = Query.decode(frame.payload).query_string
         except (PygwireError, ValueError) as error:
--- a/ebonyrack/callers/startup.py
+++ b/ebonyrack/callers/startup.py
@@ -193,14 +193,29 @@
         await check_credentials(stream, application)
     if application is None:
         raise RequestError(ErrorKind.AUTHENTICATION_FAILED, "unknown user")
-    group = message.params.get("database", user)
+    identity = CallerIdentity(name, user, message.params.get("database", user))
+    check_allowed(document, identity)
+    identity.variables = read_variables(message)
+    stream.write(AuthenticationOk().to_wire())
+    return identity
+
+
+def check_allowed(document: Document, identity: CallerIdentity) -> None:
+    """Check that a document lets a caller use its group.
+
+    Args:
+        document: The document in force.
+        identity: Who the caller is.
+
+    Raises:
+        RequestError: UNKNOWN_GROUP or NOT_ALLOWED.
+    """
+    group = identity.group
     if group not in document.groups:
         raise RequestError(ErrorKind.UNKNOWN_GROUP, group)
-    if group not in application.groups:
-        raise RequestError(ErrorKind.NOT_ALLOWED, f"{user} in {group}")
-    variables = read_variables(message)
-    stream.write(AuthenticationOk().to_wire())
-    return CallerIdentity(name, user, group, variables)
+    section = document.applications.get(identity.application)
+    if section is None or section.user != identity.user or group not in section.groups:
+        raise RequestError(ErrorKind.NOT_ALLOWED, f"{identity.user} in {group}")
 
 
 def find_application(
--- a/ebonyrack/callers/upstream_use.py
+++ b/ebonyrack/callers/upstream_use.py
@@ -8,6 +8,7 @@
 from ebonyrack.callers.answers import build_parameter
 from ebonyrack.callers.answers import build_query
 from ebonyrack.callers.variables import TOKEN
+from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
@@ -102,9 +103,11 @@
     """
     if session.services.is_cut_off():
         raise RequestError(ErrorKind.CUT_OFF, retry_after_s=CUT_OFF_RETRY_S)
+    started_s = now_s()
     connection = await session.wait_before_sending(
         upstream.pool.acquire(session.identity.application, deadline_s)
     )
+    metrics.queue_time.record(now_s() - started_s, {"group": session.identity.group})
     session.hold_connection(upstream, connection)
 
 
