--- a/ebonyrack/service/group_table.py
+++ b/ebonyrack/service/group_table.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from ebonyrack.failover.coordinator import Coordinator
+from ebonyrack.peers.shares import ShareCount
 from ebonyrack.routing.read_index import ReadIndex
 from ebonyrack.service.key_retention import KeyRetention
 from ebonyrack.service.shares import compute_share
@@ -32,6 +33,7 @@
         terms: Source of terms for the coordinators.
         hub: Links to the other proxies.
         watch: Knows which VMs are leaving.
+        share_count: By how many proxies connections are divided.
         coordinators: Coordinator of each group, by the group's name.
         changed: Set when the document, the members or the VM list changed.
     """
@@ -47,6 +49,7 @@
         self.terms = terms
         self.hub = hub
         self.watch = watch
+        self.share_count = ShareCount(services.membership)
         self.coordinators: dict[str, Coordinator] = {}
         self.stacks: dict[str, AsyncExitStack] = {}
         self.changed = asyncio.Event()
@@ -56,6 +59,8 @@
         self.services.configuration.subscribe(lambda document: self.changed.set())
         self.services.membership.subscribe(lambda member: self.changed.set())
         self.watch.subscribe(self.changed.set)
+        await self.share_count.__aenter__()
+        self.share_count.subscribe(self.changed.set)
         self.changed.set()
         self.task = asyncio.create_task(self.follow_changes())
         return self
@@ -69,6 +74,7 @@
         if self.task is not None:
             self.task.cancel()
             await asyncio.gather(self.task, return_exceptions=True)
+        await self.share_count.__aexit__(error_type, error, traceback)
         await asyncio.gather(*(self.stop_group(name) for name in tuple(self.stacks)))
 
     async def follow_changes(self) -> None:
@@ -106,7 +112,7 @@
         group = self.services.groups[name]
         if group.section is not section:
             group.reconfigure(section)
-        live_proxies = len(self.services.membership.live_members())
+        live_proxies = self.share_count.count()
         share = compute_share(section, live_proxies)
         if group.connection_limit != share:
             logger.bind(group=name, share=share, live_proxies=live_proxies).info(
@@ -127,7 +133,7 @@
             name: Name of the group.
             section: Its section of the document in force.
         """
-        live_proxies = len(self.services.membership.live_members())
+        live_proxies = self.share_count.count()
         group = DatabaseGroup(name, section, compute_share(section, live_proxies))
         coordinator = Coordinator(group, self.terms, self.hub, self.services.membership)
         stack = AsyncExitStack()
