--- a/ebonyrack/config/spread.py
+++ b/ebonyrack/config/spread.py
@@ -88,14 +88,21 @@
         """Ask a peer for what it has above the present revision."""
         try:
             reply = await link.ask(AskDocument(self.state.revision), FETCH_TIMEOUT_S)
-            if isinstance(reply, ChangesReply) and not self.take_changes(link, reply):
-                # The changes didn't fit, so the whole document is needed.
-                reply = await link.ask(AskDocument(0), FETCH_TIMEOUT_S)
+            await self.take_reply(link, reply)
         except PeerLostError as error:
             logger.bind(peer=link.member.name, reason=error.reason).warning(
                 "document_not_fetched"
             )
-            return
+
+    async def take_reply(self, link: PeerLink, reply: Message) -> None:
+        """Take over the document or the changes that a peer answered.
+
+        Raises:
+            PeerLostError: If the whole document is needed and the peer is lost.
+        """
+        if isinstance(reply, ChangesReply) and not self.take_changes(link, reply):
+            # The changes didn't fit, so the whole document is needed.
+            reply = await link.ask(AskDocument(0), FETCH_TIMEOUT_S)
         if isinstance(reply, DocumentReply) and reply.stored:
             self.state.offer_bytes(reply.stored, link.member.name)
 
--- a/ebonyrack/config/watch.py
+++ b/ebonyrack/config/watch.py
@@ -15,6 +15,7 @@
 from ebonyrack.config.spread import DocumentSpread
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.stored import DOCUMENT_KEY
+from ebonyrack.config.verification import PauseVerification
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.settings import Settings
 from ebonyrack.peers.hub import PeerHub
@@ -50,6 +51,7 @@
         hub: Links to the peers.
         vm_list: The platform's VM list.
         spread: Passes revisions on between peers.
+        verification: Verifies the document after a long pause.
         started_at_s: Time from which silence is counted.
         callbacks: Called when the VM list changed.
     """
@@ -67,6 +69,7 @@
         self.hub = hub
         self.vm_list = VmList(store)
         self.spread = DocumentSpread(state, hub)
+        self.verification = PauseVerification(settings.peers, self.spread, store)
         self.started_at_s = now_s()
         self.index = 0
         self.callbacks: list[Callable[[], None]] = []
@@ -93,6 +96,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.verification.__aexit__(kind, error, traceback)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call a function when the set of leaving VMs changed."""
@@ -126,6 +130,8 @@
     @property
     def is_cut_off(self) -> bool:
         """Whether neither the store nor any peer was heard for the stated time."""
+        if not self.verification.is_verified:
+            return True
         heard_at_s = max(
             self.started_at_s, self.store.heard_at_s or 0.0, self.hub.heard_at_s
         )
--- a/ebonyrack/config/watch_test.py
+++ b/ebonyrack/config/watch_test.py
@@ -94,6 +94,26 @@
     await wait_until(lambda: not first.watch.is_cut_off)
 
 
+@pytest.mark.parametrize("has_peer", [True, False])
+async def test_a_long_pause_is_followed_by_a_question(fleet, has_peer):
+    first = await fleet.add()
+    await accept(first)
+    if has_peer:
+        await fleet.add("second")
+        await fleet.wait_linked()
+    # What was heard before counts for nothing, whoever is silent now.
+    held = first.hub.links.copy()
+    if not has_peer:
+        fleet.platform.is_down = True
+    first.hub.heartbeat.pauses.schedule(-3.0)
+    first.hub.heartbeat.check_pause()
+    assert first.watch.is_cut_off
+    assert not first.watch.verification.is_verified
+    fleet.platform.is_down = False
+    await wait_until(lambda: not first.watch.is_cut_off)
+    assert held.keys() == first.hub.links.keys()
+
+
 @pytest.mark.parametrize("fault", ["stopped", "is_down", "delay_s"])
 async def test_a_broken_watch_is_no_storm(fleet, fault):
     plane = await fleet.add()
--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -116,6 +116,8 @@
         if pause_s:
             logger.bind(pause_s=round(pause_s, 3)).warning("process_was_paused")
             self.hub.membership.forgive_silence()
+            for callback in self.hub.pause_callbacks:
+                callback(pause_s)
 
     def greet(self, link: PeerLink) -> None:
         """Say hello on a new link with this proxy's heartbeat."""
--- a/ebonyrack/peers/hub.py
+++ b/ebonyrack/peers/hub.py
@@ -57,6 +57,7 @@
         revision: Revision of the document that heartbeats carry.
         heard_at_s: Time of the last heartbeat of any peer, 0 if there was none.
         link_callbacks: Called with each new link to a peer.
+        pause_callbacks: Called with the seconds for which this process was paused.
         server: Listener; set while open.
     """
 
@@ -68,6 +69,7 @@
         self.heard_at_s = 0.0
         self.callbacks: dict[type[Message], list[Callback]] = {}
         self.link_callbacks: list[Callable[[PeerLink], None]] = []
+        self.pause_callbacks: list[Callable[[float], None]] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.seen_floods: OrderedDict[int, None] = OrderedDict()
         self.membership = Membership(settings.proxy, settings.proxy.peer_address)
--- a/ebonyrack/peers/hub_test.py
+++ b/ebonyrack/peers/hub_test.py
@@ -123,6 +123,30 @@
         assert all_live(hubs)
 
 
+async def test_a_one_way_cut_kills_nobody():
+    async with start_hubs(3) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        silent, deaf = hubs[0], hubs[1]
+        send = silent.heartbeat.send_heartbeat
+        silent.heartbeat.send_heartbeat = lambda name: (
+            None if name == "proxy-1" else send(name)
+        )
+        asked = []
+        ask_witnesses = deaf.heartbeat.ask_witnesses
+
+        async def ask_and_count(name):
+            asked.append(name)
+            return await ask_witnesses(name)
+
+        deaf.heartbeat.ask_witnesses = ask_and_count
+        states = []
+        deaf.membership.subscribe(lambda member: states.append(member.state))
+        await wait_until(lambda: len(asked) >= 3)
+        assert set(asked) == {"proxy-0"}
+        assert MemberState.DEAD not in states
+        assert all_live(hubs)
+
+
 async def refuse_to_dial(address):
     raise PeerLostError("the link is cut")
 
