--- a/ebonyrack/scripts/ctl.py
+++ b/ebonyrack/scripts/ctl.py
@@ -112,7 +112,7 @@
     actions = config.add_subparsers(dest="action", required=True)
     get = actions.add_parser("get", help="print the document, or write it to a file")
     get.add_argument("--section", default="", metavar="TITLE")
-    get.add_argument("--output", type=Path, metavar="FILE")
+    get.add_argument("file", nargs="?", type=Path)
     edit = actions.add_parser("edit", help="change it in $EDITOR")
     edit.add_argument("--section", default="", metavar="TITLE")
     add_apply_options(edit)
@@ -134,12 +134,10 @@
     )
     parser.add_argument(
         "--wait",
-        type=float,
-        nargs="?",
-        const=DEFAULT_WAIT_S,
-        metavar="S",
+        action="store_true",
         help="wait until all proxies run it, and list them",
     )
+    parser.add_argument("--wait-s", type=float, default=DEFAULT_WAIT_S, metavar="S")
 
 
 def read_address(text: str) -> Address:
@@ -212,7 +210,7 @@
     match options.action:
         case "get":
             return await configuration.get_document(
-                access, options.section, options.output, output
+                access, options.section, options.file, output
             )
         case "edit":
             chosen = build_apply_options(options)
@@ -234,8 +232,9 @@
 
 def build_apply_options(options: argparse.Namespace) -> configuration.ApplyOptions:
     """Build the options of an edit."""
+    wait_s = options.wait_s if options.wait else None
     return configuration.ApplyOptions(
-        options.operator, options.edit_id, options.limit, options.wait
+        options.operator, options.edit_id, options.limit, wait_s
     )
 
 
