--- a/ebonyrack/peers/hub_test.py
+++ b/ebonyrack/peers/hub_test.py
@@ -79,13 +79,11 @@
         await wait_until(lambda: all_live(hubs))
         async with PeerHub(build_settings("late", [hubs[0].address])) as late:
             await wait_until(lambda: all_live([*hubs, late]))
-            address = late.address
         await wait_until(lambda: all_live(hubs))
         assert hubs[1].membership.find("late").state is MemberState.DEAD
-        settings = build_settings("late", [hubs[0].address])
-        proxy = settings.proxy.model_copy(update={"peer_address": address})
-        async with PeerHub(replace(settings, proxy=proxy)) as again:
-            again.membership.own = replace(again.membership.own, incarnation=1)
+        again = PeerHub(build_settings("late", [hubs[0].address]))
+        again.membership.own = replace(again.membership.own, incarnation=1)
+        async with again:
             await wait_until(lambda: all_live([*hubs, again]))
 
 
@@ -123,6 +121,30 @@
         assert all_live(hubs)
 
 
+async def test_a_one_way_cut_kills_nobody():
+    async with start_hubs(3) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        silent, deaf = hubs[0], hubs[1]
+        send = silent.heartbeat.send_heartbeat
+        silent.heartbeat.send_heartbeat = lambda name: (
+            None if name == "proxy-1" else send(name)
+        )
+        asked = []
+        ask_witnesses = deaf.heartbeat.ask_witnesses
+
+        async def ask_and_count(name):
+            asked.append(name)
+            return await ask_witnesses(name)
+
+        deaf.heartbeat.ask_witnesses = ask_and_count
+        states = []
+        deaf.membership.subscribe(lambda member: states.append(member.state))
+        await wait_until(lambda: len(asked) >= 3)
+        assert set(asked) == {"proxy-0"}
+        assert MemberState.DEAD not in states
+        assert all_live(hubs)
+
+
 async def refuse_to_dial(address):
     raise PeerLostError("the link is cut")
 
