--- /dev/null
+++ b/demo/chaos.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Kills, freezes and restarts proxies and upstreams at random under a booking
+# workload; SEED makes the order repeatable. Exit status 1 if a booking was lost,
+# doubled, read stale or refused untruly.
+set -eu
+SEED=${SEED:-1}
+DURATION_S=${DURATION_S:-40}
+CALLERS=${CALLERS:-24}
+STRIKES=${STRIKES:-12}
+PAUSE_S=${PAUSE_S:-2}
+
+cd "$(dirname "$0")/.."
+# shellcheck source=demo/cluster.sh
+. demo/cluster.sh
+RANDOM=$SEED
+
+start_platform
+start_upstreams --connection-limit 20 --slots 3 --connection-cost-s 0.01 \
+  --statement-cost-s 0.001 --link-delay-s 0.001
+first=$((${#PIDS[@]} - 3))
+UPSTREAM_PIDS=("${PIDS[@]:first:3}")
+start_proxies 3 "connection_limit = 20
+slots = 3"
+# shellcheck disable=SC2086
+"$PYTHON" -m ebonyrack.scripts.load booking \
+  --proxies "${PROXIES[@]}" --upstreams $UPSTREAMS --user booking \
+  --password demo-password --callers "$CALLERS" --think-s 0.01 \
+  --duration-s "$DURATION_S" &
+LOAD_PID=$!
+PIDS+=("$LOAD_PID")
+
+# kill_proxy NUMBER: ends a proxy at once and starts another under its name.
+kill_proxy() {
+  local pid=${PROXY_PIDS[$(($1 - 1))]}
+  kill -KILL "$pid"
+  wait "$pid" 2>/dev/null || true
+  mv "$WORK/proxy-$1.log" "$WORK/proxy-$1.$(date +%s%N).log"
+  start "proxy-$1" daemon --config "$WORK/proxy-$1.ini"
+  PROXY_PIDS[$(($1 - 1))]=$!
+  wait_for "proxy-$1" "proxy-$1.log" proxy_serving
+}
+
+# freeze PID: stops a process for a moment, so that it wakes without noticing.
+freeze() {
+  kill -STOP "$1"
+  sleep 1.5
+  kill -CONT "$1"
+}
+
+strike() {
+  local number=$((RANDOM % 3 + 1)) kind=$((RANDOM % 4))
+  case $kind in
+    0) echo "strike: kill proxy-$number" && kill_proxy "$number" ;;
+    1) echo "strike: freeze proxy-$number" && freeze "${PROXY_PIDS[$((number - 1))]}" ;;
+    *) echo "strike: freeze up-$number" && freeze "${UPSTREAM_PIDS[$((number - 1))]}" ;;
+  esac
+}
+
+sleep "$PAUSE_S"
+for _ in $(seq "$STRIKES"); do
+  kill -0 "$LOAD_PID" 2>/dev/null || break
+  strike
+  sleep "$PAUSE_S"
+done
+status=0
+wait "$LOAD_PID" || status=$?
+exit "$status"
