--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -23,6 +23,8 @@
 from ebonyrack.load.context import EXPERIMENTS
 from ebonyrack.load.context import ExperimentContext
 from ebonyrack.load.group_check import NoPrimaryError
+from ebonyrack.load.idle_cost import IdleOptions
+from ebonyrack.load.idle_cost import measure_idle_cost
 from ebonyrack.load.results import format_rows
 from ebonyrack.load.results import write_results
 from ebonyrack.scripts.standin import read_address_argument
@@ -40,6 +42,7 @@
     add_booking(commands)
     add_document(commands)
     add_bench(commands)
+    add_idle_cost(commands)
     add_experiment(commands)
     return parser
 
@@ -89,6 +92,17 @@
     bench.add_argument("--results", type=Path, default=Path("results"))
 
 
+def add_idle_cost(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    """Add the command that measures proxies without requests."""
+    idle = commands.add_parser("idle-cost", help="processor time and memory at rest")
+    idle.add_argument("--pids", nargs="+", required=True, type=int)
+    idle.add_argument("--groups", required=True, type=int)
+    idle.add_argument("--duration-s", type=read_positive, default=15.0)
+    idle.add_argument("--results", type=Path, default=Path("results"))
+
+
 def add_experiment(
     commands: argparse._SubParsersAction[argparse.ArgumentParser],
 ) -> None:
@@ -134,6 +148,20 @@
     return EXIT_OK
 
 
+async def run_idle_cost_command(arguments: argparse.Namespace) -> int:
+    """Measure idle proxies, print a table and keep its rows."""
+    options = IdleOptions(
+        pids=tuple(arguments.pids),
+        groups=arguments.groups,
+        duration_s=arguments.duration_s,
+    )
+    rows = await measure_idle_cost(options)
+    name = f"idle_cost_{arguments.groups}_{len(options.pids)}"
+    print(format_rows(rows))
+    print(write_results(arguments.results, name, rows))
+    return EXIT_OK
+
+
 async def run_experiment_command(arguments: argparse.Namespace) -> int:
     """Run an experiment, print its table and keep its rows."""
     text = arguments.document.read_text(encoding="utf-8")
@@ -196,6 +224,7 @@
     "booking": run_booking_command,
     "document": run_document_command,
     "bench": run_bench_command,
+    "idle-cost": run_idle_cost_command,
     "experiment": run_experiment_command,
 }
 
