--- a/ebonyrack/failover/bench_test.py
+++ b/ebonyrack/failover/bench_test.py
@@ -234,13 +234,17 @@
 
     async def settle(self):
         """Wait until every upstream follows one primary and all logs are alike."""
+        await self.mend()
+        await until(self.is_settled)
+
+    async def mend(self):
+        """End every fault of the upstreams; lag first, as entries keep theirs."""
+        self.standins.set_lag(0.0)
         for name, upstream in self.standins.upstreams.items():
             if not upstream.is_running:
                 await self.standins.restart(name)
             self.standins.thaw(name)
         self.standins.heal()
-        self.standins.set_lag(0.0)
-        await until(self.is_settled)
 
     def is_settled(self):
         """Tell whether there is one primary whose log all upstreams hold."""
--- /dev/null
+++ b/ebonyrack/failover/group_machine_test.py
@@ -0,0 +1,275 @@
+"""Random faults against one group, checked against what callers were told."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import run_state_machine_as_test
+
+from ebonyrack.failover import coordinator as coordinator_module
+from ebonyrack.failover.ballot import Ballot
+from ebonyrack.failover.bench_test import Bench
+from ebonyrack.failover.bench_test import Writer
+from ebonyrack.failover.bench_test import until
+from ebonyrack.failover.safeguards import Safeguards
+from ebonyrack.standins.group import StandinGroup
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+PROXIES = ("proxy-1", "proxy-2", "proxy-3")
+UPSTREAMS = ("up-1", "up-2", "up-3")
+STEP_LIMIT_S = 60.0
+# Callers write on for this long after each step.
+STEP_TIME_S = 0.04
+LONG_LAG_S = 1.0
+QUICK = {"probe_interval_s": 0.02, "suspect_after_s": 0.1, "lag_refusal_s": 1.0}
+MACHINE_SETTINGS = settings(
+    max_examples=16,
+    stateful_step_count=20,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    print_blob=False,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class GatedBallot(Ballot):
+    """A ballot that waits between fence and promotion while its gate is closed."""
+
+    async def promote(self, winner):
+        await self.group.gate.wait()
+        return await super().promote(winner)
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """Three upstreams, three proxies and callers that write through each."""
+
+    safeguards = Safeguards()
+    overrides = QUICK
+
+    @initialize()
+    def start(self):
+        self.loop = asyncio.new_event_loop()
+        self.stack = AsyncExitStack()
+        self.tasks = []
+        coordinator_module.Ballot = GatedBallot
+        self.run(self.start_bench())
+
+    def run(self, coroutine):
+        """Let the proxies run until a coroutine ends."""
+        limited = asyncio.wait_for(coroutine, STEP_LIMIT_S)
+        return self.loop.run_until_complete(limited)
+
+    async def start_bench(self):
+        self.standins = await self.stack.enter_async_context(StandinGroup())
+        self.bench = Bench(self.standins, self.overrides)
+        await self.stack.enter_async_context(self.bench.stack)
+        for name in PROXIES:
+            proxy = await self.bench.add_proxy(name, self.safeguards)
+            proxy.group.gate = asyncio.Event()
+            proxy.group.gate.set()
+        self.writers = {
+            name: Writer(self.bench, proxy, name)
+            for name, proxy in self.bench.proxies.items()
+        }
+        await until(
+            lambda: all(item.group.primary() for item in self.bench.proxies.values())
+        )
+        self.tasks = [asyncio.create_task(item.run()) for item in self.writers.values()]
+        await asyncio.sleep(STEP_TIME_S)
+
+    @rule(time_s=st.sampled_from([0.1, 0.3]))
+    def let_time_pass(self, time_s):
+        self.run(asyncio.sleep(time_s))
+
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def kill(self, name):
+        self.run(self.standins.kill(name))
+
+    @rule()
+    def kill_the_primary(self):
+        primary = self.standins.primary()
+        if primary is not None:
+            self.run(self.standins.kill(primary.name))
+
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def restart(self, name):
+        if not self.standins[name].is_running:
+            self.run(self.standins.restart(name))
+
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def freeze(self, name):
+        self.standins.freeze(name)
+
+    @rule()
+    def freeze_the_primary(self):
+        primary = self.standins.primary()
+        if primary is not None:
+            self.standins.freeze(primary.name)
+
+    @rule()
+    def thaw_all(self):
+        for name in UPSTREAMS:
+            self.standins.thaw(name)
+
+    @rule(
+        one=st.sampled_from(UPSTREAMS),
+        other=st.sampled_from((*UPSTREAMS, "proxies")),
+        one_way=st.booleans(),
+    )
+    def cut(self, one, other, one_way):
+        if one != other:
+            self.standins.cut(one, other, one_way=one_way)
+
+    @rule()
+    def cut_the_primary_from_its_replicas(self):
+        primary = self.standins.primary()
+        for name in UPSTREAMS:
+            if primary is not None and name != primary.name:
+                self.standins.cut(primary.name, name)
+
+    @rule()
+    def heal(self):
+        self.standins.heal()
+        self.bench.network.cut.clear()
+
+    @rule(name=st.sampled_from(PROXIES))
+    def cut_from_peers(self, name):
+        self.bench.network.isolate(name)
+
+    @rule(lag_s=st.sampled_from([0.0, 0.02, 0.3]))
+    def set_lag(self, lag_s):
+        self.standins.set_lag(lag_s, receive_delay_s=lag_s)
+
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def let_one_lag(self, name):
+        """Let one upstream fall far behind."""
+        self.standins[name].options.receive_delay_s = LONG_LAG_S
+
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def kill_the_others(self, name):
+        for other in UPSTREAMS:
+            if other != name:
+                self.run(self.standins.kill(other))
+
+    @rule(is_down=st.booleans())
+    def stop_or_start_the_store(self, is_down):
+        self.bench.store.is_down = is_down
+
+    @rule(names=st.sets(st.sampled_from(PROXIES), min_size=1, max_size=2))
+    def hold_ballots(self, names):
+        """Let coordinators hold ballots at once although nothing is wrong."""
+        self.run(self.begin_ballots(names))
+
+    async def begin_ballots(self, names):
+        for name in sorted(names):
+            coordinator = self.bench.proxies[name].coordinator
+            self.tasks.append(asyncio.create_task(coordinator.hold_ballot("test", {})))
+        await asyncio.sleep(0.02)
+
+    @rule(name=st.sampled_from(PROXIES))
+    def pause_before_promotion(self, name):
+        self.bench.proxies[name].group.gate.clear()
+
+    @rule()
+    def resume_all(self):
+        for proxy in self.bench.proxies.values():
+            proxy.group.gate.set()
+
+    @rule(
+        name=st.sampled_from(PROXIES),
+        upstream_name=st.sampled_from(UPSTREAMS),
+        is_sent=st.booleans(),
+    )
+    def lose_next_answer(self, name, upstream_name, is_sent):
+        """Lose the next call of a coordinator, before or after it takes effect."""
+        upstream = self.bench.proxies[name].group.upstreams[upstream_name]
+        real = type(upstream).call
+
+        async def lose(sql, timeout_s):
+            del upstream.call
+            if is_sent:
+                await real(upstream, sql, timeout_s)
+            raise UpstreamLostError("the answer was lost")
+
+        upstream.call = lose
+
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def lose_commit_answer(self, name):
+        self.standins.lose_commit_answers(name)
+
+    @invariant()
+    def no_task_has_failed(self):
+        """Let the callers write on, then raise what a write or ballot found wrong."""
+        if hasattr(self, "loop"):
+            self.run(asyncio.sleep(STEP_TIME_S))
+            self.check_tasks()
+
+    def check_tasks(self):
+        """Raise the error of a task that ended with one."""
+        for task in self.tasks:
+            if task.done():
+                task.result()
+
+    @invariant()
+    def no_term_was_started_twice(self):
+        if hasattr(self, "bench"):
+            self.bench.check_terms()
+
+    def teardown(self):
+        if not hasattr(self, "loop"):
+            return
+        try:
+            self.run(self.finish())
+        finally:
+            coordinator_module.Ballot = Ballot
+            self.run(self.end())
+            self.loop.close()
+
+    def has_progressed(self, seen):
+        """Tell whether each caller had a write acknowledged since."""
+        self.check_tasks()
+        return all(
+            len(self.writers[name].acknowledged) > count for name, count in seen.items()
+        )
+
+    async def end(self):
+        """Stop everything that the example started."""
+        await self.end_tasks()
+        await self.stack.aclose()
+
+    async def end_tasks(self):
+        """Stop the callers and the ballots of the test."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def finish(self):
+        """Mend everything, let the callers end, and check what they were told."""
+        self.bench.store.is_down = False
+        self.bench.network.cut.clear()
+        self.resume_all()
+        for upstream in self.standins.upstreams.values():
+            upstream.faults.lost_commits = 0
+        for proxy in self.bench.proxies.values():
+            for upstream in proxy.group.upstreams.values():
+                upstream.__dict__.pop("call", None)
+        await self.bench.mend()
+        seen = {name: len(item.acknowledged) for name, item in self.writers.items()}
+        await until(lambda: self.has_progressed(seen))
+        await self.end_tasks()
+        await self.bench.settle()
+        self.bench.check_terms()
+        requests = self.bench.read_requests("up-1")
+        for writer in self.writers.values():
+            writer.check(requests)
+
+
+def test_no_fault_makes_the_group_break_a_promise():
+    run_state_machine_as_test(GroupMachine, settings=MACHINE_SETTINGS)
--- /dev/null
+++ b/ebonyrack/failover/safeguards_test.py
@@ -0,0 +1,93 @@
+"""What each safeguard prevents, shown by switching it off."""
+
+import pytest
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.failover.bench_test import until
+from ebonyrack.failover.safeguards import Safeguards
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+
+async def start_with(start_bench, safeguards, **overrides):
+    bench = await start_bench(proxies=0, **overrides)
+    proxy = await bench.add_proxy("proxy-1", safeguards)
+    await proxy.group.wait_for_primary(now_s() + 5)
+    await until(lambda: len(proxy.group.replicas()) == 2)
+    return bench, proxy
+
+
+async def write_with_one_replica_behind(bench, proxy):
+    """Let up-2 alone confirm a write that up-3 lacks."""
+    bench.standins["up-3"].options.receive_delay_s = 60.0
+    await proxy.write("r-0")
+    assert bench.read_requests("up-2") == ["r-0"]
+    assert bench.read_requests("up-3") == []
+
+
+@pytest.mark.parametrize(
+    ("policy", "kept"), [("majority", ["r-0"]), ("primary_alone", [])]
+)
+async def test_acknowledgement_by_a_majority_survives_the_primary(
+    start_bench, policy, kept
+):
+    bench, proxy = await start_with(
+        start_bench, Safeguards(), acknowledge_policy=policy
+    )
+    if policy == "primary_alone":
+        bench.standins.set_lag(0.0, receive_delay_s=60.0)
+    await proxy.write("r-0")
+    await bench.standins.kill("up-1")
+    await until(lambda: proxy.group.primary_name != "up-1")
+    assert bench.read_requests(proxy.group.primary_name) == kept
+
+
+@pytest.mark.parametrize(("picks_highest", "kept"), [(True, ["r-0"]), (False, [])])
+async def test_most_advanced_upstream_keeps_what_was_acknowledged(
+    start_bench, picks_highest, kept
+):
+    safeguards = Safeguards(picks_highest=picks_highest)
+    bench, proxy = await start_with(start_bench, safeguards)
+    await write_with_one_replica_behind(bench, proxy)
+    await bench.standins.kill("up-1")
+    await until(lambda: proxy.group.primary_name != "up-1")
+    assert bench.read_requests(proxy.group.primary_name) == kept
+
+
+@pytest.mark.parametrize("needs_majority", [True, False])
+async def test_majority_of_grants_keeps_what_was_acknowledged(
+    start_bench, needs_majority
+):
+    safeguards = Safeguards(needs_majority=needs_majority)
+    bench, proxy = await start_with(start_bench, safeguards)
+    await write_with_one_replica_behind(bench, proxy)
+    await bench.standins.kill("up-2")
+    await bench.standins.kill("up-1")
+    if needs_majority:
+        await until(lambda: proxy.coordinator.failures > 1)
+        assert proxy.group.primary_name == "up-1"
+    else:
+        await until(lambda: proxy.group.primary_name == "up-3")
+    await bench.settle()
+    assert bench.read_requests("up-3") == (["r-0"] if needs_majority else [])
+
+
+@pytest.mark.parametrize("asks_peers", [True, False])
+async def test_peers_keep_a_bad_link_from_deposing_a_primary(start_bench, asks_peers):
+    bench = await start_bench(proxies=0)
+    for number in range(3):
+        safeguards = Safeguards(asks_peers=asks_peers)
+        await bench.add_proxy(f"proxy-{number + 1}", safeguards)
+    await until(lambda: all(proxy.group.primary() for proxy in bench.proxies.values()))
+    upstream = bench.by_rank()[0].group.upstreams["up-1"]
+
+    async def fail(deadline_s):
+        raise UpstreamLostError("the link is cut")
+
+    upstream.ask_status = fail
+    await until(lambda: upstream.state == "lost")
+    if asks_peers:
+        for _ in range(20):
+            await bench.by_rank()[1].group.poll_all()
+    else:
+        await until(lambda: bench.by_rank()[1].group.term > 1)
+    assert (bench.by_rank()[1].group.term == 1) is asks_peers
--- a/ebonyrack/upstreams/confirmations.py
+++ b/ebonyrack/upstreams/confirmations.py
@@ -40,6 +40,8 @@
 
     Attributes:
         term: The term.
+        primary_name: Name of the term's primary. It is counted already, also when it
+            has restarted and answers as a replica of its own term.
         needed: Replicas that must hold a write, the primary not counted.
         held: Replica's name to the last offset that it holds.
         confirmed: Offset up to which a majority holds the log.
@@ -47,10 +49,20 @@
         added: Notified when a write begins to wait and when the term is over.
     """
 
-    __slots__ = ("term", "needed", "held", "confirmed", "waiting", "added", "numbers")
+    __slots__ = (
+        "term",
+        "primary_name",
+        "needed",
+        "held",
+        "confirmed",
+        "waiting",
+        "added",
+        "numbers",
+    )
 
-    def __init__(self, term: int, needed: int) -> None:
+    def __init__(self, term: int, primary_name: str | None, needed: int) -> None:
         self.term = term
+        self.primary_name = primary_name
         self.needed = needed
         self.held: dict[str, int] = {}
         self.confirmed = 0
@@ -65,7 +77,7 @@
             name: Name of the upstream.
             status: Its answer.
         """
-        if not counts_for(status, self.term):
+        if name == self.primary_name or not counts_for(status, self.term):
             return
         offset = status.received.offset
         if offset > self.held.get(name, 0):
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -78,7 +78,7 @@
         self.removals: set[asyncio.Task[None]] = set()
         for spec in section.upstreams:
             self.add_upstream(spec)
-        self.confirmations = Confirmations(0, self.majority - 1)
+        self.confirmations = Confirmations(0, None, self.majority - 1)
         self.apply_leaving()
 
     async def __aenter__(self) -> DatabaseGroup:
@@ -316,7 +316,7 @@
         self.hold_until_s = 0.0
         self.history.clear()
         waiting = self.confirmations
-        self.confirmations = Confirmations(term, self.majority - 1)
+        self.confirmations = Confirmations(term, primary_name, self.majority - 1)
         waiting.end_term()
         if previous is not None and not previous.is_reachable:
             # Whoever still waits for the lost primary can't be answered by it.
