Bound the waits that share a connection, and poll less where nothing is coordinated

Cause: a call that waits for an applied position held the connection for up to 0.5 s, and with it the confirmation of writes; a proxy that coordinates nothing but carries requests polled as often as a coordinator, which at 400 proxies costs more than control may. Change: calls wait at most 50 ms (received) or 20 ms (applied); such a proxy polls every 0.2 s. The first acknowledgement in a term logs the time since the proxy learned of the primary, the last part of a failover gap.

--- a/ebonyrack/routing/write_path.py
+++ b/ebonyrack/routing/write_path.py
@@ -164,6 +164,7 @@
         await ACKNOWLEDGE_POLICIES.get(policy_name)().acknowledge(
             group, position, deadline_s
         )
+        group.note_acknowledged(position.term)
     except RequestError as error:
         outcome = str(error.kind)
         raise
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -11,6 +11,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.logs import log_decision
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.signal import Signal
 from ebonyrack.upstreams.confirmations import Confirmations
@@ -27,6 +28,9 @@
 
 # A proxy that coordinates nothing and carries no request polls at this interval.
 IDLE_PROBE_INTERVAL_S = 2.0
+# One that coordinates nothing but carries requests polls at this interval; it hears of
+# a new primary from the coordinators.
+BUSY_PROBE_INTERVAL_S = 0.2
 # The group counts as carrying requests for this long after the last one.
 REQUEST_MEMORY_S = 2.0
 # Bounds on the time to come back that a refusal for want of a primary names.
@@ -52,6 +56,7 @@
         term: Highest term in which a primary was seen.
         primary_name: Name of that primary, or None.
         learned_at_s: Monotonic time at which it was learned.
+        acknowledged_term: Highest term in which a write was acknowledged here.
         is_coordinator: Whether this proxy may order a promotion.
         confirmations: Writes of the present term that wait for a majority.
         history: Positions of the primary, for the lag of replicas.
@@ -67,6 +72,7 @@
         self.term = 0
         self.primary_name: str | None = None
         self.learned_at_s: float | None = None
+        self.acknowledged_term = 0
         self.is_coordinator = False
         self.history = PrimaryHistory()
         self.changed = Signal()
@@ -275,7 +281,7 @@
         return RequestError(ErrorKind.NO_PRIMARY, reason, retry_after_s)
 
     def note_request(self) -> None:
-        """Poll at the short interval while the group carries requests."""
+        """Poll at a shorter interval while the group carries requests."""
         was_idle = now_s() - self.requested_at_s > REQUEST_MEMORY_S
         self.requested_at_s = now_s()
         if was_idle and not self.is_coordinator:
@@ -330,6 +336,23 @@
         self.wake_probes()
         self.changed.notify()
 
+    def note_acknowledged(self, term: int) -> None:
+        """Log how long the first acknowledgement of a term took on this proxy.
+
+        Args:
+            term: Term of an acknowledged write.
+        """
+        if term <= self.acknowledged_term or term != self.term:
+            return
+        self.acknowledged_term = term
+        log_decision(
+            "first_acknowledgement",
+            group=self.name,
+            term=term,
+            upstream=self.primary_name,
+            reconnection_s=round(now_s() - (self.learned_at_s or now_s()), 4),
+        )
+
     def observe(self, upstream: Upstream) -> None:
         """Draw the conclusions from an upstream's answer.
 
@@ -531,9 +554,10 @@
 
     def compute_probe_interval(self) -> float:
         """Return the seconds between polls of an upstream."""
-        is_busy = now_s() - self.requested_at_s < REQUEST_MEMORY_S
-        if self.is_coordinator or is_busy:
+        if self.is_coordinator:
             return self.section.probe_interval_s
+        if now_s() - self.requested_at_s < REQUEST_MEMORY_S:
+            return max(BUSY_PROBE_INTERVAL_S, self.section.probe_interval_s)
         return IDLE_PROBE_INTERVAL_S
 
     async def warm_pool(self, upstream: Upstream) -> None:
--- a/ebonyrack/upstreams/position_waits.py
+++ b/ebonyrack/upstreams/position_waits.py
@@ -20,10 +20,10 @@
     from ebonyrack.upstreams.contract import EbonyrackContract
     from ebonyrack.upstreams.status import UpstreamStatus
 
-# Longest wait of one call; a longer one takes fewer calls for a wait in vain.
-LONGEST_CALL_S = 0.5
-# While callers wait for received and for applied positions, the calls take turns.
-SHARED_CALL_S = 0.01
+# Longest wait of one call. Both kinds of waits share the connection, so none may hold
+# it for long; received positions decide how soon a write is acknowledged.
+RECEIVED_CALL_S = 0.05
+APPLIED_CALL_S = 0.02
 # The connection is given back to the upstream after this time without a wait.
 IDLE_CLOSE_S = 5.0
 
@@ -163,7 +163,7 @@
             entry: The wait with the lowest position.
             received: Whether it is for the received position.
         """
-        longest_s = SHARED_CALL_S if self.heaps[not received] else LONGEST_CALL_S
+        longest_s = RECEIVED_CALL_S if received else APPLIED_CALL_S
         wait_ms = round(longest_s * 1000)
         asked_at_s = now_s()
         sql = self.contract.build_poll(entry.position, wait_ms, received)
