--- a/ebonyrack/standins/dialect.py
+++ b/ebonyrack/standins/dialect.py
@@ -97,7 +97,6 @@
         tag: Command tag without counts.
         words: Its words in upper case.
         has_lock: Whether a locking clause makes a read take locks.
-        literals: Strings and numbers in its text.
     """
 
     text: str
@@ -106,7 +105,6 @@
     tag: str
     words: tuple[str, ...]
     has_lock: bool
-    literals: frozenset[str] = frozenset()
 
 
 @lru_cache(CACHED_STATEMENTS)
@@ -142,12 +140,7 @@
         return Statement(text, "", Verb.EMPTY, "", (), False)
     verb = choose_verb(words, has_lock)
     tag = build_tag(words, verb)
-    literals = frozenset(
-        token.group().strip("'")
-        for token in tokens
-        if token.lastgroup in ("string", "number")
-    )
-    return Statement(text, translate(tokens), verb, tag, words, has_lock, literals)
+    return Statement(text, translate(tokens), verb, tag, words, has_lock)
 
 
 def choose_verb(words: tuple[str, ...], has_lock: bool) -> Verb:
--- a/ebonyrack/standins/execution.py
+++ b/ebonyrack/standins/execution.py
@@ -12,6 +12,7 @@
 from ebonyrack.standins.contract_functions import match_call
 from ebonyrack.standins.dialect import Statement
 from ebonyrack.standins.dialect import Verb
+from ebonyrack.standins.locks import find_claims
 from ebonyrack.standins.log import LoggedStatement
 from ebonyrack.standins.log import SqlValue
 from ebonyrack.standins.sql_engine import Column
@@ -208,8 +209,9 @@
     transaction = session.transaction
     if transaction.is_read_only:
         raise SqlError("25006", f"cannot run {statement.tag}: read-only transaction")
-    named = frozenset(str(value) for value in values if value is not None)
-    await upstream.begin_write(transaction, (statement.literals | named) - {""})
+    unique = upstream.database.find_unique_columns()
+    claims = find_claims(statement.text, values, unique)
+    await upstream.begin_write(transaction, claims)
     await session.hold_slot(0.0)
     check_not_doomed(transaction)
     logged = LoggedStatement(statement.sql, values)
--- a/ebonyrack/standins/locks.py
+++ b/ebonyrack/standins/locks.py
@@ -3,19 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Iterable
+from collections.abc import Iterator
 
+from ebonyrack.standins.log import SqlValue
 from ebonyrack.standins.sql_error import SqlError
 from ebonyrack.standins.transaction import Transaction
 
 WAIT_LIMIT_S = 5.0
 
+VALUE = r"'(?:[^']|'')*'|\$\d+|-?\d+"
+INSERT = re.compile(
+    r"\bINSERT\s+INTO\s+\"?(\w+)\"?\s*\(([^)]*)\)\s*VALUES\s*(.*)",
+    re.IGNORECASE | re.DOTALL,
+)
+TABLE = re.compile(r"\b(?:UPDATE|FROM)\s+\"?(\w+)\"?", re.IGNORECASE)
+WHERE = re.compile(r"\bWHERE\b(.*)", re.IGNORECASE | re.DOTALL)
+EQUAL = re.compile(rf"\"?(\w+)\"?\s*=\s*({VALUE})")
+EMPTY_CALL = re.compile(r"\w+\(\s*\)")
+ROW = re.compile(r"\(([^()]*)\)")
+
 
 class ValueLocks:
     """Lets one open transaction at a time write a value.
 
-    Rows aren't known before a statement runs, so the values that it names stand
-    for them: two transactions that write the same key wait for each other.
+    Rows aren't known before a statement runs, so the values by which it names them
+    stand for them: two transactions that write the same key wait for each other.
 
     Attributes:
         holders: Transaction that holds each value.
@@ -60,3 +74,51 @@
         transaction.claims.clear()
         self.released.set()
         self.released = asyncio.Event()
+
+
+def find_claims(
+    text: str, values: tuple[SqlValue, ...], unique_columns: dict[str, set[str]]
+) -> frozenset[str]:
+    """Find the values by which a writing statement names its rows.
+
+    Args:
+        text: PostgreSQL text of the statement.
+        values: Parameters.
+        unique_columns: Columns of each table that a unique index names.
+
+    Returns:
+        `table.column=value` for each unique column that an INSERT sets, and for
+        each comparison in the WHERE of another statement.
+    """
+    insert = INSERT.search(text)
+    if insert is not None:
+        return frozenset(find_inserted(insert, values, unique_columns))
+    table, where = TABLE.search(text), WHERE.search(text)
+    if table is None or where is None:
+        return frozenset()
+    return frozenset(
+        f"{table.group(1)}.{column}={read_value(value, values)}"
+        for column, value in EQUAL.findall(where.group(1))
+    )
+
+
+def find_inserted(
+    insert: re.Match[str],
+    values: tuple[SqlValue, ...],
+    unique_columns: dict[str, set[str]],
+) -> Iterator[str]:
+    """Yield the claims of an INSERT."""
+    table, names, rows = insert.groups()
+    unique = unique_columns.get(table, set())
+    columns = [name.strip().strip('"') for name in names.split(",")]
+    for row in ROW.findall(EMPTY_CALL.sub("0", rows)):
+        for column, value in zip(columns, row.split(","), strict=False):
+            if column in unique:
+                yield f"{table}.{column}={read_value(value.strip(), values)}"
+
+
+def read_value(text: str, values: tuple[SqlValue, ...]) -> str:
+    """Return a literal without its quotes, or the parameter that is named."""
+    if text.startswith("$") and 0 < int(text[1:]) <= len(values):
+        return str(values[int(text[1:]) - 1])
+    return text.strip("'")
--- /dev/null
+++ b/ebonyrack/standins/locks_test.py
@@ -0,0 +1,33 @@
+import pytest
+
+from ebonyrack.standins.locks import find_claims
+
+UNIQUE = {"requests": {"key"}, "bookings": {"request"}}
+
+
+@pytest.mark.parametrize(
+    "text, values, claims",
+    [
+        (
+            "INSERT INTO requests (key, outcome, at) VALUES ('k', '', now())",
+            (),
+            {"requests.key=k"},
+        ),
+        (
+            "UPDATE requests SET outcome = 'x' WHERE key = $1",
+            ("k",),
+            {"requests.key=k"},
+        ),
+        (
+            "INSERT INTO bookings (slot, request) VALUES ($1, $2), (7, 'r')",
+            (5, "q"),
+            {"bookings.request=q", "bookings.request=r"},
+        ),
+        ("DELETE FROM bookings WHERE slot = 7", (), {"bookings.slot=7"}),
+        ("SELECT * FROM bookings WHERE slot = 7 FOR UPDATE", (), {"bookings.slot=7"}),
+        ("UPDATE bookings SET slot = 1", (), set()),
+        ("CREATE TABLE t (key TEXT)", (), set()),
+    ],
+)
+def test_rows_are_named_by_unique_and_compared_values(text, values, claims):
+    assert find_claims(text, values, UNIQUE) == claims
--- a/ebonyrack/standins/sql_engine.py
+++ b/ebonyrack/standins/sql_engine.py
@@ -77,6 +77,8 @@
         time_us: Wall time that `now()` gives, in microseconds.
         random: Source of `random()`, seeded for each logged statement.
         described: Result columns found for a text, until the schema changes.
+        unique_columns: Columns of each table that a unique index names, until the
+            schema changes.
         column_oids: Type of each column name, until the schema changes.
     """
 
@@ -88,6 +90,7 @@
         "random",
         "described",
         "column_oids",
+        "unique_columns",
     )
 
     def __init__(self) -> None:
@@ -98,6 +101,7 @@
         self.shown: Transaction | None = None
         self.described: dict[str, list[Column]] = {}
         self.column_oids: dict[str, int] = {}
+        self.unique_columns: dict[str, set[str]] = {}
         for connection in (self.committed, self.work):
             for sql in SCHEMA:
                 connection.execute(sql)
@@ -261,6 +265,7 @@
         """Drop what was remembered about the schema."""
         self.described.clear()
         self.column_oids.clear()
+        self.unique_columns.clear()
 
     def find_column_oids(self) -> dict[str, int]:
         """Return the type of each column name of all tables."""
@@ -274,6 +279,20 @@
             }
         return self.column_oids
 
+    def find_unique_columns(self) -> dict[str, set[str]]:
+        """Return, for each table, the columns that a unique index names."""
+        if not self.unique_columns:
+            rows = self.committed.execute(
+                "SELECT m.name, c.name FROM sqlite_master m,"
+                " pragma_index_list(m.name) i, pragma_index_info(i.name) c"
+                " WHERE m.type = 'table' AND i.\"unique\""
+                " UNION SELECT m.name, c.name FROM sqlite_master m,"
+                " pragma_table_info(m.name) c WHERE m.type = 'table' AND c.pk > 0"
+            )
+            for table, column in rows:
+                self.unique_columns.setdefault(table, set()).add(column)
+        return self.unique_columns
+
     def name_columns(
         self, names: list[str], rows: list[tuple[SqlValue, ...]]
     ) -> list[Column]:
