--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -5,11 +5,14 @@
 import argparse
 import asyncio
 import json
+import signal
 import sys
 import time
 from collections.abc import Sequence
 from pathlib import Path
 
+from loguru import logger
+
 from ebonyrack.load import experiments  # noqa: F401 (fills the registry)
 from ebonyrack.load.bench import BenchOptions
 from ebonyrack.load.bench import run_bench
@@ -22,6 +25,10 @@
 from ebonyrack.load.cluster import ClusterError
 from ebonyrack.load.context import EXPERIMENTS
 from ebonyrack.load.context import ExperimentContext
+from ebonyrack.load.control_host import HostOptions
+from ebonyrack.load.control_host import run_host
+from ebonyrack.load.control_plane import Measurement
+from ebonyrack.load.control_plane import run_measurement
 from ebonyrack.load.group_check import NoPrimaryError
 from ebonyrack.load.results import format_rows
 from ebonyrack.load.results import write_results
@@ -41,6 +48,7 @@
     add_document(commands)
     add_bench(commands)
     add_experiment(commands)
+    add_control_plane(commands)
     return parser
 
 
@@ -117,6 +125,65 @@
     experiment.add_argument("--results", type=Path, default=Path("results"))
 
 
+def add_control_plane(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    """Add the commands that host control planes and that measure them."""
+    host = commands.add_parser("control-host", help="proxies without callers")
+    host.add_argument("--first", type=int, required=True)
+    host.add_argument("--count", type=int, default=1)
+    host.add_argument("--data-centres", type=int, default=4)
+    measure = commands.add_parser("control-plane", help="measure such proxies")
+    measure.add_argument("--nodes", type=int, required=True)
+    measure.add_argument("--groups", type=int, default=3)
+    measure.add_argument("--edits", type=int, default=100)
+    measure.add_argument("--idle-s", type=read_positive, default=15.0)
+    measure.add_argument("--logs", nargs="+", type=Path, required=True)
+    measure.add_argument("--victim", type=Path, required=True)
+    measure.add_argument("--results", type=Path, default=Path("results"))
+    for parser in (host, measure):
+        parser.add_argument("--network", required=True, metavar="IP")
+        parser.add_argument(
+            "--store", required=True, type=read_address_argument, metavar="IP:PORT"
+        )
+
+
+async def run_host_command(arguments: argparse.Namespace) -> int:
+    """Host control planes until the process is told to stop."""
+    logger.remove()
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    options = HostOptions(
+        store=arguments.store,
+        network=arguments.network,
+        first=arguments.first,
+        count=arguments.count,
+        data_centres=arguments.data_centres,
+    )
+    await run_host(options, stopped.is_set)
+    return EXIT_OK
+
+
+async def run_control_plane_command(arguments: argparse.Namespace) -> int:
+    """Measure hosted control planes, print the row and keep it."""
+    measurement = Measurement(
+        store=arguments.store,
+        network=arguments.network,
+        nodes=arguments.nodes,
+        groups=arguments.groups,
+        logs=tuple(arguments.logs),
+        victim=arguments.victim,
+        edits=arguments.edits,
+        idle_s=arguments.idle_s,
+    )
+    rows = await run_measurement(measurement)
+    name = f"control_plane_{arguments.nodes}_{arguments.groups}"
+    path = write_results(arguments.results, name, rows)
+    print(json.dumps(rows[0]))
+    print(path)
+    return EXIT_OK
+
+
 async def run_bench_command(arguments: argparse.Namespace) -> int:
     """Run the bench, print its table and keep its figures."""
     options = BenchOptions(
@@ -197,6 +264,8 @@
     "document": run_document_command,
     "bench": run_bench_command,
     "experiment": run_experiment_command,
+    "control-host": run_host_command,
+    "control-plane": run_control_plane_command,
 }
 
 
