--- a/ebonyrack/config/watch.py
+++ b/ebonyrack/config/watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import zlib
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 
 from loguru import logger
 from result import Err
+from result import Ok
 from result import Result
 
 from ebonyrack.config.spread import DocumentSpread
@@ -33,7 +35,7 @@
 MAXIMUM_BACKOFF_S = 5.0
 EMPTY_PAUSE_S = 1.0
 MINIMUM_PAUSE_S = 0.05
-HEARD_SHARE = 0.4
+SILENCE_SHARE = 0.4
 
 Step = Callable[[], Awaitable[Result[bool, StoreError]]]
 
@@ -84,6 +86,7 @@
         self.tasks = [
             asyncio.create_task(self.watch_forever("document", self.watch_document)),
             asyncio.create_task(self.watch_forever("vms", self.watch_vms)),
+            asyncio.create_task(self.break_silence()),
         ]
         return self
 
@@ -116,26 +119,19 @@
         return better < self.settings.store.watchers_per_data_centre
 
     @property
-    def watch_s(self) -> float:
-        """Longest time of one watch, in seconds.
-
-        A store where nothing changes must still be heard well before this proxy
-        would count itself as cut off.
-        """
-        return min(
-            self.settings.store.watch_s,
-            self.settings.peers.cut_off_after_s * HEARD_SHARE,
+    def silence_s(self) -> float:
+        """Seconds since the store or any peer was heard."""
+        heard_at_s = max(
+            self.started_at_s, self.store.heard_at_s or 0.0, self.hub.heard_at_s
         )
+        return now_s() - heard_at_s
 
     @property
     def is_cut_off(self) -> bool:
         """Whether neither the store nor any peer was heard for the stated time."""
         if not self.verification.is_verified:
             return True
-        heard_at_s = max(
-            self.started_at_s, self.store.heard_at_s or 0.0, self.hub.heard_at_s
-        )
-        return now_s() - heard_at_s > self.settings.peers.cut_off_after_s
+        return self.silence_s > self.settings.peers.cut_off_after_s
 
     def notice_change(self, member: Member) -> None:
         """Look again who watches after a change of the members."""
@@ -169,9 +165,25 @@
             self.members_changed.clear()
             await self.members_changed.wait()
 
+    async def break_silence(self) -> None:
+        """Ask the store when nobody was heard for a part of the cut-off time.
+
+        A watch is silent for as long as nothing changes, so without this a proxy
+        that has no peers would count itself as cut off.
+        """
+        limit_s = self.settings.peers.cut_off_after_s * SILENCE_SHARE
+        while True:
+            await asyncio.sleep(limit_s * random.uniform(0.5, 1.0))
+            if self.silence_s > limit_s:
+                answer = await self.store.get(DOCUMENT_KEY)
+                if isinstance(answer, Ok) and answer.ok_value is not None:
+                    self.state.offer_bytes(answer.ok_value.value, "store")
+
     async def watch_document(self) -> Result[bool, StoreError]:
         """Wait once for a change of the document."""
-        answer = await self.store.watch(DOCUMENT_KEY, self.index, self.watch_s)
+        answer = await self.store.watch(
+            DOCUMENT_KEY, self.index, self.settings.store.watch_s
+        )
         return answer.map(self.take_value)
 
     def take_value(self, value: StoreValue | None) -> bool:
@@ -186,7 +198,7 @@
     async def watch_vms(self) -> Result[bool, StoreError]:
         """Wait once for a change of the VM list."""
         before = self.vm_list.leaving
-        answer = await self.vm_list.watch(self.watch_s)
+        answer = await self.vm_list.watch(self.settings.store.watch_s)
         return answer.map(lambda listing: self.take_listing(listing, before))
 
     def take_listing(self, listing: VmListing, before: frozenset[str]) -> bool:
