Find claims of a long literal in linear time

Cause: the pattern for a call without arguments began at every letter of a word, so a literal of 20,000 digits took 200 million steps; the read rows of the callers' fault matrix then ran for minutes and a whole run never ended (it was stopped after 10 minutes). Ruled out: the state machines, which were suspected first.

--- a/ebonyrack/standins/group_test.py
+++ b/ebonyrack/standins/group_test.py
@@ -9,6 +9,7 @@
 from ebonyrack.core.position import LogPosition
 from ebonyrack.standins.control import FaultControl
 from ebonyrack.standins.group import StandinGroup
+from ebonyrack.standins.locks import find_claims
 from ebonyrack.standins.options import UpstreamOptions
 from ebonyrack.standins.upstream import StandinUpstream
 from ebonyrack.upstreams.contract import EbonyrackContract
@@ -426,3 +427,11 @@
             assert group["up-3"].options.apply_delay_s == 0.0
             async with session.get(f"{url}/status") as reply:
                 assert not (await reply.json())["up-1"]["is_running"]
+
+
+def test_claims_of_a_long_literal_are_found_in_linear_time():
+    long = "0" * 2_000_000
+    text = f"INSERT INTO bookings (slot, request) VALUES (now(), '{long}')"
+    assert find_claims(text, (), {"bookings": {"request"}}) == {
+        f"bookings.request={long}"
+    }
--- a/ebonyrack/standins/locks.py
+++ b/ebonyrack/standins/locks.py
@@ -21,7 +21,8 @@
 TABLE = re.compile(r"\b(?:UPDATE|FROM)\s+\"?(\w+)\"?", re.IGNORECASE)
 WHERE = re.compile(r"\bWHERE\b(.*)", re.IGNORECASE | re.DOTALL)
 EQUAL = re.compile(rf"\"?(\w+)\"?\s*=\s*({VALUE})")
-EMPTY_CALL = re.compile(r"\w+\(\s*\)")
+# The boundary keeps the search through a long literal linear.
+EMPTY_CALL = re.compile(r"\b\w+\(\s*\)")
 ROW = re.compile(r"\(([^()]*)\)")
 
 
