--- a/ebonyrack/callers/dispatch.py
+++ b/ebonyrack/callers/dispatch.py
@@ -105,9 +105,9 @@
     if statement.kind is StatementKind.ROLLBACK:
         transaction.failure = None
         return await transaction.roll_back(request)
-    transaction.raise_failure()
     if statement.kind is StatementKind.COMMIT:
         return await transaction.commit(request)
+    transaction.raise_failure()
     if transaction.status == FAILED:
         raise RequestError(ErrorKind.TRANSACTION_FAILED)
     if statement.kind is StatementKind.UNSUPPORTED:
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -251,14 +251,12 @@
                 UPSTREAM_LOST if it was surely not sent.
         """
         session = self.session
-        if session.connection is None:
-            tag = COMMIT_TAG if self.status == OPEN else ROLLBACK_TAG
-            self.reset()
-            session.stream.write(request.build_replay([tag]))
-            return True
-        await session.await_cancel()
         session.is_committing = True
         try:
+            self.raise_failure()
+            await session.await_cancel()
+            if session.connection is None:
+                return self.commit_nothing(request)
             if self.key and self.status == OPEN:
                 await self.record()
             if self.has_written:
@@ -272,6 +270,20 @@
         finally:
             session.is_committing = False
 
+    def commit_nothing(self, request: Request) -> bool:
+        """Answer the COMMIT of a transaction that no upstream knows of.
+
+        Args:
+            request: The caller's COMMIT.
+
+        Returns:
+            True, as in PostgreSQL, whose answer to a failed one is a ROLLBACK.
+        """
+        tag = ROLLBACK_TAG if self.status == FAILED else COMMIT_TAG
+        self.reset()
+        self.session.stream.write(request.build_replay([tag]))
+        return True
+
     async def record(self) -> None:
         """Record the outcome under the idempotency key, before the commit.
 
