Split the group's watch and confirmation into modules; rank on change only

Change: upstreams/watch.py and upstreams/confirming.py; a coordinator works its rank out when a member changed and looks once a second if it has none.

--- a/ebonyrack/failover/bench_test.py
+++ b/ebonyrack/failover/bench_test.py
@@ -116,6 +116,11 @@
     def __init__(self, name, names):
         self.own = SimpleNamespace(name=name)
         self.names = names
+        self.callbacks = []
+
+    def subscribe(self, callback):
+        """Call a function after each change."""
+        self.callbacks.append(callback)
 
     def live_members(self):
         """Return the proxies that the test named."""
@@ -144,7 +149,8 @@
         return self
 
     async def __aexit__(self, *error):
-        await self.coordinator.__aexit__(*error)
+        if self.coordinator.task is not None:
+            await self.coordinator.__aexit__(*error)
         await self.group.__aexit__(*error)
 
     async def write(self, request, wait_s=5.0):
@@ -212,11 +218,27 @@
     async def add_proxy(self, name, safeguards=None):
         """Start a proxy that the others know."""
         self.names.add(name)
+        self.tell_members_changed()
         section = self.standins.section(**self.overrides)
         proxy = Proxy(name, section, self.network, self.names, self.store, safeguards)
         self.proxies[name] = await self.stack.enter_async_context(proxy)
         return proxy
 
+    async def stop_proxy(self, name):
+        """Stop a proxy; the others hear that it is dead."""
+        proxy = self.proxies.pop(name)
+        await proxy.coordinator.__aexit__(None, None, None)
+        del self.network.hubs[name]
+        self.names.discard(name)
+        self.tell_members_changed()
+        return proxy
+
+    def tell_members_changed(self):
+        """Let every proxy look at the table of members again."""
+        for proxy in self.proxies.values():
+            for callback in proxy.membership.callbacks:
+                callback(None)
+
     def check_acknowledged(self, position):
         """Check that a majority holds a write at the moment of its acknowledgement."""
         logs = [upstream.log for upstream in self.standins.upstreams.values()]
--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -32,6 +32,7 @@
     from ebonyrack.failover.terms import TermSource
     from ebonyrack.peers.hub import PeerHub
     from ebonyrack.peers.membership import Membership
+    from ebonyrack.peers.messages import Member
     from ebonyrack.upstreams.group import DatabaseGroup
 
 # A wake-up that comes later than this shows that the process was paused.
@@ -39,6 +40,8 @@
 # Each rank waits this much longer before it acts.
 RANK_DELAY_S = 0.25
 RECHECK_INTERVAL_S = 0.02
+# A proxy that doesn't coordinate the group looks this often whether it has become one.
+RANK_CHECK_S = 1.0
 FIRST_BACKOFF_S = 0.05
 LONGEST_BACKOFF_S = 1.0
 NO_TERM_PAUSE_S = 1.0
@@ -56,6 +59,8 @@
         rank: Place among the coordinators, or None if this proxy is none of them.
         detector: Judges the primary.
         failures: Ballots lost in a row.
+        highest_term: Highest term that an upstream is known to have granted.
+        has_membership_changed: Whether the rank is to be worked out again.
         pause: Notices pauses of this process.
         ballot_lock: Held by the ballot in work.
     """
@@ -81,9 +86,12 @@
         self.highest_term = 0
         self.pause = PauseDetector(PAUSE_LIMIT_S)
         self.ballot_lock = asyncio.Lock()
+        self.has_membership_changed = True
         self.task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Coordinator:
+        self.membership.subscribe(self.note_member)
+        self.update_rank()
         self.task = asyncio.create_task(self.run())
         return self
 
@@ -98,11 +106,24 @@
             await asyncio.gather(self.task, return_exceptions=True)
             self.task = None
         await self.repair.close()
+        self.membership.callbacks.remove(self.note_member)
         self.group.is_coordinator = False
 
+    def note_member(self, member: Member) -> None:
+        """Work the rank out again after a change of any proxy.
+
+        Args:
+            member: The proxy that changed.
+        """
+        self.has_membership_changed = True
+
     async def run(self) -> None:
         """Watch the group for ever."""
         while True:
+            if self.rank is None:
+                await self.group.changed.wait(RANK_CHECK_S)
+                self.update_rank()
+                continue
             interval_s = self.group.section.probe_interval_s
             self.pause.schedule(interval_s)
             await self.group.changed.wait(interval_s)
@@ -122,6 +143,9 @@
 
     def update_rank(self) -> None:
         """Work out whether and in which place this proxy coordinates the group."""
+        if not self.has_membership_changed:
+            return
+        self.has_membership_changed = False
         names = [member.name for member in self.membership.live_members()]
         ranking = rank_members(self.group.name, names)[:COORDINATORS]
         own_name = self.membership.own.name
--- a/ebonyrack/failover/failover_test.py
+++ b/ebonyrack/failover/failover_test.py
@@ -7,6 +7,7 @@
 from ebonyrack.core.errors import RequestError
 from ebonyrack.failover.bench_test import until
 from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.group import LEAVING_PRIMARY_S
 
 
 async def write_some(proxy, first, count):
@@ -194,3 +195,81 @@
     await until(lambda: proxy.group.primary_name not in (None, "up-1"))
     await proxy.write_until_acknowledged("r-0")
     assert not proxy.group.upstreams["up-1"].pool.is_accepting
+
+
+async def test_three_proxies_coordinate_and_another_takes_the_place_of_a_dead_one(
+    start_bench,
+):
+    bench = await start_bench(proxies=5)
+    await until(
+        lambda: (
+            sorted(
+                proxy.coordinator.rank
+                for proxy in bench.proxies.values()
+                if proxy.coordinator.rank is not None
+            )
+            == [0, 1, 2]
+        )
+    )
+    first = next(item for item in bench.proxies.values() if item.coordinator.rank == 0)
+    await bench.stop_proxy(first.name)
+    await until(
+        lambda: sum(item.group.is_coordinator for item in bench.proxies.values()) == 3
+    )
+    await bench.standins.kill("up-1")
+    for number, proxy in enumerate(bench.proxies.values()):
+        await proxy.write_until_acknowledged(f"r-{number}")
+    assert len({item.group.primary_name for item in bench.proxies.values()}) == 1
+
+
+async def test_coordinator_dies_together_with_the_primary(start_bench):
+    bench = await start_bench(proxies=3)
+    first, second, third = bench.by_rank()
+    await bench.standins.kill("up-1")
+    # The others still hold it for live: they go on without its vote.
+    bench.network.isolate(first.name)
+    await first.coordinator.__aexit__(None, None, None)
+    await second.write_until_acknowledged("r-0")
+    await third.write_until_acknowledged("r-1")
+
+
+async def test_leaving_upstream_gets_no_new_work(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    proxy.group.mark_leaving("up-2", True)
+    assert not proxy.group.upstreams["up-2"].pool.is_accepting
+    assert [item.name for item in proxy.group.replicas()] == ["up-3"]
+    await proxy.write("r-0")
+    proxy.group.mark_leaving("up-2", False)
+    assert proxy.group.upstreams["up-2"].pool.is_accepting
+    # Its own word counts as well.
+    bench.standins["up-3"].leaving = True
+    await until(lambda: not proxy.group.upstreams["up-3"].pool.is_accepting)
+
+
+async def test_leaving_primary_without_a_successor_is_given_up(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    await bench.standins.kill("up-2")
+    await bench.standins.kill("up-3")
+    proxy.group.mark_leaving("up-1", True)
+    proxy.group.leaving_since_s["up-1"] -= LEAVING_PRIMARY_S
+    with pytest.raises(RequestError) as caught:
+        await proxy.write("r-0", wait_s=0.2)
+    assert caught.value.kind is ErrorKind.NO_PRIMARY
+
+
+async def test_group_takes_over_a_changed_section(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    section = bench.standins.section()
+    kept = proxy.group.upstreams["up-1"]
+    smaller = section.model_copy(update={"upstreams": section.upstreams[:2]})
+    proxy.group.reconfigure(smaller)
+    assert set(proxy.group.upstreams) == {"up-1", "up-2"}
+    assert (proxy.group.majority, proxy.group.upstreams["up-1"]) == (2, kept)
+    await proxy.write("r-0")
+    proxy.group.reconfigure(section)
+    await until(lambda: len(proxy.group.replicas()) == 2)
+    assert proxy.group.upstreams["up-1"] is kept
+    await proxy.write("r-1")
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -15,10 +15,11 @@
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.signal import Signal
 from ebonyrack.upstreams.confirmations import Confirmations
-from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.confirming import confirm_once
 from ebonyrack.upstreams.lag import PrimaryHistory
 from ebonyrack.upstreams.status import Role
 from ebonyrack.upstreams.upstream import Upstream
+from ebonyrack.upstreams.watch import UpstreamWatch
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -26,22 +27,13 @@
     from ebonyrack.config.sections import GroupSection
     from ebonyrack.config.sections import UpstreamSpec
 
-# A proxy that coordinates nothing and carries no request polls at this interval.
-IDLE_PROBE_INTERVAL_S = 2.0
-# One that coordinates nothing but carries requests polls at this interval; it hears of
-# a new primary from the coordinators.
-BUSY_PROBE_INTERVAL_S = 0.2
 # The group counts as carrying requests for this long after the last one.
 REQUEST_MEMORY_S = 2.0
 # Bounds on the time to come back that a refusal for want of a primary names.
 SHORTEST_RETRY_S = 0.3
 LONGEST_RETRY_S = 0.9
-CONFIRM_CALL_S = 0.5
-RETRY_PAUSE_S = 0.02
-CONTROL_TIMEOUT_S = 0.5
 # A primary that is leaving serves on for this long, to be replaced without a gap.
 LEAVING_PRIMARY_S = 2.0
-WARM_CONNECTIONS = 1
 DRAIN_CHECK_S = 0.005
 
 
@@ -79,8 +71,7 @@
         self.hold_until_s = 0.0
         self.requested_at_s = 0.0
         self.leaving_since_s: dict[str, float] = {}
-        self.wakes: dict[str, asyncio.Event] = {}
-        self.tasks: dict[str, tuple[asyncio.Task[None], ...]] = {}
+        self.watches: dict[str, UpstreamWatch] = {}
         self.removals: set[asyncio.Task[None]] = set()
         for spec in section.upstreams:
             self.add_upstream(spec)
@@ -88,8 +79,8 @@
         self.apply_leaving()
 
     async def __aenter__(self) -> DatabaseGroup:
-        for upstream in self.upstreams.values():
-            self.start_upstream(upstream)
+        for watch in self.watches.values():
+            watch.start()
         return self
 
     async def __aexit__(
@@ -108,32 +99,22 @@
         """Upstreams in a majority, the primary included."""
         return len(self.section.upstreams) // 2 + 1
 
-    def add_upstream(self, spec: UpstreamSpec) -> Upstream:
-        """Add an upstream without starting it.
+    @property
+    def is_carrying_requests(self) -> bool:
+        """Whether a request came within the last seconds."""
+        return now_s() - self.requested_at_s < REQUEST_MEMORY_S
+
+    def add_upstream(self, spec: UpstreamSpec) -> None:
+        """Add an upstream without starting its watch.
 
         Args:
             spec: The upstream.
-
-        Returns:
-            The upstream.
         """
         upstream = Upstream(spec, self.section, self.connection_limit)
         upstream.on_status = self.observe
         upstream.on_change = self.note_change
         self.upstreams[spec.name] = upstream
-        self.wakes[spec.name] = asyncio.Event()
-        return upstream
-
-    def start_upstream(self, upstream: Upstream) -> None:
-        """Start the tasks of an upstream.
-
-        Args:
-            upstream: An upstream of the group.
-        """
-        self.tasks[upstream.name] = (
-            asyncio.create_task(self.probe_upstream(upstream)),
-            asyncio.create_task(self.confirm_on(upstream)),
-        )
+        self.watches[spec.name] = UpstreamWatch(self, upstream)
 
     def remove_upstream(self, name: str) -> None:
         """Take an upstream out; its tasks and connections end soon after.
@@ -141,10 +122,9 @@
         Args:
             name: Name of the upstream.
         """
-        upstream = self.upstreams.pop(name)
-        self.wakes.pop(name)
+        del self.upstreams[name]
         self.leaving_since_s.pop(name, None)
-        removal = asyncio.create_task(stop_upstream(upstream, self.tasks.pop(name, ())))
+        removal = asyncio.create_task(self.watches.pop(name).stop())
         self.removals.add(removal)
         removal.add_done_callback(self.removals.discard)
 
@@ -163,7 +143,8 @@
                 self.remove_upstream(name)
         for spec in section.upstreams:
             if spec.name not in self.upstreams:
-                self.start_upstream(self.add_upstream(spec))
+                self.add_upstream(spec)
+                self.watches[spec.name].start()
         for upstream in self.upstreams.values():
             upstream.apply_section(section)
         self.confirmations.needed = self.majority - 1
@@ -282,15 +263,15 @@
 
     def note_request(self) -> None:
         """Poll at a shorter interval while the group carries requests."""
-        was_idle = now_s() - self.requested_at_s > REQUEST_MEMORY_S
+        was_idle = not self.is_carrying_requests
         self.requested_at_s = now_s()
         if was_idle and not self.is_coordinator:
             self.wake_probes()
 
     def wake_probes(self) -> None:
         """Poll every upstream at once."""
-        for wake in self.wakes.values():
-            wake.set()
+        for watch in self.watches.values():
+            watch.wake.set()
 
     def report_lost(self, upstream_name: str, reason: str) -> None:
         """Note that the data path saw a broken connection; polls at once.
@@ -299,12 +280,12 @@
             upstream_name: Name of the upstream.
             reason: What was seen.
         """
-        wake = self.wakes.get(upstream_name)
-        if wake is not None:
+        watch = self.watches.get(upstream_name)
+        if watch is not None:
             logger.bind(group=self.name, upstream=upstream_name, reason=reason).info(
                 "connection_lost"
             )
-            wake.set()
+            watch.wake.set()
 
     def learn(self, term: int, primary_name: str) -> None:
         """Take over news of a primary if its term is higher.
@@ -418,7 +399,7 @@
         self.note_request()
         try:
             async with asyncio.timeout(max(0.0, deadline_s - now_s())):
-                while not await self.confirm_once(position):
+                while not await confirm_once(self, position):
                     pass
         except TimeoutError:
             raise RequestError(
@@ -426,27 +407,6 @@
                 f"committed at {position}, not confirmed by a majority in time",
             ) from None
 
-    async def confirm_once(self, position: LogPosition) -> bool:
-        """Try to confirm a write in what is the present term.
-
-        Args:
-            position: Position of the commit.
-
-        Returns:
-            Whether it is confirmed; False to try again.
-
-        Raises:
-            RequestError: UPSTREAM_LOST if a change of primary has undone it.
-        """
-        if position.term > self.term:
-            self.wake_probes()
-            await self.changed.wait(RETRY_PAUSE_S)
-            return False
-        if position.term < self.term:
-            return await self.confirm_in_history(position)
-        confirmed = await self.wait_confirmed(position)
-        return confirmed and position.term == self.term
-
     async def wait_confirmed(self, position: LogPosition) -> bool:
         """Wait for a majority within one term.
 
@@ -461,45 +421,6 @@
             return False
         return await confirmations.wait(position.offset)
 
-    async def confirm_in_history(self, position: LogPosition) -> bool:
-        """Find out whether a write of an earlier term is in the present one's log.
-
-        Args:
-            position: Position of the commit.
-
-        Returns:
-            Whether it is and a majority holds it; False to try again.
-
-        Raises:
-            RequestError: UPSTREAM_LOST if the present term's log lacks it for good.
-        """
-        primary = self.primary()
-        if primary is None:
-            await self.changed.wait(CONFIRM_CALL_S)
-            return False
-        term = self.term
-        contract = primary.contract
-        try:
-            answer = await primary.call(
-                contract.build_holds(position), CONTROL_TIMEOUT_S
-            )
-            holds = contract.parse_holds(answer.rows[0])
-        except (UpstreamLostError, ValueError):
-            await self.changed.wait(RETRY_PAUSE_S)
-            return False
-        if holds.term != term or holds.received.term != term:
-            await self.changed.wait(RETRY_PAUSE_S)
-            return False
-        # The log that answered counts only once a majority holds it too.
-        if not await self.wait_confirmed(holds.received):
-            return False
-        if not holds.held:
-            raise RequestError(
-                ErrorKind.UPSTREAM_LOST,
-                f"the commit at {position} was undone by term {term}",
-            )
-        return True
-
     def compute_confirm_lag(self) -> float:
         """Return how far the slowest replica of the best majority is behind.
 
@@ -529,70 +450,6 @@
         polls = [upstream.poll() for upstream in self.upstreams.values()]
         await asyncio.gather(*polls, return_exceptions=True)
 
-    async def probe_upstream(self, upstream: Upstream) -> None:
-        """Poll an upstream for ever, at the interval that the group needs.
-
-        Args:
-            upstream: The upstream.
-        """
-        wake = self.wakes[upstream.name]
-        while True:
-            wake.clear()
-            started_s = now_s()
-            try:
-                await upstream.poll()
-                await self.warm_pool(upstream)
-            except UpstreamLostError:
-                # The upstream has noted it; the next round polls again.
-                pass
-            interval_s = self.compute_probe_interval() * random.uniform(0.9, 1.0)
-            try:
-                async with asyncio.timeout(max(0.0, started_s + interval_s - now_s())):
-                    await wake.wait()
-            except TimeoutError:
-                continue
-
-    def compute_probe_interval(self) -> float:
-        """Return the seconds between polls of an upstream."""
-        if self.is_coordinator:
-            return self.section.probe_interval_s
-        if now_s() - self.requested_at_s < REQUEST_MEMORY_S:
-            return max(BUSY_PROBE_INTERVAL_S, self.section.probe_interval_s)
-        return IDLE_PROBE_INTERVAL_S
-
-    async def warm_pool(self, upstream: Upstream) -> None:
-        """Keep connections open to an upstream that is or may become primary.
-
-        Args:
-            upstream: The upstream.
-
-        Raises:
-            UpstreamLostError: If it can't be reached.
-        """
-        if upstream.state == "answering" and upstream.pool.open_count == 0:
-            await upstream.pool.warm(WARM_CONNECTIONS)
-
-    async def confirm_on(self, upstream: Upstream) -> None:
-        """Ask a replica for ever for the positions that waiting writes need.
-
-        Args:
-            upstream: The upstream.
-        """
-        while True:
-            confirmations = self.confirmations
-            offset = confirmations.find_lowest_missing(upstream.name)
-            if not upstream.is_following(confirmations.term):
-                await self.changed.wait(CONFIRM_CALL_S)
-                continue
-            if offset is None:
-                await confirmations.added.wait(CONFIRM_CALL_S)
-                continue
-            position = LogPosition(confirmations.term, offset)
-            try:
-                await upstream.poll(position, CONFIRM_CALL_S, received=True)
-            except UpstreamLostError:
-                await self.changed.wait(RETRY_PAUSE_S)
-
 
 def close_busy(upstream: Upstream) -> None:
     """Close the connections that callers' requests use.
@@ -602,18 +459,3 @@
     """
     for connection in tuple(upstream.pool.busy):
         connection.close()
-
-
-async def stop_upstream(
-    upstream: Upstream, tasks: tuple[asyncio.Task[None], ...]
-) -> None:
-    """End the tasks and connections of an upstream.
-
-    Args:
-        upstream: The upstream.
-        tasks: Its tasks.
-    """
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-    await upstream.__aexit__(None, None, None)
--- /dev/null
+++ b/ebonyrack/upstreams/watch.py
@@ -0,0 +1,114 @@
+"""The tasks that poll one upstream of a group and ask it for confirmations."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.position import LogPosition
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+if TYPE_CHECKING:
+    from ebonyrack.upstreams.group import DatabaseGroup
+    from ebonyrack.upstreams.upstream import Upstream
+
+# A proxy that coordinates nothing and carries no request polls at this interval.
+IDLE_PROBE_INTERVAL_S = 2.0
+# One that coordinates nothing but carries requests polls at this interval; it hears of
+# a new primary from the coordinators.
+BUSY_PROBE_INTERVAL_S = 0.2
+CONFIRM_CALL_S = 0.5
+# Both notices that end an idle wait are certain; the bound only guards against a fault.
+IDLE_WAIT_S = 10.0
+RETRY_PAUSE_S = 0.02
+WARM_CONNECTIONS = 1
+
+
+class UpstreamWatch:
+    """Owns an upstream and the tasks that watch it for its group.
+
+    Attributes:
+        group: The group.
+        upstream: The upstream.
+        wake: Set to poll at once.
+        tasks: The running tasks.
+    """
+
+    __slots__ = ("group", "upstream", "wake", "tasks")
+
+    def __init__(self, group: DatabaseGroup, upstream: Upstream) -> None:
+        self.group = group
+        self.upstream = upstream
+        self.wake = asyncio.Event()
+        self.tasks: tuple[asyncio.Task[None], ...] = ()
+
+    def start(self) -> None:
+        """Start the tasks."""
+        self.tasks = (
+            asyncio.create_task(self.probe()),
+            asyncio.create_task(self.confirm()),
+        )
+
+    async def stop(self) -> None:
+        """End the tasks and close the connections of the upstream."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.upstream.__aexit__(None, None, None)
+
+    async def probe(self) -> None:
+        """Poll the upstream for ever, at the interval that the group needs."""
+        while True:
+            self.wake.clear()
+            started_s = now_s()
+            try:
+                await self.upstream.poll()
+                await self.warm_pool()
+            except UpstreamLostError:
+                # The upstream has noted it; the next round polls again.
+                pass
+            interval_s = self.compute_probe_interval() * random.uniform(0.9, 1.0)
+            try:
+                async with asyncio.timeout(max(0.0, started_s + interval_s - now_s())):
+                    await self.wake.wait()
+            except TimeoutError:
+                continue
+
+    def compute_probe_interval(self) -> float:
+        """Return the seconds between polls of an upstream."""
+        group = self.group
+        if group.is_coordinator:
+            return group.section.probe_interval_s
+        if group.is_carrying_requests:
+            return max(BUSY_PROBE_INTERVAL_S, group.section.probe_interval_s)
+        return IDLE_PROBE_INTERVAL_S
+
+    async def warm_pool(self) -> None:
+        """Keep a connection open, as the upstream is or may become primary.
+
+        Raises:
+            UpstreamLostError: If it can't be reached.
+        """
+        upstream = self.upstream
+        if upstream.state == "answering" and upstream.pool.open_count == 0:
+            await upstream.pool.warm(WARM_CONNECTIONS)
+
+    async def confirm(self) -> None:
+        """Ask the replica for ever for the positions that waiting writes need."""
+        upstream, group = self.upstream, self.group
+        while True:
+            confirmations = group.confirmations
+            offset = confirmations.find_lowest_missing(upstream.name)
+            if not upstream.is_following(confirmations.term):
+                await group.changed.wait(IDLE_WAIT_S)
+                continue
+            if offset is None:
+                await confirmations.added.wait(IDLE_WAIT_S)
+                continue
+            position = LogPosition(confirmations.term, offset)
+            try:
+                await upstream.poll(position, CONFIRM_CALL_S, received=True)
+            except UpstreamLostError:
+                await group.changed.wait(RETRY_PAUSE_S)
