End the opening of connections when an upstream is found lost

Cause: a request that was opening a connection when the primary froze waited out the 2 s of the opening, although the new primary was there after 0.4 s (seen in the log of test_replicas_bear_witness_when_no_peer_can_be_asked, which took 2.0 s). Change (in the pool, a module of another part): each opening is a task that stop_new_work ends; its caller gets UpstreamLostError at once. Proof: test_opening_ends_at_once_when_the_upstream_is_lost.

--- a/ebonyrack/upstreams/pool.py
+++ b/ebonyrack/upstreams/pool.py
@@ -41,6 +41,7 @@
         idle: Connections that nobody uses, the one used last at the end.
         busy: Connections in use, with the monotonic time of the grant.
         opening: Number of connections being opened.
+        attempts: Tasks that open them; ended when the pool stops taking work.
         is_accepting: Whether new work is taken.
         refused_limit: Places that were held when the upstream refused one more.
         refused_at_s: Monotonic time of that refusal, or None.
@@ -55,6 +56,7 @@
         "idle",
         "busy",
         "opening",
+        "attempts",
         "is_accepting",
         "refused_limit",
         "refused_at_s",
@@ -69,6 +71,7 @@
         self.idle: list[UpstreamConnection] = []
         self.busy: dict[UpstreamConnection, float] = {}
         self.opening = 0
+        self.attempts: set[asyncio.Task[UpstreamConnection]] = set()
         self.is_accepting = True
         self.refused_limit = 0
         self.refused_at_s: float | None = None
@@ -289,9 +292,37 @@
         """
         section = self.section
         timeout_s = max(0.0, min(OPEN_TIMEOUT_S, deadline_s - now_s()))
-        return await open_connection(
-            self.address, section.user, section.password, section.database, timeout_s
+        attempt = asyncio.create_task(
+            open_connection(
+                self.address,
+                section.user,
+                section.password,
+                section.database,
+                timeout_s,
+            )
         )
+        self.attempts.add(attempt)
+        try:
+            await asyncio.wait({attempt})
+        except asyncio.CancelledError:
+            await self.abandon_attempt(attempt)
+            raise
+        finally:
+            self.attempts.discard(attempt)
+        if attempt.cancelled():
+            raise self.build_stopped()
+        return attempt.result()
+
+    async def abandon_attempt(self, attempt: asyncio.Task[UpstreamConnection]) -> None:
+        """End an attempt whose caller gave up.
+
+        Args:
+            attempt: The task that opens the connection.
+        """
+        attempt.cancel()
+        await asyncio.wait({attempt})
+        if not attempt.cancelled() and attempt.exception() is None:
+            attempt.result().close()
 
     def check_opened(self, connection: UpstreamConnection) -> UpstreamConnection:
         """Give a new connection up if the pool stopped taking work meanwhile.
@@ -411,6 +442,8 @@
     def stop_new_work(self) -> None:
         """Refuse new work; connections in use may finish what they run."""
         self.is_accepting = False
+        for attempt in self.attempts:
+            attempt.cancel()
         self.close_idle()
         self.queue.fail_all(self.build_stopped)
 
--- a/ebonyrack/upstreams/pool_test.py
+++ b/ebonyrack/upstreams/pool_test.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ebonyrack.config.sections import GroupSection
+from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
@@ -98,6 +99,32 @@
         pool.release(await acquire(pool))
 
 
+async def test_opening_ends_at_once_when_the_upstream_is_lost():
+    def accept(reader, writer):
+        sessions.append(writer)
+
+    sessions = []
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    section = GroupSection(owner="database", upstreams=())
+    async with ConnectionPool(Address("127.0.0.1", port), section, 2) as pool:
+        opening = acquire(pool)
+        given_up = acquire(pool)
+        await wait_until(lambda: len(sessions) == 2)
+        given_up.cancel()
+        await asyncio.wait({given_up})
+        assert given_up.cancelled()
+        assert pool.open_count == 1
+        pool.stop_new_work()
+        with pytest.raises(UpstreamLostError, match="takes no new work"):
+            await opening
+        assert pool.open_count == 0
+    for writer in sessions:
+        writer.close()
+    server.close()
+    await server.wait_closed()
+
+
 async def test_deadline_ends_the_wait_with_a_time_to_come_back(upstream):
     async with build_pool(upstream, 1) as pool:
         held = await acquire(pool)
