Let replicas bear witness, and probe while a connection is being opened

Cause: (1) with two proxies of which one died together with the primary, nobody could be asked until the table of members noticed, 2 s later. (2) The task that polls also warmed the pool; an opening that hung kept it from noticing a frozen primary. Change: a ballot may begin without the peers' votes when replicas that make up a majority have heard nothing from the primary; warming is a task of its own. Ruled out: counting peers that don't answer as votes against the primary; a proxy cut off from its peers and the primary would depose it (test_proxy_that_reaches_no_one_but_a_replica_deposes_nobody).

--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -223,9 +223,12 @@
         """
         if not self.safeguards.asks_peers:
             return True
+        term = self.group.term
         vote = await ask_peers(
             self.group, self.hub, self.membership, suspicion.reason.needs_votes
         )
+        # Replicas that heard nothing outweigh peers that can't be asked.
+        witnessed = self.group.term == term and self.detector.is_witnessed()
         log_decision(
             "pre_vote",
             group=self.group.name,
@@ -236,8 +239,9 @@
             asked=vote.asked,
             reached=vote.reached,
             unreached=vote.unreached,
+            witnessed=witnessed,
         )
-        return vote.granted
+        return vote.granted or witnessed
 
     async def wait_turn(self, rank: int) -> bool:
         """Let the proxies of lower ranks act first.
--- a/ebonyrack/failover/detector.py
+++ b/ebonyrack/failover/detector.py
@@ -139,6 +139,22 @@
         )
         return Suspicion(SuspicionReason.CUT_FROM_REPLICAS, now_s() - silence_s)
 
+    def is_witnessed(self) -> bool:
+        """Tell whether the replicas themselves say that the primary is gone.
+
+        Returns:
+            Whether a majority of the upstreams, the primary not among them, answers
+            and has heard nothing from it for too long.
+        """
+        silent = [
+            upstream
+            for upstream in self.group.upstreams.values()
+            if upstream.name != self.group.primary_name
+            and upstream.is_reachable
+            and self.is_cut_off(upstream)
+        ]
+        return len(silent) >= self.group.majority
+
     def is_cut_off(self, upstream: Upstream) -> bool:
         """Tell whether a replica hears nothing from the primary.
 
--- a/ebonyrack/failover/failover_test.py
+++ b/ebonyrack/failover/failover_test.py
@@ -233,6 +233,48 @@
     await third.write_until_acknowledged("r-1")
 
 
+async def test_replicas_bear_witness_when_no_peer_can_be_asked(start_bench):
+    bench = await start_bench(proxies=2)
+    bench.network.isolate("proxy-1")
+    bench.standins.freeze("up-1")
+    for proxy in bench.proxies.values():
+        await proxy.write_until_acknowledged(f"r-{proxy.name}")
+
+
+async def test_proxy_that_reaches_no_one_but_a_replica_deposes_nobody(start_bench):
+    bench = await start_bench(proxies=2)
+    bench.network.isolate("proxy-1")
+    proxy = bench.by_rank()[0]
+
+    async def fail(deadline_s):
+        raise UpstreamLostError("the link is cut")
+
+    proxy.group.upstreams["up-1"].ask_status = fail
+    await until(lambda: proxy.group.upstreams["up-1"].state == "lost")
+    for _ in range(20):
+        await proxy.group.poll_all()
+        await proxy.group.changed.wait(0.02)
+    assert {item.group.term for item in bench.proxies.values()} == {1}
+
+
+async def test_freeze_is_noticed_while_connections_are_being_opened(start_bench):
+    bench = await start_bench()
+    proxy = bench.proxies["proxy-1"]
+    upstream = proxy.group.upstreams["up-1"]
+    bench.standins.freeze("up-1")
+    opening = asyncio.create_task(upstream.pool.acquire("tests", now_s() + 10))
+    warming = asyncio.create_task(upstream.pool.warm(3))
+    await until(lambda: proxy.group.primary_name != "up-1")
+    # Neither waits for the frozen primary any longer.
+    for task in (opening, warming):
+        try:
+            upstream.pool.release(await task)
+        except UpstreamLostError:
+            pass
+    assert upstream.pool.opening == 0
+    assert upstream.state == "lost"
+
+
 async def test_leaving_upstream_gets_no_new_work(start_bench):
     bench = await start_bench()
     proxy = bench.proxies["proxy-1"]
@@ -273,3 +315,16 @@
     await until(lambda: len(proxy.group.replicas()) == 2)
     assert proxy.group.upstreams["up-1"] is kept
     await proxy.write("r-1")
+
+
+async def test_group_without_a_primary_at_the_start_gets_one(start_bench):
+    bench = await start_bench(proxies=0)
+    for name in ("up-1", "up-2", "up-3"):
+        await bench.standins.kill(name)
+        await bench.standins.restart(name)
+    assert bench.standins.primary() is None
+    for number in range(3):
+        await bench.add_proxy(f"proxy-{number + 1}")
+    for name, proxy in bench.proxies.items():
+        await proxy.write_until_acknowledged(f"r-{name}")
+    bench.check_terms()
--- a/ebonyrack/failover/group_machine_test.py
+++ b/ebonyrack/failover/group_machine_test.py
@@ -173,6 +173,17 @@
             self.tasks.append(asyncio.create_task(coordinator.hold_ballot("test", {})))
         await asyncio.sleep(0.02)
 
+    @rule(name=st.sampled_from(PROXIES), to=st.sampled_from(UPSTREAMS))
+    def switch_over(self, name, to):
+        """Begin a planned switchover; under other faults it may fail."""
+        coordinator = self.bench.proxies[name].coordinator
+        self.tasks.append(self.loop.create_task(coordinator.switch_over(to)))
+
+    @rule(name=st.sampled_from(UPSTREAMS), leaving=st.booleans())
+    def mark_leaving(self, name, leaving):
+        for proxy in self.bench.proxies.values():
+            proxy.group.mark_leaving(name, leaving)
+
     @rule(name=st.sampled_from(PROXIES))
     def pause_before_promotion(self, name):
         self.bench.proxies[name].group.gate.clear()
@@ -260,6 +271,7 @@
         for proxy in self.bench.proxies.values():
             for upstream in proxy.group.upstreams.values():
                 upstream.__dict__.pop("call", None)
+                proxy.group.mark_leaving(upstream.name, False)
         await self.bench.mend()
         seen = {name: len(item.acknowledged) for name, item in self.writers.items()}
         await until(lambda: self.has_progressed(seen))
--- a/ebonyrack/upstreams/upstream_test.py
+++ b/ebonyrack/upstreams/upstream_test.py
@@ -106,3 +106,14 @@
     # An answer asked for later counts: the upstream was set up anew.
     upstream.note_status(old, now_s())
     assert upstream.status == old
+
+
+async def test_upstream_without_a_connection_to_spare_is_not_lost(standins):
+    standins["up-1"].options.connection_limit = 1
+    section = standins.section()
+    async with Upstream(section.upstreams[0], section, 6) as first:
+        await first.poll()
+        async with Upstream(section.upstreams[0], section, 6) as second:
+            with pytest.raises(UpstreamLostError):
+                await second.poll()
+            assert second.state == "unknown"
--- a/ebonyrack/upstreams/watch.py
+++ b/ebonyrack/upstreams/watch.py
@@ -24,6 +24,7 @@
 IDLE_WAIT_S = 10.0
 RETRY_PAUSE_S = 0.02
 WARM_CONNECTIONS = 1
+WARM_INTERVAL_S = 1.0
 
 
 class UpstreamWatch:
@@ -49,6 +50,7 @@
         self.tasks = (
             asyncio.create_task(self.probe()),
             asyncio.create_task(self.confirm()),
+            asyncio.create_task(self.keep_warm()),
         )
 
     async def stop(self) -> None:
@@ -65,7 +67,6 @@
             started_s = now_s()
             try:
                 await self.upstream.poll()
-                await self.warm_pool()
             except UpstreamLostError:
                 # The upstream has noted it; the next round polls again.
                 pass
@@ -85,15 +86,19 @@
             return max(BUSY_PROBE_INTERVAL_S, group.section.probe_interval_s)
         return IDLE_PROBE_INTERVAL_S
 
-    async def warm_pool(self) -> None:
-        """Keep a connection open, as the upstream is or may become primary.
+    async def keep_warm(self) -> None:
+        """Keep a connection open for ever, as the upstream is or may become primary.
 
-        Raises:
-            UpstreamLostError: If it can't be reached.
+        A task of its own, since opening may hang where a poll must notice it.
         """
         upstream = self.upstream
-        if upstream.state == "answering" and upstream.pool.open_count == 0:
-            await upstream.pool.warm(WARM_CONNECTIONS)
+        while True:
+            if upstream.state == "answering" and upstream.pool.open_count == 0:
+                try:
+                    await upstream.pool.warm(WARM_CONNECTIONS)
+                except UpstreamLostError as error:
+                    self.group.report_lost(upstream.name, error.reason)
+            await self.group.changed.wait(WARM_INTERVAL_S)
 
     async def confirm(self) -> None:
         """Ask the replica for ever for the positions that waiting writes need."""
