Read only changed sections, and tell of a revision once a link

A document read by its changes equals the one read as a whole, in a test of twelve kinds of change; any fault still brings the whole list. A proxy now tells its own links only; each that takes the revision does so too.

--- a/ebonyrack/config/document.py
+++ b/ebonyrack/config/document.py
@@ -4,13 +4,14 @@
 
 from dataclasses import dataclass
 from dataclasses import field
-from typing import Any
 
+from ebonyrack.config.references import Records
 from ebonyrack.config.references import check_references
 from ebonyrack.config.sections import ApplicationSection
 from ebonyrack.config.sections import GroupSection
 from ebonyrack.config.sections import NetworkSection
 from ebonyrack.config.sections import OperatorSection
+from ebonyrack.config.text import PREAMBLE
 from ebonyrack.config.text import split_sections
 from ebonyrack.core.ini import Fault
 from ebonyrack.core.ini import Section
@@ -32,6 +33,7 @@
     Attributes:
         revision: Number of the revision; 0 is the empty document.
         text: The INI text.
+        texts: Title of each section to its text.
         groups: Database groups by name.
         applications: Booking applications by name.
         networks: Networks by name.
@@ -40,6 +42,7 @@
 
     revision: int
     text: str
+    texts: dict[str, str] = field(default_factory=dict, repr=False)
     groups: dict[str, GroupSection] = field(default_factory=dict)
     applications: dict[str, ApplicationSection] = field(default_factory=dict)
     networks: dict[str, NetworkSection] = field(default_factory=dict)
@@ -50,7 +53,10 @@
 
 
 def parse_document(
-    text: str, revision: int, source: str = "document"
+    text: str,
+    revision: int,
+    source: str = "document",
+    previous: Document = EMPTY_DOCUMENT,
 ) -> tuple[Document | None, tuple[Fault, ...]]:
     """Read and check a document as a whole.
 
@@ -58,15 +64,26 @@
         text: The INI text.
         revision: Revision that the text is or would become.
         source: Name of the text, for faults.
+        previous: A document of which unchanged sections are taken over.
 
     Returns:
         The document, or None with every fault found.
     """
+    document = parse_changes(text, revision, source, previous)
+    if document is not None:
+        return document, ()
+    return parse_whole(text, revision, source)
+
+
+def parse_whole(
+    text: str, revision: int, source: str
+) -> tuple[Document | None, tuple[Fault, ...]]:
+    """Read all sections; list the faults of the whole document."""
     sections, faults = parse_ini(text, source)
     if faults:
         return None, faults
     found: list[Fault] = []
-    records: dict[str, dict[str, Any]] = {kind: {} for kind in SECTION_KINDS}
+    records: Records = {kind: {} for kind in SECTION_KINDS}
     for title, values in sections.items():
         kind, _, name = title.partition(" ")
         if kind not in SECTION_KINDS or not name:
@@ -82,15 +99,79 @@
     found.extend(check_references(records, source))
     if found:
         return None, tuple(found)
-    document = Document(
+    return build_document(text, revision, split_sections(text), records), ()
+
+
+def parse_changes(
+    text: str, revision: int, source: str, previous: Document
+) -> Document | None:
+    """Read only the sections that differ from a document.
+
+    Large documents change by a section at a time, and reading all of one would
+    hold up the requests of the process.
+
+    Args:
+        text: The INI text.
+        revision: Revision that the text is or would become.
+        source: Name of the text, for faults.
+        previous: The document to which it is compared.
+
+    Returns:
+        The document, or None if there is any fault.
+    """
+    texts = split_sections(text)
+    changed = {
+        title: body
+        for title, body in texts.items()
+        if previous.texts.get(title) != body
+    }
+    sections, faults = parse_ini("".join(changed.values()), source)
+    is_plain = "".join(texts.values()) == text
+    if faults or not is_plain or set(sections) != set(changed) - {PREAMBLE}:
+        return None
+    records: Records = {kind: {} for kind in SECTION_KINDS}
+    for title in texts:
+        kind, _, name = title.partition(" ")
+        if title == PREAMBLE:
+            continue
+        if title not in changed:
+            records[kind][name] = get_records(previous)[kind][name]
+            continue
+        if kind not in SECTION_KINDS or not name:
+            return None
+        records[kind][name], faults = check_section(
+            SECTION_KINDS[kind], sections[title], source, title
+        )
+        if faults:
+            return None
+    if check_references(records, source):
+        return None
+    return build_document(text, revision, texts, records)
+
+
+def get_records(document: Document) -> Records:
+    """Return the sections of a document by kind and name."""
+    return {
+        "group": document.groups,
+        "application": document.applications,
+        "network": document.networks,
+        "operator": document.operators,
+    }
+
+
+def build_document(
+    text: str, revision: int, texts: dict[str, str], records: Records
+) -> Document:
+    """Build the record of a document that has no faults."""
+    return Document(
         revision=revision,
         text=text,
+        texts=texts,
         groups=records["group"],
         applications=records["application"],
         networks=records["network"],
         operators=records["operator"],
     )
-    return document, ()
 
 
 def check_headers(
--- a/ebonyrack/config/document_test.py
+++ b/ebonyrack/config/document_test.py
@@ -1,6 +1,7 @@
 import pytest
 
 from ebonyrack.config.document import parse_document
+from ebonyrack.config.document import parse_whole
 
 GOOD = """
 [group scheduling-a]
@@ -71,3 +72,34 @@
     document, faults = parse_document(GOOD + hidden, 7)
     assert document is None
     assert any("header" in fault.text for fault in faults)
+
+
+@pytest.mark.parametrize(
+    "old, new",
+    [
+        ("user = booking", "user = other"),
+        ("[application booking]", "[application other]"),
+        ("[application booking]", "[DEFAULT]"),
+        ("[application booking]", "[group scheduling-a]"),
+        ("[application booking]", "  [application booking]"),
+        ("[group scheduling-a]", "[group scheduling-b]"),
+        ("owner = booking", "colour = red"),
+        ("groups = scheduling-a", "groups = a b"),
+        ("[group scheduling-a]", "# A note.\n[group scheduling-a]"),
+        ("[group scheduling-a]", "x = 1\n[group scheduling-a]"),
+        ("owner = databases", "owner = databases\nowner = others"),
+        (GOOD, ""),
+    ],
+)
+def test_a_document_read_by_its_changes_is_the_same(old, new):
+    previous, _ = parse_document(GOOD, 1)
+    text = GOOD.replace(old, new)
+    assert parse_document(text, 2, previous=previous) == parse_whole(
+        text, 2, "document"
+    )
+
+
+def test_unchanged_sections_are_taken_over():
+    previous, _ = parse_document(GOOD, 1)
+    document, _ = parse_document(GOOD.replace("user =", "user  ="), 2, "x", previous)
+    assert document.groups["scheduling-a"] is previous.groups["scheduling-a"]
--- a/ebonyrack/config/edit.py
+++ b/ebonyrack/config/edit.py
@@ -8,6 +8,7 @@
 
 from result import Err
 
+from ebonyrack.config.document import EMPTY_DOCUMENT
 from ebonyrack.config.document import Document
 from ebonyrack.config.document import parse_document
 from ebonyrack.config.ownership import find_denied_sections
@@ -185,7 +186,7 @@
         if self.pending_index is not None and index > self.pending_index:
             # Another change took the index that the lost swap named.
             self.pending_index = None
-        checked = check_edit(self.edit, stored)
+        checked = check_edit(self.edit, stored, self.state.document)
         if isinstance(checked, Refused):
             return self.refuse(checked)
         return await self.swap(checked, index)
@@ -244,12 +245,15 @@
         return None
 
 
-def check_edit(edit: Edit, stored: StoredDocument) -> Refused | StoredDocument:
+def check_edit(
+    edit: Edit, stored: StoredDocument, in_force: Document = EMPTY_DOCUMENT
+) -> Refused | StoredDocument:
     """Check an edit against a document as a whole.
 
     Args:
         edit: What is to be changed.
         stored: The document that it would change.
+        in_force: A document of which unchanged sections needn't be read again.
 
     Returns:
         Why it is refused, or the document with the change.
@@ -259,11 +263,11 @@
         return conflict
     text = apply_changes(stored.text, edit.changes)
     revision = stored.revision + 1
-    wanted, faults = parse_document(text, revision)
+    found, _ = parse_document(stored.text, stored.revision, previous=in_force)
+    present = found or EMPTY_DOCUMENT
+    wanted, faults = parse_document(text, revision, previous=present)
     if wanted is None:
         return Refused(tuple(str(fault) for fault in faults))
-    found, _ = parse_document(stored.text, stored.revision)
-    present = found or Document(0, "")
     present_time_s = int(time.time())
     denied = find_denied_sections(edit, present, wanted)
     denied += check_upstream_changes(present, wanted, stored.history, present_time_s)
--- a/ebonyrack/config/fault_matrix_test.py
+++ b/ebonyrack/config/fault_matrix_test.py
@@ -95,7 +95,7 @@
             return
         owner, name = {
             "check": (edit_module, "check_edit"),
-            "spread": (first.hub, "broadcast"),
+            "spread": (first.hub, "send_to_links"),
             "swap_in": (self.third.state.__class__, "offer"),
         }[step]
         function = getattr(owner, name)
--- a/ebonyrack/config/ownership.py
+++ b/ebonyrack/config/ownership.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Any
 
 from ebonyrack.config.document import Document
+from ebonyrack.config.document import get_records
 
 if TYPE_CHECKING:
     from ebonyrack.config.edit import Edit
@@ -52,15 +52,5 @@
     kind, _, name = title.partition(" ")
     if kind in ("", "operator"):
         return {ADMINISTRATORS}
-    section = get_sections(document, kind).get(name)
+    section = get_records(document).get(kind, {}).get(name)
     return set() if section is None else {section.owner}
-
-
-def get_sections(document: Document, kind: str) -> dict[str, Any]:
-    """Return the sections of one kind by name."""
-    tables: dict[str, dict[str, Any]] = {
-        "group": document.groups,
-        "application": document.applications,
-        "network": document.networks,
-    }
-    return tables.get(kind, {})
--- a/ebonyrack/config/spread.py
+++ b/ebonyrack/config/spread.py
@@ -51,9 +51,12 @@
         hub.handle(AskDocument, self.receive_ask)
 
     def tell_peers(self, document: Document) -> None:
-        """Tell all peers of a revision that came into force here."""
+        """Tell the linked peers of a revision that came into force here.
+
+        Each of them does the same when it runs the revision, so it reaches all.
+        """
         self.hub.revision = document.revision
-        self.hub.broadcast(DocumentNews(document.revision))
+        self.hub.send_to_links(DocumentNews(document.revision), None)
 
     async def receive_news(self, link: PeerLink, news: DocumentNews) -> None:
         """Fetch a revision that a peer tells of."""
--- a/ebonyrack/config/state.py
+++ b/ebonyrack/config/state.py
@@ -77,7 +77,9 @@
         if stored.revision <= self.revision:
             self.note_not_newer(stored, source)
             return False
-        document, faults = parse_document(stored.text, stored.revision)
+        document, faults = parse_document(
+            stored.text, stored.revision, previous=self.document
+        )
         if document is None:
             self.rejected_revision = max(self.rejected_revision, stored.revision)
             reasons = [str(fault) for fault in faults]
--- a/ebonyrack/config/watch_test.py
+++ b/ebonyrack/config/watch_test.py
@@ -203,7 +203,7 @@
     await fleet.wait_revision(await accept(first))
     watcher = first if first.watch.is_watcher else second
     other = second if watcher is first else first
-    watcher.hub.broadcast = lambda message: None
+    watcher.hub.send_to_links = lambda message, source: None
     async with asyncio.timeout(10):
         await accept(watcher, "user = booking", "user = new", "second")
     assert Heartbeat in other.hub.callbacks
