Close links that are needed no more; look into a broken link at once

At 100 proxies each had 25 links instead of 8 (demo/control_plane.sh 100 3 20): those of the start-up and of the tries between members without a link stayed, and would have grown to all. The dialler now closes what it needs no more and says so, since a link that breaks without a word is looked into at once: the member is asked by a fresh question, by this proxy and by witnesses. A link that only seems open no longer counts as an answer. Above 8 proxies heartbeats come every 0.6 s in place of 1 s.

--- a/ebonyrack/peers/contacts.py
+++ b/ebonyrack/peers/contacts.py
@@ -27,6 +27,7 @@
 RECONTACT_INTERVAL_S = 5.0
 CHECK_INTERVAL_S = 0.5
 HIGHER_NAME_DELAY_S = 0.3
+UNNEEDED_AFTER_S = 10.0
 
 
 @dataclass(slots=True)
@@ -111,6 +112,7 @@
             for address in self.find_wanted():
                 self.dial_if_due(address)
             self.forget_unwanted()
+            self.close_unneeded()
             try:
                 async with asyncio.timeout(CHECK_INTERVAL_S * random.uniform(0.8, 1)):
                     await self.woken.wait()
@@ -119,6 +121,20 @@
             except TimeoutError:
                 continue
 
+    def close_unneeded(self) -> None:
+        """Close links that this proxy dialled and needs no more.
+
+        The other side dials for itself if it needs the link.
+        """
+        if not self.is_sparse:
+            return
+        needed = {member.name for member in self.choose_members()}
+        oldest_s = now_s() - UNNEEDED_AFTER_S
+        for name, link in tuple(self.hub.links.items()):
+            is_old = link.opened_at_s < oldest_s
+            if link.is_dialler and is_old and name not in needed:
+                self.hub.unlink(link)
+
     def find_wanted(self) -> list[Address]:
         """Return the addresses to which a link is wanted and missing."""
         membership = self.hub.membership
--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from ebonyrack.peers.hub import PeerHub
 
-SPARSE_INTERVAL_FACTOR = 5
+SPARSE_INTERVAL_FACTOR = 3
 MISSED_HEARTBEATS = 4
 NEWS_IN_HEARTBEAT = 16
 NEWS_DELAY_S = 0.02
@@ -217,17 +217,13 @@
         return ReachReply(await self.probe(message.name))
 
     async def probe(self, name: str) -> bool:
-        """Return whether a member gives a sign of life to this proxy itself."""
-        entry = self.hub.membership.entries.get(name)
-        if entry is None:
-            return False
-        if self.measure_silence(entry) < self.find_suspect_after(entry):
-            return name in self.hub.links
+        """Return whether a member answers this proxy itself."""
+        if name == self.hub.membership.own.name:
+            return True
         try:
-            await self.hub.ask(name, AskMembers(), self.interval_s)
+            await self.hub.ask(name, AskReach(name), 2 * self.interval_s)
         except PeerLostError:
             return False
-        self.hub.membership.note_heard(name)
         return True
 
     def check_silence(self) -> None:
@@ -273,17 +269,30 @@
             task.add_done_callback(lambda _: self.checks.pop(name, None))
 
     async def check_member(self, name: str) -> None:
-        """Suspect a silent member that neither this proxy nor others reach."""
-        if await self.ask_witnesses(name):
-            self.hub.membership.note_heard(name)
-            return
+        """Suspect a member that answers neither this proxy nor the witnesses."""
+        started_s = now_s()
+        answers = await asyncio.gather(self.probe(name), self.ask_witnesses(name))
         entry = self.hub.membership.entries.get(name)
-        if entry is None or not self.is_silent(entry):
+        if entry is None or entry.member.state is MemberState.DEAD:
             return
-        if entry.member.state is MemberState.LEAVING:
-            self.hub.membership.bury(name)
+        if any(answers):
+            self.note_reached(name)
+        elif (entry.heard_at_s or 0.0) < started_s:
+            self.doubt(entry.member)
+
+    def note_reached(self, name: str) -> None:
+        """Note that a silent member lives; without a link others watch it."""
+        if self.hub.contacts.is_sparse and name not in self.hub.links:
+            self.hub.membership.stop_listening(name)
+        else:
+            self.hub.membership.note_heard(name)
+
+    def doubt(self, member: Member) -> None:
+        """Suspect a member; one that said it leaves has left."""
+        if member.state is MemberState.LEAVING:
+            self.hub.membership.bury(member.name)
         else:
-            self.hub.membership.suspect(name)
+            self.hub.membership.suspect(member.name)
 
     async def ask_witnesses(self, name: str) -> bool:
         """Return whether any of a few other peers reaches a member."""
@@ -297,7 +306,7 @@
     async def ask_witness(self, peer: str, name: str) -> bool:
         """Return whether one peer reaches a member."""
         try:
-            reply = await self.hub.ask(peer, AskReach(name), 2 * self.interval_s)
+            reply = await self.hub.ask(peer, AskReach(name), 3 * self.interval_s)
         except PeerLostError:
             return False
         return isinstance(reply, ReachReply) and reply.is_reachable
--- a/ebonyrack/peers/hub.py
+++ b/ebonyrack/peers/hub.py
@@ -32,6 +32,7 @@
 from ebonyrack.peers.messages import Member
 from ebonyrack.peers.messages import MemberState
 from ebonyrack.peers.messages import Message
+from ebonyrack.peers.messages import Unlink
 from ebonyrack.peers.messages import build_message
 from ebonyrack.peers.messages import get_fields
 
@@ -59,6 +60,7 @@
         link_callbacks: Called with each new link to a peer.
         pause_callbacks: Called with the seconds for which this process was paused.
         server: Listener; set while open.
+        is_closing: Whether this proxy closes its links itself.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -78,7 +80,9 @@
         self.server: asyncio.Server | None = None
         self.accepted = 0
         self.handle(Flood, self.receive_flood)
+        self.is_closing = False
         self.handle(Leaving, self.receive_leaving)
+        self.handle(Unlink, self.receive_unlink)
 
     async def __aenter__(self) -> PeerHub:
         address = self.settings.proxy.peer_address
@@ -98,6 +102,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        self.is_closing = True
         await self.heartbeat.__aexit__(kind, error, traceback)
         await self.contacts.__aexit__(kind, error, traceback)
         if self.server is not None:
@@ -255,10 +260,27 @@
         return link.is_dialler == (self.membership.own.name < link.member.name)
 
     def drop(self, link: PeerLink) -> None:
-        """Forget a link that ended."""
-        if link.remote is not None and self.links.get(link.member.name) is link:
-            del self.links[link.member.name]
-            self.contacts.wake()
+        """Forget a link that ended; look after a peer whose link broke."""
+        if link.remote is None or self.links.get(link.member.name) is not link:
+            return
+        name = link.member.name
+        del self.links[name]
+        self.contacts.wake()
+        if link.is_unlinked:
+            self.membership.stop_listening(name)
+        elif not self.is_closing:
+            self.heartbeat.start_check(name)
+
+    def unlink(self, link: PeerLink) -> None:
+        """Close a link that is needed no more, without a doubt about the peer."""
+        link.is_unlinked = True
+        link.send(Unlink())
+        link.close()
+
+    async def receive_unlink(self, link: PeerLink, message: Unlink) -> None:
+        """Close a link that the other side needs no more."""
+        link.is_unlinked = True
+        link.close()
 
     def close_dead(self, member: Member) -> None:
         """Close the link to a member that is held for dead."""
--- a/ebonyrack/peers/hub_test.py
+++ b/ebonyrack/peers/hub_test.py
@@ -7,6 +7,7 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.settings import parse_settings
+from ebonyrack.peers import contacts
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.link import build_hello
@@ -145,6 +146,35 @@
         assert all_live(hubs)
 
 
+async def test_unneeded_links_are_closed_and_nobody_is_doubted(monkeypatch):
+    monkeypatch.setattr(contacts, "UNNEEDED_AFTER_S", 0.0)
+    async with start_hubs(14) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        states = []
+        for hub in hubs:
+            hub.membership.subscribe(lambda member: states.append(member.state))
+        await wait_until(lambda: all(map(has_needed_links_only, hubs)))
+        assert MemberState.DEAD not in states
+        assert all_live(hubs)
+
+
+def has_needed_links_only(hub):
+    needed = {member.name for member in hub.contacts.choose_members()}
+    dialled = {name for name, link in hub.links.items() if link.is_dialler}
+    return dialled <= needed <= set(hub.links)
+
+
+async def test_a_broken_link_is_looked_into_at_once():
+    async with start_hubs(3) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        await wait_until(lambda: all(len(hub.links) == 2 for hub in hubs))
+        checked = []
+        hubs[0].heartbeat.start_check = checked.append
+        hubs[0].links["proxy-1"].close()
+        await wait_until(lambda: checked)
+        assert checked == ["proxy-1"]
+
+
 async def refuse_to_dial(address):
     raise PeerLostError("the link is cut")
 
--- a/ebonyrack/peers/link.py
+++ b/ebonyrack/peers/link.py
@@ -84,7 +84,9 @@
         traffic: Counters of the owner.
         remote: What the other side said of itself.
         operator: Name of the operator that proved its identity, or empty.
+        opened_at_s: Time of the connection.
         heard_at_s: Time of the last frame received.
+        is_unlinked: Whether either side closes it only for needing it no more.
         is_closed: Set when the link has ended.
     """
 
@@ -107,7 +109,9 @@
         self.traffic = traffic
         self.remote: Hello | None = None
         self.operator = ""
+        self.opened_at_s = now_s()
         self.heard_at_s = now_s()
+        self.is_unlinked = False
         self.is_closed = asyncio.Event()
         # Small reads keep what follows the proof out of the small first buffer.
         self.read_bytes = HANDSHAKE_READ_BYTES
--- a/ebonyrack/peers/membership.py
+++ b/ebonyrack/peers/membership.py
@@ -254,6 +254,12 @@
         if interval_s is not None:
             entry.interval_s = interval_s
 
+    def stop_listening(self, name: str) -> None:
+        """Expect no more signs of life of a member; its neighbours watch it."""
+        entry = self.entries.get(name)
+        if entry is not None:
+            entry.heard_at_s = None
+
     def forgive_silence(self) -> None:
         """Start all waits for signs of life again, after a pause of this process."""
         for entry in self.entries.values():
--- a/ebonyrack/peers/messages.py
+++ b/ebonyrack/peers/messages.py
@@ -179,7 +179,7 @@
 @register_message(13)
 @dataclass(frozen=True, slots=True)
 class AskReach(Message):
-    """Question whether a member that fell silent answers the receiver."""
+    """Question whether a member answers the receiver; it says yes for itself."""
 
     name: str
 
@@ -200,6 +200,12 @@
     member: MemberField
 
 
+@register_message(17)
+@dataclass(frozen=True, slots=True)
+class Unlink(Message):
+    """The sender closes this link since it needs it no more; it goes on itself."""
+
+
 @register_message(16)
 @dataclass(frozen=True, slots=True)
 class Flood(Message):
