--- a/ebonyrack/load/context.py
+++ b/ebonyrack/load/context.py
@@ -26,6 +26,7 @@
         trials: Trials of each condition.
         duration_s: Length of each condition, in seconds.
         policies: Policies to compare; empty for all.
+        faults: Faults to inject; empty for all.
     """
 
     cluster: Cluster
@@ -35,6 +36,7 @@
     trials: int
     duration_s: float
     policies: tuple[str, ...] = ()
+    faults: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/ebonyrack/load/failover_gap.py
+++ b/ebonyrack/load/failover_gap.py
@@ -29,9 +29,9 @@
 
 WRITERS = 12
 THINK_S = 0.02
-WARM_UP_S = 1.0
-RESUME_LIMIT_S = 20.0
-AFTER_FAULT_S = 1.5
+WARM_UP_S = 0.5
+RESUME_LIMIT_S = 15.0
+AFTER_FAULT_S = 0.7
 FINISH_LIMIT_S = 20.0
 LONG_AFTER_S = 3600.0
 STORE_STATES = (True, False)
@@ -100,7 +100,7 @@
         for store_is_up in STORE_STATES:
             await context.cluster.set_platform(is_down=not store_is_up)
             try:
-                for fault in PRIMARY_FAULTS.entries:
+                for fault in context.faults or PRIMARY_FAULTS.entries:
                     rows = await run_condition(context, policy, store_is_up, fault)
                     trials += rows
                     summary.append(summarize(rows))
--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -122,6 +122,7 @@
     experiment.add_argument("--trials", type=int, default=20)
     experiment.add_argument("--duration-s", type=read_positive, default=15.0)
     experiment.add_argument("--policies", nargs="*", default=[])
+    experiment.add_argument("--faults", nargs="*", default=[])
     experiment.add_argument("--results", type=Path, default=Path("results"))
 
 
@@ -217,6 +218,7 @@
             trials=arguments.trials,
             duration_s=arguments.duration_s,
             policies=tuple(arguments.policies),
+            faults=tuple(arguments.faults),
         )
         result = await EXPERIMENTS.get(arguments.name)(context)
     path = write_results(arguments.results, arguments.name, result.trials)
