--- a/ebonyrack/standins/locks.py
+++ b/ebonyrack/standins/locks.py
@@ -23,6 +23,7 @@
 EQUAL = re.compile(rf"\"?(\w+)\"?\s*=\s*({VALUE})")
 EMPTY_CALL = re.compile(r"\w+\(\s*\)")
 ROW = re.compile(r"\(([^()]*)\)")
+AFTER_ROWS = re.compile(r"\b(?:ON\s+CONFLICT|RETURNING)\b", re.IGNORECASE)
 
 
 class ValueLocks:
@@ -111,6 +112,7 @@
     table, names, rows = insert.groups()
     unique = unique_columns.get(table, set())
     columns = [name.strip().strip('"') for name in names.split(",")]
+    rows = AFTER_ROWS.split(rows)[0]
     for row in ROW.findall(EMPTY_CALL.sub("0", rows)):
         for column, value in zip(columns, row.split(","), strict=False):
             if column in unique:
--- a/ebonyrack/standins/locks_test.py
+++ b/ebonyrack/standins/locks_test.py
@@ -9,7 +9,8 @@
     "text, values, claims",
     [
         (
-            "INSERT INTO requests (key, outcome, at) VALUES ('k', '', now())",
+            "INSERT INTO requests (key, outcome, at) VALUES ('k', '', now())"
+            " ON CONFLICT (key) DO NOTHING",
             (),
             {"requests.key=k"},
         ),
