--- a/demo/bench.sh
+++ b/demo/bench.sh
@@ -13,4 +13,7 @@
 slots = 64
 queue_limit = 5000" info true
 "$PYTHON" -m ebonyrack.scripts.load bench --proxy "${PROXIES[0]}" \
-  --upstream "$NET.11:6432" --proxy-pid "${PROXY_PIDS[0]}" --results "$RESULTS"
+  --upstream "$NET.11:6432" --proxy-pid "${PROXY_PIDS[0]}" --results "$RESULTS" &
+PIDS+=("$!")
+# A wait, unlike a command in the foreground, lets a signal clean up at once.
+wait "$!"
--- a/ebonyrack/load/booking.py
+++ b/ebonyrack/load/booking.py
@@ -30,6 +30,7 @@
         record: What callers were told.
         findings: What the group holds.
         duration_s: How long it ran, in seconds.
+        done_in_time: Operations done before the last moment at which one may start.
         failover_gap_s: Longest time between two acknowledged writes around the
             fault, or in the whole run if no fault was marked.
     """
@@ -37,6 +38,7 @@
     record: WorkloadRecord
     findings: GroupFindings
     duration_s: float
+    done_in_time: int
     failover_gap_s: float
 
     @property
@@ -115,10 +117,12 @@
     async with asyncio.TaskGroup() as tasks:
         for caller in crowd:
             tasks.create_task(caller.run(stop_s, stop_s + FINISH_LIMIT_S))
+        await asyncio.sleep(duration_s)
+        done_in_time = len(record.acknowledged) + record.reads
     elapsed_s = now_s() - started_s
     findings = await check_group(upstreams, record, options.run_id)
     gap_s = record.find_gap_s(read_mark(mark))
-    return BookingResult(record, findings, elapsed_s, gap_s)
+    return BookingResult(record, findings, elapsed_s, done_in_time, gap_s)
 
 
 def format_table(summary: dict[str, Any]) -> str:
--- a/ebonyrack/load/experiments_test.py
+++ b/ebonyrack/load/experiments_test.py
@@ -9,6 +9,7 @@
 from ebonyrack.load.context import EXPERIMENTS
 from ebonyrack.load.failover_gap import PRIMARY_FAULTS
 from ebonyrack.load.failover_gap import find_parts
+from ebonyrack.load.report import draw_report
 from ebonyrack.load.results import format_rows
 from ebonyrack.load.results import read_results
 from ebonyrack.load.results import write_results
@@ -74,3 +75,12 @@
     header, read = read_results(write_results(tmp_path, "name", rows))
     assert read == rows and header["processors"]
     assert format_rows(rows).splitlines()[-1] == "| 0.1235 | x |"
+
+
+def test_report_draws_a_plot_of_each_result(tmp_path):
+    row = {"policy": "majority", "fault": "kill", "store_up": True, "gap_s": 0.1}
+    write_results(tmp_path, "failover_gap", [row])
+    write_results(tmp_path, "unknown", [row])
+    drawn = draw_report(tmp_path, tmp_path / "plots")
+    assert [path.name for path in drawn] == ["failover_gap.png"]
+    assert drawn[0].stat().st_size > 0
--- a/ebonyrack/load/goodput.py
+++ b/ebonyrack/load/goodput.py
@@ -18,8 +18,10 @@
 STATEMENT_COST_S = 0.02
 LOADS = (1, 2, 5)
 THINK_S = 0.5
-# Reads are served by replicas, each operation is one statement there.
-CAPACITY_OPERATIONS_PER_S = 2 * SITES["siam"].slots / STATEMENT_COST_S
+# Nine of ten operations are reads, each one statement on one of two replicas. The
+# primary carries the writes, three statements each, within its own slots.
+READ_SHARE = 0.9
+CAPACITY_OPERATIONS_PER_S = 2 * SITES["siam"].slots / STATEMENT_COST_S / READ_SHARE
 UNBOUNDED: dict[str, object] = {"queue_limit": 100_000, "queue_wait_s": 60.0}
 QUEUES: dict[str, dict[str, object]] = {"bounded": {}, "unbounded": UNBOUNDED}
 
@@ -50,13 +52,12 @@
                 context.upstreams, options, callers, context.duration_s
             )
             figures = result.summarize()
-            done = figures["acknowledged"] + figures["reads"]
             rows.append(
                 {
                     "queue": queue,
                     "load": load,
                     "callers": callers,
-                    "goodput_per_s": round(done / figures["duration_s"], 1),
+                    "goodput_per_s": round(result.done_in_time / context.duration_s, 1),
                     "refusals": sum(figures["failures"].values()),
                     **{name: figures[name] for name in SHOWN},
                 }
--- /dev/null
+++ b/ebonyrack/load/report.py
@@ -0,0 +1,172 @@
+"""Draws the plots of result files."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ebonyrack.core.registry import Registry
+from ebonyrack.load.results import Row
+from ebonyrack.load.results import read_results
+
+WIDTH_INCHES = 8.0
+HEIGHT_INCHES = 4.5
+DOTS_PER_INCH = 110
+MEDIAN_TARGET_S = 0.5
+P99_TARGET_S = 1.0
+SHARE_TARGET = 0.95
+
+Plot = Callable[[Any, list[Row]], None]
+PLOTS: Registry[Plot] = Registry("plot")
+
+
+def draw_report(results: Path, plots: Path) -> list[Path]:
+    """Draw a plot for each result file that has one.
+
+    Args:
+        results: Directory of the result files.
+        plots: Directory of the pictures.
+
+    Returns:
+        The pictures.
+    """
+    # The library is large and only this command needs it.
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    plots.mkdir(parents=True, exist_ok=True)
+    drawn = []
+    for name, plot in PLOTS.entries.items():
+        source = results / f"{name}.jsonl"
+        if not source.exists():
+            continue
+        _, rows = read_results(source)
+        figure, axes = pyplot.subplots(figsize=(WIDTH_INCHES, HEIGHT_INCHES))
+        plot(axes, rows)
+        figure.tight_layout()
+        target = plots / f"{name}.png"
+        figure.savefig(target, dpi=DOTS_PER_INCH)
+        pyplot.close(figure)
+        drawn.append(target)
+    return drawn
+
+
+def find_distinct(rows: list[Row], *names: str) -> list[tuple[Any, ...]]:
+    """Return the distinct values of some fields, in order of appearance."""
+    return list(dict.fromkeys(tuple(row[name] for name in names) for row in rows))
+
+
+def spread_points(column: int, count: int) -> list[float]:
+    """Return places side by side in a column for some points."""
+    return [column + (index / count - 0.5) * 0.5 for index in range(count)]
+
+
+def place_bars(number: int, width: float, count: int) -> list[float]:
+    """Return the places of one series of bars, one in each of some clusters."""
+    return [index + (number + 0.5) * width - 0.4 for index in range(count)]
+
+
+@PLOTS.register("failover_gap")
+def plot_failover_gap(axes: Any, rows: list[Row]) -> None:
+    """Draw the gap of each trial, one column for each condition."""
+    conditions = find_distinct(rows, "policy", "fault", "store_up")
+    labels = []
+    for column, (policy, fault, store_up) in enumerate(conditions):
+        gaps = [
+            row["gap_s"]
+            for row in rows
+            if (row["policy"], row["fault"], row["store_up"])
+            == (policy, fault, store_up)
+        ]
+        spread = [
+            column + (index / len(gaps) - 0.5) * 0.5 for index in range(len(gaps))
+        ]
+        axes.scatter(spread, gaps, s=12)
+        labels.append(f"{policy}\n{fault}\nstore {'up' if store_up else 'down'}")
+    axes.axhline(MEDIAN_TARGET_S, linestyle="--", color="grey", linewidth=1)
+    axes.axhline(P99_TARGET_S, linestyle=":", color="grey", linewidth=1)
+    axes.set_xticks(range(len(labels)), labels, fontsize=7)
+    axes.set_yscale("log")
+    axes.set_ylabel("failover gap (s)")
+    axes.set_title(
+        "Gap between acknowledged writes, each trial; lines at 0.5 s and 1 s"
+    )
+
+
+@PLOTS.register("replica_share")
+def plot_replica_share(axes: Any, rows: list[Row]) -> None:
+    """Draw the share of reads on replicas for each policy and crowd."""
+    series = find_distinct(rows, "policy", "crowd")
+    places = find_distinct(rows, "site", "lag_ms")
+    width = 0.8 / len(series)
+    for number, (policy, crowd) in enumerate(series):
+        shares = []
+        for site, lag_ms in places:
+            matching = [
+                row["replica_read_share"] or 0.0
+                for row in rows
+                if (row["site"], row["lag_ms"]) == (site, lag_ms)
+                and (row["policy"], row["crowd"]) == (policy, crowd)
+            ]
+            shares.append(matching[0] if matching else 0.0)
+        positions = [
+            index + (number + 0.5) * width - 0.4 for index in range(len(places))
+        ]
+        axes.bar(positions, shares, width, label=f"{policy}: {crowd}")
+    axes.axhline(SHARE_TARGET, linestyle="--", color="grey", linewidth=1)
+    axes.set_xticks(
+        range(len(places)), [f"{site}\n{lag_ms} ms lag" for site, lag_ms in places]
+    )
+    axes.set_ylabel("share of reads on replicas")
+    axes.set_ylim(0, 1.05)
+    axes.legend(fontsize=6, ncols=3, loc="upper center", bbox_to_anchor=(0.5, -0.14))
+    axes.set_title("Share of reads served by replicas; line at 95%")
+
+
+@PLOTS.register("acknowledge_cost")
+def plot_acknowledge_cost(axes: Any, rows: list[Row]) -> None:
+    """Draw the median time of a write under each policy."""
+    policies = [policy for (policy,) in find_distinct(rows, "policy")]
+    crowds = find_distinct(rows, "keyed", "callers")
+    width = 0.8 / len(policies)
+    for number, policy in enumerate(policies):
+        medians = [
+            row["median_ms"]
+            for keyed, callers in crowds
+            for row in rows
+            if (row["keyed"], row["callers"]) == (keyed, callers)
+            and row["policy"] == policy
+        ]
+        positions = [
+            index + (number + 0.5) * width - 0.4 for index in range(len(crowds))
+        ]
+        axes.bar(positions, medians, width, label=policy)
+    labels = [
+        f"{'with' if keyed else 'no'} key\n{callers} caller(s)"
+        for keyed, callers in crowds
+    ]
+    axes.set_xticks(range(len(crowds)), labels)
+    axes.set_ylabel("median write (ms)")
+    axes.legend()
+    axes.set_title("Time of a write by acknowledgement policy")
+
+
+@PLOTS.register("goodput")
+def plot_goodput(axes: Any, rows: list[Row]) -> None:
+    """Draw the goodput against the load."""
+    for (queue,) in find_distinct(rows, "queue"):
+        chosen = [row for row in rows if row["queue"] == queue]
+        axes.plot(
+            [row["load"] for row in chosen],
+            [row["goodput_per_s"] for row in chosen],
+            marker="o",
+            label=f"{queue} queue",
+        )
+    axes.set_xlabel("offered load, in times of what the group can carry")
+    axes.set_ylabel("operations done per second")
+    axes.set_ylim(bottom=0)
+    axes.legend()
+    axes.set_title("Goodput with callers that retry for ever")
--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -30,7 +30,9 @@
 from ebonyrack.load.control_plane import Measurement
 from ebonyrack.load.control_plane import run_measurement
 from ebonyrack.load.group_check import NoPrimaryError
+from ebonyrack.load.report import draw_report
 from ebonyrack.load.results import format_rows
+from ebonyrack.load.results import read_results
 from ebonyrack.load.results import write_results
 from ebonyrack.scripts.standin import read_address_argument
 from ebonyrack.scripts.standin import read_positive
@@ -48,6 +50,7 @@
     add_document(commands)
     add_bench(commands)
     add_experiment(commands)
+    add_report(commands)
     add_control_plane(commands)
     return parser
 
@@ -185,6 +188,24 @@
     return EXIT_OK
 
 
+def add_report(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the command that draws the plots of the results."""
+    report = commands.add_parser("report", help="draw the plots of the results")
+    report.add_argument("--results", type=Path, default=Path("results"))
+    report.add_argument("--plots", type=Path, default=Path("docs/plots"))
+
+
+async def run_report_command(arguments: argparse.Namespace) -> int:
+    """Print the table of each result and draw the plots."""
+    for source in sorted(arguments.results.glob("*.jsonl")):
+        header, rows = read_results(source)
+        print(f"{source.stem}: {header['measured_at']}, load {header['command']}")
+        print(format_rows(rows))
+    for target in draw_report(arguments.results, arguments.plots):
+        print(target)
+    return EXIT_OK
+
+
 async def run_bench_command(arguments: argparse.Namespace) -> int:
     """Run the bench, print its table and keep its figures."""
     options = BenchOptions(
@@ -266,6 +287,7 @@
     "document": run_document_command,
     "bench": run_bench_command,
     "experiment": run_experiment_command,
+    "report": run_report_command,
     "control-host": run_host_command,
     "control-plane": run_control_plane_command,
 }
