--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -32,7 +32,9 @@
 from ebonyrack.load.group_check import NoPrimaryError
 from ebonyrack.load.idle_cost import IdleOptions
 from ebonyrack.load.idle_cost import measure_idle_cost
+from ebonyrack.load.report import draw_report
 from ebonyrack.load.results import format_rows
+from ebonyrack.load.results import read_results
 from ebonyrack.load.results import write_results
 from ebonyrack.scripts.standin import read_address_argument
 from ebonyrack.scripts.standin import read_positive
@@ -51,6 +53,7 @@
     add_bench(commands)
     add_idle_cost(commands)
     add_experiment(commands)
+    add_report(commands)
     add_control_plane(commands)
     return parser
 
@@ -136,6 +139,7 @@
     experiment.add_argument("--trials", type=int, default=20)
     experiment.add_argument("--duration-s", type=read_positive, default=15.0)
     experiment.add_argument("--policies", nargs="*", default=[])
+    experiment.add_argument("--faults", nargs="*", default=[])
     experiment.add_argument("--results", type=Path, default=Path("results"))
 
 
@@ -198,6 +202,24 @@
     return EXIT_OK
 
 
+def add_report(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the command that draws the plots of the results."""
+    report = commands.add_parser("report", help="draw the plots of the results")
+    report.add_argument("--results", type=Path, default=Path("results"))
+    report.add_argument("--plots", type=Path, default=Path("docs/plots"))
+
+
+async def run_report_command(arguments: argparse.Namespace) -> int:
+    """Print the table of each result and draw the plots."""
+    for source in sorted(arguments.results.glob("*.jsonl")):
+        header, rows = read_results(source)
+        print(f"{source.stem}: {header['measured_at']}, load {header['command']}")
+        print(format_rows(rows))
+    for target in draw_report(arguments.results, arguments.plots):
+        print(target)
+    return EXIT_OK
+
+
 async def run_bench_command(arguments: argparse.Namespace) -> int:
     """Run the bench, print its table and keep its figures."""
     options = BenchOptions(
@@ -245,6 +267,7 @@
             trials=arguments.trials,
             duration_s=arguments.duration_s,
             policies=tuple(arguments.policies),
+            faults=tuple(arguments.faults),
         )
         result = await EXPERIMENTS.get(arguments.name)(context)
     path = write_results(arguments.results, arguments.name, result.trials)
@@ -293,6 +316,7 @@
     "bench": run_bench_command,
     "idle-cost": run_idle_cost_command,
     "experiment": run_experiment_command,
+    "report": run_report_command,
     "control-host": run_host_command,
     "control-plane": run_control_plane_command,
 }
--- a/ebonyrack/standins/locks.py
+++ b/ebonyrack/standins/locks.py
@@ -24,6 +24,7 @@
 # The boundary keeps the search through a long literal linear.
 EMPTY_CALL = re.compile(r"\b\w+\(\s*\)")
 ROW = re.compile(r"\(([^()]*)\)")
+AFTER_ROWS = re.compile(r"\b(?:ON\s+CONFLICT|RETURNING)\b", re.IGNORECASE)
 
 
 class ValueLocks:
@@ -112,6 +113,7 @@
     table, names, rows = insert.groups()
     unique = unique_columns.get(table, set())
     columns = [name.strip().strip('"') for name in names.split(",")]
+    rows = AFTER_ROWS.split(rows)[0]
     for row in ROW.findall(EMPTY_CALL.sub("0", rows)):
         for column, value in zip(columns, row.split(","), strict=False):
             if column in unique:
