Split sessions, transactions and pipelines into modules of one noun each

On the way: a read-write transaction that writes nothing is confirmed at COMMIT like one that is read only, since it may have read what no majority holds (test_a_transaction_does_not_end_well_...).

--- a/ebonyrack/callers/cancel.py
+++ b/ebonyrack/callers/cancel.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from ebonyrack.callers.session import Phase
+from ebonyrack.callers.upstream_holder import Phase
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
--- a/ebonyrack/callers/dispatch.py
+++ b/ebonyrack/callers/dispatch.py
@@ -164,9 +164,9 @@
         session.variables.reset("all")
     if session.pipeline is not None:
         if target in ("all", "statements"):
-            session.pipeline.forget_all()
+            session.pipeline.store.forget_all()
         elif target == "statement":
-            session.pipeline.forget(statement.value.encode())
+            session.pipeline.store.forget(statement.value.encode())
     tags = {"variables": "RESET", "statements": "DEALLOCATE ALL", "all": "DISCARD ALL"}
     tags |= {"statement": "DEALLOCATE", "session": "RESET"}
     return LocalAnswer(build_complete(tags.get(target, f"DISCARD {target.upper()}")))
--- a/ebonyrack/callers/failover_test.py
+++ b/ebonyrack/callers/failover_test.py
@@ -7,6 +7,7 @@
 
 from ebonyrack.callers.conftest import GROUP
 from ebonyrack.callers.conftest import error_of
+from ebonyrack.callers.conftest import kinds
 from ebonyrack.callers.conftest import open_proxy
 from ebonyrack.callers.conftest import wait_until
 from ebonyrack.config.document import Document
@@ -106,3 +107,18 @@
     assert (await caller.query("COMMIT"))[-1] == (b"Z", b"I")
     caller.send(b"Q\x00\x00\x00\x0dSELECT 1\x00")
     assert b"C42501" in await caller.read_to_end()
+
+
+async def test_a_transaction_does_not_end_well_on_reads_that_no_majority_holds():
+    async with open_proxy(**LIMITS) as proxy:
+        caller, reader = [await proxy.start_wire() for _ in range(2)]
+        for replica in ("up-2", "up-3"):
+            proxy.standins.cut("up-1", replica)
+        frames = await caller.query(INSERT.format("a"))
+        assert error_of(frames)[1].startswith("ran=unknown")
+        await reader.query("BEGIN")
+        assert "D" in kinds(await reader.query("SELECT request FROM bookings"))
+        frames = await reader.query("COMMIT")
+        assert error_of(frames)[1].startswith("ran=no kind=position_not_reached")
+        assert frames[-1] == (b"Z", b"I")
+        proxy.standins.heal()
--- a/ebonyrack/callers/fault_matrix_test.py
+++ b/ebonyrack/callers/fault_matrix_test.py
@@ -9,7 +9,6 @@
 import pytest
 from pygwire.messages import CancelRequest
 
-from ebonyrack.callers import session as session_module
 from ebonyrack.callers import upstream_use
 from ebonyrack.callers.conftest import error_of
 from ebonyrack.callers.conftest import kinds
@@ -17,6 +16,7 @@
 from ebonyrack.callers.conftest import wait_until
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.session import CallerSession
+from ebonyrack.core.clock import now_s
 from ebonyrack.upstreams.connection import UpstreamConnection
 from ebonyrack.upstreams.pool import ConnectionPool
 
@@ -198,7 +198,7 @@
     places = []
     for upstream in proxy.group.upstreams.values():
         while len(upstream.pool.busy) < upstream.pool.limit:
-            deadline_s = session_module.now_s() + 5.0
+            deadline_s = now_s() + 5.0
             connection = await upstream.pool.acquire("other", deadline_s)
             places.append((upstream.pool, connection))
     return places
--- a/ebonyrack/callers/listener.py
+++ b/ebonyrack/callers/listener.py
@@ -18,11 +18,11 @@
 from ebonyrack.callers.cancel import cancel_request
 from ebonyrack.callers.parameters import build_parameters
 from ebonyrack.callers.session import CallerSession
-from ebonyrack.callers.session import Phase
 from ebonyrack.callers.startup import authenticate
 from ebonyrack.callers.startup import negotiate_protocol
 from ebonyrack.callers.startup import read_startup_request
 from ebonyrack.callers.stream import CallerStream
+from ebonyrack.callers.upstream_holder import Phase
 from ebonyrack.callers.watchdog import watch_sessions
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
--- a/ebonyrack/callers/pipeline.py
+++ b/ebonyrack/callers/pipeline.py
@@ -8,29 +8,22 @@
 
 from pygwire.messages import Query
 
-from ebonyrack.callers.answers import build_text_columns
-from ebonyrack.callers.chunk import LOCAL_ANSWERS
-from ebonyrack.callers.chunk import NO_DATA
-from ebonyrack.callers.chunk import NO_PARAMETERS
 from ebonyrack.callers.chunk import Chunk
 from ebonyrack.callers.chunk import ChunkItem
-from ebonyrack.callers.dispatch import CONTROL_KINDS
-from ebonyrack.callers.dispatch import LOCAL_KINDS
-from ebonyrack.callers.dispatch import run_control
+from ebonyrack.callers.control_chunk import is_control
+from ebonyrack.callers.control_chunk import run_control_chunk
+from ebonyrack.callers.control_chunk import split_items
 from ebonyrack.callers.dispatch import run_data
-from ebonyrack.callers.dispatch import run_local
 from ebonyrack.callers.exchange import SWALLOWED
 from ebonyrack.callers.exchange import Exchange
-from ebonyrack.callers.exchange import SimpleRequest
 from ebonyrack.callers.prepared import read_message
 from ebonyrack.callers.prepared import read_statement
-from ebonyrack.callers.statement import StatementKind
+from ebonyrack.callers.statement_store import StatementStore
 from ebonyrack.callers.transaction import IDLE
 from ebonyrack.callers.transaction import OPEN
 from ebonyrack.callers.transaction import OWN_BEGIN
 from ebonyrack.callers.transaction import OWN_COMMIT
 from ebonyrack.callers.transaction import OWN_ROLLBACK
-from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 
 if TYPE_CHECKING:
@@ -41,8 +34,6 @@
 
 # A pipeline longer than this runs in parts, as if the caller had sent a Flush.
 COLLECTED_BYTES = 256 * 1024
-MAXIMUM_STATEMENTS = 1000
-MAXIMUM_STATEMENT_BYTES = 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,8 +64,7 @@
 
     Attributes:
         session: The session.
-        statements: Prepared statements by the caller's name for them.
-        statement_bytes: Their size.
+        store: The session's prepared statements.
         portals: Statement of each portal.
         items: Messages that have not run yet.
         collected_bytes: Their size.
@@ -84,8 +74,7 @@
 
     __slots__ = (
         "session",
-        "statements",
-        "statement_bytes",
+        "store",
         "portals",
         "items",
         "collected_bytes",
@@ -95,8 +84,7 @@
 
     def __init__(self, session: CallerSession) -> None:
         self.session = session
-        self.statements: dict[bytes, PreparedStatement] = {}
-        self.statement_bytes = 0
+        self.store = StatementStore()
         self.portals: dict[bytes, PreparedStatement | None] = {}
         self.items: list[ChunkItem] = []
         self.collected_bytes = 0
@@ -166,7 +154,7 @@
             if message.statement == name and message.kind == b"C":
                 if message.is_about_statement:
                     return None
-        return self.statements.get(name)
+        return self.store.statements.get(name)
 
     async def finish(self) -> None:
         """Run what is left at Sync and tell the caller to go on.
@@ -236,7 +224,7 @@
         session = self.session
         try:
             if is_control(chunk.items[0]):
-                is_success = await self.run_control_chunk(chunk)
+                is_success = await run_control_chunk(session, self.store, chunk)
             else:
                 is_success = await self.run_data_chunk(chunk, is_whole)
         except RequestError as error:
@@ -261,172 +249,12 @@
         session = self.session
         if chunk.is_local:
             session.stream.write(chunk.build_replay([]))
-            self.note_closed(chunk)
+            self.store.note_closed(chunk)
             return True
         if not is_whole and session.transaction.status == IDLE and chunk.executes:
             session.transaction.begin(OWN_BEGIN, False, is_implicit=True)
         try:
             return await run_data(session, chunk.statement, chunk)
         finally:
-            self.note_closed(chunk)
-            self.note_defined(chunk)
-
-    def note_closed(self, chunk: Chunk) -> None:
-        """Forget the statements that a chunk closes.
-
-        Args:
-            chunk: A chunk that has run.
-        """
-        for item in chunk.items:
-            if item.message.kind == b"C" and item.message.is_about_statement:
-                self.forget(item.message.statement)
-
-    def note_defined(self, chunk: Chunk) -> None:
-        """Keep the statements that a chunk has prepared.
-
-        Args:
-            chunk: A chunk that has run, perhaps not to its end.
-
-        Raises:
-            RequestError: UNSUPPORTED if the session has too many.
-        """
-        for step, name, prepared in chunk.definitions:
-            if step.is_done:
-                self.define(name, prepared)
-
-    def define(self, name: bytes, prepared: PreparedStatement) -> None:
-        """Keep a prepared statement.
-
-        Args:
-            name: The caller's name for it.
-            prepared: The statement.
-
-        Raises:
-            RequestError: UNSUPPORTED if the session has too many.
-        """
-        known = self.statements.get(name)
-        added_bytes = len(prepared.body) - (0 if known is None else len(known.body))
-        if (
-            len(self.statements) >= MAXIMUM_STATEMENTS
-            or self.statement_bytes + added_bytes > MAXIMUM_STATEMENT_BYTES
-        ):
-            reason = "the session has too many or too long prepared statements"
-            raise RequestError(ErrorKind.UNSUPPORTED, reason)
-        self.statement_bytes += added_bytes
-        self.statements[name] = prepared
-
-    def forget(self, name: bytes) -> None:
-        """Drop a prepared statement, if there is one of that name.
-
-        Args:
-            name: The caller's name for it.
-        """
-        known = self.statements.pop(name, None)
-        if known is not None:
-            self.statement_bytes -= len(known.body)
-
-    def forget_all(self) -> None:
-        """Drop all prepared statements."""
-        self.statements.clear()
-        self.statement_bytes = 0
-
-    async def run_control_chunk(self, chunk: Chunk) -> bool:
-        """Run messages about one statement that the proxy serves itself.
-
-        Args:
-            chunk: The chunk.
-
-        Returns:
-            Whether it succeeded.
-
-        Raises:
-            RequestError: If it could not be served.
-        """
-        for item in chunk.items:
-            prepared = item.prepared
-            assert prepared is not None
-            if prepared.statement.kind is StatementKind.UNSUPPORTED:
-                raise RequestError(ErrorKind.UNSUPPORTED, prepared.statement.reason)
-            if item.message.kind == b"E":
-                if not await self.execute_control(prepared):
-                    return False
-            else:
-                self.answer_control(item, prepared)
-        return True
-
-    def answer_control(self, item: ChunkItem, prepared: PreparedStatement) -> None:
-        """Answer a Parse, Bind or Describe of such a statement.
-
-        Args:
-            item: The message.
-            prepared: The statement.
-        """
-        session = self.session
-        message = item.message
-        if message.kind == b"P":
-            self.define(message.statement, prepared)
-        if message.kind != b"D":
-            session.stream.write(LOCAL_ANSWERS[message.kind])
-            return
-        columns = NO_DATA
-        if prepared.statement.kind is StatementKind.SHOW_VARIABLE:
-            columns = build_text_columns((prepared.statement.variable,))
-        if message.is_about_statement:
-            session.stream.write(NO_PARAMETERS)
-        session.stream.write(columns)
-
-    async def execute_control(self, prepared: PreparedStatement) -> bool:
-        """Execute such a statement.
-
-        Args:
-            prepared: The statement.
-
-        Returns:
-            Whether it succeeded.
-
-        Raises:
-            RequestError: If it could not be served.
-        """
-        session = self.session
-        if prepared.statement.kind in LOCAL_KINDS:
-            answer = run_local(session, prepared.statement)
-            session.stream.write(answer.row + answer.complete)
-            return True
-        request = SimpleRequest(Query(query_string=prepared.text).to_wire())
-        return await run_control(session, prepared.statement, request)
-
-
-def is_control(item: ChunkItem) -> bool:
-    """Tell whether a message is about a statement that the proxy serves itself.
-
-    Args:
-        item: The message.
-
-    Returns:
-        Whether it is.
-    """
-    if item.message.kind == b"C" or item.prepared is None:
-        return False
-    return item.prepared.statement.kind in CONTROL_KINDS
-
-
-def split_items(items: list[ChunkItem]) -> list[Chunk]:
-    """Split messages where transaction control or a local statement stands.
-
-    Args:
-        items: Messages in order.
-
-    Returns:
-        Chunks in order.
-    """
-    chunks: list[Chunk] = []
-    for item in items:
-        belongs = (
-            chunks
-            and is_control(chunks[-1].items[0]) == is_control(item)
-            and (not is_control(item) or chunks[-1].items[0].prepared is item.prepared)
-        )
-        if not belongs:
-            chunks.append(Chunk())
-        chunks[-1].items.append(item)
-    return chunks
+            self.store.note_closed(chunk)
+            self.store.note_defined(chunk)
--- /dev/null
+++ b/ebonyrack/callers/statement_store.py
@@ -0,0 +1,89 @@
+"""The prepared statements that a session knows by the caller's names."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.chunk import Chunk
+    from ebonyrack.callers.prepared import PreparedStatement
+
+MAXIMUM_STATEMENTS = 1000
+MAXIMUM_STATEMENT_BYTES = 1024 * 1024
+
+
+class StatementStore:
+    """Prepared statements of one session.
+
+    Attributes:
+        statements: Statements by the caller's name for them.
+        statement_bytes: Their size.
+    """
+
+    __slots__ = ("statements", "statement_bytes")
+
+    def __init__(self) -> None:
+        self.statements: dict[bytes, PreparedStatement] = {}
+        self.statement_bytes = 0
+
+    def note_closed(self, chunk: Chunk) -> None:
+        """Forget the statements that a chunk closes.
+
+        Args:
+            chunk: A chunk that has run.
+        """
+        for item in chunk.items:
+            if item.message.kind == b"C" and item.message.is_about_statement:
+                self.forget(item.message.statement)
+
+    def note_defined(self, chunk: Chunk) -> None:
+        """Keep the statements that a chunk has prepared.
+
+        Args:
+            chunk: A chunk that has run, perhaps not to its end.
+
+        Raises:
+            RequestError: UNSUPPORTED if the session has too many.
+        """
+        for step, name, prepared in chunk.definitions:
+            if step.is_done:
+                self.define(name, prepared)
+
+    def define(self, name: bytes, prepared: PreparedStatement) -> None:
+        """Keep a prepared statement.
+
+        Args:
+            name: The caller's name for it.
+            prepared: The statement.
+
+        Raises:
+            RequestError: UNSUPPORTED if the session has too many.
+        """
+        known = self.statements.get(name)
+        added_bytes = len(prepared.body) - (0 if known is None else len(known.body))
+        if (
+            len(self.statements) >= MAXIMUM_STATEMENTS
+            or self.statement_bytes + added_bytes > MAXIMUM_STATEMENT_BYTES
+        ):
+            reason = "the session has too many or too long prepared statements"
+            raise RequestError(ErrorKind.UNSUPPORTED, reason)
+        self.statement_bytes += added_bytes
+        self.statements[name] = prepared
+
+    def forget(self, name: bytes) -> None:
+        """Drop a prepared statement, if there is one of that name.
+
+        Args:
+            name: The caller's name for it.
+        """
+        known = self.statements.pop(name, None)
+        if known is not None:
+            self.statement_bytes -= len(known.body)
+
+    def forget_all(self) -> None:
+        """Drop all prepared statements."""
+        self.statements.clear()
+        self.statement_bytes = 0
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -5,24 +5,24 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.commit import COMMIT_TAG
+from ebonyrack.callers.commit import ROLLBACK_TAG
+from ebonyrack.callers.commit import commit_read
+from ebonyrack.callers.commit import commit_write
+from ebonyrack.callers.commit import record_commit
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import ask_last_commit
-from ebonyrack.callers.upstream_use import build_position_question
-from ebonyrack.callers.upstream_use import confirm_read
 from ebonyrack.callers.upstream_use import confirm_replay
 from ebonyrack.callers.upstream_use import finish_write
 from ebonyrack.callers.upstream_use import get_contract
 from ebonyrack.callers.upstream_use import make_requirement
-from ebonyrack.callers.upstream_use import read_position
 from ebonyrack.callers.upstream_use import run_control
 from ebonyrack.callers.upstream_use import take_primary
 from ebonyrack.callers.upstream_use import take_upstream
-from ebonyrack.callers.upstream_use import write_token
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.routing.idempotency import claim_key
-from ebonyrack.routing.idempotency import record_outcome
 from ebonyrack.routing.read_placement import place_read
 from ebonyrack.upstreams.connection import UpstreamLostError
 
@@ -33,8 +33,6 @@
 IDLE = "I"
 OPEN = "T"
 FAILED = "E"
-COMMIT_TAG = "COMMIT"
-ROLLBACK_TAG = "ROLLBACK"
 OWN_BEGIN = "BEGIN"
 OWN_COMMIT = "COMMIT"
 OWN_ROLLBACK = "ROLLBACK"
@@ -194,6 +192,8 @@
             await self.place()
         else:
             await take_primary(session)
+            # It may read what no majority holds yet, also if it writes nothing.
+            self.needs_confirmation = session.group.section.read_policy == "quorum"
         await run_control(session, self.begin_sql)
         session.note_served()
         if self.key:
@@ -258,10 +258,10 @@
             if session.connection is None:
                 return self.commit_nothing(request)
             if self.key and self.status == OPEN:
-                await self.record()
+                await record_commit(session, self.key)
             if self.has_written:
-                return await self.commit_write(request)
-            return await self.commit_read(request)
+                return await commit_write(session, request)
+            return await commit_read(session, request)
         except RequestError:
             # The transaction is over for the caller, whatever became of it.
             self.abandon()
@@ -284,87 +284,6 @@
         self.session.stream.write(request.build_replay([tag]))
         return True
 
-    async def record(self) -> None:
-        """Record the outcome under the idempotency key, before the commit.
-
-        Raises:
-            RequestError: UPSTREAM_LOST; the transaction is rolled back.
-        """
-        session = self.session
-        assert session.connection is not None
-        limit_s = session.group.section.answer_wait_s
-        try:
-            await record_outcome(session.connection, self.key, COMMIT_TAG, limit_s)
-        except UpstreamLostError as error:
-            raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
-
-    async def commit_write(self, request: Request) -> bool:
-        """Send COMMIT and the question for its position in one go.
-
-        Args:
-            request: The caller's COMMIT.
-
-        Returns:
-            Whether it succeeded.
-
-        Raises:
-            RequestError: OUTCOME_UNKNOWN or UPSTREAM_LOST.
-        """
-        session = self.session
-        connection = session.connection
-        assert connection is not None
-        exchange = request.render(connection)
-        relay = Relay(session, connection, exchange, holds=True)
-        question = get_contract(session).build_last_commit()
-        session.send_surely(exchange.data, question)
-        try:
-            await relay.run()
-            self.status = connection.transaction_status
-            position = await ask_last_commit(session, question)
-        except UpstreamLostError as error:
-            raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
-        has_committed = relay.error is None and relay.tags != [ROLLBACK_TAG]
-        self.follow_status()
-        if has_committed:
-            await finish_write(session, connection, position)
-        session.stream.write(relay.output)
-        if has_committed:
-            write_token(session)
-        return relay.error is None
-
-    async def commit_read(self, request: Request) -> bool:
-        """Commit a transaction that wrote nothing.
-
-        Args:
-            request: The caller's COMMIT.
-
-        Returns:
-            Whether it succeeded.
-
-        Raises:
-            RequestError: POSITION_NOT_REACHED if what it read was not confirmed,
-                UPSTREAM_LOST if the upstream went away.
-        """
-        session = self.session
-        connection = session.connection
-        assert connection is not None
-        exchange = request.render(connection)
-        relay = Relay(session, connection, exchange, holds=True)
-        needs_confirmation = self.needs_confirmation
-        question = build_position_question(session) if needs_confirmation else b""
-        try:
-            connection.send(exchange.data + question)
-            await relay.run()
-            if needs_confirmation:
-                position = await read_position(session)
-        except UpstreamLostError as error:
-            raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
-        self.follow_status()
-        if needs_confirmation:
-            await confirm_read(session, position)
-        session.stream.write(relay.output)
-        return relay.error is None
-
     async def roll_back(self, request: Request) -> bool:
         """Roll back.
 
--- /dev/null
+++ b/ebonyrack/callers/upstream_holder.py
@@ -0,0 +1,243 @@
+"""The upstream connection that a caller's session holds, and its waits."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.variables import SessionVariables
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.status import Role
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from ebonyrack.callers.startup import CallerIdentity
+    from ebonyrack.core.settings import ProxySettings
+    from ebonyrack.routing.read_index import ReadIndex
+    from ebonyrack.service.services import Services
+    from ebonyrack.upstreams.connection import Message
+    from ebonyrack.upstreams.connection import QueryAnswer
+    from ebonyrack.upstreams.connection import UpstreamConnection
+    from ebonyrack.upstreams.group import DatabaseGroup
+    from ebonyrack.upstreams.upstream import Upstream
+
+Result = TypeVar("Result")
+
+
+class Phase(StrEnum):
+    """What a session waits for."""
+
+    IDLE = "idle"
+    WORKING = "working"
+    UPSTREAM = "upstream"
+    CALLER = "caller"
+
+
+class UpstreamHolder:
+    """The side of a session that faces the upstreams.
+
+    A session holds at most one connection; nobody else uses it meanwhile.
+
+    Attributes:
+        services: Parts of the proxy.
+        identity: Who the caller is.
+        variables: Session variables.
+        upstream: Upstream whose connection the session holds, or None.
+        connection: That connection, or None.
+        phase: What the session waits for.
+        phase_since_s: Monotonic time at which the wait began.
+        scope: Scope of a wait before anything was sent, ended to cancel it, or None.
+        is_committing: Whether a COMMIT was sent, which is not cancelled any more.
+        cancel_done: Set when a cancel request has reached the upstream, or None.
+        has_stale_statements: Whether the connection held is closed after use, since
+            its prepared statements can't be relied on.
+    """
+
+    __slots__ = (
+        "services",
+        "identity",
+        "variables",
+        "upstream",
+        "connection",
+        "phase",
+        "phase_since_s",
+        "scope",
+        "is_committing",
+        "cancel_done",
+        "has_stale_statements",
+    )
+
+    def __init__(self, services: Services, identity: CallerIdentity) -> None:
+        self.services = services
+        self.identity = identity
+        self.variables = SessionVariables(identity.group, services.token_key)
+        self.upstream: Upstream | None = None
+        self.connection: UpstreamConnection | None = None
+        self.phase = Phase.IDLE
+        self.phase_since_s = now_s()
+        self.scope: asyncio.Timeout | None = None
+        self.is_committing = False
+        self.cancel_done: asyncio.Event | None = None
+        self.has_stale_statements = False
+
+    @property
+    def group(self) -> DatabaseGroup:
+        """The session's database group.
+
+        Raises:
+            RequestError: UNKNOWN_GROUP if the document has it no more.
+        """
+        group = self.services.groups.get(self.identity.group)
+        if group is None:
+            raise RequestError(ErrorKind.UNKNOWN_GROUP, self.identity.group)
+        return group
+
+    @property
+    def read_index(self) -> ReadIndex:
+        """Read index of the session's group."""
+        return self.services.read_indexes[self.identity.group]
+
+    @property
+    def settings(self) -> ProxySettings:
+        """Settings of the proxy."""
+        return self.services.settings.proxy
+
+    def enter(self, phase: Phase) -> None:
+        """Note what the session waits for from now on.
+
+        Args:
+            phase: The phase.
+        """
+        self.phase = phase
+        self.phase_since_s = now_s()
+
+    async def wait_for_message(self, connection: UpstreamConnection) -> Message:
+        """Wait for the next message of the upstream that serves the request.
+
+        Args:
+            connection: The connection in use.
+
+        Returns:
+            The message.
+
+        Raises:
+            UpstreamLostError: If the connection has ended.
+        """
+        self.enter(Phase.UPSTREAM)
+        message = await connection.read_message()
+        self.phase = Phase.WORKING
+        return message
+
+    async def await_cancel(self) -> None:
+        """Let a cancel request strike before the next statement is sent."""
+        if self.cancel_done is not None:
+            await self.cancel_done.wait()
+            self.cancel_done = None
+
+    async def read_control_answer(self) -> QueryAnswer:
+        """Wait for the answer to a control query that was sent already.
+
+        Returns:
+            The answer.
+
+        Raises:
+            UpstreamLostError: If the connection has ended.
+        """
+        assert self.connection is not None
+        self.enter(Phase.UPSTREAM)
+        answer = await self.connection.read_answer()
+        self.phase = Phase.WORKING
+        return answer
+
+    async def wait_before_sending(self, waiting: Awaitable[Result]) -> Result:
+        """Wait for something that a request needs before anything is sent for it.
+
+        Args:
+            waiting: What to wait for; it keeps to the request's deadline itself.
+
+        Returns:
+            What the wait was for.
+
+        Raises:
+            RequestError: CANCELLED if the caller asked for it.
+        """
+        try:
+            async with asyncio.timeout(None) as self.scope:
+                return await waiting
+        except TimeoutError:
+            raise RequestError(ErrorKind.CANCELLED) from None
+        finally:
+            self.scope = None
+
+    def hold_connection(
+        self, upstream: Upstream, connection: UpstreamConnection
+    ) -> None:
+        """Keep a connection that was taken from a pool.
+
+        Args:
+            upstream: Its upstream.
+            connection: The connection.
+        """
+        self.upstream = upstream
+        self.connection = connection
+
+    def release_connection(self) -> None:
+        """Give the connection back to its pool, which closes it if it isn't clean."""
+        upstream, connection = self.upstream, self.connection
+        self.upstream = None
+        self.connection = None
+        self.cancel_done = None
+        if upstream is None or connection is None:
+            return
+        if self.has_stale_statements:
+            self.has_stale_statements = False
+            connection.close()
+        upstream.pool.release(connection)
+
+    def lose_upstream(self, error: UpstreamLostError, kind: ErrorKind) -> RequestError:
+        """Give up the connection held after the upstream was lost.
+
+        Args:
+            error: How it was lost.
+            kind: What that means for the request.
+
+        Returns:
+            The error to raise.
+        """
+        if self.upstream is not None:
+            self.group.report_lost(self.upstream.name, error.reason)
+        if self.connection is not None:
+            self.connection.close()
+        self.release_connection()
+        return RequestError(kind, error.reason)
+
+    def send_surely(self, data: bytes, question: str) -> None:
+        """Send a request together with the question for the commit's position.
+
+        Args:
+            data: Frames of the request.
+            question: The question.
+
+        Raises:
+            RequestError: UPSTREAM_LOST if nothing of it was sent.
+        """
+        assert self.connection is not None
+        try:
+            self.connection.send(data + build_query(question))
+        except UpstreamLostError as error:
+            raise self.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+
+    def note_served(self) -> None:
+        """Remember which upstream serves, for `SHOW ebonyrack.served_by`."""
+        upstream = self.upstream
+        if upstream is not None:
+            is_primary = upstream.name == self.group.primary_name
+            role = Role.PRIMARY if is_primary else Role.REPLICA
+            self.variables.served_by = f"{upstream.name} {role}"
--- a/ebonyrack/callers/watchdog.py
+++ b/ebonyrack/callers/watchdog.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from ebonyrack.callers.session import Phase
+from ebonyrack.callers.upstream_holder import Phase
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import RequestError
 
