Answer a serialization failure at a Sync; split startup and schema out

A commit at a Sync that failed with 40001 ended the session's task without an answer. The new test fails without the handler and passes with it. session.py and sql_engine.py had grown past 380 lines; startup.py and schema.py are moves.

--- a/ebonyrack/standins/contract_functions.py
+++ b/ebonyrack/standins/contract_functions.py
@@ -13,7 +13,7 @@
 from ebonyrack.core.registry import Registry
 from ebonyrack.standins import datatypes
 from ebonyrack.standins.log import PositionWaiters
-from ebonyrack.standins.sql_engine import Column
+from ebonyrack.standins.schema import Column
 from ebonyrack.standins.sql_engine import ResultSet
 from ebonyrack.standins.sql_error import SqlError
 from ebonyrack.upstreams.status import Role
--- a/ebonyrack/standins/execution.py
+++ b/ebonyrack/standins/execution.py
@@ -15,7 +15,7 @@
 from ebonyrack.standins.locks import find_claims
 from ebonyrack.standins.log import LoggedStatement
 from ebonyrack.standins.log import SqlValue
-from ebonyrack.standins.sql_engine import Column
+from ebonyrack.standins.schema import Column
 from ebonyrack.standins.sql_engine import ResultSet
 from ebonyrack.standins.sql_error import SqlError
 from ebonyrack.standins.transaction import Transaction
@@ -209,7 +209,7 @@
     transaction = session.transaction
     if transaction.is_read_only:
         raise SqlError("25006", f"cannot run {statement.tag}: read-only transaction")
-    unique = upstream.database.find_unique_columns()
+    unique = upstream.database.schema.find_unique_columns()
     claims = find_claims(statement.text, values, unique)
     await upstream.begin_write(transaction, claims)
     await session.hold_slot(0.0)
--- a/ebonyrack/standins/extended.py
+++ b/ebonyrack/standins/extended.py
@@ -21,7 +21,7 @@
 from ebonyrack.standins.parameter_types import find_parameter_types
 from ebonyrack.standins.rows import encode_row_description
 from ebonyrack.standins.rows import encode_rows
-from ebonyrack.standins.sql_engine import Column
+from ebonyrack.standins.schema import Column
 from ebonyrack.standins.sql_error import SqlError
 
 if TYPE_CHECKING:
@@ -103,7 +103,7 @@
         script = parse_script(message.query)
         if len(script) > 1:
             raise SqlError("42601", "a prepared statement holds one command only")
-        known = self.session.upstream.database.find_column_oids()
+        known = self.session.upstream.database.schema.find_column_oids()
         oids = find_parameter_types(message.query, list(message.param_types), known)
         statement = script[0] if script else None
         self.statements[message.statement] = PreparedStatement(statement, oids)
@@ -172,7 +172,7 @@
         if call is not None:
             return COLUMNS[call[0]]
         is_write = statement.verb is Verb.WRITE and not statement.has_lock
-        return self.session.upstream.database.describe(statement.sql, is_write)
+        return self.session.upstream.database.schema.describe(statement.sql, is_write)
 
     async def execute(self, message: messages.Execute) -> None:
         """Run a portal, or send its next rows."""
--- a/ebonyrack/standins/group_test.py
+++ b/ebonyrack/standins/group_test.py
@@ -4,9 +4,11 @@
 import asyncpg
 import psycopg
 import pytest
+from pygwire import messages
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.position import LogPosition
+from ebonyrack.load.lean_client import LeanClient
 from ebonyrack.standins.control import FaultControl
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.standins.locks import find_claims
@@ -191,6 +193,26 @@
             assert await fetch(first, "SELECT * FROM bookings") == []
 
 
+async def test_implicit_transaction_that_comes_too_late_fails_at_its_sync():
+    update = (messages.Parse(query="UPDATE bookings SET slot = slot * 2"),)
+    update += (messages.Bind(), messages.Execute(), messages.Flush())
+    async with StandinGroup() as group:
+        second = await connect(group["up-1"])
+        async with LeanClient(group["up-1"].address) as first, second:
+            await second.execute(INSERT, (1, "a", "r"))
+            first.writer.write(b"".join(message.to_wire() for message in update))
+            while not any(
+                session.transaction and session.transaction.statements
+                for session in group["up-1"].sessions.values()
+            ):
+                await asyncio.sleep(0.001)
+            await second.execute("DELETE FROM bookings")
+            first.writer.write(messages.Sync().to_wire())
+            await first.read_answer()
+            assert b"40001" in first.error
+            assert await first.query("SELECT * FROM bookings") and not first.rows
+
+
 async def test_replica_applies_the_log_and_refuses_writes():
     async with StandinGroup() as group:
         async with await connect(group["up-1"]) as connection:
--- a/ebonyrack/standins/rows.py
+++ b/ebonyrack/standins/rows.py
@@ -10,7 +10,7 @@
 
 from ebonyrack.standins import datatypes
 from ebonyrack.standins.log import SqlValue
-from ebonyrack.standins.sql_engine import Column
+from ebonyrack.standins.schema import Column
 
 
 def expand_formats(formats: Sequence[int], count: int) -> list[int]:
--- a/ebonyrack/standins/session.py
+++ b/ebonyrack/standins/session.py
@@ -6,7 +6,6 @@
 import secrets
 from typing import TYPE_CHECKING
 
-from pygwire import ConnectionPhase
 from pygwire import FrontendMessageDecoder
 from pygwire import PygwireError
 from pygwire import TransactionStatus
@@ -20,11 +19,11 @@
 from ebonyrack.standins.execution import fail_transaction
 from ebonyrack.standins.extended import ExtendedQuery
 from ebonyrack.standins.faults import PROXIES
-from ebonyrack.standins.replication import REPLICA_PARAMETER
-from ebonyrack.standins.replication import LogSender
 from ebonyrack.standins.rows import encode_row_description
 from ebonyrack.standins.rows import encode_rows
 from ebonyrack.standins.sql_error import SqlError
+from ebonyrack.standins.startup import REPORTED_PARAMETERS
+from ebonyrack.standins.startup import start_session
 from ebonyrack.standins.transaction import Transaction
 
 if TYPE_CHECKING:
@@ -33,19 +32,6 @@
 READ_BYTES = 65536
 STARTUP_TIMEOUT_S = 60.0
 KEY_BYTES = 4
-REPORTED_PARAMETERS = {
-    "server_version": "16.0",
-    "server_encoding": "UTF8",
-    "client_encoding": "UTF8",
-    "application_name": "",
-    "DateStyle": "ISO, MDY",
-    "IntervalStyle": "postgres",
-    "TimeZone": "UTC",
-    "integer_datetimes": "on",
-    "standard_conforming_strings": "on",
-    "is_superuser": "off",
-    "default_transaction_read_only": "off",
-}
 READY = {
     status: messages.ReadyForQuery(status).to_wire() for status in TransactionStatus
 }
@@ -117,7 +103,7 @@
         """Serve the connection until it ends, then clean up."""
         try:
             async with asyncio.timeout(STARTUP_TIMEOUT_S):
-                is_open = await self.start()
+                is_open = await start_session(self)
             if is_open:
                 await self.serve()
         except AnswerLostError:
@@ -193,81 +179,6 @@
         self.writer.write(data)
         await self.writer.drain()
 
-    async def start(self) -> bool:
-        """Do the startup.
-
-        Returns:
-            Whether the session is open for queries.
-        """
-        while True:
-            message = await self.next_message()
-            match message:
-                case messages.SSLRequest():
-                    self.send(messages.SSLResponse(accepted=False))
-                case messages.GSSEncRequest():
-                    self.send(messages.GSSResponse(accepted=False))
-                case messages.CancelRequest():
-                    self.upstream.cancel(message.process_id, message.secret_key)
-                    return False
-                case messages.StartupMessage():
-                    if REPLICA_PARAMETER in message.params:
-                        await self.send_log(message.params[REPLICA_PARAMETER])
-                        return False
-                    if await self.admit(message.params):
-                        return True
-                case messages.PasswordMessage():
-                    self.check_password(message)
-                    await self.welcome()
-                    return True
-
-    async def send_log(self, replica_name: str) -> None:
-        """Send the log to a replica over this connection."""
-        sender = LogSender(self.upstream, self.reader, self.writer, replica_name)
-        if self.decoder.buffered:
-            sender.frames.unpacker.feed(self.received[-self.decoder.buffered :])
-        await sender.run()
-
-    async def admit(self, params: dict[str, str]) -> bool:
-        """Check limit and user.
-
-        Returns:
-            Whether the session is open; else a password was asked for.
-        """
-        options = self.upstream.options
-        is_administrator = params.get("user") == options.administrator
-        if self.upstream.is_full and not is_administrator:
-            self.send_error(SqlError("53300", "too many connections", fatal=True))
-        self.upstream.sessions[self.process_id] = self
-        if options.connection_cost_s:
-            await asyncio.sleep(options.connection_cost_s)
-        users = (options.user, options.administrator)
-        if options.user and params.get("user") not in users:
-            self.send_error(SqlError("28000", "unknown user", fatal=True))
-        for name, value in params.items():
-            self.parameters[name.lower()] = value
-        if options.password:
-            self.send(messages.AuthenticationCleartextPassword())
-            self.decoder.phase = ConnectionPhase.AUTHENTICATING
-            return False
-        await self.welcome()
-        return True
-
-    def check_password(self, message: messages.PasswordMessage) -> None:
-        """End the connection if the password is wrong."""
-        if message.password != self.upstream.options.password:
-            self.send_error(SqlError("28P01", "wrong password", fatal=True))
-
-    async def welcome(self) -> None:
-        """Tell the caller the settings and that queries may come."""
-        self.decoder.phase = ConnectionPhase.READY
-        self.send(messages.AuthenticationOk())
-        for name in REPORTED_PARAMETERS:
-            value = self.parameters[name.lower()]
-            self.send(messages.ParameterStatus(name, value))
-        self.send(messages.BackendKeyData(self.process_id, self.secret_key))
-        self.send_ready()
-        await self.flush()
-
     def set_parameter(self, name: str, value: str) -> None:
         """Change a setting and report it if it is one that is reported."""
         self.parameters[name.lower()] = value
@@ -302,10 +213,13 @@
 
     def sync(self) -> None:
         """End a batch of the extended protocol."""
-        if self.extended.is_skipping:
-            fail_transaction(self)
-        else:
-            end_implicit(self)
+        try:
+            if self.extended.is_skipping:
+                fail_transaction(self)
+            else:
+                end_implicit(self)
+        except SqlError as error:
+            self.send_error(error)
         self.extended.end_batch()
         self.send_ready()
 
