--- a/ebonyrack/load/group_check.py
+++ b/ebonyrack/load/group_check.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 from dataclasses import dataclass
 
 import psycopg
 
 from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
 from ebonyrack.core.position import START
 from ebonyrack.load.record import WorkloadRecord
 from ebonyrack.upstreams.contract import EbonyrackContract
@@ -20,6 +22,8 @@
 )
 ADMINISTRATOR = "postgres"
 CONNECT_TIMEOUT_S = 3
+PRIMARY_WAIT_S = 15.0
+PRIMARY_POLL_S = 0.2
 
 
 class NoPrimaryError(Exception):
@@ -75,6 +79,31 @@
     return contract.parse_status(fields)
 
 
+async def wait_primary(
+    upstreams: tuple[Address, ...], limit_s: float = PRIMARY_WAIT_S
+) -> psycopg.AsyncConnection[tuple[object, ...]]:
+    """Open a connection to the primary, once there is one.
+
+    Args:
+        upstreams: Addresses of the group's upstreams.
+        limit_s: Longest wait, in seconds.
+
+    Returns:
+        The connection.
+
+    Raises:
+        NoPrimaryError: If there is none within the limit.
+    """
+    deadline_s = now_s() + limit_s
+    while True:
+        try:
+            return await open_primary(upstreams)
+        except NoPrimaryError:
+            if now_s() > deadline_s:
+                raise
+            await asyncio.sleep(PRIMARY_POLL_S)
+
+
 async def open_primary(
     upstreams: tuple[Address, ...], user: str = ADMINISTRATOR, password: str = ""
 ) -> psycopg.AsyncConnection[tuple[object, ...]]:
@@ -113,7 +142,7 @@
 
 async def create_tables(upstreams: tuple[Address, ...]) -> None:
     """Create the workload's table, without any constraint that hides doubles."""
-    async with await open_primary(upstreams) as connection:
+    async with await wait_primary(upstreams) as connection:
         for statement in TABLE_STATEMENTS:
             await connection.execute(statement.encode())
 
@@ -131,7 +160,7 @@
     Returns:
         The differences.
     """
-    async with await open_primary(upstreams) as connection:
+    async with await wait_primary(upstreams) as connection:
         cursor = await connection.execute("SELECT request, slot FROM reservations")
         rows = [
             (str(request), slot)
