--- a/ebonyrack/peers/membership.py
+++ b/ebonyrack/peers/membership.py
@@ -75,7 +75,14 @@
         callbacks: Called with a member after each change of its description.
     """
 
-    __slots__ = ("own", "entries", "callbacks", "machine", "cached_digest")
+    __slots__ = (
+        "own",
+        "entries",
+        "callbacks",
+        "machine",
+        "cached_digest",
+        "cached_live",
+    )
 
     def __init__(self, settings: ProxySettings, address: Address) -> None:
         # Wall-clock time only makes a higher first number likely; a member that
@@ -98,10 +105,12 @@
             auto_transitions=False,
         )
         self.cached_digest: int | None = None
+        self.cached_live: tuple[Member, ...] | None = None
 
     def set_address(self, address: Address) -> None:
         """Note where this proxy listens, once that is known."""
         self.own = replace(self.own, address=address)
+        self.cached_live = None
 
     def subscribe(self, callback: Callback) -> None:
         """Call a function with a member after each change of it."""
@@ -112,6 +121,12 @@
 
         A suspect member counts until it is dead; a leaving one doesn't.
         """
+        if self.cached_live is None:
+            self.cached_live = self.list_live()
+        return self.cached_live
+
+    def list_live(self) -> tuple[Member, ...]:
+        """List the proxies that take work, sorted by name."""
         live = [
             entry.member
             for entry in self.entries.values()
@@ -270,6 +285,7 @@
     def report(self, member: Member) -> None:
         """Log a change and tell the subscribers."""
         self.cached_digest = None
+        self.cached_live = None
         logger.bind(
             peer=member.name,
             state=member.state.name.lower(),
