Poll replicas and standby coordinators' groups less often

Cause: each of a group's three coordinators polled all upstreams at the probe interval, 180 polls a second for each group. Ruled out: a longer interval for all, which adds to each failover gap. Change: the first coordinator keeps the interval for the primary and takes twice that for replicas; the other two, who act only after the first, take four times that. 70 polls a second remain for each group.

--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -107,7 +107,7 @@
             self.task = None
         await self.repair.close()
         self.membership.callbacks.remove(self.note_member)
-        self.group.is_coordinator = False
+        self.group.coordinator_rank = None
 
     def note_member(self, member: Member) -> None:
         """Work the rank out again after a change of any proxy.
@@ -153,7 +153,7 @@
         if rank != self.rank:
             log_decision("coordinator_rank", group=self.group.name, rank=rank)
         self.rank = rank
-        self.group.is_coordinator = rank is not None
+        self.group.coordinator_rank = rank
 
     async def revalidate(self, pause_s: float) -> None:
         """Learn the state of the group afresh after this process was paused.
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -49,7 +49,8 @@
         primary_name: Name of that primary, or None.
         learned_at_s: Monotonic time at which it was learned.
         acknowledged_term: Highest term in which a write was acknowledged here.
-        is_coordinator: Whether this proxy may order a promotion.
+        coordinator_rank: Place of this proxy among the group's coordinators, 0 for the
+            first; None if it may not order a promotion.
         confirmations: Writes of the present term that wait for a majority.
         history: Positions of the primary, for the lag of replicas.
         changed: Notified when the primary, a term or reachability changes.
@@ -65,7 +66,7 @@
         self.primary_name: str | None = None
         self.learned_at_s: float | None = None
         self.acknowledged_term = 0
-        self.is_coordinator = False
+        self.coordinator_rank: int | None = None
         self.history = PrimaryHistory()
         self.changed = Signal()
         self.hold_until_s = 0.0
@@ -94,6 +95,11 @@
         await asyncio.gather(*self.removals)
         self.confirmations.end_term()
 
+    @property
+    def is_coordinator(self) -> bool:
+        """Whether this proxy may order a promotion."""
+        return self.coordinator_rank is not None
+
     @property
     def majority(self) -> int:
         """Upstreams in a majority, the primary included."""
--- a/ebonyrack/upstreams/watch.py
+++ b/ebonyrack/upstreams/watch.py
@@ -19,6 +19,10 @@
 # One that coordinates nothing but carries requests polls at this interval; it hears of
 # a new primary from the coordinators.
 BUSY_PROBE_INTERVAL_S = 0.2
+# The first coordinator polls replicas, and the others poll all, at this many times the
+# probe interval: the first one's verdict counts, and the others act only after it.
+REPLICA_FACTOR = 2
+STANDBY_FACTOR = 4
 CONFIRM_CALL_S = 0.5
 # Both notices that end an idle wait are certain; the bound only guards against a fault.
 IDLE_WAIT_S = 10.0
@@ -80,8 +84,11 @@
     def compute_probe_interval(self) -> float:
         """Return the seconds between polls of an upstream."""
         group = self.group
-        if group.is_coordinator:
-            return group.section.probe_interval_s
+        if group.coordinator_rank == 0:
+            factor = 1 if self.upstream.name == group.primary_name else REPLICA_FACTOR
+            return factor * group.section.probe_interval_s
+        if group.coordinator_rank is not None:
+            return STANDBY_FACTOR * group.section.probe_interval_s
         if group.is_carrying_requests:
             return max(BUSY_PROBE_INTERVAL_S, group.section.probe_interval_s)
         return IDLE_PROBE_INTERVAL_S
