--- a/ebonyrack/upstreams/pool.py
+++ b/ebonyrack/upstreams/pool.py
@@ -150,6 +150,7 @@
         if not self.queue and self.has_place():
             connection = self.take_place()
         else:
+            self.queue.limit = self.section.queue_limit
             self.queue.add(waiter, self.present_limit)
             self.grant_places()
             connection = await self.wait_for_grant(waiter)
--- a/ebonyrack/upstreams/pool_test.py
+++ b/ebonyrack/upstreams/pool_test.py
@@ -175,6 +175,19 @@
         assert (pool.limit, pool.idle_count) == (1, 1)
 
 
+async def test_changed_section_changes_the_length_of_the_queue(upstream):
+    async with build_pool(upstream, 1) as pool:
+        held = await acquire(pool)
+        pool.section = pool.section.model_copy(update={"queue_limit": 1})
+        waiter = acquire(pool)
+        await wait_until(lambda: pool.waiting_count == 1)
+        with pytest.raises(RequestError) as caught:
+            await acquire(pool)
+        assert caught.value.kind is ErrorKind.QUEUE_FULL
+        pool.release(held)
+        pool.release(await waiter)
+
+
 async def test_warm_connections_stay_within_the_limit(upstream):
     async with build_pool(upstream, 3) as pool:
         assert await pool.warm(10) == 3
