Show no read of a replica that was promoted unseen

A proxy that has not yet seen a promotion places a read on a replica, unheld; the replica is primary by then and shows a commit that no majority holds, which the next change of primary may take back. Ruled out: a poll after each read (a round trip each); ending the sessions of a replica at its promotion (the failover gap would pay for new connections). Change: PostgreSQL reports in_hot_standby before the ReadyForQuery that follows a change; the stand-in does too. A connection keeps it and relays it to nobody. A read that needs a replica and ends on a primary goes elsewhere, or ends as cut if rows have gone out; a read-only transaction is confirmed before its COMMIT is answered. Proof: test_replica_promoted_unseen_shows_no_unconfirmed_write failed in both forms with the check off (2 failed) and passes with it. An upstream that does not report in_hot_standby (PostgreSQL before 14) is not checked.

--- a/ebonyrack/callers/commit.py
+++ b/ebonyrack/callers/commit.py
@@ -95,7 +95,9 @@
     assert connection is not None
     exchange = request.render(connection)
     relay = Relay(session, connection, exchange, holds=True)
-    needs_confirmation = session.transaction.needs_confirmation
+    transaction = session.transaction
+    is_promoted = transaction.needs_replica and connection.is_standby is False
+    needs_confirmation = transaction.needs_confirmation or is_promoted
     question = build_position_question(session) if needs_confirmation else b""
     try:
         connection.send(exchange.data + question)
--- a/ebonyrack/callers/failover_test.py
+++ b/ebonyrack/callers/failover_test.py
@@ -11,6 +11,7 @@
 from ebonyrack.callers.conftest import open_proxy
 from ebonyrack.callers.conftest import wait_until
 from ebonyrack.config.document import Document
+from ebonyrack.upstreams.connection import open_connection
 
 INSERT = "INSERT INTO bookings (slot, booker, request) VALUES (1, 'me', '{}')"
 CALLERS = 6
@@ -122,3 +123,33 @@
         assert error_of(frames)[1].startswith("ran=no kind=position_not_reached")
         assert frames[-1] == (b"Z", b"I")
         proxy.standins.heal()
+
+
+@pytest.mark.parametrize("begin", ["", "BEGIN READ ONLY"])
+async def test_replica_promoted_unseen_shows_no_unconfirmed_write(begin):
+    async with open_proxy(**LIMITS, probe_interval_s=60) as proxy:
+        standins = proxy.standins
+        connection = await proxy.connect()
+        await connection.execute(INSERT.format("confirmed"))
+        await standins["up-2"].applied.wait_for(standins["up-1"].log.last, 5.0)
+        await proxy.group.upstreams["up-2"].poll()
+        cursor = await connection.execute("SHOW ebonyrack.token")
+        (token,) = await cursor.fetchone()
+        await connection.execute(f"SET ebonyrack.token = '{token}'")
+        proxy.group.mark_leaving("up-3", True)
+        for name in ("up-2", "up-3"):
+            assert await standins[name].fence(2)
+        await standins["up-2"].promote(2)
+        address = standins["up-2"].address
+        direct = await open_connection(address, "ebonyrack", "", "booking", 5.0)
+        await direct.query(INSERT.format("unconfirmed"), 5.0)
+        direct.close()
+        if begin:
+            await connection.execute(begin)
+            await connection.execute("SELECT request FROM bookings")
+            with pytest.raises(psycopg.Error):
+                await connection.execute("COMMIT")
+        else:
+            cursor = await connection.execute("SELECT request FROM bookings")
+            assert await cursor.fetchall() == [("confirmed",)]
+        await connection.close()
--- a/ebonyrack/callers/reading.py
+++ b/ebonyrack/callers/reading.py
@@ -145,6 +145,8 @@
         await relay.run()
         if needs_confirmation:
             position = await read_position(session)
+        elif placement.needs_replica and connection.is_standby is False:
+            raise UpstreamLostError("the replica became primary during the read")
     except UpstreamLostError as error:
         name = placement.upstream.name
         session.group.report_lost(name, error.reason)
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -53,6 +53,8 @@
         is_implicit: Whether the proxy opened it for a pipeline of the caller.
         has_written: Whether a statement was sent that may write.
         needs_confirmation: Whether it reads from a primary whose answers wait.
+        needs_replica: Whether it reads from a replica; one that was promoted
+            meanwhile needs confirmation too.
         key: Idempotency key of the transaction, or an empty string.
         failure: Error to answer the next statement with, or None.
     """
@@ -65,6 +67,7 @@
         "is_implicit",
         "has_written",
         "needs_confirmation",
+        "needs_replica",
         "key",
         "failure",
     )
@@ -82,6 +85,7 @@
         self.is_implicit = False
         self.has_written = False
         self.needs_confirmation = False
+        self.needs_replica = False
         self.key = ""
 
     def begin(self, sql: str, is_read_only: bool, is_implicit: bool = False) -> None:
@@ -217,6 +221,7 @@
             group.report_lost(placement.upstream.name, error.reason)
             raise RequestError(ErrorKind.UPSTREAM_LOST, error.reason) from error
         self.needs_confirmation = placement.hold_until_confirmed
+        self.needs_replica = placement.needs_replica
 
     async def claim(self) -> None:
         """Claim the idempotency key within the transaction.
--- a/ebonyrack/routing/conftest.py
+++ b/ebonyrack/routing/conftest.py
@@ -100,6 +100,9 @@
     def __getitem__(self, name: str) -> FakeUpstream:
         return self.upstreams[name]
 
+    def note_request(self) -> None:
+        """Ignore that the group carries requests."""
+
     def primary(self) -> FakeUpstream | None:
         """Return the primary if it is reachable."""
         upstream = self.upstreams[self.primary_name]
--- a/ebonyrack/standins/session.py
+++ b/ebonyrack/standins/session.py
@@ -25,6 +25,7 @@
 from ebonyrack.standins.startup import REPORTED_PARAMETERS
 from ebonyrack.standins.startup import start_session
 from ebonyrack.standins.transaction import Transaction
+from ebonyrack.upstreams.status import Role
 
 if TYPE_CHECKING:
     from ebonyrack.standins.upstream import StandinUpstream
@@ -32,6 +33,8 @@
 READ_BYTES = 65536
 STARTUP_TIMEOUT_S = 60.0
 KEY_BYTES = 4
+# Reported at startup and before the ReadyForQuery after a change, as PostgreSQL does.
+ROLE_PARAMETER = "in_hot_standby"
 READY = {
     status: messages.ReadyForQuery(status).to_wire() for status in TransactionStatus
 }
@@ -186,8 +189,16 @@
             if reported.lower() == name.lower():
                 self.send(messages.ParameterStatus(reported, value))
 
+    def report_role(self) -> None:
+        """Tell whether the upstream is a replica, if that has changed."""
+        value = "off" if self.upstream.role is Role.PRIMARY else "on"
+        if self.parameters.get(ROLE_PARAMETER) != value:
+            self.parameters[ROLE_PARAMETER] = value
+            self.send(messages.ParameterStatus(ROLE_PARAMETER, value))
+
     def send_ready(self) -> None:
         """Add ReadyForQuery with the transaction's status."""
+        self.report_role()
         status = TransactionStatus.IDLE
         if self.transaction is not None:
             status = TransactionStatus.IN_TRANSACTION
--- a/ebonyrack/upstreams/authentication.py
+++ b/ebonyrack/upstreams/authentication.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from dataclasses import dataclass
 
 from pygwire.messages import AuthenticationSASL
 from pygwire.messages import AuthenticationSASLContinue
@@ -61,7 +62,7 @@
         message = await frames.read_frame()
         if message.kind == b"E":
             raise build_lost_error(message, "startup")
-        if message.kind not in (b"N", b"S", b"v"):
+        if message.kind not in (b"N", b"v"):
             return message
     raise UpstreamLostError("the upstream does not finish its startup")
 
@@ -157,9 +158,24 @@
     await read_authentication(frames, CODE_OK)
 
 
+@dataclass(frozen=True, slots=True)
+class SessionStart:
+    """What an upstream says at the start of a session.
+
+    Attributes:
+        key: Key for cancel requests.
+        status: Transaction status.
+        parameters: ParameterStatus messages.
+    """
+
+    key: BackendKeyData
+    status: str
+    parameters: tuple[Message, ...]
+
+
 async def start_session(
     frames: FrameTransport, user: str, password: str, database: str
-) -> tuple[BackendKeyData, str]:
+) -> SessionStart:
     """Start a session up to the first ReadyForQuery.
 
     Args:
@@ -169,21 +185,24 @@
         database: Database name.
 
     Returns:
-        The key for cancel requests and the transaction status.
+        What the upstream says about the session.
 
     Raises:
         UpstreamLostError: If the upstream refuses or goes away.
     """
-    parameters = {"user": user, "database": database, "client_encoding": "UTF8"}
-    frames.write(StartupMessage(params=parameters).to_wire())
+    names = {"user": user, "database": database, "client_encoding": "UTF8"}
+    frames.write(StartupMessage(params=names).to_wire())
     await authenticate(frames, user, password)
     key = BackendKeyData()
+    parameters: list[Message] = []
     for _ in range(MAXIMUM_STARTUP_MESSAGES):
         message = await read_startup_message(frames)
         if message.kind == b"K":
             key = BackendKeyData.decode(message.payload)
+        elif message.kind == b"S":
+            parameters.append(message)
         elif message.kind == b"Z":
-            return key, chr(message.payload[0])
+            return SessionStart(key, chr(message.payload[0]), tuple(parameters))
         else:
             raise UpstreamLostError(f"message {message.kind!r} during startup")
     raise UpstreamLostError("the upstream does not finish its startup")
--- a/ebonyrack/upstreams/connection.py
+++ b/ebonyrack/upstreams/connection.py
@@ -18,6 +18,7 @@
 from ebonyrack.core.address import Address
 from ebonyrack.upstreams.authentication import start_session
 from ebonyrack.upstreams.transport import HEADER
+from ebonyrack.upstreams.transport import HEADER_BYTES
 from ebonyrack.upstreams.transport import FrameTransport
 from ebonyrack.upstreams.transport import Message
 from ebonyrack.upstreams.transport import UpstreamLostError
@@ -34,6 +35,7 @@
 KINDS_ANSWERED_READY = frozenset({b"Q", b"S", b"F"})
 TRANSACTION_STATUSES = frozenset({"I", "T", "E"})
 MAXIMUM_CONTROL_ROWS = 10000
+STANDBY_PARAMETER = b"in_hot_standby"
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +66,9 @@
         answers_due: ReadyForQuery messages still to come.
         is_unsynced: Whether messages were sent that no Sync has closed yet.
         is_cancelled: Whether a cancel request was sent; it may strike late.
+        is_standby: Whether the upstream last said that it is a replica; None if it
+            does not say. It says so again before the ReadyForQuery that follows a
+            change, so a read that ended with it True has seen a replica's data.
         prepared: Prepared statements known to the upstream, in order of use.
         opened_in_s: Seconds that opening took.
     """
@@ -77,6 +82,7 @@
         "answers_due",
         "is_unsynced",
         "is_cancelled",
+        "is_standby",
         "prepared",
         "opened_in_s",
     )
@@ -90,6 +96,7 @@
         self.answers_due = 0
         self.is_unsynced = False
         self.is_cancelled = False
+        self.is_standby: bool | None = None
         self.prepared: OrderedDict[str, str] = OrderedDict()
         self.opened_in_s = 0.0
 
@@ -136,8 +143,8 @@
             UpstreamLostError: If the upstream breaks the protocol.
         """
         message = self.frames.take_frame()
-        if message is not None and message.kind == b"Z":
-            self.note_ready(message)
+        while message is not None and self.note_message(message):
+            message = self.frames.take_frame()
         return message
 
     async def read_message(self) -> Message:
@@ -150,9 +157,40 @@
             UpstreamLostError: If the connection ended or broke the protocol.
         """
         message = await self.frames.read_frame()
+        while self.note_message(message):
+            message = await self.frames.read_frame()
+        return message
+
+    def note_message(self, message: Message) -> bool:
+        """Keep what a message says about the session.
+
+        Args:
+            message: Any message of the upstream.
+
+        Returns:
+            Whether it is for the proxy alone: the report of the upstream's role.
+
+        Raises:
+            UpstreamLostError: If it is a ReadyForQuery that is not valid.
+        """
         if message.kind == b"Z":
             self.note_ready(message)
-        return message
+        return message.kind == b"S" and self.note_role(message)
+
+    def note_role(self, message: Message) -> bool:
+        """Keep whether the upstream is a replica, if a ParameterStatus says so.
+
+        Args:
+            message: The ParameterStatus.
+
+        Returns:
+            Whether it says so.
+        """
+        name, _, value = message.raw[HEADER_BYTES:].partition(b"\0")
+        if name != STANDBY_PARAMETER:
+            return False
+        self.is_standby = value == b"on\0"
+        return True
 
     def note_ready(self, message: Message) -> None:
         """Keep the transaction status of a ReadyForQuery.
@@ -365,7 +403,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             frames = await connect(address)
-            key, status = await start_session(frames, user, password, database)
+            start = await start_session(frames, user, password, database)
     except TimeoutError:
         close_frames(frames)
         raise UpstreamLostError(
@@ -378,9 +416,11 @@
         close_frames(frames)
         raise
     connection = UpstreamConnection(address, frames)
-    connection.process_id = key.process_id
-    connection.secret_key = key.secret_key
-    connection.transaction_status = status
+    connection.process_id = start.key.process_id
+    connection.secret_key = start.key.secret_key
+    connection.transaction_status = start.status
+    for message in start.parameters:
+        connection.note_role(message)
     connection.opened_in_s = loop.time() - started_s
     return connection
 
--- a/ebonyrack/upstreams/connection_test.py
+++ b/ebonyrack/upstreams/connection_test.py
@@ -9,6 +9,7 @@
 from pygwire.messages import Sync
 
 from ebonyrack.core.address import Address
+from ebonyrack.standins.group import StandinGroup
 from ebonyrack.upstreams.conftest import build_answer
 from ebonyrack.upstreams.conftest import build_error
 from ebonyrack.upstreams.connection import UpstreamLostError
@@ -193,3 +194,17 @@
     for cut in (2, 6):
         with pytest.raises(ValueError):
             count_answers_due(Query(query_string="a").to_wire()[:cut], False)
+
+
+async def test_promotion_is_known_when_the_next_answer_ends():
+    async with StandinGroup() as group:
+        connection = await connect(group["up-2"])
+        assert connection.is_standby is True
+        for name in ("up-2", "up-3"):
+            await group[name].fence(2)
+        await group["up-2"].promote(2)
+        connection.send(Query(query_string="SELECT 1").to_wire())
+        kinds = [(await connection.read_message()).kind for _ in range(4)]
+        assert (kinds, connection.is_standby) == ([b"T", b"D", b"C", b"Z"], False)
+        assert connection.is_clean
+        connection.close()
