Prove reads of roaming sessions by a state machine

Change: hypothesis drives three sessions over two proxies' groups and read indexes before one stand-in group: writes, strict, token and aged reads, a replica cut from the log, lag, primaries killed or replaced unaware, their return with and without an order to follow. Checked: every acknowledged write in strict reads, own writes and token, age, and that nothing shown is lost by a later promotion. The test for the tail of another term was vacuous before (its role was a string) and is mended.

--- /dev/null
+++ b/ebonyrack/routing/read_machine_test.py
@@ -0,0 +1,257 @@
+"""Sessions that roam between two proxies while replicas lag and primaries change."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from loguru import logger
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.position import START
+from ebonyrack.core.position import parse_position
+from ebonyrack.routing.read_index import ReadIndex
+from ebonyrack.routing.read_placement import ReadRequirement
+from ebonyrack.routing.read_placement import place_read
+from ebonyrack.standins.group import StandinGroup
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.contract import EbonyrackContract
+from ebonyrack.upstreams.group import DatabaseGroup
+
+CONTRACT = EbonyrackContract()
+PROXIES = st.integers(0, 1)
+SESSIONS = st.integers(0, 2)
+REPLICAS = st.integers(0, 1)
+LAGS_S = st.sampled_from([0.0, 0.02, 0.3])
+AGES_S = st.sampled_from([0.0, 0.02, 0.2])
+# Bounds each request; one that is refused shows nothing and proves nothing.
+REQUEST_S = 0.3
+SECTION = {
+    "read_wait_s": 0.05,
+    "probe_interval_s": 0.02,
+    "suspect_after_s": 0.1,
+    "lag_refusal_s": 60.0,
+}
+
+
+class Session:
+    """What one caller has been told."""
+
+    def __init__(self):
+        self.written = set()
+        self.token = START
+
+
+class ReadMachine(RuleBasedStateMachine):
+    """Checks every answer against the writes that were acknowledged before."""
+
+    def __init__(self):
+        super().__init__()
+        logger.disable("ebonyrack")
+        self.loop = asyncio.new_event_loop()
+        self.stack = AsyncExitStack()
+        self.sessions = [Session() for _ in range(3)]
+        self.acknowledged = {}
+        self.shown = set()
+        self.count = 0
+        self.dead = None
+        self.loop.run_until_complete(self.start())
+
+    async def start(self):
+        self.standins = await self.stack.enter_async_context(StandinGroup())
+        self.proxies = []
+        for _ in range(2):
+            group = DatabaseGroup("scheduling", self.standins.section(**SECTION), 8)
+            await self.stack.enter_async_context(group)
+            index = await self.stack.enter_async_context(ReadIndex(group))
+            self.proxies.append((group, index))
+            await group.poll_all()
+
+    @property
+    def primary_name(self):
+        return self.standins.primary().name
+
+    def replica_name(self, number):
+        names = [name for name in self.standins.names if name != self.primary_name]
+        return names[number]
+
+    @rule(proxy=PROXIES, session=SESSIONS)
+    def write(self, proxy, session):
+        self.count += 1
+        value = f"r-{self.count}"
+        task = self.commit(self.proxies[proxy][0], value)
+        position = self.loop.run_until_complete(task)
+        if position is not None:
+            self.acknowledged[value] = now_s()
+            self.sessions[session].written.add(value)
+            self.sessions[session].token = max(self.sessions[session].token, position)
+
+    async def commit(self, group, value):
+        """Return the position of an acknowledged write, None for any other."""
+        deadline_s = now_s() + REQUEST_S
+        try:
+            primary = await group.wait_for_primary(deadline_s)
+            connection = await primary.pool.acquire("tests", deadline_s)
+            try:
+                sql = f"INSERT INTO bookings (slot, request) VALUES (1, '{value}')"
+                answer = await connection.query(sql, REQUEST_S)
+                if answer.error is not None:
+                    return None
+                answer = await connection.query(CONTRACT.build_last_commit(), REQUEST_S)
+            finally:
+                primary.pool.release(connection)
+            position = parse_position(answer.rows[0][0] or "none")
+            await group.confirm(position, deadline_s)
+        except (RequestError, UpstreamLostError, ValueError):
+            return None
+        return position
+
+    async def read(self, proxy, requirement):
+        """Return the values of an answer that a caller would get, or None."""
+        group, index = self.proxies[proxy]
+        deadline_s = now_s() + REQUEST_S
+        try:
+            placement = await place_read(group, index, requirement, deadline_s)
+            pool = placement.upstream.pool
+            connection = await pool.acquire("tests", deadline_s)
+            try:
+                answer = await connection.query("SELECT request FROM bookings", 1.0)
+                is_standby = connection.is_standby
+                status = await connection.query(CONTRACT.build_poll(START, 0), 1.0)
+            finally:
+                pool.release(connection)
+            if placement.hold_until_confirmed:
+                position = CONTRACT.parse_status(status.rows[0]).received
+                await group.confirm(position, deadline_s)
+            if placement.needs_replica and not is_standby:
+                return None
+        except (RequestError, UpstreamLostError):
+            return None
+        return {row[0] for row in answer.rows}
+
+    def check_read(self, proxy, requirement, expected):
+        """Read and compare with what must be seen."""
+        seen = self.loop.run_until_complete(self.read(proxy, requirement))
+        if seen is not None:
+            assert expected <= seen, f"{expected - seen} not seen"
+            self.shown |= seen
+
+    @rule(proxy=PROXIES)
+    def read_strictly(self, proxy):
+        self.check_read(proxy, ReadRequirement(), set(self.acknowledged))
+
+    @rule(proxy=PROXIES, session=SESSIONS)
+    def read_with_token(self, proxy, session):
+        session = self.sessions[session]
+        requirement = ReadRequirement(minimum=session.token)
+        self.check_read(proxy, requirement, session.written)
+
+    @rule(proxy=PROXIES, session=SESSIONS, age_s=AGES_S)
+    def read_aged(self, proxy, session, age_s):
+        session = self.sessions[session]
+        limit_s = now_s() - age_s
+        older = {value for value, at_s in self.acknowledged.items() if at_s < limit_s}
+        requirement = ReadRequirement(None, age_s, session.token)
+        self.check_read(proxy, requirement, older | session.written)
+
+    @rule(proxy=PROXIES, session=SESSIONS, replica=REPLICAS, lag_s=LAGS_S)
+    def write_and_read_elsewhere(self, proxy, session, replica, lag_s):
+        """Read in every way what was just written, while one replica lacks it."""
+        self.disturb_replication(replica, lag_s)
+        self.write(proxy, session)
+        self.read_with_token(1 - proxy, session)
+        self.read_strictly(1 - proxy)
+        self.read_aged(1 - proxy, session, 0.0)
+
+    @rule(proxy=PROXIES)
+    def read_together(self, proxy):
+        """Read while a write is acknowledged: the later reads must see it."""
+
+        async def read_around_a_write():
+            early = asyncio.create_task(self.read(proxy, ReadRequirement()))
+            await asyncio.sleep(0)
+            self.count += 1
+            value = f"r-{self.count}"
+            position = await self.commit(self.proxies[1 - proxy][0], value)
+            if position is not None:
+                self.acknowledged[value] = now_s()
+            known = set(self.acknowledged)
+            late = await self.read(proxy, ReadRequirement())
+            await early
+            return known, late
+
+        known, late = self.loop.run_until_complete(read_around_a_write())
+        assert late is None or known <= late
+
+    @rule(replica=st.none() | REPLICAS, lag_s=LAGS_S)
+    def disturb_replication(self, replica, lag_s):
+        """Delay what replicas show; hold back the log from one of them or none."""
+        self.standins.heal()
+        self.standins.set_lag(lag_s)
+        if replica is not None:
+            self.standins.cut(self.primary_name, self.replica_name(replica))
+
+    @precondition(lambda self: self.dead is None)
+    @rule(is_killed=st.booleans())
+    def replace_primary(self, is_killed):
+        """Promote a replica; the old primary is killed or goes on unaware."""
+        self.loop.run_until_complete(self.promote(self.primary_name, is_killed))
+
+    async def promote(self, old, is_killed):
+        term = self.standins[old].term + 1
+        if is_killed:
+            await self.standins.kill(old)
+        others = [self.standins[name] for name in self.standins.names if name != old]
+        for upstream in others:
+            assert await upstream.fence(term)
+        chosen = max(others, key=lambda upstream: upstream.log.last)
+        await chosen.promote(term)
+        for upstream in others:
+            if upstream is not chosen:
+                await upstream.follow(term, chosen.address)
+        self.dead = (old, is_killed)
+        held = " ".join(
+            statement.sql
+            for entry in chosen.log.entries
+            for statement in entry.statements
+        )
+        for value in self.shown | set(self.acknowledged):
+            assert f"'{value}'" in held, f"{value} was shown and is lost"
+
+    @precondition(lambda self: self.dead is not None)
+    @rule(follows=st.booleans())
+    def bring_back(self, follows):
+        """Let the old primary come back, at first without an order to follow."""
+        self.loop.run_until_complete(self.rejoin(follows))
+
+    async def rejoin(self, follows):
+        name, is_killed = self.dead
+        upstream = self.standins[name]
+        if is_killed:
+            await self.standins.restart(name)
+            self.dead = (name, False)
+        if follows:
+            primary = self.standins.primary()
+            await upstream.follow(primary.term, primary.address)
+            self.dead = None
+
+    @rule(is_polled=st.booleans())
+    def let_time_pass(self, is_polled):
+        self.loop.run_until_complete(asyncio.sleep(0.03))
+        for group, _ in self.proxies if is_polled else ():
+            self.loop.run_until_complete(group.poll_all())
+
+    def teardown(self):
+        self.loop.run_until_complete(self.stack.aclose())
+        self.loop.close()
+        logger.enable("ebonyrack")
+
+
+ReadMachine.TestCase.settings = settings(
+    max_examples=30, stateful_step_count=20, deadline=None, derandomize=True
+)
+TestReads = ReadMachine.TestCase
--- a/ebonyrack/routing/read_placement_test.py
+++ b/ebonyrack/routing/read_placement_test.py
@@ -13,6 +13,7 @@
 from ebonyrack.routing.read_index import ReadIndex
 from ebonyrack.routing.read_placement import ReadRequirement
 from ebonyrack.routing.read_placement import place_read
+from ebonyrack.upstreams.status import Role
 
 WAIT_S = 10.0
 STRICT = ReadRequirement()
@@ -101,7 +102,7 @@
 async def test_replica_that_may_hold_entries_of_no_majority_serves_no_read(group):
     group.term, group.primary_name = 2, "b"
     tail = LogPosition(1, 9)
-    await group["a"].change(role="replica", term=2, received=tail, applied=tail)
+    await group["a"].change(role=Role.REPLICA, term=2, received=tail, applied=tail)
     group["a"].status = group["a"].actual
     requirement = ReadRequirement(minimum=LogPosition(1, 1))
     assert (await place(group, requirement)).upstream is group["b"]
