--- a/ebonyrack/upstreams/connection.py
+++ b/ebonyrack/upstreams/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import struct
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -34,6 +35,7 @@
 KINDS_ANSWERED_READY = frozenset({b"Q", b"S", b"F"})
 TRANSACTION_STATUSES = frozenset({"I", "T", "E"})
 MAXIMUM_CONTROL_ROWS = 10000
+CACHED_DESCRIPTIONS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,8 +218,7 @@
         while True:
             message = await self.read_message()
             if message.kind == b"T":
-                fields = RowDescription.decode(message.payload).fields
-                columns = tuple(field.name for field in fields)
+                columns = read_column_names(message.raw)
                 rows = []
             elif message.kind == b"D":
                 rows.append(decode_row(message))
@@ -291,6 +292,22 @@
     return due, is_unsynced
 
 
+@functools.lru_cache(maxsize=CACHED_DESCRIPTIONS)
+def read_column_names(raw: bytes) -> tuple[str, ...]:
+    """Decode the column names of a RowDescription.
+
+    Control queries get the same few descriptions again and again.
+
+    Args:
+        raw: The frame.
+
+    Returns:
+        The names.
+    """
+    fields = RowDescription.decode(memoryview(raw)[HEADER.size :]).fields
+    return tuple(field.name for field in fields)
+
+
 def decode_row(message: Message) -> tuple[str | None, ...]:
     """Decode a DataRow in text form.
 
