Keep the portal of a pipeline that runs in parts

A Bind longer than 256 KiB made the pipeline run before its Execute came, outside of a transaction, and the portal was gone: psycopg got 34000 for a row of 500,000 bytes (found by test_a_caller_that_takes_no_answer_loses_its_connection). Parts now end behind an Execute, at 1 MiB, and a Bind opens the proxy's transaction as an Execute does. Tests too: a Flush between Bind and Execute, long pipelines that fail at their end, COPY by the extended protocol, a caller that takes no answer.

--- a/ebonyrack/callers/chunk.py
+++ b/ebonyrack/callers/chunk.py
@@ -86,9 +86,9 @@
         return READS
 
     @property
-    def executes(self) -> bool:
-        """Whether anything is executed."""
-        return any(item.message.kind == b"E" for item in self.items)
+    def makes_portals(self) -> bool:
+        """Whether anything is bound or executed, which ends with its transaction."""
+        return any(item.message.kind in (b"B", b"E") for item in self.items)
 
     @property
     def is_local(self) -> bool:
--- a/ebonyrack/callers/pipeline.py
+++ b/ebonyrack/callers/pipeline.py
@@ -33,7 +33,7 @@
     from ebonyrack.upstreams.connection import UpstreamConnection
 
 # A pipeline longer than this runs in parts, as if the caller had sent a Flush.
-COLLECTED_BYTES = 256 * 1024
+COLLECTED_BYTES = 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,9 +113,22 @@
             await self.run_collected(is_whole=False)
         else:
             self.collect(frame)
-            if self.collected_bytes > COLLECTED_BYTES:
+            if self.must_run(frame):
                 await self.run_collected(is_whole=False)
 
+    def must_run(self, frame: Message) -> bool:
+        """Tell whether the messages collected have become too many to wait on.
+
+        Args:
+            frame: The message that came last.
+
+        Returns:
+            Whether to run them; if possible behind an Execute.
+        """
+        if self.collected_bytes > self.session.settings.maximum_message_bytes:
+            return True
+        return frame.kind == b"E" and self.collected_bytes > COLLECTED_BYTES
+
     def collect(self, frame: Message) -> None:
         """Keep a message until Sync or Flush, with the statement it is about.
 
@@ -251,7 +264,7 @@
             session.stream.write(chunk.build_replay([]))
             self.store.note_closed(chunk)
             return True
-        if not is_whole and session.transaction.status == IDLE and chunk.executes:
+        if not is_whole and session.transaction.status == IDLE and chunk.makes_portals:
             session.transaction.begin(OWN_BEGIN, False, is_implicit=True)
         try:
             return await run_data(session, chunk.statement, chunk)
--- a/ebonyrack/callers/pipeline_test.py
+++ b/ebonyrack/callers/pipeline_test.py
@@ -125,6 +125,41 @@
     assert frames[-3][1].endswith(b"1")
 
 
+async def test_a_flush_between_bind_and_execute_keeps_the_portal(proxy):
+    caller = await proxy.start_wire()
+    caller.send(parse(b"", COUNT), bind(b""), FLUSH)
+    assert [(await caller.read_frame())[0] for _ in range(2)] == [b"1", b"2"]
+    assert kinds(await caller.ask(execute(), SYNC)) == "DCZ"
+
+
+@pytest.mark.parametrize("value_bytes", [300_000, 600_000])
+async def test_long_pipelines_run_in_parts_as_one_transaction(proxy, value_bytes):
+    insert = "INSERT INTO bookings (slot, booker, request) VALUES (%s, %s, %s)"
+    async with await proxy.connect() as connection:
+        for last, count in (("0", 0), ("4", 5)):
+            rows = [
+                (number, "me", f"{number:0{value_bytes}}") for number in (0, 1, 2, 3)
+            ]
+            rows.append((4, "me", f"{last:0>{value_bytes}}"))
+            try:
+                async with connection.pipeline():
+                    for row in rows:
+                        await connection.execute(insert, row)
+            except psycopg.errors.UniqueViolation:
+                assert count == 0
+            cursor = await connection.execute("SELECT count(*) FROM bookings")
+            assert await cursor.fetchone() == (count,)
+
+
+async def test_copy_is_refused_cleanly(proxy):
+    caller = await proxy.start_wire()
+    frames = await caller.ask(run(b"COPY bookings FROM STDIN"), SYNC)
+    assert error_of(frames)[0] == "0A000" and kinds(frames) == "EZ"
+    # The data of a driver that did not wait for the refusal is skipped.
+    caller.send(b"d\x00\x00\x00\x05x", b"c\x00\x00\x00\x04")
+    assert kinds(await caller.ask(run(COUNT), SYNC)) == "12TDCZ"
+
+
 async def test_several_syncs_in_one_send(proxy):
     caller = await proxy.start_wire()
     caller.send(run(COUNT), SYNC, run(b"SELECT nowhere"), SYNC, run(COUNT), SYNC)
--- a/ebonyrack/callers/session_test.py
+++ b/ebonyrack/callers/session_test.py
@@ -258,3 +258,21 @@
             with pytest.raises(error):
                 await connection.execute(INSERT.format(request))
         assert await fetch(connection, COUNT) == [(2,)]
+
+
+async def test_a_caller_that_takes_no_answer_loses_its_connection(proxy):
+    insert = "INSERT INTO bookings (slot, booker, request) VALUES (%s, %s, %s)"
+    async with await proxy.connect() as writer:
+        for number in range(20):
+            await writer.execute(insert, (number, "me", f"{number:0500000}"))
+    await wait_until(lambda: not proxy.sessions)
+    caller = await proxy.start_wire()
+    caller.send(b"Q\x00\x00\x00\x21SELECT request FROM bookings\x00")
+    await wait_until(lambda: proxy.sessions[0].phase == "caller")
+    limit_s = proxy.group.section.idle_in_transaction_s
+    check_sessions(proxy.sessions, now_s() + limit_s + 1)
+    await wait_until(lambda: not proxy.sessions)
+    for upstream in proxy.group.upstreams.values():
+        assert not upstream.pool.busy
+    answer = await caller.read_to_end()
+    assert answer and not answer.endswith(b"Z\x00\x00\x00\x05I")
