Tell of leaving VMs once for each change; accept any later term in the fault matrix

Cause: a watch and a peer that bring the same change told the subscribers twice (5 calls for 4 proxies in one of three runs). The matrix waited for a primary other than the frozen one; when that is thawed before the fence it may hold the longest log and win again, which is right, so the test timed out in about one run of three. Ruled out: the new probe intervals, since nothing was left to detect. Change: the test waits for a primary of a later term, and all checks of writes and terms stay. Hypothesis runs without a database and derandomized, so that a verdict is the same each time.

--- a/conftest.py
+++ b/conftest.py
@@ -3,6 +3,13 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
+
+# Examples are the same in every run, so that a verdict is too.
+settings.register_profile(
+    "deterministic", derandomize=True, database=None, deadline=None
+)
+settings.load_profile("deterministic")
 
 KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
 
--- a/ebonyrack/config/watch.py
+++ b/ebonyrack/config/watch.py
@@ -52,6 +52,7 @@
         store: The platform's store.
         hub: Links to the peers.
         vm_list: The platform's VM list.
+        reported_leaving: Leaving VMs that the subscribers were last told of.
         spread: Passes revisions on between peers.
         verification: Verifies the document after a long pause.
         started_at_s: Time from which silence is counted.
@@ -70,6 +71,7 @@
         self.store = store
         self.hub = hub
         self.vm_list = VmList(store)
+        self.reported_leaving: frozenset[str] = frozenset()
         self.spread = DocumentSpread(state, hub)
         self.verification = PauseVerification(settings.peers, self.spread, store)
         self.started_at_s = now_s()
@@ -225,7 +227,11 @@
             link.send(self.build_vm_news())
 
     def report_vms(self) -> None:
-        """Log the leaving VMs and tell the subscribers."""
+        """Log the leaving VMs and tell the subscribers, once for each change."""
+        # A watch and a peer may bring the same change.
+        if self.vm_list.leaving == self.reported_leaving:
+            return
+        self.reported_leaving = self.vm_list.leaving
         logger.bind(leaving=sorted(self.vm_list.leaving)).info("leaving_vms_changed")
         for callback in tuple(self.callbacks):
             callback()
--- a/ebonyrack/failover/fault_matrix_test.py
+++ b/ebonyrack/failover/fault_matrix_test.py
@@ -272,6 +272,12 @@
     await callers.check()
 
 
+def has_later_term(standins):
+    """Tell whether a primary runs in a later term than the first."""
+    primary = standins.primary()
+    return primary is not None and primary.term > 1
+
+
 @pytest.mark.parametrize("fault", FAULTS, ids=get_name)
 @pytest.mark.parametrize("step", STEPS)
 async def test_no_fault_at_a_step_of_the_ballot_loses_a_write(
@@ -283,7 +289,8 @@
         fault(strike)
         bench.standins.freeze("up-1")
         await until(lambda: strike.has_struck)
-        await until(lambda: bench.standins.primary() is not bench.standins["up-1"])
+        # A thawed upstream that holds the longest log may win the ballot again.
+        await until(lambda: has_later_term(bench.standins))
         await callers.progress(1)
         await asyncio.gather(*strike.tasks)
         bench.network.cut.clear()
--- a/ebonyrack/failover/group_machine_test.py
+++ b/ebonyrack/failover/group_machine_test.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack
 
 from hypothesis import HealthCheck
+from hypothesis import Phase
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
@@ -35,6 +36,8 @@
     deadline=None,
     database=None,
     print_blob=False,
+    # Time passes between steps, so a shorter example need not fail in the same way.
+    phases=(Phase.explicit, Phase.generate),
     suppress_health_check=list(HealthCheck),
 )
 
--- a/ebonyrack/routing/read_machine_test.py
+++ b/ebonyrack/routing/read_machine_test.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import AsyncExitStack
 
+from hypothesis import Phase
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
@@ -267,6 +268,11 @@
 
 
 ReadMachine.TestCase.settings = settings(
-    max_examples=20, stateful_step_count=20, deadline=None, derandomize=True
+    max_examples=20,
+    stateful_step_count=20,
+    deadline=None,
+    derandomize=True,
+    # Time passes between steps, so a shorter example need not fail in the same way.
+    phases=(Phase.explicit, Phase.generate),
 )
 TestReads = ReadMachine.TestCase
