--- a/ebonyrack/standins/group_test.py
+++ b/ebonyrack/standins/group_test.py
@@ -309,6 +309,21 @@
         assert grant[0] == "f"
 
 
+@pytest.mark.parametrize("kept", [1, 3, 5, 7])
+async def test_rebuild_from_a_snapshot_gives_the_state_of_the_log(monkeypatch, kept):
+    monkeypatch.setattr("ebonyrack.standins.upstream.SNAPSHOT_ENTRIES", 2)
+    async with StandinGroup(count=1) as group:
+        upstream = group["up-1"]
+        async with await connect(upstream) as connection:
+            for slot in range(1, 9):
+                await connection.execute(INSERT, (slot, "a", f"r-{slot}"))
+            upstream.rebuild(kept)
+            rows = await fetch(connection, "SELECT slot FROM bookings ORDER BY slot")
+        # The first entry starts the term.
+        assert [row[0] for row in rows] == list(range(1, kept))
+        assert upstream.applied.reached == upstream.log.last == LogPosition(1, kept)
+
+
 async def test_killed_upstream_keeps_its_log_and_waits_to_follow():
     async with StandinGroup() as group:
         connection = await connect(group["up-1"])
--- a/ebonyrack/standins/replication.py
+++ b/ebonyrack/standins/replication.py
@@ -214,7 +214,6 @@
     def cut_log(self, offset: int) -> None:
         """Drop the entries that the primary doesn't have."""
         if offset < len(self.upstream.log.entries):
-            self.upstream.database.close()
             self.upstream.rebuild(offset)
             while not self.due.empty():
                 self.due.get_nowait()
--- a/ebonyrack/standins/sql_engine.py
+++ b/ebonyrack/standins/sql_engine.py
@@ -33,6 +33,7 @@
     " (slot INTEGER, booker TEXT, request TEXT UNIQUE, state TEXT,"
     " created_at TEXT DEFAULT (now()))",
 )
+KEPT_SNAPSHOTS = 3
 SERIALIZATION_FAILURE = "40001"
 
 
@@ -51,6 +52,14 @@
     count: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The committed state after the entry of an offset."""
+
+    offset: int
+    content: bytes
+
+
 class Database:
     """The data of one upstream.
 
@@ -60,6 +69,7 @@
         shown: Write transaction whose statements `work` holds, or None.
         time_us: Wall time that `now()` gives, in microseconds.
         random: Source of `random()`, seeded for each logged statement.
+        snapshots: States that can be gone back to, the empty one first.
         schema: What is known of tables and result columns.
     """
 
@@ -69,6 +79,7 @@
         "shown",
         "time_us",
         "random",
+        "snapshots",
         "schema",
     )
 
@@ -82,6 +93,7 @@
         for connection in (self.committed, self.work):
             for sql in SCHEMA:
                 connection.execute(sql)
+        self.snapshots = [Snapshot(0, self.committed.serialize())]
 
     def open_engine(self) -> sqlite3.Connection:
         """Open an in-memory database with PostgreSQL's functions."""
@@ -233,6 +245,28 @@
         if any(is_schema_change(statement.sql) for statement in entry.statements):
             self.schema.forget()
 
+    def take_snapshot(self, offset: int) -> None:
+        """Keep the committed state at an offset of the log, the last few only."""
+        self.snapshots.append(Snapshot(offset, self.committed.serialize()))
+        del self.snapshots[1:-KEPT_SNAPSHOTS]
+
+    def go_back(self, offset: int) -> int:
+        """Restore a committed state that isn't after an offset of the log.
+
+        Args:
+            offset: The offset.
+
+        Returns:
+            Offset of the state restored; what follows it must be applied again.
+        """
+        while self.snapshots and self.snapshots[-1].offset > offset:
+            self.snapshots.pop()
+        snapshot = self.snapshots[-1]
+        self.undo_work()
+        self.committed.deserialize(snapshot.content)
+        self.schema.forget()
+        return snapshot.offset
+
     def prepare_for_writes(self) -> None:
         """Bring `work` to the state of `committed`."""
         self.undo_work()
--- a/ebonyrack/standins/upstream.py
+++ b/ebonyrack/standins/upstream.py
@@ -26,6 +26,7 @@
 from ebonyrack.upstreams.status import UpstreamStatus
 
 LISTEN_BACKLOG = 1024
+SNAPSHOT_ENTRIES = 500
 
 
 class StandinUpstream:
@@ -165,7 +166,6 @@
 
     async def restart(self) -> None:
         """Come back as a replica that waits for an order to follow."""
-        self.database.close()
         self.rebuild(len(self.log.entries))
         self.role = Role.REPLICA
         self.sessions.clear()
@@ -175,10 +175,14 @@
         await self.start()
 
     def rebuild(self, offset: int) -> None:
-        """Cut the log back to an offset and build the database again from it."""
+        """Cut the log back to an offset and bring the database to its end.
+
+        It starts from a snapshot, since a replay of the whole log would hold up
+        the other upstreams of the process for seconds.
+        """
         self.log.truncate(offset)
-        self.database = Database()
-        for entry in self.log.entries:
+        start = self.database.go_back(offset)
+        for entry in self.log.entries[start:]:
             self.database.apply(entry)
         self.received.advance(self.log.last)
         self.applied.advance(self.log.last)
@@ -219,8 +223,14 @@
             entry = self.log.entries[applied.offset]
             self.database.apply(entry)
             applied = entry.position
+            self.snapshot_if_due(applied.offset)
         self.applied.advance(applied)
 
+    def snapshot_if_due(self, offset: int) -> None:
+        """Keep the state at every so many entries of the log."""
+        if offset % SNAPSHOT_ENTRIES == 0:
+            self.database.take_snapshot(offset)
+
     def commit(self, transaction: Transaction) -> LogPosition:
         """Commit a write transaction together with its log entry.
 
@@ -241,6 +251,7 @@
             self.rollback(transaction)
             raise
         self.append(entry)
+        self.snapshot_if_due(position.offset)
         self.applied.advance(position)
         self.locks.release(transaction)
         return position
