--- a/ebonyrack/standins/sql_engine.py
+++ b/ebonyrack/standins/sql_engine.py
@@ -57,7 +57,7 @@
     """The committed state after the entry of an offset."""
 
     offset: int
-    content: bytes
+    content: sqlite3.Connection
 
 
 class Database:
@@ -93,7 +93,7 @@
         for connection in (self.committed, self.work):
             for sql in SCHEMA:
                 connection.execute(sql)
-        self.snapshots = [Snapshot(0, self.committed.serialize())]
+        self.snapshots = [Snapshot(0, copy_database(self.committed))]
 
     def open_engine(self) -> sqlite3.Connection:
         """Open an in-memory database with PostgreSQL's functions."""
@@ -247,7 +247,7 @@
 
     def take_snapshot(self, offset: int) -> None:
         """Keep the committed state at an offset of the log, the last few only."""
-        self.snapshots.append(Snapshot(offset, self.committed.serialize()))
+        self.snapshots.append(Snapshot(offset, copy_database(self.committed)))
         del self.snapshots[1:-KEPT_SNAPSHOTS]
 
     def go_back(self, offset: int) -> int:
@@ -263,7 +263,7 @@
             self.snapshots.pop()
         snapshot = self.snapshots[-1]
         self.undo_work()
-        self.committed.deserialize(snapshot.content)
+        snapshot.content.backup(self.committed)
         self.schema.forget()
         return snapshot.offset
 
@@ -278,6 +278,13 @@
         self.work.close()
 
 
+def copy_database(source: sqlite3.Connection) -> sqlite3.Connection:
+    """Copy a database into a new one in memory."""
+    copy = sqlite3.connect(":memory:", isolation_level=None)
+    source.backup(copy)
+    return copy
+
+
 def build_result(result: ResultSet) -> StatementResult:
     """Build the record of what a writing statement did."""
     return StatementResult(result.count, tuple(result.rows))
--- a/ebonyrack/standins/upstream.py
+++ b/ebonyrack/standins/upstream.py
@@ -26,7 +26,7 @@
 from ebonyrack.upstreams.status import UpstreamStatus
 
 LISTEN_BACKLOG = 1024
-SNAPSHOT_ENTRIES = 500
+SNAPSHOT_ENTRIES = 200
 
 
 class StandinUpstream:
