Take orders only from operators who act for the owner

Cause: who knew the peers' secret could drain a proxy or move a primary, while edits asked for the operator's proof. Change: once the document names operators, an order needs one who has proved an identity and acts for administrators, or for the owner of the group that is switched over. Proof: test_orders_are_for_operators_who_act_for_the_owner.

--- a/ebonyrack/ops/ctl_test.py
+++ b/ebonyrack/ops/ctl_test.py
@@ -223,6 +223,30 @@
         assert await system.serving["proxy-2"] == 0
 
 
+OPERATORS = """
+[operator ada]
+acts_for = administrators
+[operator ben]
+acts_for = booking
+"""
+
+
+async def test_orders_are_for_operators_who_act_for_the_owner(tmp_path, capsys):
+    async with System(proxies=1, operators=OPERATORS) as system:
+        (proxy,) = system.proxies.values()
+        secret = proxy.settings.peers.secret
+        tool = Tool(proxy.hub.address, secret, tmp_path, capsys)
+        for name in ("ben", "eve"):
+            tool.options[3] = name
+            for words in (("switchover", system_module.GROUP), ("drain", "proxy-1")):
+                status, report = await tool.run(*words)
+                assert status == ExitStatus.REFUSED
+                assert repr(name) in report["text"]
+        assert not proxy.drain.is_draining
+        tool.options[3] = "ada"
+        assert (await tool.run("drain", "proxy-1"))[0] == ExitStatus.OK
+
+
 def test_tables_are_laid_out():
     assert format_table(["A", "B"], [("long", 1), ("x", 22)]) == (
         "A     B\nlong  1\nx     22"
--- a/ebonyrack/service/operator_desk.py
+++ b/ebonyrack/service/operator_desk.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from ebonyrack.config.ownership import ADMINISTRATORS
 from ebonyrack.core.clock import now_s
 from ebonyrack.peers.messages import CommandReply
 from ebonyrack.peers.messages import DrainRequest
@@ -60,6 +61,28 @@
             sessions=self.list_sessions() if message.include_sessions else [],
         )
 
+    def find_refusal(self, link: PeerLink, owner: str) -> str:
+        """Tell why an operator may not give an order.
+
+        Args:
+            link: Link of the operator.
+            owner: Owner of what the order is about.
+
+        Returns:
+            The reason, or an empty text. While the document names no operators, who
+            knows the shared secret may give orders.
+        """
+        name = link.member.name
+        operators = self.proxy.configuration.document.operators
+        if not operators:
+            return ""
+        if name not in operators or not self.proxy.edits.is_identified(link, name):
+            return f"operator {name!r} has not proved an identity that the document has"
+        acts_for = operators[name].acts_for
+        if owner in acts_for or ADMINISTRATORS in acts_for:
+            return ""
+        return f"operator {name!r} does not act for {owner!r}"
+
     def list_sessions(self) -> list[dict[str, Any]]:
         """List the callers' sessions."""
         return [
@@ -77,6 +100,9 @@
         Returns:
             The outcome.
         """
+        refusal = self.find_refusal(link, ADMINISTRATORS)
+        if refusal:
+            return CommandReply(False, refusal)
         self.proxy.drain.request(f"operator {link.member.name}")
         return CommandReply(True, "draining")
 
@@ -95,6 +121,9 @@
         coordinator = self.proxy.group_table.coordinators.get(message.group)
         if coordinator is None:
             return CommandReply(False, f"no group {message.group!r}")
+        refusal = self.find_refusal(link, coordinator.group.section.owner)
+        if refusal:
+            return CommandReply(False, refusal)
         outcome = await coordinator.switch_over(message.to or None)
         return CommandReply(outcome.succeeded, outcome.text)
 
--- a/ebonyrack/standins/system.py
+++ b/ebonyrack/standins/system.py
@@ -74,17 +74,23 @@
         group: The database group's stand-in.
         proxies: Running proxies by name.
         cut_off_after_s: Time after which a proxy that hears nobody is cut off.
+        operators: The operators' sections of the document.
         overrides: Values of the group's section.
     """
 
     def __init__(
-        self, proxies: int = 2, cut_off_after_s: float = 10.0, **overrides: Any
+        self,
+        proxies: int = 2,
+        cut_off_after_s: float = 10.0,
+        operators: str = "",
+        **overrides: Any,
     ) -> None:
         self.platform = StandinPlatform()
         self.group = StandinGroup()
         self.proxies: dict[str, Proxy] = {}
         self.serving: dict[str, asyncio.Task[int]] = {}
         self.cut_off_after_s = cut_off_after_s
+        self.operators = operators
         self.overrides = overrides
         self.wanted = proxies
         self.revision = 0
@@ -117,7 +123,7 @@
         self.overrides.update(overrides)
         self.revision += 1
         section = self.group.section(**self.overrides)
-        text = write_group_section(section) + APPLICATION
+        text = write_group_section(section) + APPLICATION + self.operators
         stored = pack_stored(StoredDocument(self.revision, text, ()))
         self.platform.state.put("ebonyrack/document", stored, None, 0)
 
