Pass cancel requests for other proxies' sessions on to the peers

Cause: a cancel request opens a connection of its own, which the balancer may bring to any proxy; there it did nothing. Ruled out: coding the proxy into the session's number, which a restart or a change of members makes stale. Change: a proxy that has no such session tells its peers; the one whose session has that number and secret acts. Proof: test_a_cancel_request_that_reaches_another_proxy_finds_its_session.

--- a/ebonyrack/callers/cancel.py
+++ b/ebonyrack/callers/cancel.py
@@ -12,8 +12,6 @@
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
-    from pygwire.messages import CancelRequest
-
     from ebonyrack.callers.session import CallerSession
     from ebonyrack.upstreams.connection import UpstreamConnection
 
@@ -21,21 +19,33 @@
 
 
 async def cancel_request(
-    sessions: dict[int, CallerSession], request: CancelRequest
-) -> None:
+    sessions: dict[int, CallerSession], number: int, secret_key: bytes
+) -> bool:
     """Cancel what the named session runs now, if the secret is right.
 
-    As PostgreSQL does, it answers nothing.
+    As PostgreSQL does, the proxy answers nothing to the caller.
 
     Args:
         sessions: Sessions by number.
-        request: The cancel request.
+        number: Number of the session.
+        secret_key: Secret that the cancel request names.
+
+    Returns:
+        Whether this proxy has that session.
+    """
+    session = sessions.get(number)
+    if session is None or not hmac.compare_digest(session.secret_key, secret_key):
+        return False
+    await cancel_session(session)
+    return True
+
+
+async def cancel_session(session: CallerSession) -> None:
+    """Cancel what a session runs now.
+
+    Args:
+        session: The session.
     """
-    session = sessions.get(request.process_id)
-    if session is None or not hmac.compare_digest(
-        session.secret_key, request.secret_key
-    ):
-        return
     logger.bind(session=session.number).info("cancel_requested")
     if session.scope is not None:
         session.scope.reschedule(asyncio.get_running_loop().time())
--- a/ebonyrack/callers/listener.py
+++ b/ebonyrack/callers/listener.py
@@ -186,6 +186,16 @@
         self.cancels.add(task)
         task.add_done_callback(self.cancels.discard)
 
+    async def cancel(self, request: CancelRequest) -> None:
+        """Serve a cancel request, which the balancer may bring to any proxy.
+
+        Args:
+            request: The request.
+        """
+        number, secret_key = request.process_id, request.secret_key
+        if not await cancel_request(self.sessions, number, secret_key):
+            self.services.forward_cancel(number, secret_key)
+
     async def start(self, stream: CallerStream) -> CallerSession | None:
         """Read the startup within its time limit and open the session.
 
@@ -203,7 +213,7 @@
             async with asyncio.timeout(settings.startup_timeout_s):
                 request = await read_startup_request(stream)
                 if isinstance(request, CancelRequest):
-                    await cancel_request(self.sessions, request)
+                    await self.cancel(request)
                 if not isinstance(request, StartupMessage):
                     return None
                 negotiate_protocol(stream, request)
--- a/ebonyrack/peers/messages.py
+++ b/ebonyrack/peers/messages.py
@@ -335,6 +335,20 @@
     leaving: tuple[str, ...]
 
 
+@register_message(60)
+@dataclass(frozen=True, slots=True)
+class CancelSession(Message):
+    """A caller's cancel request that reached another proxy than its session.
+
+    Attributes:
+        number: Number of the session in its proxy.
+        secret_key: Secret that only the session's caller was told.
+    """
+
+    number: int
+    secret_key: bytes
+
+
 @register_message(40)
 @dataclass(frozen=True, slots=True)
 class StatusRequest(Message):
--- a/ebonyrack/service/proxy.py
+++ b/ebonyrack/service/proxy.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from ebonyrack.callers.cancel import cancel_request
 from ebonyrack.callers.listener import CallerListener
 from ebonyrack.config.edit_desk import EditDesk
 from ebonyrack.config.state import ConfigurationState
@@ -15,6 +16,7 @@
 from ebonyrack.failover.pre_vote import OpinionDesk
 from ebonyrack.failover.terms import TermSource
 from ebonyrack.peers.hub import PeerHub
+from ebonyrack.peers.messages import CancelSession
 from ebonyrack.platform.store import Store
 from ebonyrack.service.drain import Drain
 from ebonyrack.service.group_table import GroupTable
@@ -26,6 +28,7 @@
     from types import TracebackType
 
     from ebonyrack.core.settings import Settings
+    from ebonyrack.peers.link import PeerLink
 
 
 class Proxy:
@@ -61,11 +64,13 @@
             drain=self.drain,
             token_key=derive_token_key(settings.peers.secret),
             is_cut_off=lambda: self.watch.is_cut_off,
+            forward_cancel=self.forward_cancel,
         )
         self.group_table = GroupTable(self.services, self.terms, self.hub, self.watch)
         self.listener = CallerListener(self.services)
         self.opinions = OpinionDesk(self.hub, self.services.groups)
         self.operators = OperatorDesk(self)
+        self.hub.handle(CancelSession, self.receive_cancel)
         self.edits = EditDesk(self.configuration, self.store, self.hub)
         self.stack = AsyncExitStack()
         self.term_task: asyncio.Task[None] | None = None
@@ -107,6 +112,25 @@
             await self.drain.requested.wait()
             return await self.shut_down()
 
+    def forward_cancel(self, number: int, secret_key: bytes) -> None:
+        """Pass a cancel request on to the peers; the one with the session acts.
+
+        Args:
+            number: Number of the session.
+            secret_key: Secret that the request names.
+        """
+        self.hub.broadcast(CancelSession(number, secret_key))
+
+    async def receive_cancel(self, link: PeerLink, message: CancelSession) -> None:
+        """Serve a cancel request that reached another proxy.
+
+        Args:
+            link: Link on which it came.
+            message: The request.
+        """
+        sessions = self.listener.sessions
+        await cancel_request(sessions, message.number, message.secret_key)
+
     async def wait_for_document(self) -> bool:
         """Wait until a document is in force.
 
--- a/ebonyrack/service/proxy_test.py
+++ b/ebonyrack/service/proxy_test.py
@@ -3,6 +3,7 @@
 
 import psycopg
 import pytest
+from pygwire.messages import CancelRequest
 
 from ebonyrack.service.key_retention import KeyRetention
 from ebonyrack.standins.key_value import Node
@@ -208,3 +209,28 @@
 
         await until(look)
         assert not any(seen)
+
+
+async def test_a_cancel_request_that_reaches_another_proxy_finds_its_session():
+    async with System(proxies=2) as system:
+        one, other = system.proxies.values()
+        await until(lambda: "proxy-2" in one.hub.links and "proxy-1" in other.hub.links)
+        async with connect(one) as connection, connect(other) as bystander:
+            running = asyncio.create_task(connection.execute("SELECT pg_sleep(60)"))
+            slept = asyncio.create_task(bystander.execute("SELECT pg_sleep(0.5)"))
+            sessions = one.listener.sessions
+            await until(
+                lambda: any(item.phase == "upstream" for item in sessions.values())
+            )
+            (session,) = sessions.values()
+            request = CancelRequest(
+                process_id=session.number, secret_key=session.secret_key
+            )
+            address = other.listener.address
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            writer.write(request.to_wire())
+            assert await reader.read() == b""
+            writer.close()
+            with pytest.raises(psycopg.errors.QueryCanceled):
+                await running
+            await slept
--- a/ebonyrack/service/services.py
+++ b/ebonyrack/service/services.py
@@ -24,6 +24,10 @@
     return False
 
 
+def drop_cancel(number: int, secret_key: bytes) -> None:
+    """Do nothing, for a proxy without peers."""
+
+
 @dataclass(slots=True)
 class Services:
     """What sessions need from the proxy that they run in.
@@ -38,6 +42,7 @@
         read_indexes: Read index of each group, by the group's name.
         is_cut_off: Tells whether neither the store nor a peer was heard for so long
             that the document in force may be out of date.
+        forward_cancel: Passes a cancel request for an unknown session to the peers.
     """
 
     settings: Settings
@@ -48,6 +53,7 @@
     groups: dict[str, DatabaseGroup] = field(default_factory=dict)
     read_indexes: dict[str, ReadIndex] = field(default_factory=dict)
     is_cut_off: Callable[[], bool] = never
+    forward_cancel: Callable[[int, bytes], None] = drop_cancel
 
 
 def derive_token_key(secret: str) -> bytes:
