--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON = $(VENV)/bin/python
 WORKERS ?= 6
 
-.PHONY: demo test lint format typecheck check
+.PHONY: demo test lint format typecheck check faults
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -29,3 +29,11 @@
 	$(PYTHON) -m mypy
 
 check: lint typecheck test
+
+# Writes docs/FAULTS.md from a run of the callers' fault matrix.
+faults: $(VENV)/.ready
+	rm -f build/faults.txt && mkdir -p build
+	EBONYRACK_FAULT_TABLE=$(CURDIR)/build/faults.txt \
+	  $(PYTHON) -m pytest -n $(WORKERS) ebonyrack/callers/fault_matrix_test.py
+	cat docs/faults_header.md > docs/FAULTS.md
+	sort build/faults.txt >> docs/FAULTS.md
