--- a/ebonyrack/callers/listener.py
+++ b/ebonyrack/callers/listener.py
@@ -28,6 +28,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.tasks import end_tasks
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -97,9 +98,7 @@
         tasks = [*self.tasks.values(), *self.cancels]
         if self.watchdog is not None:
             tasks.append(self.watchdog)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
         for stream in tuple(self.tasks):
             stream.abort()
 
--- a/ebonyrack/config/verification.py
+++ b/ebonyrack/config/verification.py
@@ -12,6 +12,7 @@
 from ebonyrack.config.spread import DocumentSpread
 from ebonyrack.config.stored import DOCUMENT_KEY
 from ebonyrack.core.settings import PeerSettings
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.messages import AskDocument
@@ -55,9 +56,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
 
     def notice_pause(self, pause_s: float) -> None:
         """Start to verify after a long pause.
--- a/ebonyrack/config/watch.py
+++ b/ebonyrack/config/watch.py
@@ -20,6 +20,7 @@
 from ebonyrack.config.verification import PauseVerification
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.settings import Settings
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.messages import Member
@@ -98,9 +99,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
         await self.verification.__aexit__(kind, error, traceback)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
--- a/ebonyrack/failover/ballot.py
+++ b/ebonyrack/failover/ballot.py
@@ -10,6 +10,7 @@
 from transitions import Machine
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.contract import FenceAnswer
 from ebonyrack.upstreams.status import Role
@@ -118,9 +119,7 @@
             await self.run_steps()
         finally:
             tasks = tuple(self.tasks)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_tasks(tasks)
             LIFE_CYCLE.remove_model(self)
         return self.outcome
 
--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -11,6 +11,7 @@
 from ebonyrack.core.clock import PauseDetector
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.logs import log_decision
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.failover.ballot import Ballot
 from ebonyrack.failover.ballot import BallotOutcome
 from ebonyrack.failover.detector import Detector
@@ -101,10 +102,8 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
-            self.task = None
+        await end_tasks([self.task])
+        self.task = None
         await self.repair.close()
         self.membership.callbacks.remove(self.note_member)
         self.group.coordinator_rank = None
--- a/ebonyrack/failover/repair.py
+++ b/ebonyrack/failover/repair.py
@@ -7,6 +7,7 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.logs import log_decision
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.failover.ballot import order_follow
 
 if TYPE_CHECKING:
@@ -98,6 +99,4 @@
     async def close(self) -> None:
         """End the orders in work."""
         tasks = tuple(self.tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
--- a/ebonyrack/ops/configuration.py
+++ b/ebonyrack/ops/configuration.py
@@ -35,6 +35,8 @@
 from ebonyrack.ops.output import Output
 from ebonyrack.peers.messages import EditReply
 
+# How the text before the first section is named in a list of sections.
+PREAMBLE = "(preamble)"
 DEFAULT_EDITOR = "vi"
 OUTCOME_STATUS = {
     "accepted": ExitStatus.OK,
@@ -245,7 +247,7 @@
             edit.revision,
             format_time(edit.accepted_at),
             edit.operator,
-            ", ".join(edit.sections),
+            ", ".join(title or PREAMBLE for title in edit.sections),
             edit.edit_id,
         )
         for edit in edits
--- a/ebonyrack/peers/contacts.py
+++ b/ebonyrack/peers/contacts.py
@@ -13,6 +13,7 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.messages import Member
 from ebonyrack.peers.messages import MemberState
@@ -82,9 +83,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
 
     @property
     def is_sparse(self) -> bool:
--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -11,6 +11,7 @@
 
 from ebonyrack.core.clock import PauseDetector
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.membership import MemberEntry
@@ -71,9 +72,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
 
     @property
     def interval_s(self) -> float:
--- a/ebonyrack/peers/hub.py
+++ b/ebonyrack/peers/hub.py
@@ -16,6 +16,7 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.settings import Settings
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.contacts import Contacts
 from ebonyrack.peers.heartbeat import HeartbeatTask
 from ebonyrack.peers.link import PeerLink
@@ -107,9 +108,7 @@
         await self.contacts.__aexit__(kind, error, traceback)
         if self.server is not None:
             self.server.close()
-        for task in tuple(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
         if self.server is not None:
             await self.server.wait_closed()
 
--- a/ebonyrack/peers/link.py
+++ b/ebonyrack/peers/link.py
@@ -16,6 +16,7 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.messages import MAXIMUM_FRAME_BYTES
 from ebonyrack.peers.messages import PROTOCOL_VERSION
 from ebonyrack.peers.messages import BadMessageError
@@ -143,9 +144,7 @@
     ) -> None:
         self.close()
         tasks = [task for task in (self.read_task, *self.requests) if task is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
 
     @property
     def member(self) -> Member:
--- a/ebonyrack/peers/shares.py
+++ b/ebonyrack/peers/shares.py
@@ -7,6 +7,7 @@
 from types import TracebackType
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.membership import Membership
 from ebonyrack.peers.messages import Member
 from ebonyrack.peers.messages import MemberState
@@ -50,9 +51,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call a function when the count changed without a change of members."""
--- a/ebonyrack/routing/read_index.py
+++ b/ebonyrack/routing/read_index.py
@@ -12,6 +12,7 @@
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.position import LogPosition
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.status import UpstreamStatus
 
@@ -74,9 +75,7 @@
         traceback: TracebackType | None,
     ) -> None:
         rounds = [task for task in (self.running, self.waiting) if task is not None]
-        for task in rounds:
-            task.cancel()
-        await asyncio.gather(*rounds, return_exceptions=True)
+        await end_tasks(rounds)
 
     async def fetch(self) -> LogPosition:
         """Return a position that covers every write acknowledged before the call.
--- a/ebonyrack/routing/read_search.py
+++ b/ebonyrack/routing/read_search.py
@@ -10,6 +10,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.position import START
 from ebonyrack.core.position import LogPosition
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.status import Role
 
@@ -203,9 +204,7 @@
             if usable:
                 return min(usable, key=measure_load)
     finally:
-        for task in polls:
-            task.cancel()
-        await asyncio.gather(*polls, return_exceptions=True)
+        await end_tasks(polls)
     return None
 
 
--- a/ebonyrack/service/group_table.py
+++ b/ebonyrack/service/group_table.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.failover.coordinator import Coordinator
 from ebonyrack.peers.shares import ShareCount
 from ebonyrack.routing.read_index import ReadIndex
@@ -71,9 +72,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
         await self.share_count.__aexit__(error_type, error, traceback)
         await asyncio.gather(*(self.stop_group(name) for name in tuple(self.stacks)))
 
--- a/ebonyrack/service/key_retention.py
+++ b/ebonyrack/service/key_retention.py
@@ -9,6 +9,7 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.routing.idempotency import DELETED_ROWS
 from ebonyrack.routing.idempotency import remove_expired
 from ebonyrack.upstreams.connection import UpstreamLostError
@@ -50,9 +51,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
 
     async def run(self) -> None:
         """Remove expired keys at every interval, for ever."""
--- a/ebonyrack/service/proxy.py
+++ b/ebonyrack/service/proxy.py
@@ -13,6 +13,7 @@
 from ebonyrack.config.edit_desk import EditDesk
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.watch import ConfigurationWatch
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.failover.pre_vote import OpinionDesk
 from ebonyrack.failover.terms import TermSource
 from ebonyrack.peers.hub import PeerHub
@@ -89,9 +90,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self.term_task is not None:
-            self.term_task.cancel()
-            await asyncio.gather(self.term_task, return_exceptions=True)
+        await end_tasks([self.term_task])
         await self.stack.aclose()
 
     async def serve(self) -> int:
--- a/ebonyrack/standins/replication.py
+++ b/ebonyrack/standins/replication.py
@@ -12,6 +12,7 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.position import LogPosition
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.standins.log import LogEntry
 from ebonyrack.standins.log import LoggedStatement
 from ebonyrack.standins.log import TermRange
@@ -149,9 +150,7 @@
 
     async def stop(self) -> None:
         """Stop both tasks; entries received stay in the log."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
 
     async def receive(self) -> None:
         """Connect to the primary again and again and take in its log."""
--- a/ebonyrack/standins/upstream.py
+++ b/ebonyrack/standins/upstream.py
@@ -11,6 +11,7 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.position import LogPosition
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.standins.faults import UpstreamFaults
 from ebonyrack.standins.locks import ValueLocks
 from ebonyrack.standins.log import LogEntry
@@ -160,9 +161,7 @@
         for session in list(self.sessions.values()):
             session.abort()
         tasks = list(self.tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
 
     async def restart(self) -> None:
         """Come back as a replica that waits for an order to follow."""
--- a/ebonyrack/upstreams/position_waits.py
+++ b/ebonyrack/upstreams/position_waits.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.control import ControlConnection
 
@@ -203,9 +204,7 @@
 
     async def close(self) -> None:
         """End the task, every wait and the connection."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
-            self.task = None
+        await end_tasks([self.task])
+        self.task = None
         self.fail(UpstreamLostError("the upstream was removed"))
         self.control.close()
--- a/ebonyrack/upstreams/upstream.py
+++ b/ebonyrack/upstreams/upstream.py
@@ -10,6 +10,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.position import START
 from ebonyrack.core.position import LogPosition
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.upstreams.connection import QueryAnswer
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.contract import CONTRACTS
@@ -107,9 +108,7 @@
         traceback: TracebackType | None,
     ) -> None:
         polls = tuple(self.polls)
-        for poll in polls:
-            poll.cancel()
-        await asyncio.gather(*polls, return_exceptions=True)
+        await end_tasks(polls)
         await self.waits.close()
         self.control.close()
         await self.pool.__aexit__(error_type, error, traceback)
--- a/ebonyrack/upstreams/watch.py
+++ b/ebonyrack/upstreams/watch.py
@@ -8,6 +8,7 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.position import LogPosition
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
@@ -59,9 +60,7 @@
 
     async def stop(self) -> None:
         """End the tasks and close the connections of the upstream."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
         await self.upstream.__aexit__(None, None, None)
 
     async def probe(self) -> None:
