--- a/demo/chaos.sh
+++ b/demo/chaos.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Kills, freezes and restarts proxies and upstreams at random under a booking
-# workload; SEED makes the order repeatable. Exit status 1 if a booking was lost,
+# Kills, freezes and restarts proxies, upstreams and the platform at random, also two
+# at once, under a booking workload; SEED makes the order repeatable. Exit status 1 if a booking was lost,
 # doubled, read stale or refused untruly.
 set -eu
 SEED=${SEED:-1}
@@ -15,6 +15,7 @@
 RANDOM=$SEED
 
 start_platform
+PLATFORM_PID=${PIDS[0]}
 start_upstreams --connection-limit 20 --slots 3 --connection-cost-s 0.01 \
   --statement-cost-s 0.001 --link-delay-s 0.001
 first=$((${#PIDS[@]} - 3))
@@ -48,10 +49,22 @@
 }
 
 strike() {
-  local number=$((RANDOM % 3 + 1)) kind=$((RANDOM % 4))
+  local number=$((RANDOM % 3 + 1)) kind=$((RANDOM % 6))
   case $kind in
     0) echo "strike: kill proxy-$number" && kill_proxy "$number" ;;
     1) echo "strike: freeze proxy-$number" && freeze "${PROXY_PIDS[$((number - 1))]}" ;;
+    2)
+      echo "strike: freeze the platform and up-$number"
+      kill -STOP "$PLATFORM_PID"
+      freeze "${UPSTREAM_PIDS[$((number - 1))]}"
+      kill -CONT "$PLATFORM_PID"
+      ;;
+    3)
+      echo "strike: freeze proxy-$number and up-$number"
+      kill -STOP "${PROXY_PIDS[$((number - 1))]}"
+      freeze "${UPSTREAM_PIDS[$((number - 1))]}"
+      kill -CONT "${PROXY_PIDS[$((number - 1))]}"
+      ;;
     *) echo "strike: freeze up-$number" && freeze "${UPSTREAM_PIDS[$((number - 1))]}" ;;
   esac
 }
