--- a/ebonyrack/routing/read_index.py
+++ b/ebonyrack/routing/read_index.py
@@ -43,21 +43,6 @@
     position: LogPosition
 
 
-@dataclass(slots=True)
-class PollRound:
-    """Polls that were started together.
-
-    Attributes:
-        started_s: Monotonic time before any of them was sent.
-        pending: The polls.
-        reserve: Upstreams to poll as well if the others are slow.
-    """
-
-    started_s: float
-    pending: set[asyncio.Task[UpstreamStatus]]
-    reserve: list[Upstream]
-
-
 class ReadIndex:
     """Read index of one group, shared by the reads that wait for it.
 
@@ -105,22 +90,16 @@
 
     def join_round(self) -> asyncio.Task[DatedIndex]:
         """Return a round of polls that has not sent any yet."""
-        is_free = self.running is None or self.running.done()
-        if is_free and self.waiting is None:
-            # Its polls are on their way one turn of the loop earlier than a task's.
-            self.running = asyncio.create_task(self.run_round(self.start_polls()))
-            self.running.add_done_callback(note_error)
-            return self.running
         if self.waiting is None:
-            self.waiting = asyncio.create_task(self.run_after(self.running))
+            self.waiting = asyncio.create_task(self.run_round(self.running))
             self.waiting.add_done_callback(note_error)
         return self.waiting
 
-    async def run_after(self, previous: asyncio.Task[DatedIndex] | None) -> DatedIndex:
-        """Run a round once the one before has ended.
+    async def run_round(self, previous: asyncio.Task[DatedIndex] | None) -> DatedIndex:
+        """Poll after the round before has ended.
 
         Args:
-            previous: The round before.
+            previous: The round before, or None.
 
         Returns:
             The index.
@@ -131,41 +110,17 @@
         if previous is not None:
             await asyncio.wait([previous])
         self.running, self.waiting = self.waiting, None
-        return await self.run_round(self.start_polls())
-
-    def start_polls(self) -> PollRound:
-        """Start polls of a majority, of replicas if they are one."""
-        upstreams = list(self.group.upstreams.values())
-        first = self.choose_first(upstreams)
-        reserve = [upstream for upstream in upstreams if upstream not in first]
-        polls = {upstream.start_poll() for upstream in first}
-        return PollRound(now_s(), polls, reserve)
-
-    async def run_round(self, polls: PollRound) -> DatedIndex:
-        """Wait for the polls of a round.
-
-        Args:
-            polls: Polls that have just been started.
-
-        Returns:
-            The index.
-
-        Raises:
-            RequestError: NO_UPSTREAM if no majority answers.
-        """
-        index = DatedIndex(polls.started_s, await self.ask_majority(polls))
+        asked_at_s = now_s()
+        index = DatedIndex(asked_at_s, await self.ask_majority())
         self.remember(index)
         return index
 
-    async def ask_majority(self, polls: PollRound) -> LogPosition:
-        """Wait until a majority has answered; ask the rest if that takes long.
+    async def ask_majority(self) -> LogPosition:
+        """Poll until a majority has answered, replicas before the primary.
 
         Replicas' positions are lower than the primary's, so a read that waits for
         the index is served earlier and does not wait for writes in progress.
 
-        Args:
-            polls: Polls that have just been started.
-
         Returns:
             Highest position received among those that answered.
 
@@ -173,15 +128,18 @@
             RequestError: NO_UPSTREAM if no majority answers.
         """
         majority = self.group.majority
-        pending, reserve = polls.pending, polls.reserve
+        reserve = list(self.group.upstreams.values())
+        first = self.choose_first(reserve)
+        reserve = [upstream for upstream in reserve if upstream not in first]
+        polls = {upstream.start_poll() for upstream in first}
         received: list[LogPosition] = []
-        while len(received) < majority and (pending or reserve):
+        while len(received) < majority and (polls or reserve):
             timeout_s = HEDGE_AFTER_S if reserve else None
-            done, pending = await wait_first(pending, timeout_s)
+            done, polls = await wait_first(polls, timeout_s)
             answers = [read_answer(task) for task in done]
             received += [item.received for item in answers if item is not None]
-            if not done or len(received) + len(pending) < majority:
-                pending |= {upstream.start_poll() for upstream in reserve}
+            if not done or len(received) + len(polls) < majority:
+                polls |= {upstream.start_poll() for upstream in reserve}
                 reserve = []
         if len(received) < majority:
             reason = f"{len(received)} of {majority} upstreams answered"
