--- a/ebonyrack/load/report.py
+++ b/ebonyrack/load/report.py
@@ -81,14 +81,11 @@
             if (row["policy"], row["fault"], row["store_up"])
             == (policy, fault, store_up)
         ]
-        spread = [
-            column + (index / len(gaps) - 0.5) * 0.5 for index in range(len(gaps))
-        ]
-        axes.scatter(spread, gaps, s=12)
-        labels.append(f"{policy}\n{fault}\nstore {'up' if store_up else 'down'}")
+        axes.scatter(spread_points(column, len(gaps)), gaps, s=12)
+        labels.append(f"{policy}, {fault}, store {'up' if store_up else 'down'}")
     axes.axhline(MEDIAN_TARGET_S, linestyle="--", color="grey", linewidth=1)
     axes.axhline(P99_TARGET_S, linestyle=":", color="grey", linewidth=1)
-    axes.set_xticks(range(len(labels)), labels, fontsize=7)
+    axes.set_xticks(range(len(labels)), labels, fontsize=7, rotation=40, ha="right")
     axes.set_yscale("log")
     axes.set_ylabel("failover gap (s)")
     axes.set_title(
