Begin a keyed write's transaction with the claim of its key

Cause: a write with a key took six round trips to the primary, during which it holds one of few connections. Ruled out for now: recording the outcome together with COMMIT, since the step of the commit decides between not run and unknown.

--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -114,8 +114,7 @@
     """
     await take_primary(session)
     try:
-        await run_control(session, "BEGIN")
-        outcome = await claim(session, key)
+        outcome = await claim(session, key, begins=True)
         if outcome is not None:
             return await replay(session, request, outcome)
         return await relay_keyed_write(session, request, key)
@@ -123,12 +122,13 @@
         session.transaction.abandon()
 
 
-async def claim(session: CallerSession, key: str) -> str | None:
+async def claim(session: CallerSession, key: str, begins: bool = False) -> str | None:
     """Claim an idempotency key in the transaction that is open.
 
     Args:
         session: The session, which holds a connection of the primary.
         key: The key.
+        begins: Whether to begin the transaction in the same round trip.
 
     Returns:
         None if the key is new, else the recorded outcome.
@@ -139,7 +139,8 @@
     connection = session.connection
     assert connection is not None
     try:
-        claimed = await claim_key(connection, key, session.group.section.answer_wait_s)
+        limit_s = session.group.section.answer_wait_s
+        claimed = await claim_key(connection, key, limit_s, begins)
     except UpstreamLostError as error:
         raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
     return None if claimed.is_first else claimed.outcome
--- a/ebonyrack/routing/idempotency.py
+++ b/ebonyrack/routing/idempotency.py
@@ -68,7 +68,7 @@
 
 
 async def claim_key(
-    connection: UpstreamConnection, key: str, timeout_s: float
+    connection: UpstreamConnection, key: str, timeout_s: float, begins: bool = False
 ) -> Claim:
     """Claim an idempotency key in the transaction that is open.
 
@@ -76,9 +76,11 @@
     first has committed or rolled back, whichever proxies they came through.
 
     Args:
-        connection: A connection of the primary with an open transaction.
+        connection: A connection of the primary, with an open transaction unless one
+            is to begin.
         key: The key.
         timeout_s: Seconds for each of the two steps.
+        begins: Whether to begin the transaction in the same round trip.
 
     Returns:
         Whether the request is the first with the key, or the recorded outcome.
@@ -93,7 +95,7 @@
         f"INSERT INTO {REQUEST_TABLE} (key, outcome, created_at)"
         f" VALUES ('{literal}', '', now()) ON CONFLICT (key) DO NOTHING"
     )
-    answer = await connection.query(insert, timeout_s)
+    answer = await connection.query(f"BEGIN; {insert}" if begins else insert, timeout_s)
     raise_refusal(answer)
     if answer.tag == "INSERT 0 1":
         return Claim(True, "")
