Enforce the leaving limit and check data centres; drop a key without effect

Cause: found by looking for keys of the document that no code reads: leaving_limit_s, round_trip_ms and the whole section [network] had no effect.

--- a/ebonyrack/config/document_test.py
+++ b/ebonyrack/config/document_test.py
@@ -103,3 +103,14 @@
     previous, _ = parse_document(GOOD, 1)
     document, _ = parse_document(GOOD.replace("user =", "user  ="), 2, "x", previous)
     assert document.groups["scheduling-a"] is previous.groups["scheduling-a"]
+
+
+def test_upstreams_are_in_data_centres_that_a_network_has():
+    network = "[network siam]\nowner = network\ndata_centres = {}\n"
+    all_three = network.format("bangkok-1 bangkok-2 nonthaburi")
+    assert parse_document(GOOD + all_three, 7)[1] == ()
+    faults = parse_document(GOOD + network.format("bangkok-1 bangkok-2"), 7)[1]
+    assert [(fault.section, fault.key) for fault in faults] == [
+        ("group scheduling-a", "upstreams")
+    ]
+    assert "nonthaburi" in faults[0].text
--- a/ebonyrack/config/references.py
+++ b/ebonyrack/config/references.py
@@ -36,6 +36,7 @@
             found.extend(
                 Fault(source, f"application {name}", key, text) for key, text in texts
             )
+    found.extend(check_data_centres(records, source))
     found.extend(check_unique_users(records, source))
     found.extend(check_unique_addresses(records, source))
     return tuple(found)
@@ -76,6 +77,26 @@
             yield "groups", f"there is no group {name!r}; known: {known}"
 
 
+def check_data_centres(records: Records, source: str) -> Iterator[Fault]:
+    """Check that upstreams are in data centres of the networks, if there are any."""
+    known = {
+        data_centre
+        for network in records["network"].values()
+        if network is not None
+        for data_centre in network.data_centres
+    }
+    if not known or None in records["network"].values():
+        return
+    for name, group in records["group"].items():
+        for upstream in group.upstreams if group is not None else ():
+            if upstream.data_centre not in known:
+                text = (
+                    f"no network has the data centre {upstream.data_centre!r};"
+                    f" allowed: {', '.join(sorted(known))}"
+                )
+                yield Fault(source, f"group {name}", "upstreams", text)
+
+
 def check_unique_users(records: Records, source: str) -> Iterator[Fault]:
     """Check that no two applications have the same user."""
     owners: dict[str, str] = {}
--- a/ebonyrack/config/sections.py
+++ b/ebonyrack/config/sections.py
@@ -114,12 +114,11 @@
 
 
 class NetworkSection(Section):
-    """Section `[network NAME]`: data centres and how far data centres are apart."""
+    """Section `[network NAME]`: the data centres in which upstreams may be."""
 
     owner: str
     data_centres: Words
     region: str = "default"
-    round_trip_ms: float = Field(2.0, gt=0)
 
 
 class OperatorSection(Section):
--- a/ebonyrack/failover/failover_test.py
+++ b/ebonyrack/failover/failover_test.py
@@ -328,3 +328,17 @@
     for name, proxy in bench.proxies.items():
         await proxy.write_until_acknowledged(f"r-{name}")
     bench.check_terms()
+
+
+async def test_work_on_a_leaving_upstream_ends_after_the_limit(start_bench):
+    bench = await start_bench()
+    group = bench.proxies["proxy-1"].group
+    upstream = group.upstreams["up-2"]
+    connection = await upstream.pool.acquire("tests", now_s() + 5)
+    await connection.query("BEGIN", 5.0)
+    group.mark_leaving("up-2", True)
+    await group.poll_all()
+    assert not connection.is_closed
+    group.leaving_since_s["up-2"] -= group.section.leaving_limit_s
+    await until(lambda: connection.is_closed)
+    upstream.pool.release(connection)
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -391,6 +391,23 @@
         else:
             upstream.pool.resume_new_work()
 
+    def end_overdue_work(self, upstream: Upstream) -> None:
+        """Close what still runs on an upstream that was to leave long ago.
+
+        Args:
+            upstream: An upstream of the group.
+        """
+        since_s = self.leaving_since_s.get(upstream.name)
+        if since_s is None or not upstream.pool.busy:
+            return
+        if now_s() - since_s > self.section.leaving_limit_s:
+            logger.bind(
+                group=self.name,
+                upstream=upstream.name,
+                connections=len(upstream.pool.busy),
+            ).warning("leaving_limit_passed")
+            close_busy(upstream)
+
     async def confirm(self, position: LogPosition, deadline_s: float) -> None:
         """Wait until a majority of the upstreams holds a committed write.
 
--- a/ebonyrack/upstreams/watch.py
+++ b/ebonyrack/upstreams/watch.py
@@ -73,6 +73,7 @@
             except UpstreamLostError:
                 # The upstream has noted it; the next round polls again.
                 pass
+            self.group.end_overdue_work(self.upstream)
             interval_s = self.compute_probe_interval() * random.uniform(0.9, 1.0)
             try:
                 async with asyncio.timeout(max(0.0, started_s + interval_s - now_s())):
