Record the metrics that the operators' page names; one place for roles and bars

Cause: found on reading the whole change: ebonyrack_acknowledge, ebonyrack_primary_changes and ebonyrack_peer_bytes were defined and documented and, by a search, never recorded. Change: they are, and a test drives a system and asks that each of the seven was. The store's counter is named through its module like the others. is_primary_in and is_following share one comparison, and the plots call place_bars, which nobody called. The test was not run against the code before the change.

--- a/ebonyrack/load/report.py
+++ b/ebonyrack/load/report.py
@@ -109,9 +109,7 @@
                 and (row["policy"], row["crowd"]) == (policy, crowd)
             ]
             shares.append(matching[0] if matching else 0.0)
-        positions = [
-            index + (number + 0.5) * width - 0.4 for index in range(len(places))
-        ]
+        positions = place_bars(number, width, len(places))
         axes.bar(positions, shares, width, label=f"{policy}: {crowd}")
     axes.axhline(SHARE_TARGET, linestyle="--", color="grey", linewidth=1)
     axes.set_xticks(
@@ -137,9 +135,7 @@
             if (row["keyed"], row["callers"]) == (keyed, callers)
             and row["policy"] == policy
         ]
-        positions = [
-            index + (number + 0.5) * width - 0.4 for index in range(len(crowds))
-        ]
+        positions = place_bars(number, width, len(crowds))
         axes.bar(positions, medians, width, label=policy)
     labels = [
         f"{'with' if keyed else 'no'} key\n{callers} caller(s)"
--- a/ebonyrack/peers/link.py
+++ b/ebonyrack/peers/link.py
@@ -14,6 +14,7 @@
 import msgpack
 from loguru import logger
 
+from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.tasks import end_tasks
@@ -28,6 +29,8 @@
 from ebonyrack.peers.messages import pack_message
 from ebonyrack.peers.messages import parse_frame
 
+SENT = {"direction": "sent"}
+RECEIVED = {"direction": "received"}
 HANDSHAKE_TIMEOUT_S = 2.0
 HANDSHAKE_FRAME_BYTES = 4096
 HANDSHAKE_READ_BYTES = 1024
@@ -216,6 +219,7 @@
         if not chunk:
             raise ConnectionResetError("the other side closed the link")
         self.traffic.bytes_received += len(chunk)
+        metrics.peer_bytes.add(len(chunk), RECEIVED)
         try:
             self.unpacker.feed(chunk)
         except msgpack.BufferFull as error:
@@ -277,6 +281,7 @@
             return
         frame = pack_message(message, correlation)
         self.traffic.bytes_sent += len(frame)
+        metrics.peer_bytes.add(len(frame), SENT)
         self.traffic.messages_sent += 1
         self.writer.write(frame)
 
--- a/ebonyrack/platform/store.py
+++ b/ebonyrack/platform/store.py
@@ -18,8 +18,8 @@
 from result import Ok
 from result import Result
 
+from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
-from ebonyrack.core.metrics import store_calls
 from ebonyrack.core.settings import StoreSettings
 
 MAXIMUM_VALUE_BYTES = 1_000_000
@@ -221,7 +221,7 @@
             return Err(StoreError(StoreErrorKind.UNREACHABLE, reason))
         await asyncio.sleep(delay_s)
         self.calls[kind] += 1
-        store_calls.add(1, {"kind": kind})
+        metrics.store_calls.add(1, {"kind": kind})
         query = "&".join(f"{name}={quote(value)}" for name, value in parameters.items())
         target = f"{path}?{query}" if query else path
         return await self.request(method, target, body, wait_s)
--- a/ebonyrack/routing/write_path.py
+++ b/ebonyrack/routing/write_path.py
@@ -5,6 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
@@ -169,6 +170,9 @@
         outcome = str(error.kind)
         raise
     finally:
+        metrics.acknowledge_time.record(
+            now_s() - started_s, {"group": group.name, "outcome": outcome}
+        )
         log_decision(
             "write_acknowledged",
             group=group.name,
--- a/ebonyrack/service/proxy_test.py
+++ b/ebonyrack/service/proxy_test.py
@@ -5,6 +5,7 @@
 import pytest
 from pygwire.messages import CancelRequest
 
+from ebonyrack.core import metrics
 from ebonyrack.service.key_retention import KeyRetention
 from ebonyrack.standins.key_value import Node
 from ebonyrack.standins.system import GROUP
@@ -234,3 +235,31 @@
             with pytest.raises(psycopg.errors.QueryCanceled):
                 await running
             await slept
+
+
+class Recorder:
+    """Stands in for an instrument and counts what is recorded."""
+
+    def __init__(self):
+        self.count = 0
+
+    def add(self, amount, labels=None):
+        self.count += 1
+
+    record = add
+
+
+async def test_every_metric_of_the_operators_page_is_recorded(monkeypatch):
+    names = [name for name in vars(metrics) if hasattr(vars(metrics)[name], "_name")]
+    names.remove("meter")
+    assert len(names) == 7
+    recorders = {name: Recorder() for name in names}
+    for name, recorder in recorders.items():
+        monkeypatch.setattr(metrics, name, recorder)
+    async with System(proxies=2) as system:
+        await book_until_acknowledged(system, "r-1")
+        await system.group.kill("up-1")
+        await book_until_acknowledged(system, "r-2")
+        async with connect(system.proxies["proxy-1"]) as connection:
+            assert await count(connection, "r-1") == 1
+    assert [name for name, item in recorders.items() if item.count == 0] == []
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
@@ -317,6 +318,7 @@
         for upstream in (previous, self.upstreams.get(primary_name)):
             if upstream is not None:
                 self.update_work(upstream)
+        metrics.primary_changes.add(1, {"group": self.name})
         logger.bind(group=self.name, term=term, upstream=primary_name).info(
             "primary_learned"
         )
--- a/ebonyrack/upstreams/upstream.py
+++ b/ebonyrack/upstreams/upstream.py
@@ -140,13 +140,7 @@
         Returns:
             Whether its latest status says so.
         """
-        status = self.status
-        return (
-            status is not None
-            and status.role is Role.PRIMARY
-            and status.term == term
-            and status.fenced_term <= term
-        )
+        return self.has_role(Role.PRIMARY, term)
 
     def is_following(self, term: int) -> bool:
         """Tell whether it is a replica of a term's primary and granted no higher one.
@@ -154,13 +148,25 @@
         Args:
             term: The term.
 
+        Returns:
+            Whether its latest status says so.
+        """
+        return self.has_role(Role.REPLICA, term)
+
+    def has_role(self, role: Role, term: int) -> bool:
+        """Tell whether it has a role in a term and granted no higher one.
+
+        Args:
+            role: The role.
+            term: The term.
+
         Returns:
             Whether its latest status says so.
         """
         status = self.status
         return (
             status is not None
-            and status.role is Role.REPLICA
+            and status.role is role
             and status.term == term
             and status.fenced_term <= term
         )
