Count live proxies as they change; allow peers what this proxy is late itself

Cause: 400 proxies started at once (40 to a process) were doubted, refuted and doubted again for minutes. A profile of 40 of 400 proxies (238 s): 56 s in listing the live members anew after each change, only to count them, and 20 s in sorting them. The processes fell seconds behind, read heartbeats late that had come in time, and doubted their senders; each doubt and its denial went to all 400 again. Change: the table keeps the number of live members; a proxy that is late in serving its own timers adds that lateness, fading, to the silence and to the answers that it allows its peers. Conclusion: a failed detection costs up to four times the lateness more on an overloaded proxy only.

--- a/ebonyrack/peers/contacts.py
+++ b/ebonyrack/peers/contacts.py
@@ -89,7 +89,7 @@
     @property
     def is_sparse(self) -> bool:
         """Whether there are too many proxies for links between all."""
-        return len(self.hub.membership.live_members()) > FULL_MESH_LIMIT
+        return self.hub.membership.live_count > FULL_MESH_LIMIT
 
     def notice_change(self, member: Member) -> None:
         """Look again whom to dial after a change of the members."""
--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -29,6 +29,7 @@
 
 SPARSE_INTERVAL_FACTOR = 3
 MISSED_HEARTBEATS = 4
+LATENESS_FADING = 0.8
 NEWS_IN_HEARTBEAT = 16
 NEWS_DELAY_S = 0.02
 WITNESSES = 3
@@ -48,6 +49,7 @@
         has_news: Set while news is waiting to go out at once.
         checks: Checks of silent members that are running, by name.
         pauses: Notices when this process was paused.
+        lateness_s: Seconds by which this process is late of late, fading.
     """
 
     def __init__(self, hub: PeerHub) -> None:
@@ -59,6 +61,7 @@
         self.task: asyncio.Task[None] | None = None
         self.checks: dict[str, asyncio.Task[None]] = {}
         self.pauses = PauseDetector(hub.settings.peers.suspect_after_s)
+        self.lateness_s = 0.0
         hub.handle(Heartbeat, self.receive_heartbeat)
         hub.handle(AskMembers, self.receive_ask_members)
         hub.handle(AskReach, self.receive_ask_reach)
@@ -92,6 +95,7 @@
             if now_s() < next_at_s:
                 self.send_news()
                 continue
+            self.note_lateness(now_s() - next_at_s)
             self.check_pause()
             self.check_silence()
             self.hub.membership.forget_dead()
@@ -111,6 +115,10 @@
         except TimeoutError:
             return
 
+    def note_lateness(self, lateness_s: float) -> None:
+        """Note how late this process serves its own timers."""
+        self.lateness_s = max(lateness_s, self.lateness_s * LATENESS_FADING)
+
     def check_pause(self) -> None:
         """After a pause of this process, don't blame the peers for the silence."""
         pause_s = self.pauses.measure_pause()
@@ -248,11 +256,15 @@
         if name == self.hub.membership.own.name:
             return True
         try:
-            await self.hub.ask(name, AskReach(name), 2 * self.interval_s)
+            await self.hub.ask(name, AskReach(name), self.find_patience(2))
         except PeerLostError:
             return False
         return True
 
+    def find_patience(self, intervals: int) -> float:
+        """Return the seconds to wait for an answer of a peer."""
+        return intervals * (self.interval_s + self.lateness_s)
+
     def check_silence(self) -> None:
         """Start a check of each member that fell silent; bury the long silent."""
         for name, entry in tuple(self.hub.membership.entries.items()):
@@ -282,8 +294,12 @@
         return now_s() - (entry.changed_at_s if heard_at_s is None else heard_at_s)
 
     def find_suspect_after(self, entry: MemberEntry) -> float:
-        """Return the seconds of silence after which a member is doubted."""
-        interval_s = max(entry.interval_s, self.interval_s)
+        """Return the seconds of silence after which a member is doubted.
+
+        An overloaded proxy reads late what its peers sent in time, so it allows
+        them as much again as it is late itself.
+        """
+        interval_s = max(entry.interval_s, self.interval_s) + self.lateness_s
         return max(
             self.hub.settings.peers.suspect_after_s, MISSED_HEARTBEATS * interval_s
         )
@@ -333,7 +349,7 @@
     async def ask_witness(self, peer: str, name: str) -> bool:
         """Return whether one peer reaches a member."""
         try:
-            reply = await self.hub.ask(peer, AskReach(name), 3 * self.interval_s)
+            reply = await self.hub.ask(peer, AskReach(name), self.find_patience(3))
         except PeerLostError:
             return False
         return isinstance(reply, ReachReply) and reply.is_reachable
--- a/ebonyrack/peers/hub_test.py
+++ b/ebonyrack/peers/hub_test.py
@@ -85,6 +85,38 @@
     assert membership.digest != lacking
 
 
+async def test_an_overloaded_proxy_doubts_nobody_for_being_late_itself():
+    async with start_hubs(2) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        heartbeat = hubs[0].heartbeat
+        entry = hubs[0].membership.entries["proxy-1"]
+        usual_s = heartbeat.find_suspect_after(entry)
+        heartbeat.note_lateness(2.0)
+        assert heartbeat.find_suspect_after(entry) >= usual_s + 2.0
+        for _ in range(100):
+            heartbeat.note_lateness(0.0)
+        assert heartbeat.find_suspect_after(entry) == pytest.approx(usual_s)
+
+
+async def test_live_count_follows_the_members():
+    async with start_hubs(3) as hubs:
+        await wait_until(lambda: all_live(hubs))
+        membership = hubs[0].membership
+        for change in (membership.suspect, membership.bury):
+            change("proxy-1")
+            assert membership.live_count == len(membership.live_members())
+        membership.merge(
+            replace(
+                membership.find("proxy-1"),
+                state=MemberState.ALIVE,
+                incarnation=membership.find("proxy-1").incarnation + 1,
+            )
+        )
+        assert membership.live_count == len(membership.live_members()) == 3
+        membership.leave()
+        assert membership.live_count == len(membership.live_members()) == 2
+
+
 async def test_lost_news_is_fetched_among_many_members():
     async with start_hubs(12) as hubs:
         await wait_until(lambda: all_live(hubs))
@@ -95,6 +127,7 @@
 
 def forget_member(hub, name):
     hub.membership.machine.remove_model(hub.membership.entries.pop(name))
+    hub.membership.live_count -= 1
     hub.membership.cached_digest = None
     hub.membership.cached_live = None
 
--- a/ebonyrack/peers/membership.py
+++ b/ebonyrack/peers/membership.py
@@ -76,12 +76,14 @@
     Attributes:
         own: This proxy's own description.
         entries: The other proxies by name.
+        live_count: Number of proxies that take work, this one included.
         callbacks: Called with a member after each change of its description.
     """
 
     __slots__ = (
         "own",
         "entries",
+        "live_count",
         "callbacks",
         "machine",
         "cached_digest",
@@ -100,6 +102,7 @@
             state=MemberState.ALIVE,
         )
         self.entries: dict[str, MemberEntry] = {}
+        self.live_count = 1
         self.callbacks: list[Callback] = []
         self.machine = Machine(
             model=None,
@@ -132,11 +135,9 @@
     def list_live(self) -> tuple[Member, ...]:
         """List the proxies that take work, sorted by name."""
         live = [
-            entry.member
-            for entry in self.entries.values()
-            if entry.member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+            entry.member for entry in self.entries.values() if is_live(entry.member)
         ]
-        if self.own.state is MemberState.ALIVE:
+        if is_live(self.own):
             live.append(self.own)
         return tuple(sorted(live, key=get_name))
 
@@ -193,6 +194,7 @@
         entry = MemberEntry(member)
         self.machine.add_model(entry, initial=member.state.name)
         self.entries[member.name] = entry
+        self.live_count += is_live(member)
         self.report(member)
         return True
 
@@ -203,6 +205,7 @@
             # A new incarnation starts its own life cycle.
             model.find_alive()
         getattr(model, TRIGGERS[member.state])()
+        self.live_count += is_live(member) - is_live(entry.member)
         entry.member = member
         entry.digest = hash_member(member)
         entry.changed_at_s = now_s()
@@ -235,6 +238,7 @@
                 incarnation=self.own.incarnation + 1,
                 state=MemberState.LEAVING,
             )
+            self.live_count -= 1
             self.report(self.own)
         return self.own
 
@@ -296,6 +300,11 @@
             callback(member)
 
 
+def is_live(member: Member) -> bool:
+    """Tell whether a member takes work; a suspect one does until it is dead."""
+    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+
 def hash_member(member: Member) -> int:
     """Hash what peers compare of a member; 0 for a dead one.
 
--- a/ebonyrack/peers/shares.py
+++ b/ebonyrack/peers/shares.py
@@ -72,7 +72,7 @@
 
     def count(self) -> int:
         """Return the number of proxies to divide by, at least 1."""
-        live = max(1, len(self.membership.live_members()))
+        live = max(1, self.membership.live_count)
         present_s = now_s()
         lost = [present_s - lost_at_s for lost_at_s in self.lost_at_s.values()]
         lingering = sum(1 for age_s in lost if age_s < LINGER_S)
