--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -29,11 +29,12 @@
 
 SPARSE_INTERVAL_FACTOR = 3
 MISSED_HEARTBEATS = 4
+LATENESS_FADING = 0.8
 NEWS_IN_HEARTBEAT = 16
 NEWS_DELAY_S = 0.02
 WITNESSES = 3
 SYNC_INTERVAL_S = 1.0
-SPARSE_SYNC_INTERVAL_S = 30.0
+MAXIMUM_SYNC_INTERVAL_S = 30.0
 SYNC_TIMEOUT_S = 2.0
 
 
@@ -44,19 +45,23 @@
         hub: Links of this proxy.
         news: Names of changed members that a link has not been told, by peer.
         synced_at_s: Time of the last fetch of a whole table.
+        sync_pause_s: Seconds from that fetch to the next, if one is needed.
         has_news: Set while news is waiting to go out at once.
         checks: Checks of silent members that are running, by name.
         pauses: Notices when this process was paused.
+        lateness_s: Seconds by which this process is late of late, fading.
     """
 
     def __init__(self, hub: PeerHub) -> None:
         self.hub = hub
         self.news: dict[str, dict[str, None]] = {}
         self.synced_at_s = 0.0
+        self.sync_pause_s = SYNC_INTERVAL_S
         self.has_news = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
         self.checks: dict[str, asyncio.Task[None]] = {}
         self.pauses = PauseDetector(hub.settings.peers.suspect_after_s)
+        self.lateness_s = 0.0
         hub.handle(Heartbeat, self.receive_heartbeat)
         hub.handle(AskMembers, self.receive_ask_members)
         hub.handle(AskReach, self.receive_ask_reach)
@@ -90,6 +95,7 @@
             if now_s() < next_at_s:
                 self.send_news()
                 continue
+            self.note_lateness(now_s() - next_at_s)
             self.check_pause()
             self.check_silence()
             self.hub.membership.forget_dead()
@@ -109,6 +115,10 @@
         except TimeoutError:
             return
 
+    def note_lateness(self, lateness_s: float) -> None:
+        """Note how late this process serves its own timers."""
+        self.lateness_s = max(lateness_s, self.lateness_s * LATENESS_FADING)
+
     def check_pause(self) -> None:
         """After a pause of this process, don't blame the peers for the silence."""
         pause_s = self.pauses.measure_pause()
@@ -165,9 +175,12 @@
         for member in heartbeat.news:
             if not membership.merge(member):
                 self.correct(name, member)
+            self.skip_known(name, member)
         self.check_incarnation(link, heartbeat)
         membership.note_heard(name, heartbeat.interval_ms / 1000)
-        if heartbeat.digest != membership.digest:
+        if heartbeat.digest == membership.digest:
+            self.sync_pause_s = SYNC_INTERVAL_S
+        elif now_s() >= self.synced_at_s + self.sync_pause_s:
             await self.sync(link)
 
     def correct(self, name: str, offered: Member) -> None:
@@ -177,6 +190,16 @@
             self.news.setdefault(name, {})[offered.name] = None
             self.has_news.set()
 
+    def skip_known(self, name: str, told: Member) -> None:
+        """Don't tell a peer what it has just told itself."""
+        queued = self.news.get(name)
+        if (
+            queued
+            and told.name in queued
+            and self.hub.membership.find(told.name) == told
+        ):
+            del queued[told.name]
+
     def check_incarnation(self, link: PeerLink, heartbeat: Heartbeat) -> None:
         """Tell a peer that lives what is held of it, so that it can refute it."""
         known = self.hub.membership.find(link.member.name)
@@ -188,20 +211,33 @@
             self.has_news.set()
 
     async def sync(self, link: PeerLink) -> None:
-        """Fetch a peer's whole table when the digests differ, at a bounded rate."""
-        is_sparse = self.hub.contacts.is_sparse
-        pause_s = SPARSE_SYNC_INTERVAL_S if is_sparse else SYNC_INTERVAL_S
-        if now_s() < self.synced_at_s + pause_s:
-            return
+        """Exchange whole tables with a peer whose digest differs.
+
+        News is lost when a link ends before it was sent, so a difference that
+        lasts is looked into soon, then ever more rarely: with many proxies some
+        change is always under way, and a table is large.
+        """
         self.synced_at_s = now_s()
         try:
             reply = await link.ask(AskMembers(), SYNC_TIMEOUT_S)
         except PeerLostError:
             return
-        if isinstance(reply, MembersReply):
-            for member in reply.members:
-                if not self.hub.membership.merge(member):
-                    self.correct(link.member.name, member)
+        if not isinstance(reply, MembersReply):
+            return
+        if self.hub.contacts.is_sparse:
+            self.sync_pause_s = min(2 * self.sync_pause_s, MAXIMUM_SYNC_INTERVAL_S)
+        for member in reply.members:
+            if not self.hub.membership.merge(member):
+                self.correct(link.member.name, member)
+        self.tell_missing(link.member.name, reply)
+
+    def tell_missing(self, name: str, reply: MembersReply) -> None:
+        """Queue for a peer the members that its table lacks."""
+        listed = {member.name for member in reply.members}
+        for member in self.hub.membership.all_members():
+            if member.name not in listed and member.state is not MemberState.DEAD:
+                self.news.setdefault(name, {})[member.name] = None
+                self.has_news.set()
 
     async def receive_ask_members(
         self, link: PeerLink, message: AskMembers
@@ -220,11 +256,15 @@
         if name == self.hub.membership.own.name:
             return True
         try:
-            await self.hub.ask(name, AskReach(name), 2 * self.interval_s)
+            await self.hub.ask(name, AskReach(name), self.find_patience(2))
         except PeerLostError:
             return False
         return True
 
+    def find_patience(self, intervals: int) -> float:
+        """Return the seconds to wait for an answer of a peer."""
+        return intervals * (self.interval_s + self.lateness_s)
+
     def check_silence(self) -> None:
         """Start a check of each member that fell silent; bury the long silent."""
         for name, entry in tuple(self.hub.membership.entries.items()):
@@ -254,8 +294,12 @@
         return now_s() - (entry.changed_at_s if heard_at_s is None else heard_at_s)
 
     def find_suspect_after(self, entry: MemberEntry) -> float:
-        """Return the seconds of silence after which a member is doubted."""
-        interval_s = max(entry.interval_s, self.interval_s)
+        """Return the seconds of silence after which a member is doubted.
+
+        An overloaded proxy reads late what its peers sent in time, so it allows
+        them as much again as it is late itself.
+        """
+        interval_s = max(entry.interval_s, self.interval_s) + self.lateness_s
         return max(
             self.hub.settings.peers.suspect_after_s, MISSED_HEARTBEATS * interval_s
         )
@@ -305,7 +349,7 @@
     async def ask_witness(self, peer: str, name: str) -> bool:
         """Return whether one peer reaches a member."""
         try:
-            reply = await self.hub.ask(peer, AskReach(name), 3 * self.interval_s)
+            reply = await self.hub.ask(peer, AskReach(name), self.find_patience(3))
         except PeerLostError:
             return False
         return isinstance(reply, ReachReply) and reply.is_reachable
--- a/ebonyrack/peers/membership.py
+++ b/ebonyrack/peers/membership.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
 import time
-import zlib
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -19,6 +19,7 @@
 
 FORGET_DEAD_AFTER_S = 7200.0
 MAXIMUM_MEMBERS = 2000
+DIGEST_BYTES = 8
 
 STATES = [state.name for state in MemberState]
 TRANSITIONS: list[Any] = [
@@ -44,6 +45,7 @@
         heard_at_s: Time of the last direct sign of life, or None.
         interval_s: Seconds between the member's heartbeats, as it says.
         state: Name of the state, kept by the life cycle.
+        digest: Hash of what peers compare of the member.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "heard_at_s",
         "interval_s",
         "state",
+        "digest",
         "__dict__",
     )
 
@@ -61,6 +64,7 @@
         self.heard_at_s: float | None = None
         self.interval_s = 0.0
         self.state = member.state.name
+        self.digest = hash_member(member)
 
 
 Callback = Callable[[Member], None]
@@ -72,12 +76,14 @@
     Attributes:
         own: This proxy's own description.
         entries: The other proxies by name.
+        live_count: Number of proxies that take work, this one included.
         callbacks: Called with a member after each change of its description.
     """
 
     __slots__ = (
         "own",
         "entries",
+        "live_count",
         "callbacks",
         "machine",
         "cached_digest",
@@ -96,6 +102,7 @@
             state=MemberState.ALIVE,
         )
         self.entries: dict[str, MemberEntry] = {}
+        self.live_count = 1
         self.callbacks: list[Callback] = []
         self.machine = Machine(
             model=None,
@@ -128,11 +135,9 @@
     def list_live(self) -> tuple[Member, ...]:
         """List the proxies that take work, sorted by name."""
         live = [
-            entry.member
-            for entry in self.entries.values()
-            if entry.member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+            entry.member for entry in self.entries.values() if is_live(entry.member)
         ]
-        if self.own.state is MemberState.ALIVE:
+        if is_live(self.own):
             live.append(self.own)
         return tuple(sorted(live, key=get_name))
 
@@ -157,13 +162,9 @@
 
     def compute_digest(self) -> int:
         """Hash the members; a suspicion isn't part of it, since it passes."""
-        total = 0
-        for member in self.all_members():
-            if member.state is MemberState.DEAD:
-                continue
-            is_leaving = member.state is MemberState.LEAVING
-            text = f"{member.name} {member.incarnation} {is_leaving}"
-            total ^= zlib.crc32(text.encode())
+        total = hash_member(self.own)
+        for entry in self.entries.values():
+            total ^= entry.digest
         return total
 
     def merge(self, offered: Member) -> bool:
@@ -193,6 +194,7 @@
         entry = MemberEntry(member)
         self.machine.add_model(entry, initial=member.state.name)
         self.entries[member.name] = entry
+        self.live_count += is_live(member)
         self.report(member)
         return True
 
@@ -203,7 +205,9 @@
             # A new incarnation starts its own life cycle.
             model.find_alive()
         getattr(model, TRIGGERS[member.state])()
+        self.live_count += is_live(member) - is_live(entry.member)
         entry.member = member
+        entry.digest = hash_member(member)
         entry.changed_at_s = now_s()
         self.report(member)
 
@@ -234,6 +238,7 @@
                 incarnation=self.own.incarnation + 1,
                 state=MemberState.LEAVING,
             )
+            self.live_count -= 1
             self.report(self.own)
         return self.own
 
@@ -295,6 +300,26 @@
             callback(member)
 
 
+def is_live(member: Member) -> bool:
+    """Tell whether a member takes work; a suspect one does until it is dead."""
+    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+def hash_member(member: Member) -> int:
+    """Hash what peers compare of a member; 0 for a dead one.
+
+    The hashes of alike texts must not cancel each other out. Those of a cyclic
+    redundancy check would: it is linear, so four proxies whose names differ in
+    one digit and that started together can add up to nothing.
+    """
+    if member.state is MemberState.DEAD:
+        return 0
+    is_leaving = member.state is MemberState.LEAVING
+    text = f"{member.name} {member.incarnation} {is_leaving}"
+    digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
 def get_name(member: Member) -> str:
     """Return a member's name, to sort by."""
     return member.name
