Split the peers' messages by subject and pin their wire format

Cause: peers/messages.py had 555 lines: the records of seven subjects, the table of codes and the codec. And no test held the codes or the order of the fields, by which processes of two releases understand each other.

Ruled out: one table of codes in the codec (two places for each new message); a code as a class attribute with `__init_subclass__` (a dataclass with slots is a second class, so each would register twice); deriving fields from a list of names (mypy would check no call any more).

Change: `register_message(code)` makes the class a frozen dataclass with slots too, and says so to mypy by `dataclass_transform`; a new message is one decorated record in one module. member.py, message.py (base and table), codec.py and seven modules NAME_messages.py; messages.py imports them all as load/experiments.py does, and a test checks that it misses none. codec_test.py pins code, name and fields of all 33 messages, the bytes of one with a nested record, and what is refused. In other modules only import lines change. The Heartbeat's docstring said that its digest covers the live members; it covers all but the dead.

Conclusion: no byte on the wire changes.

--- a/ebonyrack/config/edit_desk.py
+++ b/ebonyrack/config/edit_desk.py
@@ -20,21 +20,21 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.verifier import MECHANISM
 from ebonyrack.core.verifier import parse_verifier
+from ebonyrack.peers.document_messages import AskDocument
+from ebonyrack.peers.document_messages import DocumentReply
+from ebonyrack.peers.edit_messages import AskRevisions
+from ebonyrack.peers.edit_messages import EditReply
+from ebonyrack.peers.edit_messages import EditRequest
+from ebonyrack.peers.edit_messages import RevisionsReply
 from ebonyrack.peers.hub import OPERATOR_ROLE
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.messages import AskDocument
-from ebonyrack.peers.messages import AskRevisions
-from ebonyrack.peers.messages import AuthenticateReply
-from ebonyrack.peers.messages import AuthenticateRequest
-from ebonyrack.peers.messages import DocumentReply
-from ebonyrack.peers.messages import EditReply
-from ebonyrack.peers.messages import EditRequest
-from ebonyrack.peers.messages import Failure
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import Message
-from ebonyrack.peers.messages import RevisionsReply
+from ebonyrack.peers.link_messages import Failure
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.message import Message
+from ebonyrack.peers.operator_messages import AuthenticateReply
+from ebonyrack.peers.operator_messages import AuthenticateRequest
 from ebonyrack.platform.store import Store
 
 MAXIMUM_LIMIT_S = 60.0
--- a/ebonyrack/config/fault_matrix_test.py
+++ b/ebonyrack/config/fault_matrix_test.py
@@ -16,7 +16,7 @@
 from ebonyrack.ops.client import Access
 from ebonyrack.ops.document_access import ProxyDocument
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.messages import MemberState
+from ebonyrack.peers.member import MemberState
 from ebonyrack.standins.control_plane import SECRET
 from ebonyrack.standins.control_plane import wait_until
 
--- a/ebonyrack/config/spread.py
+++ b/ebonyrack/config/spread.py
@@ -17,15 +17,15 @@
 from ebonyrack.config.text import apply_changes
 from ebonyrack.config.text import compute_digest
 from ebonyrack.config.text import split_sections
+from ebonyrack.peers.document_messages import AskDocument
+from ebonyrack.peers.document_messages import ChangesReply
+from ebonyrack.peers.document_messages import DocumentNews
+from ebonyrack.peers.document_messages import DocumentReply
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.messages import AskDocument
-from ebonyrack.peers.messages import ChangesReply
-from ebonyrack.peers.messages import DocumentNews
-from ebonyrack.peers.messages import DocumentReply
-from ebonyrack.peers.messages import Heartbeat
-from ebonyrack.peers.messages import Message
+from ebonyrack.peers.member_messages import Heartbeat
+from ebonyrack.peers.message import Message
 
 FETCH_TIMEOUT_S = 2.0
 
--- a/ebonyrack/config/verification.py
+++ b/ebonyrack/config/verification.py
@@ -13,9 +13,9 @@
 from ebonyrack.config.stored import DOCUMENT_KEY
 from ebonyrack.core.settings import PeerSettings
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.peers.document_messages import AskDocument
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.messages import AskDocument
 from ebonyrack.platform.store import Store
 
 RETRY_S = 0.2
--- a/ebonyrack/config/watch.py
+++ b/ebonyrack/config/watch.py
@@ -21,10 +21,10 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.peers.document_messages import VmNews
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import VmNews
+from ebonyrack.peers.member import Member
 from ebonyrack.platform.backoff import Backoff
 from ebonyrack.platform.store import Store
 from ebonyrack.platform.store import StoreError
--- a/ebonyrack/config/watch_test.py
+++ b/ebonyrack/config/watch_test.py
@@ -11,7 +11,7 @@
 from ebonyrack.config.stored import pack_stored
 from ebonyrack.config.watch import SILENCE_SHARE
 from ebonyrack.core.clock import now_s
-from ebonyrack.peers.messages import Heartbeat
+from ebonyrack.peers.member_messages import Heartbeat
 from ebonyrack.standins.control_plane import wait_until
 from ebonyrack.standins.key_value import Node
 
--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -24,7 +24,7 @@
 from ebonyrack.failover.safeguards import Safeguards
 from ebonyrack.failover.switchover import Switchover
 from ebonyrack.failover.switchover import SwitchoverOutcome
-from ebonyrack.peers.messages import PrimarySeen
+from ebonyrack.peers.primary_messages import PrimarySeen
 from ebonyrack.routing.write_path import ACKNOWLEDGE_POLICIES
 
 if TYPE_CHECKING:
@@ -32,8 +32,8 @@
 
     from ebonyrack.failover.terms import TermSource
     from ebonyrack.peers.hub import PeerHub
+    from ebonyrack.peers.member import Member
     from ebonyrack.peers.membership import Membership
-    from ebonyrack.peers.messages import Member
     from ebonyrack.upstreams.group import DatabaseGroup
 
 # A wake-up that comes later than this shows that the process was paused.
--- a/ebonyrack/load/control_host.py
+++ b/ebonyrack/load/control_host.py
@@ -14,7 +14,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.load.process_stats import read_processor_s
 from ebonyrack.load.process_stats import read_resident_bytes
-from ebonyrack.peers.messages import Member
+from ebonyrack.peers.member import Member
 from ebonyrack.peers.shares import ShareCount
 from ebonyrack.standins.control_plane import DAEMON_TIMEOUTS
 from ebonyrack.standins.control_plane import ControlPlane
--- a/ebonyrack/ops/client.py
+++ b/ebonyrack/ops/client.py
@@ -18,11 +18,11 @@
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.link import build_hello
 from ebonyrack.peers.link import dial
-from ebonyrack.peers.messages import AuthenticateReply
-from ebonyrack.peers.messages import AuthenticateRequest
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import MemberState
-from ebonyrack.peers.messages import Message
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.member import MemberState
+from ebonyrack.peers.message import Message
+from ebonyrack.peers.operator_messages import AuthenticateReply
+from ebonyrack.peers.operator_messages import AuthenticateRequest
 
 NO_ADDRESS = Address("0.0.0.0", 0)
 
--- a/ebonyrack/ops/configuration.py
+++ b/ebonyrack/ops/configuration.py
@@ -33,7 +33,7 @@
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.output import Output
-from ebonyrack.peers.messages import EditReply
+from ebonyrack.peers.edit_messages import EditReply
 
 # How the text before the first section is named in a list of sections.
 PREAMBLE = "(preamble)"
--- a/ebonyrack/ops/ctl_test.py
+++ b/ebonyrack/ops/ctl_test.py
@@ -10,7 +10,7 @@
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.tables import format_table
-from ebonyrack.peers.messages import EditRequest
+from ebonyrack.peers.edit_messages import EditRequest
 from ebonyrack.scripts import ctl
 from ebonyrack.standins import system as system_module
 from ebonyrack.standins.control_plane import SECRET
--- a/ebonyrack/ops/document_access.py
+++ b/ebonyrack/ops/document_access.py
@@ -22,13 +22,13 @@
 from ebonyrack.ops.client import ProxyClient
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
+from ebonyrack.peers.document_messages import AskDocument
+from ebonyrack.peers.document_messages import DocumentReply
+from ebonyrack.peers.edit_messages import AskRevisions
+from ebonyrack.peers.edit_messages import EditReply
+from ebonyrack.peers.edit_messages import EditRequest
+from ebonyrack.peers.edit_messages import RevisionsReply
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.messages import AskDocument
-from ebonyrack.peers.messages import AskRevisions
-from ebonyrack.peers.messages import DocumentReply
-from ebonyrack.peers.messages import EditReply
-from ebonyrack.peers.messages import EditRequest
-from ebonyrack.peers.messages import RevisionsReply
 from ebonyrack.platform.store import Store
 
 REPLY_MARGIN_S = 2.0
--- a/ebonyrack/ops/orders.py
+++ b/ebonyrack/ops/orders.py
@@ -13,10 +13,10 @@
 from ebonyrack.ops.output import Output
 from ebonyrack.ops.status import fetch_status
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.messages import CommandReply
-from ebonyrack.peers.messages import DrainRequest
-from ebonyrack.peers.messages import Message
-from ebonyrack.peers.messages import SwitchoverRequest
+from ebonyrack.peers.message import Message
+from ebonyrack.peers.operator_messages import CommandReply
+from ebonyrack.peers.operator_messages import DrainRequest
+from ebonyrack.peers.operator_messages import SwitchoverRequest
 
 
 async def drain(access: Access, proxy: str, output: Output) -> ExitStatus:
--- a/ebonyrack/ops/status.py
+++ b/ebonyrack/ops/status.py
@@ -10,9 +10,9 @@
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.output import Output
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import StatusReply
-from ebonyrack.peers.messages import StatusRequest
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.operator_messages import StatusReply
+from ebonyrack.peers.operator_messages import StatusRequest
 
 UPSTREAM_FIELDS = (
     "role",
--- /dev/null
+++ b/ebonyrack/peers/codec.py
@@ -0,0 +1,95 @@
+"""Messages to bytes and back.
+
+A frame on a link is a msgpack array `[code, correlation, fields]`. The correlation
+is 0 for a one-way message, positive for a request and negative for its reply.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgpack
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+from pydantic_core import ArgsKwargs
+
+from ebonyrack.core.address import Address
+from ebonyrack.peers import messages  # noqa: F401 (fills the table of types)
+from ebonyrack.peers.message import MESSAGE_CODES
+from ebonyrack.peers.message import MESSAGE_TYPES
+from ebonyrack.peers.message import BadMessageError
+from ebonyrack.peers.message import Message
+from ebonyrack.peers.message import get_fields
+
+PROTOCOL_VERSION = 1
+MAXIMUM_FRAME_BYTES = 2 * 1024 * 1024
+
+ADAPTERS: dict[type[Message], TypeAdapter[Any]] = {}
+
+
+def pack_message(message: Message, correlation: int = 0) -> bytes:
+    """Encode a message as one frame.
+
+    Args:
+        message: The message.
+        correlation: 0, the number of a request, or the negative of it in a reply.
+
+    Returns:
+        The frame.
+    """
+    frame = [MESSAGE_CODES[type(message)], correlation, get_fields(message)]
+    packed: bytes = msgpack.packb(frame, default=list_fields)
+    return packed
+
+
+def build_message(code: object, fields: object) -> Message:
+    """Build a message from its decoded parts.
+
+    Args:
+        code: Code of its type.
+        fields: Values of its fields in their order.
+
+    Returns:
+        The message.
+
+    Raises:
+        BadMessageError: If the code is unknown or a field is not valid.
+    """
+    message_type = MESSAGE_TYPES.get(code) if isinstance(code, int) else None
+    if message_type is None or not isinstance(fields, list):
+        raise BadMessageError(f"unknown message code {code!r}")
+    adapter = ADAPTERS.get(message_type)
+    if adapter is None:
+        adapter = ADAPTERS[message_type] = TypeAdapter(message_type)
+    try:
+        message: Message = adapter.validate_python(ArgsKwargs(tuple(fields)))
+    except ValidationError as error:
+        raise BadMessageError(f"bad fields of {message_type.__name__}") from error
+    return message
+
+
+def parse_frame(frame: object) -> tuple[Message, int]:
+    """Read one decoded frame.
+
+    Args:
+        frame: What msgpack unpacked.
+
+    Returns:
+        The message and its correlation.
+
+    Raises:
+        BadMessageError: If it is no valid frame.
+    """
+    if not isinstance(frame, list) or len(frame) != 3 or not isinstance(frame[1], int):
+        raise BadMessageError("not a frame of the peers' protocol")
+    code, correlation, fields = frame
+    return build_message(code, fields), correlation
+
+
+def list_fields(record: object) -> Any:
+    """Turn a record into what msgpack can pack."""
+    if isinstance(record, Message):
+        return get_fields(record)
+    if isinstance(record, Address):
+        return str(record)
+    raise TypeError(f"not a record of the peers' protocol: {record!r}")
--- /dev/null
+++ b/ebonyrack/peers/codec_test.py
@@ -0,0 +1,105 @@
+from pathlib import Path
+
+import msgpack
+import pytest
+
+from ebonyrack.core.address import Address
+from ebonyrack.peers import messages
+from ebonyrack.peers.codec import pack_message
+from ebonyrack.peers.codec import parse_frame
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.member import MemberState
+from ebonyrack.peers.member_messages import Heartbeat
+from ebonyrack.peers.message import MESSAGE_TYPES
+from ebonyrack.peers.message import BadMessageError
+from ebonyrack.peers.message import Message
+from ebonyrack.peers.message import register_message
+
+# Fields travel by position: processes of two releases understand each other only
+# while a code keeps its name and the order of its fields.
+WIRE_FORMAT = {
+    1: "Hello version role member nonce",
+    2: "Proof digest",
+    3: "Failure reason",
+    10: "Heartbeat incarnation revision digest interval_ms news",
+    11: "AskMembers",
+    12: "MembersReply members",
+    13: "AskReach name",
+    14: "ReachReply is_reachable",
+    15: "Leaving member",
+    16: "Flood identity code fields",
+    17: "Unlink",
+    20: "PrimarySeen group term primary_name",
+    21: "AskPrimary group primary_name term",
+    22: "PrimaryOpinion reachable term primary_name",
+    23: "HoldWrites group term hold_ms",
+    24: "WritesHeld is_drained",
+    30: "DocumentNews revision",
+    31: "AskDocument above_revision",
+    32: "DocumentReply revision stored",
+    33: "ChangesReply base_revision revision changes history digest",
+    34: "VmNews index leaving",
+    40: "StatusRequest include_sessions",
+    41: "StatusReply proxy revision is_cut_off members groups sessions",
+    42: "DrainRequest",
+    43: "SwitchoverRequest group to",
+    44: "CommandReply succeeded text",
+    50: "EditRequest edit_id operator base_revision changes expected limit_s is_repeat",
+    51: "EditReply outcome revision reasons difference",
+    52: "AskRevisions",
+    53: "RevisionsReply revisions",
+    54: "AuthenticateRequest operator data",
+    55: "AuthenticateReply data",
+    60: "CancelSession number secret_key",
+}
+MEMBER = Member("p-1", Address("127.0.0.1", 7), "dc-1", "north", 5, MemberState.ALIVE)
+MEMBER_ARRAY = ["p-1", "127.0.0.1:7", "dc-1", "north", 5, 0]
+
+
+def describe(message_type):
+    return " ".join([message_type.__name__, *message_type.__dataclass_fields__])
+
+
+def test_codes_and_fields_on_the_wire_stay():
+    present = {code: describe(entry) for code, entry in MESSAGE_TYPES.items()}
+    assert present == WIRE_FORMAT
+
+
+def test_every_module_of_messages_is_imported():
+    folder = Path(messages.__file__).parent
+    modules = [path.stem for path in folder.glob("*_messages.py")]
+    assert sorted(modules) == sorted(messages.__all__)
+
+
+def test_a_frame_is_an_array_and_is_read_back():
+    heartbeat = Heartbeat(5, 6, 7, 200, (MEMBER,))
+    frame = msgpack.unpackb(pack_message(heartbeat, -3))
+    assert frame == [10, -3, [5, 6, 7, 200, [MEMBER_ARRAY]]]
+    assert parse_frame(frame) == (heartbeat, -3)
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        {},
+        [10, 0],
+        [10, "0", []],
+        [999, 0, []],
+        ["10", 0, []],
+        [10, 0, {}],
+        [10, 0, [5, 6]],
+        [10, 0, [5, 6, 7, 200, [MEMBER_ARRAY[:-1]]]],
+        [10, 0, [5, 6, 7, 200, [[*MEMBER_ARRAY[:-1], 9]]]],
+    ],
+)
+def test_a_frame_that_is_no_message_is_refused(frame):
+    with pytest.raises(BadMessageError):
+        parse_frame(frame)
+
+
+def test_a_code_is_given_once():
+    with pytest.raises(ValueError, match="code 10 is registered already"):
+
+        @register_message(10)
+        class Repeat(Message):
+            pass
--- a/ebonyrack/peers/contacts.py
+++ b/ebonyrack/peers/contacts.py
@@ -15,8 +15,8 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import MemberState
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.member import MemberState
 
 if TYPE_CHECKING:
     from ebonyrack.peers.hub import PeerHub
--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -14,15 +14,15 @@
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.member import MemberState
+from ebonyrack.peers.member_messages import AskMembers
+from ebonyrack.peers.member_messages import AskReach
+from ebonyrack.peers.member_messages import Heartbeat
+from ebonyrack.peers.member_messages import MembersReply
+from ebonyrack.peers.member_messages import ReachReply
 from ebonyrack.peers.membership import MemberEntry
-from ebonyrack.peers.messages import AskMembers
-from ebonyrack.peers.messages import AskReach
-from ebonyrack.peers.messages import Heartbeat
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import MembersReply
-from ebonyrack.peers.messages import MemberState
-from ebonyrack.peers.messages import Message
-from ebonyrack.peers.messages import ReachReply
+from ebonyrack.peers.message import Message
 
 if TYPE_CHECKING:
     from ebonyrack.peers.hub import PeerHub
--- a/ebonyrack/peers/hub.py
+++ b/ebonyrack/peers/hub.py
@@ -17,6 +17,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.peers.codec import build_message
 from ebonyrack.peers.contacts import Contacts
 from ebonyrack.peers.heartbeat import HeartbeatTask
 from ebonyrack.peers.link import PeerLink
@@ -24,18 +25,17 @@
 from ebonyrack.peers.link import Traffic
 from ebonyrack.peers.link import build_hello
 from ebonyrack.peers.link import dial
+from ebonyrack.peers.link_messages import Failure
+from ebonyrack.peers.link_messages import Flood
+from ebonyrack.peers.link_messages import Unlink
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.member import MemberState
+from ebonyrack.peers.member_messages import Leaving
 from ebonyrack.peers.membership import Membership
-from ebonyrack.peers.messages import MESSAGE_CODES
-from ebonyrack.peers.messages import BadMessageError
-from ebonyrack.peers.messages import Failure
-from ebonyrack.peers.messages import Flood
-from ebonyrack.peers.messages import Leaving
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import MemberState
-from ebonyrack.peers.messages import Message
-from ebonyrack.peers.messages import Unlink
-from ebonyrack.peers.messages import build_message
-from ebonyrack.peers.messages import get_fields
+from ebonyrack.peers.message import MESSAGE_CODES
+from ebonyrack.peers.message import BadMessageError
+from ebonyrack.peers.message import Message
+from ebonyrack.peers.message import get_fields
 
 MAXIMUM_ACCEPTED = 600
 REMEMBERED_FLOODS = 4096
--- a/ebonyrack/peers/hub_test.py
+++ b/ebonyrack/peers/hub_test.py
@@ -8,15 +8,15 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.settings import parse_settings
 from ebonyrack.peers import contacts
+from ebonyrack.peers.codec import pack_message
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.link import build_hello
 from ebonyrack.peers.link import dial
-from ebonyrack.peers.messages import AskPrimary
-from ebonyrack.peers.messages import MemberState
-from ebonyrack.peers.messages import PrimaryOpinion
-from ebonyrack.peers.messages import PrimarySeen
-from ebonyrack.peers.messages import pack_message
+from ebonyrack.peers.member import MemberState
+from ebonyrack.peers.primary_messages import AskPrimary
+from ebonyrack.peers.primary_messages import PrimaryOpinion
+from ebonyrack.peers.primary_messages import PrimarySeen
 
 TEXT = """
 [proxy]
@@ -303,6 +303,6 @@
 
 
 def test_messages_pack_small():
-    from ebonyrack.peers.messages import Heartbeat
+    from ebonyrack.peers.member_messages import Heartbeat
 
     assert len(pack_message(Heartbeat(1_764_798_000_000, 500, 2**32 - 1, 200))) < 32
--- a/ebonyrack/peers/link.py
+++ b/ebonyrack/peers/link.py
@@ -18,16 +18,16 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.tasks import end_tasks
-from ebonyrack.peers.messages import MAXIMUM_FRAME_BYTES
-from ebonyrack.peers.messages import PROTOCOL_VERSION
-from ebonyrack.peers.messages import BadMessageError
-from ebonyrack.peers.messages import Failure
-from ebonyrack.peers.messages import Hello
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import Message
-from ebonyrack.peers.messages import Proof
-from ebonyrack.peers.messages import pack_message
-from ebonyrack.peers.messages import parse_frame
+from ebonyrack.peers.codec import MAXIMUM_FRAME_BYTES
+from ebonyrack.peers.codec import PROTOCOL_VERSION
+from ebonyrack.peers.codec import pack_message
+from ebonyrack.peers.codec import parse_frame
+from ebonyrack.peers.link_messages import Failure
+from ebonyrack.peers.link_messages import Hello
+from ebonyrack.peers.link_messages import Proof
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.message import BadMessageError
+from ebonyrack.peers.message import Message
 
 SENT = {"direction": "sent"}
 RECEIVED = {"direction": "received"}
--- /dev/null
+++ b/ebonyrack/peers/link_messages.py
@@ -0,0 +1,60 @@
+"""Messages that a link itself uses, and the one that carries others."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ebonyrack.peers.member import MemberField
+from ebonyrack.peers.message import Message
+from ebonyrack.peers.message import register_message
+
+
+@register_message(1)
+class Hello(Message):
+    """First message of both sides of a link.
+
+    Attributes:
+        version: Protocol version.
+        role: `proxy` or `operator`.
+        member: Who the sender is; an operator sends a member of its own name.
+        nonce: Challenge that the other side's proof must answer.
+    """
+
+    version: int
+    role: str
+    member: MemberField
+    nonce: bytes
+
+
+@register_message(2)
+class Proof(Message):
+    """HMAC of both challenges under the shared secret."""
+
+    digest: bytes
+
+
+@register_message(3)
+class Failure(Message):
+    """Reply to a request that could not be answered."""
+
+    reason: str
+
+
+@register_message(16)
+class Flood(Message):
+    """A broadcast that receivers pass on when not all members are linked.
+
+    Attributes:
+        identity: Random number by which a repeat is recognised.
+        code: Code of the message inside.
+        fields: Its fields.
+    """
+
+    identity: int
+    code: int
+    fields: list[Any]
+
+
+@register_message(17)
+class Unlink(Message):
+    """The sender closes this link since it needs it no more; it goes on itself."""
--- /dev/null
+++ b/ebonyrack/peers/member_messages.py
@@ -0,0 +1,59 @@
+"""Messages about which proxies are alive."""
+
+from __future__ import annotations
+
+from ebonyrack.peers.member import MemberField
+from ebonyrack.peers.message import Message
+from ebonyrack.peers.message import register_message
+
+
+@register_message(10)
+class Heartbeat(Message):
+    """Sign of life with piggybacked news.
+
+    Attributes:
+        incarnation: The sender's incarnation.
+        revision: Highest revision of the document that the sender runs.
+        digest: Hash of the members that the sender does not hold for dead.
+        interval_ms: Milliseconds until the sender's next heartbeat.
+        news: Changes of members that the receiver may not know.
+    """
+
+    incarnation: int
+    revision: int
+    digest: int
+    interval_ms: int
+    news: tuple[MemberField, ...] = ()
+
+
+@register_message(11)
+class AskMembers(Message):
+    """Request for the whole table of members."""
+
+
+@register_message(12)
+class MembersReply(Message):
+    """Every member that the sender knows."""
+
+    members: tuple[MemberField, ...]
+
+
+@register_message(13)
+class AskReach(Message):
+    """Question whether a member answers the receiver; it says yes for itself."""
+
+    name: str
+
+
+@register_message(14)
+class ReachReply(Message):
+    """Answer to `AskReach`."""
+
+    is_reachable: bool
+
+
+@register_message(15)
+class Leaving(Message):
+    """A proxy that shuts down; it takes no new work from now on."""
+
+    member: MemberField
--- a/ebonyrack/peers/membership.py
+++ b/ebonyrack/peers/membership.py
@@ -14,8 +14,8 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.settings import ProxySettings
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import MemberState
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.member import MemberState
 
 FORGET_DEAD_AFTER_S = 7200.0
 MAXIMUM_MEMBERS = 2000
--- /dev/null
+++ b/ebonyrack/peers/message.py
@@ -0,0 +1,66 @@
+"""What a message between processes is, and the table of its types and codes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from typing import ClassVar
+from typing import TypeVar
+from typing import dataclass_transform
+
+from pydantic import ConfigDict
+from pydantic_core import ArgsKwargs
+
+PeerRecord = TypeVar("PeerRecord", bound="type[Message]")
+
+
+class BadMessageError(Exception):
+    """Bytes from a peer that are no valid message."""
+
+
+class Message:
+    """Base of all records that travel on a link."""
+
+    __slots__ = ()
+    __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(arbitrary_types_allowed=True)
+
+
+MESSAGE_TYPES: dict[int, type[Message]] = {}
+MESSAGE_CODES: dict[type[Message], int] = {}
+
+
+@dataclass_transform(frozen_default=True)
+def register_message(code: int) -> Callable[[PeerRecord], PeerRecord]:
+    """Return a decorator that makes a class a record and registers it.
+
+    Args:
+        code: Number of the message on the wire; never used for another type.
+
+    Returns:
+        The decorator; what it returns is a frozen dataclass with slots.
+
+    Raises:
+        ValueError: If the code is taken (raised by the decorator).
+    """
+
+    def add(message_type: PeerRecord) -> PeerRecord:
+        if code in MESSAGE_TYPES:
+            raise ValueError(f"message code {code} is registered already")
+        record: Any = dataclass(frozen=True, slots=True)(message_type)
+        MESSAGE_TYPES[code] = record
+        MESSAGE_CODES[record] = code
+        return record  # type: ignore[no-any-return]
+
+    return add
+
+
+def get_fields(message: Message) -> list[Any]:
+    """Return the values of a message's fields in their order."""
+    names = type(message).__dataclass_fields__  # type: ignore[attr-defined]
+    return [getattr(message, name) for name in names]
+
+
+def read_fields(value: object) -> object:
+    """Let pydantic read a nested record from the array of its fields."""
+    return ArgsKwargs(tuple(value)) if isinstance(value, list) else value
--- /dev/null
+++ b/ebonyrack/peers/session_messages.py
@@ -0,0 +1,19 @@
+"""Messages about a caller's session at another proxy."""
+
+from __future__ import annotations
+
+from ebonyrack.peers.message import Message
+from ebonyrack.peers.message import register_message
+
+
+@register_message(60)
+class CancelSession(Message):
+    """A caller's cancel request that reached another proxy than its session.
+
+    Attributes:
+        number: Number of the session in its proxy.
+        secret_key: Secret that only the session's caller was told.
+    """
+
+    number: int
+    secret_key: bytes
--- a/ebonyrack/peers/shares.py
+++ b/ebonyrack/peers/shares.py
@@ -8,9 +8,9 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.membership import Membership
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import MemberState
 
 LINGER_S = 2.0
 REMEMBER_LOST_S = 600.0
--- a/ebonyrack/peers/shares_test.py
+++ b/ebonyrack/peers/shares_test.py
@@ -6,9 +6,9 @@
 from ebonyrack.peers import shares as shares_module
 from ebonyrack.peers.hub_test import build_settings
 from ebonyrack.peers.hub_test import wait_until
+from ebonyrack.peers.member import Member
+from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.membership import Membership
-from ebonyrack.peers.messages import Member
-from ebonyrack.peers.messages import MemberState
 from ebonyrack.peers.shares import ShareCount
 
 
--- a/ebonyrack/service/operator_desk.py
+++ b/ebonyrack/service/operator_desk.py
@@ -7,11 +7,11 @@
 
 from ebonyrack.config.ownership import ADMINISTRATORS
 from ebonyrack.core.clock import now_s
-from ebonyrack.peers.messages import CommandReply
-from ebonyrack.peers.messages import DrainRequest
-from ebonyrack.peers.messages import StatusReply
-from ebonyrack.peers.messages import StatusRequest
-from ebonyrack.peers.messages import SwitchoverRequest
+from ebonyrack.peers.operator_messages import CommandReply
+from ebonyrack.peers.operator_messages import DrainRequest
+from ebonyrack.peers.operator_messages import StatusReply
+from ebonyrack.peers.operator_messages import StatusRequest
+from ebonyrack.peers.operator_messages import SwitchoverRequest
 
 if TYPE_CHECKING:
     from ebonyrack.callers.session import CallerSession
--- a/ebonyrack/service/proxy.py
+++ b/ebonyrack/service/proxy.py
@@ -17,7 +17,7 @@
 from ebonyrack.failover.pre_vote import OpinionDesk
 from ebonyrack.failover.terms import TermSource
 from ebonyrack.peers.hub import PeerHub
-from ebonyrack.peers.messages import CancelSession
+from ebonyrack.peers.session_messages import CancelSession
 from ebonyrack.platform.store import Store
 from ebonyrack.service.drain import Drain
 from ebonyrack.service.group_table import GroupTable
