Give owners one base class instead of an __aexit__ each

Owners that hold others call `__aexit__(kind, error, traceback)` or `__aexit__(None, None, None)` by hand.

Ruled out: contextlib.AbstractAsyncContextManager (gives `__aenter__`, still asks for the arguments of `__aexit__`); one AsyncExitStack a class (hides the order in which tasks end, and a plain class with two methods is easier to read); `close()` as the name (PeerLink, LeanClient and connections have a `close` that is no coroutine; StandinPlatform and UpstreamWatch say start and stop already).

Change: core/owner.py has `Owner`: `async with` calls `start` and `stop`. Used in service, config, platform, standins, ops and by PeerLink and ShareCount. What an owner does is unchanged.

Tests of core, service, config, peers, ops, platform, standins and load pass.

Conclusion: coordinator, listener, pool, upstream, group, read_index, contacts, heartbeat, hub, cluster, lean_client and control_host keep their own `__aexit__`; both kinds work together.

--- a/ebonyrack/config/verification.py
+++ b/ebonyrack/config/verification.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from types import TracebackType
 
 from loguru import logger
 from result import Ok
@@ -11,6 +10,7 @@
 from ebonyrack.config.spread import FETCH_TIMEOUT_S
 from ebonyrack.config.spread import DocumentSpread
 from ebonyrack.config.stored import DOCUMENT_KEY
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import PeerSettings
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.document_messages import AskDocument
@@ -22,7 +22,7 @@
 ASKED_PEERS = 3
 
 
-class PauseVerification:
+class PauseVerification(Owner):
     """Asks a peer or the store after a long pause: an async context manager.
 
     What was buffered before the pause proves nothing, so only the answer to a
@@ -47,15 +47,8 @@
         self.task: asyncio.Task[None] | None = None
         spread.hub.pause_callbacks.append(self.notice_pause)
 
-    async def __aenter__(self) -> PauseVerification:
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """End the verification that runs."""
         await end_tasks([self.task])
 
     def notice_pause(self, pause_s: float) -> None:
--- a/ebonyrack/config/watch.py
+++ b/ebonyrack/config/watch.py
@@ -7,7 +7,6 @@
 import zlib
 from collections.abc import Awaitable
 from collections.abc import Callable
-from types import TracebackType
 
 from loguru import logger
 from result import Err
@@ -19,6 +18,7 @@
 from ebonyrack.config.stored import DOCUMENT_KEY
 from ebonyrack.config.verification import PauseVerification
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.document_messages import VmNews
@@ -41,7 +41,7 @@
 Step = Callable[[], Awaitable[Result[bool, StoreError]]]
 
 
-class ConfigurationWatch:
+class ConfigurationWatch(Owner):
     """Keeps the document and the VM list up to date: an async context manager.
 
     Few proxies of each data centre watch the store, chosen by rendezvous hashing
@@ -83,7 +83,8 @@
         hub.handle(VmNews, self.receive_vm_news)
         hub.link_callbacks.append(self.tell_vms)
 
-    async def __aenter__(self) -> ConfigurationWatch:
+    async def start(self) -> None:
+        """Start to watch."""
         self.started_at_s = now_s()
         self.hub.membership.subscribe(self.notice_change)
         self.tasks = [
@@ -91,16 +92,11 @@
             asyncio.create_task(self.watch_forever("vms", self.watch_vms)),
             asyncio.create_task(self.break_silence()),
         ]
-        return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """End the watches."""
         await end_tasks(self.tasks)
-        await self.verification.__aexit__(kind, error, traceback)
+        await self.verification.stop()
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call a function when the set of leaving VMs changed."""
--- a/ebonyrack/ops/client.py
+++ b/ebonyrack/ops/client.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from types import TracebackType
 from typing import TypeVar
 
 from scramp import ScramClient
 from scramp import ScramException
 
 from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.verifier import MECHANISM
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
@@ -48,7 +48,7 @@
     timeout_s: float
 
 
-class ProxyClient:
+class ProxyClient(Owner):
     """A link to the first proxy that answers: an async context manager.
 
     Attributes:
@@ -62,32 +62,34 @@
         self.access = access
         self.link: PeerLink | None = None
 
-    async def __aenter__(self) -> ProxyClient:
+    async def start(self) -> None:
+        """Open the link.
+
+        Raises:
+            CommandError: If no proxy answers.
+        """
         reasons = []
         for address in self.access.proxies:
             try:
                 self.link = await self.open_link(address)
-                return self
+                return
             except PeerLostError as error:
                 reasons.append(f"{address}: {error.reason}")
         text = "no proxy answered: " + "; ".join(reasons)
         raise CommandError(ExitStatus.UNREACHABLE, text)
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """Close the link."""
         if self.link is not None:
-            await self.link.__aexit__(kind, error, traceback)
+            await self.link.stop()
 
     async def open_link(self, address: Address) -> PeerLink:
         """Open a link to one proxy."""
         member = Member(self.access.operator, NO_ADDRESS, "", "", 0, MemberState.ALIVE)
         hello = build_hello(member, OPERATOR_ROLE)
         link = await dial(address, hello, self.access.secret)
-        return await link.__aenter__()
+        await link.start()
+        return link
 
     async def ask(
         self, message: Message, reply_type: type[Reply], timeout_s: float | None = None
--- a/ebonyrack/peers/link.py
+++ b/ebonyrack/peers/link.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
-from types import TracebackType
 
 import msgpack
 from loguru import logger
@@ -17,6 +16,7 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.codec import MAXIMUM_FRAME_BYTES
 from ebonyrack.peers.codec import PROTOCOL_VERSION
@@ -72,11 +72,11 @@
 Handler = Callable[["PeerLink", Message], Awaitable[Message | None]]
 
 
-class PeerLink:
+class PeerLink(Owner):
     """A link to another process: an async context manager with one read task.
 
-    The link is used after `open`; it ends when either side closes it, sends what
-    is no valid frame, or doesn't take what is queued for it.
+    It ends when either side closes it, sends what is no valid frame, or doesn't
+    take what is queued for it.
 
     Attributes:
         reader: Incoming bytes.
@@ -126,7 +126,12 @@
         self.request_places = asyncio.Semaphore(MAXIMUM_REQUESTS)
         self.read_task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> PeerLink:
+    async def start(self) -> None:
+        """Shake hands and start to read.
+
+        Raises:
+            PeerLostError: If the other side is no peer, or not in time.
+        """
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 await self.shake_hands()
@@ -137,14 +142,9 @@
             self.close()
             raise
         self.read_task = asyncio.create_task(self.read_frames())
-        return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """Close the link and end its tasks."""
         self.close()
         tasks = [task for task in (self.read_task, *self.requests) if task is not None]
         await end_tasks(tasks)
--- a/ebonyrack/peers/shares.py
+++ b/ebonyrack/peers/shares.py
@@ -4,9 +4,9 @@
 
 import asyncio
 from collections.abc import Callable
-from types import TracebackType
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
@@ -16,7 +16,7 @@
 REMEMBER_LOST_S = 600.0
 
 
-class ShareCount:
+class ShareCount(Owner):
     """Counts the proxies that share connections: an async context manager.
 
     A proxy that died without a word counts for `LINGER_S` more, since the upstream
@@ -40,17 +40,13 @@
         self.lost = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> ShareCount:
+    async def start(self) -> None:
+        """Start to follow the members."""
         self.membership.subscribe(self.notice_change)
         self.task = asyncio.create_task(self.report_free_shares())
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """End the task that reports free shares."""
         await end_tasks([self.task])
 
     def subscribe(self, callback: Callable[[], None]) -> None:
--- a/ebonyrack/platform/store.py
+++ b/ebonyrack/platform/store.py
@@ -9,7 +9,6 @@
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
-from types import TracebackType
 from typing import Any
 from urllib.parse import quote
 
@@ -20,6 +19,7 @@
 
 from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import StoreSettings
 
 MAXIMUM_VALUE_BYTES = 1_000_000
@@ -104,7 +104,7 @@
         return wait_s
 
 
-class Store:
+class Store(Owner):
     """Client of the store: an async context manager.
 
     Keys are relative to the prefix of the settings. Each call has a time-out, is
@@ -124,18 +124,14 @@
         self.rate_limit = RateLimit(settings.maximum_calls_per_s)
         self.pool: httpcore.AsyncConnectionPool | None = None
 
-    async def __aenter__(self) -> Store:
+    async def start(self) -> None:
+        """Prepare for HTTP connections; each is made when it is needed."""
         self.pool = httpcore.AsyncConnectionPool(
             max_connections=MAXIMUM_CONNECTIONS, keepalive_expiry=KEEPALIVE_S
         )
-        return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """Close the connections."""
         if self.pool is not None:
             await self.pool.aclose()
             self.pool = None
--- a/ebonyrack/service/group_table.py
+++ b/ebonyrack/service/group_table.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.failover.coordinator import Coordinator
 from ebonyrack.peers.shares import ShareCount
@@ -17,8 +18,6 @@
 from ebonyrack.upstreams.group import DatabaseGroup
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from ebonyrack.config.sections import GroupSection
     from ebonyrack.config.watch import ConfigurationWatch
     from ebonyrack.failover.terms import TermSource
@@ -26,7 +25,7 @@
     from ebonyrack.service.services import Services
 
 
-class GroupTable:
+class GroupTable(Owner):
     """Starts, changes and stops groups as the document says: a context manager.
 
     Attributes:
@@ -56,24 +55,20 @@
         self.changed = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> GroupTable:
+    async def start(self) -> None:
+        """Start to follow the document."""
         self.services.configuration.subscribe(lambda document: self.changed.set())
         self.services.membership.subscribe(lambda member: self.changed.set())
         self.watch.subscribe(self.changed.set)
-        await self.share_count.__aenter__()
+        await self.share_count.start()
         self.share_count.subscribe(self.changed.set)
         self.changed.set()
         self.task = asyncio.create_task(self.follow_changes())
-        return self
 
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """Stop all groups."""
         await end_tasks([self.task])
-        await self.share_count.__aexit__(error_type, error, traceback)
+        await self.share_count.stop()
         await asyncio.gather(*(self.stop_group(name) for name in tuple(self.stacks)))
 
     async def follow_changes(self) -> None:
--- a/ebonyrack/service/key_retention.py
+++ b/ebonyrack/service/key_retention.py
@@ -9,14 +9,13 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.routing.idempotency import DELETED_ROWS
 from ebonyrack.routing.idempotency import remove_expired
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from ebonyrack.failover.coordinator import Coordinator
 
 INTERVAL_S = 600.0
@@ -26,7 +25,7 @@
 POOL_CALLER = "ebonyrack key retention"
 
 
-class KeyRetention:
+class KeyRetention(Owner):
     """Removes a group's expired keys from time to time: a context manager.
 
     Only the first of the group's coordinators does so.
@@ -41,16 +40,12 @@
         self.coordinator = coordinator
         self.task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> KeyRetention:
+    async def start(self) -> None:
+        """Start to remove expired keys."""
         self.task = asyncio.create_task(self.run())
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """End the task that removes them."""
         await end_tasks([self.task])
 
     async def run(self) -> None:
--- a/ebonyrack/service/proxy.py
+++ b/ebonyrack/service/proxy.py
@@ -13,6 +13,7 @@
 from ebonyrack.config.edit_desk import EditDesk
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.watch import ConfigurationWatch
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.failover.pre_vote import OpinionDesk
 from ebonyrack.failover.terms import TermSource
@@ -26,13 +27,11 @@
 from ebonyrack.service.services import derive_token_key
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from ebonyrack.core.settings import Settings
     from ebonyrack.peers.link import PeerLink
 
 
-class Proxy:
+class Proxy(Owner):
     """One proxy process: an async context manager that runs all parts.
 
     Attributes:
@@ -76,20 +75,16 @@
         self.stack = AsyncExitStack()
         self.term_task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> Proxy:
+    async def start(self) -> None:
+        """Start all parts but the listener."""
         await self.stack.enter_async_context(self.store)
         await self.stack.enter_async_context(self.hub)
         await self.stack.enter_async_context(self.watch)
         await self.stack.enter_async_context(self.group_table)
         self.term_task = asyncio.create_task(self.terms.reserve(self.store))
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """Stop all parts."""
         await end_tasks([self.term_task])
         await self.stack.aclose()
 
--- a/ebonyrack/standins/control.py
+++ b/ebonyrack/standins/control.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from types import TracebackType
 from typing import Any
-from typing import Self
 
 from aiohttp import web
 
 from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.registry import Registry
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.standins.options import UpstreamOptions
@@ -82,7 +81,7 @@
             group[name].slots = asyncio.Semaphore(body["slots"])
 
 
-class FaultControl:
+class FaultControl(Owner):
     """Serves `PUT /fault/KIND` with a JSON body, and `GET /status`.
 
     Attributes:
@@ -97,7 +96,8 @@
         self.address = address
         self.runner: web.AppRunner | None = None
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
+        """Listen."""
         application = web.Application()
         application.add_routes(
             [
@@ -111,14 +111,9 @@
         await self.runner.setup()
         await web.TCPSite(self.runner, self.address.host, self.address.port).start()
         self.address = Address(self.address.host, self.runner.addresses[0][1])
-        return self
-
-    async def __aexit__(
-        self,
-        exception_type: type[BaseException] | None,
-        exception: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """Stop listening."""
         if self.runner is not None:
             await self.runner.cleanup()
 
--- a/ebonyrack/standins/control_plane.py
+++ b/ebonyrack/standins/control_plane.py
@@ -6,13 +6,12 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
-from types import TracebackType
-from typing import Self
 
 from ebonyrack.config.edit_desk import EditDesk
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.watch import ConfigurationWatch
 from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.settings import parse_settings
 from ebonyrack.peers.hub import PeerHub
@@ -108,7 +107,7 @@
     return settings
 
 
-class ControlPlane:
+class ControlPlane(Owner):
     """One proxy without callers and upstreams: an async context manager.
 
     Attributes:
@@ -131,18 +130,14 @@
         self.desk = EditDesk(self.state, self.store, self.hub)
         self.stack = AsyncExitStack()
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
+        """Start the parts."""
         await self.stack.enter_async_context(self.store)
         await self.stack.enter_async_context(self.hub)
         await self.stack.enter_async_context(self.watch)
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """Stop the parts."""
         await self.stack.aclose()
 
     @property
@@ -151,7 +146,7 @@
         return self.settings.proxy.name
 
 
-class Fleet:
+class Fleet(Owner):
     """Several control planes and the platform: an async context manager.
 
     Attributes:
@@ -167,16 +162,12 @@
         self.planes: list[ControlPlane] = []
         self.timeouts = timeouts or Timeouts()
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
+        """Start the platform."""
         await self.platform.start()
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """Stop all proxies and the platform."""
         while self.planes:
             await self.remove(self.planes[-1])
         await self.platform.stop()
@@ -204,13 +195,13 @@
         )
         plane = ControlPlane(settings)
         self.planes.append(plane)
-        await plane.__aenter__()
+        await plane.start()
         return plane
 
     async def remove(self, plane: ControlPlane) -> None:
         """Stop a proxy without a word to the others."""
         self.planes.remove(plane)
-        await plane.__aexit__(None, None, None)
+        await plane.stop()
 
     async def wait_linked(self) -> None:
         """Wait until all proxies know each other."""
--- a/ebonyrack/standins/group.py
+++ b/ebonyrack/standins/group.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from types import TracebackType
 from typing import Any
-from typing import Self
 
 from ebonyrack.config.sections import GroupSection
 from ebonyrack.config.sections import UpstreamSpec
 from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
 from ebonyrack.standins.options import UpstreamOptions
 from ebonyrack.standins.upstream import StandinUpstream
 from ebonyrack.upstreams.status import Role
@@ -19,7 +18,7 @@
 LOOPBACK = "127.0.0.1"
 
 
-class StandinGroup:
+class StandinGroup(Owner):
     """Upstreams that replicate from the first, with hooks to make them fail.
 
     Attributes:
@@ -45,7 +44,8 @@
             address = addresses[number] if addresses else Address(LOOPBACK, 0)
             self.upstreams[name] = StandinUpstream(name, copy_options(shared), address)
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
+        """Start the upstreams; the first becomes the primary."""
         for upstream in self.upstreams.values():
             await upstream.start()
         names = {item.address: name for name, item in self.upstreams.items()}
@@ -56,14 +56,9 @@
         await first.promote(FIRST_TERM)
         for upstream in others:
             await upstream.follow(FIRST_TERM, first.address)
-        return self
 
-    async def __aexit__(
-        self,
-        exception_type: type[BaseException] | None,
-        exception: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """End all upstreams and forget their databases."""
         await asyncio.gather(*(item.kill() for item in self.upstreams.values()))
         for upstream in self.upstreams.values():
             upstream.database.close()
--- a/ebonyrack/standins/platform.py
+++ b/ebonyrack/standins/platform.py
@@ -9,14 +9,13 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
-from types import TracebackType
 from typing import Any
-from typing import Self
 
 from aiohttp import web
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.standins.key_value import MAXIMUM_VALUE_BYTES
 from ebonyrack.standins.key_value import KeyValueEntry
 from ebonyrack.standins.key_value import KeyValueState
@@ -54,7 +53,7 @@
     return float(match.group(1)) * UNIT_S[match.group(2)]
 
 
-class StandinPlatform:
+class StandinPlatform(Owner):
     """The platform's HTTP service, with faults. Its state outlasts stop and start.
 
     Attributes:
@@ -90,18 +89,6 @@
         self.runner: web.AppRunner | None = None
         self.expiry_task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> Self:
-        await self.start()
-        return self
-
-    async def __aexit__(
-        self,
-        exception_type: type[BaseException] | None,
-        exception: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        await self.stop()
-
     async def start(self) -> None:
         """Listen."""
         self.runner = web.AppRunner(
--- a/ebonyrack/standins/system.py
+++ b/ebonyrack/standins/system.py
@@ -6,18 +6,16 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import Self
 
 from ebonyrack.config.stored import StoredDocument
 from ebonyrack.config.stored import pack_stored
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import parse_settings
 from ebonyrack.service.proxy import Proxy
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.standins.platform import StandinPlatform
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from ebonyrack.config.sections import GroupSection
 
 GROUP = "scheduling-a"
@@ -66,7 +64,7 @@
     return "\n".join([f"[group {GROUP}]", *lines, ""])
 
 
-class System:
+class System(Owner):
     """Stand-ins and proxies of one process: an async context manager.
 
     Attributes:
@@ -96,20 +94,16 @@
         self.revision = 0
         self.stack = AsyncExitStack()
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
+        """Start the stand-ins and the proxies."""
         await self.stack.enter_async_context(self.platform)
         await self.stack.enter_async_context(self.group)
         self.put_document()
         for number in range(self.wanted):
             await self.start_proxy(f"proxy-{number + 1}")
-        return self
 
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """Shut the proxies down, then stop the stand-ins."""
         for name in tuple(self.proxies):
             await self.stop_proxy(name)
         await self.stack.aclose()
@@ -147,7 +141,7 @@
         if settings is None:
             raise ValueError("; ".join(map(str, faults)))
         proxy = Proxy(settings)
-        await proxy.__aenter__()
+        await proxy.start()
         self.proxies[name] = proxy
         self.serving[name] = asyncio.create_task(proxy.serve())
         async with asyncio.timeout(START_LIMIT_S):
@@ -169,7 +163,7 @@
         proxy = self.proxies.pop(name)
         proxy.drain.request("test")
         cut_requests = await self.serving.pop(name)
-        await proxy.__aexit__(None, None, None)
+        await proxy.stop()
         return cut_requests
 
     async def kill_proxy(self, name: str) -> None:
@@ -182,4 +176,4 @@
         task = self.serving.pop(name)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await proxy.__aexit__(None, None, None)
+        await proxy.stop()
--- a/ebonyrack/standins/upstream.py
+++ b/ebonyrack/standins/upstream.py
@@ -5,11 +5,10 @@
 import asyncio
 import itertools
 import time
-from types import TracebackType
-from typing import Self
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.standins.faults import UpstreamFaults
@@ -30,7 +29,7 @@
 SNAPSHOT_ENTRIES = 200
 
 
-class StandinUpstream:
+class StandinUpstream(Owner):
     """A database server with terms, fencing, promotion and asynchronous replication.
 
     What a killed upstream keeps is its log, its term and the terms it granted.
@@ -106,16 +105,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.process_ids = itertools.count(1)
 
-    async def __aenter__(self) -> Self:
-        await self.start()
-        return self
-
-    async def __aexit__(
-        self,
-        exception_type: type[BaseException] | None,
-        exception: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """End the process and forget the database."""
         await self.kill()
         self.database.close()
 
