Split frames and handshake from the link between two processes

Cause: peers/link.py had 377 lines with three nouns: the frames on a stream, the proof of the shared secret, and the link with its requests and replies.

Ruled out: a link that holds a stream as a part. The hub reads a link's time of the last frame, and its tests write to a link's stream; each would go through a forwarding property. The link is the stream with more on it, so it derives from it.

Change: frames.py (FrameStream, Traffic), handshake.py (build_hello, shake_hands, the proof), link.py (PeerLink, dial). In hub.py, hub_test.py and ops only import lines change.

Conclusion: no frame, limit or time-out changes.

--- a/ebonyrack/ops/client.py
+++ b/ebonyrack/ops/client.py
@@ -13,10 +13,10 @@
 from ebonyrack.core.verifier import MECHANISM
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
+from ebonyrack.peers.handshake import build_hello
 from ebonyrack.peers.hub import OPERATOR_ROLE
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.link import build_hello
 from ebonyrack.peers.link import dial
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
--- a/ebonyrack/peers/hub.py
+++ b/ebonyrack/peers/hub.py
@@ -19,11 +19,11 @@
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.codec import build_message
 from ebonyrack.peers.contacts import Contacts
+from ebonyrack.peers.frames import Traffic
+from ebonyrack.peers.handshake import build_hello
 from ebonyrack.peers.heartbeat import HeartbeatTask
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.link import Traffic
-from ebonyrack.peers.link import build_hello
 from ebonyrack.peers.link import dial
 from ebonyrack.peers.link_messages import Failure
 from ebonyrack.peers.link_messages import Flood
--- a/ebonyrack/peers/hub_test.py
+++ b/ebonyrack/peers/hub_test.py
@@ -9,9 +9,9 @@
 from ebonyrack.core.settings import parse_settings
 from ebonyrack.peers import contacts
 from ebonyrack.peers.codec import pack_message
+from ebonyrack.peers.handshake import build_hello
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.peers.link import build_hello
 from ebonyrack.peers.link import dial
 from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.primary_messages import AskPrimary
