Split the store's answers and the bound on calls from its client

The query of a watch (index, wait) stood in store.py and in vm_list.py, and the reason of a refusal twice in `sort_response`.

Change: store_answer.py and rate_limit.py; `Store.watch_path` is the one place of the query, used for keys and for the VM list. In config only import lines change.

Conclusion: the same calls go to the store.

--- a/ebonyrack/config/edit.py
+++ b/ebonyrack/config/edit.py
@@ -30,7 +30,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.platform.backoff import Backoff
 from ebonyrack.platform.store import Store
-from ebonyrack.platform.store import StoreErrorKind
+from ebonyrack.platform.store_answer import StoreErrorKind
 
 FIRST_BACKOFF_S = 0.05
 MAXIMUM_BACKOFF_S = 1.0
--- a/ebonyrack/config/watch.py
+++ b/ebonyrack/config/watch.py
@@ -27,8 +27,8 @@
 from ebonyrack.peers.member import Member
 from ebonyrack.platform.backoff import Backoff
 from ebonyrack.platform.store import Store
-from ebonyrack.platform.store import StoreError
-from ebonyrack.platform.store import StoreValue
+from ebonyrack.platform.store_answer import StoreError
+from ebonyrack.platform.store_answer import StoreValue
 from ebonyrack.platform.vm_list import VmList
 from ebonyrack.platform.vm_list import VmListing
 
--- /dev/null
+++ b/ebonyrack/platform/rate_limit_test.py
@@ -0,0 +1,8 @@
+from ebonyrack.platform.rate_limit import RateLimit
+
+
+def test_a_reservation_waits_for_its_turn():
+    limit = RateLimit(10.0)
+    waits = [limit.reserve(1.0) for _ in range(22)]
+    assert waits[0] == 0.0
+    assert 0.0 < waits[-1] <= 0.2
--- a/ebonyrack/platform/store.py
+++ b/ebonyrack/platform/store.py
@@ -3,13 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import binascii
-import json
 from collections import Counter
-from dataclasses import dataclass
-from enum import StrEnum
-from typing import Any
 from urllib.parse import quote
 
 import httpcore
@@ -21,87 +15,18 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import StoreSettings
+from ebonyrack.platform.rate_limit import RateLimit
+from ebonyrack.platform.store_answer import StoreAnswer
+from ebonyrack.platform.store_answer import StoreError
+from ebonyrack.platform.store_answer import StoreErrorKind
+from ebonyrack.platform.store_answer import StoreValue
+from ebonyrack.platform.store_answer import read_index
+from ebonyrack.platform.store_answer import read_success
+from ebonyrack.platform.store_answer import read_value
 
 MAXIMUM_VALUE_BYTES = 1_000_000
 MAXIMUM_CONNECTIONS = 4
 KEEPALIVE_S = 30.0
-BURST_S = 2.0
-
-
-class StoreErrorKind(StrEnum):
-    """What is known of a call that brought no answer."""
-
-    UNREACHABLE = "unreachable"
-    UNKNOWN = "unknown"
-    REFUSED = "refused"
-
-
-@dataclass(frozen=True, slots=True)
-class StoreError:
-    """A call that failed.
-
-    Attributes:
-        kind: `UNREACHABLE` if it was surely not sent, `UNKNOWN` if it may have
-            taken effect, `REFUSED` if the store answered that it did not.
-        reason: What happened.
-    """
-
-    kind: StoreErrorKind
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class StoreValue:
-    """A value with the index that a compare-and-swap names."""
-
-    value: bytes
-    index: int
-
-
-@dataclass(frozen=True, slots=True)
-class StoreAnswer:
-    """Answer of the store to one HTTP call."""
-
-    status: int
-    index: int
-    body: bytes
-
-
-class RateLimit:
-    """A bucket of calls that refills with time.
-
-    Attributes:
-        rate: Calls that come free each second.
-        burst: Calls that may be made at once.
-        level: Calls that are free now; below 0 some wait for theirs.
-        filled_at_s: Time to which the level was brought up.
-    """
-
-    __slots__ = ("rate", "burst", "level", "filled_at_s")
-
-    def __init__(self, rate: float) -> None:
-        self.rate = rate
-        self.burst = max(1.0, rate * BURST_S)
-        self.level = self.burst
-        self.filled_at_s = now_s()
-
-    def reserve(self, limit_s: float) -> float | None:
-        """Take one call.
-
-        Args:
-            limit_s: Longest wait that is worth while, in seconds.
-
-        Returns:
-            Seconds to wait before the call is made, or None if it is too long.
-        """
-        elapsed_s = now_s() - self.filled_at_s
-        self.filled_at_s += elapsed_s
-        self.level = min(self.burst, self.level + elapsed_s * self.rate)
-        wait_s = max(0.0, (1 - self.level) / self.rate)
-        if wait_s > limit_s:
-            return None
-        self.level -= 1
-        return wait_s
 
 
 class Store(Owner):
@@ -161,12 +86,26 @@
         Returns:
             The value then, None if there is none, or why it isn't known.
         """
-        parameters = {"index": str(index), "wait": f"{max(1, round(wait_s))}s"}
-        answer = await self.call(
-            "watch", "GET", self.build_path(key), parameters, wait_s=wait_s
-        )
+        answer = await self.watch_path("watch", self.build_path(key), index, wait_s)
         return answer.and_then(read_value)
 
+    async def watch_path(
+        self, kind: str, path: str, index: int, wait_s: float
+    ) -> Result[StoreAnswer, StoreError]:
+        """Wait until the index of what a path names differs from a known one.
+
+        Args:
+            kind: Name under which the call is counted.
+            path: Path, already quoted.
+            index: Index that is known; 0 to be answered at once.
+            wait_s: Seconds after which the store answers in any case.
+
+        Returns:
+            The answer, or why there is none.
+        """
+        parameters = {"index": str(index), "wait": f"{max(1, round(wait_s))}s"}
+        return await self.call(kind, "GET", path, parameters, wait_s=wait_s)
+
     async def compare_and_swap(
         self, key: str, value: bytes, index: int
     ) -> Result[bool, StoreError]:
@@ -256,43 +195,12 @@
     ) -> Result[StoreAnswer, StoreError]:
         """Tell a usable answer from a refusal."""
         status = response.status
-        if status >= 500:
-            reason = f"the store answered {status}"
-            return Err(StoreError(StoreErrorKind.UNKNOWN, reason))
         if status >= 400 and status != 404:
-            reason = f"the store answered {status}"
-            return Err(StoreError(StoreErrorKind.REFUSED, reason))
+            kind = StoreErrorKind.UNKNOWN if status >= 500 else StoreErrorKind.REFUSED
+            return Err(StoreError(kind, f"the store answered {status}"))
         self.heard_at_s = now_s()
         return Ok(StoreAnswer(status, read_index(response), response.content))
 
     def build_path(self, key: str) -> str:
         """Return the path of a key below the prefix."""
         return f"/v1/kv/{quote(self.settings.prefix)}/{quote(key)}"
-
-
-def read_index(response: httpcore.Response) -> int:
-    """Return the index that a watch goes on from, 0 if there is none."""
-    for name, value in response.headers:
-        if name.lower() == b"x-consul-index" and value.isdigit():
-            return int(value)
-    return 0
-
-
-def read_value(answer: StoreAnswer) -> Result[StoreValue | None, StoreError]:
-    """Read the value out of an answer."""
-    if answer.status == 404:
-        return Ok(None)
-    try:
-        entry: Any = json.loads(answer.body)[0]
-        value = base64.b64decode(entry["Value"] or "", validate=True)
-        return Ok(StoreValue(value, int(entry["ModifyIndex"])))
-    except (ValueError, LookupError, TypeError, binascii.Error) as error:
-        return Err(StoreError(StoreErrorKind.UNKNOWN, f"bad answer: {error!r}"))
-
-
-def read_success(answer: StoreAnswer) -> Result[bool, StoreError]:
-    """Read whether a swap was made."""
-    text = answer.body.strip()
-    if text in (b"true", b"false"):
-        return Ok(text == b"true")
-    return Err(StoreError(StoreErrorKind.UNKNOWN, f"bad answer: {text[:80]!r}"))
--- a/ebonyrack/platform/vm_list.py
+++ b/ebonyrack/platform/vm_list.py
@@ -11,9 +11,9 @@
 from result import Result
 
 from ebonyrack.platform.store import Store
-from ebonyrack.platform.store import StoreAnswer
-from ebonyrack.platform.store import StoreError
-from ebonyrack.platform.store import StoreErrorKind
+from ebonyrack.platform.store_answer import StoreAnswer
+from ebonyrack.platform.store_answer import StoreError
+from ebonyrack.platform.store_answer import StoreErrorKind
 
 NODES_PATH = "/v1/catalog/nodes"
 LEAVING_STATE = "leaving"
@@ -63,10 +63,8 @@
         Returns:
             The list, or why it isn't known.
         """
-        index = self.listing.index
-        parameters = {"index": str(index), "wait": f"{max(1, round(wait_s))}s"}
-        answer = await self.store.call(
-            "watch_vms", "GET", NODES_PATH, parameters, wait_s=wait_s
+        answer = await self.store.watch_path(
+            "watch_vms", NODES_PATH, self.listing.index, wait_s
         )
         found = answer.and_then(read_listing)
         if isinstance(found, Ok):
