Split the forms of calls and answers from the platform's stand-in

Change: platform_calls.py holds what reads a call and what builds an answer; the JSON form of a VM stands beside that of a key. `stop` ends its task by `end_tasks` as all others do.

Tests of standins, platform and config pass.

Conclusion: the stand-in answers the same.

--- a/ebonyrack/standins/platform.py
+++ b/ebonyrack/standins/platform.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import re
 from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
@@ -16,43 +13,26 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.owner import Owner
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.standins.key_value import MAXIMUM_VALUE_BYTES
-from ebonyrack.standins.key_value import KeyValueEntry
 from ebonyrack.standins.key_value import KeyValueState
 from ebonyrack.standins.key_value import Node
+from ebonyrack.standins.platform_calls import answer_bool
+from ebonyrack.standins.platform_calls import break_off
+from ebonyrack.standins.platform_calls import describe_entry
+from ebonyrack.standins.platform_calls import describe_node
+from ebonyrack.standins.platform_calls import name_call
+from ebonyrack.standins.platform_calls import parse_duration
+from ebonyrack.standins.platform_calls import read_blocking
 
-DEFAULT_WAIT_S = 300.0
-MAXIMUM_WAIT_S = 600.0
 DEFAULT_LOCK_DELAY_S = 15.0
 EXPIRY_INTERVAL_S = 0.05
 SHUTDOWN_TIMEOUT_S = 0.05
-DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s|m|h)?$")
-UNIT_S = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, None: 1.0}
 FAULT_NAMES = ("is_down", "delay_s", "lose_answers", "stale_reads")
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-@dataclass(slots=True)
-class BlockingQuery:
-    """A query that waits until an index is passed."""
-
-    index: int
-    wait_s: float
-
-
-def parse_duration(text: str) -> float:
-    """Read a duration such as `10s`, in seconds.
-
-    Raises:
-        ValueError: If the text has another form.
-    """
-    match = DURATION.match(text.strip())
-    if match is None:
-        raise ValueError(f"not a duration: {text!r}")
-    return float(match.group(1)) * UNIT_S[match.group(2)]
-
-
 class StandinPlatform(Owner):
     """The platform's HTTP service, with faults. Its state outlasts stop and start.
 
@@ -107,9 +87,7 @@
         """Refuse connections and break off those that are open."""
         runner, self.runner = self.runner, None
         task, self.expiry_task = self.expiry_task, None
-        if task is not None:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await end_tasks([task])
         if runner is not None:
             await runner.cleanup()
 
@@ -237,15 +215,7 @@
     async def list_nodes(self, request: web.Request) -> web.Response:
         """Answer the VM list."""
         await self.wait_for_change(request, lambda: self.state.nodes_index)
-        nodes = [
-            {
-                "Node": node.name,
-                "Address": node.address,
-                "Datacenter": node.data_centre,
-                "Meta": {"state": node.state},
-            }
-            for node in self.state.nodes
-        ]
+        nodes = [describe_node(node) for node in self.state.nodes]
         headers = {"X-Consul-Index": str(self.state.nodes_index)}
         return web.json_response(nodes, headers=headers)
 
@@ -268,54 +238,3 @@
     async def list_calls(self, request: web.Request) -> web.Response:
         """Answer the number of calls by kind; only the stand-in has this."""
         return web.json_response(dict(self.calls))
-
-
-def name_call(request: web.Request) -> str:
-    """Return the kind under which a call is counted."""
-    if request.method == "GET":
-        is_watch = request.query.get("index", "0") != "0"
-        kind = "nodes" if request.path.startswith("/v1/catalog") else "get"
-        return f"watch_{kind}" if is_watch else kind
-    if request.path.startswith("/v1/session/"):
-        return "session_" + request.path.split("/")[3]
-    for name in ("acquire", "release", "cas"):
-        if name in request.query:
-            return name
-    return request.method.lower()
-
-
-def read_blocking(request: web.Request) -> BlockingQuery:
-    """Read the index and the wait of a blocking query."""
-    index = int(request.query.get("index", "0"))
-    wait = request.query.get("wait")
-    wait_s = parse_duration(wait) if wait else DEFAULT_WAIT_S
-    return BlockingQuery(index, min(wait_s, MAXIMUM_WAIT_S))
-
-
-def describe_entry(key: str, entry: KeyValueEntry) -> dict[str, object]:
-    """Build the JSON form of a key."""
-    described: dict[str, object] = {
-        "Key": key,
-        "Value": base64.b64encode(entry.value).decode(),
-        "CreateIndex": entry.create_index,
-        "ModifyIndex": entry.modify_index,
-        "LockIndex": entry.lock_index,
-        "Flags": entry.flags,
-    }
-    if entry.session:
-        described["Session"] = entry.session
-    return described
-
-
-def answer_bool(value: bool) -> web.Response:
-    """Answer `true` or `false` as the service does."""
-    return web.Response(
-        text="true" if value else "false", content_type="application/json"
-    )
-
-
-def break_off(request: web.Request) -> web.Response:
-    """Close a call's connection without an answer."""
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response(status=500)
