Split what a stand-in upstream stores from its role and terms

Ruled out: a storage that the upstream holds as a part. Seven test modules of other packages read an upstream's log and positions, and the replication appends to it; all would name one more step or go through forwarding properties.

`commit` is told the term. In group_test.py one test sets SNAPSHOT_ENTRIES where it is now; what it checks is the same.

--- a/ebonyrack/standins/execution.py
+++ b/ebonyrack/standins/execution.py
@@ -148,8 +148,9 @@
     """
     if not transaction.is_writing:
         return
-    session.last_commit = session.upstream.commit(transaction)
-    if session.upstream.faults.take_lost_commit():
+    upstream = session.upstream
+    session.last_commit = upstream.commit(transaction, upstream.term)
+    if upstream.faults.take_lost_commit():
         raise AnswerLostError
 
 
--- a/ebonyrack/standins/group_test.py
+++ b/ebonyrack/standins/group_test.py
@@ -311,7 +311,7 @@
 
 @pytest.mark.parametrize("kept", [1, 3, 5, 7])
 async def test_rebuild_from_a_snapshot_gives_the_state_of_the_log(monkeypatch, kept):
-    monkeypatch.setattr("ebonyrack.standins.upstream.SNAPSHOT_ENTRIES", 2)
+    monkeypatch.setattr("ebonyrack.standins.storage.SNAPSHOT_ENTRIES", 2)
     async with StandinGroup(count=1) as group:
         upstream = group["up-1"]
         async with await connect(upstream) as connection:
--- a/ebonyrack/standins/upstream.py
+++ b/ebonyrack/standins/upstream.py
@@ -1,4 +1,4 @@
-"""One upstream of the stand-in group: its log, term and sessions."""
+"""One upstream of the stand-in group: its role, terms and sessions."""
 
 from __future__ import annotations
 
@@ -14,22 +14,19 @@
 from ebonyrack.standins.faults import UpstreamFaults
 from ebonyrack.standins.locks import ValueLocks
 from ebonyrack.standins.log import LogEntry
-from ebonyrack.standins.log import PositionWaiters
-from ebonyrack.standins.log import TransactionLog
 from ebonyrack.standins.options import UpstreamOptions
 from ebonyrack.standins.replication import LogFollower
 from ebonyrack.standins.session import StandinSession
-from ebonyrack.standins.sql_engine import Database
 from ebonyrack.standins.sql_error import SqlError
+from ebonyrack.standins.storage import Storage
 from ebonyrack.standins.transaction import Transaction
 from ebonyrack.upstreams.status import Role
 from ebonyrack.upstreams.status import UpstreamStatus
 
 LISTEN_BACKLOG = 1024
-SNAPSHOT_ENTRIES = 200
 
 
-class StandinUpstream(Owner):
+class StandinUpstream(Storage, Owner):
     """A database server with terms, fencing, promotion and asynchronous replication.
 
     What a killed upstream keeps is its log, its term and the terms it granted.
@@ -40,20 +37,14 @@
         address: Where it listens; port 0 is replaced at the first start.
         peer_names: Name of each other upstream by address.
         faults: Faults to inject.
-        log: Committed transactions.
-        database: What the applied part of the log adds up to.
         role: Whether it accepts writes.
         term: Term in which it is primary, or term of the primary it follows.
         fenced_term: Highest term that it granted or followed.
         leaving: Whether it says that it leaves the group.
         heard_s: Monotonic time at which it last heard from its primary.
-        received: Waits for the end of the log.
-        applied: Waits for what reads show.
         sessions: Open sessions by process number.
         slots: Statements that may run at the same time.
-        locks: Values that open transactions write.
         follower: Task that receives the primary's log.
-        appended: Set and replaced at each new entry, for the senders of the log.
     """
 
     __slots__ = (
@@ -62,54 +53,38 @@
         "address",
         "peer_names",
         "faults",
-        "log",
-        "database",
         "role",
         "term",
         "fenced_term",
         "leaving",
         "heard_s",
-        "received",
-        "applied",
         "sessions",
         "slots",
-        "locks",
         "follower",
-        "appended",
         "server",
         "tasks",
         "process_ids",
     )
 
     def __init__(self, name: str, options: UpstreamOptions, address: Address) -> None:
+        super().__init__()
         self.name = name
         self.options = options
         self.address = address
         self.peer_names: dict[Address, str] = {}
         self.faults = UpstreamFaults()
-        self.log = TransactionLog()
-        self.database = Database()
         self.role = Role.REPLICA
         self.term = 0
         self.fenced_term = 0
         self.leaving = False
         self.heard_s = now_s()
-        self.received = PositionWaiters()
-        self.applied = PositionWaiters()
         self.sessions: dict[int, StandinSession] = {}
         self.slots = asyncio.Semaphore(options.slots)
-        self.locks = ValueLocks()
         self.follower: LogFollower | None = None
-        self.appended = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.process_ids = itertools.count(1)
 
-    async def stop(self) -> None:
-        """End the process and forget the database."""
-        await self.kill()
-        self.database.close()
-
     @property
     def can_write(self) -> bool:
         """Whether it is the primary of the highest term that it knows of."""
@@ -151,8 +126,12 @@
         await self.stop_following()
         for session in list(self.sessions.values()):
             session.abort()
-        tasks = list(self.tasks)
-        await end_tasks(tasks)
+        await end_tasks(self.tasks)
+
+    async def stop(self) -> None:
+        """End the process and forget the database."""
+        await self.kill()
+        self.database.close()
 
     async def restart(self) -> None:
         """Come back as a replica that waits for an order to follow."""
@@ -164,19 +143,6 @@
         self.faults.apply(frozen=False)
         await self.start()
 
-    def rebuild(self, offset: int) -> None:
-        """Cut the log back to an offset and bring the database to its end.
-
-        It starts from a snapshot, since a replay of the whole log would hold up
-        the other upstreams of the process for seconds.
-        """
-        self.log.truncate(offset)
-        start = self.database.go_back(offset)
-        for entry in self.log.entries[start:]:
-            self.database.apply(entry)
-        self.received.advance(self.log.last)
-        self.applied.advance(self.log.last)
-
     def cancel(self, process_id: int, secret_key: bytes) -> None:
         """Cancel the running statement of a session, if the key is right."""
         session = self.sessions.get(process_id)
@@ -195,64 +161,6 @@
             silence_s=None if self.role is Role.PRIMARY else now_s() - self.heard_s,
         )
 
-    def append(self, entry: LogEntry) -> None:
-        """Add an entry to the log and wake those who wait for it."""
-        self.log.append(entry)
-        self.received.advance(entry.position)
-        self.wake_senders()
-
-    def wake_senders(self) -> None:
-        """Let the senders of the log look again."""
-        self.appended.set()
-        self.appended = asyncio.Event()
-
-    def apply_received(self, limit: LogPosition) -> None:
-        """Show received entries up to a position in reads."""
-        applied = self.applied.reached
-        while applied < limit and applied.offset < len(self.log.entries):
-            entry = self.log.entries[applied.offset]
-            self.database.apply(entry)
-            applied = entry.position
-            self.snapshot_if_due(applied.offset)
-        self.applied.advance(applied)
-
-    def snapshot_if_due(self, offset: int) -> None:
-        """Keep the state at every so many entries of the log."""
-        if offset % SNAPSHOT_ENTRIES == 0:
-            self.database.take_snapshot(offset)
-
-    def commit(self, transaction: Transaction) -> LogPosition:
-        """Commit a write transaction together with its log entry.
-
-        Args:
-            transaction: The transaction.
-
-        Returns:
-            Position of its entry.
-
-        Raises:
-            SqlError: If a concurrent write came first (40001).
-        """
-        position = LogPosition(self.term, len(self.log.entries) + 1)
-        entry = LogEntry(position, transaction.time_us, tuple(transaction.statements))
-        try:
-            self.database.commit(entry, transaction)
-        except SqlError:
-            self.rollback(transaction)
-            raise
-        self.append(entry)
-        self.snapshot_if_due(position.offset)
-        self.applied.advance(position)
-        self.locks.release(transaction)
-        return position
-
-    def rollback(self, transaction: Transaction) -> None:
-        """Roll a transaction back and let those in that wait for it."""
-        if transaction.is_writing:
-            transaction.is_writing = False
-            self.database.rollback(transaction)
-            self.locks.release(transaction)
-
     async def begin_write(
         self, transaction: Transaction, values: frozenset[str]
     ) -> None:
