Read a section of the document at one place

`parse_changes` asks whether a section was read rather than three times what it is not.

Ruled out: taking unchanged sections over first and the changed ones after; the order of a document's groups would no longer be that of its text.

--- a/ebonyrack/config/document.py
+++ b/ebonyrack/config/document.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Any
 
 from ebonyrack.config.references import Records
 from ebonyrack.config.references import check_references
@@ -85,16 +86,11 @@
     found: list[Fault] = []
     records: Records = {kind: {} for kind in SECTION_KINDS}
     for title, values in sections.items():
-        kind, _, name = title.partition(" ")
-        if kind not in SECTION_KINDS or not name:
-            allowed = ", ".join(f"[{known} NAME]" for known in SECTION_KINDS)
-            found.append(Fault(source, title, "", f"unknown; allowed: {allowed}"))
-            continue
-        record, section_faults = check_section(
-            SECTION_KINDS[kind], values, source, title
-        )
-        records[kind][name] = record
+        record, section_faults = read_section(title, values, source)
         found.extend(section_faults)
+        kind, _, name = title.partition(" ")
+        if kind in records and name:
+            records[kind][name] = record
     found.extend(check_headers(text, sections, source))
     found.extend(check_references(records, source))
     if found:
@@ -102,6 +98,26 @@
     return build_document(text, revision, split_sections(text), records), ()
 
 
+def read_section(
+    title: str, values: dict[str, str], source: str
+) -> tuple[Any, tuple[Fault, ...]]:
+    """Read one section by the kind that its title names.
+
+    Args:
+        title: Title of the section, such as `group NAME`.
+        values: Key to value.
+        source: Name of the text, for faults.
+
+    Returns:
+        The record, or None with all faults of the section.
+    """
+    kind, _, name = title.partition(" ")
+    if kind not in SECTION_KINDS or not name:
+        allowed = ", ".join(f"[{known} NAME]" for known in SECTION_KINDS)
+        return None, (Fault(source, title, "", f"unknown; allowed: {allowed}"),)
+    return check_section(SECTION_KINDS[kind], values, source, title)
+
+
 def parse_changes(
     text: str, revision: int, source: str, previous: Document
 ) -> Document | None:
@@ -120,11 +136,8 @@
         The document, or None if there is any fault.
     """
     texts = split_sections(text)
-    changed = {
-        title: body
-        for title, body in texts.items()
-        if previous.texts.get(title) != body
-    }
+    known = previous.texts
+    changed = {title: body for title, body in texts.items() if known.get(title) != body}
     sections, faults = parse_ini("".join(changed.values()), source)
     is_plain = "".join(texts.values()) == text
     if faults or not is_plain or set(sections) != set(changed) - {PREAMBLE}:
@@ -132,18 +145,13 @@
     records: Records = {kind: {} for kind in SECTION_KINDS}
     for title in texts:
         kind, _, name = title.partition(" ")
-        if title == PREAMBLE:
-            continue
-        if title not in changed:
+        if title in sections:
+            record, faults = read_section(title, sections[title], source)
+            if faults:
+                return None
+            records[kind][name] = record
+        elif title != PREAMBLE:
             records[kind][name] = get_records(previous)[kind][name]
-            continue
-        if kind not in SECTION_KINDS or not name:
-            return None
-        records[kind][name], faults = check_section(
-            SECTION_KINDS[kind], sections[title], source, title
-        )
-        if faults:
-            return None
     if check_references(records, source):
         return None
     return build_document(text, revision, texts, records)
