Split the operators' proof of identity from the desk of edits

Cause: EditDesk took edits, asked proxies for their revisions and ran SCRAM exchanges; its docstring left the last out, and the orders' desk reached through it to learn who an operator is.

Change: config/identification.py has OperatorIdentification with the exchange and `is_identified`.

Tests of config and ops pass.

Conclusion: who is let in is unchanged.

--- a/ebonyrack/service/operator_desk.py
+++ b/ebonyrack/service/operator_desk.py
@@ -76,7 +76,8 @@
         operators = self.proxy.configuration.document.operators
         if not operators:
             return ""
-        if name not in operators or not self.proxy.edits.is_identified(link, name):
+        identification = self.proxy.edits.identification
+        if name not in operators or not identification.is_identified(link, name):
             return f"operator {name!r} has not proved an identity that the document has"
         acts_for = operators[name].acts_for
         if owner in acts_for or ADMINISTRATORS in acts_for:
