Ask a proxy for what it knows by one function of the operators' tool

Cause: three commands each opened a client, asked once and turned a lost link into the exit status. `Output.table` handed its arguments on to `format_table` and used nothing of the output.

Change: `ask_proxy` in ops/client.py; orders and edits keep their own way, since a lost answer means something else there. The commands call `format_table`.

Tests of ops pass.

--- a/ebonyrack/ops/client.py
+++ b/ebonyrack/ops/client.py
@@ -135,3 +135,24 @@
         request = AuthenticateRequest(self.access.operator, data)
         reply = await self.ask(request, AuthenticateReply)
         return reply.data
+
+
+async def ask_proxy(access: Access, message: Message, reply_type: type[Reply]) -> Reply:
+    """Ask the first proxy that answers something that changes nothing.
+
+    Args:
+        access: How proxies are reached.
+        message: The request.
+        reply_type: Type of the reply that is expected.
+
+    Returns:
+        The reply.
+
+    Raises:
+        CommandError: If no proxy answers.
+    """
+    try:
+        async with ProxyClient(access) as client:
+            return await client.ask(message, reply_type)
+    except PeerLostError as error:
+        raise CommandError(ExitStatus.UNREACHABLE, error.reason) from error
--- a/ebonyrack/ops/configuration.py
+++ b/ebonyrack/ops/configuration.py
@@ -33,6 +33,7 @@
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.output import Output
+from ebonyrack.ops.tables import format_table
 from ebonyrack.peers.edit_messages import EditReply
 
 # How the text before the first section is named in a list of sections.
@@ -145,7 +146,7 @@
         assert isinstance(access, ProxyDocument)
         revisions = await access.wait_everywhere(reply.revision, options.wait_s or 0.0)
         report["proxies"] = revisions
-        lines.append(output.table(["PROXY", "REVISION"], describe_revisions(revisions)))
+        lines.append(format_table(["PROXY", "REVISION"], describe_revisions(revisions)))
         if not is_everywhere(revisions, reply.revision):
             status = ExitStatus.NOT_EVERYWHERE
     output.show(report, "\n".join(line for line in lines if line))
@@ -253,7 +254,7 @@
         for edit in edits
     ]
     titles = ["REVISION", "ACCEPTED", "OPERATOR", "SECTIONS", "EDIT"]
-    output.show(report, output.table(titles, rows))
+    output.show(report, format_table(titles, rows))
     return ExitStatus.OK
 
 
@@ -266,7 +267,7 @@
     """Print which proxy runs which revision."""
     revisions = await access.read_revisions()
     highest = max(revisions.values(), default=0)
-    table = output.table(["PROXY", "REVISION"], describe_revisions(revisions))
+    table = format_table(["PROXY", "REVISION"], describe_revisions(revisions))
     output.show({"revision": highest, "proxies": revisions}, table)
     is_same = is_everywhere(revisions, highest)
     return ExitStatus.OK if is_same else ExitStatus.NOT_EVERYWHERE
--- a/ebonyrack/ops/document_access.py
+++ b/ebonyrack/ops/document_access.py
@@ -20,6 +20,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.ops.client import Access
 from ebonyrack.ops.client import ProxyClient
+from ebonyrack.ops.client import ask_proxy
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.peers.document_messages import AskDocument
@@ -55,11 +56,7 @@
 
     async def read(self) -> StoredDocument:
         """Read the document that the proxy runs."""
-        try:
-            async with ProxyClient(self.access) as client:
-                reply = await client.ask(AskDocument(0), DocumentReply)
-        except PeerLostError as error:
-            raise CommandError(ExitStatus.UNREACHABLE, error.reason) from error
+        reply = await ask_proxy(self.access, AskDocument(0), DocumentReply)
         return unpack_stored(reply.stored) if reply.stored else EMPTY_STORED
 
     async def change(self, edit: Edit, limit_s: float) -> EditReply:
@@ -77,11 +74,7 @@
 
     async def read_revisions(self) -> dict[str, int]:
         """Return the revision that each live proxy runs, 0 if it isn't reached."""
-        try:
-            async with ProxyClient(self.access) as client:
-                reply = await client.ask(AskRevisions(), RevisionsReply)
-        except PeerLostError as error:
-            raise CommandError(ExitStatus.UNREACHABLE, error.reason) from error
+        reply = await ask_proxy(self.access, AskRevisions(), RevisionsReply)
         return reply.revisions
 
     async def wait_everywhere(self, revision: int, limit_s: float) -> dict[str, int]:
--- a/ebonyrack/ops/output.py
+++ b/ebonyrack/ops/output.py
@@ -4,10 +4,6 @@
 
 import json
 import sys
-from collections.abc import Iterable
-from collections.abc import Sequence
-
-from ebonyrack.ops.tables import format_table
 
 
 class Output:
@@ -34,7 +30,3 @@
     def note(self, text: str) -> None:
         """Print a remark on standard error."""
         print(text, file=sys.stderr)
-
-    def table(self, titles: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
-        """Lay rows out in columns."""
-        return format_table(titles, rows)
--- a/ebonyrack/ops/status.py
+++ b/ebonyrack/ops/status.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from ebonyrack.ops.client import Access
-from ebonyrack.ops.client import ProxyClient
+from ebonyrack.ops.client import ask_proxy
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.output import Output
-from ebonyrack.peers.link import PeerLostError
+from ebonyrack.ops.tables import format_table
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.operator_messages import StatusReply
 from ebonyrack.peers.operator_messages import StatusRequest
@@ -28,11 +28,7 @@
 
 async def fetch_status(access: Access, include_sessions: bool = False) -> StatusReply:
     """Ask a proxy for its state."""
-    try:
-        async with ProxyClient(access) as client:
-            return await client.ask(StatusRequest(include_sessions), StatusReply)
-    except PeerLostError as error:
-        raise CommandError(ExitStatus.UNREACHABLE, error.reason) from error
+    return await ask_proxy(access, StatusRequest(include_sessions), StatusReply)
 
 
 async def show_status(access: Access, output: Output) -> ExitStatus:
@@ -48,11 +44,11 @@
     head = f"proxy {reply.proxy}, revision {reply.revision}"
     if reply.is_cut_off:
         head += ", CUT OFF: takes no new work"
-    members = output.table(
+    members = format_table(
         ["PROXY", "STATE", "ADDRESS", "DATA CENTRE", "REGION", "INCARNATION"],
         [list(describe_member(member).values()) for member in reply.members],
     )
-    groups = output.table(
+    groups = format_table(
         ["GROUP", "TERM", "PRIMARY", "COORDINATOR", "SHARE"],
         [describe_group(name, group) for name, group in sorted(reply.groups.items())],
     )
@@ -99,7 +95,7 @@
         for upstream_name, upstream in sorted(group.get("upstreams", {}).items())
     ]
     titles = ["GROUP", "UPSTREAM", *(field.upper() for field in UPSTREAM_FIELDS)]
-    output.show(groups, output.table(titles, rows))
+    output.show(groups, format_table(titles, rows))
     return ExitStatus.OK
 
 
@@ -108,6 +104,6 @@
     reply = await fetch_status(access, include_sessions=True)
     titles = list(dict.fromkeys(key for session in reply.sessions for key in session))
     rows = [[session.get(key, "") for key in titles] for session in reply.sessions]
-    table = output.table([title.upper() for title in titles], rows)
+    table = format_table([title.upper() for title in titles], rows)
     output.show(reply.sessions, f"proxy {reply.proxy}\n\n{table}")
     return ExitStatus.OK
