--- /dev/null
+++ b/ebonyrack/scripts/arguments.py
@@ -0,0 +1,35 @@
+"""Readers of values on the command lines."""
+
+from __future__ import annotations
+
+import argparse
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.address import parse_address
+
+
+def read_address_argument(text: str) -> Address:
+    """Read an address for argparse."""
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(str(error)) from None
+
+
+def read_peer_argument(text: str) -> tuple[str, Address]:
+    """Read `name=IP:port` for argparse."""
+    name, equals, address = text.partition("=")
+    if not (name and equals):
+        raise argparse.ArgumentTypeError(f"expected name=IP:port, found {text!r}")
+    return name, read_address_argument(address)
+
+
+def read_positive(text: str) -> float:
+    """Read a number of at least 0 for argparse."""
+    try:
+        value = float(text)
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"not a number: {text!r}") from None
+    if value < 0:
+        raise argparse.ArgumentTypeError(f"must be at least 0: {text!r}")
+    return value
--- a/ebonyrack/scripts/ctl.py
+++ b/ebonyrack/scripts/ctl.py
@@ -13,7 +13,6 @@
 from loguru import logger
 
 from ebonyrack import __version__
-from ebonyrack.core.address import Address
 from ebonyrack.core.address import parse_address
 from ebonyrack.core.settings import StoreSettings
 from ebonyrack.ops import configuration
@@ -29,6 +28,7 @@
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.output import Output
 from ebonyrack.platform.store import Store
+from ebonyrack.scripts.arguments import read_address_argument
 
 PROXIES_VARIABLE = "EBONYRACK_PROXIES"
 SECRET_VARIABLE = "EBONYRACK_SECRET_FILE"
@@ -74,7 +74,7 @@
     parser.add_argument(
         "--proxy",
         action="append",
-        type=read_address,
+        type=read_address_argument,
         metavar="IP:PORT",
         help=f"peer address of a proxy, may be repeated (or {PROXIES_VARIABLE})",
     )
@@ -97,7 +97,7 @@
     )
     parser.add_argument(
         "--store",
-        type=read_address,
+        type=read_address_argument,
         metavar="IP:PORT",
         help="read and change the document in the platform's store, without a proxy",
     )
@@ -140,14 +140,6 @@
     parser.add_argument("--wait-s", type=float, default=DEFAULT_WAIT_S, metavar="S")
 
 
-def read_address(text: str) -> Address:
-    """Read an address, for use by argparse."""
-    try:
-        return parse_address(text)
-    except ValueError as error:
-        raise argparse.ArgumentTypeError(str(error)) from error
-
-
 def build_access(options: argparse.Namespace) -> Access:
     """Build the way to the proxies from the options and the environment.
 
--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -36,8 +36,8 @@
 from ebonyrack.load.results import format_rows
 from ebonyrack.load.results import read_results
 from ebonyrack.load.results import write_results
-from ebonyrack.scripts.standin import read_address_argument
-from ebonyrack.scripts.standin import read_positive
+from ebonyrack.scripts.arguments import read_address_argument
+from ebonyrack.scripts.arguments import read_positive
 
 EXIT_OK = 0
 EXIT_WRONG = 1
--- a/ebonyrack/scripts/standin.py
+++ b/ebonyrack/scripts/standin.py
@@ -9,8 +9,9 @@
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
 
-from ebonyrack.core.address import Address
-from ebonyrack.core.address import parse_address
+from ebonyrack.scripts.arguments import read_address_argument
+from ebonyrack.scripts.arguments import read_peer_argument
+from ebonyrack.scripts.arguments import read_positive
 from ebonyrack.standins.control import FaultControl
 from ebonyrack.standins.group import FIRST_TERM
 from ebonyrack.standins.group import StandinGroup
@@ -22,33 +23,6 @@
 ROLES = ("primary", "replica", "none")
 
 
-def read_address_argument(text: str) -> Address:
-    """Read an address for argparse."""
-    try:
-        return parse_address(text)
-    except ValueError as error:
-        raise argparse.ArgumentTypeError(str(error)) from None
-
-
-def read_peer_argument(text: str) -> tuple[str, Address]:
-    """Read `name=IP:port` for argparse."""
-    name, equals, address = text.partition("=")
-    if not (name and equals):
-        raise argparse.ArgumentTypeError(f"expected name=IP:port, found {text!r}")
-    return name, read_address_argument(address)
-
-
-def read_positive(text: str) -> float:
-    """Read a number of at least 0 for argparse."""
-    try:
-        value = float(text)
-    except ValueError:
-        raise argparse.ArgumentTypeError(f"not a number: {text!r}") from None
-    if value < 0:
-        raise argparse.ArgumentTypeError(f"must be at least 0: {text!r}")
-    return value
-
-
 def build_parser() -> argparse.ArgumentParser:
     """Build the parser of the command line."""
     parser = argparse.ArgumentParser(prog="ebonyrack-standin", description=__doc__)
