Write what the stand-in knows of an INSERT, a SHOW and formats once

Cause: the pattern of an INSERT, of its rows and the reading of its column names stood in locks.py and in parameter_types.py; the name of a SHOW's setting in execution.py and extended.py; the choice of a format from a short list in rows.py and extended.py; `copy_options` was dataclasses.replace. The docstring of StandinGroup named an attribute that there is not.

Change: each stands once, in dialect.py or rows.py. A Bind whose list of formats has a wrong length used to end the session by an IndexError; its first format counts for all now, as for result columns.

Tests of standins and load, and of callers' bytes and pipelines pass.

--- a/ebonyrack/standins/dialect.py
+++ b/ebonyrack/standins/dialect.py
@@ -28,6 +28,13 @@
     re.VERBOSE | re.IGNORECASE | re.DOTALL,
 )
 
+# Table, column names and rows.
+INSERT = re.compile(
+    r"\bINSERT\s+INTO\s+\"?(\w+)\"?\s*\(([^)]*)\)\s*VALUES\s*(.*)",
+    re.IGNORECASE | re.DOTALL,
+)
+ROW = re.compile(r"\(([^()]*)\)")
+
 AFFINITIES = {
     "int": "INTEGER",
     "int2": "INTEGER",
@@ -201,3 +208,13 @@
     affinity = AFFINITIES.get(match.group(1).lower()) if match else None
     if affinity is not None and index >= 0 and kind in CASTABLE:
         parts[index] = f"CAST({parts[index]} AS {affinity})"
+
+
+def read_column_names(text: str) -> list[str]:
+    """Read the column names of an INSERT."""
+    return [name.strip().strip('"') for name in text.split(",")]
+
+
+def read_variable_name(statement: Statement) -> str:
+    """Read the name of the setting that a SHOW asks for."""
+    return statement.text.split(None, 1)[1].strip().lower()
--- a/ebonyrack/standins/execution.py
+++ b/ebonyrack/standins/execution.py
@@ -12,6 +12,7 @@
 from ebonyrack.standins.contract_functions import match_call
 from ebonyrack.standins.dialect import Statement
 from ebonyrack.standins.dialect import Verb
+from ebonyrack.standins.dialect import read_variable_name
 from ebonyrack.standins.locks import find_claims
 from ebonyrack.standins.log import LoggedStatement
 from ebonyrack.standins.log import SqlValue
@@ -165,7 +166,7 @@
 
 def show_variable(session: StandinSession, statement: Statement) -> Outcome:
     """Answer the value of a setting."""
-    name = statement.text.split(None, 1)[1].strip().lower()
+    name = read_variable_name(statement)
     value = session.parameters.get(name, "")
     if name == "transaction_read_only":
         value = "off" if session.upstream.can_write else "on"
--- a/ebonyrack/standins/extended.py
+++ b/ebonyrack/standins/extended.py
@@ -15,12 +15,14 @@
 from ebonyrack.standins.dialect import Statement
 from ebonyrack.standins.dialect import Verb
 from ebonyrack.standins.dialect import parse_script
+from ebonyrack.standins.dialect import read_variable_name
 from ebonyrack.standins.execution import Outcome
 from ebonyrack.standins.execution import execute
 from ebonyrack.standins.log import SqlValue
 from ebonyrack.standins.parameter_types import find_parameter_types
 from ebonyrack.standins.rows import encode_row_description
 from ebonyrack.standins.rows import encode_rows
+from ebonyrack.standins.rows import expand_formats
 from ebonyrack.standins.schema import Column
 from ebonyrack.standins.sql_error import SqlError
 
@@ -130,12 +132,12 @@
                 f"{len(message.param_values)} parameters given,"
                 f" {len(prepared.parameter_oids)} needed",
             )
+        oids = prepared.parameter_oids
+        formats = expand_formats(message.param_formats, len(oids))
         values = tuple(
-            datatypes.decode_value(
-                value, oid, pick_format(message.param_formats, index) == 1
-            )
-            for index, (value, oid) in enumerate(
-                zip(message.param_values, prepared.parameter_oids, strict=True)
+            datatypes.decode_value(value, oid, code == 1)
+            for value, oid, code in zip(
+                message.param_values, oids, formats, strict=True
             )
         )
         self.portals[message.portal] = Portal(
@@ -164,8 +166,7 @@
         if statement is None:
             return []
         if statement.verb is Verb.SHOW:
-            name = statement.text.split(None, 1)[1].strip().lower()
-            return [Column(name, datatypes.TEXT)]
+            return [Column(read_variable_name(statement), datatypes.TEXT)]
         if statement.verb not in (Verb.READ, Verb.WRITE):
             return []
         call = match_call(statement.text)
@@ -210,10 +211,3 @@
         self.is_skipping = False
         if self.session.transaction is None:
             self.portals.clear()
-
-
-def pick_format(formats: Sequence[int], index: int) -> int:
-    """Return the format of a value from a list that may be short."""
-    if not formats:
-        return 0
-    return formats[index] if len(formats) > 1 else formats[0]
--- a/ebonyrack/standins/group.py
+++ b/ebonyrack/standins/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 from ebonyrack.config.sections import GroupSection
@@ -23,7 +24,7 @@
 
     Attributes:
         upstreams: Upstreams by name, `up-1` first.
-        options: Sizes and delays, one record for each upstream.
+        data_centres: Data centre of each upstream, for the operators' document.
     """
 
     __slots__ = ("upstreams", "data_centres")
@@ -42,7 +43,7 @@
         for number in range(count):
             name = f"{name_prefix}-{number + 1}"
             address = addresses[number] if addresses else Address(LOOPBACK, 0)
-            self.upstreams[name] = StandinUpstream(name, copy_options(shared), address)
+            self.upstreams[name] = StandinUpstream(name, replace(shared), address)
 
     async def start(self) -> None:
         """Start the upstreams; the first becomes the primary."""
@@ -149,10 +150,3 @@
         for upstream in self.upstreams.values():
             upstream.options.apply_delay_s = apply_delay_s
             upstream.options.receive_delay_s = receive_delay_s
-
-
-def copy_options(options: UpstreamOptions) -> UpstreamOptions:
-    """Return a record of its own for one upstream."""
-    return UpstreamOptions(
-        **{name: getattr(options, name) for name in UpstreamOptions.__slots__}
-    )
--- a/ebonyrack/standins/locks.py
+++ b/ebonyrack/standins/locks.py
@@ -7,6 +7,9 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+from ebonyrack.standins.dialect import INSERT
+from ebonyrack.standins.dialect import ROW
+from ebonyrack.standins.dialect import read_column_names
 from ebonyrack.standins.log import SqlValue
 from ebonyrack.standins.sql_error import SqlError
 from ebonyrack.standins.transaction import Transaction
@@ -14,16 +17,11 @@
 WAIT_LIMIT_S = 5.0
 
 VALUE = r"'(?:[^']|'')*'|\$\d+|-?\d+"
-INSERT = re.compile(
-    r"\bINSERT\s+INTO\s+\"?(\w+)\"?\s*\(([^)]*)\)\s*VALUES\s*(.*)",
-    re.IGNORECASE | re.DOTALL,
-)
 TABLE = re.compile(r"\b(?:UPDATE|FROM)\s+\"?(\w+)\"?", re.IGNORECASE)
 WHERE = re.compile(r"\bWHERE\b(.*)", re.IGNORECASE | re.DOTALL)
 EQUAL = re.compile(rf"\"?(\w+)\"?\s*=\s*({VALUE})")
 # The boundary keeps the search through a long literal linear.
 EMPTY_CALL = re.compile(r"\b\w+\(\s*\)")
-ROW = re.compile(r"\(([^()]*)\)")
 AFTER_ROWS = re.compile(r"\b(?:ON\s+CONFLICT|RETURNING)\b", re.IGNORECASE)
 
 
@@ -112,7 +110,7 @@
     """Yield the claims of an INSERT."""
     table, names, rows = insert.groups()
     unique = unique_columns.get(table, set())
-    columns = [name.strip().strip('"') for name in names.split(",")]
+    columns = read_column_names(names)
     rows = AFTER_ROWS.split(rows)[0]
     for row in ROW.findall(EMPTY_CALL.sub("0", rows)):
         for column, value in zip(columns, row.split(","), strict=False):
--- a/ebonyrack/standins/parameter_types.py
+++ b/ebonyrack/standins/parameter_types.py
@@ -5,12 +5,11 @@
 import re
 
 from ebonyrack.standins import datatypes
+from ebonyrack.standins.dialect import INSERT
+from ebonyrack.standins.dialect import ROW
+from ebonyrack.standins.dialect import read_column_names
 
 CAST = re.compile(r"\$(\d+)\s*::\s*(\w+)")
-INSERT = re.compile(
-    r"\bINSERT\s+INTO\s+\"?(\w+)\"?\s*\(([^)]*)\)\s*VALUES\s*(.*)",
-    re.IGNORECASE | re.DOTALL,
-)
 COMPARISON = re.compile(r"\"?(\w+)\"?\s*(?:=|<>|!=|<=|>=|<|>)\s*\$(\d+)")
 REVERSED = re.compile(r"\$(\d+)\s*(?:=|<>|!=|<=|>=|<|>)\s*\"?(\w+)\"?")
 LIMIT = re.compile(r"\b(?:LIMIT|OFFSET)\s+\$(\d+)", re.IGNORECASE)
@@ -60,8 +59,8 @@
     match = INSERT.search(text)
     if match is None:
         return
-    names = [name.strip().strip('"') for name in match.group(2).split(",")]
-    for row in re.findall(r"\(([^()]*)\)", match.group(3)):
+    names = read_column_names(match.group(2))
+    for row in ROW.findall(match.group(3)):
         for name, value in zip(names, row.split(","), strict=False):
             number = PARAMETER.fullmatch(value.strip())
             if number is not None and name in column_oids:
--- a/ebonyrack/standins/rows.py
+++ b/ebonyrack/standins/rows.py
@@ -14,7 +14,7 @@
 
 
 def expand_formats(formats: Sequence[int], count: int) -> list[int]:
-    """Return one format for each column from a list that may be short."""
+    """Return one format for each value from a list that may be short."""
     if len(formats) == count:
         return list(formats)
     return [formats[0] if formats else 0] * count
