Split the operator's editor from the document's commands; shorten two

Cause: ops/configuration.py ran the editor and kept its text beside the commands on the document. `report_outcome` asserted what it had just tested; `show_history` listed an edit's fields twice. The stand-in's entry point named five times of an upstream twice.

Change: ops/editor.py; the wait is asked for by its seconds; the table of the history is built from its report; TIMES in scripts/standin.py is the one list.

--- a/ebonyrack/ops/configuration.py
+++ b/ebonyrack/ops/configuration.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-import os
-import shlex
-import subprocess
 import sys
-import tempfile
 import uuid
 from dataclasses import dataclass
 from dataclasses import replace
@@ -18,6 +14,7 @@
 from ebonyrack.config.document import parse_document
 from ebonyrack.config.edit import Edit
 from ebonyrack.config.edit import build_edit
+from ebonyrack.config.stored import EditRecord
 from ebonyrack.config.stored import StoredDocument
 from ebonyrack.config.text import apply_changes
 from ebonyrack.config.text import build_difference
@@ -30,6 +27,8 @@
 from ebonyrack.ops.document_access import DocumentAccess
 from ebonyrack.ops.document_access import ProxyDocument
 from ebonyrack.ops.document_access import is_everywhere
+from ebonyrack.ops.editor import keep_text
+from ebonyrack.ops.editor import run_editor
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.output import Output
@@ -38,7 +37,6 @@
 
 # How the text before the first section is named in a list of sections.
 PREAMBLE = "(preamble)"
-DEFAULT_EDITOR = "vi"
 OUTCOME_STATUS = {
     "accepted": ExitStatus.OK,
     "refused": ExitStatus.REFUSED,
@@ -141,10 +139,9 @@
         "sections": sorted(edit.changes),
     }
     lines = [describe_outcome(edit, reply), *reply.reasons, reply.difference.rstrip()]
-    is_waiting = options.wait_s is not None and isinstance(access, ProxyDocument)
-    if status is ExitStatus.OK and is_waiting:
-        assert isinstance(access, ProxyDocument)
-        revisions = await access.wait_everywhere(reply.revision, options.wait_s or 0.0)
+    wait_s = options.wait_s if status is ExitStatus.OK else None
+    if wait_s is not None and isinstance(access, ProxyDocument):
+        revisions = await access.wait_everywhere(reply.revision, wait_s)
         report["proxies"] = revisions
         lines.append(format_table(["PROXY", "REVISION"], describe_revisions(revisions)))
         if not is_everywhere(revisions, reply.revision):
@@ -188,27 +185,6 @@
     return status
 
 
-def run_editor(text: str) -> str:
-    """Let the operator change a text in an editor."""
-    editor = shlex.split(os.environ.get("EDITOR", "")) or [DEFAULT_EDITOR]
-    with tempfile.TemporaryDirectory() as directory:
-        path = Path(directory) / "document.ini"
-        path.write_text(text, encoding="utf-8")
-        completed = subprocess.run([*editor, str(path)], check=False)
-        if completed.returncode != 0:
-            raise CommandError(ExitStatus.USAGE, f"{editor[0]} failed")
-        return read_text(path)
-
-
-def keep_text(text: str) -> str:
-    """Keep a text that was not accepted; return the file's name."""
-    with tempfile.NamedTemporaryFile(
-        "w", suffix=".ini", delete=False, encoding="utf-8"
-    ) as file:
-        file.write(text)
-        return file.name
-
-
 async def show_difference(
     access: DocumentAccess, path: Path, output: Output
 ) -> ExitStatus:
@@ -233,31 +209,33 @@
     """Print the last edits, newest first."""
     document = await access.read()
     edits = list(reversed(document.history))[:limit]
-    report = [
-        {
-            "revision": edit.revision,
-            "edit_id": edit.edit_id,
-            "operator": edit.operator,
-            "accepted_at": format_time(edit.accepted_at),
-            "sections": list(edit.sections),
-        }
-        for edit in edits
-    ]
+    report = [describe_edit(edit) for edit in edits]
     rows = [
         (
-            edit.revision,
-            format_time(edit.accepted_at),
-            edit.operator,
-            ", ".join(title or PREAMBLE for title in edit.sections),
-            edit.edit_id,
+            entry["revision"],
+            entry["accepted_at"],
+            entry["operator"],
+            ", ".join(title or PREAMBLE for title in entry["sections"]),
+            entry["edit_id"],
         )
-        for edit in edits
+        for entry in report
     ]
     titles = ["REVISION", "ACCEPTED", "OPERATOR", "SECTIONS", "EDIT"]
     output.show(report, format_table(titles, rows))
     return ExitStatus.OK
 
 
+def describe_edit(edit: EditRecord) -> dict[str, Any]:
+    """Return the fields of an edit that are shown."""
+    return {
+        "revision": edit.revision,
+        "edit_id": edit.edit_id,
+        "operator": edit.operator,
+        "accepted_at": format_time(edit.accepted_at),
+        "sections": list(edit.sections),
+    }
+
+
 def format_time(accepted_at: int) -> str:
     """Return a wall-clock time in ISO form."""
     return datetime.fromtimestamp(accepted_at, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/ebonyrack/ops/editor.py
@@ -0,0 +1,36 @@
+"""Changing a text in the operator's editor."""
+
+from __future__ import annotations
+
+import os
+import shlex
+import subprocess
+import tempfile
+from pathlib import Path
+
+from ebonyrack.ops.base_file import read_text
+from ebonyrack.ops.exit_status import CommandError
+from ebonyrack.ops.exit_status import ExitStatus
+
+DEFAULT_EDITOR = "vi"
+
+
+def run_editor(text: str) -> str:
+    """Let the operator change a text in an editor."""
+    editor = shlex.split(os.environ.get("EDITOR", "")) or [DEFAULT_EDITOR]
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / "document.ini"
+        path.write_text(text, encoding="utf-8")
+        completed = subprocess.run([*editor, str(path)], check=False)
+        if completed.returncode != 0:
+            raise CommandError(ExitStatus.USAGE, f"{editor[0]} failed")
+        return read_text(path)
+
+
+def keep_text(text: str) -> str:
+    """Keep a text that was not accepted; return the file's name."""
+    with tempfile.NamedTemporaryFile(
+        "w", suffix=".ini", delete=False, encoding="utf-8"
+    ) as file:
+        file.write(text)
+        return file.name
--- a/ebonyrack/scripts/standin.py
+++ b/ebonyrack/scripts/standin.py
@@ -21,6 +21,13 @@
 
 USAGE_ERROR = 2
 ROLES = ("primary", "replica", "none")
+TIMES = (
+    "connection_cost_s",
+    "statement_cost_s",
+    "receive_delay_s",
+    "apply_delay_s",
+    "link_delay_s",
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -76,28 +83,16 @@
         "--connection-limit", type=int, default=defaults.connection_limit
     )
     parser.add_argument("--slots", type=int, default=defaults.slots)
-    for name in (
-        "connection-cost-s",
-        "statement-cost-s",
-        "receive-delay-s",
-        "apply-delay-s",
-        "link-delay-s",
-    ):
-        default = getattr(defaults, name.replace("-", "_"))
-        parser.add_argument(f"--{name}", type=read_positive, default=default)
+    for name in TIMES:
+        option = "--" + name.replace("_", "-")
+        default = getattr(defaults, name)
+        parser.add_argument(option, type=read_positive, default=default)
 
 
 def build_options(arguments: argparse.Namespace) -> UpstreamOptions:
     """Build the sizes and delays from the command line."""
-    return UpstreamOptions(
-        connection_limit=arguments.connection_limit,
-        slots=arguments.slots,
-        connection_cost_s=arguments.connection_cost_s,
-        statement_cost_s=arguments.statement_cost_s,
-        receive_delay_s=arguments.receive_delay_s,
-        apply_delay_s=arguments.apply_delay_s,
-        link_delay_s=arguments.link_delay_s,
-    )
+    times = {name: getattr(arguments, name) for name in TIMES}
+    return UpstreamOptions(arguments.connection_limit, arguments.slots, **times)
 
 
 async def run_platform(arguments: argparse.Namespace, stack: AsyncExitStack) -> str:
