Take back the shared choice of formats in the stand-in's Bind

Cause: the read-through was to keep behaviour exactly; a Bind with too short a list of formats was answered where it ended the session before.

Change: `pick_format` stands as before.

--- a/ebonyrack/standins/extended.py
+++ b/ebonyrack/standins/extended.py
@@ -22,7 +22,6 @@
 from ebonyrack.standins.parameter_types import find_parameter_types
 from ebonyrack.standins.rows import encode_row_description
 from ebonyrack.standins.rows import encode_rows
-from ebonyrack.standins.rows import expand_formats
 from ebonyrack.standins.schema import Column
 from ebonyrack.standins.sql_error import SqlError
 
@@ -132,12 +131,12 @@
                 f"{len(message.param_values)} parameters given,"
                 f" {len(prepared.parameter_oids)} needed",
             )
-        oids = prepared.parameter_oids
-        formats = expand_formats(message.param_formats, len(oids))
         values = tuple(
-            datatypes.decode_value(value, oid, code == 1)
-            for value, oid, code in zip(
-                message.param_values, oids, formats, strict=True
+            datatypes.decode_value(
+                value, oid, pick_format(message.param_formats, index) == 1
+            )
+            for index, (value, oid) in enumerate(
+                zip(message.param_values, prepared.parameter_oids, strict=True)
             )
         )
         self.portals[message.portal] = Portal(
@@ -211,3 +210,10 @@
         self.is_skipping = False
         if self.session.transaction is None:
             self.portals.clear()
+
+
+def pick_format(formats: Sequence[int], index: int) -> int:
+    """Return the format of a value from a list that may be short."""
+    if not formats:
+        return 0
+    return formats[index] if len(formats) > 1 else formats[0]
