Call what handles operators' messages a handler

Cause: EditDesk and OperatorDesk register with `hub.handle` and their docstrings say that they handle messages; the glossary has no desk and the name needs explaining. A variable of a test and one of the stand-in's control plane had it too.

Change: EditHandler in config/edit_handler.py, OperatorHandler in service/operator_handler.py, `edits` in the stand-in's control plane as in Proxy.

--- a/ebonyrack/config/edit_desk.py
+++ b/ebonyrack/config/edit_handler.py
@@ -36,7 +36,7 @@
 NO_DOCUMENT = 2**62
 
 
-class EditDesk:
+class EditHandler:
     """Handles the operators' messages about the document in one proxy.
 
     Attributes:
--- a/ebonyrack/ops/ctl_test.py
+++ b/ebonyrack/ops/ctl_test.py
@@ -121,12 +121,12 @@
         link_closed.append(message.edit_id)
         link.close()
 
-    desk = fleet.planes[0].hub.callbacks[EditRequest]
-    desk.append(cut_link)
+    callbacks = fleet.planes[0].hub.callbacks[EditRequest]
+    callbacks.append(cut_link)
     changed = tool.write(TEXT.replace("user = booking", "user = new"))
     status, report = await tool.run("config", "apply", changed)
     assert (status, report["outcome"]) == (ExitStatus.UNKNOWN, "unknown")
-    desk.remove(cut_link)
+    callbacks.remove(cut_link)
     words = ("config", "apply", changed, "--edit-id", report["edit_id"])
     status, report = await tool.run(*words)
     assert (status, report["revision"]) == (ExitStatus.OK, 2)
--- a/ebonyrack/ops/document_access.py
+++ b/ebonyrack/ops/document_access.py
@@ -10,7 +10,7 @@
 
 from ebonyrack.config.edit import Edit
 from ebonyrack.config.edit import EditAttempt
-from ebonyrack.config.edit_desk import build_reply
+from ebonyrack.config.edit_handler import build_reply
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.stored import DOCUMENT_KEY
 from ebonyrack.config.stored import EMPTY_STORED
--- a/ebonyrack/service/operator_desk.py
+++ b/ebonyrack/service/operator_handler.py
@@ -21,7 +21,7 @@
     from ebonyrack.upstreams.upstream import Upstream
 
 
-class OperatorDesk:
+class OperatorHandler:
     """Handles the operators' messages of one proxy.
 
     Attributes:
--- a/ebonyrack/service/proxy.py
+++ b/ebonyrack/service/proxy.py
@@ -10,7 +10,7 @@
 
 from ebonyrack.callers.cancel import cancel_request
 from ebonyrack.callers.listener import CallerListener
-from ebonyrack.config.edit_desk import EditDesk
+from ebonyrack.config.edit_handler import EditHandler
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.watch import ConfigurationWatch
 from ebonyrack.core.owner import Owner
@@ -22,7 +22,7 @@
 from ebonyrack.platform.store import Store
 from ebonyrack.service.drain import Drain
 from ebonyrack.service.group_table import GroupTable
-from ebonyrack.service.operator_desk import OperatorDesk
+from ebonyrack.service.operator_handler import OperatorHandler
 from ebonyrack.service.services import Services
 from ebonyrack.service.services import derive_token_key
 
@@ -69,9 +69,9 @@
         self.group_table = GroupTable(self.services, self.terms, self.hub, self.watch)
         self.listener = CallerListener(self.services)
         self.opinions = OpinionDesk(self.hub, self.services.groups)
-        self.operators = OperatorDesk(self)
+        self.operators = OperatorHandler(self)
         self.hub.handle(CancelSession, self.receive_cancel)
-        self.edits = EditDesk(self.configuration, self.store, self.hub)
+        self.edits = EditHandler(self.configuration, self.store, self.hub)
         self.stack = AsyncExitStack()
         self.term_task: asyncio.Task[None] | None = None
 
--- a/ebonyrack/standins/control_plane.py
+++ b/ebonyrack/standins/control_plane.py
@@ -7,7 +7,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
-from ebonyrack.config.edit_desk import EditDesk
+from ebonyrack.config.edit_handler import EditHandler
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.watch import ConfigurationWatch
 from ebonyrack.core.address import Address
@@ -116,10 +116,10 @@
         store: Client of the store.
         hub: Links to the peers.
         watch: Keeps the document up to date.
-        desk: Takes operators' edits.
+        edits: Takes operators' edits.
     """
 
-    __slots__ = ("settings", "state", "store", "hub", "watch", "desk", "stack")
+    __slots__ = ("settings", "state", "store", "hub", "watch", "edits", "stack")
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
@@ -127,7 +127,7 @@
         self.store = Store(settings.store)
         self.hub = PeerHub(settings)
         self.watch = ConfigurationWatch(settings, self.state, self.store, self.hub)
-        self.desk = EditDesk(self.state, self.store, self.hub)
+        self.edits = EditHandler(self.state, self.store, self.hub)
         self.stack = AsyncExitStack()
 
     async def start(self) -> None:
