Tell newcomers how a message is added

Cause: the modules of messages show it by example only, and the test that pins the wire format is found when it fails.

Change: the docstring of peers/message.py says it. Tests of peers pass.

--- a/ebonyrack/peers/message.py
+++ b/ebonyrack/peers/message.py
@@ -1,4 +1,8 @@
-"""What a message between processes is, and the table of its types and codes."""
+"""What a message between processes is, and the table of its types and codes.
+
+A new message is one class in a module `*_messages.py`, with a code that no other has;
+codec_test.py holds the code and the fields, which then stay.
+"""
 
 from __future__ import annotations
 
