Split the messages of a stand-in's connection from its session

Change: session_stream.py (SessionStream), from which StandinSession derives, as the peers' link does from its stream; execution, startup and the extended protocol name the session as before.

--- a/ebonyrack/standins/session.py
+++ b/ebonyrack/standins/session.py
@@ -6,7 +6,6 @@
 import secrets
 from typing import TYPE_CHECKING
 
-from pygwire import FrontendMessageDecoder
 from pygwire import PygwireError
 from pygwire import TransactionStatus
 from pygwire import messages
@@ -21,6 +20,7 @@
 from ebonyrack.standins.faults import PROXIES
 from ebonyrack.standins.rows import encode_row_description
 from ebonyrack.standins.rows import encode_rows
+from ebonyrack.standins.session_stream import SessionStream
 from ebonyrack.standins.sql_error import SqlError
 from ebonyrack.standins.startup import REPORTED_PARAMETERS
 from ebonyrack.standins.startup import start_session
@@ -30,7 +30,6 @@
 if TYPE_CHECKING:
     from ebonyrack.standins.upstream import StandinUpstream
 
-READ_BYTES = 65536
 STARTUP_TIMEOUT_S = 60.0
 KEY_BYTES = 4
 # Reported at startup and before the ReadyForQuery after a change, as PostgreSQL does.
@@ -40,17 +39,13 @@
 }
 
 
-class StandinSession:
+class StandinSession(SessionStream):
     """Serves one connection: startup, queries, cancellation.
 
     Attributes:
-        upstream: The upstream.
         process_id: Number by which a CancelRequest names this session.
         secret_key: Key that a CancelRequest must give.
         task: Task that serves the connection.
-        decoder: Decoder of the caller's messages.
-        received: Bytes that arrived last.
-        out: Bytes of answers not sent yet.
         transaction: Open transaction, if any.
         last_commit: Position of the last transaction committed here.
         parameters: Settings of the session, names in lower case.
@@ -60,15 +55,9 @@
     """
 
     __slots__ = (
-        "upstream",
-        "reader",
-        "writer",
         "process_id",
         "secret_key",
         "task",
-        "decoder",
-        "received",
-        "out",
         "transaction",
         "last_commit",
         "parameters",
@@ -84,15 +73,10 @@
         writer: asyncio.StreamWriter,
         process_id: int,
     ) -> None:
-        self.upstream = upstream
-        self.reader = reader
-        self.writer = writer
+        super().__init__(upstream, reader, writer)
         self.process_id = process_id
         self.secret_key = secrets.token_bytes(KEY_BYTES)
         self.task: asyncio.Task[None] | None = None
-        self.decoder = FrontendMessageDecoder()
-        self.received = b""
-        self.out = bytearray()
         self.transaction: Transaction | None = None
         self.last_commit: LogPosition | None = None
         self.parameters = {
@@ -121,67 +105,6 @@
                 self.upstream.rollback(self.transaction)
             self.writer.close()
 
-    def abort(self) -> None:
-        """Break the connection off."""
-        self.writer.transport.abort()
-
-    async def next_message(self) -> messages.PGMessage:
-        """Return the caller's next message; answers are sent before a wait.
-
-        Raises:
-            ConnectionError: If the caller has gone.
-        """
-        while True:
-            if not self.upstream.faults.can_receive(PROXIES):
-                await self.upstream.faults.wait_receivable(PROXIES)
-            message = next(self.decoder, None)
-            if message is not None:
-                return message
-            await self.flush()
-            await self.receive()
-
-    async def receive(self) -> None:
-        """Take in the bytes that come next.
-
-        Raises:
-            ConnectionError: If the caller has gone.
-        """
-        self.received = await self.reader.read(READ_BYTES)
-        await self.upstream.faults.wait_receivable(PROXIES)
-        if not self.received:
-            raise ConnectionResetError("the caller has gone")
-        if self.upstream.options.link_delay_s:
-            await asyncio.sleep(self.upstream.options.link_delay_s)
-        self.decoder.feed(self.received)
-
-    def send(self, message: messages.PGMessage) -> None:
-        """Add a message to the answers."""
-        self.out += message.to_wire()
-
-    def send_error(self, error: SqlError) -> None:
-        """Add an error to the answers; a fatal one ends the connection.
-
-        Raises:
-            ConnectionAbortedError: If the error is fatal.
-        """
-        self.send(messages.ErrorResponse(error.build_fields()))
-        if error.fatal:
-            raise ConnectionAbortedError(error.text)
-
-    async def flush(self) -> None:
-        """Send the answers, after whatever delay the faults ask for."""
-        if not self.out:
-            return
-        faults, options = self.upstream.faults, self.upstream.options
-        delay_s = faults.answer_delay_s + options.link_delay_s
-        if delay_s:
-            await asyncio.sleep(delay_s)
-        await faults.wait_sendable(PROXIES)
-        data = bytes(self.out)
-        self.out.clear()
-        self.writer.write(data)
-        await self.writer.drain()
-
     def set_parameter(self, name: str, value: str) -> None:
         """Change a setting and report it if it is one that is reported."""
         self.parameters[name.lower()] = value
