--- a/ebonyrack/scripts/standin.py
+++ b/ebonyrack/scripts/standin.py
@@ -9,8 +9,9 @@
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
 
-from ebonyrack.core.address import Address
-from ebonyrack.core.address import parse_address
+from ebonyrack.scripts.arguments import read_address_argument
+from ebonyrack.scripts.arguments import read_peer_argument
+from ebonyrack.scripts.arguments import read_positive
 from ebonyrack.standins.control import FaultControl
 from ebonyrack.standins.group import FIRST_TERM
 from ebonyrack.standins.group import StandinGroup
@@ -20,33 +21,13 @@
 
 USAGE_ERROR = 2
 ROLES = ("primary", "replica", "none")
-
-
-def read_address_argument(text: str) -> Address:
-    """Read an address for argparse."""
-    try:
-        return parse_address(text)
-    except ValueError as error:
-        raise argparse.ArgumentTypeError(str(error)) from None
-
-
-def read_peer_argument(text: str) -> tuple[str, Address]:
-    """Read `name=IP:port` for argparse."""
-    name, equals, address = text.partition("=")
-    if not (name and equals):
-        raise argparse.ArgumentTypeError(f"expected name=IP:port, found {text!r}")
-    return name, read_address_argument(address)
-
-
-def read_positive(text: str) -> float:
-    """Read a number of at least 0 for argparse."""
-    try:
-        value = float(text)
-    except ValueError:
-        raise argparse.ArgumentTypeError(f"not a number: {text!r}") from None
-    if value < 0:
-        raise argparse.ArgumentTypeError(f"must be at least 0: {text!r}")
-    return value
+TIMES = (
+    "connection_cost_s",
+    "statement_cost_s",
+    "receive_delay_s",
+    "apply_delay_s",
+    "link_delay_s",
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -102,28 +83,16 @@
         "--connection-limit", type=int, default=defaults.connection_limit
     )
     parser.add_argument("--slots", type=int, default=defaults.slots)
-    for name in (
-        "connection-cost-s",
-        "statement-cost-s",
-        "receive-delay-s",
-        "apply-delay-s",
-        "link-delay-s",
-    ):
-        default = getattr(defaults, name.replace("-", "_"))
-        parser.add_argument(f"--{name}", type=read_positive, default=default)
+    for name in TIMES:
+        option = "--" + name.replace("_", "-")
+        default = getattr(defaults, name)
+        parser.add_argument(option, type=read_positive, default=default)
 
 
 def build_options(arguments: argparse.Namespace) -> UpstreamOptions:
     """Build the sizes and delays from the command line."""
-    return UpstreamOptions(
-        connection_limit=arguments.connection_limit,
-        slots=arguments.slots,
-        connection_cost_s=arguments.connection_cost_s,
-        statement_cost_s=arguments.statement_cost_s,
-        receive_delay_s=arguments.receive_delay_s,
-        apply_delay_s=arguments.apply_delay_s,
-        link_delay_s=arguments.link_delay_s,
-    )
+    times = {name: getattr(arguments, name) for name in TIMES}
+    return UpstreamOptions(arguments.connection_limit, arguments.slots, **times)
 
 
 async def run_platform(arguments: argparse.Namespace, stack: AsyncExitStack) -> str:
--- a/ebonyrack/service/operator_desk.py
+++ b/ebonyrack/service/operator_handler.py
@@ -7,11 +7,11 @@
 
 from ebonyrack.config.ownership import ADMINISTRATORS
 from ebonyrack.core.clock import now_s
-from ebonyrack.peers.messages import CommandReply
-from ebonyrack.peers.messages import DrainRequest
-from ebonyrack.peers.messages import StatusReply
-from ebonyrack.peers.messages import StatusRequest
-from ebonyrack.peers.messages import SwitchoverRequest
+from ebonyrack.peers.operator_messages import CommandReply
+from ebonyrack.peers.operator_messages import DrainRequest
+from ebonyrack.peers.operator_messages import StatusReply
+from ebonyrack.peers.operator_messages import StatusRequest
+from ebonyrack.peers.operator_messages import SwitchoverRequest
 
 if TYPE_CHECKING:
     from ebonyrack.callers.session import CallerSession
@@ -21,7 +21,7 @@
     from ebonyrack.upstreams.upstream import Upstream
 
 
-class OperatorDesk:
+class OperatorHandler:
     """Handles the operators' messages of one proxy.
 
     Attributes:
@@ -76,7 +76,8 @@
         operators = self.proxy.configuration.document.operators
         if not operators:
             return ""
-        if name not in operators or not self.proxy.edits.is_identified(link, name):
+        identification = self.proxy.edits.identification
+        if name not in operators or not identification.is_identified(link, name):
             return f"operator {name!r} has not proved an identity that the document has"
         acts_for = operators[name].acts_for
         if owner in acts_for or ADMINISTRATORS in acts_for:
--- a/ebonyrack/standins/extended.py
+++ b/ebonyrack/standins/extended.py
@@ -15,6 +15,7 @@
 from ebonyrack.standins.dialect import Statement
 from ebonyrack.standins.dialect import Verb
 from ebonyrack.standins.dialect import parse_script
+from ebonyrack.standins.dialect import read_variable_name
 from ebonyrack.standins.execution import Outcome
 from ebonyrack.standins.execution import execute
 from ebonyrack.standins.log import SqlValue
@@ -164,8 +165,7 @@
         if statement is None:
             return []
         if statement.verb is Verb.SHOW:
-            name = statement.text.split(None, 1)[1].strip().lower()
-            return [Column(name, datatypes.TEXT)]
+            return [Column(read_variable_name(statement), datatypes.TEXT)]
         if statement.verb not in (Verb.READ, Verb.WRITE):
             return []
         call = match_call(statement.text)
--- a/ebonyrack/standins/group.py
+++ b/ebonyrack/standins/group.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from types import TracebackType
+from dataclasses import replace
 from typing import Any
-from typing import Self
 
 from ebonyrack.config.sections import GroupSection
 from ebonyrack.config.sections import UpstreamSpec
 from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
 from ebonyrack.standins.options import UpstreamOptions
 from ebonyrack.standins.upstream import StandinUpstream
 from ebonyrack.upstreams.status import Role
@@ -19,12 +19,12 @@
 LOOPBACK = "127.0.0.1"
 
 
-class StandinGroup:
+class StandinGroup(Owner):
     """Upstreams that replicate from the first, with hooks to make them fail.
 
     Attributes:
         upstreams: Upstreams by name, `up-1` first.
-        options: Sizes and delays, one record for each upstream.
+        data_centres: Data centre of each upstream, for the operators' document.
     """
 
     __slots__ = ("upstreams", "data_centres")
@@ -43,9 +43,10 @@
         for number in range(count):
             name = f"{name_prefix}-{number + 1}"
             address = addresses[number] if addresses else Address(LOOPBACK, 0)
-            self.upstreams[name] = StandinUpstream(name, copy_options(shared), address)
+            self.upstreams[name] = StandinUpstream(name, replace(shared), address)
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
+        """Start the upstreams; the first becomes the primary."""
         for upstream in self.upstreams.values():
             await upstream.start()
         names = {item.address: name for name, item in self.upstreams.items()}
@@ -56,14 +57,9 @@
         await first.promote(FIRST_TERM)
         for upstream in others:
             await upstream.follow(FIRST_TERM, first.address)
-        return self
 
-    async def __aexit__(
-        self,
-        exception_type: type[BaseException] | None,
-        exception: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """End all upstreams and forget their databases."""
         await asyncio.gather(*(item.kill() for item in self.upstreams.values()))
         for upstream in self.upstreams.values():
             upstream.database.close()
@@ -154,10 +150,3 @@
         for upstream in self.upstreams.values():
             upstream.options.apply_delay_s = apply_delay_s
             upstream.options.receive_delay_s = receive_delay_s
-
-
-def copy_options(options: UpstreamOptions) -> UpstreamOptions:
-    """Return a record of its own for one upstream."""
-    return UpstreamOptions(
-        **{name: getattr(options, name) for name in UpstreamOptions.__slots__}
-    )
