Add an experiment on queue and arrivals through a failover

Many callers that retry for ever book at random times at 0.9 times the capacity that a probe finds, the primary is lost once, and the proxies' queues are sampled every 50 ms by the operators' status, which now also tells how many requests wait for a primary. Arms: callers that come back as told and callers that come back every 10 ms; killed, frozen, and frozen with a gap of 5 s.

--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -124,10 +124,10 @@
 }
 
 # start_proxies COUNT KEYS [LEVEL [TRUST]]: puts the document and starts proxies.
-# Sets PROXIES, PROXY_PIDS and PROXY_LOGS.
+# Sets PROXIES, PEERS, PROXY_PIDS and PROXY_LOGS.
 start_proxies() {
   local number data_centre
-  PROXIES=() PROXY_PIDS=() PROXY_LOGS=()
+  PROXIES=() PEERS=() PROXY_PIDS=() PROXY_LOGS=()
   write_document "$2" >"$WORK/document.ini"
   "$PYTHON" -m ebonyrack.scripts.load document \
     --store "$PLATFORM" --file "$WORK/document.ini"
@@ -137,6 +137,7 @@
       >"$WORK/proxy-$number.ini"
     start "proxy-$number" daemon --config "$WORK/proxy-$number.ini"
     PROXIES+=("$NET.2$number:5432")
+    PEERS+=("$NET.2$number:7000")
     PROXY_PIDS+=($!)
     PROXY_LOGS+=("$WORK/proxy-$number.log")
   done
--- a/demo/experiment.sh
+++ b/demo/experiment.sh
@@ -18,6 +18,7 @@
 "$PYTHON" -m ebonyrack.scripts.load experiment "$@" \
   --proxies "${PROXIES[@]}" --upstreams $UPSTREAMS --store "$PLATFORM" \
   --control "$CONTROL" --proxy-logs "${PROXY_LOGS[@]}" \
+  --peers "${PEERS[@]}" --peer-secret demo-peer-secret \
   --document "$WORK/document.ini" --password demo-password --results "$RESULTS" &
 PIDS+=("$!")
 # A wait, unlike a command in the foreground, lets a signal clean up at once.
--- a/ebonyrack/load/attempt.py
+++ b/ebonyrack/load/attempt.py
@@ -11,6 +11,7 @@
 DEFAULT_RETRY_S = 0.05
 RAN = re.compile(r"\bran=(no|yes|unknown)\b")
 RETRY = re.compile(r"\bretry=(yes|no)\b")
+KIND = re.compile(r"\bkind=(\w+)\b")
 AFTER = re.compile(r"\bafter_ms=(\d+)\b")
 TRANSIENT_CLASSES = ("08", "53", "57", "40")
 READ_ONLY = "25006"
@@ -38,12 +39,14 @@
         retry_after_s: Time after which to repeat, in seconds.
         sqlstate: SQLSTATE, or an empty string when the connection broke.
         text: The message.
+        kind: Kind of the proxy's error, or an empty string.
     """
 
     verdict: Verdict
     retry_after_s: float
     sqlstate: str
     text: str
+    kind: str = ""
 
 
 def classify_error(error: Exception, is_sent: bool) -> Failure:
@@ -62,6 +65,7 @@
         detail = error.diag.message_detail or ""
         hint = error.diag.message_hint or ""
     ran = RAN.search(detail)
+    kind = KIND.search(detail)
     after = AFTER.search(hint)
     retry_after_s = int(after.group(1)) / 1000 if after else DEFAULT_RETRY_S
     if ran is None:
@@ -74,7 +78,9 @@
         retry = RETRY.search(hint)
         may_retry = retry is None or retry.group(1) == "yes"
         verdict = Verdict.REFUSED if may_retry else Verdict.FINAL
-    return Failure(verdict, retry_after_s, sqlstate, str(error))
+    return Failure(
+        verdict, retry_after_s, sqlstate, str(error), kind.group(1) if kind else ""
+    )
 
 
 def judge_without_detail(sqlstate: str, is_sent: bool) -> Verdict:
--- a/ebonyrack/load/caller.py
+++ b/ebonyrack/load/caller.py
@@ -48,6 +48,8 @@
         think_s: Mean pause between two operations, in seconds.
         attempt_timeout_s: Longest wait for an answer, in seconds.
         use_keys: Whether reservations carry an idempotency key.
+        fixed_retry_s: Pause before each repeat, whatever a refusal says, in seconds;
+            None to obey refusals.
         run_id: Start of every request key of the run.
     """
 
@@ -63,6 +65,7 @@
     think_s: float = 0.0
     attempt_timeout_s: float = 15.0
     use_keys: bool = True
+    fixed_retry_s: float | None = None
     run_id: str = "run"
 
 
@@ -124,8 +127,13 @@
                         self.random.expovariate(1 / self.options.think_s)
                     )
         finally:
-            for connection in self.connections.values():
-                await connection.close()
+            await self.close()
+
+    async def close(self) -> None:
+        """Close the connections to all proxies."""
+        for connection in self.connections.values():
+            await connection.close()
+        self.connections.clear()
 
     async def step(self, give_up_s: float) -> None:
         """Do one operation."""
@@ -194,6 +202,7 @@
                 if self.options.use_keys:
                     await connection.execute(build_set("idempotency_key", key))
                 is_sent = True
+                self.record.attempted_s.append(now_s())
                 await connection.execute(INSERT, (slot, f"caller-{self.number}", key))
         except (psycopg.Error, OSError, TimeoutError) as error:
             await self.drop_if_broken(proxy, error)
@@ -298,7 +307,10 @@
             await connection.close()
 
     async def pause(self, failure: Failure) -> None:
-        """Wait as long as the refusal says, with some jitter."""
+        """Wait as long as the refusal says, with some jitter, or a fixed time."""
+        if self.options.fixed_retry_s is not None:
+            await asyncio.sleep(self.options.fixed_retry_s)
+            return
         jitter = 1 + RETRY_JITTER * self.random.random()
         await asyncio.sleep(failure.retry_after_s * jitter)
 
--- a/ebonyrack/load/context.py
+++ b/ebonyrack/load/context.py
@@ -27,6 +27,8 @@
         duration_s: Length of each condition, in seconds.
         policies: Policies to compare; empty for all.
         faults: Faults to inject; empty for all.
+        peers: Addresses at which the proxies answer operators.
+        peer_secret: Secret of the proxies.
     """
 
     cluster: Cluster
@@ -37,6 +39,8 @@
     duration_s: float
     policies: tuple[str, ...] = ()
     faults: tuple[str, ...] = ()
+    peers: tuple[Address, ...] = ()
+    peer_secret: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ebonyrack/load/experiments.py
+++ b/ebonyrack/load/experiments.py
@@ -2,7 +2,14 @@
 
 from ebonyrack.load import acknowledge_cost
 from ebonyrack.load import failover_gap
+from ebonyrack.load import failover_queue
 from ebonyrack.load import goodput
 from ebonyrack.load import replica_share
 
-__all__ = ["acknowledge_cost", "failover_gap", "goodput", "replica_share"]
+__all__ = [
+    "acknowledge_cost",
+    "failover_gap",
+    "failover_queue",
+    "goodput",
+    "replica_share",
+]
--- a/ebonyrack/load/failover_gap.py
+++ b/ebonyrack/load/failover_gap.py
@@ -155,8 +155,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         record.unfinished.update(f"late-{number}" for number in range(len(late)))
         for caller in callers:
-            for connection in caller.connections.values():
-                await connection.close()
+            await caller.close()
 
 
 async def run_trial(
--- a/ebonyrack/load/record.py
+++ b/ebonyrack/load/record.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from ebonyrack.core.clock import now_s
 from ebonyrack.load.attempt import Failure
 
 KEPT_EXAMPLES = 20
@@ -32,6 +33,8 @@
         failures: Failed attempts by SQLSTATE.
         examples: First few stale reads and untrue refusals, described.
         slots: Source of slot numbers.
+        attempted_s: Monotonic times at which reservations were sent, repeats too.
+        refused_s: Monotonic time and kind of each failed attempt to reserve.
     """
 
     acknowledged: dict[str, int] = field(default_factory=dict)
@@ -48,11 +51,15 @@
     failures: Counter[str] = field(default_factory=Counter)
     examples: list[str] = field(default_factory=list)
     slots: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    attempted_s: list[float] = field(default_factory=list)
+    refused_s: list[tuple[float, str]] = field(default_factory=list)
 
     def note_failure(self, failure: Failure) -> None:
         """Count a failed attempt."""
         self.attempts[str(failure.verdict)] += 1
         self.failures[failure.sqlstate or "connection"] += 1
+        kind = failure.kind or failure.sqlstate or "connection"
+        self.refused_s.append((now_s(), kind))
 
     def note_example(self, text: str) -> None:
         """Keep the description of a fault, if there is room."""
--- a/ebonyrack/load/report.py
+++ b/ebonyrack/load/report.py
@@ -9,6 +9,7 @@
 from ebonyrack.core.registry import Registry
 from ebonyrack.load.results import Row
 from ebonyrack.load.results import read_results
+from ebonyrack.load.time_steps import STEP_S
 
 WIDTH_INCHES = 8.0
 HEIGHT_INCHES = 4.5
@@ -16,6 +17,7 @@
 MEDIAN_TARGET_S = 0.5
 P99_TARGET_S = 1.0
 SHARE_TARGET = 0.95
+BEFORE_S = 3.0
 
 Plot = Callable[[Any, list[Row]], None]
 PLOTS: Registry[Plot] = Registry("plot")
@@ -163,3 +165,28 @@
     axes.set_ylim(bottom=0)
     axes.legend()
     axes.set_title("Goodput with callers that retry for ever")
+
+
+@PLOTS.register("failover_queue")
+def plot_failover_queue(axes: Any, rows: list[Row]) -> None:
+    """Draw attempts, goodput and queue through each failover, one panel each."""
+    figure = axes.figure
+    axes.remove()
+    panels = figure.subplots(2, len(rows), sharex=True, sharey="row", squeeze=False)
+    for column, row in enumerate(rows):
+        series = row["series"]
+        start_s = -BEFORE_S
+        times_s = [start_s + step * STEP_S for step in range(len(series["queue"]))]
+        for name in ("attempts", "arrivals", "acknowledged"):
+            rates = [count / STEP_S for count in series[name]]
+            panels[0][column].plot(times_s, rates, linewidth=0.7, label=name)
+        for name in ("queue", "executing"):
+            panels[1][column].plot(times_s, series[name], linewidth=0.9, label=name)
+        panels[0][column].set_title(
+            f"{row['policy']}\n{row['fault']}, {row['retries']}", fontsize=8
+        )
+        panels[1][column].set_xlabel("s after the fault")
+    panels[0][0].set_ylabel("per second")
+    panels[1][0].set_ylabel("requests")
+    for line in panels:
+        line[0].legend(fontsize=7)
--- a/ebonyrack/load/results.py
+++ b/ebonyrack/load/results.py
@@ -45,14 +45,14 @@
 
 
 def format_rows(rows: list[Row]) -> str:
-    """Lay rows out as a Markdown table.
+    """Lay rows out as a Markdown table, without series.
 
     Args:
         rows: Rows with the same names.
     """
     if not rows:
         return "(no rows)"
-    names = list(rows[0])
+    names = [name for name, value in rows[0].items() if not isinstance(value, dict)]
     cells = [names, *([format_cell(row.get(name)) for name in names] for row in rows)]
     widths = [max(len(line[index]) for line in cells) for index in range(len(names))]
     lines = [
--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -133,6 +133,10 @@
             f"--{name}", required=True, type=read_address_argument, metavar="IP:PORT"
         )
     experiment.add_argument("--proxy-logs", nargs="*", type=Path, default=[])
+    experiment.add_argument(
+        "--peers", nargs="*", type=read_address_argument, default=[], metavar="IP:PORT"
+    )
+    experiment.add_argument("--peer-secret", default="")
     experiment.add_argument("--document", required=True, type=Path)
     experiment.add_argument("--user", default="booking")
     experiment.add_argument("--password", default="")
@@ -268,6 +272,8 @@
             duration_s=arguments.duration_s,
             policies=tuple(arguments.policies),
             faults=tuple(arguments.faults),
+            peers=tuple(arguments.peers),
+            peer_secret=arguments.peer_secret,
         )
         result = await EXPERIMENTS.get(arguments.name)(context)
     path = write_results(arguments.results, arguments.name, result.trials)
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -56,6 +56,7 @@
         history: Positions of the primary, for the lag of replicas.
         changed: Notified when the primary, a term or reachability changes.
         hold_until_s: Monotonic time until which new writes wait for a switchover.
+        waiting_for_primary: Requests that wait until there is a primary.
     """
 
     def __init__(self, name: str, section: GroupSection, connection_limit: int) -> None:
@@ -71,6 +72,7 @@
         self.history = PrimaryHistory()
         self.changed = Signal()
         self.hold_until_s = 0.0
+        self.waiting_for_primary = 0
         self.requested_at_s = 0.0
         self.leaving_since_s: dict[str, float] = {}
         self.watches: dict[str, UpstreamWatch] = {}
@@ -230,7 +232,11 @@
             if remaining_s <= 0:
                 raise self.build_no_primary()
             wait_s = min(remaining_s, held_s) if held_s > 0 else remaining_s
-            await self.changed.wait(wait_s)
+            self.waiting_for_primary += 1
+            try:
+                await self.changed.wait(wait_s)
+            finally:
+                self.waiting_for_primary -= 1
 
     def hold_writes(self, hold_s: float) -> None:
         """Let new writes wait for a switchover.
