Bound the wait for a primary, and let a new primary keep the pace of writes

So the pace of writes now goes from primary to primary, and the time for which a broken connection was held no longer counts as service.

Ruled out: holding the waiters back and letting them go slowly, since a refusal is final at once.

Refusals of a lost upstream named no time to come back; every one that may be repeated does now. Changed tests: admission_test.py finds the service time in the new service_pace.py; same checks.

--- a/ebonyrack/callers/upstream_use.py
+++ b/ebonyrack/callers/upstream_use.py
@@ -72,7 +72,9 @@
     group = session.group
     deadline_s = now_s() + group.section.queue_wait_s
     while True:
-        upstream = await session.wait_before_sending(group.wait_for_primary(deadline_s))
+        upstream = await session.wait_before_sending(
+            group.wait_for_primary(deadline_s, session.identity.application)
+        )
         check_write_admitted(group)
         try:
             await take_upstream(session, upstream, deadline_s)
--- a/ebonyrack/core/errors.py
+++ b/ebonyrack/core/errors.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 from enum import StrEnum
 
+# Bounds on the time to come back of a refusal that depends on no queue.
+SHORTEST_RETRY_S = 0.02
+LONGEST_RETRY_S = 0.2
+
 
 class ErrorKind(StrEnum):
     """Every reason for which a request can be answered with an error."""
@@ -192,13 +197,14 @@
 
     Args:
         answer: Answer of the error's kind.
-        retry_after_s: Seconds to wait before a repeat, or None.
+        retry_after_s: Seconds to wait before a repeat; a short time at random if
+            None, so that callers who lost their upstream don't come back together.
 
     Returns:
-        `retry=no` or `retry=yes`, with `after_ms=N` if a time is known.
+        `retry=no`, or `retry=yes` with `after_ms=N`.
     """
     if not answer.retry:
         return "retry=no"
     if retry_after_s is None:
-        return "retry=yes"
+        retry_after_s = random.uniform(SHORTEST_RETRY_S, LONGEST_RETRY_S)
     return f"retry=yes after_ms={round(retry_after_s * 1000)}"
--- a/ebonyrack/core/errors_test.py
+++ b/ebonyrack/core/errors_test.py
@@ -24,3 +24,9 @@
     assert fields["D"] == "ran=no kind=no_primary: ballot running"
     assert fields["H"] == "retry=yes after_ms=250"
     assert fields["C"] == "57P03"
+
+
+def test_every_refusal_that_may_be_repeated_names_a_time():
+    for kind, answer in ERROR_ANSWERS.items():
+        hint = build_error_fields(RequestError(kind))["H"]
+        assert ("after_ms=" in hint) == answer.retry
--- a/ebonyrack/core/signal.py
+++ b/ebonyrack/core/signal.py
@@ -25,16 +25,20 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    async def wait(self, timeout_s: float) -> bool:
+    async def wait(
+        self, timeout_s: float, waiter: asyncio.Future[None] | None = None
+    ) -> bool:
         """Wait for the next notice.
 
         Args:
             timeout_s: Seconds to wait at most.
+            waiter: What to wait with; whoever else holds it may end the wait.
 
         Returns:
             Whether a notice came in time.
         """
-        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        if waiter is None:
+            waiter = asyncio.get_running_loop().create_future()
         self.waiters.add(waiter)
         try:
             async with asyncio.timeout(timeout_s):
--- a/ebonyrack/load/failover_queue.py
+++ b/ebonyrack/load/failover_queue.py
@@ -36,17 +36,17 @@
 LOAD = 0.9
 # Short enough for the backlog of one failover to fill it.
 QUEUE_LIMIT = 10
-READY_CALLERS = 150
 PROBE_S = 4.0
 SETTLE_S = 2.0
 BEFORE_S = 3.0
 BEFORE_STEPS = round(BEFORE_S / STEP_S)
 FINISH_LIMIT_S = 15.0
-# Policy and fault; with a lease, 5 s pass until another primary is promoted.
+# Policy, fault, and callers that are connected before the load, as many as a gap needs.
+# With a lease, 5 s pass until another primary is promoted.
 CONDITIONS = (
-    ("majority", "kill"),
-    ("majority", "freeze"),
-    ("primary_lease", "freeze"),
+    ("majority", "kill", 150),
+    ("majority", "freeze", 150),
+    ("primary_lease", "freeze", 600),
 )
 # How callers come back: at the time that the refusal names, or after 10 ms.
 RETRIES: dict[str, float | None] = {"as told": None, "every 10 ms": 0.01}
@@ -59,7 +59,7 @@
     await context.cluster.inject("options", statement_cost_s=STATEMENT_COST_S)
     capacity_per_s = await probe_capacity(context)
     rows: list[Row] = []
-    for policy, fault in CONDITIONS:
+    for policy, fault, callers in CONDITIONS:
         if policy not in (context.policies or (policy,)):
             continue
         if fault not in (context.faults or (fault,)):
@@ -74,7 +74,8 @@
                 fixed_retry_s=fixed_retry_s,
             )
             await context.cluster.wait_whole()
-            row = await FailoverArm(context, options, fault).run(LOAD * capacity_per_s)
+            arm = FailoverArm(context, options, fault, callers)
+            row = await arm.run(LOAD * capacity_per_s)
             condition = {"policy": policy, "fault": fault, "retries": retries}
             rows.append({**condition, **row})
             print(json.dumps({**rows[-1], "series": None}), flush=True)
@@ -118,13 +119,17 @@
     )
 
     def __init__(
-        self, context: ExperimentContext, options: WorkloadOptions, fault: str
+        self,
+        context: ExperimentContext,
+        options: WorkloadOptions,
+        fault: str,
+        callers: int,
     ) -> None:
         self.context = context
         self.options = options
         self.fault = fault
         self.record = WorkloadRecord()
-        self.arrivals = OpenArrivals(options, self.record, READY_CALLERS)
+        self.arrivals = OpenArrivals(options, self.record, callers)
         self.samples: list[QueueSample] = []
         self.failed_s = 0.0
         self.end_s = 0.0
--- a/ebonyrack/service/group_table.py
+++ b/ebonyrack/service/group_table.py
@@ -98,6 +98,7 @@
             for name, application in document.applications.items()
         }
         for group in self.services.groups.values():
+            group.primary_wait.queue.weights = weights
             for upstream in group.upstreams.values():
                 upstream.pool.set_weights(weights)
 
--- a/ebonyrack/service/operator_desk.py
+++ b/ebonyrack/service/operator_desk.py
@@ -161,7 +161,7 @@
         "term": group.term,
         "primary": group.primary_name or "",
         "is_coordinator": group.is_coordinator,
-        "waiting_for_primary": group.waiting_for_primary,
+        "waiting_for_primary": len(group.primary_wait.queue),
         "connection_share": group.connection_limit,
         "upstreams": {
             name: describe_upstream(upstream)
--- a/ebonyrack/upstreams/admission.py
+++ b/ebonyrack/upstreams/admission.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,13 +13,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
-
-INITIAL_SERVICE_S = 0.005
-# Weight of the newest measurement in the moving average of service times.
-SERVICE_SMOOTHING = 0.1
-MINIMUM_RETRY_S = 0.02
-MAXIMUM_RETRY_S = 10.0
-RETRY_JITTER = 0.25
+from ebonyrack.upstreams.service_pace import ServicePace
 
 
 class Waiter:
@@ -71,8 +64,7 @@
         callers: Queues of the applications that have waiters.
         virtual_time: Progress of the application served last.
         count: Number of waiters.
-        service_s: Moving average of how long a connection is held, in seconds.
-        next_retry_s: Monotonic time of the last return time handed out.
+        pace: How fast its requests are served.
         arrivals: Numbers for requests in the order of arrival.
     """
 
@@ -82,8 +74,7 @@
         "callers",
         "virtual_time",
         "count",
-        "service_s",
-        "next_retry_s",
+        "pace",
         "arrivals",
     )
 
@@ -93,8 +84,7 @@
         self.callers: dict[str, CallerQueue] = {}
         self.virtual_time = 0.0
         self.count = 0
-        self.service_s = INITIAL_SERVICE_S
-        self.next_retry_s = 0.0
+        self.pace = ServicePace()
         self.arrivals = itertools.count()
 
     def __len__(self) -> int:
@@ -206,14 +196,6 @@
         self.discard(waiter)
         fail_waiter(waiter, self.build_refusal(ErrorKind.QUEUE_FULL, "", servers))
 
-    def note_service(self, held_s: float) -> None:
-        """Take a measurement of how long a connection was held.
-
-        Args:
-            held_s: Seconds between grant and release.
-        """
-        self.service_s += SERVICE_SMOOTHING * (held_s - self.service_s)
-
     def estimate_wait(self, caller: str, servers: int) -> float:
         """Return the expected wait of a new request of an application, in seconds.
 
@@ -228,15 +210,11 @@
         for name, queue in self.callers.items():
             if name != caller:
                 ahead += min(len(queue.waiters), place * queue.weight / weight)
-        return ahead * self.service_s / max(1, servers)
+        return self.pace.estimate_wait(ahead, servers)
 
     def build_refusal(self, kind: ErrorKind, reason: str, servers: int) -> RequestError:
         """Build a refusal with a time to come back.
 
-        Return times are handed out one after another at the rate at which requests
-        are served, beginning after the backlog, so that refused callers don't
-        come back together.
-
         Args:
             kind: Kind of refusal.
             reason: What happened.
@@ -245,13 +223,8 @@
         Returns:
             The error.
         """
-        interval_s = self.service_s / max(1, servers)
-        now = now_s()
-        earliest_s = now + MINIMUM_RETRY_S + self.count * interval_s
-        self.next_retry_s = max(earliest_s, self.next_retry_s) + interval_s
-        self.next_retry_s = min(self.next_retry_s, now + MAXIMUM_RETRY_S)
-        jitter = 1 + random.uniform(0, RETRY_JITTER)
-        return RequestError(kind, reason, (self.next_retry_s - now) * jitter)
+        retry_after_s = self.pace.schedule_return(self.count, servers)
+        return RequestError(kind, reason, retry_after_s)
 
 
 def fail_waiter(waiter: Waiter, error: Exception) -> None:
--- a/ebonyrack/upstreams/admission_test.py
+++ b/ebonyrack/upstreams/admission_test.py
@@ -6,10 +6,10 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
-from ebonyrack.upstreams.admission import MAXIMUM_RETRY_S
-from ebonyrack.upstreams.admission import RETRY_JITTER
 from ebonyrack.upstreams.admission import AdmissionQueue
 from ebonyrack.upstreams.admission import Waiter
+from ebonyrack.upstreams.service_pace import MAXIMUM_RETRY_S
+from ebonyrack.upstreams.service_pace import RETRY_JITTER
 
 FAR_S = 3600.0
 
@@ -80,7 +80,7 @@
 
 async def test_wait_that_passes_the_deadline_is_refused_at_once(queue):
     for _ in range(100):
-        queue.note_service(1.0)
+        queue.pace.note_service(1.0)
     add_many(queue, "booking", 8)
     assert queue.estimate_wait("booking", 2) == pytest.approx(4.5, rel=0.01)
     with pytest.raises(RequestError) as caught:
@@ -100,7 +100,7 @@
             add(queue, "booking")
         returns.append(caught.value.retry_after_s)
     assert len(queue) == 10
-    rate = 1 / queue.service_s
+    rate = 1 / queue.pace.service_s
     for start_s in range(5):
         in_window = sum(start_s <= value < start_s + 1 for value in returns)
         assert in_window <= rate * (1 + RETRY_JITTER)
@@ -113,7 +113,7 @@
     for _ in range(100):
         with pytest.raises(RequestError):
             add(queue, "booking")
-    queue.next_retry_s -= FAR_S
+    queue.pace.next_retry_s -= FAR_S
     with pytest.raises(RequestError) as caught:
         add(queue, "booking")
     assert caught.value.retry_after_s < 0.1
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -18,6 +18,7 @@
 from ebonyrack.upstreams.confirmations import Confirmations
 from ebonyrack.upstreams.confirming import confirm_once
 from ebonyrack.upstreams.lag import PrimaryHistory
+from ebonyrack.upstreams.primary_wait import PrimaryWait
 from ebonyrack.upstreams.status import Role
 from ebonyrack.upstreams.upstream import Upstream
 from ebonyrack.upstreams.watch import UpstreamWatch
@@ -56,7 +57,7 @@
         history: Positions of the primary, for the lag of replicas.
         changed: Notified when the primary, a term or reachability changes.
         hold_until_s: Monotonic time until which new writes wait for a switchover.
-        waiting_for_primary: Requests that wait until there is a primary.
+        primary_wait: Requests that wait until there is a primary.
     """
 
     def __init__(self, name: str, section: GroupSection, connection_limit: int) -> None:
@@ -72,7 +73,7 @@
         self.history = PrimaryHistory()
         self.changed = Signal()
         self.hold_until_s = 0.0
-        self.waiting_for_primary = 0
+        self.primary_wait = PrimaryWait(self.changed)
         self.requested_at_s = 0.0
         self.leaving_since_s: dict[str, float] = {}
         self.watches: dict[str, UpstreamWatch] = {}
@@ -210,19 +211,22 @@
             and upstream.is_following(self.term)
         ]
 
-    async def wait_for_primary(self, deadline_s: float) -> Upstream:
+    async def wait_for_primary(self, deadline_s: float, caller: str = "") -> Upstream:
         """Wait until there is a primary that takes writes.
 
         Args:
             deadline_s: Monotonic time at which to give up.
+            caller: Name of the application that asks.
 
         Returns:
             The primary.
 
         Raises:
-            RequestError: NO_PRIMARY with the time to come back.
+            RequestError: NO_PRIMARY, QUEUE_FULL or WAIT_TOO_LONG with the time to
+                come back.
         """
         self.note_request()
+        waiter = self.primary_wait.build_waiter(caller, deadline_s)
         while True:
             held_s = self.hold_until_s - now_s()
             primary = self.primary()
@@ -232,11 +236,8 @@
             if remaining_s <= 0:
                 raise self.build_no_primary()
             wait_s = min(remaining_s, held_s) if held_s > 0 else remaining_s
-            self.waiting_for_primary += 1
-            try:
-                await self.changed.wait(wait_s)
-            finally:
-                self.waiting_for_primary -= 1
+            last_primary = self.upstreams.get(self.primary_name or "")
+            await self.primary_wait.wait(waiter, wait_s, self.section, last_primary)
 
     def hold_writes(self, hold_s: float) -> None:
         """Let new writes wait for a switchover.
@@ -321,6 +322,7 @@
         if previous is not None and not previous.is_reachable:
             # Whoever still waits for the lost primary can't be answered by it.
             close_busy(previous)
+        self.primary_wait.serve_by(self.upstreams.get(primary_name), previous)
         for upstream in (previous, self.upstreams.get(primary_name)):
             if upstream is not None:
                 self.update_work(upstream)
--- a/ebonyrack/upstreams/pool.py
+++ b/ebonyrack/upstreams/pool.py
@@ -413,7 +413,9 @@
         if connection not in self.busy:
             raise ValueError("the connection is not in use")
         granted_at_s = self.busy.pop(connection)
-        self.queue.note_service(now_s() - granted_at_s)
+        # How long a connection was held that broke tells nothing of the service.
+        if connection.is_clean:
+            self.queue.pace.note_service(now_s() - granted_at_s)
         self.keep_or_close(connection)
         self.grant_places()
 
