Split the load tool's caller and command line by noun

Options, connections to proxies and the command line are modules of their own; options that two commands share are added by one function. Nothing else changes. booking_test.py closes the caller's connections through their new owner.

--- a/ebonyrack/load/booking.py
+++ b/ebonyrack/load/booking.py
@@ -13,12 +13,12 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.load.caller import BookingCaller
-from ebonyrack.load.caller import WorkloadOptions
 from ebonyrack.load.group_check import GroupFindings
 from ebonyrack.load.group_check import check_group
 from ebonyrack.load.group_check import create_tables
 from ebonyrack.load.record import WorkloadRecord
 from ebonyrack.load.record import find_quantile
+from ebonyrack.load.workload_options import WorkloadOptions
 
 Preparation = Callable[[list[BookingCaller]], Awaitable[None]]
 
--- a/ebonyrack/load/booking_test.py
+++ b/ebonyrack/load/booking_test.py
@@ -7,11 +7,11 @@
 from ebonyrack.load.bootstrap import BootstrapError
 from ebonyrack.load.bootstrap import put_document
 from ebonyrack.load.caller import BookingCaller
-from ebonyrack.load.caller import WorkloadOptions
 from ebonyrack.load.group_check import check_group
 from ebonyrack.load.group_check import create_tables
 from ebonyrack.load.group_check import open_primary
 from ebonyrack.load.record import WorkloadRecord
+from ebonyrack.load.workload_options import WorkloadOptions
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.standins.platform import StandinPlatform
 
@@ -41,8 +41,7 @@
         await caller.read_once(proxies[1], "key", 0.0)
         await caller.read_once(proxies[0], "key", 0.0)
         assert (record.reads, record.stale_reads) == (2, 1)
-        for connection in caller.connections.values():
-            await connection.close()
+        await caller.connections.close()
 
 
 async def test_check_finds_lost_doubled_and_untruly_refused():
--- a/ebonyrack/load/caller.py
+++ b/ebonyrack/load/caller.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
 from typing import LiteralString
 
 import psycopg
@@ -14,7 +13,11 @@
 from ebonyrack.load.attempt import Failure
 from ebonyrack.load.attempt import Verdict
 from ebonyrack.load.attempt import classify_error
+from ebonyrack.load.proxy_connections import Connection
+from ebonyrack.load.proxy_connections import ProxyConnections
+from ebonyrack.load.proxy_connections import build_set
 from ebonyrack.load.record import WorkloadRecord
+from ebonyrack.load.workload_options import WorkloadOptions
 
 INSERT: LiteralString = (
     "INSERT INTO reservations (slot, booker, request) VALUES (%s, %s, %s)"
@@ -25,49 +28,8 @@
 REPLAYED_PARAMETER = b"ebonyrack.replayed"
 SERVED_BY: LiteralString = "SHOW ebonyrack.served_by"
 KEPT_OWN = 200
-CONNECT_TIMEOUT_S = 3
 RETRY_JITTER = 0.5
 
-Connection = psycopg.AsyncConnection[tuple[object, ...]]
-
-
-@dataclass(frozen=True, slots=True)
-class WorkloadOptions:
-    """How callers behave.
-
-    Attributes:
-        proxies: Proxies that callers roam between.
-        user: User.
-        password: Password.
-        database: Name of the database group.
-        write_share: Share of operations that reserve a slot.
-        visitor_share: Share of callers that never write and read a list instead.
-        visitor_age: Age that visitors accept, such as `2s`; empty for none.
-        token_share: Share of callers that hand a token from proxy to proxy.
-        sample_share: Share of reads after which the serving upstream is asked for.
-        think_s: Mean pause between two operations, in seconds.
-        attempt_timeout_s: Longest wait for an answer, in seconds.
-        use_keys: Whether reservations carry an idempotency key.
-        fixed_retry_s: Pause before each repeat, whatever a refusal says, in seconds;
-            None to obey refusals.
-        run_id: Start of every request key of the run.
-    """
-
-    proxies: tuple[Address, ...]
-    user: str = "booking"
-    password: str = ""
-    database: str = "booking"
-    write_share: float = 0.1
-    visitor_share: float = 0.0
-    visitor_age: str = ""
-    token_share: float = 0.5
-    sample_share: float = 0.2
-    think_s: float = 0.0
-    attempt_timeout_s: float = 15.0
-    use_keys: bool = True
-    fixed_retry_s: float | None = None
-    run_id: str = "run"
-
 
 class BookingCaller:
     """One caller with a connection to each proxy, used in turn.
@@ -77,7 +39,7 @@
         options: How it behaves.
         record: Where it notes what it was told.
         random: Its own source of random choices.
-        connections: Open connections by proxy.
+        connections: Its connections to the proxies.
         own: Request keys of reservations that it knows as made.
         token: Last token received, if it hands tokens on.
         uses_token: Whether it hands tokens on.
@@ -105,12 +67,13 @@
         self.options = options
         self.record = record
         self.random = random.Random(number)
-        self.connections: dict[Address, Connection] = {}
         self.own: list[str] = []
         self.token = ""
         self.uses_token = self.random.random() < options.token_share
         self.is_visitor = self.random.random() < options.visitor_share
         self.requests = 0
+        visitor_age = options.visitor_age if self.is_visitor else ""
+        self.connections = ProxyConnections(options, self.random, visitor_age)
 
     async def run(self, stop_s: float, give_up_s: float) -> None:
         """Reserve and read until it is time to stop.
@@ -127,13 +90,7 @@
                         self.random.expovariate(1 / self.options.think_s)
                     )
         finally:
-            await self.close()
-
-    async def close(self) -> None:
-        """Close the connections to all proxies."""
-        for connection in self.connections.values():
-            await connection.close()
-        self.connections.clear()
+            await self.connections.close()
 
     async def step(self, give_up_s: float) -> None:
         """Do one operation."""
@@ -147,11 +104,6 @@
             return
         await self.repeat_read(self.random.choice(self.own), None, give_up_s)
 
-    def choose_proxy(self, other_than: Address | None) -> Address:
-        """Choose a proxy, another one than given if there is one."""
-        choices = [item for item in self.options.proxies if item != other_than]
-        return self.random.choice(choices or list(self.options.proxies))
-
     async def reserve(self, give_up_s: float) -> Address | None:
         """Reserve a slot, with as many attempts as it takes.
 
@@ -168,7 +120,7 @@
         all_refused = True
         proxy: Address | None = None
         while now_s() < give_up_s:
-            proxy = self.choose_proxy(proxy)
+            proxy = self.connections.choose(proxy)
             failure = await self.attempt_reserve(proxy, key, slot, all_refused)
             if failure is None or failure.verdict is Verdict.RAN:
                 self.note_acknowledged(key, slot, started_s)
@@ -198,14 +150,14 @@
         is_sent = False
         try:
             async with asyncio.timeout(self.options.attempt_timeout_s):
-                connection = await self.connect(proxy)
+                connection = await self.connections.open(proxy)
                 if self.options.use_keys:
                     await connection.execute(build_set("idempotency_key", key))
                 is_sent = True
                 self.record.attempted_s.append(now_s())
                 await connection.execute(INSERT, (slot, f"caller-{self.number}", key))
         except (psycopg.Error, OSError, TimeoutError) as error:
-            await self.drop_if_broken(proxy, error)
+            await self.connections.drop_if_broken(proxy, error)
             return classify_error(error, is_sent)
         self.check_replayed(connection, key, all_refused)
         self.take_token(connection)
@@ -239,20 +191,20 @@
         proxy = written_at
         started_s = now_s()
         while now_s() < give_up_s:
-            proxy = self.choose_proxy(proxy)
+            proxy = self.connections.choose(proxy)
             try:
                 async with asyncio.timeout(self.options.attempt_timeout_s):
                     await self.read_once(proxy, key, started_s)
                 return
             except (psycopg.Error, OSError, TimeoutError) as error:
-                await self.drop_if_broken(proxy, error)
+                await self.connections.drop_if_broken(proxy, error)
                 failure = classify_error(error, is_sent=False)
                 self.record.failures[f"read {failure.sqlstate or 'connection'}"] += 1
                 await self.pause(failure)
 
     async def read_once(self, proxy: Address, key: str, started_s: float) -> None:
         """Read a reservation and note whether it was there."""
-        connection = await self.connect(proxy)
+        connection = await self.connections.open(proxy)
         if self.token:
             await connection.execute(build_set("token", self.token))
         if key:
@@ -277,35 +229,6 @@
         self.record.served[served_by.rpartition(" ")[2]] += 1
         return served_by
 
-    async def connect(self, proxy: Address) -> Connection:
-        """Return the open connection to a proxy, or open one."""
-        connection = self.connections.get(proxy)
-        if connection is None or connection.closed:
-            connection = await psycopg.AsyncConnection.connect(
-                host=proxy.host,
-                port=proxy.port,
-                user=self.options.user,
-                password=self.options.password,
-                dbname=self.options.database,
-                sslmode="disable",
-                gssencmode="disable",
-                autocommit=True,
-                connect_timeout=CONNECT_TIMEOUT_S,
-            )
-            self.connections[proxy] = connection
-            if self.is_visitor and self.options.visitor_age:
-                await connection.execute(build_set("max_age", self.options.visitor_age))
-        return connection
-
-    async def drop_if_broken(self, proxy: Address, error: Exception) -> None:
-        """Forget a connection that broke or whose answer is still due."""
-        connection = self.connections.get(proxy)
-        if connection is None:
-            return
-        if connection.closed or isinstance(error, TimeoutError):
-            del self.connections[proxy]
-            await connection.close()
-
     async def pause(self, failure: Failure) -> None:
         """Wait as long as the refusal says, with some jitter, or a fixed time."""
         if self.options.fixed_retry_s is not None:
@@ -313,9 +236,3 @@
             return
         jitter = 1 + RETRY_JITTER * self.random.random()
         await asyncio.sleep(failure.retry_after_s * jitter)
-
-
-def build_set(variable: str, value: str) -> bytes:
-    """Build the statement that sets one of the proxy's variables."""
-    escaped = value.replace("'", "''")
-    return f"SET ebonyrack.{variable} = '{escaped}'".encode()
--- a/ebonyrack/load/context.py
+++ b/ebonyrack/load/context.py
@@ -9,9 +9,9 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.registry import Registry
-from ebonyrack.load.caller import WorkloadOptions
 from ebonyrack.load.cluster import Cluster
 from ebonyrack.load.results import Row
+from ebonyrack.load.workload_options import WorkloadOptions
 
 
 @dataclass(slots=True)
--- a/ebonyrack/load/failover_gap.py
+++ b/ebonyrack/load/failover_gap.py
@@ -15,7 +15,6 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.registry import Registry
 from ebonyrack.load.caller import BookingCaller
-from ebonyrack.load.caller import WorkloadOptions
 from ebonyrack.load.cluster import Cluster
 from ebonyrack.load.cluster import ClusterError
 from ebonyrack.load.context import EXPERIMENTS
@@ -26,6 +25,7 @@
 from ebonyrack.load.record import WorkloadRecord
 from ebonyrack.load.record import find_quantile
 from ebonyrack.load.results import Row
+from ebonyrack.load.workload_options import WorkloadOptions
 
 WRITERS = 12
 THINK_S = 0.02
@@ -155,7 +155,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         record.unfinished.update(f"late-{number}" for number in range(len(late)))
         for caller in callers:
-            await caller.close()
+            await caller.connections.close()
 
 
 async def run_trial(
--- a/ebonyrack/load/failover_queue.py
+++ b/ebonyrack/load/failover_queue.py
@@ -9,7 +9,6 @@
 from dataclasses import replace
 
 from ebonyrack.core.clock import now_s
-from ebonyrack.load.caller import WorkloadOptions
 from ebonyrack.load.context import EXPERIMENTS
 from ebonyrack.load.context import ExperimentContext
 from ebonyrack.load.context import ExperimentResult
@@ -29,6 +28,7 @@
 from ebonyrack.load.time_steps import find_peak_rate
 from ebonyrack.load.time_steps import find_recovered_s
 from ebonyrack.load.time_steps import read_in_steps
+from ebonyrack.load.workload_options import WorkloadOptions
 
 # Statements that hold a slot this long make the slots the limit, and not the
 # processors that the stand-ins share with the proxies.
--- a/ebonyrack/load/goodput.py
+++ b/ebonyrack/load/goodput.py
@@ -102,8 +102,7 @@
 async def prepare_each(waiting: Iterable[BookingCaller]) -> None:
     """Prepare callers one after the other, until another task has taken the last."""
     for caller in waiting:
-        for proxy in caller.options.proxies:
-            await caller.connect(proxy)
+        await caller.connections.open_all()
         await caller.reserve(now_s() + PREPARE_LIMIT_S)
 
 
--- a/ebonyrack/load/open_arrivals.py
+++ b/ebonyrack/load/open_arrivals.py
@@ -7,8 +7,8 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.load.caller import BookingCaller
-from ebonyrack.load.caller import WorkloadOptions
 from ebonyrack.load.record import WorkloadRecord
+from ebonyrack.load.workload_options import WorkloadOptions
 
 OPENING_AT_ONCE = 8
 
@@ -59,14 +59,13 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        await asyncio.gather(*(caller.close() for caller in self.callers))
+        await asyncio.gather(*(caller.connections.close() for caller in self.callers))
 
     async def prepare_caller(self, gate: asyncio.Semaphore) -> None:
         """Add a caller with a connection to each proxy."""
         caller = self.add_caller()
         async with gate:
-            for proxy in self.options.proxies:
-                await caller.connect(proxy)
+            await caller.connections.open_all()
         self.free.append(caller)
 
     def add_caller(self) -> BookingCaller:
--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -9,18 +9,15 @@
 import sys
 import time
 from collections.abc import Sequence
-from pathlib import Path
 
 from loguru import logger
 
-from ebonyrack.load import experiments  # noqa: F401 (fills the registry)
 from ebonyrack.load.bench import BenchOptions
 from ebonyrack.load.bench import run_bench
 from ebonyrack.load.booking import format_table
 from ebonyrack.load.booking import run_booking
 from ebonyrack.load.bootstrap import BootstrapError
 from ebonyrack.load.bootstrap import put_document
-from ebonyrack.load.caller import WorkloadOptions
 from ebonyrack.load.cluster import Cluster
 from ebonyrack.load.cluster import ClusterError
 from ebonyrack.load.context import EXPERIMENTS
@@ -36,140 +33,14 @@
 from ebonyrack.load.results import format_rows
 from ebonyrack.load.results import read_results
 from ebonyrack.load.results import write_results
-from ebonyrack.scripts.standin import read_address_argument
-from ebonyrack.scripts.standin import read_positive
+from ebonyrack.load.workload_options import WorkloadOptions
+from ebonyrack.scripts.load_arguments import build_parser
 
 EXIT_OK = 0
 EXIT_WRONG = 1
 EXIT_USAGE = 2
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Build the parser of the command line."""
-    parser = argparse.ArgumentParser(prog="ebonyrack-load", description=__doc__)
-    commands = parser.add_subparsers(dest="command", required=True)
-    add_booking(commands)
-    add_document(commands)
-    add_bench(commands)
-    add_idle_cost(commands)
-    add_experiment(commands)
-    add_report(commands)
-    add_control_plane(commands)
-    return parser
-
-
-def add_booking(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
-    """Add the command that runs the booking workload."""
-    booking = commands.add_parser("booking", help="reserve slots and read them back")
-    for name in ("proxies", "upstreams"):
-        booking.add_argument(
-            f"--{name}",
-            nargs="+",
-            required=True,
-            type=read_address_argument,
-            metavar="IP:PORT",
-        )
-    booking.add_argument("--user", default="booking")
-    booking.add_argument("--password", default="")
-    booking.add_argument("--database", default="booking")
-    booking.add_argument("--callers", type=int, default=20)
-    booking.add_argument("--duration-s", type=read_positive, default=20.0)
-    booking.add_argument("--write-share", type=read_positive, default=0.1)
-    booking.add_argument("--think-s", type=read_positive, default=0.0)
-    booking.add_argument(
-        "--mark", type=Path, help="file with the wall time of an injected fault"
-    )
-
-
-def add_document(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
-    """Add the command that puts a first operators' document into the store."""
-    document = commands.add_parser(
-        "document", help="put the first operators' document into an empty store"
-    )
-    document.add_argument("--store", required=True, type=read_address_argument)
-    document.add_argument("--prefix", default="ebonyrack")
-    document.add_argument("--file", required=True, type=Path)
-
-
-def add_bench(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
-    """Add the command that compares a proxy with the direct connection."""
-    bench = commands.add_parser("bench", help="compare with the direct connection")
-    bench.add_argument("--proxy", required=True, type=read_address_argument)
-    bench.add_argument("--upstream", required=True, type=read_address_argument)
-    bench.add_argument("--proxy-pid", required=True, type=int)
-    bench.add_argument("--callers", type=int, default=32)
-    bench.add_argument("--duration-s", type=read_positive, default=5.0)
-    bench.add_argument("--idle-callers", type=int, default=2500)
-    bench.add_argument("--results", type=Path, default=Path("results"))
-
-
-def add_idle_cost(
-    commands: argparse._SubParsersAction[argparse.ArgumentParser],
-) -> None:
-    """Add the command that measures proxies without requests."""
-    idle = commands.add_parser("idle-cost", help="processor time and memory at rest")
-    idle.add_argument("--pids", nargs="+", required=True, type=int)
-    idle.add_argument("--groups", required=True, type=int)
-    idle.add_argument("--duration-s", type=read_positive, default=15.0)
-    idle.add_argument("--results", type=Path, default=Path("results"))
-
-
-def add_experiment(
-    commands: argparse._SubParsersAction[argparse.ArgumentParser],
-) -> None:
-    """Add the command that runs an experiment around a running cluster."""
-    experiment = commands.add_parser("experiment", help="run one experiment")
-    experiment.add_argument("name", choices=sorted(EXPERIMENTS.entries))
-    for name in ("proxies", "upstreams"):
-        experiment.add_argument(
-            f"--{name}",
-            nargs="+",
-            required=True,
-            type=read_address_argument,
-            metavar="IP:PORT",
-        )
-    for name in ("store", "control"):
-        experiment.add_argument(
-            f"--{name}", required=True, type=read_address_argument, metavar="IP:PORT"
-        )
-    experiment.add_argument("--proxy-logs", nargs="*", type=Path, default=[])
-    experiment.add_argument(
-        "--peers", nargs="*", type=read_address_argument, default=[], metavar="IP:PORT"
-    )
-    experiment.add_argument("--peer-secret", default="")
-    experiment.add_argument("--document", required=True, type=Path)
-    experiment.add_argument("--user", default="booking")
-    experiment.add_argument("--password", default="")
-    experiment.add_argument("--trials", type=int, default=20)
-    experiment.add_argument("--duration-s", type=read_positive, default=15.0)
-    experiment.add_argument("--policies", nargs="*", default=[])
-    experiment.add_argument("--faults", nargs="*", default=[])
-    experiment.add_argument("--results", type=Path, default=Path("results"))
-
-
-def add_control_plane(
-    commands: argparse._SubParsersAction[argparse.ArgumentParser],
-) -> None:
-    """Add the commands that host control planes and that measure them."""
-    host = commands.add_parser("control-host", help="proxies without callers")
-    host.add_argument("--first", type=int, required=True)
-    host.add_argument("--count", type=int, default=1)
-    host.add_argument("--data-centres", type=int, default=4)
-    measure = commands.add_parser("control-plane", help="measure such proxies")
-    measure.add_argument("--nodes", type=int, required=True)
-    measure.add_argument("--groups", type=int, default=3)
-    measure.add_argument("--edits", type=int, default=100)
-    measure.add_argument("--idle-s", type=read_positive, default=15.0)
-    measure.add_argument("--logs", nargs="+", type=Path, required=True)
-    measure.add_argument("--victim", type=Path, required=True)
-    measure.add_argument("--results", type=Path, default=Path("results"))
-    for parser in (host, measure):
-        parser.add_argument("--network", required=True, metavar="IP")
-        parser.add_argument(
-            "--store", required=True, type=read_address_argument, metavar="IP:PORT"
-        )
-
-
 async def run_host_command(arguments: argparse.Namespace) -> int:
     """Host control planes until the process is told to stop."""
     logger.remove()
@@ -206,13 +77,6 @@
     return EXIT_OK
 
 
-def add_report(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
-    """Add the command that draws the plots of the results."""
-    report = commands.add_parser("report", help="draw the plots of the results")
-    report.add_argument("--results", type=Path, default=Path("results"))
-    report.add_argument("--plots", type=Path, default=Path("docs/plots"))
-
-
 async def run_report_command(arguments: argparse.Namespace) -> int:
     """Print the table of each result and draw the plots."""
     for source in sorted(arguments.results.glob("*.jsonl")):
