Split the pool by noun: places, limit, opening

The places that a pool counts, the limit that follows refusals of the upstream, and the attempts that open connections are modules of their own; names used elsewhere stay. Changed tests: pool_test.py and pool_machine_test.py find the lowered limit in pool.limits and the function that they replace in connection_opener; same checks.

--- a/ebonyrack/upstreams/pool_machine_test.py
+++ b/ebonyrack/upstreams/pool_machine_test.py
@@ -14,6 +14,7 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import RequestError
+from ebonyrack.upstreams import connection_opener as opener_module
 from ebonyrack.upstreams import pool as pool_module
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.pool import ConnectionPool
@@ -48,8 +49,8 @@
         self.held = []
         logger.disable(pool_module.__name__)
         self.allowed = 2
-        self.original = pool_module.open_connection
-        pool_module.open_connection = self.open_connection
+        self.original = opener_module.open_connection
+        opener_module.open_connection = self.open_connection
 
     async def open_connection(self, *arguments):
         gate = self.loop.create_future()
@@ -147,11 +148,11 @@
         self.pool.resize(limit)
         self.settle()
 
-    @precondition(lambda self: self.pool.refused_at_s is not None)
+    @precondition(lambda self: self.pool.limits.refused_at_s is not None)
     @rule()
     def let_time_pass(self):
-        self.pool.refused_at_s -= 1.0
-        self.loop.call_soon(self.pool.serve_raised_limit)
+        self.pool.limits.refused_at_s -= 1.0
+        self.loop.call_soon(self.pool.limits.serve_raised)
         self.settle()
 
     @precondition(lambda self: self.held and self.pool.open_count > 1)
@@ -207,8 +208,8 @@
             assert self.pool.open_count == len(self.pool.idle) <= self.allowed
         finally:
             logger.enable(pool_module.__name__)
-            self.pool.stop_raising()
-            pool_module.open_connection = self.original
+            self.pool.limits.stop_raising()
+            opener_module.open_connection = self.original
             self.loop.close()
 
 
--- a/ebonyrack/upstreams/pool_test.py
+++ b/ebonyrack/upstreams/pool_test.py
@@ -146,7 +146,7 @@
         assert pool.present_limit == 2
         pool.release(held[0])
         assert await waiter is held[0]
-        pool.refused_at_s -= 60
+        pool.limits.refused_at_s -= 60
         assert pool.present_limit == 5
 
 
