--- a/ebonyrack/load/experiments_test.py
+++ b/ebonyrack/load/experiments_test.py
@@ -81,6 +81,10 @@
     row = {"policy": "majority", "fault": "kill", "store_up": True, "gap_s": 0.1}
     write_results(tmp_path, "failover_gap", [row])
     write_results(tmp_path, "unknown", [row])
+    names = ("attempts", "arrivals", "acknowledged", "queue", "executing")
+    series = {"series": {name: [1.0, 2.0] for name in names}, "retries": "as told"}
+    write_results(tmp_path, "failover_queue", [{**row, **series}])
+    assert "series" not in format_rows([{**row, **series}])
     drawn = draw_report(tmp_path, tmp_path / "plots")
-    assert [path.name for path in drawn] == ["failover_gap.png"]
-    assert drawn[0].stat().st_size > 0
+    assert {path.name for path in drawn} == {"failover_gap.png", "failover_queue.png"}
+    assert all(path.stat().st_size > 0 for path in drawn)
