Spread a crowd that can't be served within the longest return time

Ruled out: a longer longest time, which keeps callers away from a group that has recovered, and an even spread from 0 on, which doubles their attempts.

--- a/ebonyrack/upstreams/admission_test.py
+++ b/ebonyrack/upstreams/admission_test.py
@@ -125,3 +125,20 @@
     queue.fail_all(lambda: asyncio.InvalidStateError("gone"))
     errors = {id(waiter.granted.exception()) for waiter in waiters[1:]}
     assert (len(errors), len(queue)) == (2, 0)
+
+
+async def test_crowd_beyond_the_longest_return_time_does_not_come_together(queue):
+    queue.limit = 1
+    add(queue, "booking")
+    queue.pace.service_s = 1.0
+    returns = []
+    for _ in range(3000):
+        with pytest.raises(RequestError) as caught:
+            add(queue, "booking")
+        returns.append(caught.value.retry_after_s)
+    together = max(
+        sum(start_s <= value < start_s + 1 for value in returns)
+        for start_s in range(13)
+    )
+    assert together < len(returns) / 5
+    assert max(returns) <= MAXIMUM_RETRY_S * (1 + RETRY_JITTER)
--- a/ebonyrack/upstreams/service_pace.py
+++ b/ebonyrack/upstreams/service_pace.py
@@ -12,6 +12,8 @@
 MINIMUM_RETRY_S = 0.02
 MAXIMUM_RETRY_S = 10.0
 RETRY_JITTER = 0.25
+# A crowd that can't be served by the longest return time is spread over more of it.
+EARLY_SHARE = -0.5
 
 
 class ServicePace:
@@ -60,5 +62,5 @@
         earliest_s = now + MINIMUM_RETRY_S + self.estimate_wait(waiting, servers)
         next_s = max(earliest_s, self.next_retry_s) + self.estimate_wait(1, servers)
         self.next_retry_s = min(next_s, now + MAXIMUM_RETRY_S)
-        jitter = 1 + random.uniform(0, RETRY_JITTER)
-        return (self.next_retry_s - now) * jitter
+        spread = (0.0 if next_s == self.next_retry_s else EARLY_SHARE, RETRY_JITTER)
+        return (self.next_retry_s - now) * (1 + random.uniform(*spread))
