--- a/ebonyrack/load/context.py
+++ b/ebonyrack/load/context.py
@@ -9,9 +9,9 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.registry import Registry
-from ebonyrack.load.caller import WorkloadOptions
 from ebonyrack.load.cluster import Cluster
 from ebonyrack.load.results import Row
+from ebonyrack.load.workload_options import WorkloadOptions
 
 
 @dataclass(slots=True)
@@ -27,6 +27,8 @@
         duration_s: Length of each condition, in seconds.
         policies: Policies to compare; empty for all.
         faults: Faults to inject; empty for all.
+        peers: Addresses at which the proxies answer operators.
+        peer_secret: Secret of the proxies.
     """
 
     cluster: Cluster
@@ -37,6 +39,8 @@
     duration_s: float
     policies: tuple[str, ...] = ()
     faults: tuple[str, ...] = ()
+    peers: tuple[Address, ...] = ()
+    peer_secret: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ebonyrack/upstreams/admission_test.py
+++ b/ebonyrack/upstreams/admission_test.py
@@ -6,10 +6,10 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
-from ebonyrack.upstreams.admission import MAXIMUM_RETRY_S
-from ebonyrack.upstreams.admission import RETRY_JITTER
 from ebonyrack.upstreams.admission import AdmissionQueue
 from ebonyrack.upstreams.admission import Waiter
+from ebonyrack.upstreams.service_pace import MAXIMUM_RETRY_S
+from ebonyrack.upstreams.service_pace import RETRY_JITTER
 
 FAR_S = 3600.0
 
@@ -80,7 +80,7 @@
 
 async def test_wait_that_passes_the_deadline_is_refused_at_once(queue):
     for _ in range(100):
-        queue.note_service(1.0)
+        queue.pace.note_service(1.0)
     add_many(queue, "booking", 8)
     assert queue.estimate_wait("booking", 2) == pytest.approx(4.5, rel=0.01)
     with pytest.raises(RequestError) as caught:
@@ -100,7 +100,7 @@
             add(queue, "booking")
         returns.append(caught.value.retry_after_s)
     assert len(queue) == 10
-    rate = 1 / queue.service_s
+    rate = 1 / queue.pace.service_s
     for start_s in range(5):
         in_window = sum(start_s <= value < start_s + 1 for value in returns)
         assert in_window <= rate * (1 + RETRY_JITTER)
@@ -113,7 +113,7 @@
     for _ in range(100):
         with pytest.raises(RequestError):
             add(queue, "booking")
-    queue.next_retry_s -= FAR_S
+    queue.pace.next_retry_s -= FAR_S
     with pytest.raises(RequestError) as caught:
         add(queue, "booking")
     assert caught.value.retry_after_s < 0.1
@@ -125,3 +125,20 @@
     queue.fail_all(lambda: asyncio.InvalidStateError("gone"))
     errors = {id(waiter.granted.exception()) for waiter in waiters[1:]}
     assert (len(errors), len(queue)) == (2, 0)
+
+
+async def test_crowd_beyond_the_longest_return_time_does_not_come_together(queue):
+    queue.limit = 1
+    add(queue, "booking")
+    queue.pace.service_s = 1.0
+    returns = []
+    for _ in range(3000):
+        with pytest.raises(RequestError) as caught:
+            add(queue, "booking")
+        returns.append(caught.value.retry_after_s)
+    together = max(
+        sum(start_s <= value < start_s + 1 for value in returns)
+        for start_s in range(13)
+    )
+    assert together < len(returns) / 5
+    assert max(returns) <= MAXIMUM_RETRY_S * (1 + RETRY_JITTER)
