Record a keyed request's outcome in one send with its COMMIT

Cause: a keyed write held one of the primary's few connections for five round trips: BEGIN with the claim, the statement, the record of the outcome, COMMIT with the question for its position, the confirmation. The record went alone because an error of it had to be told from an unknown commit.

Change: record, COMMIT and question go in one send, for lone writes and for the caller's own COMMIT. An error of the record makes the COMMIT a ROLLBACK (PostgreSQL's rule for a failed transaction; the stand-in follows it, so it is unchanged) and is answered as not run; also if the connection ends behind that error, which proves it. A connection lost without an error is outcome unknown. Since nothing looks at the record's count before the COMMIT any more, the record is an upsert: it can't succeed without effect. A request that deletes its own key was refused before and now runs once. Three places built the same exchange of a commit; they are one function.

The fault matrix has the steps "queued" and "COMMIT answered" for keyed writes and the two steps of the commit for keyed transactions; all cells pass.

--- a/ebonyrack/callers/commit.py
+++ b/ebonyrack/callers/commit.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from pygwire.messages import ErrorResponse
+
+from ebonyrack.callers.answers import build_query
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import ask_last_commit
 from ebonyrack.callers.upstream_use import build_position_question
@@ -13,64 +17,142 @@
 from ebonyrack.callers.upstream_use import read_position
 from ebonyrack.callers.upstream_use import write_token
 from ebonyrack.core.errors import ErrorKind
-from ebonyrack.routing.idempotency import record_outcome
+from ebonyrack.core.errors import RequestError
+from ebonyrack.routing.idempotency import build_outcome_record
+from ebonyrack.routing.idempotency import build_refusal
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
     from ebonyrack.callers.exchange import Request
     from ebonyrack.callers.session import CallerSession
+    from ebonyrack.core.position import LogPosition
+    from ebonyrack.upstreams.connection import UpstreamConnection
 
 COMMIT_TAG = "COMMIT"
 ROLLBACK_TAG = "ROLLBACK"
 
 
-async def record_commit(session: CallerSession, key: str) -> None:
-    """Record the outcome under the idempotency key, before the commit.
+@dataclass(frozen=True, slots=True)
+class CommitAnswer:
+    """The answer to a request that may have committed.
+
+    Attributes:
+        relay: The request's own answer, still held.
+        position: Position of the connection's last commit; START if there is none.
+    """
+
+    relay: Relay
+    position: LogPosition
+
+
+async def send_commit(
+    session: CallerSession, request: Request, record: str = ""
+) -> CommitAnswer:
+    """Send a request that commits and the question for its position in one go.
 
     Args:
-        session: The session, with its transaction open.
-        key: The key, which the transaction has claimed.
+        session: The session, which holds a connection of the primary.
+        request: What to send.
+        record: Statement that records the outcome of an idempotency key in the same
+            transaction, sent ahead; an error of it makes a COMMIT a ROLLBACK.
+
+    Returns:
+        The answer.
 
     Raises:
-        RequestError: UPSTREAM_LOST; the transaction is rolled back.
+        RequestError: OUTCOME_UNKNOWN if the upstream is lost; UPSTREAM_LOST or
+            UNSUPPORTED if the transaction was surely rolled back.
     """
-    assert session.connection is not None
-    limit_s = session.group.section.answer_wait_s
+    connection = session.connection
+    assert connection is not None
+    exchange = request.render(connection)
+    relay = Relay(session, connection, exchange, holds=True)
+    question = get_contract(session).build_last_commit()
+    ahead = build_query(record) if record else b""
+    session.send_surely(ahead + exchange.data, question)
+    refusal = None
     try:
-        await record_outcome(session.connection, key, COMMIT_TAG, limit_s)
+        if record:
+            refusal = await read_refusal(session, connection)
+        await relay.run()
+        position = await ask_last_commit(session, question)
     except UpstreamLostError as error:
-        raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+        kind = ErrorKind.OUTCOME_UNKNOWN if refusal is None else refusal.kind
+        raise session.lose_upstream(error, kind) from error
+    if refusal is not None:
+        raise check_rolled_back(relay, refusal)
+    return CommitAnswer(relay, position)
+
+
+async def read_refusal(
+    session: CallerSession, connection: UpstreamConnection
+) -> RequestError | None:
+    """Read the answer to the record of an outcome.
 
+    Args:
+        session: The session.
+        connection: The connection that it holds.
+
+    Returns:
+        The upstream's error, or None if the outcome is recorded. An error proves
+        that the transaction is rolled back, also if the connection ends with it.
 
-async def commit_write(session: CallerSession, request: Request) -> bool:
-    """Send COMMIT and the question for its position in one go.
+    Raises:
+        UpstreamLostError: If the connection ended without an error.
+    """
+    refusal: RequestError | None = None
+    while True:
+        try:
+            message = await session.wait_for_message(connection)
+        except UpstreamLostError:
+            if refusal is None:
+                raise
+            return refusal
+        if message.kind == b"E":
+            refusal = build_refusal(ErrorResponse.decode(message.payload).fields)
+        if message.kind == b"Z":
+            return refusal
+
+
+def check_rolled_back(relay: Relay, refusal: RequestError) -> RequestError:
+    """Check that the COMMIT behind a record that was refused has rolled back.
+
+    Args:
+        relay: Answer to the COMMIT.
+        refusal: The upstream's error for the record.
+
+    Returns:
+        The error for the caller: the refusal, or OUTCOME_UNKNOWN if the upstream
+        says that it committed all the same.
+    """
+    if COMMIT_TAG not in relay.tags:
+        return refusal
+    return RequestError(ErrorKind.OUTCOME_UNKNOWN, refusal.reason)
+
+
+async def commit_write(session: CallerSession, request: Request, key: str) -> bool:
+    """Commit the caller's transaction.
 
     Args:
         session: The session, with its transaction open.
         request: The caller's COMMIT.
+        key: Idempotency key that the transaction has claimed, or an empty string.
 
     Returns:
         Whether it succeeded.
 
     Raises:
-        RequestError: OUTCOME_UNKNOWN or UPSTREAM_LOST.
+        RequestError: OUTCOME_UNKNOWN, or UPSTREAM_LOST if it was rolled back.
     """
     connection = session.connection
     assert connection is not None
-    exchange = request.render(connection)
-    relay = Relay(session, connection, exchange, holds=True)
-    question = get_contract(session).build_last_commit()
-    session.send_surely(exchange.data, question)
-    try:
-        await relay.run()
-        session.transaction.status = connection.transaction_status
-        position = await ask_last_commit(session, question)
-    except UpstreamLostError as error:
-        raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+    record = build_outcome_record(key, COMMIT_TAG) if key else ""
+    answer = await send_commit(session, request, record)
+    relay = answer.relay
     has_committed = relay.error is None and relay.tags != [ROLLBACK_TAG]
     session.transaction.follow_status()
     if has_committed:
-        await finish_write(session, connection, position)
+        await finish_write(session, connection, answer.position)
     session.stream.write(relay.output)
     if has_committed:
         write_token(session)
--- a/ebonyrack/callers/fault_matrix_test.py
+++ b/ebonyrack/callers/fault_matrix_test.py
@@ -221,6 +221,7 @@
 LONE = (INSERT,)
 TRANSACTION = ("BEGIN", INSERT, "COMMIT")
 KEYED = ("SET ebonyrack.idempotency_key = 'k'", INSERT)
+KEYED_TRANSACTION = (KEYED[0], *TRANSACTION)
 # What a caller may be told; whether it is true is checked beside it.
 BEFORE = {"caller_gone": {GONE}, "cancelled": {OK, NO}}
 SENT = {"caller_gone": {GONE}, "cancelled": {OK, NO, UNKNOWN}}
@@ -258,11 +259,15 @@
     ("transaction", TRANSACTION, "COMMIT sent", UNSURE),
     ("transaction", TRANSACTION, "COMMIT answered", SETTLED),
     ("transaction", TRANSACTION, "confirmation", LATE),
+    ("keyed write", KEYED, "queued", NOT_RUN | {"connection_lost": {NO, OK}}),
     ("keyed write", KEYED, "connection taken", NOT_RUN),
     ("keyed write", KEYED, "BEGIN", NOT_RUN),
     ("keyed write", KEYED, "statement sent", NOT_RUN),
     ("keyed write", KEYED, "COMMIT sent", UNSURE),
+    ("keyed write", KEYED, "COMMIT answered", SETTLED),
     ("keyed write", KEYED, "confirmation", LATE),
+    ("keyed transaction", KEYED_TRANSACTION, "COMMIT sent", UNSURE),
+    ("keyed transaction", KEYED_TRANSACTION, "COMMIT answered", SETTLED),
 ]
 
 
--- /dev/null
+++ b/ebonyrack/callers/own_request.py
@@ -0,0 +1,38 @@
+"""Transaction control that the proxy itself sends, without the caller's knowledge."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.exchange import SWALLOWED
+from ebonyrack.callers.exchange import Exchange
+
+if TYPE_CHECKING:
+    from ebonyrack.upstreams.connection import UpstreamConnection
+
+
+@dataclass(frozen=True, slots=True)
+class OwnRequest:
+    """A statement of the proxy, of whose answer the caller sees nothing.
+
+    Attributes:
+        sql: The statement.
+    """
+
+    sql: str
+
+    def render(self, connection: UpstreamConnection) -> Exchange:
+        """Build the exchange, the same for every connection."""
+        return Exchange(build_query(self.sql), deque([SWALLOWED]))
+
+    def build_replay(self, tags: list[str]) -> bytes:
+        """Build no answer at all."""
+        return b""
+
+
+OWN_BEGIN = "BEGIN"
+OWN_COMMIT = OwnRequest("COMMIT")
+OWN_ROLLBACK = OwnRequest("ROLLBACK")
--- a/ebonyrack/callers/pipeline.py
+++ b/ebonyrack/callers/pipeline.py
@@ -2,59 +2,33 @@
 
 from __future__ import annotations
 
-from collections import deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pygwire.messages import Query
-
 from ebonyrack.callers.chunk import Chunk
 from ebonyrack.callers.chunk import ChunkItem
 from ebonyrack.callers.control_chunk import is_control
 from ebonyrack.callers.control_chunk import run_control_chunk
 from ebonyrack.callers.control_chunk import split_items
 from ebonyrack.callers.dispatch import run_data
-from ebonyrack.callers.exchange import SWALLOWED
-from ebonyrack.callers.exchange import Exchange
+from ebonyrack.callers.own_request import OWN_BEGIN
+from ebonyrack.callers.own_request import OWN_COMMIT
+from ebonyrack.callers.own_request import OWN_ROLLBACK
 from ebonyrack.callers.prepared import read_message
 from ebonyrack.callers.prepared import read_statement
 from ebonyrack.callers.statement_store import StatementStore
 from ebonyrack.callers.transaction import IDLE
 from ebonyrack.callers.transaction import OPEN
-from ebonyrack.callers.transaction import OWN_BEGIN
-from ebonyrack.callers.transaction import OWN_COMMIT
-from ebonyrack.callers.transaction import OWN_ROLLBACK
 from ebonyrack.core.errors import RequestError
 
 if TYPE_CHECKING:
     from ebonyrack.callers.prepared import PreparedStatement
     from ebonyrack.callers.session import CallerSession
     from ebonyrack.upstreams.connection import Message
-    from ebonyrack.upstreams.connection import UpstreamConnection
 
 # A pipeline longer than this runs in parts, as if the caller had sent a Flush.
 COLLECTED_BYTES = 1024 * 1024
 
 
-@dataclass(frozen=True, slots=True)
-class OwnRequest:
-    """Transaction control by the proxy itself, of which the caller sees nothing.
-
-    Attributes:
-        sql: The statement.
-    """
-
-    sql: str
-
-    def render(self, connection: UpstreamConnection) -> Exchange:
-        """Build the exchange, the same for every connection."""
-        return Exchange(Query(query_string=self.sql).to_wire(), deque([SWALLOWED]))
-
-    def build_replay(self, tags: list[str]) -> bytes:
-        """Build no answer at all."""
-        return b""
-
-
 class Pipeline:
     """Extended-query messages of one session.
 
@@ -196,9 +170,9 @@
         transaction = session.transaction
         try:
             if transaction.status == OPEN:
-                await transaction.commit(OwnRequest(OWN_COMMIT))
+                await transaction.commit(OWN_COMMIT)
             else:
-                await transaction.roll_back(OwnRequest(OWN_ROLLBACK))
+                await transaction.roll_back(OWN_ROLLBACK)
         except RequestError as error:
             session.fail(error)
         # Whatever happened, the caller never opened this transaction.
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -9,7 +9,6 @@
 from ebonyrack.callers.commit import ROLLBACK_TAG
 from ebonyrack.callers.commit import commit_read
 from ebonyrack.callers.commit import commit_write
-from ebonyrack.callers.commit import record_commit
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import ask_last_commit
 from ebonyrack.callers.upstream_use import confirm_replay
@@ -33,9 +32,6 @@
 IDLE = "I"
 OPEN = "T"
 FAILED = "E"
-OWN_BEGIN = "BEGIN"
-OWN_COMMIT = "COMMIT"
-OWN_ROLLBACK = "ROLLBACK"
 
 
 class Transaction:
@@ -262,10 +258,9 @@
             await session.await_cancel()
             if session.connection is None:
                 return self.commit_nothing(request)
-            if self.key and self.status == OPEN:
-                await record_commit(session, self.key)
             if self.has_written:
-                return await commit_write(session, request)
+                key = self.key if self.status == OPEN else ""
+                return await commit_write(session, request, key)
             return await commit_read(session, request)
         except RequestError:
             # The transaction is over for the caller, whatever became of it.
--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -5,20 +5,20 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.answers import build_parameter
-from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.commit import COMMIT_TAG
+from ebonyrack.callers.commit import send_commit
+from ebonyrack.callers.own_request import OWN_COMMIT
 from ebonyrack.callers.relay import Relay
-from ebonyrack.callers.upstream_use import ask_last_commit
 from ebonyrack.callers.upstream_use import confirm_replay
 from ebonyrack.callers.upstream_use import finish_write
-from ebonyrack.callers.upstream_use import get_contract
 from ebonyrack.callers.upstream_use import run_control
 from ebonyrack.callers.upstream_use import take_primary
 from ebonyrack.callers.upstream_use import write_token
 from ebonyrack.callers.variables import REPLAYED
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.routing.idempotency import build_outcome_record
 from ebonyrack.routing.idempotency import claim_key
-from ebonyrack.routing.idempotency import record_outcome
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
@@ -72,15 +72,8 @@
     """
     connection = session.connection
     assert connection is not None
-    exchange = request.render(connection)
-    relay = Relay(session, connection, exchange, holds=True)
-    question = get_contract(session).build_last_commit()
-    session.send_surely(exchange.data, question)
-    try:
-        await relay.run()
-        position = await ask_last_commit(session, question)
-    except UpstreamLostError as error:
-        raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+    answer = await send_commit(session, request)
+    relay = answer.relay
     if relay.sqlstate == READ_ONLY_SQLSTATE and relay.completed == 0:
         raise RequestError(ErrorKind.NO_PRIMARY, "the upstream is a replica now")
     session.note_served()
@@ -90,7 +83,7 @@
         session.transaction.adopt()
     # An error after a completed command may follow a COMMIT within the query.
     if relay.error is None or relay.completed:
-        await finish_write(session, connection, position)
+        await finish_write(session, connection, answer.position)
         session.stream.write(relay.output)
         write_token(session)
     else:
@@ -193,46 +186,42 @@
             await run_control(session, "ROLLBACK")
             session.stream.write(relay.output)
             return False
-        check_still_open(session)
-        outcome = TAG_SEPARATOR.join(relay.tags)
-        limit_s = session.group.section.answer_wait_s
-        await record_outcome(connection, key, outcome, limit_s)
     except UpstreamLostError as error:
         raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
-    await commit_keyed_write(session)
+    check_still_open(session)
+    await commit_keyed_write(session, key, TAG_SEPARATOR.join(relay.tags))
     session.stream.write(relay.output)
     session.stream.write(build_parameter(REPLAYED, "off"))
     write_token(session)
     return True
 
 
-async def commit_keyed_write(session: CallerSession) -> None:
+async def commit_keyed_write(session: CallerSession, key: str, outcome: str) -> None:
     """Commit the transaction that the proxy opened for a keyed write.
 
     Args:
         session: The session, with the transaction on its connection.
+        key: The key.
+        outcome: What a repeat is told.
 
     Raises:
         RequestError: OUTCOME_UNKNOWN, or UPSTREAM_LOST if it did not run.
     """
     connection = session.connection
     assert connection is not None
-    question = get_contract(session).build_last_commit()
-    session.send_surely(build_query("COMMIT"), question)
+    record = build_outcome_record(key, outcome)
+    await session.await_cancel()
     session.is_committing = True
     try:
-        answer = await session.read_control_answer()
-        position = await ask_last_commit(session, question)
-    except UpstreamLostError as error:
-        raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+        answer = await send_commit(session, OWN_COMMIT, record)
     finally:
         session.is_committing = False
-    if answer.error is not None or answer.tag != "COMMIT":
-        message = (answer.error or {}).get("M", "rolled back")
-        raise RequestError(ErrorKind.UPSTREAM_LOST, f"COMMIT was refused: {message}")
+    if answer.relay.tags != [COMMIT_TAG]:
+        reason = f"COMMIT was refused: {answer.relay.sqlstate or 'rolled back'}"
+        raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
     session.note_served()
     session.release_connection()
-    await finish_write(session, connection, position)
+    await finish_write(session, connection, answer.position)
 
 
 def check_still_open(session: CallerSession) -> None:
--- a/ebonyrack/routing/idempotency.py
+++ b/ebonyrack/routing/idempotency.py
@@ -109,29 +109,29 @@
     return Claim(False, decode_text(answer.rows[0][0] or ""))
 
 
-async def record_outcome(
-    connection: UpstreamConnection, key: str, outcome: str, timeout_s: float
-) -> None:
-    """Record the outcome of a claimed key, before the transaction commits.
+def build_outcome_record(key: str, outcome: str) -> str:
+    """Build the statement that records the outcome of a claimed key.
+
+    It goes to the upstream in one send with the COMMIT, so it must not succeed
+    without effect: a row that the request itself has deleted is inserted again.
 
     Args:
-        connection: The connection that claimed the key, in the same transaction.
-        key: The key.
+        key: The key, which the transaction that is open has claimed.
         outcome: What a repeat is told.
-        timeout_s: Seconds to wait.
+
+    Returns:
+        The statement; `build_refusal` reads its error.
 
     Raises:
-        RequestError: UNSUPPORTED if the outcome is too long, UPSTREAM_LOST if the
-            upstream refuses; nothing was committed.
-        UpstreamLostError: If the upstream is lost.
+        RequestError: UNSUPPORTED if the outcome is too long.
     """
     literal = encode_text(key, MAXIMUM_KEY_BYTES)
     value = encode_text(outcome, MAXIMUM_OUTCOME_BYTES)
-    update = f"UPDATE {REQUEST_TABLE} SET outcome = '{value}' WHERE key = '{literal}'"
-    answer = await connection.query(update, timeout_s)
-    raise_refusal(answer)
-    if answer.tag != "UPDATE 1":
-        raise RequestError(ErrorKind.UPSTREAM_LOST, "the claimed key is gone")
+    return (
+        f"INSERT INTO {REQUEST_TABLE} (key, outcome, created_at)"
+        f" VALUES ('{literal}', '{value}', now())"
+        " ON CONFLICT (key) DO UPDATE SET outcome = excluded.outcome"
+    )
 
 
 async def remove_expired(
@@ -175,10 +175,20 @@
     Raises:
         RequestError: UNSUPPORTED if a repeat can't help, else UPSTREAM_LOST.
     """
-    if answer.error is None:
-        return
-    sqlstate = answer.error.get("C", "")
+    if answer.error is not None:
+        raise build_refusal(answer.error)
+
+
+def build_refusal(fields: dict[str, str]) -> RequestError:
+    """Build the error for a statement on keys that an upstream refused.
+
+    Args:
+        fields: Fields of the upstream's ErrorResponse.
+
+    Returns:
+        The error; nothing was committed.
+    """
+    sqlstate = fields.get("C", "")
     is_lasting = sqlstate in LASTING_FAULTS
     kind = ErrorKind.UNSUPPORTED if is_lasting else ErrorKind.UPSTREAM_LOST
-    reason = f"{REQUEST_TABLE}: {sqlstate} {answer.error.get('M', '')}"
-    raise RequestError(kind, reason)
+    return RequestError(kind, f"{REQUEST_TABLE}: {sqlstate} {fields.get('M', '')}")
--- a/ebonyrack/routing/idempotency_test.py
+++ b/ebonyrack/routing/idempotency_test.py
@@ -8,10 +8,10 @@
 from ebonyrack.core.errors import RequestError
 from ebonyrack.routing.idempotency import MAXIMUM_KEY_BYTES
 from ebonyrack.routing.idempotency import Claim
+from ebonyrack.routing.idempotency import build_outcome_record
 from ebonyrack.routing.idempotency import claim_key
 from ebonyrack.routing.idempotency import decode_text
 from ebonyrack.routing.idempotency import encode_text
-from ebonyrack.routing.idempotency import record_outcome
 from ebonyrack.routing.idempotency import remove_expired
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.upstreams.connection import UpstreamLostError
@@ -41,7 +41,7 @@
         await run(connection, "ROLLBACK")
         return claim
     answer = await run(connection, BOOK.format(request))
-    await record_outcome(connection, key, answer.tag, WAIT_S)
+    await run(connection, build_outcome_record(key, answer.tag))
     await run(connection, "COMMIT")
     return claim
 
