Give the repeat of a keyed request the rows that the first one got

Beside it: a lone repeat of a transaction's key was answered with the tag COMMIT, one whose outcome was not recorded with an empty tag, and a repeat that carried a Parse did not keep the statement that it answered as parsed.

Change: frames that describe or carry rows go into the key's row, packed by msgpack, at most 8 KiB; a larger answer is rolled back and refused with ran=no before the commit. They are given again only to a request of the same form (protocol, statement, result formats, what is described); another form, a transaction's key and a damaged record are answered with ran=yes. Records without rows stay as they were, so the table's schema does not change.

--- a/ebonyrack/callers/chunk.py
+++ b/ebonyrack/callers/chunk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
@@ -21,10 +22,13 @@
 from ebonyrack.callers.exchange import Exchange
 from ebonyrack.callers.exchange import Step
 from ebonyrack.callers.prepared import build_frame
+from ebonyrack.callers.prepared import read_result_formats
 from ebonyrack.callers.statement import Statement
 from ebonyrack.callers.statement import StatementKind
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from ebonyrack.callers.prepared import PipelineMessage
     from ebonyrack.callers.prepared import PreparedStatement
     from ebonyrack.upstreams.connection import UpstreamConnection
@@ -35,6 +39,9 @@
 NO_DATA = NoData().to_wire()
 NO_PARAMETERS = ParameterDescription(type_oids=[]).to_wire()
 SYNC = Sync().to_wire()
+FORM_BYTES = 16
+# Kinds of messages whose answer is recorded, and the kinds of frames that end it.
+ANSWERED_KINDS = {b"D": frozenset({b"T", b"n"}), b"E": frozenset({b"C", b"I", b"s"})}
 # Statements that one upstream connection keeps prepared.
 MAXIMUM_PREPARED = 256
 
@@ -117,26 +124,89 @@
         renderer.data += SYNC
         return Exchange(bytes(renderer.data), renderer.steps)
 
-    def build_replay(self, tags: list[str]) -> bytes:
-        """Build the answer from the command tags of an earlier run.
+    @property
+    def form(self) -> bytes:
+        """Digest of what is executed and of how its answer is described and laid out.
+
+        Whether a statement is parsed along with it or was prepared before makes no
+        difference.
+        """
+        digest = hashlib.blake2b(digest_size=FORM_BYTES)
+        for item in self.items:
+            message = item.message
+            if message.kind in ANSWERED_KINDS:
+                digest.update(message.kind + message.target)
+            if message.kind == b"E":
+                digest.update(message.rest)
+            if message.kind == b"B" and item.prepared is not None:
+                digest.update(read_result_formats(message.rest))
+                digest.update(item.prepared.text.encode() + b"\x00")
+        return digest.digest()
+
+    def build_replay(self, tags: Sequence[str], frames: Sequence[bytes] = ()) -> bytes:
+        """Build the answer from the record of an earlier run.
 
         Args:
             tags: Command tag of each Execute.
+            frames: Recorded answers to each Describe and Execute, instead of tags.
 
         Returns:
             The frames.
         """
-        remaining = deque(tags)
-        frames = bytearray()
-        for item in self.items:
-            kind = item.message.kind
-            if kind == b"E":
-                frames += build_complete(remaining.popleft() if remaining else "")
-            elif kind == b"D" and item.message.is_about_statement:
-                frames += NO_PARAMETERS + NO_DATA
-            else:
-                frames += LOCAL_ANSWERS[kind]
-        return bytes(frames)
+        done = Step(Completion.LOCAL, PARSE_COMPLETE, is_done=True)
+        self.definitions = [
+            (done, item.message.statement, item.prepared)
+            for item in self.items
+            if item.message.kind == b"P" and item.prepared is not None
+        ]
+        if frames:
+            return build_recorded(self.items, deque(frames))
+        return build_tagged(self.items, deque(tags))
+
+
+def build_tagged(items: list[ChunkItem], tags: deque[str]) -> bytes:
+    """Build the answer to commands that answer no rows.
+
+    Args:
+        items: The messages.
+        tags: Command tag of each Execute.
+
+    Returns:
+        The frames.
+    """
+    answer = bytearray()
+    for item in items:
+        kind = item.message.kind
+        if kind == b"E":
+            answer += build_complete(tags.popleft() if tags else "")
+        elif kind == b"D" and item.message.is_about_statement:
+            answer += NO_PARAMETERS + NO_DATA
+        else:
+            answer += LOCAL_ANSWERS[kind]
+    return bytes(answer)
+
+
+def build_recorded(items: list[ChunkItem], frames: deque[bytes]) -> bytes:
+    """Build the answer from frames that were recorded for the same messages.
+
+    Args:
+        items: The messages.
+        frames: Answers to each Describe and Execute.
+
+    Returns:
+        The frames.
+    """
+    answer = bytearray()
+    for item in items:
+        last_kinds = ANSWERED_KINDS.get(item.message.kind)
+        if last_kinds is None:
+            answer += LOCAL_ANSWERS[item.message.kind]
+            continue
+        frame = b""
+        while frame[:1] not in last_kinds:
+            frame = frames.popleft()
+            answer += frame
+    return bytes(answer)
 
 
 LOCAL_ANSWERS = {
--- a/ebonyrack/callers/commit.py
+++ b/ebonyrack/callers/commit.py
@@ -8,6 +8,7 @@
 from pygwire.messages import ErrorResponse
 
 from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.recorded_answer import COMMIT_TAG
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import ask_last_commit
 from ebonyrack.callers.upstream_use import build_position_question
@@ -28,7 +29,6 @@
     from ebonyrack.core.position import LogPosition
     from ebonyrack.upstreams.connection import UpstreamConnection
 
-COMMIT_TAG = "COMMIT"
 ROLLBACK_TAG = "ROLLBACK"
 
 
--- a/ebonyrack/callers/conftest.py
+++ b/ebonyrack/callers/conftest.py
@@ -261,17 +261,32 @@
     """Run a proxy; keywords change its settings and the group's section."""
     async with StandinGroup(options=options) as standins:
         record = standins.section(**section)
-        async with DatabaseGroup(GROUP, record, limit) as group:
-            services = make_services(group, record, application or {}, proxy or {})
-            async with services.read_indexes[GROUP]:
-                async with CallerListener(services) as listener:
-                    running = Proxy(standins, group, listener)
-                    await wait_until(lambda: len(group.replicas()) == 2)
-                    try:
-                        yield running
-                    finally:
-                        for stream in running.streams:
-                            stream.transport.abort()
+        async with serve_group(
+            standins, record, application or {}, proxy or {}, limit
+        ) as running:
+            yield running
+
+
+@asynccontextmanager
+async def serve_group(
+    standins: StandinGroup,
+    record: GroupSection,
+    application: dict[str, Any],
+    proxy: dict[str, Any],
+    limit: int = 10,
+) -> AsyncIterator[Proxy]:
+    """Run a proxy before a group that runs already."""
+    async with DatabaseGroup(GROUP, record, limit) as group:
+        services = make_services(group, record, application, proxy)
+        async with services.read_indexes[GROUP]:
+            async with CallerListener(services) as listener:
+                running = Proxy(standins, group, listener)
+                await wait_until(lambda: len(group.replicas()) == 2)
+                try:
+                    yield running
+                finally:
+                    for stream in running.streams:
+                        stream.transport.abort()
 
 
 @pytest.fixture
--- a/ebonyrack/callers/exchange.py
+++ b/ebonyrack/callers/exchange.py
@@ -12,6 +12,8 @@
 from ebonyrack.callers.prepared import HEADER_BYTES
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from ebonyrack.upstreams.connection import UpstreamConnection
 
 
@@ -72,11 +74,16 @@
             The exchange.
         """
 
-    def build_replay(self, tags: list[str]) -> bytes:
+    @property
+    def form(self) -> bytes:
+        """What the layout of its answer depends on, for a repeat to compare."""
+
+    def build_replay(self, tags: Sequence[str], frames: Sequence[bytes] = ()) -> bytes:
         """Build the answer without an upstream.
 
         Args:
             tags: Command tags, one for each command.
+            frames: Recorded answer to a request of the same form, instead of tags.
 
         Returns:
             The frames.
@@ -97,9 +104,14 @@
         """Build the exchange, the same for every connection."""
         return Exchange(self.raw)
 
-    def build_replay(self, tags: list[str]) -> bytes:
-        """Build the answer from command tags."""
-        return b"".join(build_complete(tag) for tag in tags)
+    @property
+    def form(self) -> bytes:
+        """The same for all simple queries, whose answers describe themselves."""
+        return b"Q"
+
+    def build_replay(self, tags: Sequence[str], frames: Sequence[bytes] = ()) -> bytes:
+        """Build the answer from recorded frames or else from command tags."""
+        return b"".join(frames or [build_complete(tag) for tag in tags])
 
     @property
     def text(self) -> str:
--- a/ebonyrack/callers/own_request.py
+++ b/ebonyrack/callers/own_request.py
@@ -11,6 +11,8 @@
 from ebonyrack.callers.exchange import Exchange
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from ebonyrack.upstreams.connection import UpstreamConnection
 
 
@@ -28,7 +30,12 @@
         """Build the exchange, the same for every connection."""
         return Exchange(build_query(self.sql), deque([SWALLOWED]))
 
-    def build_replay(self, tags: list[str]) -> bytes:
+    @property
+    def form(self) -> bytes:
+        """Empty: it is never repeated under a key."""
+        return b""
+
+    def build_replay(self, tags: Sequence[str], frames: Sequence[bytes] = ()) -> bytes:
         """Build no answer at all."""
         return b""
 
--- a/ebonyrack/callers/prepared.py
+++ b/ebonyrack/callers/prepared.py
@@ -18,6 +18,9 @@
 HEADER = struct.Struct("!cI")
 HEADER_BYTES = HEADER.size
 LENGTH_BYTES = 4
+COUNT = struct.Struct("!H")
+# The length of a value is -1 for NULL.
+VALUE_LENGTH = struct.Struct("!i")
 NAME_PREFIX = b"ebonyrack_"
 NAME_DIGEST_BYTES = 16
 CACHED_STATEMENTS = 1024
@@ -140,6 +143,32 @@
     return body[:end], body[end + 1 :]
 
 
+def read_result_formats(rest: bytes) -> bytes:
+    """Find the result formats in a Bind message.
+
+    Args:
+        rest: What follows the names: formats and values of the parameters, then
+            the formats.
+
+    Returns:
+        Their number and the formats, as they stand in the message.
+
+    Raises:
+        RequestError: BAD_REQUEST if the message is not whole.
+    """
+    try:
+        (format_count,) = COUNT.unpack_from(rest)
+        offset = COUNT.size * (1 + format_count)
+        (value_count,) = COUNT.unpack_from(rest, offset)
+        offset += COUNT.size
+        for _ in range(value_count):
+            (value_bytes,) = VALUE_LENGTH.unpack_from(rest, offset)
+            offset += VALUE_LENGTH.size + max(value_bytes, 0)
+    except struct.error as error:
+        raise RequestError(ErrorKind.BAD_REQUEST, f"Bind: {error}") from error
+    return rest[offset:]
+
+
 @functools.lru_cache(maxsize=CACHED_STATEMENTS)
 def read_statement(body: bytes, is_named: bool) -> PreparedStatement:
     """Read the statement of a Parse message; sessions share equal ones.
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -5,10 +5,11 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.answers import build_query
-from ebonyrack.callers.commit import COMMIT_TAG
 from ebonyrack.callers.commit import ROLLBACK_TAG
 from ebonyrack.callers.commit import commit_read
 from ebonyrack.callers.commit import commit_write
+from ebonyrack.callers.recorded_answer import COMMIT_TAG
+from ebonyrack.callers.recorded_answer import decode_answer
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import ask_last_commit
 from ebonyrack.callers.upstream_use import confirm_replay
@@ -236,7 +237,8 @@
             self.has_written = True
             return
         await confirm_replay(session)
-        raise RequestError(ErrorKind.ALREADY_RAN, f"outcome {claim.outcome}")
+        tags = ", ".join(decode_answer(claim.outcome).tags)
+        raise RequestError(ErrorKind.ALREADY_RAN, f"outcome {tags}")
 
     async def commit(self, request: Request) -> bool:
         """Commit, and answer once a majority holds the transaction.
--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -5,9 +5,12 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.answers import build_parameter
-from ebonyrack.callers.commit import COMMIT_TAG
 from ebonyrack.callers.commit import send_commit
 from ebonyrack.callers.own_request import OWN_COMMIT
+from ebonyrack.callers.recorded_answer import COMMIT_TAG
+from ebonyrack.callers.recorded_answer import build_repeat
+from ebonyrack.callers.recorded_answer import encode_answer
+from ebonyrack.callers.recorded_answer import make_answer
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import confirm_replay
 from ebonyrack.callers.upstream_use import finish_write
@@ -28,7 +31,6 @@
 IDLE = "I"
 OPEN = "T"
 READ_ONLY_SQLSTATE = "25006"
-TAG_SEPARATOR = "\n"
 
 
 async def run_write(session: CallerSession, request: Request) -> bool:
@@ -145,16 +147,17 @@
     Args:
         session: The session, whose connection has found the outcome.
         request: The request.
-        outcome: Command tags as they were recorded.
+        outcome: Outcome as it was recorded.
 
     Returns:
         True.
 
     Raises:
-        RequestError: OUTCOME_UNKNOWN if no majority holds the outcome in time.
+        RequestError: OUTCOME_UNKNOWN if no majority holds the outcome in time,
+            ALREADY_RAN if the record does not answer this request.
     """
     await confirm_replay(session)
-    session.stream.write(request.build_replay(outcome.split(TAG_SEPARATOR)))
+    session.stream.write(build_repeat(request, outcome))
     session.stream.write(build_parameter(REPLAYED, "on"))
     write_token(session)
     return True
@@ -173,7 +176,7 @@
 
     Raises:
         RequestError: UPSTREAM_LOST if it did not run, OUTCOME_UNKNOWN if that is
-            not known.
+            not known, UNSUPPORTED if its rows are too large to be recorded.
     """
     connection = session.connection
     assert connection is not None
@@ -189,27 +192,31 @@
     except UpstreamLostError as error:
         raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
     check_still_open(session)
-    await commit_keyed_write(session, key, TAG_SEPARATOR.join(relay.tags))
+    try:
+        outcome = encode_answer(make_answer(request, relay))
+        record = build_outcome_record(key, outcome)
+    except RequestError:
+        await run_control(session, "ROLLBACK")
+        raise
+    await commit_keyed_write(session, record)
     session.stream.write(relay.output)
     session.stream.write(build_parameter(REPLAYED, "off"))
     write_token(session)
     return True
 
 
-async def commit_keyed_write(session: CallerSession, key: str, outcome: str) -> None:
+async def commit_keyed_write(session: CallerSession, record: str) -> None:
     """Commit the transaction that the proxy opened for a keyed write.
 
     Args:
         session: The session, with the transaction on its connection.
-        key: The key.
-        outcome: What a repeat is told.
+        record: Statement that records the outcome under the key.
 
     Raises:
         RequestError: OUTCOME_UNKNOWN, or UPSTREAM_LOST if it did not run.
     """
     connection = session.connection
     assert connection is not None
-    record = build_outcome_record(key, outcome)
     await session.await_cancel()
     session.is_committing = True
     try:
--- a/ebonyrack/routing/idempotency.py
+++ b/ebonyrack/routing/idempotency.py
@@ -13,13 +13,9 @@
 from ebonyrack.upstreams.connection import UpstreamConnection
 
 REQUEST_TABLE = "ebonyrack_requests"
-CREATE_REQUEST_TABLE = (
-    f"CREATE TABLE IF NOT EXISTS {REQUEST_TABLE} (key text PRIMARY KEY,"
-    " outcome text NOT NULL, created_at timestamptz NOT NULL)"
-)
 # The encoded key takes up to three times as much and must fit an index entry.
 MAXIMUM_KEY_BYTES = 800
-MAXIMUM_OUTCOME_BYTES = 1000
+MAXIMUM_OUTCOME_BYTES = 12 * 1024
 DELETED_ROWS = 500
 # No repeat can bring these to an end: the table is missing or not to be written.
 LASTING_FAULTS = frozenset({"42P01", "42501", "42703"})
