Read the SQLSTATE behind the frame's header; test stale prepared statements

Cause: the test of a prepared statement made stale by ALTER TABLE, which was missing, failed: its connections were never replaced and every repeat got 0A000. read_sqlstate looked for NUL and C from the start of the frame, and an ErrorResponse of 67 bytes has them in its length field; the answer "cached plan must not change result type" without further fields is just as long. The same mistake could hide a refusal of a write by a replica.

Change: the search starts behind the header. The stand-in refuses a Bind whose statement has other result columns than when it was bound first, as PostgreSQL does.

--- a/ebonyrack/callers/answers.py
+++ b/ebonyrack/callers/answers.py
@@ -16,6 +16,7 @@
 from pygwire.messages import RowDescription
 
 from ebonyrack.core.errors import build_error_fields
+from ebonyrack.upstreams.transport import HEADER_BYTES
 
 if TYPE_CHECKING:
     from ebonyrack.core.errors import RequestError
@@ -23,6 +24,7 @@
 TEXT_OID = 25
 VARIABLE_SIZE = -1
 SQLSTATE_FIELD = b"\x00C"
+SQLSTATE_BYTES = 5
 
 READY_FRAMES = {
     status.value: ReadyForQuery(status=status).to_wire() for status in TransactionStatus
@@ -130,7 +132,6 @@
     Returns:
         Five characters, or an empty string if the field is missing.
     """
-    start = raw.find(SQLSTATE_FIELD)
-    if start < 0:
-        return ""
-    return raw[start + 2 : start + 7].decode("ascii", "replace")
+    fields = b"\x00" + raw[HEADER_BYTES:]
+    _, _, sqlstate = fields.partition(SQLSTATE_FIELD)
+    return sqlstate[:SQLSTATE_BYTES].decode("ascii", "replace")
--- a/ebonyrack/callers/pipeline_test.py
+++ b/ebonyrack/callers/pipeline_test.py
@@ -18,6 +18,8 @@
 from ebonyrack.callers.conftest import wait_until
 
 INSERT = b"INSERT INTO bookings (slot, booker, request) VALUES (1, 'me', '%s')"
+NAMES = ("up-1", "up-2", "up-3")
+MAXIMUM_READS = 100
 COUNT = b"SELECT count(*) FROM bookings"
 
 
@@ -53,6 +55,61 @@
     assert error_of(frames)[0] == "26000"
 
 
+async def use_all_connections(proxy, caller, request):
+    """Run a request on all connections of the primary and on those of any reads.
+
+    Connections are held by other sessions in turn, so that the next one is used.
+    """
+    served_by = set()
+    for _ in range(MAXIMUM_READS):
+        assert "E" not in kinds(await caller.ask(request))
+        served_by.add((await caller.query("SHOW ebonyrack.served_by"))[1])
+        if len(served_by) == len(NAMES) - 1:
+            break
+    holders = []
+    for _ in range(proxy.pool().limit):
+        await caller.query("BEGIN")
+        frames = await caller.ask(request)
+        assert "E" not in kinds(frames)
+        await caller.query("ROLLBACK")
+        holder = await proxy.start_wire()
+        await holder.query("BEGIN")
+        await holder.query("SELECT 1")
+        holders.append(holder)
+    for holder in holders:
+        await holder.query("ROLLBACK")
+
+
+@pytest.mark.parametrize("is_transaction", [False, True])
+@pytest.mark.parametrize("is_read", [False, True])
+async def test_a_statement_made_stale_is_prepared_anew(is_read, is_transaction):
+    """Each connection that knows the old statement fails once and is closed."""
+    sql = b"SELECT * FROM bookings"
+    if not is_read:
+        sql = b"UPDATE bookings SET slot = 2 WHERE request = 'a' RETURNING *"
+    async with open_proxy(limit=5) as proxy:
+        caller, other = [await proxy.start_wire() for _ in range(2)]
+        await other.query("INSERT INTO bookings (slot, request) VALUES (1, 'a')")
+        await caller.ask(parse(b"s", sql), SYNC)
+        request = bind(b"s") + describe(b"P", b"") + execute() + SYNC
+        await use_all_connections(proxy, caller, request)
+        await other.query("ALTER TABLE bookings ADD COLUMN note text")
+        stale_connections = 0
+        while True:
+            if is_transaction:
+                await caller.query("BEGIN")
+            frames = await caller.ask(request)
+            if is_transaction:
+                await caller.query("ROLLBACK")
+            if "E" not in kinds(frames):
+                break
+            assert error_of(frames)[0] == "0A000"
+            stale_connections += 1
+            assert stale_connections <= len(NAMES) * proxy.pool().limit
+        assert stale_connections > 0
+        assert kinds(frames) in ("2TDCZ", "2TDCSZ") and b"note" in frames[1][1]
+
+
 async def test_names_of_two_sessions_do_not_collide(proxy):
     first, second = [await proxy.start_wire() for _ in range(2)]
     await first.ask(parse(b"s", b"SELECT 1"), SYNC)
--- a/ebonyrack/standins/extended.py
+++ b/ebonyrack/standins/extended.py
@@ -30,10 +30,14 @@
 
 @dataclass(slots=True)
 class PreparedStatement:
-    """A statement that Parse created; `statement` is None for an empty text."""
+    """A statement that Parse created; `statement` is None for an empty text.
+
+    `column_names` are those of its result when it was bound first, else None.
+    """
 
     statement: Statement | None
     parameter_oids: list[int]
+    column_names: list[str] | None = None
 
 
 @dataclass(slots=True)
@@ -130,6 +134,7 @@
                 f"{len(message.param_values)} parameters given,"
                 f" {len(prepared.parameter_oids)} needed",
             )
+        self.check_result_unchanged(prepared)
         values = tuple(
             datatypes.decode_value(
                 value, oid, pick_format(message.param_formats, index) == 1
@@ -143,6 +148,18 @@
         )
         self.session.send(messages.BindComplete())
 
+    def check_result_unchanged(self, prepared: PreparedStatement) -> None:
+        """Refuse a statement whose result columns have changed, as PostgreSQL does.
+
+        Raises:
+            SqlError: 0A000.
+        """
+        names = [column.name for column in self.find_columns(prepared)]
+        if prepared.column_names is None:
+            prepared.column_names = names
+        elif prepared.column_names != names:
+            raise SqlError("0A000", "cached plan must not change result type")
+
     def describe(self, message: messages.Describe) -> None:
         """Describe a statement or a portal."""
         formats: Sequence[int] = ()
