--- /dev/null
+++ b/ebonyrack/callers/chunk_renderer.py
@@ -0,0 +1,138 @@
+"""Frames and steps of a part of a pipeline for one upstream connection."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from ebonyrack.callers.chunk_replay import CLOSE_COMPLETE
+from ebonyrack.callers.chunk_replay import PARSE_COMPLETE
+from ebonyrack.callers.exchange import RELAYED
+from ebonyrack.callers.exchange import SWALLOWED
+from ebonyrack.callers.exchange import Completion
+from ebonyrack.callers.exchange import Step
+from ebonyrack.callers.prepared import build_frame
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.chunk import Chunk
+    from ebonyrack.callers.chunk import ChunkItem
+    from ebonyrack.callers.prepared import PreparedStatement
+    from ebonyrack.upstreams.connection import UpstreamConnection
+
+# Statements that one upstream connection keeps prepared.
+MAXIMUM_PREPARED = 256
+
+
+class ChunkRenderer:
+    """Builds the frames and steps of one chunk for one connection.
+
+    Attributes:
+        connection: The connection.
+        chunk: The chunk.
+        data: Frames so far.
+        steps: Steps of their answers.
+        parsed: Names that the frames so far prepare.
+        unnamed: The unnamed statement as it stands on the connection, or None.
+    """
+
+    __slots__ = ("connection", "chunk", "data", "steps", "parsed", "unnamed")
+
+    def __init__(self, connection: UpstreamConnection, chunk: Chunk) -> None:
+        self.connection = connection
+        self.chunk = chunk
+        self.data = bytearray()
+        self.steps: deque[Step] = deque()
+        self.parsed: set[str] = set()
+        self.unnamed: PreparedStatement | None = None
+
+    def evict(self) -> None:
+        """Close the statements used longest ago, if the connection has many."""
+        prepared = self.connection.prepared
+        while len(prepared) >= MAXIMUM_PREPARED:
+            name, _ = prepared.popitem(last=False)
+            self.data += build_frame(b"C", b"S" + name.encode() + b"\x00")
+            self.steps.append(SWALLOWED)
+
+    def add(self, item: ChunkItem) -> None:
+        """Add the frames of one message.
+
+        Args:
+            item: The message with its statement.
+        """
+        message = item.message
+        if message.kind == b"P":
+            self.add_parse(item)
+            return
+        if message.kind == b"C" and message.is_about_statement:
+            self.steps.append(Step(Completion.LOCAL, CLOSE_COMPLETE))
+            return
+        frame = message.raw
+        prepared = item.prepared
+        if prepared is not None and message.kind == b"B":
+            self.ensure(prepared)
+            names = message.portal + b"\x00" + prepared.upstream_name + b"\x00"
+            frame = build_frame(b"B", names + message.rest)
+        elif prepared is not None and message.is_about_statement:
+            self.ensure(prepared)
+            frame = build_frame(b"D", b"S" + prepared.upstream_name + b"\x00")
+        self.data += frame
+        self.steps.append(RELAYED)
+
+    def add_parse(self, item: ChunkItem) -> None:
+        """Add a Parse, or its answer if the connection knows the statement.
+
+        Args:
+            item: The message with its statement.
+        """
+        prepared = item.prepared
+        assert prepared is not None
+        if self.is_known(prepared):
+            step = Step(Completion.LOCAL, PARSE_COMPLETE)
+        else:
+            step = self.parse(prepared, Completion.RELAY)
+        self.steps.append(step)
+        self.chunk.definitions.append((step, item.message.statement, prepared))
+
+    def ensure(self, prepared: PreparedStatement) -> None:
+        """Prepare a statement unless the connection knows it.
+
+        Args:
+            prepared: The statement.
+        """
+        if not self.is_known(prepared):
+            self.steps.append(self.parse(prepared, Completion.SWALLOW))
+
+    def is_known(self, prepared: PreparedStatement) -> bool:
+        """Tell whether a statement is prepared at this point.
+
+        Args:
+            prepared: The statement.
+
+        Returns:
+            Whether a Bind may follow at once.
+        """
+        if not prepared.upstream_name:
+            return self.unnamed is prepared
+        name = prepared.upstream_name.decode()
+        if name in self.connection.prepared:
+            self.connection.prepared.move_to_end(name)
+            return True
+        return name in self.parsed
+
+    def parse(self, prepared: PreparedStatement, completion: Completion) -> Step:
+        """Add the frame that prepares a statement.
+
+        Args:
+            prepared: The statement.
+            completion: Whether the caller sees the answer.
+
+        Returns:
+            The step of the answer.
+        """
+        self.data += prepared.build_parse()
+        name = prepared.upstream_name.decode()
+        if name:
+            self.parsed.add(name)
+        else:
+            self.unnamed = prepared
+        return Step(completion, prepares=name)
--- a/ebonyrack/callers/control_chunk.py
+++ b/ebonyrack/callers/control_chunk.py
@@ -7,11 +7,11 @@
 from pygwire.messages import Query
 
 from ebonyrack.callers.answers import build_text_columns
-from ebonyrack.callers.chunk import LOCAL_ANSWERS
-from ebonyrack.callers.chunk import NO_DATA
-from ebonyrack.callers.chunk import NO_PARAMETERS
 from ebonyrack.callers.chunk import Chunk
 from ebonyrack.callers.chunk import ChunkItem
+from ebonyrack.callers.chunk_replay import LOCAL_ANSWERS
+from ebonyrack.callers.chunk_replay import NO_DATA
+from ebonyrack.callers.chunk_replay import NO_PARAMETERS
 from ebonyrack.callers.dispatch import CONTROL_KINDS
 from ebonyrack.callers.dispatch import LOCAL_KINDS
 from ebonyrack.callers.dispatch import run_control
--- a/ebonyrack/callers/listener.py
+++ b/ebonyrack/callers/listener.py
@@ -18,14 +18,13 @@
 from ebonyrack.callers.cancel import cancel_request
 from ebonyrack.callers.parameters import build_parameters
 from ebonyrack.callers.session import CallerSession
+from ebonyrack.callers.session_drain import drain_sessions
 from ebonyrack.callers.startup import authenticate
 from ebonyrack.callers.startup import negotiate_protocol
 from ebonyrack.callers.startup import read_startup_request
 from ebonyrack.callers.stream import CallerStream
-from ebonyrack.callers.upstream_holder import Phase
 from ebonyrack.callers.watchdog import watch_sessions
 from ebonyrack.core.address import Address
-from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.tasks import end_tasks
@@ -42,10 +41,6 @@
 BACKLOG = 1024
 # Connections that are starting may exceed the sessions by this many.
 MAXIMUM_STARTING = 256
-DRAIN_CHECK_S = 0.02
-# During a drain a busy caller's next request is refused, which tells it surely that
-# the request did not run. Only who sends none for this long is ended unasked.
-IDLE_GRACE_S = 1.0
 # A caller may take this long to read why its session has ended.
 LINGER_S = 1.0
 MAXIMUM_CANCELS = 64
@@ -297,27 +292,7 @@
             How many sessions were cut in a request or transaction.
         """
         self.stop_listening()
-        deadline_s = now_s() + limit_s
-        unasked_s = now_s() + IDLE_GRACE_S
-        while self.sessions and now_s() < deadline_s:
-            if self.services.drain.hurried.is_set():
-                break
-            if now_s() >= unasked_s:
-                for session in tuple(self.sessions.values()):
-                    session.end_idle()
-            await asyncio.sleep(DRAIN_CHECK_S)
-        cut = [
-            session
-            for session in self.sessions.values()
-            if session.phase is not Phase.IDLE or session.transaction.status != "I"
-        ]
-        for session in cut:
-            logger.bind(
-                session=session.number,
-                group=session.identity.group,
-                phase=session.phase,
-            ).warning("session_cut")
-        return len(cut)
+        return await drain_sessions(self.sessions, self.services.drain, limit_s)
 
 
 def cancel_task(task: asyncio.Task[None]) -> None:
--- a/ebonyrack/callers/pipeline_test.py
+++ b/ebonyrack/callers/pipeline_test.py
@@ -2,7 +2,7 @@
 import psycopg
 import pytest
 
-from ebonyrack.callers.chunk import MAXIMUM_PREPARED
+from ebonyrack.callers.chunk_renderer import MAXIMUM_PREPARED
 from ebonyrack.callers.conftest import FLUSH
 from ebonyrack.callers.conftest import GROUP
 from ebonyrack.callers.conftest import SYNC
