Share the claim of a key; gather commits and transaction statuses

Change, without a change of behaviour: claim.py claims for both, transaction_status.py names the statuses, the acknowledgement of a commit within a query stands beside the other commits. Tests of callers and service pass as before.

--- /dev/null
+++ b/ebonyrack/callers/claim.py
@@ -0,0 +1,39 @@
+"""The claim of an idempotency key by a session, in its transaction."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.routing.idempotency import claim_key
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.upstream_holder import UpstreamHolder
+
+
+async def claim_session_key(
+    session: UpstreamHolder, key: str, begins: bool = False
+) -> str | None:
+    """Claim an idempotency key in the transaction that is open.
+
+    Args:
+        session: The session, which holds a connection of the primary.
+        key: The key.
+        begins: Whether to begin the transaction in the same round trip.
+
+    Returns:
+        None if the key is new, else the recorded outcome.
+
+    Raises:
+        RequestError: UPSTREAM_LOST, or UNSUPPORTED if the key or its table does not
+            allow it; nothing was committed.
+    """
+    connection = session.connection
+    assert connection is not None
+    try:
+        limit_s = session.group.section.answer_wait_s
+        claimed = await claim_key(connection, key, limit_s, begins)
+    except UpstreamLostError as error:
+        raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
+    return None if claimed.is_first else claimed.outcome
--- a/ebonyrack/callers/commit.py
+++ b/ebonyrack/callers/commit.py
@@ -159,6 +159,27 @@
     return relay.error is None
 
 
+async def acknowledge_inner_commit(
+    session: CallerSession, connection: UpstreamConnection
+) -> None:
+    """Acknowledge a commit that stood among the statements of one query.
+
+    Args:
+        session: The session, which still holds the answer.
+        connection: The connection that it holds.
+
+    Raises:
+        RequestError: OUTCOME_UNKNOWN if it can't be acknowledged.
+    """
+    question = get_contract(session).build_last_commit()
+    try:
+        connection.send(build_query(question))
+        position = await ask_last_commit(session, question)
+    except UpstreamLostError as error:
+        raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+    await finish_write(session, connection, position)
+
+
 async def commit_read(session: CallerSession, request: Request) -> bool:
     """Commit a transaction that wrote nothing.
 
--- a/ebonyrack/callers/dispatch.py
+++ b/ebonyrack/callers/dispatch.py
@@ -11,8 +11,8 @@
 from ebonyrack.callers.answers import build_text_row
 from ebonyrack.callers.reading import run_read
 from ebonyrack.callers.statement import StatementKind
-from ebonyrack.callers.transaction import FAILED
-from ebonyrack.callers.transaction import IDLE
+from ebonyrack.callers.transaction_status import FAILED
+from ebonyrack.callers.transaction_status import IDLE
 from ebonyrack.callers.writing import run_write
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
--- a/ebonyrack/callers/pipeline.py
+++ b/ebonyrack/callers/pipeline.py
@@ -16,8 +16,8 @@
 from ebonyrack.callers.prepared import read_message
 from ebonyrack.callers.prepared import read_statement
 from ebonyrack.callers.statement_store import StatementStore
-from ebonyrack.callers.transaction import IDLE
-from ebonyrack.callers.transaction import OPEN
+from ebonyrack.callers.transaction_status import IDLE
+from ebonyrack.callers.transaction_status import OPEN
 from ebonyrack.core.errors import RequestError
 
 if TYPE_CHECKING:
--- a/ebonyrack/callers/session.py
+++ b/ebonyrack/callers/session.py
@@ -15,8 +15,8 @@
 from ebonyrack.callers.pipeline import Pipeline
 from ebonyrack.callers.startup import check_allowed
 from ebonyrack.callers.statement import classify_statement
-from ebonyrack.callers.transaction import IDLE
 from ebonyrack.callers.transaction import Transaction
+from ebonyrack.callers.transaction_status import IDLE
 from ebonyrack.callers.upstream_holder import Phase
 from ebonyrack.callers.upstream_holder import UpstreamHolder
 from ebonyrack.core import metrics
--- a/ebonyrack/callers/session_drain.py
+++ b/ebonyrack/callers/session_drain.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from ebonyrack.callers.transaction import IDLE
+from ebonyrack.callers.transaction_status import IDLE
 from ebonyrack.callers.upstream_holder import Phase
 from ebonyrack.core.clock import now_s
 
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -4,17 +4,18 @@
 
 from typing import TYPE_CHECKING
 
-from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.claim import claim_session_key
 from ebonyrack.callers.commit import ROLLBACK_TAG
+from ebonyrack.callers.commit import acknowledge_inner_commit
 from ebonyrack.callers.commit import commit_read
 from ebonyrack.callers.commit import commit_write
 from ebonyrack.callers.recorded_answer import COMMIT_TAG
 from ebonyrack.callers.recorded_answer import decode_answer
 from ebonyrack.callers.relay import Relay
-from ebonyrack.callers.upstream_use import ask_last_commit
+from ebonyrack.callers.transaction_status import FAILED
+from ebonyrack.callers.transaction_status import IDLE
+from ebonyrack.callers.transaction_status import OPEN
 from ebonyrack.callers.upstream_use import confirm_replay
-from ebonyrack.callers.upstream_use import finish_write
-from ebonyrack.callers.upstream_use import get_contract
 from ebonyrack.callers.upstream_use import make_requirement
 from ebonyrack.callers.upstream_use import run_control
 from ebonyrack.callers.upstream_use import take_primary
@@ -22,7 +23,6 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
-from ebonyrack.routing.idempotency import claim_key
 from ebonyrack.routing.read_placement import place_read
 from ebonyrack.upstreams.connection import UpstreamLostError
 
@@ -30,10 +30,6 @@
     from ebonyrack.callers.exchange import Request
     from ebonyrack.callers.session import CallerSession
 
-IDLE = "I"
-OPEN = "T"
-FAILED = "E"
-
 
 class Transaction:
     """The transaction of one session, if there is one.
@@ -139,31 +135,11 @@
             kind = ErrorKind.ANSWER_CUT if relay.has_sent else ErrorKind.UPSTREAM_LOST
             raise session.lose_upstream(error, kind) from error
         if session.connection.transaction_status == IDLE and not is_read:
-            await self.acknowledge_inner_commit(relay)
+            await acknowledge_inner_commit(session, session.connection)
         self.follow_status()
         session.stream.write(relay.output)
         return relay.error is None
 
-    async def acknowledge_inner_commit(self, relay: Relay) -> None:
-        """Acknowledge a commit that stood among the statements of one query.
-
-        Args:
-            relay: The answer, still held.
-
-        Raises:
-            RequestError: OUTCOME_UNKNOWN if it can't be acknowledged.
-        """
-        session = self.session
-        connection = session.connection
-        assert connection is not None
-        question = get_contract(session).build_last_commit()
-        try:
-            connection.send(build_query(question))
-            position = await ask_last_commit(session, question)
-        except UpstreamLostError as error:
-            raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
-        await finish_write(session, connection, position)
-
     def adopt(self) -> None:
         """Go on with a transaction that the statements of one query have opened."""
         connection = self.session.connection
@@ -227,17 +203,12 @@
             RequestError: ALREADY_RAN once a majority holds the earlier outcome.
         """
         session = self.session
-        assert session.connection is not None
-        limit_s = session.group.section.answer_wait_s
-        try:
-            claim = await claim_key(session.connection, self.key, limit_s)
-        except UpstreamLostError as error:
-            raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
-        if claim.is_first:
+        outcome = await claim_session_key(session, self.key)
+        if outcome is None:
             self.has_written = True
             return
         await confirm_replay(session)
-        tags = ", ".join(decode_answer(claim.outcome).tags)
+        tags = ", ".join(decode_answer(outcome).tags)
         raise RequestError(ErrorKind.ALREADY_RAN, f"outcome {tags}")
 
     async def commit(self, request: Request) -> bool:
--- /dev/null
+++ b/ebonyrack/callers/transaction_status.py
@@ -0,0 +1,5 @@
+"""Transaction statuses as ReadyForQuery names them."""
+
+IDLE = "I"
+OPEN = "T"
+FAILED = "E"
--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.answers import build_parameter
+from ebonyrack.callers.claim import claim_session_key
 from ebonyrack.callers.commit import send_commit
 from ebonyrack.callers.own_request import OWN_COMMIT
 from ebonyrack.callers.recorded_answer import COMMIT_TAG
@@ -12,6 +13,8 @@
 from ebonyrack.callers.recorded_answer import encode_answer
 from ebonyrack.callers.recorded_answer import make_answer
 from ebonyrack.callers.relay import Relay
+from ebonyrack.callers.transaction_status import IDLE
+from ebonyrack.callers.transaction_status import OPEN
 from ebonyrack.callers.upstream_use import confirm_replay
 from ebonyrack.callers.upstream_use import finish_write
 from ebonyrack.callers.upstream_use import run_control
@@ -21,15 +24,12 @@
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.routing.idempotency import build_outcome_record
-from ebonyrack.routing.idempotency import claim_key
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
     from ebonyrack.callers.exchange import Request
     from ebonyrack.callers.session import CallerSession
 
-IDLE = "I"
-OPEN = "T"
 READ_ONLY_SQLSTATE = "25006"
 
 
@@ -109,7 +109,7 @@
     """
     await take_primary(session)
     try:
-        outcome = await claim(session, key, begins=True)
+        outcome = await claim_session_key(session, key, begins=True)
         if outcome is not None:
             return await replay(session, request, outcome)
         return await relay_keyed_write(session, request, key)
@@ -117,30 +117,6 @@
         session.transaction.abandon()
 
 
-async def claim(session: CallerSession, key: str, begins: bool = False) -> str | None:
-    """Claim an idempotency key in the transaction that is open.
-
-    Args:
-        session: The session, which holds a connection of the primary.
-        key: The key.
-        begins: Whether to begin the transaction in the same round trip.
-
-    Returns:
-        None if the key is new, else the recorded outcome.
-
-    Raises:
-        RequestError: UPSTREAM_LOST.
-    """
-    connection = session.connection
-    assert connection is not None
-    try:
-        limit_s = session.group.section.answer_wait_s
-        claimed = await claim_key(connection, key, limit_s, begins)
-    except UpstreamLostError as error:
-        raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
-    return None if claimed.is_first else claimed.outcome
-
-
 async def replay(session: CallerSession, request: Request, outcome: str) -> bool:
     """Answer a request that ran earlier with its recorded outcome.
 
