Share the bounded byte stream of callers and upstreams

Cause: CallerStream and FrameTransport held the same buffer, pauses and waits twice. Change, without a change of behaviour: core/byte_stream.py holds them, both extend it; upstreams/connection.py follows the name of one method. Tests of callers and upstreams pass as before.

--- a/ebonyrack/callers/stream.py
+++ b/ebonyrack/callers/stream.py
@@ -7,6 +7,8 @@
 import struct
 from typing import TYPE_CHECKING
 
+from ebonyrack.core.byte_stream import ByteStream
+from ebonyrack.core.byte_stream import wake
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.upstreams.transport import Message
@@ -24,60 +26,36 @@
 WRITE_BUFFER_BYTES = 64 * 1024
 
 
-class CallerStream(asyncio.Protocol):
-    """Splits what a caller sends into frames and bounds what waits on either side.
+class CallerStream(ByteStream):
+    """Splits what a caller sends into frames and notes when it goes.
 
     Attributes:
-        transport: The TCP transport, once connected.
-        buffer: Bytes that have arrived and are not taken yet.
         is_lost: Whether the caller has closed or lost the connection.
         is_finished: Whether the proxy has sent the end of the stream.
         on_connected: Called once with this stream when the caller has connected.
         on_lost: Called when the connection has ended, or None.
     """
 
-    __slots__ = (
-        "transport",
-        "buffer",
-        "is_lost",
-        "is_finished",
-        "is_paused",
-        "is_writing_paused",
-        "data_waiter",
-        "drain_waiter",
-        "on_connected",
-        "on_lost",
-    )
+    __slots__ = ("is_lost", "is_finished", "on_connected", "on_lost")
 
     def __init__(self, on_connected: Callable[[CallerStream], None]) -> None:
-        self.transport: asyncio.Transport | None = None
-        self.buffer = bytearray()
+        super().__init__(READ_BUFFER_BYTES)
         self.is_lost = False
         self.is_finished = False
-        self.is_paused = False
-        self.is_writing_paused = False
-        self.data_waiter: asyncio.Future[None] | None = None
-        self.drain_waiter: asyncio.Future[None] | None = None
         self.on_connected = on_connected
         self.on_lost: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport (called by asyncio)."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        """Keep the transport and report the caller (called by asyncio)."""
+        super().connection_made(transport)
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.on_connected(self)
 
     def data_received(self, data: bytes) -> None:
-        """Keep arrived bytes (called by asyncio)."""
-        if self.is_finished:
-            return
-        self.buffer += data
-        if len(self.buffer) >= READ_BUFFER_BYTES and not self.is_paused:
-            self.is_paused = True
-            assert self.transport is not None
-            self.transport.pause_reading()
-        wake(self.data_waiter)
+        """Keep arrived bytes until the end was sent (called by asyncio)."""
+        if not self.is_finished:
+            super().data_received(data)
 
     def eof_received(self) -> bool:
         """Treat the end of the stream as a caller that has gone (by asyncio)."""
@@ -88,22 +66,12 @@
         """Note that the connection has ended (called by asyncio)."""
         self.mark_lost()
 
-    def pause_writing(self) -> None:
-        """Make `drain` wait (called by asyncio)."""
-        self.is_writing_paused = True
-
-    def resume_writing(self) -> None:
-        """Let `drain` go on (called by asyncio)."""
-        self.is_writing_paused = False
-        wake(self.drain_waiter)
-
     def mark_lost(self) -> None:
         """Note the end of the connection once and wake whoever waits."""
         if self.is_lost:
             return
         self.is_lost = True
-        wake(self.data_waiter)
-        wake(self.drain_waiter)
+        self.wake_waiters()
         if self.on_lost is not None:
             self.on_lost()
 
@@ -119,8 +87,7 @@
     async def drain(self) -> None:
         """Wait until the caller has taken most of what was queued."""
         while self.is_writing_paused and not self.is_lost:
-            self.drain_waiter = asyncio.get_running_loop().create_future()
-            await self.drain_waiter
+            await self.wait_for_room()
 
     def finish(self) -> None:
         """Send what is queued and the end of the stream; drop all that comes."""
@@ -222,29 +189,6 @@
         await self.wait_for_bytes()
         return bool(self.buffer) or not (self.is_lost or self.is_finished)
 
-    async def wait_for_bytes(self) -> None:
-        """Read on and wait until bytes arrive or the connection ends."""
-        if self.is_paused:
-            # The frame in work is longer than the buffer, or the buffer is empty.
-            self.is_paused = False
-            assert self.transport is not None
-            self.transport.resume_reading()
-        self.data_waiter = asyncio.get_running_loop().create_future()
-        try:
-            await self.data_waiter
-        finally:
-            self.data_waiter = None
-
-
-def wake(waiter: asyncio.Future[None] | None) -> None:
-    """Wake a waiting reader or writer, if there is one.
-
-    Args:
-        waiter: Future that it waits for, or None.
-    """
-    if waiter is not None and not waiter.done():
-        waiter.set_result(None)
-
 
 def check_length(length: int, maximum_bytes: int) -> None:
     """Refuse a frame whose length can't be right.
--- a/ebonyrack/upstreams/connection.py
+++ b/ebonyrack/upstreams/connection.py
@@ -289,7 +289,7 @@
                     frames.write(request.to_wire())
                     # The upstream closes the connection when it has acted.
                     while frames.lost_reason is None:
-                        await frames.wait_for_data()
+                        await frames.wait_for_bytes()
                         frames.buffer.clear()
                 finally:
                     frames.close("cancel request sent")
--- a/ebonyrack/upstreams/transport.py
+++ b/ebonyrack/upstreams/transport.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import struct
 from dataclasses import dataclass
 
+from ebonyrack.core.byte_stream import ByteStream
+
 HEADER = struct.Struct("!cI")
 HEADER_BYTES = HEADER.size
 # The length field of a frame counts itself but not the kind byte.
@@ -46,48 +47,18 @@
         return memoryview(self.raw)[HEADER_BYTES:]
 
 
-class FrameTransport(asyncio.Protocol):
-    """Splits what arrives into frames and stops reading when too much waits.
+class FrameTransport(ByteStream):
+    """Splits what arrives from an upstream into frames.
 
     Attributes:
-        transport: The TCP transport, once connected.
-        buffer: Bytes that have arrived and are not taken yet.
         lost_reason: Why the connection ended, or None while it is open.
-        is_paused: Whether reading is stopped until the buffer empties.
     """
 
-    __slots__ = (
-        "transport",
-        "buffer",
-        "lost_reason",
-        "is_paused",
-        "data_waiter",
-        "drain_waiter",
-        "is_writing_paused",
-    )
+    __slots__ = ("lost_reason",)
 
     def __init__(self) -> None:
-        self.transport: asyncio.Transport | None = None
-        self.buffer = bytearray()
+        super().__init__(READ_BUFFER_BYTES)
         self.lost_reason: str | None = None
-        self.is_paused = False
-        self.data_waiter: asyncio.Future[None] | None = None
-        self.drain_waiter: asyncio.Future[None] | None = None
-        self.is_writing_paused = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport (called by asyncio)."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        """Keep arrived bytes (called by asyncio)."""
-        self.buffer += data
-        if len(self.buffer) >= READ_BUFFER_BYTES and not self.is_paused:
-            self.is_paused = True
-            assert self.transport is not None
-            self.transport.pause_reading()
-        self.wake(self.data_waiter)
 
     def eof_received(self) -> bool:
         """Treat the end of the stream as a lost connection (called by asyncio)."""
@@ -98,20 +69,6 @@
         """Note that the connection is gone (called by asyncio)."""
         self.mark_lost(f"the connection broke: {error}" if error else "closed")
 
-    def pause_writing(self) -> None:
-        """Make `drain` wait (called by asyncio)."""
-        self.is_writing_paused = True
-
-    def resume_writing(self) -> None:
-        """Let `drain` go on (called by asyncio)."""
-        self.is_writing_paused = False
-        self.wake(self.drain_waiter)
-
-    def wake(self, waiter: asyncio.Future[None] | None) -> None:
-        """Wake a waiting reader or writer, if there is one."""
-        if waiter is not None and not waiter.done():
-            waiter.set_result(None)
-
     def mark_lost(self, reason: str) -> None:
         """Keep the first reason for the end of the connection and wake waiters.
 
@@ -120,8 +77,7 @@
         """
         if self.lost_reason is None:
             self.lost_reason = reason
-        self.wake(self.data_waiter)
-        self.wake(self.drain_waiter)
+        self.wake_waiters()
 
     def close(self, reason: str) -> None:
         """Drop the connection at once, without sending what is still queued.
@@ -153,8 +109,7 @@
             UpstreamLostError: If the connection has ended.
         """
         while self.is_writing_paused and self.lost_reason is None:
-            self.drain_waiter = asyncio.get_running_loop().create_future()
-            await self.drain_waiter
+            await self.wait_for_room()
         if self.lost_reason is not None:
             raise UpstreamLostError(self.lost_reason)
 
@@ -192,17 +147,4 @@
                 return message
             if self.lost_reason is not None:
                 raise UpstreamLostError(self.lost_reason)
-            await self.wait_for_data()
-
-    async def wait_for_data(self) -> None:
-        """Read on and wait until bytes arrive or the connection ends."""
-        if self.is_paused:
-            # The frame in work is longer than the buffer, or the buffer is empty.
-            self.is_paused = False
-            assert self.transport is not None
-            self.transport.resume_reading()
-        self.data_waiter = asyncio.get_running_loop().create_future()
-        try:
-            await self.data_waiter
-        finally:
-            self.data_waiter = None
+            await self.wait_for_bytes()
