Begin a caller's keyed transaction with the claim of its key

Cause: only lone writes sent BEGIN together with the claim; a caller's transaction with a key took a round trip for each. Change: both send them in one query, the caller's BEGIN on a line of its own.

Test: keyed_test.py counts three sends for lone writes and for transactions (the second failed before); a comment behind BEGIN hides no claim.

--- a/ebonyrack/callers/claim.py
+++ b/ebonyrack/callers/claim.py
@@ -13,14 +13,14 @@
 
 
 async def claim_session_key(
-    session: UpstreamHolder, key: str, begins: bool = False
+    session: UpstreamHolder, key: str, begin: str
 ) -> str | None:
-    """Claim an idempotency key in the transaction that is open.
+    """Begin a transaction and claim an idempotency key in it, in one round trip.
 
     Args:
         session: The session, which holds a connection of the primary.
         key: The key.
-        begins: Whether to begin the transaction in the same round trip.
+        begin: Statement that begins the transaction.
 
     Returns:
         None if the key is new, else the recorded outcome.
@@ -33,7 +33,7 @@
     assert connection is not None
     try:
         limit_s = session.group.section.answer_wait_s
-        claimed = await claim_key(connection, key, limit_s, begins)
+        claimed = await claim_key(connection, key, limit_s, begin)
     except UpstreamLostError as error:
         raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
     return None if claimed.is_first else claimed.outcome
--- a/ebonyrack/callers/keyed_test.py
+++ b/ebonyrack/callers/keyed_test.py
@@ -37,15 +37,22 @@
     monkeypatch.setattr(UpstreamConnection, "send", watched)
 
 
-async def test_the_outcome_goes_with_the_commit_and_its_position(monkeypatch, proxy):
+@BOTH
+async def test_begin_claim_and_record_cost_no_round_trip(
+    monkeypatch, proxy, statements
+):
     sent = []
     watch_sends(monkeypatch, proxy, sent.append)
     caller = await proxy.start_wire()
-    assert "C" in kinds(await run(caller, LONE))
+    assert "C" in kinds(await run(caller, statements))
     assert len(sent) == 3
     for data, part in zip(sent, (CLAIM, STATEMENT, COMMIT), strict=True):
         assert part in data
-    assert b"outcome" in sent[2] and b"ebonyrack_last_commit" in sent[2]
+    assert (
+        b"BEGIN" in sent[0]
+        and b"outcome" in sent[2]
+        and b"ebonyrack_last_commit" in sent[2]
+    )
 
 
 @BOTH
@@ -91,3 +98,13 @@
         frames = await run(caller, (SET_KEY, delete))
         assert (b"C", b"DELETE 1\x00") in frames
         assert (b"S", b"ebonyrack.replayed\x00" + replayed + b"\x00") in frames
+
+
+@pytest.mark.parametrize("begin", ["BEGIN -- first", "BEGIN; /* all */", "BEGIN;"])
+async def test_a_comment_behind_begin_hides_no_claim(proxy, begin):
+    caller = await proxy.start_wire()
+    statements = (SET_KEY, begin, INSERT, "COMMIT")
+    assert (b"C", b"COMMIT\x00") in await run(caller, statements)
+    sqlstate, detail = error_of(await run(caller, statements[:3]))
+    assert sqlstate == "23505" and "already_ran" in detail
+    assert proxy.count_rows(PRIMARY, REQUEST) == 1
--- a/ebonyrack/callers/transaction.py
+++ b/ebonyrack/callers/transaction.py
@@ -171,10 +171,11 @@
             await take_primary(session)
             # It may read what no majority holds yet, also if it writes nothing.
             self.needs_confirmation = session.group.section.read_policy == "quorum"
-        await run_control(session, self.begin_sql)
-        session.note_served()
         if self.key:
             await self.claim()
+        else:
+            await run_control(session, self.begin_sql)
+        session.note_served()
 
     async def place(self) -> None:
         """Take a connection of the upstream that is to serve the reads.
@@ -197,13 +198,13 @@
         self.needs_replica = placement.needs_replica
 
     async def claim(self) -> None:
-        """Claim the idempotency key within the transaction.
+        """Begin and claim the idempotency key within the transaction.
 
         Raises:
             RequestError: ALREADY_RAN once a majority holds the earlier outcome.
         """
         session = self.session
-        outcome = await claim_session_key(session, self.key)
+        outcome = await claim_session_key(session, self.key, self.begin_sql)
         if outcome is None:
             self.has_written = True
             return
--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -7,6 +7,7 @@
 from ebonyrack.callers.answers import build_parameter
 from ebonyrack.callers.claim import claim_session_key
 from ebonyrack.callers.commit import send_commit
+from ebonyrack.callers.own_request import OWN_BEGIN
 from ebonyrack.callers.own_request import OWN_COMMIT
 from ebonyrack.callers.recorded_answer import COMMIT_TAG
 from ebonyrack.callers.recorded_answer import build_repeat
@@ -109,7 +110,7 @@
     """
     await take_primary(session)
     try:
-        outcome = await claim_session_key(session, key, begins=True)
+        outcome = await claim_session_key(session, key, OWN_BEGIN)
         if outcome is not None:
             return await replay(session, request, outcome)
         return await relay_keyed_write(session, request, key)
--- a/ebonyrack/routing/idempotency.py
+++ b/ebonyrack/routing/idempotency.py
@@ -64,7 +64,7 @@
 
 
 async def claim_key(
-    connection: UpstreamConnection, key: str, timeout_s: float, begins: bool = False
+    connection: UpstreamConnection, key: str, timeout_s: float, begin: str = ""
 ) -> Claim:
     """Claim an idempotency key in the transaction that is open.
 
@@ -76,7 +76,8 @@
             is to begin.
         key: The key.
         timeout_s: Seconds for each of the two steps.
-        begins: Whether to begin the transaction in the same round trip.
+        begin: Statement that begins the transaction, to go in the same round trip;
+            empty if one is open.
 
     Returns:
         Whether the request is the first with the key, or the recorded outcome.
@@ -91,7 +92,9 @@
         f"INSERT INTO {REQUEST_TABLE} (key, outcome, created_at)"
         f" VALUES ('{literal}', '', now()) ON CONFLICT (key) DO NOTHING"
     )
-    answer = await connection.query(f"BEGIN; {insert}" if begins else insert, timeout_s)
+    # On lines of their own, so that a comment in the one does not hide the other.
+    sql = f"{begin}\n;\n{insert}" if begin else insert
+    answer = await connection.query(sql, timeout_s)
     raise_refusal(answer)
     if answer.tag == "INSERT 0 1":
         return Claim(True, "")
