--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -5,30 +5,33 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.answers import build_parameter
-from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.claim import claim_session_key
+from ebonyrack.callers.commit import send_commit
+from ebonyrack.callers.own_request import OWN_BEGIN
+from ebonyrack.callers.own_request import OWN_COMMIT
+from ebonyrack.callers.recorded_answer import COMMIT_TAG
+from ebonyrack.callers.recorded_answer import build_repeat
+from ebonyrack.callers.recorded_answer import encode_answer
+from ebonyrack.callers.recorded_answer import make_answer
 from ebonyrack.callers.relay import Relay
-from ebonyrack.callers.upstream_use import ask_last_commit
+from ebonyrack.callers.transaction_status import IDLE
+from ebonyrack.callers.transaction_status import OPEN
 from ebonyrack.callers.upstream_use import confirm_replay
 from ebonyrack.callers.upstream_use import finish_write
-from ebonyrack.callers.upstream_use import get_contract
 from ebonyrack.callers.upstream_use import run_control
 from ebonyrack.callers.upstream_use import take_primary
 from ebonyrack.callers.upstream_use import write_token
 from ebonyrack.callers.variables import REPLAYED
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
-from ebonyrack.routing.idempotency import claim_key
-from ebonyrack.routing.idempotency import record_outcome
+from ebonyrack.routing.idempotency import build_outcome_record
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
     from ebonyrack.callers.exchange import Request
     from ebonyrack.callers.session import CallerSession
 
-IDLE = "I"
-OPEN = "T"
 READ_ONLY_SQLSTATE = "25006"
-TAG_SEPARATOR = "\n"
 
 
 async def run_write(session: CallerSession, request: Request) -> bool:
@@ -72,15 +75,8 @@
     """
     connection = session.connection
     assert connection is not None
-    exchange = request.render(connection)
-    relay = Relay(session, connection, exchange, holds=True)
-    question = get_contract(session).build_last_commit()
-    session.send_surely(exchange.data, question)
-    try:
-        await relay.run()
-        position = await ask_last_commit(session, question)
-    except UpstreamLostError as error:
-        raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+    answer = await send_commit(session, request)
+    relay = answer.relay
     if relay.sqlstate == READ_ONLY_SQLSTATE and relay.completed == 0:
         raise RequestError(ErrorKind.NO_PRIMARY, "the upstream is a replica now")
     session.note_served()
@@ -90,7 +86,7 @@
         session.transaction.adopt()
     # An error after a completed command may follow a COMMIT within the query.
     if relay.error is None or relay.completed:
-        await finish_write(session, connection, position)
+        await finish_write(session, connection, answer.position)
         session.stream.write(relay.output)
         write_token(session)
     else:
@@ -114,7 +110,7 @@
     """
     await take_primary(session)
     try:
-        outcome = await claim(session, key, begins=True)
+        outcome = await claim_session_key(session, key, OWN_BEGIN)
         if outcome is not None:
             return await replay(session, request, outcome)
         return await relay_keyed_write(session, request, key)
@@ -122,46 +118,23 @@
         session.transaction.abandon()
 
 
-async def claim(session: CallerSession, key: str, begins: bool = False) -> str | None:
-    """Claim an idempotency key in the transaction that is open.
-
-    Args:
-        session: The session, which holds a connection of the primary.
-        key: The key.
-        begins: Whether to begin the transaction in the same round trip.
-
-    Returns:
-        None if the key is new, else the recorded outcome.
-
-    Raises:
-        RequestError: UPSTREAM_LOST.
-    """
-    connection = session.connection
-    assert connection is not None
-    try:
-        limit_s = session.group.section.answer_wait_s
-        claimed = await claim_key(connection, key, limit_s, begins)
-    except UpstreamLostError as error:
-        raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
-    return None if claimed.is_first else claimed.outcome
-
-
 async def replay(session: CallerSession, request: Request, outcome: str) -> bool:
     """Answer a request that ran earlier with its recorded outcome.
 
     Args:
         session: The session, whose connection has found the outcome.
         request: The request.
-        outcome: Command tags as they were recorded.
+        outcome: Outcome as it was recorded.
 
     Returns:
         True.
 
     Raises:
-        RequestError: OUTCOME_UNKNOWN if no majority holds the outcome in time.
+        RequestError: OUTCOME_UNKNOWN if no majority holds the outcome in time,
+            ALREADY_RAN if the record does not answer this request.
     """
     await confirm_replay(session)
-    session.stream.write(request.build_replay(outcome.split(TAG_SEPARATOR)))
+    session.stream.write(build_repeat(request, outcome))
     session.stream.write(build_parameter(REPLAYED, "on"))
     write_token(session)
     return True
@@ -180,7 +153,7 @@
 
     Raises:
         RequestError: UPSTREAM_LOST if it did not run, OUTCOME_UNKNOWN if that is
-            not known.
+            not known, UNSUPPORTED if its rows are too large to be recorded.
     """
     connection = session.connection
     assert connection is not None
@@ -193,46 +166,46 @@
             await run_control(session, "ROLLBACK")
             session.stream.write(relay.output)
             return False
-        check_still_open(session)
-        outcome = TAG_SEPARATOR.join(relay.tags)
-        limit_s = session.group.section.answer_wait_s
-        await record_outcome(connection, key, outcome, limit_s)
     except UpstreamLostError as error:
         raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
-    await commit_keyed_write(session)
+    check_still_open(session)
+    try:
+        outcome = encode_answer(make_answer(request, relay))
+        record = build_outcome_record(key, outcome)
+    except RequestError:
+        await run_control(session, "ROLLBACK")
+        raise
+    await commit_keyed_write(session, record)
     session.stream.write(relay.output)
     session.stream.write(build_parameter(REPLAYED, "off"))
     write_token(session)
     return True
 
 
-async def commit_keyed_write(session: CallerSession) -> None:
+async def commit_keyed_write(session: CallerSession, record: str) -> None:
     """Commit the transaction that the proxy opened for a keyed write.
 
     Args:
         session: The session, with the transaction on its connection.
+        record: Statement that records the outcome under the key.
 
     Raises:
         RequestError: OUTCOME_UNKNOWN, or UPSTREAM_LOST if it did not run.
     """
     connection = session.connection
     assert connection is not None
-    question = get_contract(session).build_last_commit()
-    session.send_surely(build_query("COMMIT"), question)
+    await session.await_cancel()
     session.is_committing = True
     try:
-        answer = await session.read_control_answer()
-        position = await ask_last_commit(session, question)
-    except UpstreamLostError as error:
-        raise session.lose_upstream(error, ErrorKind.OUTCOME_UNKNOWN) from error
+        answer = await send_commit(session, OWN_COMMIT, record)
     finally:
         session.is_committing = False
-    if answer.error is not None or answer.tag != "COMMIT":
-        message = (answer.error or {}).get("M", "rolled back")
-        raise RequestError(ErrorKind.UPSTREAM_LOST, f"COMMIT was refused: {message}")
+    if answer.relay.tags != [COMMIT_TAG]:
+        reason = f"COMMIT was refused: {answer.relay.sqlstate or 'rolled back'}"
+        raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
     session.note_served()
     session.release_connection()
-    await finish_write(session, connection, position)
+    await finish_write(session, connection, answer.position)
 
 
 def check_still_open(session: CallerSession) -> None:
--- a/ebonyrack/routing/idempotency.py
+++ b/ebonyrack/routing/idempotency.py
@@ -13,13 +13,9 @@
 from ebonyrack.upstreams.connection import UpstreamConnection
 
 REQUEST_TABLE = "ebonyrack_requests"
-CREATE_REQUEST_TABLE = (
-    f"CREATE TABLE IF NOT EXISTS {REQUEST_TABLE} (key text PRIMARY KEY,"
-    " outcome text NOT NULL, created_at timestamptz NOT NULL)"
-)
 # The encoded key takes up to three times as much and must fit an index entry.
 MAXIMUM_KEY_BYTES = 800
-MAXIMUM_OUTCOME_BYTES = 1000
+MAXIMUM_OUTCOME_BYTES = 12 * 1024
 DELETED_ROWS = 500
 # No repeat can bring these to an end: the table is missing or not to be written.
 LASTING_FAULTS = frozenset({"42P01", "42501", "42703"})
@@ -68,7 +64,7 @@
 
 
 async def claim_key(
-    connection: UpstreamConnection, key: str, timeout_s: float, begins: bool = False
+    connection: UpstreamConnection, key: str, timeout_s: float, begin: str = ""
 ) -> Claim:
     """Claim an idempotency key in the transaction that is open.
 
@@ -80,7 +76,8 @@
             is to begin.
         key: The key.
         timeout_s: Seconds for each of the two steps.
-        begins: Whether to begin the transaction in the same round trip.
+        begin: Statement that begins the transaction, to go in the same round trip;
+            empty if one is open.
 
     Returns:
         Whether the request is the first with the key, or the recorded outcome.
@@ -95,7 +92,9 @@
         f"INSERT INTO {REQUEST_TABLE} (key, outcome, created_at)"
         f" VALUES ('{literal}', '', now()) ON CONFLICT (key) DO NOTHING"
     )
-    answer = await connection.query(f"BEGIN; {insert}" if begins else insert, timeout_s)
+    # On lines of their own, so that a comment in the one does not hide the other.
+    sql = f"{begin}\n;\n{insert}" if begin else insert
+    answer = await connection.query(sql, timeout_s)
     raise_refusal(answer)
     if answer.tag == "INSERT 0 1":
         return Claim(True, "")
@@ -109,29 +108,29 @@
     return Claim(False, decode_text(answer.rows[0][0] or ""))
 
 
-async def record_outcome(
-    connection: UpstreamConnection, key: str, outcome: str, timeout_s: float
-) -> None:
-    """Record the outcome of a claimed key, before the transaction commits.
+def build_outcome_record(key: str, outcome: str) -> str:
+    """Build the statement that records the outcome of a claimed key.
+
+    It goes to the upstream in one send with the COMMIT, so it must not succeed
+    without effect: a row that the request itself has deleted is inserted again.
 
     Args:
-        connection: The connection that claimed the key, in the same transaction.
-        key: The key.
+        key: The key, which the transaction that is open has claimed.
         outcome: What a repeat is told.
-        timeout_s: Seconds to wait.
+
+    Returns:
+        The statement; `build_refusal` reads its error.
 
     Raises:
-        RequestError: UNSUPPORTED if the outcome is too long, UPSTREAM_LOST if the
-            upstream refuses; nothing was committed.
-        UpstreamLostError: If the upstream is lost.
+        RequestError: UNSUPPORTED if the outcome is too long.
     """
     literal = encode_text(key, MAXIMUM_KEY_BYTES)
     value = encode_text(outcome, MAXIMUM_OUTCOME_BYTES)
-    update = f"UPDATE {REQUEST_TABLE} SET outcome = '{value}' WHERE key = '{literal}'"
-    answer = await connection.query(update, timeout_s)
-    raise_refusal(answer)
-    if answer.tag != "UPDATE 1":
-        raise RequestError(ErrorKind.UPSTREAM_LOST, "the claimed key is gone")
+    return (
+        f"INSERT INTO {REQUEST_TABLE} (key, outcome, created_at)"
+        f" VALUES ('{literal}', '{value}', now())"
+        " ON CONFLICT (key) DO UPDATE SET outcome = excluded.outcome"
+    )
 
 
 async def remove_expired(
@@ -175,10 +174,20 @@
     Raises:
         RequestError: UNSUPPORTED if a repeat can't help, else UPSTREAM_LOST.
     """
-    if answer.error is None:
-        return
-    sqlstate = answer.error.get("C", "")
+    if answer.error is not None:
+        raise build_refusal(answer.error)
+
+
+def build_refusal(fields: dict[str, str]) -> RequestError:
+    """Build the error for a statement on keys that an upstream refused.
+
+    Args:
+        fields: Fields of the upstream's ErrorResponse.
+
+    Returns:
+        The error; nothing was committed.
+    """
+    sqlstate = fields.get("C", "")
     is_lasting = sqlstate in LASTING_FAULTS
     kind = ErrorKind.UNSUPPORTED if is_lasting else ErrorKind.UPSTREAM_LOST
-    reason = f"{REQUEST_TABLE}: {sqlstate} {answer.error.get('M', '')}"
-    raise RequestError(kind, reason)
+    return RequestError(kind, f"{REQUEST_TABLE}: {sqlstate} {fields.get('M', '')}")
