Send a strict read while its read index is made; judge the answer by it

Cause: a read without a token waits for a round of polls and only then goes to a replica, two round trips in sequence.

Ruled out before: starting the round's polls earlier (no gain). Ruled out now: the poll behind the read, which would prove nothing; overlapping while a round is under way, which would cost a poll for each read at full load.

Change: while no round is under way, the read goes to a replica behind a poll on its own connection, beside polls of the other upstreams. The polls of the others go out first (one turn of the event loop), so their answers come while the replica reads.

--- /dev/null
+++ b/ebonyrack/callers/overlapping.py
@@ -0,0 +1,128 @@
+"""Reads that are sent to a replica before their read index is known."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ebonyrack.callers.read_steps import break_read
+from ebonyrack.callers.read_steps import check_still_replica
+from ebonyrack.callers.read_steps import end_read
+from ebonyrack.callers.read_steps import take_for_read
+from ebonyrack.callers.relay import Relay
+from ebonyrack.callers.upstream_holder import Phase
+from ebonyrack.callers.upstream_use import build_position_question
+from ebonyrack.callers.upstream_use import read_status
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.routing.read_overlap import choose_overlap
+from ebonyrack.upstreams.connection import UpstreamLostError
+
+if TYPE_CHECKING:
+    from ebonyrack.callers.exchange import Request
+    from ebonyrack.callers.session import CallerSession
+    from ebonyrack.routing.read_overlap import Overlap
+    from ebonyrack.routing.read_placement import ReadRequirement
+    from ebonyrack.upstreams.upstream import Upstream
+
+
+async def read_overlapped(
+    session: CallerSession,
+    request: Request,
+    requirement: ReadRequirement,
+    deadline_s: float,
+) -> bool | None:
+    """Serve a read that is sent before its read index is known, if that may gain.
+
+    Args:
+        session: The session.
+        request: What to send.
+        requirement: What the read must see.
+        deadline_s: Monotonic time by which it must have been sent, in seconds.
+
+    Returns:
+        Whether the upstream answered without an error. None if the read is still to
+        be placed; nothing of an answer has gone to the caller.
+
+    Raises:
+        ReadBrokenError: If the upstream was lost.
+        WriteInDisguiseError: If it is no read.
+        RequestError: If it can't be served or was cancelled.
+    """
+    overlap = choose_overlap(session.group, session.read_index, requirement, deadline_s)
+    if overlap is None:
+        return None
+    try:
+        with overlap:
+            overlap.start()
+            await take_for_read(session, overlap.replica, deadline_s)
+            relay = await send_overlapped(session, request, overlap)
+        if relay is None:
+            return None
+        await run_replica_read(session, relay, overlap.replica)
+        end_read(session, relay)
+        session.stream.write(relay.output)
+        return relay.error is None
+    finally:
+        session.transaction.abandon()
+
+
+async def send_overlapped(
+    session: CallerSession, request: Request, overlap: Overlap
+) -> Relay | None:
+    """Send a read behind a poll and wait until its answer may be used.
+
+    The answer itself is not read before, so that the upstream is held back when it
+    is large.
+
+    Args:
+        session: The session, which holds a connection of the replica.
+        request: What to send.
+        overlap: The overlapped read.
+
+    Returns:
+        The relay of the answer, or None if the answer must not be used.
+
+    Raises:
+        ReadBrokenError: If the upstream was lost.
+        RequestError: CANCELLED if the caller has cancelled an answer that is dropped.
+    """
+    connection = session.connection
+    assert connection is not None
+    exchange = request.render(connection)
+    # Lets the polls go out first: their answers come while the replica reads.
+    await asyncio.sleep(0)
+    try:
+        connection.send(build_position_question(session) + exchange.data)
+        status = await read_status(session)
+    except UpstreamLostError as error:
+        raise break_read(session, overlap.replica, error, False) from error
+    # A cancel request that comes now is meant for the read, which runs already.
+    session.enter(Phase.UPSTREAM)
+    placement = await overlap.judge(status)
+    session.enter(Phase.WORKING)
+    if placement is not None:
+        return Relay(session, connection, exchange, holds=False)
+    if connection.is_cancelled:
+        raise RequestError(ErrorKind.CANCELLED)
+    return None
+
+
+async def run_replica_read(
+    session: CallerSession, relay: Relay, upstream: Upstream
+) -> None:
+    """Relay the answer of a replica.
+
+    Args:
+        session: The session.
+        relay: The relay.
+        upstream: The replica.
+
+    Raises:
+        ReadBrokenError: If it was lost, or became primary meanwhile.
+    """
+    try:
+        await relay.run()
+        check_still_replica(relay.connection)
+    except UpstreamLostError as error:
+        raise break_read(session, upstream, error, relay.has_sent) from error
--- a/ebonyrack/callers/reading.py
+++ b/ebonyrack/callers/reading.py
@@ -4,12 +4,18 @@
 
 from typing import TYPE_CHECKING
 
+from ebonyrack.callers.overlapping import read_overlapped
+from ebonyrack.callers.read_steps import ReadBrokenError
+from ebonyrack.callers.read_steps import WriteInDisguiseError
+from ebonyrack.callers.read_steps import break_read
+from ebonyrack.callers.read_steps import check_still_replica
+from ebonyrack.callers.read_steps import end_read
+from ebonyrack.callers.read_steps import take_for_read
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_use import build_position_question
 from ebonyrack.callers.upstream_use import confirm_read
 from ebonyrack.callers.upstream_use import make_requirement
 from ebonyrack.callers.upstream_use import read_position
-from ebonyrack.callers.upstream_use import take_upstream
 from ebonyrack.callers.writing import run_write
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
@@ -22,32 +28,12 @@
     from ebonyrack.callers.session import CallerSession
     from ebonyrack.routing.read_placement import ReadPlacement
 
-# What a replica answers to a statement that writes after all.
-READ_ONLY_SQLSTATE = "25006"
-
-
-class ReadBrokenError(Exception):
-    """A read whose answer did not come, or not whole.
-
-    Attributes:
-        upstream_name: The upstream that was to serve it.
-        reason: What happened.
-        has_sent: Whether a part of the answer has gone to the caller.
-    """
-
-    def __init__(self, upstream_name: str, reason: str, has_sent: bool) -> None:
-        super().__init__(reason)
-        self.upstream_name = upstream_name
-        self.reason = reason
-        self.has_sent = has_sent
-
-
-class WriteInDisguiseError(Exception):
-    """A statement taken for a read that an upstream refused as a write."""
-
 
 async def run_read(session: CallerSession, request: Request) -> bool:
-    """Serve a read, at most twice and on different upstreams.
+    """Serve a read, tried again on another upstream if the first one is lost.
+
+    An answer that was asked for before the read index was known, and dropped, does
+    not count as a try.
 
     Args:
         session: The session.
@@ -101,15 +87,14 @@
     """
     group = session.group
     requirement = make_requirement(session)
+    if not excluded:
+        is_success = await read_overlapped(session, request, requirement, deadline_s)
+        if is_success is not None:
+            return is_success
     placement = await session.wait_before_sending(
         place_read(group, session.read_index, requirement, deadline_s, excluded)
     )
-    name = placement.upstream.name
-    try:
-        await take_upstream(session, placement.upstream, deadline_s)
-    except UpstreamLostError as error:
-        group.report_lost(name, error.reason)
-        raise ReadBrokenError(name, error.reason, False) from error
+    await take_for_read(session, placement.upstream, deadline_s)
     try:
         return await relay_read(session, request, placement)
     finally:
@@ -145,16 +130,11 @@
         await relay.run()
         if needs_confirmation:
             position = await read_position(session)
-        elif placement.needs_replica and connection.is_standby is False:
-            raise UpstreamLostError("the replica became primary during the read")
+        elif placement.needs_replica:
+            check_still_replica(connection)
     except UpstreamLostError as error:
-        name = placement.upstream.name
-        session.group.report_lost(name, error.reason)
-        raise ReadBrokenError(name, error.reason, relay.has_sent) from error
-    if relay.sqlstate == READ_ONLY_SQLSTATE and not relay.has_sent:
-        raise WriteInDisguiseError
-    session.note_served()
-    session.release_connection()
+        raise break_read(session, placement.upstream, error, relay.has_sent) from error
+    end_read(session, relay)
     if needs_confirmation and relay.error is None:
         await confirm_read(session, position)
     session.stream.write(relay.output)
--- a/ebonyrack/callers/upstream_use.py
+++ b/ebonyrack/callers/upstream_use.py
@@ -26,6 +26,7 @@
     from ebonyrack.upstreams.connection import QueryAnswer
     from ebonyrack.upstreams.connection import UpstreamConnection
     from ebonyrack.upstreams.contract import EbonyrackContract
+    from ebonyrack.upstreams.status import UpstreamStatus
     from ebonyrack.upstreams.upstream import Upstream
 
 # Between attempts to reach a primary that has just been lost.
@@ -192,11 +193,44 @@
     return read_polled_position(get_contract(session), answer)
 
 
+async def read_status(session: CallerSession) -> UpstreamStatus | None:
+    """Read the answer to the question for the position that was sent already.
+
+    Args:
+        session: A session that holds a connection.
+
+    Returns:
+        The status, or None if the upstream answered an error.
+
+    Raises:
+        UpstreamLostError: If there is no answer or it has another form.
+    """
+    answer = await session.read_control_answer()
+    if answer.error is not None:
+        return None
+    return read_polled_status(get_contract(session), answer)
+
+
 def read_polled_position(
     contract: EbonyrackContract, answer: QueryAnswer
 ) -> LogPosition:
     """Read the received position from the answer to a poll.
 
+    Args:
+        contract: Contract of the group.
+        answer: The answer.
+
+    Raises:
+        UpstreamLostError: If the answer is an error or has another form.
+    """
+    return read_polled_status(contract, answer).received
+
+
+def read_polled_status(
+    contract: EbonyrackContract, answer: QueryAnswer
+) -> UpstreamStatus:
+    """Read the answer to a poll.
+
     Args:
         contract: Contract of the group.
         answer: The answer.
@@ -207,7 +241,7 @@
     if answer.error is not None or not answer.rows:
         raise UpstreamLostError("the position can't be read")
     try:
-        return contract.parse_status(answer.rows[0]).received
+        return contract.parse_status(answer.rows[0])
     except (ValueError, TypeError) as error:
         raise UpstreamLostError(f"the position can't be read: {error}") from error
 
--- a/ebonyrack/routing/conftest.py
+++ b/ebonyrack/routing/conftest.py
@@ -42,7 +42,13 @@
         self.hold.set()
         self.moved = asyncio.Condition()
         self.polls = 0
-        self.pool = SimpleNamespace(busy_count=0, waiting_count=0, limit=10)
+        self.pool = SimpleNamespace(
+            busy_count=0, waiting_count=0, idle_count=1, limit=10
+        )
+
+    def note_status(self, status: UpstreamStatus, asked_at_s: float) -> None:
+        """Keep an answer of another connection."""
+        self.status = status
 
     def start_poll(self) -> asyncio.Task[UpstreamStatus]:
         """Start a plain poll."""
--- a/ebonyrack/routing/read_index.py
+++ b/ebonyrack/routing/read_index.py
@@ -9,25 +9,18 @@
 from typing import Self
 
 from ebonyrack.core.clock import now_s
-from ebonyrack.core.errors import ErrorKind
-from ebonyrack.core.errors import RequestError
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.tasks import end_tasks
-from ebonyrack.upstreams.connection import UpstreamLostError
-from ebonyrack.upstreams.status import UpstreamStatus
+from ebonyrack.routing.read_round import PollRound
 
 if TYPE_CHECKING:
     from types import TracebackType
 
     from ebonyrack.upstreams.group import DatabaseGroup
-    from ebonyrack.upstreams.upstream import Upstream
 
-# The primary is asked too if a majority of replicas has not answered by then.
-HEDGE_AFTER_S = 0.005
 # The history keeps at most one index for each of these intervals.
 HISTORY_STEP_S = 0.05
 HISTORY_LENGTH = 512
-RETRY_AFTER_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,15 +48,26 @@
         running: The round in flight, or None.
         waiting: The round that begins after it, or None.
         history: Earlier indexes, oldest first.
+        has_overlap: Whether a read has been sent whose index is being made.
+        overlap_from_s: Monotonic time from which a read may be sent so.
     """
 
-    __slots__ = ("group", "running", "waiting", "history")
+    __slots__ = (
+        "group",
+        "running",
+        "waiting",
+        "history",
+        "has_overlap",
+        "overlap_from_s",
+    )
 
     def __init__(self, group: DatabaseGroup) -> None:
         self.group = group
         self.running: asyncio.Task[DatedIndex] | None = None
         self.waiting: asyncio.Task[DatedIndex] | None = None
         self.history: deque[DatedIndex] = deque(maxlen=HISTORY_LENGTH)
+        self.has_overlap = False
+        self.overlap_from_s = 0.0
 
     async def __aenter__(self) -> Self:
         return self
@@ -88,6 +92,16 @@
         """
         return (await asyncio.shield(self.join_round())).position
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no round and no overlapped read is under way."""
+        return self.waiting is None and not self.has_overlap and not self.is_running
+
+    @property
+    def is_running(self) -> bool:
+        """Whether a round is in flight."""
+        return self.running is not None and not self.running.done()
+
     def join_round(self) -> asyncio.Task[DatedIndex]:
         """Return a round of polls that has not sent any yet."""
         if self.waiting is None:
@@ -116,10 +130,7 @@
         return index
 
     async def ask_majority(self) -> LogPosition:
-        """Poll until a majority has answered, replicas before the primary.
-
-        Replicas' positions are lower than the primary's, so a read that waits for
-        the index is served earlier and does not wait for writes in progress.
+        """Poll until a majority has answered.
 
         Returns:
             Highest position received among those that answered.
@@ -127,40 +138,9 @@
         Raises:
             RequestError: NO_UPSTREAM if no majority answers.
         """
-        majority = self.group.majority
-        reserve = list(self.group.upstreams.values())
-        first = self.choose_first(reserve)
-        reserve = [upstream for upstream in reserve if upstream not in first]
-        polls = {upstream.start_poll() for upstream in first}
-        received: list[LogPosition] = []
-        while len(received) < majority and (polls or reserve):
-            timeout_s = HEDGE_AFTER_S if reserve else None
-            done, polls = await wait_first(polls, timeout_s)
-            answers = [read_answer(task) for task in done]
-            received += [item.received for item in answers if item is not None]
-            if not done or len(received) + len(polls) < majority:
-                polls |= {upstream.start_poll() for upstream in reserve}
-                reserve = []
-        if len(received) < majority:
-            reason = f"{len(received)} of {majority} upstreams answered"
-            raise RequestError(ErrorKind.NO_UPSTREAM, reason, RETRY_AFTER_S)
-        return max(received)
-
-    def choose_first(self, upstreams: list[Upstream]) -> list[Upstream]:
-        """Choose the upstreams to poll at once.
-
-        Args:
-            upstreams: Upstreams of the group.
-
-        Returns:
-            The reachable replicas if they are a majority, else all upstreams.
-        """
-        replicas = [
-            upstream
-            for upstream in upstreams
-            if upstream.is_reachable and upstream.name != self.group.primary_name
-        ]
-        return replicas if len(replicas) >= self.group.majority else upstreams
+        group = self.group
+        upstreams = group.upstreams.values()
+        return await PollRound(group, upstreams, group.majority).collect()
 
     def remember(self, index: DatedIndex) -> None:
         """Keep an index for reads of a stated age.
@@ -190,44 +170,6 @@
         return None
 
 
-async def wait_first(
-    polls: set[asyncio.Task[UpstreamStatus]], timeout_s: float | None
-) -> tuple[set[asyncio.Task[UpstreamStatus]], set[asyncio.Task[UpstreamStatus]]]:
-    """Wait until one of the polls has ended.
-
-    Args:
-        polls: Polls in flight.
-        timeout_s: Seconds to wait at most, or None.
-
-    Returns:
-        Ended polls and those still in flight.
-    """
-    if not polls:
-        return set(), set()
-    return await asyncio.wait(
-        polls, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-    )
-
-
-def read_answer(poll: asyncio.Task[UpstreamStatus]) -> UpstreamStatus | None:
-    """Return the answer of a poll that has ended, or None if it failed.
-
-    Args:
-        poll: The poll; cancelled if the document has its upstream no more.
-
-    Raises:
-        BaseException: Whatever else than a lost upstream ended it.
-    """
-    if poll.cancelled():
-        return None
-    error = poll.exception()
-    if error is None:
-        return poll.result()
-    if isinstance(error, UpstreamLostError):
-        return None
-    raise error
-
-
 def note_error(task: asyncio.Task[DatedIndex]) -> None:
     """Mark the error of a round as seen, for rounds whose readers have left.
 
--- a/ebonyrack/routing/read_machine_test.py
+++ b/ebonyrack/routing/read_machine_test.py
@@ -10,14 +10,18 @@
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 from loguru import logger
+from pygwire.messages import Query
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.position import START
 from ebonyrack.core.position import parse_position
 from ebonyrack.routing.read_index import ReadIndex
+from ebonyrack.routing.read_overlap import Overlap
 from ebonyrack.routing.read_placement import ReadRequirement
 from ebonyrack.routing.read_placement import place_read
+from ebonyrack.routing.read_search import Search
+from ebonyrack.routing.read_search import find_replicas
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.contract import EbonyrackContract
@@ -134,9 +138,49 @@
             return None
         return {row[0] for row in answer.rows}
 
+    async def read_overlapped(self, proxy, replica):
+        """Read on a replica that is judged while it reads; None if dropped."""
+        group, index = self.proxies[proxy]
+        deadline_s = now_s() + REQUEST_S
+        requirement = ReadRequirement()
+        search = Search(group, index, requirement, deadline_s, frozenset(), now_s())
+        replicas = find_replicas(search)
+        if len(replicas) <= replica:
+            return None
+        overlap = Overlap(search, replicas[replica])
+        pool = overlap.replica.pool
+        try:
+            overlap.start()
+            connection = await pool.acquire("tests", deadline_s)
+            try:
+                statements = (
+                    CONTRACT.build_poll(START, 0),
+                    "SELECT request FROM bookings",
+                )
+                connection.send(b"".join(Query(sql).to_wire() for sql in statements))
+                async with asyncio.timeout(REQUEST_S):
+                    polled = await connection.read_answer()
+                    status = CONTRACT.parse_status(polled.rows[0])
+                    placement = await overlap.judge(status)
+                    answer = await connection.read_answer()
+                is_standby = connection.is_standby
+            finally:
+                if not connection.is_clean:
+                    connection.close()
+                pool.release(connection)
+        except (RequestError, UpstreamLostError, TimeoutError):
+            return None
+        if placement is None or not is_standby:
+            return None
+        return {row[0] for row in answer.rows}
+
     def check_read(self, proxy, requirement, expected):
         """Read and compare with what must be seen."""
-        seen = self.loop.run_until_complete(self.read(proxy, requirement))
+        self.compare(self.read(proxy, requirement), expected)
+
+    def compare(self, reading, expected):
+        """Wait for an answer and compare it with what must be seen."""
+        seen = self.loop.run_until_complete(reading)
         if seen is not None:
             assert expected <= seen, f"{expected - seen} not seen"
             self.shown |= seen
@@ -145,6 +189,10 @@
     def read_strictly(self, proxy):
         self.check_read(proxy, ReadRequirement(), set(self.acknowledged))
 
+    @rule(proxy=PROXIES, replica=REPLICAS)
+    def read_while_judged(self, proxy, replica):
+        self.compare(self.read_overlapped(proxy, replica), set(self.acknowledged))
+
     @rule(proxy=PROXIES, session=SESSIONS)
     def read_with_token(self, proxy, session):
         session = self.sessions[session]
@@ -164,6 +212,8 @@
         """Read in every way what was just written, while one replica lacks it."""
         self.disturb_replication(replica, lag_s)
         self.write(proxy, session)
+        for number in (0, 1):
+            self.read_while_judged(1 - proxy, number)
         self.read_with_token(1 - proxy, session)
         self.read_strictly(1 - proxy)
         self.read_aged(1 - proxy, session, 0.0)
--- /dev/null
+++ b/ebonyrack/routing/read_round.py
@@ -0,0 +1,137 @@
+"""One round of polls for the position that enough upstreams have received."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.status import UpstreamStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ebonyrack.core.position import LogPosition
+    from ebonyrack.upstreams.group import DatabaseGroup
+    from ebonyrack.upstreams.upstream import Upstream
+
+# The primary is asked too if too few replicas have answered by then.
+HEDGE_AFTER_S = 0.005
+RETRY_AFTER_S = 0.2
+
+Poll = asyncio.Task[UpstreamStatus]
+
+
+class PollRound:
+    """Polls of upstreams until enough have answered, replicas before the primary.
+
+    Replicas' positions are lower than the primary's, so a read that waits for the
+    position is served earlier and does not wait for writes in progress.
+
+    Attributes:
+        needed: Answers that are enough.
+        polls: Polls in flight.
+        reserve: Upstreams that are asked if the first ones are late or lost.
+    """
+
+    __slots__ = ("needed", "polls", "reserve")
+
+    def __init__(
+        self, group: DatabaseGroup, upstreams: Iterable[Upstream], needed: int
+    ) -> None:
+        """Start the first polls.
+
+        Args:
+            group: The database group.
+            upstreams: Upstreams that may be asked.
+            needed: Answers that are enough.
+        """
+        candidates = list(upstreams)
+        first = choose_first(group, candidates, needed)
+        self.needed = needed
+        self.polls: set[Poll] = {upstream.start_poll() for upstream in first}
+        self.reserve = [item for item in candidates if item not in first]
+
+    async def collect(self) -> LogPosition:
+        """Wait until enough have answered.
+
+        Returns:
+            Highest position received among those that answered.
+
+        Raises:
+            RequestError: NO_UPSTREAM if too few answer.
+        """
+        received: list[LogPosition] = []
+        while len(received) < self.needed and (self.polls or self.reserve):
+            done = self.take_done() or await self.wait_first()
+            answers = [read_answer(task) for task in done]
+            received += [item.received for item in answers if item is not None]
+            if not done or len(received) + len(self.polls) < self.needed:
+                self.polls |= {upstream.start_poll() for upstream in self.reserve}
+                self.reserve = []
+        if len(received) < self.needed:
+            reason = f"{len(received)} of {self.needed} upstreams answered"
+            raise RequestError(ErrorKind.NO_UPSTREAM, reason, RETRY_AFTER_S)
+        return max(received)
+
+    def take_done(self) -> set[Poll]:
+        """Return the polls that have ended already; they leave `polls`."""
+        done = {poll for poll in self.polls if poll.done()}
+        self.polls -= done
+        return done
+
+    async def wait_first(self) -> set[Poll]:
+        """Wait until one of the polls has ended or the reserve is to be asked.
+
+        Returns:
+            The polls that have ended; they are no longer in `polls`.
+        """
+        if not self.polls:
+            return set()
+        timeout_s = HEDGE_AFTER_S if self.reserve else None
+        done, self.polls = await asyncio.wait(
+            self.polls, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        return done
+
+
+def choose_first(
+    group: DatabaseGroup, upstreams: list[Upstream], needed: int
+) -> list[Upstream]:
+    """Choose the upstreams to poll at once.
+
+    Args:
+        group: The database group.
+        upstreams: Upstreams that may be asked.
+        needed: Answers that are enough.
+
+    Returns:
+        The reachable replicas if they are enough, else all upstreams.
+    """
+    replicas = [
+        upstream
+        for upstream in upstreams
+        if upstream.is_reachable and upstream.name != group.primary_name
+    ]
+    return replicas if len(replicas) >= needed else upstreams
+
+
+def read_answer(poll: Poll) -> UpstreamStatus | None:
+    """Return the answer of a poll that has ended, or None if it failed.
+
+    Args:
+        poll: The poll; cancelled if the document has its upstream no more.
+
+    Raises:
+        BaseException: Whatever else than a lost upstream ended it.
+    """
+    if poll.cancelled():
+        return None
+    error = poll.exception()
+    if error is None:
+        return poll.result()
+    if isinstance(error, UpstreamLostError):
+        return None
+    raise error
