End a late query by closing its connection instead of by a timeout

Cause: each poll entered an asyncio.timeout in UpstreamConnection.query, beside its deadline further up; entering and leaving one takes 8 us in a microbenchmark, a timer that is cancelled 4 us.

Change: a timer closes the connection, which ends the wait with the same error. The test of a late answer now also checks the reason.

--- a/ebonyrack/upstreams/connection.py
+++ b/ebonyrack/upstreams/connection.py
@@ -226,21 +226,29 @@
         Raises:
             UpstreamLostError: If the connection ended or the time is over.
         """
+        # Closing the connection ends the wait, which costs less than a timeout.
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(timeout_s, self.end_late_query, timeout_s)
         try:
-            async with asyncio.timeout(timeout_s):
-                self.check_no_answer_due()
-                self.send(Query(query_string=sql).to_wire())
-                return await self.read_answer()
-        except TimeoutError:
-            reason = f"no answer from {self.address} within {timeout_s:.3f} s"
-            self.frames.close(reason)
-            raise UpstreamLostError(reason) from None
+            self.check_no_answer_due()
+            self.send(Query(query_string=sql).to_wire())
+            return await self.read_answer()
         except PygwireError as error:
             self.frames.close(f"the answer can't be decoded: {error}")
             raise UpstreamLostError(self.frames.lost_reason or "") from error
         except BaseException:
             self.frames.close("given up in the middle of an answer")
             raise
+        finally:
+            timer.cancel()
+
+    def end_late_query(self, timeout_s: float) -> None:
+        """Close the connection since an answer takes too long.
+
+        Args:
+            timeout_s: Seconds that it had.
+        """
+        self.frames.close(f"no answer from {self.address} within {timeout_s:.3f} s")
 
     def check_no_answer_due(self) -> None:
         """Raise UpstreamLostError while the answer to an earlier request is due."""
--- a/ebonyrack/upstreams/connection_test.py
+++ b/ebonyrack/upstreams/connection_test.py
@@ -92,7 +92,7 @@
 async def test_late_answer_reaches_nobody(upstream):
     upstream.silent.add("slow")
     connection = await connect(upstream)
-    with pytest.raises(UpstreamLostError):
+    with pytest.raises(UpstreamLostError, match="no answer.*within 0.010 s"):
         await connection.query("slow", 0.01)
     assert connection.is_closed
     with pytest.raises(UpstreamLostError):
