Bring back upstreams that an abandoned ballot fenced

Cause: a ballot that was given up leaves upstreams that granted its term. They accept nothing of a lower term, repair.py leaves them alone for that reason, and the detector has no complaint while the rest is a majority. They stayed out until the next change of primary. With the other replica of three dead, no write was confirmed any more and no ballot began (judge_links wants a majority of replicas).

Ruled out: taking the grant back or following in the granted term; both break the meeting of majorities (docs/DESIGN.md has the table).

Change: Renewal promotes the same primary by an ordinary ballot in a term above the grant, with the switchover's drain, by rank, with a pause that doubles with each change of term. Switchover.run is split, so that both use the same steps, and one lock keeps them apart. A renewal or switchover stops if the term changed during its drain.

Tests changed: Bench.is_settled also asks that no upstream is fenced above the primary (stricter).

--- a/ebonyrack/failover/ballot.py
+++ b/ebonyrack/failover/ballot.py
@@ -27,6 +27,8 @@
 FENCE_TIMEOUT_S = 0.4
 # Once a majority has granted, answers under way are waited for this long.
 FENCE_GRACE_S = 0.01
+# The upstream that is to be promoted may be farther away than the others.
+PREFERRED_GRACE_S = 0.1
 PROMOTE_TIMEOUT_S = 0.5
 FOLLOW_TIMEOUT_S = 0.5
 OPEN_TIMEOUT_S = 2.0
@@ -181,7 +183,9 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if len(self.list_candidates()) >= self.group.majority:
-                deadline_s = min(deadline_s, now_s() + FENCE_GRACE_S)
+                is_awaited = self.preferred not in (None, *self.grants)
+                grace_s = PREFERRED_GRACE_S if is_awaited else FENCE_GRACE_S
+                deadline_s = min(deadline_s, now_s() + grace_s)
 
     async def fence_one(self, upstream: Upstream) -> None:
         """Ask one upstream for a grant and keep its answer.
--- a/ebonyrack/failover/bench_test.py
+++ b/ebonyrack/failover/bench_test.py
@@ -212,6 +212,7 @@
         self.network = FakeNetwork()
         self.names = set()
         self.store = FakeStore()
+        self.rival_terms = TermSource()
         self.proxies = {}
         self.stack = AsyncExitStack()
 
@@ -268,6 +269,29 @@
             self.standins.thaw(name)
         self.standins.heal()
 
+    async def abandon_ballot(self, *names):
+        """Fence upstreams as a proxy does that dies before it promotes one."""
+        await self.rival_terms.reserve(self.store)
+        seen = (upstream.fenced_term for upstream in self.standins.upstreams.values())
+        term = self.rival_terms.next_term(max(seen))
+        for name in names:
+            await self.standins[name].fence(term)
+        return term
+
+    async def write_while(self, condition):
+        """Write through every proxy while a condition holds; returns what landed."""
+        written = []
+
+        async def keep_writing(proxy):
+            number = 0
+            while number < 5 or condition():
+                await proxy.write(f"r-{proxy.name}-{number}")
+                written.append(f"r-{proxy.name}-{number}")
+                number += 1
+
+        await asyncio.gather(*(keep_writing(proxy) for proxy in self.proxies.values()))
+        return written
+
     def is_settled(self):
         """Tell whether there is one primary whose log all upstreams hold."""
         primary = self.standins.primary()
@@ -278,6 +302,10 @@
                 or (upstream.term == primary.term and upstream.role == "replica")
                 for upstream in self.standins.upstreams.values()
             )
+            and all(
+                upstream.fenced_term <= primary.term
+                for upstream in self.standins.upstreams.values()
+            )
             and all(
                 upstream.log.entries == primary.log.entries
                 for upstream in self.standins.upstreams.values()
--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -20,6 +20,7 @@
 from ebonyrack.failover.pre_vote import ask_peers
 from ebonyrack.failover.ranking import COORDINATORS
 from ebonyrack.failover.ranking import rank_members
+from ebonyrack.failover.renewal import Renewal
 from ebonyrack.failover.repair import Repair
 from ebonyrack.failover.safeguards import Safeguards
 from ebonyrack.failover.switchover import Switchover
@@ -59,6 +60,9 @@
         safeguards: Safeguards; all are on unless a test switches one off.
         rank: Place among the coordinators, or None if this proxy is none of them.
         detector: Judges the primary.
+        repair: Orders upstreams that are astray to follow.
+        switchover: Moves the primary on request or when it is leaving.
+        renewal: Brings back upstreams that are fenced above the primary's term.
         failures: Ballots lost in a row.
         highest_term: Highest term that an upstream is known to have granted.
         has_membership_changed: Whether the rank is to be worked out again.
@@ -83,6 +87,7 @@
         self.detector = Detector(group)
         self.repair = Repair(group)
         self.switchover = Switchover(self)
+        self.renewal = Renewal(self)
         self.failures = 0
         self.highest_term = 0
         self.pause = PauseDetector(PAUSE_LIMIT_S)
@@ -181,6 +186,7 @@
         self.repair.check(rank)
         if rank == 0:
             await self.switchover.check()
+        await self.renewal.check(rank)
 
     async def react(self, suspicion: Suspicion, rank: int) -> None:
         """Replace the primary if the peers agree and it is this proxy's turn.
@@ -314,12 +320,8 @@
 
     def find_highest_term(self) -> int:
         """Return the highest term that any upstream is known to have seen."""
-        fenced = (
-            upstream.status.fenced_term
-            for upstream in self.group.upstreams.values()
-            if upstream.status is not None
-        )
-        return max(self.highest_term, self.group.term, *fenced, 0)
+        seen = (item.highest_term for item in self.group.upstreams.values())
+        return max(self.highest_term, self.group.term, *seen)
 
     async def back_off(self) -> None:
         """Wait before the next ballot, longer after each that was lost."""
--- a/ebonyrack/failover/failover_test.py
+++ b/ebonyrack/failover/failover_test.py
@@ -171,6 +171,13 @@
     assert sorted(bench.read_requests("up-3")) == sorted(written)
 
 
+async def test_switchover_moves_to_a_target_that_is_farther_away(start_bench):
+    bench = await start_bench(proxies=2)
+    bench.standins.delay("up-2", 0.03)
+    outcome = await bench.by_rank()[0].coordinator.switch_over("up-2")
+    assert outcome.succeeded, outcome.text
+
+
 async def test_switchover_leaves_an_open_transaction_alone(start_bench):
     bench = await start_bench(proxies=2)
     first, second = bench.by_rank()
--- a/ebonyrack/failover/group_machine_test.py
+++ b/ebonyrack/failover/group_machine_test.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import AsyncExitStack
 
+import pytest
 from hypothesis import HealthCheck
 from hypothesis import Phase
 from hypothesis import settings
@@ -14,6 +15,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from ebonyrack.failover import coordinator as coordinator_module
+from ebonyrack.failover import renewal as renewal_module
 from ebonyrack.failover.ballot import Ballot
 from ebonyrack.failover.bench_test import Bench
 from ebonyrack.failover.bench_test import Writer
@@ -28,6 +30,8 @@
 # Callers write on for this long after each step.
 STEP_TIME_S = 0.04
 LONG_LAG_S = 1.0
+# Many changes of term come in one example; renewals must come within its limits.
+QUICK_RENEWAL = {"SETTLE_S": 0.2, "LONGEST_PAUSE_S": 0.5}
 QUICK = {"probe_interval_s": 0.02, "suspect_after_s": 0.1, "lag_refusal_s": 1.0}
 MACHINE_SETTINGS = settings(
     max_examples=16,
@@ -62,6 +66,9 @@
         self.stack = AsyncExitStack()
         self.tasks = []
         coordinator_module.Ballot = GatedBallot
+        self.patches = pytest.MonkeyPatch()
+        for name, value in QUICK_RENEWAL.items():
+            self.patches.setattr(renewal_module, name, value)
         self.run(self.start_bench())
 
     def run(self, coroutine):
@@ -73,6 +80,7 @@
         self.standins = await self.stack.enter_async_context(StandinGroup())
         self.bench = Bench(self.standins, self.overrides)
         await self.stack.enter_async_context(self.bench.stack)
+        await self.bench.rival_terms.reserve(self.bench.store)
         for name in PROXIES:
             proxy = await self.bench.add_proxy(name, self.safeguards)
             proxy.group.gate = asyncio.Event()
@@ -170,6 +178,12 @@
         """Let coordinators hold ballots at once although nothing is wrong."""
         self.run(self.begin_ballots(names))
 
+    @rule(names=st.sets(st.sampled_from(UPSTREAMS), min_size=1, max_size=2))
+    def abandon_ballot(self, names):
+        """Fence upstreams in a term that nobody goes on with."""
+        running = [name for name in sorted(names) if self.standins[name].is_running]
+        self.run(self.bench.abandon_ballot(*running))
+
     async def begin_ballots(self, names):
         for name in sorted(names):
             coordinator = self.bench.proxies[name].coordinator
@@ -243,6 +257,7 @@
             self.run(self.finish())
         finally:
             coordinator_module.Ballot = Ballot
+            self.patches.undo()
             self.run(self.end())
             self.loop.close()
 
@@ -264,6 +279,11 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    def find_replicas(self):
+        """Return the replicas that the first proxy would let serve reads."""
+        group = self.bench.proxies[PROXIES[0]].group
+        return [upstream.name for upstream in group.replicas()]
+
     async def finish(self):
         """Mend everything, let the callers end, and check what they were told."""
         self.bench.store.is_down = False
@@ -279,6 +299,8 @@
         seen = {name: len(item.acknowledged) for name, item in self.writers.items()}
         await until(lambda: self.has_progressed(seen))
         await self.end_tasks()
+        await until(lambda: len(self.find_replicas()) == len(UPSTREAMS) - 1)
+        await self.bench.abandon_ballot(self.find_replicas()[0])
         await self.bench.settle()
         self.bench.check_terms()
         requests = self.bench.read_requests("up-1")
--- a/ebonyrack/failover/switchover.py
+++ b/ebonyrack/failover/switchover.py
@@ -49,19 +49,26 @@
     Attributes:
         coordinator: The group's coordinator, which holds the ballot.
         tried_at_s: Monotonic time of the last try.
+        lock: Held by the move or renewal in work.
     """
 
-    __slots__ = ("coordinator", "tried_at_s")
+    __slots__ = ("coordinator", "tried_at_s", "lock")
 
     def __init__(self, coordinator: Coordinator) -> None:
         self.coordinator = coordinator
         self.tried_at_s = 0.0
+        self.lock = asyncio.Lock()
 
     @property
     def group(self) -> DatabaseGroup:
         """The group."""
         return self.coordinator.group
 
+    @property
+    def is_moving(self) -> bool:
+        """Whether this proxy or a peer moves the primary now."""
+        return self.lock.locked() or self.group.hold_until_s > now_s()
+
     async def check(self) -> None:
         """Move the primary if it is leaving."""
         primary = self.group.upstreams.get(self.group.primary_name or "")
@@ -92,14 +99,48 @@
         Returns:
             How it ended.
         """
-        primary = self.group.primary() or self.group.upstreams.get(
-            self.group.primary_name or ""
-        )
-        target = self.choose_target(to)
-        if primary is None or target is None:
-            return SwitchoverOutcome(False, "no replica can take over")
-        if target is primary:
-            return SwitchoverOutcome(True, f"{target.name} is primary already")
+        async with self.lock:
+            primary = self.group.primary() or self.group.upstreams.get(
+                self.group.primary_name or ""
+            )
+            target = self.choose_target(to)
+            if primary is None or target is None:
+                return SwitchoverOutcome(False, "no replica can take over")
+            if target is primary:
+                text = f"{target.name} is primary already"
+                return SwitchoverOutcome(True, text)
+            return await self.move("switchover", primary, target, forced)
+
+    async def renew(self, forced: bool) -> SwitchoverOutcome:
+        """Promote the present primary again, in a new term.
+
+        Args:
+            forced: Whether to go on although transactions are still open.
+
+        Returns:
+            How it ended.
+        """
+        async with self.lock:
+            primary = self.group.primary()
+            if primary is None:
+                return SwitchoverOutcome(False, "no primary serves")
+            return await self.move("renewal", primary, primary, forced)
+
+    async def move(
+        self, reason: str, primary: Upstream, target: Upstream, forced: bool
+    ) -> SwitchoverOutcome:
+        """Hold new writes, drain the primary and hold a ballot for the target.
+
+        Args:
+            reason: Why, for the log.
+            primary: The present primary.
+            target: The upstream to promote.
+            forced: Whether to go on although transactions are still open.
+
+        Returns:
+            How it ended.
+        """
+        term = self.group.term
         started_s = now_s()
         self.group.hold_writes(HOLD_S)
         try:
@@ -107,9 +148,11 @@
                 return SwitchoverOutcome(False, "transactions are still open")
             if not await self.catch_up(primary, target):
                 return SwitchoverOutcome(False, f"{target.name} does not catch up")
+            if self.group.term != term:
+                return SwitchoverOutcome(False, "the primary has changed meanwhile")
             parts = {"hold_s": now_s() - started_s}
             outcome = await self.coordinator.hold_ballot(
-                "switchover", parts, preferred=target.name
+                reason, parts, preferred=target.name
             )
         finally:
             await self.release()
@@ -197,6 +240,8 @@
         Returns:
             Whether it has.
         """
+        if target is primary:
+            return True
         try:
             wanted = (await primary.poll()).received
             status = await target.poll(wanted, CATCH_UP_S, received=True)
--- a/ebonyrack/upstreams/upstream.py
+++ b/ebonyrack/upstreams/upstream.py
@@ -131,6 +131,13 @@
             self.status is not None and self.status.leaving
         )
 
+    @property
+    def highest_term(self) -> int:
+        """Highest term that it is known to have granted or followed."""
+        if self.status is None:
+            return 0
+        return max(self.status.term, self.status.fenced_term)
+
     def is_primary_in(self, term: int) -> bool:
         """Tell whether it is primary in a term and granted no higher one.
 
