--- a/ebonyrack/load/queue_samples.py
+++ b/ebonyrack/load/queue_samples.py
@@ -12,8 +12,8 @@
 from ebonyrack.load.context import ExperimentContext
 from ebonyrack.ops.client import Access
 from ebonyrack.ops.client import ProxyClient
-from ebonyrack.peers.messages import StatusReply
-from ebonyrack.peers.messages import StatusRequest
+from ebonyrack.peers.operator_messages import StatusReply
+from ebonyrack.peers.operator_messages import StatusRequest
 
 SAMPLE_INTERVAL_S = 0.05
 ANSWER_TIMEOUT_S = 5.0
