Measure how long a leaving upstream still gets new work; name the upstream of a write

Cause: that a leaving upstream gets no new work within 2 s was tested in kind and never measured. Change: experiment leaving_time: under load a replica and the primary leave, told by the document, by the VM list and by the upstream's own answers; the last placement in the decision logs counts. The line of a write named the address and not the name of its upstream, unlike a read's; it names it.

--- a/ebonyrack/load/cluster.py
+++ b/ebonyrack/load/cluster.py
@@ -84,7 +84,7 @@
     ) -> None:
         await self.session.close()
 
-    async def put(self, url: str, body: dict[str, Any]) -> None:
+    async def put(self, url: str, body: Any) -> None:
         """Send an order to a stand-in.
 
         Raises:
@@ -102,6 +102,19 @@
         """Set faults of the platform."""
         await self.put(f"http://{self.store}/standin/faults", faults)
 
+    async def set_vms(self, *leaving: str) -> None:
+        """Set the platform's VM list: the upstreams, some of them leaving."""
+        vms = [
+            {
+                "name": name,
+                "address": "127.0.0.1",
+                "data_centre": "",
+                "state": "leaving" if name in leaving else "live",
+            }
+            for name in await self.read_status()
+        ]
+        await self.put(f"http://{self.store}/standin/nodes", vms)
+
     async def read_status(self) -> GroupStatus:
         """Return the status of each upstream."""
         async with self.session.get(f"http://{self.control}/status") as answer:
--- a/ebonyrack/load/experiments_test.py
+++ b/ebonyrack/load/experiments_test.py
@@ -1,5 +1,7 @@
 import json
 
+from ebonyrack.config.stored import DOCUMENT_KEY
+from ebonyrack.config.stored import unpack_stored
 from ebonyrack.core.address import Address
 from ebonyrack.load import experiments
 from ebonyrack.load.bootstrap import put_document
@@ -9,6 +11,8 @@
 from ebonyrack.load.context import EXPERIMENTS
 from ebonyrack.load.failover_gap import PRIMARY_FAULTS
 from ebonyrack.load.failover_gap import find_parts
+from ebonyrack.load.leaving_time import LEAVING_SOURCES
+from ebonyrack.load.leaving_time import find_work
 from ebonyrack.load.report import draw_report
 from ebonyrack.load.results import format_rows
 from ebonyrack.load.results import read_results
@@ -56,6 +60,52 @@
             assert not is_whole(await cluster.read_status())
 
 
+async def test_an_upstream_leaves_in_every_way_and_comes_back(monkeypatch):
+    monkeypatch.setattr("ebonyrack.load.cluster.SPREAD_WAIT_S", 0.0)
+    async with StandinGroup() as group, StandinPlatform() as platform:
+        control = FaultControl(group, Address("127.0.0.1", 0))
+        text = build_text(group)
+        await put_document(platform.address, "ebonyrack", text)
+        async with (
+            control,
+            Cluster(control.address, platform.address, text) as cluster,
+        ):
+            for source in LEAVING_SOURCES.entries:
+                async with LEAVING_SOURCES.get(source)(cluster, "up-2"):
+                    assert read_leaving(group, platform) == {source}
+                assert read_leaving(group, platform) == set()
+
+
+def read_leaving(group, platform):
+    entries = platform.state.entries
+    stored = next(key for key in entries if key.endswith(DOCUMENT_KEY))
+    document = unpack_stored(entries[stored].value).text
+    listed = [node.name for node in platform.state.nodes if node.state == "leaving"]
+    signs = {
+        "document": "leaving = up-2" in document,
+        "vm_list": listed == ["up-2"],
+        "upstream": group["up-2"].leaving,
+    }
+    return {source for source, is_seen in signs.items() if is_seen}
+
+
+def test_work_of_an_upstream_is_found_in_the_decision_log(tmp_path):
+    path = tmp_path / "proxy.log"
+    lines = [
+        {"event": "read_placed", "upstream": "up-1"},
+        {"event": "read_placed", "upstream": "up-2"},
+        {"event": "write_acknowledged", "upstream": "up-1"},
+        {"event": "member_changed", "peer": "read_placed"},
+    ]
+    written = [
+        json.dumps({**line, "time": f"2026-01-01T00:00:0{second}+00:00"})
+        for second, line in enumerate(lines)
+    ]
+    path.write_text("\n".join(written), encoding="utf-8")
+    first, last = find_work((path,), "up-1")
+    assert last - first == 2.0
+
+
 def test_parts_come_from_the_first_ballot_won_after_the_fault(tmp_path):
     path = tmp_path / "proxy.log"
     lines = [
--- a/ebonyrack/routing/write_path.py
+++ b/ebonyrack/routing/write_path.py
@@ -176,10 +176,18 @@
         log_decision(
             "write_acknowledged",
             group=group.name,
-            upstream=str(connection.address),
+            upstream=find_name(group, connection),
             reason=policy_name,
             outcome=outcome,
             term=group.term,
             position=str(position),
             waited_s=round(now_s() - started_s, 4),
         )
+
+
+def find_name(group: DatabaseGroup, connection: UpstreamConnection) -> str:
+    """Return the name of a connection's upstream, or its address if it has gone."""
+    for upstream in group.upstreams.values():
+        if upstream.spec.address == connection.address:
+            return upstream.name
+    return str(connection.address)
--- a/ebonyrack/routing/write_path_test.py
+++ b/ebonyrack/routing/write_path_test.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+from loguru import logger
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
@@ -8,6 +9,7 @@
 from ebonyrack.core.position import LogPosition
 from ebonyrack.routing.write_path import ACKNOWLEDGE_POLICIES
 from ebonyrack.routing.write_path import LEASE_S
+from ebonyrack.routing.write_path import acknowledge_write
 from ebonyrack.routing.write_path import check_write_admitted
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.upstreams.group import DatabaseGroup
@@ -96,6 +98,21 @@
     assert error.retry_after_s > 0
 
 
+async def test_log_names_the_upstream_of_a_write(standins, group):
+    lines = []
+    handler = logger.add(lambda text: lines.append(text.record))
+    try:
+        connection = await group.primary().pool.acquire("tests", now_s() + 5)
+        await connection.query(INSERT, 5.0)
+        position = standins["up-1"].log.last
+        await acknowledge_write(group, connection, position, now_s() + 5)
+        group.primary().pool.release(connection)
+    finally:
+        logger.remove(handler)
+    written = [line for line in lines if line["message"] == "write_acknowledged"]
+    assert [line["extra"]["upstream"] for line in written] == ["up-1"]
+
+
 async def test_lease_acknowledges_alone_and_delays_the_promotion(standins, group):
     policy = ACKNOWLEDGE_POLICIES.get("primary_lease")()
     standins.set_lag(0.0, receive_delay_s=60.0)
