--- a/ebonyrack/load/failover_queue.py
+++ b/ebonyrack/load/failover_queue.py
@@ -22,6 +22,7 @@
 from ebonyrack.load.record import WorkloadRecord
 from ebonyrack.load.record import find_quantile
 from ebonyrack.load.results import Row
+from ebonyrack.load.time_steps import BEFORE_S
 from ebonyrack.load.time_steps import STEP_S
 from ebonyrack.load.time_steps import count_in_steps
 from ebonyrack.load.time_steps import find_back_s
@@ -38,7 +39,6 @@
 QUEUE_LIMIT = 10
 PROBE_S = 4.0
 SETTLE_S = 2.0
-BEFORE_S = 3.0
 BEFORE_STEPS = round(BEFORE_S / STEP_S)
 FINISH_LIMIT_S = 15.0
 # Policy, fault, and callers that are connected before the load, as many as a gap needs.
--- a/ebonyrack/load/report.py
+++ b/ebonyrack/load/report.py
@@ -9,7 +9,10 @@
 from ebonyrack.core.registry import Registry
 from ebonyrack.load.results import Row
 from ebonyrack.load.results import read_results
+from ebonyrack.load.time_steps import BEFORE_S
+from ebonyrack.load.time_steps import PEAK_STEPS
 from ebonyrack.load.time_steps import STEP_S
+from ebonyrack.load.time_steps import average
 
 WIDTH_INCHES = 8.0
 HEIGHT_INCHES = 4.5
@@ -17,7 +20,7 @@
 MEDIAN_TARGET_S = 0.5
 P99_TARGET_S = 1.0
 SHARE_TARGET = 0.95
-BEFORE_S = 3.0
+PANEL_INCHES = (2.4, 2.6)
 
 Plot = Callable[[Any, list[Row]], None]
 PLOTS: Registry[Plot] = Registry("plot")
@@ -169,24 +172,32 @@
 
 @PLOTS.register("failover_queue")
 def plot_failover_queue(axes: Any, rows: list[Row]) -> None:
-    """Draw attempts, goodput and queue through each failover, one panel each."""
+    """Draw attempts, goodput and queue through each failover, one column each."""
     figure = axes.figure
     axes.remove()
+    width, height = PANEL_INCHES
+    figure.set_size_inches(width * max(2, len(rows)), height * 2)
     panels = figure.subplots(2, len(rows), sharex=True, sharey="row", squeeze=False)
-    for column, row in enumerate(rows):
-        series = row["series"]
-        start_s = -BEFORE_S
-        times_s = [start_s + step * STEP_S for step in range(len(series["queue"]))]
+    for (top, bottom), row in zip(panels.T, rows, strict=True):
         for name in ("attempts", "arrivals", "acknowledged"):
-            rates = [count / STEP_S for count in series[name]]
-            panels[0][column].plot(times_s, rates, linewidth=0.7, label=name)
+            counts = average(row["series"][name], PEAK_STEPS)
+            rates = [count / STEP_S for count in counts]
+            top.plot(find_step_times(rates), rates, linewidth=0.8, label=name)
         for name in ("queue", "executing"):
-            panels[1][column].plot(times_s, series[name], linewidth=0.9, label=name)
-        panels[0][column].set_title(
-            f"{row['policy']}\n{row['fault']}, {row['retries']}", fontsize=8
+            values = row["series"][name]
+            bottom.plot(find_step_times(values), values, linewidth=0.8, label=name)
+        top.set_title(
+            f"{row['policy']}, {row['fault']}\nback {row['retries']}", fontsize=8
         )
-        panels[1][column].set_xlabel("s after the fault")
-    panels[0][0].set_ylabel("per second")
-    panels[1][0].set_ylabel("requests")
-    for line in panels:
-        line[0].legend(fontsize=7)
+        # One storm would press all other curves to the ground on a linear scale.
+        top.set_yscale("symlog", linthresh=100)
+        bottom.set_xlabel("seconds after the fault")
+    panels[0][0].set_ylabel("per second, over 0.25 s")
+    panels[1][0].set_ylabel("requests, all proxies")
+    panels[0][0].legend(fontsize=7)
+    panels[1][0].legend(fontsize=7)
+
+
+def find_step_times(values: list[float]) -> list[float]:
+    """Return the time of each value of a series, in seconds after the fault."""
+    return [step * STEP_S - BEFORE_S for step in range(len(values))]
--- a/ebonyrack/load/time_steps.py
+++ b/ebonyrack/load/time_steps.py
@@ -6,6 +6,10 @@
 # Steps over which a rate is taken, so that chance in a single step doesn't count.
 PEAK_STEPS = 5
 LEVEL_STEPS = 10
+# What a fault does shows within these first 2 s; later peaks are chance.
+EFFECT_STEPS = 40
+# How much of the time before a fault is kept.
+BEFORE_S = 3.0
 
 
 def count_in_steps(times_s: list[float], first_s: float, last_s: float) -> list[float]:
@@ -68,14 +72,15 @@
 
     Returns:
         Seconds from the fault until the mean of half a second is no higher than the
-        highest such mean before, counted from its peak on; 0 if it never is higher,
-        None if it stays higher.
+        highest such mean before, counted from its peak in the first 2 s on; 0 if it
+        is not higher then, None if it stays higher.
     """
     level = max(average(before, LEVEL_STEPS))
     means = average(after, LEVEL_STEPS)
-    if max(means) <= level:
+    highest = max(means[:EFFECT_STEPS])
+    if highest <= level:
         return 0.0
-    peak = means.index(max(means))
+    peak = means.index(highest)
     for step in range(peak, len(means)):
         if means[step] <= level:
             return round(step * STEP_S, 2)
--- a/ebonyrack/load/time_steps_test.py
+++ b/ebonyrack/load/time_steps_test.py
@@ -27,6 +27,8 @@
     after = [1.0] * 4 + [9.0] * 6 + [1.0] * 30
     assert find_back_s(QUIET, after) == round(10 * STEP_S, 2)
     assert find_back_s(QUIET, [1.0] * 30) == 0.0
+    # A peak long after the fault is none of its effects.
+    assert find_back_s(QUIET, after + [1.0] * 20 + [20.0] * 30) == 0.5
     assert find_back_s(QUIET, [1.0] * 4 + [9.0] * 30) is None
 
 
