--- a/ebonyrack/upstreams/pool_test.py
+++ b/ebonyrack/upstreams/pool_test.py
@@ -47,6 +47,20 @@
         assert second is not first
 
 
+async def test_only_whole_service_counts_for_the_pace(upstream):
+    async with build_pool(upstream, 1) as pool:
+        before_s = pool.queue.pace.service_s
+        broken = await acquire(pool)
+        pool.busy[broken] -= 60
+        broken.close()
+        pool.release(broken)
+        assert pool.queue.pace.service_s == before_s
+        whole = await acquire(pool)
+        pool.busy[whole] -= 60
+        pool.release(whole)
+        assert pool.queue.pace.service_s > 1
+
+
 async def test_broken_idle_connection_is_not_handed_out(upstream):
     async with build_pool(upstream, 1) as pool:
         first = await acquire(pool)
