Give recorded rows to the application that wrote them only

Cause: keys are common to all applications of a group, so a key that two of them use by chance would have handed the rows of one to the other; before rows were recorded it was a command tag. Change: the application is part of what a repeat must have in common; another one is told ran=yes. Also: two constants of upstream_use.py get their own comments back.

Left: such a clash still answers the second application's request as already run. Scoping keys by application needs a change of the stored keys that survives proxies of two versions side by side.

--- a/ebonyrack/callers/recorded_answer.py
+++ b/ebonyrack/callers/recorded_answer.py
@@ -44,10 +44,11 @@
     frames: tuple[bytes, ...] = ()
 
 
-def make_answer(request: Request, relay: Relay) -> RecordedAnswer:
+def make_answer(application: str, request: Request, relay: Relay) -> RecordedAnswer:
     """Make the record of an answer that is still held.
 
     Args:
+        application: The caller's application.
         request: The request.
         relay: Its answer, up to ReadyForQuery and without an error.
 
@@ -66,7 +67,20 @@
     tags = tuple(relay.tags)
     if not any(frame[:1] in DESCRIBING_KINDS for frame in frames):
         return RecordedAnswer(tags)
-    return RecordedAnswer(tags, request.form, frames)
+    return RecordedAnswer(tags, make_form(application, request), frames)
+
+
+def make_form(application: str, request: Request) -> bytes:
+    """Make what a repeat must have in common with the request that was answered.
+
+    Args:
+        application: The caller's application; no other one gets its rows.
+        request: The request.
+
+    Returns:
+        The form.
+    """
+    return application.encode() + b"\x00" + request.form
 
 
 def split_frames(data: bytes | bytearray) -> Iterator[bytes]:
@@ -129,10 +143,11 @@
     return RecordedAnswer(tuple(tags), form, tuple(frames))
 
 
-def build_repeat(request: Request, outcome: str) -> bytes:
+def build_repeat(application: str, request: Request, outcome: str) -> bytes:
     """Build the answer to the repeat of a request that ran earlier.
 
     Args:
+        application: The caller's application.
         request: The repeat.
         outcome: Outcome in the key's row.
 
@@ -149,7 +164,7 @@
             reason = f"within a transaction, outcome {outcome or 'not recorded'}"
             raise RequestError(ErrorKind.ALREADY_RAN, reason)
         return request.build_replay(answer.tags)
-    if answer.form == request.form:
+    if answer.form == make_form(application, request):
         return request.build_replay(answer.tags, answer.frames)
     reason = "its answer was recorded for another form of the request"
     raise RequestError(ErrorKind.ALREADY_RAN, reason)
--- a/ebonyrack/callers/upstream_use.py
+++ b/ebonyrack/callers/upstream_use.py
@@ -28,9 +28,9 @@
     from ebonyrack.upstreams.contract import EbonyrackContract
     from ebonyrack.upstreams.upstream import Upstream
 
-# Between attempts to reach a primary that has just been lost.
 # A caller that comes back through the balancer reaches another proxy.
 CUT_OFF_RETRY_S = 0.1
+# Between attempts to reach a primary that has just been lost.
 PRIMARY_RETRY_S = 0.02
 
 
--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -134,7 +134,7 @@
             ALREADY_RAN if the record does not answer this request.
     """
     await confirm_replay(session)
-    session.stream.write(build_repeat(request, outcome))
+    session.stream.write(build_repeat(session.identity.application, request, outcome))
     session.stream.write(build_parameter(REPLAYED, "on"))
     write_token(session)
     return True
@@ -170,7 +170,9 @@
         raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
     check_still_open(session)
     try:
-        outcome = encode_answer(make_answer(request, relay))
+        outcome = encode_answer(
+            make_answer(session.identity.application, request, relay)
+        )
         record = build_outcome_record(key, outcome)
     except RequestError:
         await run_control(session, "ROLLBACK")
