Keep the connection of a dropped answer that has come whole

Cause: the answer to an overlapped read that is not proved was left on its connection, so the connection was closed and a cancel request sent, which costs an upstream two connections.

Ruled out: waiting for the rest of the answer, which would hold the read up for as long as it runs.

Change: what has arrived is taken off the connection and dropped; what it prepared is remembered. If that is the whole answer, the connection goes back to its pool.

Tests: overlapping_test.py, with a plain and a prepared statement; fails without the change, and without the memory of what was prepared.

--- a/ebonyrack/callers/overlapping.py
+++ b/ebonyrack/callers/overlapping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.read_steps import break_read
@@ -90,6 +91,7 @@
     connection = session.connection
     assert connection is not None
     exchange = request.render(connection)
+    relay = Relay(session, connection, exchange, holds=False)
     # Lets the polls go out first: their answers come while the replica reads.
     await asyncio.sleep(0)
     try:
@@ -102,12 +104,28 @@
     placement = await overlap.judge(status)
     session.enter(Phase.WORKING)
     if placement is not None:
-        return Relay(session, connection, exchange, holds=False)
+        return relay
     if connection.is_cancelled:
         raise RequestError(ErrorKind.CANCELLED)
+    take_dropped_answer(relay)
     return None
 
 
+def take_dropped_answer(relay: Relay) -> None:
+    """Take an answer that is dropped off its connection, as far as it has come.
+
+    If it is whole, the connection can be kept; its statements stay prepared.
+
+    Args:
+        relay: The relay of the answer; what it collects goes to nobody.
+    """
+    with contextlib.suppress(UpstreamLostError):
+        message = relay.connection.take_message()
+        while message is not None and message.kind != b"Z":
+            relay.accept(message)
+            message = relay.connection.take_message()
+
+
 async def run_replica_read(
     session: CallerSession, relay: Relay, upstream: Upstream
 ) -> None:
--- a/ebonyrack/callers/overlapping_test.py
+++ b/ebonyrack/callers/overlapping_test.py
@@ -14,6 +14,7 @@
 SELECT = "SELECT booker FROM bookings"
 # Nothing is polled unless a request needs it, and no poll is given up.
 QUIET = {"probe_interval_s": 60, "suspect_after_s": 30, "read_wait_s": 20}
+READY = b"Z\0\0\0\5I"
 CHUNK_BYTES = 256 * 1024
 
 
@@ -51,6 +52,22 @@
         await upstream.applied.wait_for(proxy.standins["up-1"].log.last, 5.0)
 
 
+async def read_in_vain(proxy, caller, prepare):
+    """Read on a replica that lacks a write; judge it when its answer has come."""
+    proxy.standins.cut("up-1", "up-2")
+    await write_elsewhere(proxy, "up-3")
+    for name in ("up-1", "up-3"):
+        proxy.standins.freeze(name)
+    reading = asyncio.create_task(caller.execute(SELECT, prepare=prepare))
+    await wait_until(lambda: proxy.pool("up-2").busy_count)
+    (connection,) = proxy.pool("up-2").busy
+    await wait_until(lambda: connection.frames.buffer.endswith(READY))
+    for name in ("up-1", "up-3"):
+        proxy.standins.thaw(name)
+    assert await (await reading).fetchall() == [("new",)]
+    return connection
+
+
 def count_busy(proxy):
     """Return the connections in use."""
     return sum(item.pool.busy_count for item in proxy.group.upstreams.values())
@@ -87,6 +104,22 @@
         assert await cursor.fetchall() == [("new",)]
 
 
+@pytest.mark.parametrize("prepare", [False, True])
+async def test_connection_whose_dropped_answer_came_whole_is_kept(placed, prepare):
+    async with open_proxy(**QUIET) as proxy, await proxy.connect() as caller:
+        held = await steer(proxy, "up-2", "up-3")
+        connection = await read_in_vain(proxy, caller, prepare)
+        assert placed[0] == ("read_overlap_dropped", "not_reached", "up-2")
+        assert proxy.pool("up-2").idle == [connection]
+        assert bool(connection.prepared) == prepare
+        proxy.pool("up-3").release(held)
+        proxy.standins.heal()
+        for _ in range(10):
+            cursor = await caller.execute(SELECT, prepare=prepare)
+            assert await cursor.fetchall() == [("new",)]
+        assert count_busy(proxy) == 0
+
+
 async def test_large_answer_waits_at_the_upstream_for_its_index(placed):
     async with open_proxy(**QUIET) as proxy, await proxy.connect() as caller:
         for number in range(30):
