--- a/ebonyrack/standins/contract_functions.py
+++ b/ebonyrack/standins/contract_functions.py
@@ -13,8 +13,8 @@
 from ebonyrack.core.registry import Registry
 from ebonyrack.standins import datatypes
 from ebonyrack.standins.log import PositionWaiters
+from ebonyrack.standins.result_set import ResultSet
 from ebonyrack.standins.schema import Column
-from ebonyrack.standins.sql_engine import ResultSet
 from ebonyrack.standins.sql_error import SqlError
 from ebonyrack.upstreams.status import Role
 
--- a/ebonyrack/standins/execution.py
+++ b/ebonyrack/standins/execution.py
@@ -16,8 +16,8 @@
 from ebonyrack.standins.locks import find_claims
 from ebonyrack.standins.log import LoggedStatement
 from ebonyrack.standins.log import SqlValue
+from ebonyrack.standins.result_set import ResultSet
 from ebonyrack.standins.schema import Column
-from ebonyrack.standins.sql_engine import ResultSet
 from ebonyrack.standins.sql_error import SqlError
 from ebonyrack.standins.transaction import Transaction
 
--- a/ebonyrack/standins/sql_engine.py
+++ b/ebonyrack/standins/sql_engine.py
@@ -13,14 +13,13 @@
 import random
 import sqlite3
 import time
-from dataclasses import dataclass
-from dataclasses import field
 
 from ebonyrack.standins.log import LogEntry
 from ebonyrack.standins.log import LoggedStatement
 from ebonyrack.standins.log import SqlValue
-from ebonyrack.standins.schema import Column
+from ebonyrack.standins.result_set import ResultSet
 from ebonyrack.standins.schema import Schema
+from ebonyrack.standins.snapshots import Snapshots
 from ebonyrack.standins.sql_error import SqlError
 from ebonyrack.standins.sql_error import translate_error
 from ebonyrack.standins.transaction import StatementResult
@@ -33,33 +32,9 @@
     " (slot INTEGER, booker TEXT, request TEXT UNIQUE, state TEXT,"
     " created_at TEXT DEFAULT (now()))",
 )
-KEPT_SNAPSHOTS = 3
 SERIALIZATION_FAILURE = "40001"
 
 
-@dataclass(slots=True)
-class ResultSet:
-    """What a statement answers.
-
-    Attributes:
-        columns: Result columns; empty when it returns no rows.
-        rows: Result rows.
-        count: Rows changed or returned.
-    """
-
-    columns: list[Column] = field(default_factory=list)
-    rows: list[tuple[SqlValue, ...]] = field(default_factory=list)
-    count: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    """The committed state after the entry of an offset."""
-
-    offset: int
-    content: sqlite3.Connection
-
-
 class Database:
     """The data of one upstream.
 
@@ -69,7 +44,7 @@
         shown: Write transaction whose statements `work` holds, or None.
         time_us: Wall time that `now()` gives, in microseconds.
         random: Source of `random()`, seeded for each logged statement.
-        snapshots: States that can be gone back to, the empty one first.
+        snapshots: States of `committed` that can be gone back to.
         schema: What is known of tables and result columns.
     """
 
@@ -93,7 +68,7 @@
         for connection in (self.committed, self.work):
             for sql in SCHEMA:
                 connection.execute(sql)
-        self.snapshots = [Snapshot(0, copy_database(self.committed))]
+        self.snapshots = Snapshots(self.committed)
 
     def open_engine(self) -> sqlite3.Connection:
         """Open an in-memory database with PostgreSQL's functions."""
@@ -247,8 +222,7 @@
 
     def take_snapshot(self, offset: int) -> None:
         """Keep the committed state at an offset of the log, the last few only."""
-        self.snapshots.append(Snapshot(offset, copy_database(self.committed)))
-        del self.snapshots[1:-KEPT_SNAPSHOTS]
+        self.snapshots.take(offset)
 
     def go_back(self, offset: int) -> int:
         """Restore a committed state that isn't after an offset of the log.
@@ -259,13 +233,10 @@
         Returns:
             Offset of the state restored; what follows it must be applied again.
         """
-        while self.snapshots and self.snapshots[-1].offset > offset:
-            self.snapshots.pop()
-        snapshot = self.snapshots[-1]
         self.undo_work()
-        snapshot.content.backup(self.committed)
+        restored = self.snapshots.restore(offset)
         self.schema.forget()
-        return snapshot.offset
+        return restored
 
     def prepare_for_writes(self) -> None:
         """Bring `work` to the state of `committed`."""
@@ -278,13 +249,6 @@
         self.work.close()
 
 
-def copy_database(source: sqlite3.Connection) -> sqlite3.Connection:
-    """Copy a database into a new one in memory."""
-    copy = sqlite3.connect(":memory:", isolation_level=None)
-    source.backup(copy)
-    return copy
-
-
 def build_result(result: ResultSet) -> StatementResult:
     """Build the record of what a writing statement did."""
     return StatementResult(result.count, tuple(result.rows))
