Split the way of an edit into its records, its checks and its attempt

Change: edit.py keeps the records, edit_check.py and edit_attempt.py have the rest. The tests patch `FIRST_BACKOFF_S` and `check_edit` where EditAttempt finds them, and import the document's records from their own modules; what they check is the same.

Tests of config and ops pass, among them those that take a safeguard away and expect the machine to notice.

--- a/ebonyrack/config/edit_handler.py
+++ b/ebonyrack/config/edit_handler.py
@@ -8,10 +8,10 @@
 
 from ebonyrack.config.edit import Accepted
 from ebonyrack.config.edit import Edit
-from ebonyrack.config.edit import EditAttempt
 from ebonyrack.config.edit import NotAccepted
 from ebonyrack.config.edit import Outcome
 from ebonyrack.config.edit import Refused
+from ebonyrack.config.edit_attempt import EditAttempt
 from ebonyrack.config.identification import OperatorIdentification
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.core.clock import now_s
--- a/ebonyrack/config/edit_machine_test.py
+++ b/ebonyrack/config/edit_machine_test.py
@@ -16,13 +16,14 @@
 from hypothesis.stateful import run_state_machine_as_test
 from loguru import logger
 
-from ebonyrack.config import edit as edit_module
+from ebonyrack.config import edit_attempt
+from ebonyrack.config.document import Document
 from ebonyrack.config.edit import Accepted
-from ebonyrack.config.edit import EditAttempt
 from ebonyrack.config.edit import NotAccepted
 from ebonyrack.config.edit import Refused
 from ebonyrack.config.edit import Unknown
 from ebonyrack.config.edit import build_edit
+from ebonyrack.config.edit_attempt import EditAttempt
 from ebonyrack.config.edit_test import TEXT
 from ebonyrack.config.edit_test import FakeStore
 from ebonyrack.config.edit_test import LateSwap
@@ -258,7 +259,7 @@
 
 def take_lower_revision(state, stored, source):
     state.stored = stored
-    state.document = edit_module.Document(stored.revision, stored.text)
+    state.document = Document(stored.revision, stored.text)
     return True
 
 
@@ -283,7 +284,7 @@
 @pytest.fixture(autouse=True)
 def no_waiting(monkeypatch):
     logger.disable("ebonyrack.config")
-    monkeypatch.setattr(edit_module, "FIRST_BACKOFF_S", 0.0)
+    monkeypatch.setattr(edit_attempt, "FIRST_BACKOFF_S", 0.0)
     yield
     logger.enable("ebonyrack.config")
 
--- a/ebonyrack/config/edit_test.py
+++ b/ebonyrack/config/edit_test.py
@@ -7,15 +7,17 @@
 from result import Err
 from result import Ok
 
-from ebonyrack.config import edit as edit_module
+from ebonyrack.config import edit_attempt
 from ebonyrack.config.edit import Accepted
-from ebonyrack.config.edit import EditAttempt
 from ebonyrack.config.edit import NotAccepted
 from ebonyrack.config.edit import Refused
 from ebonyrack.config.edit import Unknown
 from ebonyrack.config.edit import build_edit
+from ebonyrack.config.edit_attempt import EditAttempt
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.stored import EMPTY_STORED
+from ebonyrack.config.stored import EditRecord
+from ebonyrack.config.stored import StoredDocument
 from ebonyrack.config.stored import pack_stored
 from ebonyrack.config.stored import unpack_stored
 from ebonyrack.config.text import apply_changes
@@ -129,13 +131,13 @@
 
 @pytest.fixture(autouse=True)
 def no_waiting(monkeypatch):
-    monkeypatch.setattr(edit_module, "FIRST_BACKOFF_S", 0.0)
+    monkeypatch.setattr(edit_attempt, "FIRST_BACKOFF_S", 0.0)
 
 
 def start(script=()):
     store = FakeStore()
     store.index = 10
-    stored = edit_module.StoredDocument(1, TEXT, ())
+    stored = StoredDocument(1, TEXT, ())
     store.log.append(pack_stored(stored))
     store.script.extend(script)
     state = ConfigurationState()
@@ -291,7 +293,7 @@
 
 async def test_a_store_behind_the_known_revision_accepts_nothing():
     store, state = start()
-    newer = edit_module.StoredDocument(5, TEXT, ())
+    newer = StoredDocument(5, TEXT, ())
     state.offer(newer, "peer")
     edit = change(state, "user = booking", "user = own")
     outcome = await EditAttempt(store, state, edit, now_s() + 0.2).run()
@@ -302,8 +304,8 @@
 async def test_a_repeat_older_than_the_history_is_not_judged():
     store, state = start()
     edit = change(state, "user = booking", "user = own")
-    record = edit_module.EditRecord(9, "other", "ada", 0, ())
-    newest = edit_module.StoredDocument(9, TEXT, (record,))
+    record = EditRecord(9, "other", "ada", 0, ())
+    newest = StoredDocument(9, TEXT, (record,))
     store.write(pack_stored(newest), 10)
     assert isinstance(await apply(store, state, edit), Unknown)
 
--- a/ebonyrack/config/fault_matrix_test.py
+++ b/ebonyrack/config/fault_matrix_test.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from ebonyrack.config import edit as edit_module
+from ebonyrack.config import edit_attempt
 from ebonyrack.config.edit import Accepted
-from ebonyrack.config.edit import EditAttempt
 from ebonyrack.config.edit import build_edit
+from ebonyrack.config.edit_attempt import EditAttempt
 from ebonyrack.config.edit_test import TEXT
 from ebonyrack.config.stored import unpack_stored
 from ebonyrack.core.clock import now_s
@@ -94,7 +94,7 @@
             monkeypatch.setattr(first.store, name, call_with_fault, raising=True)
             return
         owner, name = {
-            "check": (edit_module, "check_edit"),
+            "check": (edit_attempt, "check_edit"),
             "spread": (first.hub, "send_to_links"),
             "swap_in": (self.third.state.__class__, "offer"),
         }[step]
--- a/ebonyrack/config/watch_test.py
+++ b/ebonyrack/config/watch_test.py
@@ -4,8 +4,8 @@
 import pytest
 
 from ebonyrack.config.edit import Accepted
-from ebonyrack.config.edit import EditAttempt
 from ebonyrack.config.edit import build_edit
+from ebonyrack.config.edit_attempt import EditAttempt
 from ebonyrack.config.edit_test import TEXT
 from ebonyrack.config.stored import EMPTY_STORED
 from ebonyrack.config.stored import pack_stored
--- a/ebonyrack/ops/document_access.py
+++ b/ebonyrack/ops/document_access.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from ebonyrack.config.edit import Edit
-from ebonyrack.config.edit import EditAttempt
+from ebonyrack.config.edit_attempt import EditAttempt
 from ebonyrack.config.edit_handler import build_reply
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.stored import DOCUMENT_KEY
