Split the leaving VMs from the watch of the document

Cause: ConfigurationWatch chose the watchers, watched the document and kept, passed on and reported the leaving VMs; half of its methods had to do with VMs only.

Change: config/leaving_vms.py (LeavingVms). The group table and a test ask `watch.leaving_vms`.

Conclusion: what watchers ask and tell is unchanged.

--- a/ebonyrack/config/watch.py
+++ b/ebonyrack/config/watch.py
@@ -13,6 +13,7 @@
 from result import Ok
 from result import Result
 
+from ebonyrack.config.leaving_vms import LeavingVms
 from ebonyrack.config.spread import DocumentSpread
 from ebonyrack.config.state import ConfigurationState
 from ebonyrack.config.stored import DOCUMENT_KEY
@@ -21,16 +22,12 @@
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.tasks import end_tasks
-from ebonyrack.peers.document_messages import VmNews
 from ebonyrack.peers.hub import PeerHub
-from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.member import Member
 from ebonyrack.platform.backoff import Backoff
 from ebonyrack.platform.store import Store
 from ebonyrack.platform.store_answer import StoreError
 from ebonyrack.platform.store_answer import StoreValue
-from ebonyrack.platform.vm_list import VmList
-from ebonyrack.platform.vm_list import VmListing
 
 FIRST_BACKOFF_S = 0.2
 MAXIMUM_BACKOFF_S = 5.0
@@ -52,12 +49,10 @@
         state: The document in force.
         store: The platform's store.
         hub: Links to the peers.
-        vm_list: The platform's VM list.
-        reported_leaving: Leaving VMs that the subscribers were last told of.
+        leaving_vms: Which VMs are leaving.
         spread: Passes revisions on between peers.
         verification: Verifies the document after a long pause.
         started_at_s: Time from which silence is counted.
-        callbacks: Called when the VM list changed.
     """
 
     def __init__(
@@ -71,17 +66,13 @@
         self.state = state
         self.store = store
         self.hub = hub
-        self.vm_list = VmList(store)
-        self.reported_leaving: frozenset[str] = frozenset()
+        self.leaving_vms = LeavingVms(store, hub)
         self.spread = DocumentSpread(state, hub)
         self.verification = PauseVerification(settings.peers, self.spread, store)
         self.started_at_s = now_s()
         self.index = 0
-        self.callbacks: list[Callable[[], None]] = []
         self.members_changed = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
-        hub.handle(VmNews, self.receive_vm_news)
-        hub.link_callbacks.append(self.tell_vms)
 
     async def start(self) -> None:
         """Start to watch."""
@@ -98,10 +89,6 @@
         await end_tasks(self.tasks)
         await self.verification.stop()
 
-    def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call a function when the set of leaving VMs changed."""
-        self.callbacks.append(callback)
-
     @property
     def is_watcher(self) -> bool:
         """Whether this proxy watches the store for its data centre."""
@@ -176,6 +163,10 @@
                 if isinstance(answer, Ok) and answer.ok_value is not None:
                     self.state.offer_bytes(answer.ok_value.value, "store")
 
+    async def watch_vms(self) -> Result[bool, StoreError]:
+        """Wait once for a change of the VM list."""
+        return await self.leaving_vms.watch(self.settings.store.watch_s)
+
     async def watch_document(self) -> Result[bool, StoreError]:
         """Wait once for a change of the document."""
         answer = await self.store.watch(
@@ -192,45 +183,6 @@
         self.state.offer_bytes(value.value, "store")
         return True
 
-    async def watch_vms(self) -> Result[bool, StoreError]:
-        """Wait once for a change of the VM list."""
-        before = self.vm_list.leaving
-        answer = await self.vm_list.watch(self.settings.store.watch_s)
-        return answer.map(lambda listing: self.take_listing(listing, before))
-
-    def take_listing(self, listing: VmListing, before: frozenset[str]) -> bool:
-        """Tell everybody when the set of leaving VMs changed."""
-        if listing.leaving != before:
-            self.hub.broadcast(self.build_vm_news())
-            self.report_vms()
-        return listing.index > 0
-
-    def build_vm_news(self) -> VmNews:
-        """Build the message that tells peers of the leaving VMs."""
-        return VmNews(self.vm_list.listing.index, tuple(sorted(self.vm_list.leaving)))
-
-    async def receive_vm_news(self, link: PeerLink, news: VmNews) -> None:
-        """Take over what a watcher heard of the VM list."""
-        before = self.vm_list.leaving
-        listing = VmListing(news.index, frozenset(news.leaving))
-        if self.vm_list.take_over(listing) and listing.leaving != before:
-            self.report_vms()
-
-    def tell_vms(self, link: PeerLink) -> None:
-        """Tell a new peer of the leaving VMs."""
-        if self.vm_list.leaving:
-            link.send(self.build_vm_news())
-
-    def report_vms(self) -> None:
-        """Log the leaving VMs and tell the subscribers, once for each change."""
-        # A watch and a peer may bring the same change.
-        if self.vm_list.leaving == self.reported_leaving:
-            return
-        self.reported_leaving = self.vm_list.leaving
-        logger.bind(leaving=sorted(self.vm_list.leaving)).info("leaving_vms_changed")
-        for callback in tuple(self.callbacks):
-            callback()
-
 
 def rank_watcher(member: Member) -> tuple[int, str]:
     """Return a member's rank among the watchers of its data centre."""
--- a/ebonyrack/config/watch_test.py
+++ b/ebonyrack/config/watch_test.py
@@ -163,15 +163,15 @@
     await fleet.wait_linked()
     changes = []
     for plane in fleet.planes:
-        plane.watch.subscribe(lambda: changes.append(1))
+        plane.watch.leaving_vms.subscribe(lambda: changes.append(1))
     node = Node("up-2", "127.0.2.2", "bangkok-1", "leaving")
     fleet.platform.state.set_nodes([node])
     await wait_until(
-        lambda: all(plane.watch.vm_list.leaving == {"up-2"} for plane in fleet.planes)
+        lambda: all(plane.watch.leaving_vms.names == {"up-2"} for plane in fleet.planes)
     )
     assert len(changes) == 4
     late = await fleet.add("late", watchers=1)
-    await wait_until(lambda: late.watch.vm_list.leaving == {"up-2"})
+    await wait_until(lambda: late.watch.leaving_vms.names == {"up-2"})
 
 
 async def test_changes_that_do_not_fit_bring_the_whole_document(fleet):
--- a/ebonyrack/service/group_table.py
+++ b/ebonyrack/service/group_table.py
@@ -59,7 +59,7 @@
         """Start to follow the document."""
         self.services.configuration.subscribe(lambda document: self.changed.set())
         self.services.membership.subscribe(lambda member: self.changed.set())
-        self.watch.subscribe(self.changed.set)
+        self.watch.leaving_vms.subscribe(self.changed.set)
         await self.share_count.start()
         self.share_count.subscribe(self.changed.set)
         self.changed.set()
@@ -113,7 +113,7 @@
                 "connection_share_changed"
             )
             group.set_connection_limit(share)
-        leaving_vms = self.watch.vm_list.leaving
+        leaving_vms = self.watch.leaving_vms.names
         for upstream in section.upstreams:
             is_leaving = (
                 upstream.name in leaving_vms or upstream.name in section.leaving
