Give each system of the stand-ins a secret of its own

Cause: one run of config and service failed in test_a_proxy_cut_off_from_store_and_peers_takes_no_new_work. Its log shows a document in force and three new members after its store was down and its only peer was killed. The port of a killed proxy is free again; another test process on the machine got it, had the same secret and the same names of proxies, and was let in as the peer. A trial confirms the way: a proxy that dials the address of another System's proxy ran that one's revision 2 and held a link to it.

Change: System and Fleet draw a secret each. `build_settings` takes it; the hosts of the control plane's experiment, which are many processes, keep the fixed one. Two tests take the fleet's secret.

Tests of service, config, ops and standins pass.

--- a/ebonyrack/config/fault_matrix_test.py
+++ b/ebonyrack/config/fault_matrix_test.py
@@ -17,7 +17,6 @@
 from ebonyrack.ops.document_access import ProxyDocument
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member import MemberState
-from ebonyrack.standins.control_plane import SECRET
 from ebonyrack.standins.control_plane import wait_until
 
 STEPS = ["read", "check", "swap", "answer", "spread", "swap_in"]
@@ -64,7 +63,7 @@
 
     async def edit_until_accepted(self, edit):
         proxies = tuple(plane.hub.address for plane in self.fleet.planes)
-        access = Access(proxies, SECRET, "ada", "", 2.0)
+        access = Access(proxies, self.fleet.secret, "ada", "", 2.0)
         for _ in range(30):
             with contextlib.suppress(PeerLostError):
                 reply = await ProxyDocument(access).change(edit, LIMIT_S)
--- a/ebonyrack/ops/ctl_test.py
+++ b/ebonyrack/ops/ctl_test.py
@@ -13,7 +13,6 @@
 from ebonyrack.peers.edit_messages import EditRequest
 from ebonyrack.scripts import ctl
 from ebonyrack.standins import system as system_module
-from ebonyrack.standins.control_plane import SECRET
 from ebonyrack.standins.control_plane import Fleet
 from ebonyrack.standins.control_plane import wait_until
 from ebonyrack.standins.system import System
@@ -57,7 +56,7 @@
 
 @pytest.fixture
 def tool(fleet, tmp_path, capsys):
-    return Tool(fleet.planes[0].hub.address, SECRET, tmp_path, capsys)
+    return Tool(fleet.planes[0].hub.address, fleet.secret, tmp_path, capsys)
 
 
 async def test_first_document_then_merge_then_lost_race(tool, fleet):
--- a/ebonyrack/standins/control_plane.py
+++ b/ebonyrack/standins/control_plane.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
 from ebonyrack.standins.platform import StandinPlatform
 
 SECRET = "the secret of a test"
+SECRET_BYTES = 8
 CONDITION_LIMIT_S = 30.0
 POLL_S = 0.01
 SEEDS = 3
@@ -78,6 +80,7 @@
     data_centre: str = "bangkok-1",
     watchers: int = 2,
     timeouts: Timeouts | None = None,
+    secret: str = SECRET,
 ) -> Settings:
     """Build the settings of one proxy.
 
@@ -88,6 +91,7 @@
         data_centre: Its data centre.
         watchers: Proxies of a data centre that watch the store.
         timeouts: Times and rates.
+        secret: What the proxies share.
 
     Returns:
         The settings.
@@ -97,7 +101,7 @@
         data_centre=data_centre,
         store=store,
         seeds=" ".join(map(str, seeds)),
-        secret=SECRET,
+        secret=secret,
         watchers=watchers,
         timeouts=timeouts or Timeouts(),
     )
@@ -153,14 +157,17 @@
         platform: The platform's stand-in.
         planes: The proxies that run.
         timeouts: Times and rates of the proxies.
+        secret: What the proxies of this fleet share, and no other's.
     """
 
-    __slots__ = ("platform", "planes", "timeouts")
+    __slots__ = ("platform", "planes", "timeouts", "secret")
 
     def __init__(self, timeouts: Timeouts | None = None) -> None:
         self.platform = StandinPlatform()
         self.planes: list[ControlPlane] = []
         self.timeouts = timeouts or Timeouts()
+        # A removed proxy's port may be given to another fleet of the machine.
+        self.secret = secrets.token_hex(SECRET_BYTES)
 
     async def start(self) -> None:
         """Start the platform."""
@@ -192,6 +199,7 @@
             data_centre,
             watchers,
             self.timeouts,
+            self.secret,
         )
         plane = ControlPlane(settings)
         self.planes.append(plane)
--- a/ebonyrack/standins/system.py
+++ b/ebonyrack/standins/system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 from typing import Any
@@ -21,6 +22,7 @@
 GROUP = "scheduling-a"
 USER = "booking"
 START_LIMIT_S = 20.0
+SECRET_BYTES = 8
 
 SETTINGS = """
 [proxy]
@@ -33,7 +35,7 @@
 address = {store}
 [peers]
 seeds = {seeds}
-secret = the secret of a test
+secret = {secret}
 cut_off_after_s = {cut_off_after_s}
 """
 
@@ -71,6 +73,7 @@
         platform: The platform's stand-in.
         group: The database group's stand-in.
         proxies: Running proxies by name.
+        secret: What the proxies of this system share, and no other's.
         cut_off_after_s: Time after which a proxy that hears nobody is cut off.
         operators: The operators' sections of the document.
         overrides: Values of the group's section.
@@ -87,6 +90,8 @@
         self.group = StandinGroup()
         self.proxies: dict[str, Proxy] = {}
         self.serving: dict[str, asyncio.Task[int]] = {}
+        # A killed proxy's port may be given to another system of the machine.
+        self.secret = secrets.token_hex(SECRET_BYTES)
         self.cut_off_after_s = cut_off_after_s
         self.operators = operators
         self.overrides = overrides
@@ -135,6 +140,7 @@
             name=name,
             store=self.platform.address,
             seeds=" ".join(seeds),
+            secret=self.secret,
             cut_off_after_s=self.cut_off_after_s,
         )
         settings, faults = parse_settings(text, name)
