--- a/ebonyrack/config/fault_matrix_test.py
+++ b/ebonyrack/config/fault_matrix_test.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from ebonyrack.config import edit as edit_module
+from ebonyrack.config import edit_attempt
 from ebonyrack.config.edit import Accepted
-from ebonyrack.config.edit import EditAttempt
 from ebonyrack.config.edit import build_edit
+from ebonyrack.config.edit_attempt import EditAttempt
 from ebonyrack.config.edit_test import TEXT
 from ebonyrack.config.stored import unpack_stored
 from ebonyrack.core.clock import now_s
@@ -17,7 +17,6 @@
 from ebonyrack.ops.document_access import ProxyDocument
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member import MemberState
-from ebonyrack.standins.control_plane import SECRET
 from ebonyrack.standins.control_plane import wait_until
 
 STEPS = ["read", "check", "swap", "answer", "spread", "swap_in"]
@@ -64,7 +63,7 @@
 
     async def edit_until_accepted(self, edit):
         proxies = tuple(plane.hub.address for plane in self.fleet.planes)
-        access = Access(proxies, SECRET, "ada", "", 2.0)
+        access = Access(proxies, self.fleet.secret, "ada", "", 2.0)
         for _ in range(30):
             with contextlib.suppress(PeerLostError):
                 reply = await ProxyDocument(access).change(edit, LIMIT_S)
@@ -94,7 +93,7 @@
             monkeypatch.setattr(first.store, name, call_with_fault, raising=True)
             return
         owner, name = {
-            "check": (edit_module, "check_edit"),
+            "check": (edit_attempt, "check_edit"),
             "spread": (first.hub, "send_to_links"),
             "swap_in": (self.third.state.__class__, "offer"),
         }[step]
