Keep the queue's bound when a request returns to it; give the pool's machine its own clock

A request that was granted the place of a connection, which the upstream then refused, went back into the queue without a look at its bound. An old fault; the verdict differed from run to run because the machine's pool read the real time, so its timers fired when the machine was slow. Ruled out: the split of the pool (the same insert stood in the module before). Change: AdmissionQueue.put_back keeps the rank of the request and refuses the newest waiter of the application that holds the most (QUEUE_FULL, final at once; nothing of it was sent). In the machine time passes only by a rule, and a new rule fills the queue.

--- a/ebonyrack/upstreams/admission.py
+++ b/ebonyrack/upstreams/admission.py
@@ -181,17 +181,45 @@
         Raises:
             RequestError: QUEUE_FULL if no other application holds more.
         """
-        name, load = max(
-            (
-                (name, len(queue.waiters) / queue.weight)
-                for name, queue in self.callers.items()
-            ),
-            key=lambda item: item[1],
-        )
+        name = self.find_fullest()
+        fullest = self.callers[name]
         own = self.callers.get(caller)
         held = len(own.waiters) if own is not None else 0
+        load = len(fullest.waiters) / fullest.weight
         if (held + 1) / self.weights.get(caller, 1) >= load:
             raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers)
+        self.refuse_newest(name, servers)
+
+    def put_back(self, waiter: Waiter, servers: int) -> None:
+        """Queue a request again that was granted a place which came to nothing.
+
+        It keeps its rank. If the queue was filled meanwhile, the newest waiter of
+        the application that holds the most is refused.
+
+        Args:
+            waiter: The request.
+            servers: Connections that serve the queue.
+        """
+        self.insert(waiter)
+        if self.count > self.limit:
+            self.refuse_newest(self.find_fullest(), servers)
+
+    def find_fullest(self) -> str:
+        """Return the application that holds the most for its weight."""
+        return max(
+            self.callers,
+            key=lambda name: (
+                len(self.callers[name].waiters) / self.callers[name].weight
+            ),
+        )
+
+    def refuse_newest(self, name: str, servers: int) -> None:
+        """Refuse the newest waiter of an application.
+
+        Args:
+            name: Name of the application.
+            servers: Connections that serve the queue.
+        """
         waiter = self.callers[name].waiters[-1]
         self.discard(waiter)
         fail_waiter(waiter, self.build_refusal(ErrorKind.QUEUE_FULL, "", servers))
--- a/ebonyrack/upstreams/admission_test.py
+++ b/ebonyrack/upstreams/admission_test.py
@@ -119,6 +119,17 @@
     assert caught.value.retry_after_s < 0.1
 
 
+async def test_a_request_put_back_keeps_its_rank_and_the_bound(queue):
+    first = add(queue, "booking")
+    assert queue.take() is first
+    others = add_many(queue, "booking", queue.limit)
+    queue.put_back(first, 2)
+    assert len(queue) == queue.limit
+    assert queue.take() is first
+    assert others[-1].granted.exception().kind is ErrorKind.QUEUE_FULL
+    assert not any(waiter.granted.done() for waiter in others[:-1])
+
+
 async def test_end_of_all_waits_gives_each_its_own_error(queue):
     waiters = add_many(queue, "booking", 3)
     waiters[0].granted.cancel()
--- a/ebonyrack/upstreams/pool.py
+++ b/ebonyrack/upstreams/pool.py
@@ -228,14 +228,15 @@
             The connection, or None for the place of one to be opened.
 
         Raises:
-            RequestError: WAIT_TOO_LONG if there is none or none comes free.
+            RequestError: WAIT_TOO_LONG if there is none or none comes free;
+                QUEUE_FULL if the queue was filled meanwhile.
             UpstreamLostError: If the pool stops taking work.
         """
         self.check_accepting()
         if self.open_count == 0:
             self.queue.fail_all(self.build_no_connection)
             raise self.build_no_connection()
-        self.queue.insert(waiter)
+        self.queue.put_back(waiter, self.present_limit)
         self.grant_places()
         return await self.wait_for_grant(waiter)
 
--- a/ebonyrack/upstreams/pool_machine_test.py
+++ b/ebonyrack/upstreams/pool_machine_test.py
@@ -9,17 +9,29 @@
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 from loguru import logger
+from pytest import MonkeyPatch
 
 from ebonyrack.config.sections import GroupSection
 from ebonyrack.core.address import Address
-from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import RequestError
+from ebonyrack.upstreams import admission
+from ebonyrack.upstreams import connection_limit
 from ebonyrack.upstreams import connection_opener as opener_module
 from ebonyrack.upstreams import pool as pool_module
+from ebonyrack.upstreams import pool_places
+from ebonyrack.upstreams import service_pace
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.pool import ConnectionPool
 
 CALLERS = st.sampled_from(["booking", "calendar", "confirmation"])
+TIMED_MODULES = (
+    admission,
+    connection_limit,
+    opener_module,
+    pool_module,
+    pool_places,
+    service_pace,
+)
 SETTLE_STEPS = 20
 WAIT_S = 3600.0
 
@@ -40,7 +52,13 @@
 
     def __init__(self):
         super().__init__()
+        # Time passes only by a rule, so that every run takes the same way.
+        self.clock_s = 1000.0
         self.loop = asyncio.new_event_loop()
+        self.loop.time = self.read_clock
+        self.clocks = MonkeyPatch()
+        for module in TIMED_MODULES:
+            self.clocks.setattr(module, "now_s", self.read_clock)
         section = GroupSection(owner="database", upstreams=(), queue_limit=6)
         self.pool = ConnectionPool(Address("127.0.0.1", 1), section, 2)
         self.pool.queue.weights = {"booking": 3}
@@ -52,6 +70,9 @@
         self.original = opener_module.open_connection
         opener_module.open_connection = self.open_connection
 
+    def read_clock(self):
+        return self.clock_s
+
     async def open_connection(self, *arguments):
         gate = self.loop.create_future()
         self.opens.append(gate)
@@ -81,12 +102,17 @@
     @rule(caller=CALLERS)
     def acquire(self, caller):
         async def start():
-            request = self.pool.acquire(caller, now_s() + WAIT_S)
+            request = self.pool.acquire(caller, self.clock_s + WAIT_S)
             self.requests.append(asyncio.ensure_future(request))
 
         self.loop.run_until_complete(start())
         self.settle()
 
+    @rule(caller=CALLERS)
+    def fill_queue(self, caller):
+        for _ in range(self.pool.queue.limit + self.pool.limit):
+            self.acquire(caller)
+
     @rule(caller=CALLERS)
     def acquire_and_open(self, caller):
         self.acquire(caller)
@@ -151,8 +177,7 @@
     @precondition(lambda self: self.pool.limits.refused_at_s is not None)
     @rule()
     def let_time_pass(self):
-        self.pool.limits.refused_at_s -= 1.0
-        self.loop.call_soon(self.pool.limits.serve_raised)
+        self.clock_s += 1.0
         self.settle()
 
     @precondition(lambda self: self.held and self.pool.open_count > 1)
@@ -210,6 +235,7 @@
             logger.enable(pool_module.__name__)
             self.pool.limits.stop_raising()
             opener_module.open_connection = self.original
+            self.clocks.undo()
             self.loop.close()
 
 
