Pass on the database's error at the COMMIT of a lone keyed write

Cause: an error of that COMMIT, such as a deferred constraint, was answered with 08006 and retry=yes. Nothing was committed, so that part was true, but a program that never gives up would repeat for ever what the database refuses each time. A transaction's COMMIT and a write without a key already passed the error on. Change: so does this one. A lost connection is outcome unknown as before.

Test: keyed_test.py, lone and transaction (the lone one failed before).

--- a/ebonyrack/callers/keyed_test.py
+++ b/ebonyrack/callers/keyed_test.py
@@ -6,6 +6,8 @@
 from ebonyrack.callers import writing
 from ebonyrack.callers.conftest import error_of
 from ebonyrack.callers.conftest import kinds
+from ebonyrack.standins.sql_error import SqlError
+from ebonyrack.standins.upstream import StandinUpstream
 from ebonyrack.upstreams.connection import UpstreamConnection
 
 PRIMARY = "up-1"
@@ -91,6 +93,24 @@
     assert proxy.count_rows(PRIMARY, REQUEST) == 0
 
 
+@BOTH
+async def test_an_error_of_the_commit_is_passed_on(monkeypatch, proxy, statements):
+    """A deferred constraint fails there; told to come again, a caller never ends."""
+
+    def refuse(upstream, transaction):
+        upstream.rollback(transaction)
+        raise SqlError("23503", "a deferred constraint is violated")
+
+    caller = await proxy.start_wire()
+    with monkeypatch.context() as patches:
+        patches.setattr(StandinUpstream, "commit", refuse)
+        frames = await run(caller, statements)
+    assert error_of(frames) == ("23503", "") and frames[-1] == (b"Z", b"I")
+    assert proxy.count_rows(PRIMARY, REQUEST) == 0
+    assert "E" not in kinds(await run(caller, statements))
+    assert proxy.count_rows(PRIMARY, REQUEST) == 1
+
+
 async def test_a_request_that_deletes_its_own_key_still_runs_once(proxy):
     caller = await proxy.start_wire()
     delete = "DELETE FROM ebonyrack_requests"
--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -177,20 +177,24 @@
     except RequestError:
         await run_control(session, "ROLLBACK")
         raise
-    await commit_keyed_write(session, record)
+    if not await commit_keyed_write(session, record):
+        return False
     session.stream.write(relay.output)
     session.stream.write(build_parameter(REPLAYED, "off"))
     write_token(session)
     return True
 
 
-async def commit_keyed_write(session: CallerSession, record: str) -> None:
+async def commit_keyed_write(session: CallerSession, record: str) -> bool:
     """Commit the transaction that the proxy opened for a keyed write.
 
     Args:
         session: The session, with the transaction on its connection.
         record: Statement that records the outcome under the key.
 
+    Returns:
+        Whether it succeeded; else the caller has the upstream's error.
+
     Raises:
         RequestError: OUTCOME_UNKNOWN, or UPSTREAM_LOST if it did not run.
     """
@@ -202,12 +206,15 @@
         answer = await send_commit(session, OWN_COMMIT, record)
     finally:
         session.is_committing = False
-    if answer.relay.tags != [COMMIT_TAG]:
-        reason = f"COMMIT was refused: {answer.relay.sqlstate or 'rolled back'}"
-        raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
     session.note_served()
     session.release_connection()
+    if answer.relay.error is not None:
+        session.stream.write(answer.relay.output)
+        return False
+    if answer.relay.tags != [COMMIT_TAG]:
+        raise RequestError(ErrorKind.UPSTREAM_LOST, "COMMIT was a ROLLBACK")
     await finish_write(session, connection, answer.position)
+    return True
 
 
 def check_still_open(session: CallerSession) -> None:
