Use the base class of owners in the modules of others where it is simple

Change: Coordinator, CallerListener, DatabaseGroup, Contacts, HeartbeatTask, PeerHub, Cluster and HostedProxy derive from Owner. The listener's `start`, which reads a caller's startup, is called `start_session`. What each owner does is unchanged.

Conclusion: ConnectionPool, Upstream, ReadIndex and LeanClient keep their own `__aexit__`.

--- a/ebonyrack/callers/listener.py
+++ b/ebonyrack/callers/listener.py
@@ -28,11 +28,10 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from ebonyrack.callers.startup import CallerIdentity
     from ebonyrack.service.services import Services
     from ebonyrack.upstreams.connection import UpstreamConnection
@@ -51,7 +50,7 @@
 MAXIMUM_CANCELS = 64
 
 
-class CallerListener:
+class CallerListener(Owner):
     """Accepts callers; an asynchronous context manager that owns their tasks.
 
     Attributes:
@@ -74,7 +73,8 @@
         self.cancels: set[asyncio.Task[None]] = set()
         self.last_number = 0
 
-    async def __aenter__(self) -> CallerListener:
+    async def start(self) -> None:
+        """Listen for callers."""
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             lambda: CallerStream(self.accept),
@@ -86,14 +86,9 @@
         self.address = Address(host, port)
         self.watchdog = asyncio.create_task(watch_sessions(self.sessions))
         logger.bind(address=str(self.address)).info("listening_for_callers")
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """Stop listening and break off what is left."""
         self.stop_listening()
         tasks = [*self.tasks.values(), *self.cancels]
         if self.watchdog is not None:
@@ -143,7 +138,7 @@
         """
         session: CallerSession | None = None
         try:
-            session = await self.start(stream)
+            session = await self.start_session(stream)
             if session is not None:
                 await session.run()
         except RequestError as error:
@@ -195,7 +190,7 @@
         if not await cancel_request(self.sessions, number, secret_key):
             self.services.forward_cancel(number, secret_key)
 
-    async def start(self, stream: CallerStream) -> CallerSession | None:
+    async def start_session(self, stream: CallerStream) -> CallerSession | None:
         """Read the startup within its time limit and open the session.
 
         Args:
--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -11,6 +11,7 @@
 from ebonyrack.core.clock import PauseDetector
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.logs import log_decision
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.failover.ballot import Ballot
 from ebonyrack.failover.ballot import BallotOutcome
@@ -28,8 +29,6 @@
 from ebonyrack.routing.write_path import ACKNOWLEDGE_POLICIES
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from ebonyrack.failover.terms import TermSource
     from ebonyrack.peers.hub import PeerHub
     from ebonyrack.peers.member import Member
@@ -48,7 +47,7 @@
 NO_TERM_PAUSE_S = 1.0
 
 
-class Coordinator:
+class Coordinator(Owner):
     """Watches one group and replaces its primary when that fails.
 
     Attributes:
@@ -90,18 +89,14 @@
         self.has_membership_changed = True
         self.task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> Coordinator:
+    async def start(self) -> None:
+        """Start to watch over the group."""
         self.membership.subscribe(self.note_member)
         self.update_rank()
         self.task = asyncio.create_task(self.run())
-        return self
 
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """End its task and its repairs."""
         await end_tasks([self.task])
         self.task = None
         await self.repair.close()
--- a/ebonyrack/load/cluster.py
+++ b/ebonyrack/load/cluster.py
@@ -5,9 +5,7 @@
 import asyncio
 import configparser
 import io
-from types import TracebackType
 from typing import Any
-from typing import Self
 
 import aiohttp
 from result import Err
@@ -19,6 +17,7 @@
 from ebonyrack.config.stored import unpack_stored
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.position import parse_position
 from ebonyrack.core.settings import StoreSettings
 from ebonyrack.platform.store import Store
@@ -51,7 +50,7 @@
     return written.getvalue()
 
 
-class Cluster:
+class Cluster(Owner):
     """The stand-in group, the platform and the document: an async context manager.
 
     Attributes:
@@ -72,16 +71,12 @@
         self.group = group
         self.session: aiohttp.ClientSession
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
+        """Open the HTTP session."""
         self.session = aiohttp.ClientSession()
-        return self
 
-    async def __aexit__(
-        self,
-        exception_type: type[BaseException] | None,
-        exception: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """Close the HTTP session."""
         await self.session.close()
 
     async def put(self, url: str, body: dict[str, Any]) -> None:
--- a/ebonyrack/load/control_host.py
+++ b/ebonyrack/load/control_host.py
@@ -12,6 +12,7 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.load.process_stats import read_processor_s
 from ebonyrack.load.process_stats import read_resident_bytes
 from ebonyrack.peers.member import Member
@@ -53,7 +54,7 @@
     print(json.dumps({"event": event, "at_s": now_s(), **fields}), flush=True)
 
 
-class HostedProxy:
+class HostedProxy(Owner):
     """One proxy with its share count: an async context manager.
 
     Attributes:
@@ -81,7 +82,8 @@
         self.count = 0
         self.stack = AsyncExitStack()
 
-    async def __aenter__(self) -> HostedProxy:
+    async def start(self) -> None:
+        """Start the proxy and tell its changes."""
         name = self.plane.name
         self.plane.state.subscribe(
             lambda document: write_event(
@@ -92,9 +94,9 @@
         await self.stack.enter_async_context(self.shares)
         self.plane.hub.membership.subscribe(self.notice_member)
         self.shares.subscribe(self.tell_count)
-        return self
 
-    async def __aexit__(self, *details: Any) -> None:
+    async def stop(self) -> None:
+        """Stop the proxy."""
         await self.stack.aclose()
 
     def notice_member(self, member: Member) -> None:
--- a/ebonyrack/peers/contacts.py
+++ b/ebonyrack/peers/contacts.py
@@ -6,13 +6,13 @@
 import random
 import zlib
 from dataclasses import dataclass
-from types import TracebackType
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member import Member
@@ -51,7 +51,7 @@
         return self.task is not None and not self.task.done()
 
 
-class Contacts:
+class Contacts(Owner):
     """Dials the peers that a proxy wants links to: an async context manager.
 
     Up to `FULL_MESH_LIMIT` proxies each is linked to all others. Above it each
@@ -72,17 +72,13 @@
         self.woken = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> Contacts:
+    async def start(self) -> None:
+        """Start to dial."""
         self.hub.membership.subscribe(self.notice_change)
         self.task = asyncio.create_task(self.run())
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """End the task that dials."""
         await end_tasks([self.task])
 
     @property
--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
-from types import TracebackType
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from ebonyrack.core.clock import PauseDetector
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
@@ -37,7 +37,7 @@
 SYNC_TIMEOUT_S = 2.0
 
 
-class HeartbeatTask:
+class HeartbeatTask(Owner):
     """Sends heartbeats and judges silence: an async context manager.
 
     Attributes:
@@ -61,17 +61,13 @@
         hub.handle(AskMembers, self.receive_ask_members)
         hub.handle(AskReach, self.receive_ask_reach)
 
-    async def __aenter__(self) -> HeartbeatTask:
+    async def start(self) -> None:
+        """Start to beat."""
         self.hub.membership.subscribe(self.spread)
         self.task = asyncio.create_task(self.run())
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """End the task that beats."""
         await end_tasks([self.task])
 
     @property
--- a/ebonyrack/peers/hub.py
+++ b/ebonyrack/peers/hub.py
@@ -7,7 +7,6 @@
 from collections import OrderedDict
 from collections.abc import Awaitable
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 from typing import TypeVar
 
@@ -15,6 +14,7 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.codec import build_message
@@ -48,7 +48,7 @@
 Callback = Callable[[PeerLink, Any], Awaitable[Message | None]]
 
 
-class PeerHub:
+class PeerHub(Owner):
     """The links to the other proxies: an async context manager.
 
     Attributes:
@@ -85,7 +85,8 @@
         self.handle(Leaving, self.receive_leaving)
         self.handle(Unlink, self.receive_unlink)
 
-    async def __aenter__(self) -> PeerHub:
+    async def start(self) -> None:
+        """Listen, dial and beat."""
         address = self.settings.proxy.peer_address
         self.server = await asyncio.start_server(
             self.accept, address.host, address.port
@@ -93,19 +94,14 @@
         port = self.server.sockets[0].getsockname()[1]
         self.membership.set_address(Address(address.host, port))
         self.membership.subscribe(self.close_dead)
-        await self.contacts.__aenter__()
-        await self.heartbeat.__aenter__()
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+        await self.contacts.start()
+        await self.heartbeat.start()
+
+    async def stop(self) -> None:
+        """End all links and tasks."""
         self.is_closing = True
-        await self.heartbeat.__aexit__(kind, error, traceback)
-        await self.contacts.__aexit__(kind, error, traceback)
+        await self.heartbeat.stop()
+        await self.contacts.stop()
         if self.server is not None:
             self.server.close()
         await end_tasks(self.tasks)
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -13,6 +13,7 @@
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.logs import log_decision
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.signal import Signal
 from ebonyrack.upstreams.confirmations import Confirmations
@@ -23,8 +24,6 @@
 from ebonyrack.upstreams.watch import UpstreamWatch
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from ebonyrack.config.sections import GroupSection
     from ebonyrack.config.sections import UpstreamSpec
 
@@ -38,7 +37,7 @@
 DRAIN_CHECK_S = 0.005
 
 
-class DatabaseGroup:
+class DatabaseGroup(Owner):
     """The upstreams of one group and what this proxy knows of their primary.
 
     Attributes:
@@ -80,17 +79,13 @@
         self.confirmations = Confirmations(0, None, self.majority - 1)
         self.apply_leaving()
 
-    async def __aenter__(self) -> DatabaseGroup:
+    async def start(self) -> None:
+        """Start to watch the upstreams."""
         for watch in self.watches.values():
             watch.start()
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """Remove all upstreams."""
         for name in tuple(self.upstreams):
             self.remove_upstream(name)
         await asyncio.gather(*self.removals)
