--- a/ebonyrack/callers/keyed_test.py
+++ b/ebonyrack/callers/keyed_test.py
@@ -97,7 +97,7 @@
 async def test_an_error_of_the_commit_is_passed_on(monkeypatch, proxy, statements):
     """A deferred constraint fails there; told to come again, a caller never ends."""
 
-    def refuse(upstream, transaction):
+    def refuse(upstream, transaction, term):
         upstream.rollback(transaction)
         raise SqlError("23503", "a deferred constraint is violated")
 
