Move a primary that answers, but slowly, by a planned switchover

Cause: the detector knew refused, silent, cut off and fenced. A primary whose polls were answered just below suspect_after_s was left in place for ever, and each statement on it took as long.

Ruled out: the time of callers' statements (locks), of commits (not told apart from the statement) and the least time of many writes (in a storm all wait for the primary's slots, and no replica's writes can be compared with it).

Change: a primary is slow if each poll took longer than slow_answer_s (0.1 s, 0 is off) for slow_after_s (5 s) and at least three polls; one answer in time ends it. Rank 0 moves it if the peers find it slow too (the pre-vote, no new message: a peer no longer says that it reaches a primary that is slow by its own polls), if replicas that are a majority without it answer in half the limit, and not within 10 to 300 s of the last change of term. The document's check refuses a slow_answer_s that suspect_after_s would hide.

Tests: slowness_test.py; the state machine delays answers.

Conclusion: on by default, since each of the conditions must hold at once.

--- a/ebonyrack/config/document_test.py
+++ b/ebonyrack/config/document_test.py
@@ -57,6 +57,21 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("keys", "is_fault"),
+    [
+        ("slow_answer_s = 0.3\nsuspect_after_s = 0.3", True),
+        ("slow_answer_s = 0.2\nsuspect_after_s = 0.3", False),
+        ("slow_answer_s = 0\nsuspect_after_s = 0.1", False),
+        ("suspect_after_s = 0.1", False),
+    ],
+)
+def test_slow_answers_must_be_below_lost_ones(keys, is_fault):
+    text = GOOD.replace("owner = databases", f"owner = databases\n{keys}")
+    _, faults = parse_document(text, 7)
+    assert [fault.key for fault in faults] == ["slow_answer_s"] * is_fault
+
+
 @pytest.mark.parametrize("key", ["read_policy", "acknowledge_policy", "contract"])
 def test_unknown_policies_are_faults(key):
     text = GOOD.replace("owner = databases", f"owner = databases\n{key} = other")
--- a/ebonyrack/config/references.py
+++ b/ebonyrack/config/references.py
@@ -63,6 +63,12 @@
             "suspect_after_s",
             f"must not be below probe_interval_s ({group.probe_interval_s})",
         )
+    is_set = "slow_answer_s" in group.model_fields_set
+    if is_set and group.slow_answer_s >= group.suspect_after_s:
+        yield (
+            "slow_answer_s",
+            f"must be below suspect_after_s ({group.suspect_after_s}); 0 is off",
+        )
 
 
 def check_application(
--- a/ebonyrack/config/sections.py
+++ b/ebonyrack/config/sections.py
@@ -69,7 +69,9 @@
     """Section `[group NAME]`: a database group and how requests to it are treated.
 
     Times are in seconds. `connection_limit` is what one upstream accepts in all;
-    `connection_reserve` of them are left to the group's own administrators.
+    `connection_reserve` of them are left to the group's own administrators. A primary
+    is slow if each poll takes longer than `slow_answer_s` for `slow_after_s`; with 0
+    none is.
     """
 
     owner: str
@@ -94,6 +96,8 @@
     )
     probe_interval_s: float = Field(0.05, gt=0)
     suspect_after_s: float = Field(0.2, gt=0)
+    slow_answer_s: float = Field(0.1, ge=0)
+    slow_after_s: float = Field(5.0, gt=0)
     idle_in_transaction_s: float = Field(10.0, gt=0)
     leaving_limit_s: float = Field(10.0, gt=0)
     key_retention_s: float = Field(86400.0, gt=0)
--- a/ebonyrack/failover/bench_test.py
+++ b/ebonyrack/failover/bench_test.py
@@ -18,6 +18,7 @@
 from ebonyrack.core.position import parse_position
 from ebonyrack.failover.coordinator import Coordinator
 from ebonyrack.failover.pre_vote import OpinionDesk
+from ebonyrack.failover.ranking import COORDINATORS
 from ebonyrack.failover.terms import TermSource
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.routing.write_path import acknowledge_write
@@ -267,6 +268,7 @@
             if not upstream.is_running:
                 await self.standins.restart(name)
             self.standins.thaw(name)
+            self.standins.delay(name, 0.0)
         self.standins.heal()
 
     async def abandon_ballot(self, *names):
@@ -312,6 +314,12 @@
             )
         )
 
+    def is_ranked(self):
+        """Tell whether each proxy knows its place among the coordinators."""
+        ranks = [proxy.coordinator.rank for proxy in self.proxies.values()]
+        known = sorted(rank for rank in ranks if rank is not None)
+        return known == list(range(min(COORDINATORS, len(ranks))))
+
     def by_rank(self):
         """Return the proxies in the order in which they coordinate."""
         return sorted(
@@ -394,6 +402,7 @@
             await stack.enter_async_context(bench.stack)
             for number in range(proxies):
                 await bench.add_proxy(f"proxy-{number + 1}")
+            await until(bench.is_ranked)
             for proxy in bench.proxies.values():
                 await proxy.group.wait_for_primary(now_s() + 5)
             await until(
--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -23,6 +23,7 @@
 from ebonyrack.failover.renewal import Renewal
 from ebonyrack.failover.repair import Repair
 from ebonyrack.failover.safeguards import Safeguards
+from ebonyrack.failover.slowness import SlownessCheck
 from ebonyrack.failover.switchover import Switchover
 from ebonyrack.failover.switchover import SwitchoverOutcome
 from ebonyrack.peers.messages import PrimarySeen
@@ -62,6 +63,7 @@
         detector: Judges the primary.
         repair: Orders upstreams that are astray to follow.
         switchover: Moves the primary on request or when it is leaving.
+        slowness: Moves a primary that answers, but slowly.
         renewal: Brings back upstreams that are fenced above the primary's term.
         failures: Ballots lost in a row.
         highest_term: Highest term that an upstream is known to have granted.
@@ -88,6 +90,7 @@
         self.repair = Repair(group)
         self.switchover = Switchover(self)
         self.renewal = Renewal(self)
+        self.slowness = SlownessCheck(self)
         self.failures = 0
         self.highest_term = 0
         self.pause = PauseDetector(PAUSE_LIMIT_S)
@@ -186,6 +189,7 @@
         self.repair.check(rank)
         if rank == 0:
             await self.switchover.check()
+            await self.slowness.check()
         await self.renewal.check(rank)
 
     async def react(self, suspicion: Suspicion, rank: int) -> None:
--- a/ebonyrack/failover/detector.py
+++ b/ebonyrack/failover/detector.py
@@ -27,11 +27,16 @@
     CUT_FROM_REPLICAS = "cut_from_replicas"
     FENCED = "fenced"
     NO_PRIMARY = "no_primary"
+    SLOW = "slow"
 
     @property
     def needs_votes(self) -> bool:
         """Whether it may be this proxy's own link that failed."""
-        return self in (SuspicionReason.REFUSED, SuspicionReason.SILENT)
+        return self in (
+            SuspicionReason.REFUSED,
+            SuspicionReason.SILENT,
+            SuspicionReason.SLOW,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/ebonyrack/failover/group_machine_test.py
+++ b/ebonyrack/failover/group_machine_test.py
@@ -16,6 +16,7 @@
 
 from ebonyrack.failover import coordinator as coordinator_module
 from ebonyrack.failover import renewal as renewal_module
+from ebonyrack.failover import slowness as slowness_module
 from ebonyrack.failover.ballot import Ballot
 from ebonyrack.failover.bench_test import Bench
 from ebonyrack.failover.bench_test import Writer
@@ -33,6 +34,8 @@
 # Many changes of term come in one example; renewals must come within its limits.
 QUICK_RENEWAL = {"SETTLE_S": 0.2, "LONGEST_PAUSE_S": 0.5}
 QUICK = {"probe_interval_s": 0.02, "suspect_after_s": 0.1, "lag_refusal_s": 1.0}
+QUICK |= {"slow_answer_s": 0.03, "slow_after_s": 0.1}
+SLOW_ANSWER_S = 0.06
 MACHINE_SETTINGS = settings(
     max_examples=16,
     stateful_step_count=20,
@@ -69,6 +72,7 @@
         self.patches = pytest.MonkeyPatch()
         for name, value in QUICK_RENEWAL.items():
             self.patches.setattr(renewal_module, name, value)
+        self.patches.setattr(slowness_module, "PAUSE_FACTOR", 0.0)
         self.run(self.start_bench())
 
     def run(self, coroutine):
@@ -154,6 +158,13 @@
     def cut_from_peers(self, name):
         self.bench.network.isolate(name)
 
+    @rule(
+        name=st.sampled_from(UPSTREAMS), delay_s=st.sampled_from([0.0, SLOW_ANSWER_S])
+    )
+    def slow_down(self, name, delay_s):
+        """Let an upstream answer late, but in time not to count as lost."""
+        self.standins.delay(name, delay_s)
+
     @rule(lag_s=st.sampled_from([0.0, 0.02, 0.3]))
     def set_lag(self, lag_s):
         self.standins.set_lag(lag_s, receive_delay_s=lag_s)
--- a/ebonyrack/failover/pre_vote.py
+++ b/ebonyrack/failover/pre_vote.py
@@ -174,7 +174,7 @@
 
 
 async def is_answering(group: DatabaseGroup, primary: Upstream) -> bool:
-    """Tell whether a primary answers this proxy.
+    """Tell whether a primary answers this proxy, and not slowly for long.
 
     Args:
         group: The group.
@@ -182,9 +182,10 @@
 
     Returns:
         Whether it answers a poll now; if that takes too long, whether it has
-        answered within the time after which it would count as lost.
+        answered within the time after which it would count as lost. One that was
+        slow at each poll for `slow_after_s` does not count.
     """
-    if primary.state == "lost":
+    if primary.state == "lost" or primary.is_slow:
         return False
     try:
         async with asyncio.timeout(FRESH_POLL_S):
--- a/ebonyrack/failover/switchover.py
+++ b/ebonyrack/failover/switchover.py
@@ -177,7 +177,7 @@
             for upstream in self.group.replicas()
             if to is None or upstream.name == to
         ]
-        return max(candidates, key=get_received, default=None)
+        return max(candidates, key=rank_target, default=None)
 
     async def drain(self) -> bool:
         """Wait until no transaction of any proxy runs on the primary.
@@ -250,9 +250,9 @@
         return status.received >= wanted
 
 
-def get_received(upstream: Upstream) -> tuple[int, int]:
-    """Return the received position of an upstream, to compare by."""
+def rank_target(upstream: Upstream) -> tuple[bool, int, int]:
+    """Return the key by which targets compare: not slow, then far advanced."""
     if upstream.status is None:
-        return (0, 0)
+        return (False, 0, 0)
     received = upstream.status.received
-    return (received.term, received.offset)
+    return (not upstream.is_slow, received.term, received.offset)
--- a/ebonyrack/upstreams/upstream.py
+++ b/ebonyrack/upstreams/upstream.py
@@ -33,6 +33,10 @@
 REPLICA_CONTROL_CONNECTIONS = 2
 PRIMARY_CONTROL_CONNECTIONS = 1
 TOO_MANY_CONNECTIONS = "53300"
+# A pause of this process makes the poll in flight and perhaps the next one slow.
+MINIMUM_SLOW_ANSWERS = 3
+# A fast answer takes at most this share of the limit for slow ones.
+FAST_SHARE = 0.5
 
 LIFE_CYCLE = Machine(
     model=None,
@@ -58,6 +62,10 @@
         answered_at_s: Monotonic time of that answer, or None.
         lost_at_s: Monotonic time at which it was found lost, or None.
         is_refused: Whether it was found lost because it refuses connections.
+        answer_s: Seconds that the latest plain poll took, or None.
+        slow_since_s: Monotonic time of the first of the slow answers in a row, or
+            None if the latest was not slow.
+        slow_answers: Slow answers in a row.
         is_marked_leaving: Whether the document or the VM list says it is leaving.
         on_status: Called after each answer.
         on_change: Called after a change of state.
@@ -80,6 +88,9 @@
         self.answered_at_s: float | None = None
         self.lost_at_s: float | None = None
         self.is_refused = False
+        self.answer_s: float | None = None
+        self.slow_since_s: float | None = None
+        self.slow_answers = 0
         self.is_marked_leaving = False
         self.summary: tuple[Role, int, int, bool] | None = None
         self.contract = CONTRACTS.get(section.contract)()
@@ -131,6 +142,20 @@
             self.status is not None and self.status.leaving
         )
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether each answer to a poll was slow for `slow_after_s`."""
+        if self.slow_since_s is None or self.slow_answers < MINIMUM_SLOW_ANSWERS:
+            return False
+        lasted_s = (self.answered_at_s or 0.0) - self.slow_since_s
+        return lasted_s >= self.section.slow_after_s
+
+    @property
+    def is_fast(self) -> bool:
+        """Whether its latest answer to a poll was well below the limit."""
+        limit_s = FAST_SHARE * self.section.slow_answer_s
+        return self.answer_s is not None and self.answer_s <= limit_s
+
     @property
     def highest_term(self) -> int:
         """Highest term that it is known to have granted or followed."""
@@ -236,10 +261,26 @@
                 if error.sqlstate != TOO_MANY_CONNECTIONS:
                     self.note_lost(error, now_s() - started_s - timeout_s)
                 raise
+        self.note_answer_time(now_s() - started_s)
         self.waits.settle(status)
         self.note_status(status, started_s)
         return status
 
+    def note_answer_time(self, answer_s: float) -> None:
+        """Keep how long a plain poll took; one answer in time ends a slow row.
+
+        Args:
+            answer_s: Seconds from sending it to its answer.
+        """
+        self.answer_s = answer_s
+        limit_s = self.section.slow_answer_s
+        if not limit_s or answer_s <= limit_s:
+            self.slow_since_s = None
+            self.slow_answers = 0
+            return
+        self.slow_since_s = self.slow_since_s or now_s()
+        self.slow_answers += 1
+
     async def ask_status(self, deadline_s: float) -> UpstreamStatus:
         """Poll over the control connection, on a new one if the old one broke.
 
