Split the silence of peers and the flooded messages from heartbeat and hub

Change, without a change of behaviour: silence.py looks into members that are not heard, flood.py passes on what goes to all, what is said of one member (liveness, hash, age) stands beside the member; "bury" and "greet" are called declare_dead and start_link; an unused type variable is gone. hub_test.py draws its secret at each run, so that a proxy of another test process that got a port can't come in.

--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -1,4 +1,4 @@
-"""Heartbeats, piggybacked news and detection of silent peers."""
+"""Heartbeats to the linked peers, and the news that travels with them."""
 
 from __future__ import annotations
 
@@ -17,29 +17,23 @@
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.member_messages import AskMembers
-from ebonyrack.peers.member_messages import AskReach
 from ebonyrack.peers.member_messages import Heartbeat
 from ebonyrack.peers.member_messages import MembersReply
-from ebonyrack.peers.member_messages import ReachReply
-from ebonyrack.peers.membership import MemberEntry
 from ebonyrack.peers.message import Message
 
 if TYPE_CHECKING:
     from ebonyrack.peers.hub import PeerHub
 
 SPARSE_INTERVAL_FACTOR = 3
-MISSED_HEARTBEATS = 4
-LATENESS_FADING = 0.8
 NEWS_IN_HEARTBEAT = 16
 NEWS_DELAY_S = 0.02
-WITNESSES = 3
 SYNC_INTERVAL_S = 1.0
 MAXIMUM_SYNC_INTERVAL_S = 30.0
 SYNC_TIMEOUT_S = 2.0
 
 
 class HeartbeatTask(Owner):
-    """Sends heartbeats and judges silence: an async context manager.
+    """Sends heartbeats and news: an async context manager.
 
     Attributes:
         hub: Links of this proxy.
@@ -47,9 +41,7 @@
         synced_at_s: Time of the last fetch of a whole table.
         sync_pause_s: Seconds from that fetch to the next, if one is needed.
         has_news: Set while news is waiting to go out at once.
-        checks: Checks of silent members that are running, by name.
         pauses: Notices when this process was paused.
-        lateness_s: Seconds by which this process is late of late, fading.
     """
 
     def __init__(self, hub: PeerHub) -> None:
@@ -59,12 +51,9 @@
         self.sync_pause_s = SYNC_INTERVAL_S
         self.has_news = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
-        self.checks: dict[str, asyncio.Task[None]] = {}
         self.pauses = PauseDetector(hub.settings.peers.suspect_after_s)
-        self.lateness_s = 0.0
         hub.handle(Heartbeat, self.receive_heartbeat)
         hub.handle(AskMembers, self.receive_ask_members)
-        hub.handle(AskReach, self.receive_ask_reach)
 
     async def start(self) -> None:
         """Start to beat."""
@@ -91,9 +80,9 @@
             if now_s() < next_at_s:
                 self.send_news()
                 continue
-            self.note_lateness(now_s() - next_at_s)
+            self.hub.silence.note_lateness(now_s() - next_at_s)
             self.check_pause()
-            self.check_silence()
+            self.hub.silence.check_members()
             self.hub.membership.forget_dead()
             for name in tuple(self.hub.links):
                 self.send_heartbeat(name)
@@ -111,10 +100,6 @@
         except TimeoutError:
             return
 
-    def note_lateness(self, lateness_s: float) -> None:
-        """Note how late this process serves its own timers."""
-        self.lateness_s = max(lateness_s, self.lateness_s * LATENESS_FADING)
-
     def check_pause(self) -> None:
         """After a pause of this process, don't blame the peers for the silence."""
         pause_s = self.pauses.measure_pause()
@@ -124,8 +109,8 @@
             for callback in self.hub.pause_callbacks:
                 callback(pause_s)
 
-    def greet(self, link: PeerLink) -> None:
-        """Say hello on a new link with this proxy's heartbeat."""
+    def start_link(self, link: PeerLink) -> None:
+        """Send the first heartbeat on a new link."""
         self.news[link.member.name] = {}
         self.send_heartbeat(link.member.name)
 
@@ -240,112 +225,3 @@
     ) -> Message | None:
         """Answer with the whole table."""
         return MembersReply(self.hub.membership.all_members())
-
-    async def receive_ask_reach(
-        self, link: PeerLink, message: AskReach
-    ) -> Message | None:
-        """Answer whether this proxy reaches a member that another doesn't."""
-        return ReachReply(await self.probe(message.name))
-
-    async def probe(self, name: str) -> bool:
-        """Return whether a member answers this proxy itself."""
-        if name == self.hub.membership.own.name:
-            return True
-        try:
-            await self.hub.ask(name, AskReach(name), self.find_patience(2))
-        except PeerLostError:
-            return False
-        return True
-
-    def find_patience(self, intervals: int) -> float:
-        """Return the seconds to wait for an answer of a peer."""
-        return intervals * (self.interval_s + self.lateness_s)
-
-    def check_silence(self) -> None:
-        """Start a check of each member that fell silent; bury the long silent."""
-        for name, entry in tuple(self.hub.membership.entries.items()):
-            state = entry.member.state
-            if state is MemberState.SUSPECT:
-                self.bury_if_due(name, entry)
-            elif state is not MemberState.DEAD and self.is_silent(entry):
-                self.start_check(name)
-
-    def bury_if_due(self, name: str, entry: MemberEntry) -> None:
-        """Hold a suspect for dead when it has not refuted in time."""
-        peers = self.hub.settings.peers
-        scale = self.find_suspect_after(entry) / peers.suspect_after_s
-        limit_s = (peers.dead_after_s - peers.suspect_after_s) * scale
-        if now_s() - entry.changed_at_s > limit_s:
-            self.hub.membership.bury(name)
-
-    def is_silent(self, entry: MemberEntry) -> bool:
-        """Tell whether a member that this proxy listens to fell silent."""
-        if entry.heard_at_s is None and self.hub.contacts.is_sparse:
-            return False
-        return self.measure_silence(entry) > self.find_suspect_after(entry)
-
-    def measure_silence(self, entry: MemberEntry) -> float:
-        """Return the seconds since a member's last direct sign of life."""
-        heard_at_s = entry.heard_at_s
-        return now_s() - (entry.changed_at_s if heard_at_s is None else heard_at_s)
-
-    def find_suspect_after(self, entry: MemberEntry) -> float:
-        """Return the seconds of silence after which a member is doubted.
-
-        An overloaded proxy reads late what its peers sent in time, so it allows
-        them as much again as it is late itself.
-        """
-        interval_s = max(entry.interval_s, self.interval_s) + self.lateness_s
-        return max(
-            self.hub.settings.peers.suspect_after_s, MISSED_HEARTBEATS * interval_s
-        )
-
-    def start_check(self, name: str) -> None:
-        """Ask others about a silent member, one check of it at a time."""
-        if name not in self.checks:
-            task = self.hub.own_task(self.check_member(name))
-            self.checks[name] = task
-            task.add_done_callback(lambda _: self.checks.pop(name, None))
-
-    async def check_member(self, name: str) -> None:
-        """Suspect a member that answers neither this proxy nor the witnesses."""
-        started_s = now_s()
-        answers = await asyncio.gather(self.probe(name), self.ask_witnesses(name))
-        entry = self.hub.membership.entries.get(name)
-        if entry is None or entry.member.state is MemberState.DEAD:
-            return
-        if any(answers):
-            self.note_reached(name)
-        elif (entry.heard_at_s or 0.0) < started_s:
-            self.doubt(entry.member)
-
-    def note_reached(self, name: str) -> None:
-        """Note that a silent member lives; without a link others watch it."""
-        if self.hub.contacts.is_sparse and name not in self.hub.links:
-            self.hub.membership.stop_listening(name)
-        else:
-            self.hub.membership.note_heard(name)
-
-    def doubt(self, member: Member) -> None:
-        """Suspect a member; one that said it leaves has left."""
-        if member.state is MemberState.LEAVING:
-            self.hub.membership.bury(member.name)
-        else:
-            self.hub.membership.suspect(member.name)
-
-    async def ask_witnesses(self, name: str) -> bool:
-        """Return whether any of a few other peers reaches a member."""
-        others = [peer for peer in self.hub.links if peer != name]
-        chosen = random.sample(others, min(WITNESSES, len(others)))
-        answers = await asyncio.gather(
-            *(self.ask_witness(peer, name) for peer in chosen)
-        )
-        return any(answers)
-
-    async def ask_witness(self, peer: str, name: str) -> bool:
-        """Return whether one peer reaches a member."""
-        try:
-            reply = await self.hub.ask(peer, AskReach(name), self.find_patience(3))
-        except PeerLostError:
-            return False
-        return isinstance(reply, ReachReply) and reply.is_reachable
--- a/ebonyrack/peers/hub.py
+++ b/ebonyrack/peers/hub.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
-from collections import OrderedDict
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
-from typing import TypeVar
 
 from loguru import logger
 
@@ -17,8 +14,8 @@
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.tasks import end_tasks
-from ebonyrack.peers.codec import build_message
 from ebonyrack.peers.contacts import Contacts
+from ebonyrack.peers.flood import FloodRelay
 from ebonyrack.peers.frames import Traffic
 from ebonyrack.peers.handshake import build_hello
 from ebonyrack.peers.heartbeat import HeartbeatTask
@@ -26,25 +23,20 @@
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.link import dial
 from ebonyrack.peers.link_messages import Failure
-from ebonyrack.peers.link_messages import Flood
 from ebonyrack.peers.link_messages import Unlink
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.member_messages import Leaving
 from ebonyrack.peers.membership import Membership
-from ebonyrack.peers.message import MESSAGE_CODES
-from ebonyrack.peers.message import BadMessageError
 from ebonyrack.peers.message import Message
-from ebonyrack.peers.message import get_fields
+from ebonyrack.peers.silence import SilenceWatch
 
 MAXIMUM_ACCEPTED = 600
-REMEMBERED_FLOODS = 4096
 FLUSH_LIMIT_S = 0.5
 PROXY_ROLE = "proxy"
 QUERY_ROLE = "query"
 OPERATOR_ROLE = "operator"
 
-AnyMessage = TypeVar("AnyMessage", bound=Message)
 Callback = Callable[[PeerLink, Any], Awaitable[Message | None]]
 
 
@@ -74,13 +66,13 @@
         self.link_callbacks: list[Callable[[PeerLink], None]] = []
         self.pause_callbacks: list[Callable[[float], None]] = []
         self.tasks: set[asyncio.Task[None]] = set()
-        self.seen_floods: OrderedDict[int, None] = OrderedDict()
         self.membership = Membership(settings.proxy, settings.proxy.peer_address)
         self.contacts = Contacts(self)
         self.heartbeat = HeartbeatTask(self)
+        self.silence = SilenceWatch(self)
+        self.floods = FloodRelay(self)
         self.server: asyncio.Server | None = None
         self.accepted = 0
-        self.handle(Flood, self.receive_flood)
         self.is_closing = False
         self.handle(Leaving, self.receive_leaving)
         self.handle(Unlink, self.receive_unlink)
@@ -234,7 +226,7 @@
         self.membership.merge(link.member)
         self.membership.note_heard(name)
         self.contacts.note_linked(link.member.address)
-        self.heartbeat.greet(link)
+        self.heartbeat.start_link(link)
         for callback in self.link_callbacks:
             callback(link)
         return True
@@ -264,7 +256,7 @@
         if link.is_unlinked:
             self.membership.stop_listening(name)
         elif not self.is_closing:
-            self.heartbeat.start_check(name)
+            self.silence.start_check(name)
 
     def unlink(self, link: PeerLink) -> None:
         """Close a link that is needed no more, without a doubt about the peer."""
@@ -325,46 +317,19 @@
         if link is not None:
             link.send(message)
 
-    def broadcast(self, message: Message) -> None:
-        """Send a one-way message to all proxies.
-
-        Args:
-            message: The message; peers pass it on while not all are linked.
-        """
-        identity = secrets.randbits(48)
-        self.remember_flood(identity)
-        code = MESSAGE_CODES[type(message)]
-        self.send_to_links(Flood(identity, code, get_fields(message)), None)
-
     def send_to_links(self, message: Message, source: PeerLink | None) -> None:
         """Send a one-way message on all links but the one it came from."""
         for link in tuple(self.links.values()):
             if link is not source:
                 link.send(message)
 
-    def remember_flood(self, identity: int) -> bool:
-        """Note a flooded message; return whether it was seen before."""
-        if identity in self.seen_floods:
-            return True
-        self.seen_floods[identity] = None
-        if len(self.seen_floods) > REMEMBERED_FLOODS:
-            self.seen_floods.popitem(last=False)
-        return False
-
-    async def receive_flood(self, link: PeerLink, flood: Flood) -> Message | None:
-        """Pass a flooded message on and serve it, the first time it comes."""
-        if self.remember_flood(flood.identity):
-            return None
-        try:
-            message = build_message(flood.code, flood.fields)
-        except BadMessageError as error:
-            logger.bind(reason=str(error)).warning("peer_sent_bad_message")
-            return None
-        if self.contacts.is_sparse:
-            self.send_to_links(flood, link)
-        if not isinstance(message, Flood):
-            await self.dispatch(link, message)
-        return None
+    def broadcast(self, message: Message) -> None:
+        """Send a one-way message to all proxies.
+
+        Args:
+            message: The message; peers pass it on while not all are linked.
+        """
+        self.floods.broadcast(message)
 
     async def receive_leaving(self, link: PeerLink, leaving: Leaving) -> None:
         """Take note of a proxy that shuts down."""
--- a/ebonyrack/peers/hub_test.py
+++ b/ebonyrack/peers/hub_test.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import secrets
 from dataclasses import replace
 
 import msgpack
@@ -19,6 +20,9 @@
 from ebonyrack.peers.primary_messages import PrimaryOpinion
 from ebonyrack.peers.primary_messages import PrimarySeen
 
+# One secret for each run: a port that another test process takes over must not let
+# its proxies in.
+SECRET = secrets.token_hex(8)
 TEXT = """
 [proxy]
 name = {name}
@@ -36,7 +40,7 @@
 """
 
 
-def build_settings(name, seeds=(), secret="long-enough"):
+def build_settings(name, seeds=(), secret=SECRET):
     text = TEXT.format(name=name, seeds=" ".join(map(str, seeds)), secret=secret)
     settings, faults = parse_settings(text, name)
     assert faults == ()
@@ -88,21 +92,21 @@
 async def test_an_overloaded_proxy_doubts_nobody_for_being_late_itself():
     async with start_hubs(2) as hubs:
         await wait_until(lambda: all_live(hubs))
-        heartbeat = hubs[0].heartbeat
+        silence = hubs[0].silence
         entry = hubs[0].membership.entries["proxy-1"]
-        usual_s = heartbeat.find_suspect_after(entry)
-        heartbeat.note_lateness(2.0)
-        assert heartbeat.find_suspect_after(entry) >= usual_s + 2.0
+        usual_s = silence.find_suspect_after(entry)
+        silence.note_lateness(2.0)
+        assert silence.find_suspect_after(entry) >= usual_s + 2.0
         for _ in range(100):
-            heartbeat.note_lateness(0.0)
-        assert heartbeat.find_suspect_after(entry) == pytest.approx(usual_s)
+            silence.note_lateness(0.0)
+        assert silence.find_suspect_after(entry) == pytest.approx(usual_s)
 
 
 async def test_live_count_follows_the_members():
     async with start_hubs(3) as hubs:
         await wait_until(lambda: all_live(hubs))
         membership = hubs[0].membership
-        for change in (membership.suspect, membership.bury):
+        for change in (membership.suspect, membership.declare_dead):
             change("proxy-1")
             assert membership.live_count == len(membership.live_members())
         membership.merge(
@@ -158,7 +162,7 @@
     async with start_hubs(3) as hubs:
         await wait_until(lambda: all_live(hubs))
         first = hubs[1].membership.own.incarnation
-        hubs[0].membership.bury("proxy-1")
+        hubs[0].membership.declare_dead("proxy-1")
         await wait_until(lambda: hubs[1].membership.own.incarnation > first)
         await wait_until(lambda: all_live(hubs))
 
@@ -173,8 +177,8 @@
             hub.links[other].close()
         entry = hubs[0].membership.entries["proxy-1"]
         entry.heard_at_s -= 10
-        hubs[0].heartbeat.check_silence()
-        await wait_until(lambda: not hubs[0].heartbeat.checks)
+        hubs[0].silence.check_members()
+        await wait_until(lambda: not hubs[0].silence.checks)
         assert MemberState.DEAD not in seen
         assert all_live(hubs)
 
@@ -188,13 +192,13 @@
             None if name == "proxy-1" else send(name)
         )
         asked = []
-        ask_witnesses = deaf.heartbeat.ask_witnesses
+        ask_witnesses = deaf.silence.ask_witnesses
 
         async def ask_and_count(name):
             asked.append(name)
             return await ask_witnesses(name)
 
-        deaf.heartbeat.ask_witnesses = ask_and_count
+        deaf.silence.ask_witnesses = ask_and_count
         states = []
         deaf.membership.subscribe(lambda member: states.append(member.state))
         await wait_until(lambda: len(asked) >= 3)
@@ -226,7 +230,7 @@
         await wait_until(lambda: all_live(hubs))
         await wait_until(lambda: all(len(hub.links) == 2 for hub in hubs))
         checked = []
-        hubs[0].heartbeat.start_check = checked.append
+        hubs[0].silence.start_check = checked.append
         hubs[0].links["proxy-1"].close()
         await wait_until(lambda: checked)
         assert checked == ["proxy-1"]
@@ -280,7 +284,7 @@
             async with link:
                 pass
         hello = replace(build_hello(own, "proxy"), version=99)
-        link = await dial(hub.address, hello, "long-enough")
+        link = await dial(hub.address, hello, SECRET)
         with pytest.raises(PeerLostError):
             async with link:
                 pass
@@ -330,7 +334,7 @@
     async with start_hubs(1) as (hub,):
         hub.handle(PrimarySeen, take)
         own = replace(hub.membership.own, name="tool")
-        link = await dial(hub.address, build_hello(own, "operator"), "long-enough")
+        link = await dial(hub.address, build_hello(own, "operator"), SECRET)
         async with link:
             link.send(PrimarySeen("x" * 200_000, 1, "up-1"))
             await wait_until(lambda: received)
@@ -339,7 +343,7 @@
 async def test_a_peer_that_reads_nothing_loses_its_link():
     async with start_hubs(1) as (hub,):
         own = replace(hub.membership.own, name="frozen")
-        link = await dial(hub.address, build_hello(own, "proxy"), "long-enough")
+        link = await dial(hub.address, build_hello(own, "proxy"), SECRET)
         async with link:
             await wait_until(lambda: "frozen" in hub.links)
             link.reader._transport.pause_reading()
--- a/ebonyrack/peers/member.py
+++ b/ebonyrack/peers/member.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Annotated
@@ -12,6 +13,8 @@
 from ebonyrack.peers.message import Message
 from ebonyrack.peers.message import read_fields
 
+DIGEST_BYTES = 8
+
 
 class MemberState(IntEnum):
     """State of a member; at equal incarnations the higher number overrides."""
@@ -44,3 +47,30 @@
 
 
 MemberField = Annotated[Member, BeforeValidator(read_fields)]
+
+
+def is_live(member: Member) -> bool:
+    """Tell whether a member takes work; a suspect one does until it is dead."""
+    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+def hash_member(member: Member) -> int:
+    """Hash what peers compare of a member; 0 for a dead one.
+
+    The hashes of alike texts must not cancel each other out. Those of a cyclic
+    redundancy check would: it is linear, so four proxies whose names differ in
+    one digit and that started together can add up to nothing.
+    """
+    if member.state is MemberState.DEAD:
+        return 0
+    is_leaving = member.state is MemberState.LEAVING
+    text = f"{member.name} {member.incarnation} {is_leaving}"
+    digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def is_newer(offered: Member, known: Member) -> bool:
+    """Tell whether a description overrides another of the same member."""
+    if offered.incarnation != known.incarnation:
+        return offered.incarnation > known.incarnation
+    return offered.state > known.state
--- a/ebonyrack/peers/membership.py
+++ b/ebonyrack/peers/membership.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -16,10 +15,12 @@
 from ebonyrack.core.settings import ProxySettings
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
+from ebonyrack.peers.member import hash_member
+from ebonyrack.peers.member import is_live
+from ebonyrack.peers.member import is_newer
 
 FORGET_DEAD_AFTER_S = 7200.0
 MAXIMUM_MEMBERS = 2000
-DIGEST_BYTES = 8
 
 STATES = [state.name for state in MemberState]
 TRANSITIONS: list[Any] = [
@@ -248,7 +249,7 @@
         if entry.member.state is MemberState.ALIVE:
             self.merge(replace(entry.member, state=MemberState.SUSPECT))
 
-    def bury(self, name: str) -> None:
+    def declare_dead(self, name: str) -> None:
         """Note that a member has been silent for too long."""
         self.merge(replace(self.entries[name].member, state=MemberState.DEAD))
 
@@ -300,33 +301,6 @@
             callback(member)
 
 
-def is_live(member: Member) -> bool:
-    """Tell whether a member takes work; a suspect one does until it is dead."""
-    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
-
-
-def hash_member(member: Member) -> int:
-    """Hash what peers compare of a member; 0 for a dead one.
-
-    The hashes of alike texts must not cancel each other out. Those of a cyclic
-    redundancy check would: it is linear, so four proxies whose names differ in
-    one digit and that started together can add up to nothing.
-    """
-    if member.state is MemberState.DEAD:
-        return 0
-    is_leaving = member.state is MemberState.LEAVING
-    text = f"{member.name} {member.incarnation} {is_leaving}"
-    digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
-    return int.from_bytes(digest, "big")
-
-
 def get_name(member: Member) -> str:
     """Return a member's name, to sort by."""
     return member.name
-
-
-def is_newer(offered: Member, known: Member) -> bool:
-    """Tell whether a description overrides another of the same member."""
-    if offered.incarnation != known.incarnation:
-        return offered.incarnation > known.incarnation
-    return offered.state > known.state
--- a/ebonyrack/peers/shares_test.py
+++ b/ebonyrack/peers/shares_test.py
@@ -26,7 +26,7 @@
 
 
 def lose(shares, membership, number, age_s=0.0):
-    membership.bury(f"peer-{number}")
+    membership.declare_dead(f"peer-{number}")
     shares.lost_at_s[f"peer-{number}"] -= age_s
 
 
@@ -44,7 +44,7 @@
         leaving = replace(build_member(0, MemberState.LEAVING), incarnation=2)
         membership.merge(leaving)
         assert shares.count() == 4
-        membership.bury("peer-0")
+        membership.declare_dead("peer-0")
         assert shares.count() == 4
 
 
@@ -72,6 +72,6 @@
     reported = []
     async with ShareCount(membership) as shares:
         shares.subscribe(lambda: reported.append(shares.count()))
-        membership.bury("peer-0")
+        membership.declare_dead("peer-0")
         await wait_until(lambda: reported)
     assert reported == [4]
