Split the upstream connection by opening, answers due and query answer

Cause: upstreams/connection.py had 460 lines: connecting, the start of a session, counting answers due, decoding of control answers, and the connection itself; open_connection had 44 lines. Change: opening.py opens a session (start_or_close and build_connection are its steps), query_answer.py reads and decodes a control answer, answers_due.py counts, connect went to transport.py beside what it connects. Code is moved, not changed, but for opened_in_s, which nothing read and which is gone. connection.py has 262 lines. Ruled out: the connection handed out by a session that did not start; start_or_close closes it in the same cases with the same reason, and connect has none to close. Checks: pytest of upstreams, routing, callers, ops and scripts passed, mypy and ruff without findings.

--- a/ebonyrack/callers/failover_test.py
+++ b/ebonyrack/callers/failover_test.py
@@ -11,7 +11,7 @@
 from ebonyrack.callers.conftest import open_proxy
 from ebonyrack.callers.conftest import wait_until
 from ebonyrack.config.document import Document
-from ebonyrack.upstreams.connection import open_connection
+from ebonyrack.upstreams.opening import open_connection
 
 INSERT = "INSERT INTO bookings (slot, booker, request) VALUES (1, 'me', '{}')"
 CALLERS = 6
--- a/ebonyrack/callers/overlapping_test.py
+++ b/ebonyrack/callers/overlapping_test.py
@@ -7,7 +7,7 @@
 from ebonyrack.callers.conftest import open_proxy
 from ebonyrack.callers.conftest import wait_until
 from ebonyrack.core.clock import now_s
-from ebonyrack.upstreams.connection import open_connection
+from ebonyrack.upstreams.opening import open_connection
 from ebonyrack.upstreams.transport import READ_BUFFER_BYTES
 
 INSERT = "INSERT INTO bookings (slot, booker, request) VALUES (1, %s, %s)"
--- a/ebonyrack/routing/idempotency_test.py
+++ b/ebonyrack/routing/idempotency_test.py
@@ -15,7 +15,7 @@
 from ebonyrack.routing.idempotency import remove_expired
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.upstreams.connection import UpstreamLostError
-from ebonyrack.upstreams.connection import open_connection
+from ebonyrack.upstreams.opening import open_connection
 
 WAIT_S = 10.0
 BOOK = "INSERT INTO bookings (slot, booker, request) VALUES (1, 'Mali', '{}')"
--- a/ebonyrack/upstreams/connection.py
+++ b/ebonyrack/upstreams/connection.py
@@ -3,58 +3,31 @@
 from __future__ import annotations
 
 import asyncio
-import functools
-import struct
 from collections import OrderedDict
-from dataclasses import dataclass
 
 from pygwire.exceptions import PygwireError
 from pygwire.messages import CancelRequest
-from pygwire.messages import CommandComplete
-from pygwire.messages import DataRow
-from pygwire.messages import ErrorResponse
 from pygwire.messages import Query
-from pygwire.messages import RowDescription
 
 from ebonyrack.core.address import Address
-from ebonyrack.upstreams.authentication import start_session
-from ebonyrack.upstreams.transport import HEADER
+from ebonyrack.upstreams.answers_due import count_answers_due
+from ebonyrack.upstreams.query_answer import QueryAnswer
+from ebonyrack.upstreams.query_answer import read_query_answer
 from ebonyrack.upstreams.transport import HEADER_BYTES
 from ebonyrack.upstreams.transport import FrameTransport
 from ebonyrack.upstreams.transport import Message
 from ebonyrack.upstreams.transport import UpstreamLostError
+from ebonyrack.upstreams.transport import connect
 
 __all__ = [
     "Message",
     "QueryAnswer",
     "UpstreamConnection",
     "UpstreamLostError",
-    "open_connection",
 ]
 
-# Query, Sync and FunctionCall are each answered with one ReadyForQuery.
-KINDS_ANSWERED_READY = frozenset({b"Q", b"S", b"F"})
 TRANSACTION_STATUSES = frozenset({"I", "T", "E"})
-MAXIMUM_CONTROL_ROWS = 10000
 STANDBY_PARAMETER = b"in_hot_standby"
-CACHED_DESCRIPTIONS = 64
-
-
-@dataclass(frozen=True, slots=True)
-class QueryAnswer:
-    """The whole answer to a simple query.
-
-    Attributes:
-        columns: Column names of the last result.
-        rows: Rows in text form; None stands for NULL.
-        tag: Command tag of the last statement.
-        error: Fields of the error answer, or None.
-    """
-
-    columns: tuple[str, ...]
-    rows: tuple[tuple[str | None, ...], ...]
-    tag: str
-    error: dict[str, str] | None
 
 
 class UpstreamConnection:
@@ -72,7 +45,6 @@
             does not say. It says so again before the ReadyForQuery that follows a
             change, so a read that ended with it True has seen a replica's data.
         prepared: Prepared statements known to the upstream, in order of use.
-        opened_in_s: Seconds that opening took.
     """
 
     __slots__ = (
@@ -86,7 +58,6 @@
         "is_cancelled",
         "is_standby",
         "prepared",
-        "opened_in_s",
     )
 
     def __init__(self, address: Address, frames: FrameTransport) -> None:
@@ -100,7 +71,6 @@
         self.is_cancelled = False
         self.is_standby: bool | None = None
         self.prepared: OrderedDict[str, str] = OrderedDict()
-        self.opened_in_s = 0.0
 
     @property
     def is_closed(self) -> bool:
@@ -257,24 +227,7 @@
 
     async def read_answer(self) -> QueryAnswer:
         """Read messages up to ReadyForQuery and decode them."""
-        columns: tuple[str, ...] = ()
-        rows: list[tuple[str | None, ...]] = []
-        tag = ""
-        error: dict[str, str] | None = None
-        while True:
-            message = await self.read_message()
-            if message.kind == b"T":
-                columns = read_column_names(message.raw)
-                rows = []
-            elif message.kind == b"D":
-                rows.append(decode_row(message))
-                check_row_count(len(rows))
-            elif message.kind == b"C":
-                tag = CommandComplete.decode(message.payload).tag
-            elif message.kind == b"E":
-                error = ErrorResponse.decode(message.payload).fields
-            elif message.kind == b"Z":
-                return QueryAnswer(columns, tuple(rows), tag, error)
+        return await read_query_answer(self.read_message)
 
     async def cancel(self, timeout_s: float) -> None:
         """Ask the upstream to cancel what this session runs.
@@ -307,154 +260,3 @@
     def close(self) -> None:
         """Close the connection at once."""
         self.frames.close("closed by the proxy")
-
-
-def count_answers_due(data: bytes, is_unsynced: bool) -> tuple[int, bool]:
-    """Count the ReadyForQuery answers that messages ask for.
-
-    Args:
-        data: Whole frontend messages.
-        is_unsynced: Whether earlier messages still wait for a Sync.
-
-    Returns:
-        The number of answers, and whether messages are left without a Sync.
-
-    Raises:
-        ValueError: If the data does not end with a whole message.
-    """
-    due = 0
-    offset = 0
-    while offset < len(data):
-        try:
-            kind, length = HEADER.unpack_from(data, offset)
-        except struct.error:
-            raise ValueError("the data ends within a message header") from None
-        answered = kind in KINDS_ANSWERED_READY
-        due += answered
-        is_unsynced = not answered
-        offset += length + 1
-    if offset != len(data):
-        raise ValueError("the data does not end with a whole message")
-    return due, is_unsynced
-
-
-@functools.lru_cache(maxsize=CACHED_DESCRIPTIONS)
-def read_column_names(raw: bytes) -> tuple[str, ...]:
-    """Decode the column names of a RowDescription.
-
-    Control queries get the same few descriptions again and again.
-
-    Args:
-        raw: The frame.
-
-    Returns:
-        The names.
-    """
-    fields = RowDescription.decode(memoryview(raw)[HEADER.size :]).fields
-    return tuple(field.name for field in fields)
-
-
-def decode_row(message: Message) -> tuple[str | None, ...]:
-    """Decode a DataRow in text form.
-
-    Args:
-        message: The DataRow.
-
-    Returns:
-        Its values.
-    """
-    return tuple(
-        None if value is None else value.decode("utf-8", "replace")
-        for value in DataRow.decode(message.payload).columns
-    )
-
-
-def check_row_count(count: int) -> None:
-    """Refuse an answer that would fill the memory.
-
-    Args:
-        count: Rows so far.
-
-    Raises:
-        UpstreamLostError: If there are too many.
-    """
-    if count > MAXIMUM_CONTROL_ROWS:
-        raise UpstreamLostError("the answer to a control query has too many rows")
-
-
-async def connect(address: Address) -> FrameTransport:
-    """Open the TCP connection.
-
-    Args:
-        address: Address by IP number.
-
-    Returns:
-        The connection.
-
-    Raises:
-        UpstreamLostError: If it is refused or unreachable.
-    """
-    loop = asyncio.get_running_loop()
-    try:
-        _, frames = await loop.create_connection(
-            FrameTransport, address.host, address.port
-        )
-    except OSError as error:
-        raise UpstreamLostError(f"can't connect to {address}: {error}") from error
-    return frames
-
-
-async def open_connection(
-    address: Address, user: str, password: str, database: str, timeout_s: float
-) -> UpstreamConnection:
-    """Open a session with an upstream.
-
-    Args:
-        address: Address of the upstream.
-        user: User name.
-        password: Password, or an empty string where the upstream trusts.
-        database: Database name.
-        timeout_s: Seconds for connecting and starting the session.
-
-    Returns:
-        The session, idle.
-
-    Raises:
-        UpstreamLostError: If the upstream refuses, goes away or takes too long.
-    """
-    loop = asyncio.get_running_loop()
-    started_s = loop.time()
-    frames: FrameTransport | None = None
-    try:
-        async with asyncio.timeout(timeout_s):
-            frames = await connect(address)
-            start = await start_session(frames, user, password, database)
-    except TimeoutError:
-        close_frames(frames)
-        raise UpstreamLostError(
-            f"no session with {address} within {timeout_s:.3f} s"
-        ) from None
-    except PygwireError as error:
-        close_frames(frames)
-        raise UpstreamLostError(f"the startup can't be decoded: {error}") from error
-    except BaseException:
-        close_frames(frames)
-        raise
-    connection = UpstreamConnection(address, frames)
-    connection.process_id = start.key.process_id
-    connection.secret_key = start.key.secret_key
-    connection.transaction_status = start.status
-    for message in start.parameters:
-        connection.note_role(message)
-    connection.opened_in_s = loop.time() - started_s
-    return connection
-
-
-def close_frames(frames: FrameTransport | None) -> None:
-    """Close a connection whose session did not start.
-
-    Args:
-        frames: The connection, or None if there is none.
-    """
-    if frames is not None:
-        frames.close("the session did not start")
--- a/ebonyrack/upstreams/connection_opener.py
+++ b/ebonyrack/upstreams/connection_opener.py
@@ -9,7 +9,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.upstreams.connection import UpstreamConnection
 from ebonyrack.upstreams.connection import UpstreamLostError
-from ebonyrack.upstreams.connection import open_connection
+from ebonyrack.upstreams.opening import open_connection
 
 OPEN_TIMEOUT_S = 2.0
 
--- a/ebonyrack/upstreams/connection_test.py
+++ b/ebonyrack/upstreams/connection_test.py
@@ -10,11 +10,11 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.standins.group import StandinGroup
+from ebonyrack.upstreams.answers_due import count_answers_due
 from ebonyrack.upstreams.conftest import build_answer
 from ebonyrack.upstreams.conftest import build_error
 from ebonyrack.upstreams.connection import UpstreamLostError
-from ebonyrack.upstreams.connection import count_answers_due
-from ebonyrack.upstreams.connection import open_connection
+from ebonyrack.upstreams.opening import open_connection
 from ebonyrack.upstreams.transport import MAXIMUM_FRAME_BYTES
 
 TIMEOUT_S = 10.0
--- a/ebonyrack/upstreams/transport.py
+++ b/ebonyrack/upstreams/transport.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import struct
 from dataclasses import dataclass
 
+from ebonyrack.core.address import Address
 from ebonyrack.core.byte_stream import ByteStream
 
 HEADER = struct.Struct("!cI")
@@ -148,3 +150,25 @@
             if self.lost_reason is not None:
                 raise UpstreamLostError(self.lost_reason)
             await self.wait_for_bytes()
+
+
+async def connect(address: Address) -> FrameTransport:
+    """Open the TCP connection.
+
+    Args:
+        address: Address by IP number.
+
+    Returns:
+        The connection.
+
+    Raises:
+        UpstreamLostError: If it is refused or unreachable.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        _, frames = await loop.create_connection(
+            FrameTransport, address.host, address.port
+        )
+    except OSError as error:
+        raise UpstreamLostError(f"can't connect to {address}: {error}") from error
+    return frames
