--- a/ebonyrack/ops/ctl_test.py
+++ b/ebonyrack/ops/ctl_test.py
@@ -11,6 +11,7 @@
 from ebonyrack.core.verifier import MECHANISM
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
+from ebonyrack.ops.status import format_groups
 from ebonyrack.ops.tables import format_table
 from ebonyrack.peers.edit_messages import EditRequest
 from ebonyrack.scripts import ctl
@@ -267,6 +268,16 @@
     assert capsys.readouterr().err == ""
 
 
+def test_the_table_of_groups_shows_what_waits_for_a_primary():
+    group = {"term": 4, "primary": "", "connection_share": 20}
+    groups = {"b": group | {"waiting_for_primary": 17}, "a": group}
+    titles, first, second = format_groups(groups).splitlines()
+    assert titles.endswith("SHARE  WAITING FOR PRIMARY")
+    # An older proxy does not say how many.
+    assert first.split() == ["a", "4", "no", "20"]
+    assert second.split() == ["b", "4", "no", "20", "17"]
+
+
 def test_tables_are_laid_out():
     assert format_table(["A", "B"], [("long", 1), ("x", 22)]) == (
         "A     B\nlong  1\nx     22"
--- a/ebonyrack/ops/status.py
+++ b/ebonyrack/ops/status.py
@@ -14,6 +14,14 @@
 from ebonyrack.peers.operator_messages import StatusReply
 from ebonyrack.peers.operator_messages import StatusRequest
 
+GROUP_TITLES = (
+    "GROUP",
+    "TERM",
+    "PRIMARY",
+    "COORDINATOR",
+    "SHARE",
+    "WAITING FOR PRIMARY",
+)
 UPSTREAM_FIELDS = (
     "role",
     "state",
@@ -48,10 +56,7 @@
         ["PROXY", "STATE", "ADDRESS", "DATA CENTRE", "REGION", "INCARNATION"],
         [list(describe_member(member).values()) for member in reply.members],
     )
-    groups = format_table(
-        ["GROUP", "TERM", "PRIMARY", "COORDINATOR", "SHARE"],
-        [describe_group(name, group) for name, group in sorted(reply.groups.items())],
-    )
+    groups = format_groups(reply.groups)
     output.show(report, f"{head}\n\n{members}\n\n{groups}")
     return ExitStatus.OK
 
@@ -68,6 +73,14 @@
     }
 
 
+def format_groups(groups: dict[str, dict[str, Any]]) -> str:
+    """Lay the groups out in a table, one a row."""
+    return format_table(
+        GROUP_TITLES,
+        [describe_group(name, group) for name, group in sorted(groups.items())],
+    )
+
+
 def describe_group(name: str, group: dict[str, Any]) -> list[Any]:
     """Return the cells of a group's row."""
     return [
@@ -76,6 +89,7 @@
         group.get("primary", ""),
         "yes" if group.get("is_coordinator") else "no",
         group.get("connection_share", ""),
+        group.get("waiting_for_primary", ""),
     ]
 
 
