Name the reader of numbers of at least 0 for what it takes

Cause: read_positive accepts 0, and its users need that: delays, think time and the share of writes may all be 0, and the delays' default is 0. Change: renamed to read_not_negative; no behaviour. Checks: pytest of upstreams, routing, callers, ops and scripts passed.

--- a/ebonyrack/scripts/arguments.py
+++ b/ebonyrack/scripts/arguments.py
@@ -24,7 +24,7 @@
     return name, read_address_argument(address)
 
 
-def read_positive(text: str) -> float:
+def read_not_negative(text: str) -> float:
     """Read a number of at least 0 for argparse."""
     try:
         value = float(text)
--- a/ebonyrack/scripts/load_arguments.py
+++ b/ebonyrack/scripts/load_arguments.py
@@ -9,7 +9,7 @@
 from ebonyrack.load import experiments  # noqa: F401 (fills the registry)
 from ebonyrack.load.context import EXPERIMENTS
 from ebonyrack.scripts.arguments import read_address_argument
-from ebonyrack.scripts.arguments import read_positive
+from ebonyrack.scripts.arguments import read_not_negative
 
 DESCRIPTION = "Loads proxies, runs experiments around them and reports the results."
 
@@ -36,9 +36,9 @@
     add_targets(booking)
     booking.add_argument("--database", default="booking")
     booking.add_argument("--callers", type=int, default=20)
-    booking.add_argument("--duration-s", type=read_positive, default=20.0)
-    booking.add_argument("--write-share", type=read_positive, default=0.1)
-    booking.add_argument("--think-s", type=read_positive, default=0.0)
+    booking.add_argument("--duration-s", type=read_not_negative, default=20.0)
+    booking.add_argument("--write-share", type=read_not_negative, default=0.1)
+    booking.add_argument("--think-s", type=read_not_negative, default=0.0)
     booking.add_argument(
         "--mark", type=Path, help="file with the wall time of an injected fault"
     )
@@ -61,7 +61,7 @@
     bench.add_argument("--upstream", required=True, type=read_address_argument)
     bench.add_argument("--proxy-pid", required=True, type=int)
     bench.add_argument("--callers", type=int, default=32)
-    bench.add_argument("--duration-s", type=read_positive, default=5.0)
+    bench.add_argument("--duration-s", type=read_not_negative, default=5.0)
     bench.add_argument("--idle-callers", type=int, default=2500)
     add_results(bench)
 
@@ -71,7 +71,7 @@
     idle = commands.add_parser("idle-cost", help="processor time and memory at rest")
     idle.add_argument("--pids", nargs="+", required=True, type=int)
     idle.add_argument("--groups", required=True, type=int)
-    idle.add_argument("--duration-s", type=read_positive, default=15.0)
+    idle.add_argument("--duration-s", type=read_not_negative, default=15.0)
     add_results(idle)
 
 
@@ -91,7 +91,7 @@
     experiment.add_argument("--peer-secret", default="")
     experiment.add_argument("--document", required=True, type=Path)
     experiment.add_argument("--trials", type=int, default=20)
-    experiment.add_argument("--duration-s", type=read_positive, default=15.0)
+    experiment.add_argument("--duration-s", type=read_not_negative, default=15.0)
     experiment.add_argument("--policies", nargs="*", default=[])
     experiment.add_argument("--faults", nargs="*", default=[])
     add_results(experiment)
@@ -107,7 +107,7 @@
     measure.add_argument("--nodes", type=int, required=True)
     measure.add_argument("--groups", type=int, default=3)
     measure.add_argument("--edits", type=int, default=100)
-    measure.add_argument("--idle-s", type=read_positive, default=15.0)
+    measure.add_argument("--idle-s", type=read_not_negative, default=15.0)
     measure.add_argument("--logs", nargs="+", type=Path, required=True)
     measure.add_argument("--victim", type=Path, required=True)
     add_results(measure)
--- a/ebonyrack/scripts/standin.py
+++ b/ebonyrack/scripts/standin.py
@@ -10,8 +10,8 @@
 from contextlib import AsyncExitStack
 
 from ebonyrack.scripts.arguments import read_address_argument
+from ebonyrack.scripts.arguments import read_not_negative
 from ebonyrack.scripts.arguments import read_peer_argument
-from ebonyrack.scripts.arguments import read_positive
 from ebonyrack.standins.control import FaultControl
 from ebonyrack.standins.group import FIRST_TERM
 from ebonyrack.standins.group import StandinGroup
@@ -86,7 +86,7 @@
     for name in TIMES:
         option = "--" + name.replace("_", "-")
         default = getattr(defaults, name)
-        parser.add_argument(option, type=read_positive, default=default)
+        parser.add_argument(option, type=read_not_negative, default=default)
 
 
 def build_options(arguments: argparse.Namespace) -> UpstreamOptions:
