Make the pool, the read index and the lean client owners

Cause: each had an __aenter__ and an __aexit__ with four unused arguments of its own. Change: they take both from core/owner.py and say in stop (the lean client also in start) what they did there.

--- a/ebonyrack/load/lean_client.py
+++ b/ebonyrack/load/lean_client.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import struct
-from types import TracebackType
-from typing import Self
 
 from pygwire.messages import Query
 from pygwire.messages import StartupMessage
 from pygwire.messages import Terminate
 
 from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
 
 HEADER = struct.Struct("!cI")
 READY = b"Z"
@@ -25,7 +24,7 @@
     """The server refused, or the connection broke."""
 
 
-class LeanClient:
+class LeanClient(Owner):
     """One connection without a password that sends simple queries.
 
     Attributes:
@@ -49,16 +48,12 @@
         self.reader: asyncio.StreamReader
         self.writer: asyncio.StreamWriter
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
+        """Connect and do the startup."""
         await self.open()
-        return self
 
-    async def __aexit__(
-        self,
-        exception_type: type[BaseException] | None,
-        exception: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """Leave."""
         self.close()
 
     async def open(self) -> None:
--- a/ebonyrack/routing/read_index.py
+++ b/ebonyrack/routing/read_index.py
@@ -6,16 +6,14 @@
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from typing import Self
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.routing.read_round import PollRound
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from ebonyrack.upstreams.group import DatabaseGroup
 
 # The history keeps at most one index for each of these intervals.
@@ -36,7 +34,7 @@
     position: LogPosition
 
 
-class ReadIndex:
+class ReadIndex(Owner):
     """Read index of one group, shared by the reads that wait for it.
 
     An acknowledged write is held by a majority of the upstreams. Any majority that
@@ -69,15 +67,8 @@
         self.has_overlap = False
         self.overlap_from_s = 0.0
 
-    async def __aenter__(self) -> Self:
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """End the rounds in flight."""
         rounds = [task for task in (self.running, self.waiting) if task is not None]
         await end_tasks(rounds)
 
--- a/ebonyrack/upstreams/pool.py
+++ b/ebonyrack/upstreams/pool.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from types import TracebackType
-from typing import Self
 
 from loguru import logger
 
@@ -13,6 +11,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.owner import Owner
 from ebonyrack.upstreams.admission import AdmissionQueue
 from ebonyrack.upstreams.admission import Waiter
 from ebonyrack.upstreams.connection import UpstreamConnection
@@ -25,7 +24,7 @@
 TOO_MANY_CONNECTIONS = "53300"
 
 
-class ConnectionPool(PoolPlaces):
+class ConnectionPool(PoolPlaces, Owner):
     """Connections to one upstream, each used by one caller at a time.
 
     Whoever is granted a place holds it until `release`.
@@ -46,15 +45,8 @@
         self.queue = AdmissionQueue(section.queue_limit)
         self.opener = ConnectionOpener(address)
 
-    async def __aenter__(self) -> Self:
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """Take no more work and close every connection, also those in use."""
         self.stop_new_work()
         self.limits.stop_raising()
         for connection in list(self.busy):
