Split the log line off acknowledge_write

Change: log_outcome writes the line; the waiting time is taken once for both. The policy's name is still the one from before the wait. Checks: pytest of upstreams, routing, callers, ops and scripts passed.

--- a/ebonyrack/routing/write_path.py
+++ b/ebonyrack/routing/write_path.py
@@ -170,19 +170,40 @@
         outcome = str(error.kind)
         raise
     finally:
-        metrics.acknowledge_time.record(
-            now_s() - started_s, {"group": group.name, "outcome": outcome}
-        )
-        log_decision(
-            "write_acknowledged",
-            group=group.name,
-            upstream=find_name(group, connection),
-            reason=policy_name,
-            outcome=outcome,
-            term=group.term,
-            position=str(position),
-            waited_s=round(now_s() - started_s, 4),
-        )
+        waited_s = now_s() - started_s
+        labels = {"group": group.name, "outcome": outcome}
+        metrics.acknowledge_time.record(waited_s, labels)
+        log_outcome(group, connection, position, policy_name, outcome, waited_s)
+
+
+def log_outcome(
+    group: DatabaseGroup,
+    connection: UpstreamConnection,
+    position: LogPosition,
+    policy_name: str,
+    outcome: str,
+    waited_s: float,
+) -> None:
+    """Log what came of a committed write.
+
+    Args:
+        group: The group.
+        connection: Connection on which it was committed.
+        position: Position of the commit.
+        policy_name: Policy that it waited under, before any edit meanwhile.
+        outcome: `acknowledged`, or the kind of the error.
+        waited_s: How long it waited, in seconds.
+    """
+    log_decision(
+        "write_acknowledged",
+        group=group.name,
+        upstream=find_name(group, connection),
+        reason=policy_name,
+        outcome=outcome,
+        term=group.term,
+        position=str(position),
+        waited_s=round(waited_s, 4),
+    )
 
 
 def find_name(group: DatabaseGroup, connection: UpstreamConnection) -> str:
