Split the claim of a key and the keyed write

Change: read_outcome reads what a taken key has recorded, build_record builds the record of an answer or rolls the write back; code is moved, not changed. Checks: pytest of upstreams, routing, callers, ops and scripts passed.

--- a/ebonyrack/callers/writing.py
+++ b/ebonyrack/callers/writing.py
@@ -169,14 +169,7 @@
     except UpstreamLostError as error:
         raise session.lose_upstream(error, ErrorKind.UPSTREAM_LOST) from error
     check_still_open(session)
-    try:
-        outcome = encode_answer(
-            make_answer(session.identity.application, request, relay)
-        )
-        record = build_outcome_record(key, outcome)
-    except RequestError:
-        await run_control(session, "ROLLBACK")
-        raise
+    record = await build_record(session, request, key, relay)
     if not await commit_keyed_write(session, record):
         return False
     session.stream.write(relay.output)
@@ -185,6 +178,31 @@
     return True
 
 
+async def build_record(
+    session: CallerSession, request: Request, key: str, relay: Relay
+) -> str:
+    """Build the statement that records a write's answer, or roll the write back.
+
+    Args:
+        session: The session, with the transaction on its connection.
+        request: What was sent.
+        key: The key.
+        relay: The relay of the answer, run to its end.
+
+    Returns:
+        The statement.
+
+    Raises:
+        RequestError: UNSUPPORTED if the answer is too large to be recorded.
+    """
+    try:
+        answer = make_answer(session.identity.application, request, relay)
+        return build_outcome_record(key, encode_answer(answer))
+    except RequestError:
+        await run_control(session, "ROLLBACK")
+        raise
+
+
 async def commit_keyed_write(session: CallerSession, record: str) -> bool:
     """Commit the transaction that the proxy opened for a keyed write.
 
--- a/ebonyrack/routing/idempotency.py
+++ b/ebonyrack/routing/idempotency.py
@@ -98,6 +98,27 @@
     raise_refusal(answer)
     if answer.tag == "INSERT 0 1":
         return Claim(True, "")
+    return Claim(False, await read_outcome(connection, literal, timeout_s))
+
+
+async def read_outcome(
+    connection: UpstreamConnection, literal: str, timeout_s: float
+) -> str:
+    """Read the recorded outcome of a key that is taken.
+
+    Args:
+        connection: The connection that could not claim the key.
+        literal: The key, encoded.
+        timeout_s: Seconds for the answer.
+
+    Returns:
+        The outcome.
+
+    Raises:
+        RequestError: UNSUPPORTED if the table does not allow it, UPSTREAM_LOST if
+            the upstream refuses or the key expired.
+        UpstreamLostError: If the upstream is lost.
+    """
     select = f"SELECT outcome FROM {REQUEST_TABLE} WHERE key = '{literal}'"
     answer = await connection.query(select, timeout_s)
     raise_refusal(answer)
@@ -105,7 +126,7 @@
         # It was cleaned up in between: neither a first request nor a known outcome.
         reason = "the key expired during the request"
         raise RequestError(ErrorKind.UPSTREAM_LOST, reason)
-    return Claim(False, decode_text(answer.rows[0][0] or ""))
+    return decode_text(answer.rows[0][0] or "")
 
 
 def build_outcome_record(key: str, outcome: str) -> str:
