Move the questions for a position out of upstream_use

Cause: callers/upstream_use.py had 319 lines and two jobs: taking connections and confirming, and asking an upstream for a position behind a request. Change: position_question.py has the questions and the readers of their answers; code is moved, not changed. 198 and 136 lines. Checks: pytest of upstreams, routing, callers, ops and scripts passed, mypy and ruff without findings.

--- a/ebonyrack/callers/commit.py
+++ b/ebonyrack/callers/commit.py
@@ -8,14 +8,14 @@
 from pygwire.messages import ErrorResponse
 
 from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.position_question import ask_last_commit
+from ebonyrack.callers.position_question import build_position_question
+from ebonyrack.callers.position_question import get_contract
+from ebonyrack.callers.position_question import read_position
 from ebonyrack.callers.recorded_answer import COMMIT_TAG
 from ebonyrack.callers.relay import Relay
-from ebonyrack.callers.upstream_use import ask_last_commit
-from ebonyrack.callers.upstream_use import build_position_question
 from ebonyrack.callers.upstream_use import confirm_read
 from ebonyrack.callers.upstream_use import finish_write
-from ebonyrack.callers.upstream_use import get_contract
-from ebonyrack.callers.upstream_use import read_position
 from ebonyrack.callers.upstream_use import write_token
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
--- a/ebonyrack/callers/overlapping.py
+++ b/ebonyrack/callers/overlapping.py
@@ -6,14 +6,14 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from ebonyrack.callers.position_question import build_position_question
+from ebonyrack.callers.position_question import read_status
 from ebonyrack.callers.read_steps import break_read
 from ebonyrack.callers.read_steps import check_still_replica
 from ebonyrack.callers.read_steps import end_read
 from ebonyrack.callers.read_steps import take_for_read
 from ebonyrack.callers.relay import Relay
 from ebonyrack.callers.upstream_holder import Phase
-from ebonyrack.callers.upstream_use import build_position_question
-from ebonyrack.callers.upstream_use import read_status
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.routing.read_overlap import choose_overlap
--- a/ebonyrack/callers/reading.py
+++ b/ebonyrack/callers/reading.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.overlapping import read_overlapped
+from ebonyrack.callers.position_question import build_position_question
+from ebonyrack.callers.position_question import read_position
 from ebonyrack.callers.read_steps import ReadBrokenError
 from ebonyrack.callers.read_steps import WriteInDisguiseError
 from ebonyrack.callers.read_steps import break_read
@@ -12,10 +14,8 @@
 from ebonyrack.callers.read_steps import end_read
 from ebonyrack.callers.read_steps import take_for_read
 from ebonyrack.callers.relay import Relay
-from ebonyrack.callers.upstream_use import build_position_question
 from ebonyrack.callers.upstream_use import confirm_read
 from ebonyrack.callers.upstream_use import make_requirement
-from ebonyrack.callers.upstream_use import read_position
 from ebonyrack.callers.writing import run_write
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
--- a/ebonyrack/callers/upstream_use.py
+++ b/ebonyrack/callers/upstream_use.py
@@ -1,4 +1,4 @@
-"""Steps that sessions take with upstreams: acquire, ask, confirm, acknowledge."""
+"""Steps that sessions take with upstreams: acquire, control, confirm, acknowledge."""
 
 from __future__ import annotations
 
@@ -6,27 +6,24 @@
 from typing import TYPE_CHECKING
 
 from ebonyrack.callers.answers import build_parameter
-from ebonyrack.callers.answers import build_query
+from ebonyrack.callers.position_question import build_position_question
+from ebonyrack.callers.position_question import read_position
 from ebonyrack.callers.variables import TOKEN
 from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.position import START
-from ebonyrack.core.position import parse_position
 from ebonyrack.routing.read_placement import ReadRequirement
 from ebonyrack.routing.write_path import acknowledge_write
 from ebonyrack.routing.write_path import check_write_admitted
 from ebonyrack.upstreams.connection import UpstreamLostError
-from ebonyrack.upstreams.contract import CONTRACTS
 
 if TYPE_CHECKING:
     from ebonyrack.callers.session import CallerSession
     from ebonyrack.core.position import LogPosition
     from ebonyrack.upstreams.connection import QueryAnswer
     from ebonyrack.upstreams.connection import UpstreamConnection
-    from ebonyrack.upstreams.contract import EbonyrackContract
-    from ebonyrack.upstreams.status import UpstreamStatus
     from ebonyrack.upstreams.upstream import Upstream
 
 # A caller that comes back through the balancer reaches another proxy.
@@ -35,15 +32,6 @@
 PRIMARY_RETRY_S = 0.02
 
 
-def get_contract(session: CallerSession) -> EbonyrackContract:
-    """Return the contract of the session's group.
-
-    Args:
-        session: The session.
-    """
-    return CONTRACTS.get(session.group.section.contract)()
-
-
 def make_requirement(session: CallerSession) -> ReadRequirement:
     """State what a read of the session must see.
 
@@ -139,115 +127,6 @@
     return answer
 
 
-async def ask_last_commit(session: CallerSession, question: str) -> LogPosition:
-    """Read the answer to a question for the last commit that was sent already.
-
-    Args:
-        session: A session that holds a connection.
-        question: The question, asked again if a late cancel request hit it.
-
-    Returns:
-        The position; START if the connection never committed anything.
-
-    Raises:
-        UpstreamLostError: If there is no answer.
-    """
-    connection = session.connection
-    assert connection is not None
-    limit_s = session.group.section.answer_wait_s
-    answer = await session.read_control_answer()
-    if answer.error is not None:
-        answer = await connection.query(question, limit_s)
-    if answer.error is not None or not answer.rows:
-        raise UpstreamLostError("the position of the commit can't be read")
-    text = answer.rows[0][0]
-    try:
-        return parse_position(text) if text else START
-    except ValueError as error:
-        raise UpstreamLostError(str(error)) from error
-
-
-def build_position_question(session: CallerSession) -> bytes:
-    """Build the question for the position that the upstream's log has reached.
-
-    Args:
-        session: The session.
-
-    Returns:
-        The frame, to be sent behind a read.
-    """
-    return build_query(get_contract(session).build_poll(START, 0))
-
-
-async def read_position(session: CallerSession) -> LogPosition:
-    """Read the answer to the question for the position that was sent already.
-
-    Args:
-        session: A session that holds a connection.
-
-    Returns:
-        A position that covers everything that was read on the connection so far.
-
-    Raises:
-        UpstreamLostError: If there is no answer.
-    """
-    answer = await session.read_control_answer()
-    return read_polled_position(get_contract(session), answer)
-
-
-async def read_status(session: CallerSession) -> UpstreamStatus | None:
-    """Read the answer to the question for the position that was sent already.
-
-    Args:
-        session: A session that holds a connection.
-
-    Returns:
-        The status, or None if the upstream answered an error.
-
-    Raises:
-        UpstreamLostError: If there is no answer or it has another form.
-    """
-    answer = await session.read_control_answer()
-    if answer.error is not None:
-        return None
-    return read_polled_status(get_contract(session), answer)
-
-
-def read_polled_position(
-    contract: EbonyrackContract, answer: QueryAnswer
-) -> LogPosition:
-    """Read the received position from the answer to a poll.
-
-    Args:
-        contract: Contract of the group.
-        answer: The answer.
-
-    Raises:
-        UpstreamLostError: If the answer is an error or has another form.
-    """
-    return read_polled_status(contract, answer).received
-
-
-def read_polled_status(
-    contract: EbonyrackContract, answer: QueryAnswer
-) -> UpstreamStatus:
-    """Read the answer to a poll.
-
-    Args:
-        contract: Contract of the group.
-        answer: The answer.
-
-    Raises:
-        UpstreamLostError: If the answer is an error or has another form.
-    """
-    if answer.error is not None or not answer.rows:
-        raise UpstreamLostError("the position can't be read")
-    try:
-        return contract.parse_status(answer.rows[0])
-    except (ValueError, TypeError) as error:
-        raise UpstreamLostError(f"the position can't be read: {error}") from error
-
-
 async def confirm_read(session: CallerSession, position: LogPosition) -> None:
     """Wait until a majority holds what a read on the primary has seen.
 
