--- a/ebonyrack/standins/system.py
+++ b/ebonyrack/standins/system.py
@@ -21,13 +21,14 @@
 
 GROUP = "scheduling-a"
 USER = "booking"
+DATA_CENTRE = "bangkok-1"
 START_LIMIT_S = 20.0
 SECRET_BYTES = 8
 
 SETTINGS = """
 [proxy]
 name = {name}
-data_centre = bangkok-1
+data_centre = {data_centre}
 caller_address = 127.0.0.1:0
 peer_address = 127.0.0.1:0
 trust_loopback_callers = true
@@ -84,10 +85,11 @@
         proxies: int = 2,
         cut_off_after_s: float = 10.0,
         operators: str = "",
+        data_centres: tuple[str, ...] = (),
         **overrides: Any,
     ) -> None:
         self.platform = StandinPlatform()
-        self.group = StandinGroup()
+        self.group = StandinGroup(data_centres=data_centres)
         self.proxies: dict[str, Proxy] = {}
         self.serving: dict[str, asyncio.Task[int]] = {}
         # A killed proxy's port may be given to another system of the machine.
@@ -126,11 +128,12 @@
         stored = pack_stored(StoredDocument(self.revision, text, ()))
         self.platform.state.put("ebonyrack/document", stored, None, 0)
 
-    async def start_proxy(self, name: str) -> Proxy:
+    async def start_proxy(self, name: str, data_centre: str = DATA_CENTRE) -> Proxy:
         """Start a proxy and wait until it serves callers.
 
         Args:
             name: Its name.
+            data_centre: Its data centre.
 
         Returns:
             The proxy.
@@ -138,6 +141,7 @@
         seeds = [str(proxy.hub.address) for proxy in self.proxies.values()]
         text = SETTINGS.format(
             name=name,
+            data_centre=data_centre,
             store=self.platform.address,
             seeds=" ".join(seeds),
             secret=self.secret,
