Keep the store down until the lost data centre is back

Cause: in the case with the store down the test ended that outage before the proxy returned, after about a second, so the return itself was never tried without the store.

Change: the store stays down from the loss until the returned proxy has booked.

--- a/ebonyrack/service/region_test.py
+++ b/ebonyrack/service/region_test.py
@@ -243,7 +243,6 @@
         await places.wait_dead([proxy], others)
         await places.progress(*roaming, staying)
         assert group.primary().name != upstream
-        system.platform.is_down = False
         if fault == "kill":
             await group.restart(upstream)
             await places.start_proxy(number)
@@ -252,6 +251,7 @@
             places.cut()
         await wait_until(places.is_whole)
         await places.progress(*roaming, staying, places.add_caller(proxy))
+        system.platform.is_down = False
         await places.check()
 
 
