Count no upstream in a majority that came back without its log

Cause: a VM that is re-imaged comes back under its old name with an empty log. Its grant, with that of a replica that lags, made a majority of a ballot in which nobody held an acknowledged write; its answer did the same for the read index. Nothing compared what it reports with what it was counted with.

Ruled out: comparing with its last received position (a new primary rightly cuts off an unconfirmed tail; a sound upstream would be shut out); an identity in each log (the contract has none); the store (failover would wait for it).

Change: each proxy remembers the highest confirmed position that it counted an upstream with. One that reports less, in an answer asked for after that count, is regressed: logged (`upstream_regressed`, `upstream_caught_up`), shown as the state in `ebonyrackctl groups`, and left out of confirmations, ballots, read index, reads and the judgement of links until it reaches what the serving primary held after the loss was seen. The stand-in can be re-imaged; the state machine has a rule for it (once in an example, as two would be a majority's loss). Tests: the upstream double in routing/conftest.py gets `is_regressed = False`; no check is changed.

Conclusion: closed for proxies that counted the upstream.

--- a/ebonyrack/failover/ballot.py
+++ b/ebonyrack/failover/ballot.py
@@ -228,9 +228,23 @@
         return [
             self.group.upstreams[name]
             for name in self.grants
-            if name in self.group.upstreams and name != self.excluded
+            if name != self.excluded and self.is_counted(name)
         ]
 
+    def is_counted(self, name: str) -> bool:
+        """Tell whether a grant may count; that of an upstream without its log can't.
+
+        Args:
+            name: Name of an upstream that granted the term.
+
+        Returns:
+            Whether it still holds what it was counted with in confirmations.
+        """
+        upstream = self.group.upstreams.get(name)
+        if upstream is None:
+            return False
+        return upstream.counted_log.holds(self.grants[name].received)
+
     def rank_candidate(self, upstream: Upstream) -> tuple[LogPosition, bool, bool, str]:
         """Return the key by which candidates compare.
 
--- a/ebonyrack/failover/detector.py
+++ b/ebonyrack/failover/detector.py
@@ -104,7 +104,7 @@
         reachable = [
             upstream
             for upstream in self.group.upstreams.values()
-            if upstream.is_reachable
+            if upstream.is_reachable and not upstream.is_regressed
         ]
         if len(reachable) < self.group.majority:
             return None
@@ -131,7 +131,9 @@
         replicas = [
             upstream
             for upstream in self.group.upstreams.values()
-            if upstream is not primary and upstream.is_reachable
+            if upstream is not primary
+            and upstream.is_reachable
+            and not upstream.is_regressed
         ]
         silent = [upstream for upstream in replicas if self.is_cut_off(upstream)]
         connected = len(replicas) - len(silent)
@@ -156,6 +158,7 @@
             for upstream in self.group.upstreams.values()
             if upstream.name != self.group.primary_name
             and upstream.is_reachable
+            and not upstream.is_regressed
             and self.is_cut_off(upstream)
         ]
         return len(silent) >= self.group.majority
--- a/ebonyrack/failover/group_machine_test.py
+++ b/ebonyrack/failover/group_machine_test.py
@@ -68,6 +68,7 @@
         self.loop = asyncio.new_event_loop()
         self.stack = AsyncExitStack()
         self.tasks = []
+        self.is_reimaged = False
         coordinator_module.Ballot = GatedBallot
         self.patches = pytest.MonkeyPatch()
         for name, value in QUICK_RENEWAL.items():
@@ -118,6 +119,19 @@
         if not self.standins[name].is_running:
             self.run(self.standins.restart(name))
 
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def reimage(self, name):
+        """Let an upstream come back empty, once: two would be a majority's loss."""
+        if not self.is_reimaged:
+            self.is_reimaged = True
+            self.run(self.bring_back_empty(name))
+
+    async def bring_back_empty(self, name):
+        await self.standins.kill(name)
+        views = [item.group.upstreams[name] for item in self.bench.proxies.values()]
+        await until(lambda: all(view.state == "lost" for view in views))
+        await self.standins.reimage(name)
+
     @rule(name=st.sampled_from(UPSTREAMS))
     def freeze(self, name):
         self.standins.freeze(name)
--- a/ebonyrack/failover/renewal.py
+++ b/ebonyrack/failover/renewal.py
@@ -122,7 +122,9 @@
             Whether the primary and the replicas that follow it are a majority.
         """
         following = sum(
-            upstream.is_reachable and upstream.is_following(self.group.term)
+            upstream.is_reachable
+            and not upstream.is_regressed
+            and upstream.is_following(self.group.term)
             for upstream in self.group.upstreams.values()
             if upstream is not primary
         )
@@ -138,7 +140,10 @@
         Returns:
             Whether to renew the term.
         """
-        reachable = sum(item.is_reachable for item in self.group.upstreams.values())
+        reachable = sum(
+            item.is_reachable and not item.is_regressed
+            for item in self.group.upstreams.values()
+        )
         if reachable < self.group.majority or self.ahead_since_s is None:
             return False
         if self.coordinator.switchover.is_moving:
--- a/ebonyrack/routing/conftest.py
+++ b/ebonyrack/routing/conftest.py
@@ -36,6 +36,7 @@
         self.actual = UpstreamStatus(role, 1, 1, position, position, False)
         self.status = self.actual
         self.is_reachable = True
+        self.is_regressed = False
         self.is_leaving = False
         self.is_lost = False
         self.hold = asyncio.Event()
--- a/ebonyrack/routing/read_overlap.py
+++ b/ebonyrack/routing/read_overlap.py
@@ -91,6 +91,9 @@
             self.log_dropped("no_status", None, None)
             return None
         self.replica.note_status(status, self.asked_at_s)
+        if self.replica.is_regressed:
+            self.log_dropped("regressed", status, None)
+            return None
         try:
             index = max(status.received, await self.others.collect())
         except RequestError:
--- a/ebonyrack/routing/read_round.py
+++ b/ebonyrack/routing/read_round.py
@@ -33,10 +33,11 @@
     Attributes:
         needed: Answers that are enough.
         polls: Polls in flight.
+        sources: Polls to the upstreams that they ask.
         reserve: Upstreams that are asked if the first ones are late or lost.
     """
 
-    __slots__ = ("needed", "polls", "reserve")
+    __slots__ = ("needed", "polls", "sources", "reserve")
 
     def __init__(
         self, group: DatabaseGroup, upstreams: Iterable[Upstream], needed: int
@@ -51,9 +52,22 @@
         candidates = list(upstreams)
         first = choose_first(group, candidates, needed)
         self.needed = needed
-        self.polls: set[Poll] = {upstream.start_poll() for upstream in first}
+        self.polls: set[Poll] = set()
+        self.sources: dict[Poll, Upstream] = {}
+        self.start(first)
         self.reserve = [item for item in candidates if item not in first]
 
+    def start(self, upstreams: Iterable[Upstream]) -> None:
+        """Poll some upstreams.
+
+        Args:
+            upstreams: The upstreams.
+        """
+        for upstream in upstreams:
+            poll = upstream.start_poll()
+            self.polls.add(poll)
+            self.sources[poll] = upstream
+
     async def collect(self) -> LogPosition:
         """Wait until enough have answered.
 
@@ -66,16 +80,27 @@
         received: list[LogPosition] = []
         while len(received) < self.needed and (self.polls or self.reserve):
             done = self.take_done() or await self.wait_first()
-            answers = [read_answer(task) for task in done]
+            # An upstream that lost its log may lack what an earlier majority held.
+            answers = [
+                read_answer(task) for task in done if not self.is_regressed(task)
+            ]
             received += [item.received for item in answers if item is not None]
             if not done or len(received) + len(self.polls) < self.needed:
-                self.polls |= {upstream.start_poll() for upstream in self.reserve}
+                self.start(self.reserve)
                 self.reserve = []
         if len(received) < self.needed:
             reason = f"{len(received)} of {self.needed} upstreams answered"
             raise RequestError(ErrorKind.NO_UPSTREAM, reason, RETRY_AFTER_S)
         return max(received)
 
+    def is_regressed(self, poll: Poll) -> bool:
+        """Tell whether a poll asked an upstream that lost its log.
+
+        Args:
+            poll: The poll, which has ended.
+        """
+        return self.sources[poll].is_regressed
+
     def take_done(self) -> set[Poll]:
         """Return the polls that have ended already; they leave `polls`."""
         done = {poll for poll in self.polls if poll.done()}
@@ -113,7 +138,9 @@
     replicas = [
         upstream
         for upstream in upstreams
-        if upstream.is_reachable and upstream.name != group.primary_name
+        if upstream.is_reachable
+        and not upstream.is_regressed
+        and upstream.name != group.primary_name
     ]
     return replicas if len(replicas) >= needed else upstreams
 
--- a/ebonyrack/service/operator_handler.py
+++ b/ebonyrack/service/operator_handler.py
@@ -184,7 +184,7 @@
     return {
         "address": str(upstream.spec.address),
         "data_centre": upstream.spec.data_centre,
-        "state": upstream.state,
+        "state": "regressed" if upstream.is_regressed else upstream.state,
         "role": status.role.value if status else "",
         "received": str(status.received) if status else "",
         "applied": str(status.applied) if status else "",
--- a/ebonyrack/standins/group.py
+++ b/ebonyrack/standins/group.py
@@ -108,6 +108,10 @@
         """Bring a killed upstream back as a replica that waits to follow."""
         await self.upstreams[name].restart()
 
+    async def reimage(self, name: str) -> None:
+        """Bring an upstream back under its name with nothing on its disk."""
+        await self.upstreams[name].reimage()
+
     def freeze(self, name: str) -> None:
         """Let an upstream keep its sockets but neither read nor answer."""
         self.upstreams[name].faults.apply(frozen=True)
--- a/ebonyrack/standins/upstream.py
+++ b/ebonyrack/standins/upstream.py
@@ -143,6 +143,14 @@
         self.faults.apply(frozen=False)
         await self.start()
 
+    async def reimage(self) -> None:
+        """Come back with an empty disk: no log, no terms and no grants."""
+        await self.kill()
+        self.log.truncate(0)
+        self.term = 0
+        self.fenced_term = 0
+        await self.restart()
+
     def cancel(self, process_id: int, secret_key: bytes) -> None:
         """Cancel the running statement of a session, if the key is right."""
         session = self.sessions.get(process_id)
--- a/ebonyrack/upstreams/confirmations.py
+++ b/ebonyrack/upstreams/confirmations.py
@@ -70,19 +70,32 @@
         self.added = Signal()
         self.numbers = itertools.count()
 
-    def observe(self, name: str, status: UpstreamStatus) -> None:
+    def observe(self, name: str, status: UpstreamStatus) -> bool:
         """Count what a replica holds and settle the writes that it covers.
 
         Args:
             name: Name of the upstream.
             status: Its answer.
+
+        Returns:
+            Whether it holds more than it was counted with before.
         """
         if name == self.primary_name or not counts_for(status, self.term):
-            return
+            return False
         offset = status.received.offset
-        if offset > self.held.get(name, 0):
-            self.held[name] = offset
-            self.settle()
+        if offset <= self.held.get(name, 0):
+            return False
+        self.held[name] = offset
+        self.settle()
+        return True
+
+    def forget(self, name: str) -> None:
+        """Count a replica no more with what it held.
+
+        Args:
+            name: Name of the replica, which has lost its log.
+        """
+        self.held.pop(name, None)
 
     def settle(self) -> None:
         """Confirm every write that enough replicas hold."""
--- a/ebonyrack/upstreams/confirmations_test.py
+++ b/ebonyrack/upstreams/confirmations_test.py
@@ -44,6 +44,16 @@
     assert not await is_confirmed(confirmations, 1)
 
 
+async def test_replica_that_lost_its_log_is_not_counted_with_what_it_held():
+    confirmations = Confirmations(TERM, "up-1", 2)
+    confirmations.observe("up-2", build_status(9))
+    confirmations.forget("up-2")
+    confirmations.observe("up-3", build_status(9))
+    assert not await is_confirmed(confirmations, 9)
+    confirmations.observe("up-2", build_status(9))
+    assert await is_confirmed(confirmations, 9)
+
+
 async def test_end_of_the_term_is_told_to_all_who_wait():
     confirmations = Confirmations(TERM, "up-1", 1)
     waiting = [asyncio.create_task(confirmations.wait(offset)) for offset in (3, 1, 2)]
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -203,6 +203,7 @@
             for upstream in self.upstreams.values()
             if upstream.is_reachable
             and not upstream.is_leaving
+            and not upstream.is_regressed
             and upstream.is_following(self.term)
         ]
 
@@ -358,12 +359,49 @@
             self.learn(status.term, upstream.name)
         if upstream.name == self.primary_name and upstream.is_primary_in(self.term):
             self.history.add(status.received)
-        self.confirmations.observe(upstream.name, status)
+            for other in self.upstreams.values():
+                other.counted_log.observe_primary(status.received, upstream.asked_at_s)
+        if upstream.counted_log.observe(status.received, upstream.asked_at_s):
+            self.note_regression(upstream)
+        if not upstream.is_regressed:
+            if self.confirmations.observe(upstream.name, status):
+                self.note_counted()
         if upstream.update_summary():
             self.update_work(upstream)
             upstream.set_connection_limit(self.connection_limit)
             self.changed.notify()
 
+    def note_counted(self) -> None:
+        """Remember what the primary and each replica were counted with."""
+        confirmations = self.confirmations
+        if not confirmations.confirmed:
+            return
+        primary_name = confirmations.primary_name or ""
+        held = {**confirmations.held, primary_name: confirmations.confirmed}
+        for name, offset in held.items():
+            upstream = self.upstreams.get(name)
+            if upstream is not None:
+                counted = min(offset, confirmations.confirmed)
+                upstream.counted_log.count(LogPosition(confirmations.term, counted))
+
+    def note_regression(self, upstream: Upstream) -> None:
+        """Log that an upstream lost its log or caught up, and count it accordingly.
+
+        Args:
+            upstream: The upstream.
+        """
+        if upstream.is_regressed:
+            self.confirmations.forget(upstream.name)
+        log_decision(
+            "upstream_regressed" if upstream.is_regressed else "upstream_caught_up",
+            group=self.name,
+            term=self.term,
+            upstream=upstream.name,
+            counted=str(upstream.counted_log.position),
+            received=str(upstream.status.received) if upstream.status else "",
+        )
+        self.changed.notify()
+
     def note_change(self, upstream: Upstream) -> None:
         """Log a change of an upstream's state and let its pool follow.
 
--- a/ebonyrack/upstreams/upstream.py
+++ b/ebonyrack/upstreams/upstream.py
@@ -15,6 +15,7 @@
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.contract import CONTRACTS
 from ebonyrack.upstreams.control import ControlConnection
+from ebonyrack.upstreams.counted_log import CountedLog
 from ebonyrack.upstreams.pool import ConnectionPool
 from ebonyrack.upstreams.position_waits import PositionWaits
 from ebonyrack.upstreams.status import Role
@@ -59,7 +60,9 @@
         section: Section of the group.
         pool: Connections for callers' transactions.
         status: Latest answer to a poll, or None.
+        asked_at_s: Monotonic time at which that answer was asked for.
         answered_at_s: Monotonic time of that answer, or None.
+        counted_log: What it was counted with in majorities.
         lost_at_s: Monotonic time at which it was found lost, or None.
         is_refused: Whether it was found lost because it refuses connections.
         answer_s: Seconds that the latest plain poll took, or None.
@@ -85,7 +88,9 @@
         self.section = section
         self.connection_limit = connection_limit
         self.status: UpstreamStatus | None = None
+        self.asked_at_s = 0.0
         self.answered_at_s: float | None = None
+        self.counted_log = CountedLog()
         self.lost_at_s: float | None = None
         self.is_refused = False
         self.answer_s: float | None = None
@@ -142,6 +147,11 @@
             self.status is not None and self.status.leaving
         )
 
+    @property
+    def is_regressed(self) -> bool:
+        """Whether it lost what it was counted with, and so makes no majority."""
+        return self.counted_log.is_lost
+
     @property
     def is_slow(self) -> bool:
         """Whether each answer to a poll was slow for `slow_after_s`."""
@@ -338,6 +348,7 @@
         ):
             return
         self.status = status
+        self.asked_at_s = asked_at_s
         self.answered_at_s = now_s()
         self.lost_at_s = None
         self.is_refused = False
