Let the test of a renewal without a majority wait until the loss is seen

Cause: a whole run of the tests failed once of three in renewal_test.py::test_no_term_is_renewed_without_a_majority_to_grant_it. The test kills three of five upstreams and takes away the renewal's waiting time at once; a proxy that had not yet noticed the kills counted them as reachable and began a ballot, which fenced the primary and could not be won. Change: the test waits until the proxy has seen the three as lost. What it asserts is the same.

--- a/ebonyrack/failover/renewal_test.py
+++ b/ebonyrack/failover/renewal_test.py
@@ -42,8 +42,12 @@
 async def test_no_term_is_renewed_without_a_majority_to_grant_it(start_bench):
     bench = await start_bench(proxies=1, count=5)
     proxy = bench.proxies["proxy-1"]
-    for name in ("up-2", "up-3", "up-4"):
+    killed = ("up-2", "up-3", "up-4")
+    for name in killed:
         await bench.standins.kill(name)
+    upstreams = proxy.group.upstreams
+    # The time that a renewal waits, taken away below, is there for this to be seen.
+    await until(lambda: not any(upstreams[name].is_reachable for name in killed))
     term = await bench.abandon_ballot("up-5")
     renewal = proxy.coordinator.renewal
     await until(lambda: renewal.ahead_since_s is not None)
