Ask an upstream in one place whether it may count in a majority

Ruled out: folding it into is_reachable, which also says that an upstream is polled and ordered to follow. Change, without a change of behaviour: Upstream.may_count; PollRound keeps one table of polls in flight; Upstream extends Owner. The upstream double of routing has the same property; no check changed. Tests: upstreams, routing and failover pass (ruff, mypy clean).

--- a/ebonyrack/failover/detector.py
+++ b/ebonyrack/failover/detector.py
@@ -102,9 +102,7 @@
         if now_s() - self.started_at_s < START_GRACE_S:
             return None
         reachable = [
-            upstream
-            for upstream in self.group.upstreams.values()
-            if upstream.is_reachable and not upstream.is_regressed
+            upstream for upstream in self.group.upstreams.values() if upstream.may_count
         ]
         if len(reachable) < self.group.majority:
             return None
@@ -131,9 +129,7 @@
         replicas = [
             upstream
             for upstream in self.group.upstreams.values()
-            if upstream is not primary
-            and upstream.is_reachable
-            and not upstream.is_regressed
+            if upstream is not primary and upstream.may_count
         ]
         silent = [upstream for upstream in replicas if self.is_cut_off(upstream)]
         connected = len(replicas) - len(silent)
@@ -157,8 +153,7 @@
             upstream
             for upstream in self.group.upstreams.values()
             if upstream.name != self.group.primary_name
-            and upstream.is_reachable
-            and not upstream.is_regressed
+            and upstream.may_count
             and self.is_cut_off(upstream)
         ]
         return len(silent) >= self.group.majority
--- a/ebonyrack/failover/renewal.py
+++ b/ebonyrack/failover/renewal.py
@@ -122,9 +122,7 @@
             Whether the primary and the replicas that follow it are a majority.
         """
         following = sum(
-            upstream.is_reachable
-            and not upstream.is_regressed
-            and upstream.is_following(self.group.term)
+            upstream.may_count and upstream.is_following(self.group.term)
             for upstream in self.group.upstreams.values()
             if upstream is not primary
         )
@@ -140,11 +138,8 @@
         Returns:
             Whether to renew the term.
         """
-        reachable = sum(
-            item.is_reachable and not item.is_regressed
-            for item in self.group.upstreams.values()
-        )
-        if reachable < self.group.majority or self.ahead_since_s is None:
+        counting = sum(item.may_count for item in self.group.upstreams.values())
+        if counting < self.group.majority or self.ahead_since_s is None:
             return False
         if self.coordinator.switchover.is_moving:
             return False
--- a/ebonyrack/routing/conftest.py
+++ b/ebonyrack/routing/conftest.py
@@ -47,6 +47,11 @@
             busy_count=0, waiting_count=0, idle_count=1, limit=10
         )
 
+    @property
+    def may_count(self) -> bool:
+        """Whether it may count in a majority."""
+        return self.is_reachable and not self.is_regressed
+
     def note_status(self, status: UpstreamStatus, asked_at_s: float) -> None:
         """Keep an answer of another connection."""
         self.status = status
--- a/ebonyrack/routing/read_round.py
+++ b/ebonyrack/routing/read_round.py
@@ -32,12 +32,11 @@
 
     Attributes:
         needed: Answers that are enough.
-        polls: Polls in flight.
-        sources: Polls to the upstreams that they ask.
+        polls: Polls in flight, with the upstreams that they ask.
         reserve: Upstreams that are asked if the first ones are late or lost.
     """
 
-    __slots__ = ("needed", "polls", "sources", "reserve")
+    __slots__ = ("needed", "polls", "reserve")
 
     def __init__(
         self, group: DatabaseGroup, upstreams: Iterable[Upstream], needed: int
@@ -52,8 +51,7 @@
         candidates = list(upstreams)
         first = choose_first(group, candidates, needed)
         self.needed = needed
-        self.polls: set[Poll] = set()
-        self.sources: dict[Poll, Upstream] = {}
+        self.polls: dict[Poll, Upstream] = {}
         self.start(first)
         self.reserve = [item for item in candidates if item not in first]
 
@@ -64,9 +62,7 @@
             upstreams: The upstreams.
         """
         for upstream in upstreams:
-            poll = upstream.start_poll()
-            self.polls.add(poll)
-            self.sources[poll] = upstream
+            self.polls[upstream.start_poll()] = upstream
 
     async def collect(self) -> LogPosition:
         """Wait until enough have answered.
@@ -79,10 +75,15 @@
         """
         received: list[LogPosition] = []
         while len(received) < self.needed and (self.polls or self.reserve):
-            done = self.take_done() or await self.wait_first()
+            done = self.take_done()
+            if not done:
+                await self.wait_first()
+                done = self.take_done()
             # An upstream that lost its log may lack what an earlier majority held.
             answers = [
-                read_answer(task) for task in done if not self.is_regressed(task)
+                read_answer(poll)
+                for poll, upstream in done.items()
+                if not upstream.is_regressed
             ]
             received += [item.received for item in answers if item is not None]
             if not done or len(received) + len(self.polls) < self.needed:
@@ -93,33 +94,21 @@
             raise RequestError(ErrorKind.NO_UPSTREAM, reason, RETRY_AFTER_S)
         return max(received)
 
-    def is_regressed(self, poll: Poll) -> bool:
-        """Tell whether a poll asked an upstream that lost its log.
-
-        Args:
-            poll: The poll, which has ended.
-        """
-        return self.sources[poll].is_regressed
-
-    def take_done(self) -> set[Poll]:
-        """Return the polls that have ended already; they leave `polls`."""
-        done = {poll for poll in self.polls if poll.done()}
-        self.polls -= done
+    def take_done(self) -> dict[Poll, Upstream]:
+        """Return the polls that have ended; they leave `polls`."""
+        done = {poll: self.polls[poll] for poll in self.polls if poll.done()}
+        for poll in done:
+            del self.polls[poll]
         return done
 
-    async def wait_first(self) -> set[Poll]:
-        """Wait until one of the polls has ended or the reserve is to be asked.
-
-        Returns:
-            The polls that have ended; they are no longer in `polls`.
-        """
+    async def wait_first(self) -> None:
+        """Wait until one of the polls has ended or the reserve is to be asked."""
         if not self.polls:
-            return set()
+            return
         timeout_s = HEDGE_AFTER_S if self.reserve else None
-        done, self.polls = await asyncio.wait(
+        await asyncio.wait(
             self.polls, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
         )
-        return done
 
 
 def choose_first(
@@ -138,9 +127,7 @@
     replicas = [
         upstream
         for upstream in upstreams
-        if upstream.is_reachable
-        and not upstream.is_regressed
-        and upstream.name != group.primary_name
+        if upstream.may_count and upstream.name != group.primary_name
     ]
     return replicas if len(replicas) >= needed else upstreams
 
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -201,9 +201,8 @@
         return [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.is_reachable
+            if upstream.may_count
             and not upstream.is_leaving
-            and not upstream.is_regressed
             and upstream.is_following(self.term)
         ]
 
--- a/ebonyrack/upstreams/upstream.py
+++ b/ebonyrack/upstreams/upstream.py
@@ -8,6 +8,7 @@
 from transitions import Machine
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
 from ebonyrack.core.position import START
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.tasks import end_tasks
@@ -23,7 +24,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from types import TracebackType
 
     from ebonyrack.config.sections import GroupSection
     from ebonyrack.config.sections import UpstreamSpec
@@ -52,7 +52,7 @@
 )
 
 
-class Upstream:
+class Upstream(Owner):
     """An upstream as this proxy sees it.
 
     Attributes:
@@ -113,21 +113,16 @@
         self.on_change: Callable[[Upstream], None] = ignore
         LIFE_CYCLE.add_model(self)
 
-    async def __aenter__(self) -> Upstream:
-        await self.pool.__aenter__()
-        return self
+    async def start(self) -> None:
+        """Start the pool."""
+        await self.pool.start()
 
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        polls = tuple(self.polls)
-        await end_tasks(polls)
+    async def stop(self) -> None:
+        """End the polls, the waits and the connections."""
+        await end_tasks(self.polls)
         await self.waits.close()
         self.control.close()
-        await self.pool.__aexit__(error_type, error, traceback)
+        await self.pool.stop()
         LIFE_CYCLE.remove_model(self)
 
     @property
@@ -152,6 +147,11 @@
         """Whether it lost what it was counted with, and so makes no majority."""
         return self.counted_log.is_lost
 
+    @property
+    def may_count(self) -> bool:
+        """Whether it answered the latest poll and may count in a majority."""
+        return self.is_reachable and not self.is_regressed
+
     @property
     def is_slow(self) -> bool:
         """Whether each answer to a poll was slow for `slow_after_s`."""
--- a/ebonyrack/upstreams/watch.py
+++ b/ebonyrack/upstreams/watch.py
@@ -61,7 +61,7 @@
     async def stop(self) -> None:
         """End the tasks and close the connections of the upstream."""
         await end_tasks(self.tasks)
-        await self.upstream.__aexit__(None, None, None)
+        await self.upstream.stop()
 
     async def probe(self) -> None:
         """Poll the upstream for ever, at the interval that the group needs."""
