Read the proxies' logs in one place; let the load tool use the owners' base class

OpenArrivals and the samples of queues ended tasks by hand beside core's end_tasks and Owner, and two tests of the experiments built the same stand-ins. Change, without another change of behaviour: load/decision_log.py reads events for both, by the stricter mark; OpenArrivals is an Owner; the stand-ins are a fixture. The assertions are the same, line by line.

--- a/ebonyrack/load/experiments_test.py
+++ b/ebonyrack/load/experiments_test.py
@@ -1,5 +1,7 @@
 import json
 
+import pytest
+
 from ebonyrack.config.stored import DOCUMENT_KEY
 from ebonyrack.config.stored import unpack_stored
 from ebonyrack.core.address import Address
@@ -36,31 +38,9 @@
     assert text.split() == "[group a] x = 2 [group b] x = 1".split()
 
 
-async def test_faults_are_injected_and_mended(monkeypatch):
-    monkeypatch.setattr("ebonyrack.load.cluster.SPREAD_WAIT_S", 0.0)
-    async with StandinGroup() as group, StandinPlatform() as platform:
-        control = FaultControl(group, Address("127.0.0.1", 0))
-        text = build_text(group)
-        await put_document(platform.address, "ebonyrack", text)
-        async with (
-            control,
-            Cluster(control.address, platform.address, text) as cluster,
-        ):
-            await cluster.wait_whole()
-            assert await cluster.find_primary() == "up-1"
-            await cluster.change_group(slots=7)
-            await cluster.change_group(slots=8)
-            for fault in ("freeze", "cut", "cut_replicas", "kill"):
-                async with PRIMARY_FAULTS.get(fault)(cluster, "up-1"):
-                    status = await cluster.read_status()
-                    assert status["up-1"]["is_running"] == (fault != "kill")
-            faults = group["up-1"].faults
-            assert not faults.is_frozen and not faults.cut_to
-            # The killed primary came back as a replica that follows nobody.
-            assert not is_whole(await cluster.read_status())
-
-
-async def test_an_upstream_leaves_in_every_way_and_comes_back(monkeypatch):
+@pytest.fixture
+async def standins(monkeypatch):
+    """A group, a platform with its document, and the cluster that drives both."""
     monkeypatch.setattr("ebonyrack.load.cluster.SPREAD_WAIT_S", 0.0)
     async with StandinGroup() as group, StandinPlatform() as platform:
         control = FaultControl(group, Address("127.0.0.1", 0))
@@ -70,10 +50,31 @@
             control,
             Cluster(control.address, platform.address, text) as cluster,
         ):
-            for source in LEAVING_SOURCES.entries:
-                async with LEAVING_SOURCES.get(source)(cluster, "up-2"):
-                    assert read_leaving(group, platform) == {source}
-                assert read_leaving(group, platform) == set()
+            yield group, platform, cluster
+
+
+async def test_faults_are_injected_and_mended(standins):
+    group, platform, cluster = standins
+    await cluster.wait_whole()
+    assert await cluster.find_primary() == "up-1"
+    await cluster.change_group(slots=7)
+    await cluster.change_group(slots=8)
+    for fault in ("freeze", "cut", "cut_replicas", "kill"):
+        async with PRIMARY_FAULTS.get(fault)(cluster, "up-1"):
+            status = await cluster.read_status()
+            assert status["up-1"]["is_running"] == (fault != "kill")
+    faults = group["up-1"].faults
+    assert not faults.is_frozen and not faults.cut_to
+    # The killed primary came back as a replica that follows nobody.
+    assert not is_whole(await cluster.read_status())
+
+
+async def test_an_upstream_leaves_in_every_way_and_comes_back(standins):
+    group, platform, cluster = standins
+    for source in LEAVING_SOURCES.entries:
+        async with LEAVING_SOURCES.get(source)(cluster, "up-2"):
+            assert read_leaving(group, platform) == {source}
+        assert read_leaving(group, platform) == set()
 
 
 def read_leaving(group, platform):
--- a/ebonyrack/load/failover_gap.py
+++ b/ebonyrack/load/failover_gap.py
@@ -5,10 +5,8 @@
 import asyncio
 import json
 import time
-from collections.abc import Iterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
-from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +18,8 @@
 from ebonyrack.load.context import EXPERIMENTS
 from ebonyrack.load.context import ExperimentContext
 from ebonyrack.load.context import ExperimentResult
+from ebonyrack.load.decision_log import read_events
+from ebonyrack.load.decision_log import read_wall_s
 from ebonyrack.load.group_check import check_group
 from ebonyrack.load.group_check import create_tables
 from ebonyrack.load.record import WorkloadRecord
@@ -200,8 +200,8 @@
     """Find the parts of the gap in the log of the proxy that won the ballot."""
     won = [
         line
-        for line in read_ballots(logs)
-        if datetime.fromisoformat(line["time"]).timestamp() > after_wall_s
+        for line in read_events(logs, ("ballot",))
+        if line.get("won") and read_wall_s(line) > after_wall_s
     ]
     first = min(won, key=lambda line: str(line["time"]), default=None)
     if first is None:
@@ -210,17 +210,6 @@
     return {"reason": first.get("reason"), **parts}
 
 
-def read_ballots(logs: tuple[Path, ...]) -> Iterator[dict[str, Any]]:
-    """Yield the log lines of ballots that were won."""
-    for path in logs:
-        for text in path.read_text(encoding="utf-8").splitlines():
-            if '"event": "ballot"' not in text:
-                continue
-            line = json.loads(text)
-            if line.get("won"):
-                yield line
-
-
 def summarize(rows: list[Row]) -> Row:
     """Summarize the trials of one condition."""
     gaps = [row["gap_s"] for row in rows if row["resumed"]]
--- a/ebonyrack/load/leaving_time.py
+++ b/ebonyrack/load/leaving_time.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
-from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +18,8 @@
 from ebonyrack.load.context import EXPERIMENTS
 from ebonyrack.load.context import ExperimentContext
 from ebonyrack.load.context import ExperimentResult
+from ebonyrack.load.decision_log import read_events
+from ebonyrack.load.decision_log import read_wall_s
 from ebonyrack.load.record import find_quantile
 from ebonyrack.load.results import Row
 
@@ -130,13 +131,9 @@
     Yields:
         Wall-clock time of each line, in seconds.
     """
-    for path in logs:
-        for text in path.read_text(encoding="utf-8").splitlines():
-            if not any(event in text for event in WORK_EVENTS):
-                continue
-            line = json.loads(text)
-            if line["event"] in WORK_EVENTS and line["upstream"] == name:
-                yield datetime.fromisoformat(line["time"]).timestamp()
+    for line in read_events(logs, WORK_EVENTS):
+        if line["upstream"] == name:
+            yield read_wall_s(line)
 
 
 def summarize(rows: list[Row]) -> Row:
--- a/ebonyrack/load/open_arrivals.py
+++ b/ebonyrack/load/open_arrivals.py
@@ -6,6 +6,8 @@
 import random
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.load.caller import BookingCaller
 from ebonyrack.load.record import WorkloadRecord
 from ebonyrack.load.workload_options import WorkloadOptions
@@ -13,7 +15,7 @@
 OPENING_AT_ONCE = 8
 
 
-class OpenArrivals:
+class OpenArrivals(Owner):
     """A crowd of which one free caller makes each booking: an async context manager.
 
     Attributes:
@@ -50,15 +52,14 @@
         self.arrived_s: list[float] = []
         self.random = random.Random(options.run_id)
 
-    async def __aenter__(self) -> OpenArrivals:
+    async def start(self) -> None:
+        """Open the connections of the callers that are to be ready."""
         gate = asyncio.Semaphore(OPENING_AT_ONCE)
         await asyncio.gather(*(self.prepare_caller(gate) for _ in range(self.ready)))
-        return self
 
-    async def __aexit__(self, *error: object) -> None:
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+    async def stop(self) -> None:
+        """End the bookings in hand and close all connections."""
+        await end_tasks(self.tasks)
         await asyncio.gather(*(caller.connections.close() for caller in self.callers))
 
     async def prepare_caller(self, gate: asyncio.Semaphore) -> None:
--- a/ebonyrack/load/queue_samples.py
+++ b/ebonyrack/load/queue_samples.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.load.context import ExperimentContext
 from ebonyrack.ops.client import Access
 from ebonyrack.ops.client import ProxyClient
@@ -74,8 +75,7 @@
         try:
             yield
         finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            await end_tasks([task])
 
 
 async def keep_sampling(
