Start the demos' group, proxies and workload by one function each

Change, without a change of behaviour: start_siam_upstreams, start_siam_proxies and start_booking in cluster.sh; where no limit is set the workload runs under a timeout of 0, which is none.

--- a/demo/chaos.sh
+++ b/demo/chaos.sh
@@ -16,19 +16,11 @@
 
 start_platform
 PLATFORM_PID=${PIDS[0]}
-start_upstreams --connection-limit 20 --slots 3 --connection-cost-s 0.01 \
-  --statement-cost-s 0.001 --link-delay-s 0.001
+start_siam_upstreams
 first=$((${#PIDS[@]} - 3))
 UPSTREAM_PIDS=("${PIDS[@]:first:3}")
-start_proxies 3 "connection_limit = 20
-slots = 3"
-# shellcheck disable=SC2086
-"$PYTHON" -m ebonyrack.scripts.load booking \
-  --proxies "${PROXIES[@]}" --upstreams $UPSTREAMS --user booking \
-  --password demo-password --callers "$CALLERS" --think-s 0.01 \
-  --duration-s "$DURATION_S" &
-LOAD_PID=$!
-PIDS+=("$LOAD_PID")
+start_siam_proxies
+start_booking
 
 # kill_proxy NUMBER: ends a proxy at once and starts another under its name.
 kill_proxy() {
--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -145,3 +145,26 @@
     wait_for "proxy-$number" "proxy-$number.log" proxy_serving
   done
 }
+
+# Sizes of one of Siam's groups: three slots, 20 connections, 10 ms to open one.
+start_siam_upstreams() {
+  start_upstreams --connection-limit 20 --slots 3 --connection-cost-s 0.01 \
+    --statement-cost-s 0.001 --link-delay-s 0.001
+}
+
+start_siam_proxies() {
+  start_proxies 3 "connection_limit = 20
+slots = 3"
+}
+
+# start_booking OPTIONS...: the booking workload in the background, as LOAD_PID, with
+# CALLERS callers for DURATION_S; it ends within FINISH_LIMIT_S if that is set.
+start_booking() {
+  # shellcheck disable=SC2086
+  timeout "${FINISH_LIMIT_S:-0}" "$PYTHON" -m ebonyrack.scripts.load booking \
+    --proxies "${PROXIES[@]}" --upstreams $UPSTREAMS --user booking \
+    --password demo-password --callers "$CALLERS" --think-s 0.01 \
+    --duration-s "$DURATION_S" "$@" &
+  LOAD_PID=$!
+  PIDS+=("$LOAD_PID")
+}
--- a/demo/rolling.sh
+++ b/demo/rolling.sh
@@ -11,17 +11,9 @@
 . demo/cluster.sh
 
 start_platform
-start_upstreams --connection-limit 20 --slots 3 --connection-cost-s 0.01 \
-  --statement-cost-s 0.001 --link-delay-s 0.001
-start_proxies 3 "connection_limit = 20
-slots = 3"
-# shellcheck disable=SC2086
-"$PYTHON" -m ebonyrack.scripts.load booking \
-  --proxies "${PROXIES[@]}" --upstreams $UPSTREAMS --user booking \
-  --password demo-password --callers "$CALLERS" --think-s 0.01 \
-  --duration-s "$DURATION_S" &
-LOAD_PID=$!
-PIDS+=("$LOAD_PID")
+start_siam_upstreams
+start_siam_proxies
+start_booking
 sleep "$PAUSE_S"
 
 cut_proxies=0
