Choose the members to link to once for each look at them

Cause: each look ranked all live members twice, once to dial and once to close; with 400 members the ranking was among the dearest parts of joining. Nothing awaits between the two uses, so both see the same members. Change, without a change of behaviour: Contacts.run chooses once and hands the list on. Tests: peers and config pass. The cost was not measured again.

--- a/ebonyrack/peers/contacts.py
+++ b/ebonyrack/peers/contacts.py
@@ -105,10 +105,11 @@
         """Dial wanted peers for as long as the hub is open."""
         while True:
             self.woken.clear()
-            for address in self.find_wanted():
+            members = self.choose_members()
+            for address in self.find_wanted(members):
                 self.dial_if_due(address)
             self.forget_unwanted()
-            self.close_unneeded()
+            self.close_unneeded(members)
             try:
                 async with asyncio.timeout(CHECK_INTERVAL_S * random.uniform(0.8, 1)):
                     await self.woken.wait()
@@ -117,25 +118,32 @@
             except TimeoutError:
                 continue
 
-    def close_unneeded(self) -> None:
+    def close_unneeded(self, members: list[Member]) -> None:
         """Close links that this proxy dialled and needs no more.
 
         The other side dials for itself if it needs the link.
+
+        Args:
+            members: The members to be linked to.
         """
         if not self.is_sparse:
             return
-        needed = {member.name for member in self.choose_members()}
+        needed = {member.name for member in members}
         oldest_s = now_s() - UNNEEDED_AFTER_S
         for name, link in tuple(self.hub.links.items()):
             is_old = link.opened_at_s < oldest_s
             if link.is_dialler and is_old and name not in needed:
                 self.hub.unlink(link)
 
-    def find_wanted(self) -> list[Address]:
-        """Return the addresses to which a link is wanted and missing."""
+    def find_wanted(self, members: list[Member]) -> list[Address]:
+        """Return the addresses to which a link is wanted and missing.
+
+        Args:
+            members: The members to be linked to.
+        """
         membership = self.hub.membership
         linked = {link.member.address for link in self.hub.links.values()}
-        wanted = [member.address for member in self.choose_members()]
+        wanted = [member.address for member in members]
         if not self.is_sparse or not self.hub.links:
             wanted.extend(self.hub.settings.peers.seeds)
         wanted.extend(self.choose_recontact(linked))
