Move the pool and the store's client into packages of their own

Cause: a second kind of caller and upstream protocol is coming, and the pool, its admission queue and the store's client imported the PostgreSQL codec or stood in a package whose name the platform's adapter will take. Change: ebonyrack/pooling holds the pool, generic in its connection; the PostgreSQL pool supplies how one is opened. ebonyrack/store holds the Consul-style client. Only moved; the tests name other modules, with the same assertions.

--- a/ebonyrack/config/edit_attempt.py
+++ b/ebonyrack/config/edit_attempt.py
@@ -21,9 +21,9 @@
 from ebonyrack.config.stored import pack_stored
 from ebonyrack.config.stored import unpack_stored
 from ebonyrack.core.clock import now_s
-from ebonyrack.platform.backoff import Backoff
-from ebonyrack.platform.store import Store
-from ebonyrack.platform.store_answer import StoreErrorKind
+from ebonyrack.store.backoff import Backoff
+from ebonyrack.store.store import Store
+from ebonyrack.store.store_answer import StoreErrorKind
 
 FIRST_BACKOFF_S = 0.05
 MAXIMUM_BACKOFF_S = 1.0
--- a/ebonyrack/config/edit_handler.py
+++ b/ebonyrack/config/edit_handler.py
@@ -26,7 +26,7 @@
 from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.message import Message
-from ebonyrack.platform.store import Store
+from ebonyrack.store.store import Store
 
 MAXIMUM_LIMIT_S = 60.0
 MAXIMUM_EDITS = 8
--- a/ebonyrack/config/leaving_vms.py
+++ b/ebonyrack/config/leaving_vms.py
@@ -10,10 +10,10 @@
 from ebonyrack.peers.document_messages import VmNews
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.platform.store import Store
-from ebonyrack.platform.store_answer import StoreError
-from ebonyrack.platform.vm_list import VmList
-from ebonyrack.platform.vm_list import VmListing
+from ebonyrack.store.store import Store
+from ebonyrack.store.store_answer import StoreError
+from ebonyrack.store.vm_list import VmList
+from ebonyrack.store.vm_list import VmListing
 
 
 class LeavingVms:
--- a/ebonyrack/config/verification.py
+++ b/ebonyrack/config/verification.py
@@ -16,7 +16,7 @@
 from ebonyrack.peers.document_messages import AskDocument
 from ebonyrack.peers.link import PeerLink
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.platform.store import Store
+from ebonyrack.store.store import Store
 
 RETRY_S = 0.2
 ASKED_PEERS = 3
--- a/ebonyrack/config/watch.py
+++ b/ebonyrack/config/watch.py
@@ -24,10 +24,10 @@
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.member import Member
-from ebonyrack.platform.backoff import Backoff
-from ebonyrack.platform.store import Store
-from ebonyrack.platform.store_answer import StoreError
-from ebonyrack.platform.store_answer import StoreValue
+from ebonyrack.store.backoff import Backoff
+from ebonyrack.store.store import Store
+from ebonyrack.store.store_answer import StoreError
+from ebonyrack.store.store_answer import StoreValue
 
 FIRST_BACKOFF_S = 0.2
 MAXIMUM_BACKOFF_S = 5.0
--- a/ebonyrack/failover/terms.py
+++ b/ebonyrack/failover/terms.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 if TYPE_CHECKING:
-    from ebonyrack.platform.store import Store
+    from ebonyrack.store.store import Store
 
 SLOT_COUNTER_KEY = "term-slots"
 # Terms are `round * MAXIMUM_SLOTS + slot`.
--- a/ebonyrack/load/bootstrap.py
+++ b/ebonyrack/load/bootstrap.py
@@ -10,7 +10,7 @@
 from ebonyrack.config.stored import pack_stored
 from ebonyrack.core.address import Address
 from ebonyrack.core.settings import StoreSettings
-from ebonyrack.platform.store import Store
+from ebonyrack.store.store import Store
 
 FIRST_REVISION = 1
 
--- a/ebonyrack/load/cluster.py
+++ b/ebonyrack/load/cluster.py
@@ -20,7 +20,7 @@
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.position import parse_position
 from ebonyrack.core.settings import StoreSettings
-from ebonyrack.platform.store import Store
+from ebonyrack.store.store import Store
 
 POLL_INTERVAL_S = 0.05
 WHOLE_LIMIT_S = 30.0
--- a/ebonyrack/load/control_plane.py
+++ b/ebonyrack/load/control_plane.py
@@ -24,8 +24,8 @@
 from ebonyrack.ops.client import Access
 from ebonyrack.ops.document_access import DirectDocument
 from ebonyrack.ops.document_access import ProxyDocument
-from ebonyrack.platform.store import Store
 from ebonyrack.standins.control_plane import SECRET
+from ebonyrack.store.store import Store
 
 OPERATOR = "measure"
 POLL_S = 0.02
--- a/ebonyrack/ops/document_access.py
+++ b/ebonyrack/ops/document_access.py
@@ -30,7 +30,7 @@
 from ebonyrack.peers.edit_messages import EditRequest
 from ebonyrack.peers.edit_messages import RevisionsReply
 from ebonyrack.peers.link import PeerLostError
-from ebonyrack.platform.store import Store
+from ebonyrack.store.store import Store
 
 REPLY_MARGIN_S = 2.0
 POLL_INTERVAL_S = 0.1
--- /dev/null
+++ b/ebonyrack/pooling/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded pools of upstream connections and the queues before them."""
--- a/ebonyrack/upstreams/admission.py
+++ b/ebonyrack/pooling/admission.py
@@ -13,7 +13,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
-from ebonyrack.upstreams.service_pace import ServicePace
+from ebonyrack.pooling.service_pace import ServicePace
 
 
 class Waiter:
--- a/ebonyrack/upstreams/admission_test.py
+++ b/ebonyrack/pooling/admission_test.py
@@ -6,10 +6,10 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
-from ebonyrack.upstreams.admission import AdmissionQueue
-from ebonyrack.upstreams.admission import Waiter
-from ebonyrack.upstreams.service_pace import MAXIMUM_RETRY_S
-from ebonyrack.upstreams.service_pace import RETRY_JITTER
+from ebonyrack.pooling.admission import AdmissionQueue
+from ebonyrack.pooling.admission import Waiter
+from ebonyrack.pooling.service_pace import MAXIMUM_RETRY_S
+from ebonyrack.pooling.service_pace import RETRY_JITTER
 
 FAR_S = 3600.0
 
--- a/ebonyrack/upstreams/connection_opener.py
+++ b/ebonyrack/pooling/connection_opener.py
@@ -3,38 +3,42 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Generic
+from typing import TypeVar
 
-from ebonyrack.config.sections import GroupSection
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
-from ebonyrack.upstreams.connection import UpstreamConnection
-from ebonyrack.upstreams.connection import UpstreamLostError
-from ebonyrack.upstreams.opening import open_connection
+from ebonyrack.pooling.pooled_connection import PooledConnection
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
 
 OPEN_TIMEOUT_S = 2.0
 
+Connection = TypeVar("Connection", bound=PooledConnection)
+Connect = Callable[[float], Awaitable[Connection]]
 
-class ConnectionOpener:
+
+class ConnectionOpener(Generic[Connection]):
     """Opens connections to one upstream.
 
     Attributes:
         address: Address of the upstream.
+        connect: Opens one connection within a number of seconds.
         attempts: Tasks that open connections.
     """
 
-    __slots__ = ("address", "attempts")
+    __slots__ = ("address", "connect", "attempts")
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, connect: Connect[Connection]) -> None:
         self.address = address
-        self.attempts: set[asyncio.Task[UpstreamConnection]] = set()
+        self.connect = connect
+        self.attempts: set[asyncio.Task[Connection]] = set()
 
-    async def open(
-        self, section: GroupSection, deadline_s: float
-    ) -> UpstreamConnection:
-        """Open a connection with the group's user.
+    async def open(self, deadline_s: float) -> Connection:
+        """Open a connection.
 
         Args:
-            section: Section of the database group.
             deadline_s: Monotonic time at which to give up.
 
         Returns:
@@ -45,15 +49,7 @@
                 attempts were ended.
         """
         timeout_s = max(0.0, min(OPEN_TIMEOUT_S, deadline_s - now_s()))
-        attempt = asyncio.create_task(
-            open_connection(
-                self.address,
-                section.user,
-                section.password,
-                section.database,
-                timeout_s,
-            )
-        )
+        attempt = asyncio.ensure_future(self.connect(timeout_s))
         self.attempts.add(attempt)
         try:
             await asyncio.wait({attempt})
@@ -72,7 +68,7 @@
             attempt.cancel()
 
 
-async def abandon_attempt(attempt: asyncio.Task[UpstreamConnection]) -> None:
+async def abandon_attempt(attempt: asyncio.Task[Connection]) -> None:
     """End an attempt whose caller gave up.
 
     Args:
--- /dev/null
+++ b/ebonyrack/pooling/pool.py
@@ -0,0 +1,309 @@
+"""Bounded pool of connections to one upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Generic
+from typing import TypeVar
+
+from loguru import logger
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.owner import Owner
+from ebonyrack.pooling.admission import AdmissionQueue
+from ebonyrack.pooling.admission import Waiter
+from ebonyrack.pooling.connection_opener import OPEN_TIMEOUT_S
+from ebonyrack.pooling.connection_opener import Connect
+from ebonyrack.pooling.connection_opener import Connection
+from ebonyrack.pooling.connection_opener import ConnectionOpener
+from ebonyrack.pooling.connection_opener import build_stopped
+from ebonyrack.pooling.pool_places import PoolPlaces
+from ebonyrack.pooling.pooled_connection import QueueSettings
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
+
+TOO_MANY_CONNECTIONS = "53300"
+
+Settings = TypeVar("Settings", bound=QueueSettings)
+
+
+class Pool(PoolPlaces[Connection], Owner, Generic[Connection, Settings]):
+    """Connections to one upstream, each used by one caller at a time.
+
+    Whoever is granted a place holds it until `release`.
+
+    Attributes:
+        address: Address of the upstream.
+        section: Settings of the queue and of the connections.
+        queue: Requests that wait for a place.
+        opener: Opens connections until the pool stops taking work.
+    """
+
+    __slots__ = ("address", "section", "queue", "opener")
+
+    def __init__(
+        self,
+        address: Address,
+        section: Settings,
+        limit: int,
+        connect: Connect[Connection],
+    ) -> None:
+        super().__init__(limit)
+        self.address = address
+        self.section = section
+        self.queue = AdmissionQueue(section.queue_limit)
+        self.opener = ConnectionOpener(address, connect)
+
+    async def stop(self) -> None:
+        """Take no more work and close every connection, also those in use."""
+        self.stop_new_work()
+        self.limits.stop_raising()
+        for connection in list(self.busy):
+            connection.close()
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait for a place."""
+        return len(self.queue)
+
+    def set_weights(self, weights: dict[str, int]) -> None:
+        """Set the shares of the applications in the queue.
+
+        Args:
+            weights: Weight by name of the application; others count 1.
+        """
+        self.queue.weights = weights
+
+    async def acquire(self, caller: str, deadline_s: float) -> Connection:
+        """Wait for a connection.
+
+        Args:
+            caller: Name of the application that asks.
+            deadline_s: Monotonic time at which the request gives up.
+
+        Returns:
+            A clean connection, held until `release`.
+
+        Raises:
+            RequestError: QUEUE_FULL or WAIT_TOO_LONG; nothing was sent.
+            UpstreamLostError: If the upstream takes no work or can't be reached.
+        """
+        self.check_accepting()
+        waiter = Waiter(caller, deadline_s, next(self.queue.arrivals))
+        if not self.queue and self.has_place():
+            connection = self.take_place()
+        else:
+            self.queue.limit = self.section.queue_limit
+            self.queue.add(waiter, self.present_limit)
+            self.grant_places()
+            connection = await self.wait_for_grant(waiter)
+        while connection is None:
+            connection = await self.open_place(waiter)
+        return connection
+
+    def check_accepting(self) -> None:
+        """Raise UpstreamLostError while the pool takes no new work."""
+        if not self.is_accepting:
+            raise build_stopped(self.address)
+
+    def grant_places(self) -> None:
+        """Serve waiters as long as there are places."""
+        while self.queue and self.is_accepting and self.has_place():
+            waiter = self.queue.take()
+            granted = waiter.granted if waiter is not None else None
+            if granted is not None and not granted.done():
+                granted.set_result(self.take_place())
+
+    async def wait_for_grant(self, waiter: Waiter) -> Connection | None:
+        """Wait until a place is granted, up to the waiter's deadline.
+
+        Args:
+            waiter: The queued waiter.
+
+        Returns:
+            A connection, or None for the place of one to be opened.
+
+        Raises:
+            RequestError: WAIT_TOO_LONG at the deadline; QUEUE_FULL if pushed out.
+            UpstreamLostError: If the pool stops taking work.
+        """
+        assert waiter.granted is not None
+        try:
+            async with asyncio.timeout(waiter.deadline_s - now_s()):
+                connection: Connection | None = await waiter.granted
+        except TimeoutError:
+            self.give_back_grant(waiter)
+            raise self.queue.build_refusal(
+                ErrorKind.WAIT_TOO_LONG, "the deadline passed", self.present_limit
+            ) from None
+        except asyncio.CancelledError:
+            self.give_back_grant(waiter)
+            raise
+        return connection
+
+    def give_back_grant(self, waiter: Waiter) -> None:
+        """Return the place of a waiter that gives up, if it was granted one.
+
+        Args:
+            waiter: The waiter.
+        """
+        self.queue.discard(waiter)
+        granted = waiter.granted
+        if granted is None or not granted.done():
+            return
+        if granted.cancelled() or granted.exception() is not None:
+            return
+        connection = granted.result()
+        if connection is None:
+            self.give_up_opening()
+        else:
+            self.release(connection)
+
+    def give_up_opening(self) -> None:
+        """Free the place of a connection that was not opened."""
+        self.opening -= 1
+        self.grant_places()
+
+    async def open_place(self, waiter: Waiter) -> Connection | None:
+        """Open the connection of a place that is held.
+
+        Args:
+            waiter: The request that holds the place.
+
+        Returns:
+            The connection, busy; None if another place was granted after the
+            upstream had refused the connection.
+
+        Raises:
+            RequestError: WAIT_TOO_LONG if the upstream has no connection to spare.
+            UpstreamLostError: If it can't be reached.
+        """
+        try:
+            connection = await self.opener.open(waiter.deadline_s)
+        except UpstreamLostError as error:
+            self.opening -= 1
+            if error.sqlstate != TOO_MANY_CONNECTIONS:
+                self.grant_places()
+                raise
+            self.note_refusal()
+        except BaseException:
+            self.give_up_opening()
+            raise
+        else:
+            self.opening -= 1
+            self.busy[connection] = now_s()
+            return self.check_opened(connection)
+        return await self.wait_for_release(waiter)
+
+    def check_opened(self, connection: Connection) -> Connection:
+        """Give a new connection up if the pool stopped taking work meanwhile.
+
+        Args:
+            connection: The connection, busy.
+
+        Returns:
+            The connection.
+
+        Raises:
+            UpstreamLostError: If no new work is taken.
+        """
+        if not self.is_accepting:
+            self.release(connection)
+            self.check_accepting()
+        return connection
+
+    def note_refusal(self) -> None:
+        """Lower the limit to what the upstream has let us open."""
+        self.limits.note_refusal(self.open_count)
+        logger.bind(address=str(self.address), limit=self.present_limit).warning(
+            "upstream refused a connection"
+        )
+
+    async def wait_for_release(self, waiter: Waiter) -> Connection | None:
+        """Wait for another place, after the upstream refused a connection.
+
+        Args:
+            waiter: The request, which holds no place any more.
+
+        Returns:
+            The connection, or None for the place of one to be opened.
+
+        Raises:
+            RequestError: WAIT_TOO_LONG if there is none or none comes free;
+                QUEUE_FULL if the queue was filled meanwhile.
+            UpstreamLostError: If the pool stops taking work.
+        """
+        self.check_accepting()
+        if self.open_count == 0:
+            self.queue.fail_all(self.build_no_connection)
+            raise self.build_no_connection()
+        self.queue.put_back(waiter, self.present_limit)
+        self.grant_places()
+        return await self.wait_for_grant(waiter)
+
+    def build_no_connection(self) -> RequestError:
+        """Build the refusal for an upstream that has no connection to spare."""
+        return self.queue.build_refusal(
+            ErrorKind.WAIT_TOO_LONG, "the upstream has no connection to spare", 1
+        )
+
+    def release(self, connection: Connection) -> None:
+        """Take a connection back; one that is not clean is closed.
+
+        Args:
+            connection: A connection from `acquire`.
+
+        Raises:
+            ValueError: If the connection is not in use.
+        """
+        if connection not in self.busy:
+            raise ValueError("the connection is not in use")
+        granted_at_s = self.busy.pop(connection)
+        # How long a connection was held that broke tells nothing of the service.
+        if connection.is_clean:
+            self.queue.pace.note_service(now_s() - granted_at_s)
+        self.keep_or_close(connection)
+        self.grant_places()
+
+    def stop_new_work(self) -> None:
+        """Refuse new work; connections in use may finish what they run."""
+        self.is_accepting = False
+        self.opener.end_attempts()
+        self.close_idle()
+        self.queue.fail_all(lambda: build_stopped(self.address))
+
+    def resume_new_work(self) -> None:
+        """Take new work again."""
+        self.is_accepting = True
+
+    async def warm(self, count: int) -> int:
+        """Open connections ahead of need.
+
+        Args:
+            count: Connections that should be open, within the limit.
+
+        Returns:
+            Connections that are open, counting those in use.
+
+        Raises:
+            UpstreamLostError: If the upstream can't be reached.
+        """
+        while self.is_accepting and self.open_count < min(count, self.present_limit):
+            self.opening += 1
+            try:
+                connection = await self.opener.open(now_s() + OPEN_TIMEOUT_S)
+            except UpstreamLostError as error:
+                self.give_up_opening()
+                if error.sqlstate != TOO_MANY_CONNECTIONS:
+                    raise
+                self.note_refusal()
+                break
+            except BaseException:
+                self.give_up_opening()
+                raise
+            self.opening -= 1
+            self.keep_or_close(connection)
+            self.grant_places()
+        return self.open_count
--- a/ebonyrack/upstreams/pool_places.py
+++ b/ebonyrack/pooling/pool_places.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Generic
+
 from ebonyrack.core.clock import now_s
-from ebonyrack.upstreams.connection import UpstreamConnection
-from ebonyrack.upstreams.connection_limit import ConnectionLimit
+from ebonyrack.pooling.connection_limit import ConnectionLimit
+from ebonyrack.pooling.connection_opener import Connection
 
 
-class PoolPlaces:
+class PoolPlaces(Generic[Connection]):
     """Connections that count against the limit of one upstream.
 
     A place is an idle, busy or opening connection; there are never more places than
@@ -25,8 +27,8 @@
 
     def __init__(self, limit: int) -> None:
         self.limits = ConnectionLimit(limit, self.grant_places)
-        self.idle: list[UpstreamConnection] = []
-        self.busy: dict[UpstreamConnection, float] = {}
+        self.idle: list[Connection] = []
+        self.busy: dict[Connection, float] = {}
         self.opening = 0
         self.is_accepting = True
 
@@ -73,7 +75,7 @@
                 connection.close()
         self.idle = [connection for connection in self.idle if connection.is_clean]
 
-    def take_place(self) -> UpstreamConnection | None:
+    def take_place(self) -> Connection | None:
         """Take an idle connection, or the place of one to be opened (None)."""
         if not self.idle:
             self.opening += 1
@@ -82,7 +84,7 @@
         self.busy[connection] = now_s()
         return connection
 
-    def keep_or_close(self, connection: UpstreamConnection) -> None:
+    def keep_or_close(self, connection: Connection) -> None:
         """Keep a connection that nobody uses, or close it.
 
         Args:
--- a/ebonyrack/scripts/ctl.py
+++ b/ebonyrack/scripts/ctl.py
@@ -27,8 +27,8 @@
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.output import Output
-from ebonyrack.platform.store import Store
 from ebonyrack.scripts.arguments import read_address_argument
+from ebonyrack.store.store import Store
 
 PROXIES_VARIABLE = "EBONYRACK_PROXIES"
 SECRET_VARIABLE = "EBONYRACK_SECRET_FILE"
--- a/ebonyrack/service/proxy.py
+++ b/ebonyrack/service/proxy.py
@@ -19,12 +19,12 @@
 from ebonyrack.failover.terms import TermSource
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.session_messages import CancelSession
-from ebonyrack.platform.store import Store
 from ebonyrack.service.drain import Drain
 from ebonyrack.service.group_table import GroupTable
 from ebonyrack.service.operator_handler import OperatorHandler
 from ebonyrack.service.services import Services
 from ebonyrack.service.services import derive_token_key
+from ebonyrack.store.store import Store
 
 if TYPE_CHECKING:
     from ebonyrack.core.settings import Settings
--- a/ebonyrack/standins/control_plane.py
+++ b/ebonyrack/standins/control_plane.py
@@ -16,8 +16,8 @@
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.settings import parse_settings
 from ebonyrack.peers.hub import PeerHub
-from ebonyrack.platform.store import Store
 from ebonyrack.standins.platform import StandinPlatform
+from ebonyrack.store.store import Store
 
 SECRET = "the secret of a test"
 SECRET_BYTES = 8
--- a/ebonyrack/platform/backoff_test.py
+++ b/ebonyrack/store/backoff_test.py
@@ -1,4 +1,4 @@
-from ebonyrack.platform.backoff import Backoff
+from ebonyrack.store.backoff import Backoff
 
 
 def test_backoff_grows_with_jitter_and_starts_over():
--- a/ebonyrack/platform/rate_limit_test.py
+++ b/ebonyrack/store/rate_limit_test.py
@@ -1,4 +1,4 @@
-from ebonyrack.platform.rate_limit import RateLimit
+from ebonyrack.store.rate_limit import RateLimit
 
 
 def test_a_reservation_waits_for_its_turn():
--- a/ebonyrack/platform/store.py
+++ b/ebonyrack/store/store.py
@@ -15,14 +15,14 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import StoreSettings
-from ebonyrack.platform.rate_limit import RateLimit
-from ebonyrack.platform.store_answer import StoreAnswer
-from ebonyrack.platform.store_answer import StoreError
-from ebonyrack.platform.store_answer import StoreErrorKind
-from ebonyrack.platform.store_answer import StoreValue
-from ebonyrack.platform.store_answer import read_index
-from ebonyrack.platform.store_answer import read_success
-from ebonyrack.platform.store_answer import read_value
+from ebonyrack.store.rate_limit import RateLimit
+from ebonyrack.store.store_answer import StoreAnswer
+from ebonyrack.store.store_answer import StoreError
+from ebonyrack.store.store_answer import StoreErrorKind
+from ebonyrack.store.store_answer import StoreValue
+from ebonyrack.store.store_answer import read_index
+from ebonyrack.store.store_answer import read_success
+from ebonyrack.store.store_answer import read_value
 
 MAXIMUM_VALUE_BYTES = 1_000_000
 MAXIMUM_CONNECTIONS = 4
--- a/ebonyrack/platform/store_test.py
+++ b/ebonyrack/store/store_test.py
@@ -4,12 +4,12 @@
 from result import Ok
 
 from ebonyrack.core.settings import StoreSettings
-from ebonyrack.platform.store import MAXIMUM_VALUE_BYTES
-from ebonyrack.platform.store import Store
-from ebonyrack.platform.store_answer import StoreErrorKind
-from ebonyrack.platform.vm_list import VmList
 from ebonyrack.standins.key_value import Node
 from ebonyrack.standins.platform import StandinPlatform
+from ebonyrack.store.store import MAXIMUM_VALUE_BYTES
+from ebonyrack.store.store import Store
+from ebonyrack.store.store_answer import StoreErrorKind
+from ebonyrack.store.vm_list import VmList
 
 
 def open_store(address, **options):
--- a/ebonyrack/platform/vm_list.py
+++ b/ebonyrack/store/vm_list.py
@@ -10,10 +10,10 @@
 from result import Ok
 from result import Result
 
-from ebonyrack.platform.store import Store
-from ebonyrack.platform.store_answer import StoreAnswer
-from ebonyrack.platform.store_answer import StoreError
-from ebonyrack.platform.store_answer import StoreErrorKind
+from ebonyrack.store.store import Store
+from ebonyrack.store.store_answer import StoreAnswer
+from ebonyrack.store.store_answer import StoreError
+from ebonyrack.store.store_answer import StoreErrorKind
 
 NODES_PATH = "/v1/catalog/nodes"
 LEAVING_STATE = "leaving"
--- a/ebonyrack/upstreams/pool_machine_test.py
+++ b/ebonyrack/upstreams/pool_machine_test.py
@@ -14,12 +14,13 @@
 from ebonyrack.config.sections import GroupSection
 from ebonyrack.core.address import Address
 from ebonyrack.core.errors import RequestError
-from ebonyrack.upstreams import admission
-from ebonyrack.upstreams import connection_limit
-from ebonyrack.upstreams import connection_opener as opener_module
-from ebonyrack.upstreams import pool as pool_module
-from ebonyrack.upstreams import pool_places
-from ebonyrack.upstreams import service_pace
+from ebonyrack.pooling import admission
+from ebonyrack.pooling import connection_limit
+from ebonyrack.pooling import connection_opener as opener_module
+from ebonyrack.pooling import pool as pool_module
+from ebonyrack.pooling import pool_places
+from ebonyrack.pooling import service_pace
+from ebonyrack.upstreams import pool as postgresql_pool
 from ebonyrack.upstreams.connection import UpstreamLostError
 from ebonyrack.upstreams.pool import ConnectionPool
 
@@ -67,8 +68,8 @@
         self.held = []
         logger.disable(pool_module.__name__)
         self.allowed = 2
-        self.original = opener_module.open_connection
-        opener_module.open_connection = self.open_connection
+        self.original = postgresql_pool.open_connection
+        postgresql_pool.open_connection = self.open_connection
 
     def read_clock(self):
         return self.clock_s
@@ -234,7 +235,7 @@
         finally:
             logger.enable(pool_module.__name__)
             self.pool.limits.stop_raising()
-            opener_module.open_connection = self.original
+            postgresql_pool.open_connection = self.original
             self.clocks.undo()
             self.loop.close()
 
--- a/ebonyrack/upstreams/primary_wait.py
+++ b/ebonyrack/upstreams/primary_wait.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from ebonyrack.upstreams.admission import AdmissionQueue
-from ebonyrack.upstreams.admission import Waiter
-from ebonyrack.upstreams.service_pace import ServicePace
+from ebonyrack.pooling.admission import AdmissionQueue
+from ebonyrack.pooling.admission import Waiter
+from ebonyrack.pooling.service_pace import ServicePace
 
 if TYPE_CHECKING:
     from ebonyrack.config.sections import GroupSection
--- a/ebonyrack/upstreams/transport.py
+++ b/ebonyrack/upstreams/transport.py
@@ -8,6 +8,9 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.byte_stream import ByteStream
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
+
+__all__ = ["FrameTransport", "Message", "UpstreamLostError", "connect"]
 
 HEADER = struct.Struct("!cI")
 HEADER_BYTES = HEADER.size
@@ -17,20 +20,6 @@
 READ_BUFFER_BYTES = 256 * 1024
 
 
-class UpstreamLostError(Exception):
-    """The connection to an upstream can't be used any more.
-
-    Attributes:
-        reason: What happened.
-        sqlstate: Code of the upstream's own error answer, or an empty string.
-    """
-
-    def __init__(self, reason: str, sqlstate: str = "") -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.sqlstate = sqlstate
-
-
 @dataclass(frozen=True, slots=True)
 class Message:
     """One protocol message as it arrived.
