--- a/ebonyrack/core/clock.py
+++ b/ebonyrack/core/clock.py
@@ -38,3 +38,12 @@
             return 0.0
         lateness_s = now_s() - self.expected_s
         return lateness_s if lateness_s > self.limit_s else 0.0
+
+
+def boot_time_s() -> float:
+    """Return the seconds since the VM started, also those while it was suspended.
+
+    Ages of what was heard from other machines are measured on this clock: the
+    monotonic clock stops while the VM is suspended, and others go on meanwhile.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/ebonyrack/core/errors.py
+++ b/ebonyrack/core/errors.py
@@ -33,6 +33,11 @@
     ALREADY_RAN = "already_ran"
     IDLE_IN_TRANSACTION = "idle_in_transaction"
     TRANSACTION_FAILED = "transaction_failed"
+    READ_ONLY_TRANSACTION = "read_only_transaction"
+    UNKNOWN_STATEMENT = "unknown_statement"
+    STATEMENT_FAILED = "statement_failed"
+    STATEMENT_TIMED_OUT = "statement_timed_out"
+    REQUEST_TOO_LARGE = "request_too_large"
     CANCELLED = "cancelled"
     SHUTTING_DOWN = "shutting_down"
     CUT_OFF = "cut_off"
@@ -128,6 +133,21 @@
         "current transaction is aborted, commands ignored until end of transaction"
         " block",
     ),
+    ErrorKind.READ_ONLY_TRANSACTION: ErrorAnswer(
+        "25006", Ran.NO, False, "a read-only transaction can't write"
+    ),
+    ErrorKind.UNKNOWN_STATEMENT: ErrorAnswer(
+        "26000", Ran.NO, False, "the prepared statement is not known in this session"
+    ),
+    ErrorKind.STATEMENT_FAILED: ErrorAnswer(
+        "XX000", Ran.UNKNOWN, False, "the upstream failed while it ran the statement"
+    ),
+    ErrorKind.STATEMENT_TIMED_OUT: ErrorAnswer(
+        "57014", Ran.UNKNOWN, False, "the statement took longer than its route allows"
+    ),
+    ErrorKind.REQUEST_TOO_LARGE: ErrorAnswer(
+        "54000", Ran.NO, False, "the message passes the limit", fatal=True
+    ),
     ErrorKind.CANCELLED: ErrorAnswer(
         "57014", Ran.NO, True, "the request was cancelled"
     ),
--- /dev/null
+++ b/ebonyrack/core/line_stream.py
@@ -0,0 +1,187 @@
+"""Lines over one TCP connection, bounded in length and in both directions."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.byte_stream import ByteStream
+
+# Longest line and its end; the protocols that are spoken allow no longer message.
+MAXIMUM_LINE_BYTES = 1024 * 1024
+READ_BUFFER_BYTES = 256 * 1024
+# Bytes that wait to be sent before a writer waits for the other side.
+WRITE_BUFFER_BYTES = 256 * 1024
+
+
+class LineTooLongError(Exception):
+    """The other side sent a line that passes the limit."""
+
+
+class StreamLostError(Exception):
+    """The connection has ended.
+
+    Attributes:
+        reason: What happened.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class LineStream(ByteStream):
+    """Splits what arrives into lines.
+
+    Attributes:
+        lost_reason: Why the connection has ended, or None while it is open.
+        searched: Bytes of the buffer that hold no end of a line.
+        on_connected: Called once with this stream when it is connected, or None.
+    """
+
+    __slots__ = ("lost_reason", "searched", "on_connected")
+
+    def __init__(
+        self, on_connected: Callable[[LineStream], None] | None = None
+    ) -> None:
+        super().__init__(READ_BUFFER_BYTES)
+        self.lost_reason: str | None = None
+        self.searched = 0
+        self.on_connected = on_connected
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and report the connection (called by asyncio)."""
+        super().connection_made(transport)
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        if self.on_connected is not None:
+            self.on_connected(self)
+
+    def eof_received(self) -> bool:
+        """Treat the end of the stream as a lost connection (called by asyncio)."""
+        self.mark_lost("the other side closed the connection")
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note that the connection is gone (called by asyncio)."""
+        self.mark_lost(f"the connection broke: {error}" if error else "closed")
+
+    def mark_lost(self, reason: str) -> None:
+        """Keep the first reason for the end of the connection and wake waiters.
+
+        Args:
+            reason: What happened.
+        """
+        if self.lost_reason is None:
+            self.lost_reason = reason
+        self.wake_waiters()
+
+    def close(self, reason: str) -> None:
+        """End the connection after what is queued was sent.
+
+        Args:
+            reason: Why, for whoever reads from it later.
+        """
+        self.mark_lost(reason)
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self, reason: str) -> None:
+        """Drop the connection at once.
+
+        Args:
+            reason: Why, for whoever reads from it later.
+        """
+        self.mark_lost(reason)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes for sending.
+
+        Args:
+            data: Bytes to send.
+
+        Raises:
+            StreamLostError: If the connection has ended.
+        """
+        if self.lost_reason is not None or self.transport is None:
+            raise StreamLostError(self.lost_reason or "not connected")
+        self.transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the queue of bytes to send is short.
+
+        Raises:
+            StreamLostError: If the connection has ended.
+        """
+        while self.is_writing_paused and self.lost_reason is None:
+            await self.wait_for_room()
+        if self.lost_reason is not None:
+            raise StreamLostError(self.lost_reason)
+
+    def take_line(self) -> bytes | None:
+        """Take the next whole line without its end, or return None.
+
+        Raises:
+            LineTooLongError: If the line passes the limit.
+        """
+        end = self.buffer.find(b"\n", self.searched)
+        if end < 0:
+            self.searched = len(self.buffer)
+            if self.searched > MAXIMUM_LINE_BYTES:
+                raise LineTooLongError
+            return None
+        if end > MAXIMUM_LINE_BYTES:
+            raise LineTooLongError
+        line = bytes(self.buffer[:end])
+        del self.buffer[: end + 1]
+        self.searched = 0
+        return line.removesuffix(b"\r")
+
+    async def read_line(self) -> bytes:
+        """Wait for the next whole line.
+
+        Raises:
+            StreamLostError: If the connection ended before a whole line came.
+            LineTooLongError: If the line passes the limit.
+        """
+        while True:
+            line = self.take_line()
+            if line is not None:
+                return line
+            if self.lost_reason is not None:
+                raise StreamLostError(self.lost_reason)
+            await self.wait_for_bytes()
+
+
+async def connect_lines(address: Address, silence_ms: int) -> LineStream:
+    """Open a connection that breaks when sent bytes stay unacknowledged.
+
+    Args:
+        address: Address by IP number.
+        silence_ms: Milliseconds without an acknowledgement of TCP after which the
+            connection breaks.
+
+    Returns:
+        The connection.
+
+    Raises:
+        StreamLostError: If it is refused or unreachable.
+    """
+    loop = asyncio.get_running_loop()
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    connection.setblocking(False)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
+    try:
+        await loop.sock_connect(connection, (address.host, address.port))
+        _, stream = await loop.create_connection(LineStream, sock=connection)
+    except OSError as error:
+        connection.close()
+        raise StreamLostError(f"can't connect to {address}: {error}") from error
+    except BaseException:
+        connection.close()
+        raise
+    return stream
--- a/ebonyrack/core/metrics.py
+++ b/ebonyrack/core/metrics.py
@@ -14,6 +14,9 @@
 requests = meter.create_counter(
     "ebonyrack_requests", description="Requests answered, by group, kind and outcome"
 )
+answer_time = meter.create_histogram(
+    "ebonyrack_answer", unit="s", description="Time to an answer, by kind of request"
+)
 placements = meter.create_counter(
     "ebonyrack_placements", description="Requests placed, by group, role and reason"
 )
--- /dev/null
+++ b/ebonyrack/entry/leader_watch.py
@@ -0,0 +1,127 @@
+"""Watches one group's primary: samples its positions, has a lost one replaced."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from loguru import logger
+
+from ebonyrack.core.clock import boot_time_s
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.owner import Owner
+from ebonyrack.core.tasks import end_tasks
+from ebonyrack.members.group import Group
+from ebonyrack.members.link import ReplyTimeoutError
+from ebonyrack.members.member import Member
+from ebonyrack.placing.suspicion import Verdict
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
+from ebonyrack.promotion.promoter import Promoter
+from ebonyrack.promotion.promoter import PromotionResult
+from ebonyrack.requests.request import OWN_BEGIN
+from ebonyrack.requests.request import OWN_ROLLBACK
+from ebonyrack.serving.statement_run import note_begun
+
+# Between two looks at a primary.
+LOOK_S = 0.1
+# A position this old is asked for again; the youngest age that routes state is well
+# above a second.
+SAMPLE_AGE_S = 0.4
+# One question. A primary that is only busy answers in a few milliseconds, as the
+# question takes no slot.
+QUESTION_TIMEOUT_S = 0.8
+# Name under which questions wait for a connection.
+QUESTIONER = "ebonyrack"
+# Proxies that see the same loss don't ask for the duty at the same moment.
+DUTY_SPREAD_S = 0.05
+# After an attempt that did not end with a new primary.
+RETRY_PAUSE_S = 0.3
+
+
+class LeaderWatch(Owner):
+    """Keeps what is known of one group's primary fresh.
+
+    Attributes:
+        group: The group.
+        promoter: Changes its primary.
+        tasks: Look at the primary, ask questions, change it.
+        questions: Questions that wait for an answer, by upstream.
+    """
+
+    __slots__ = ("group", "promoter", "tasks", "questions")
+
+    def __init__(self, group: Group, promoter: Promoter) -> None:
+        self.group = group
+        self.promoter = promoter
+        self.tasks: list[asyncio.Task[None]] = []
+        self.questions: dict[str, asyncio.Task[None]] = {}
+
+    async def start(self) -> None:
+        """Start to watch."""
+        self.tasks = [
+            asyncio.create_task(self.look_forever()),
+            asyncio.create_task(self.replace_forever()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop to watch."""
+        await end_tasks([*self.tasks, *self.questions.values()])
+
+    async def look_forever(self) -> None:
+        """Look at the primary until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S * random.uniform(0.8, 1.2))
+            leader = self.group.leader
+            if leader is None or self.group.verdict is not Verdict.SERVING:
+                for member in list(self.group.members.values()):
+                    self.ask(member)
+            elif self.group.coverage.measure_age(boot_time_s()) > SAMPLE_AGE_S:
+                self.ask(leader)
+            self.group.look_at_primary()
+
+    def ask(self, member: Member) -> None:
+        """Ask an upstream whether it leads, unless a question is under way."""
+        if member.member_id in self.questions:
+            return
+        task = asyncio.create_task(self.question(member))
+        self.questions[member.member_id] = task
+        task.add_done_callback(lambda _: self.questions.pop(member.member_id, None))
+
+    async def question(self, member: Member) -> None:
+        """Open a plain transaction, which only the primary allows, and end it."""
+        try:
+            link = await member.pool.acquire(QUESTIONER, now_s() + QUESTION_TIMEOUT_S)
+        except (RequestError, UpstreamLostError) as error:
+            logger.bind(
+                group=self.group.name, upstream=member.member_id, reason=str(error)
+            ).debug("question_not_sent")
+            return
+        asked_at_s = boot_time_s()
+        try:
+            began, _ = await link.exchange(
+                [OWN_BEGIN, OWN_ROLLBACK], QUESTION_TIMEOUT_S
+            )
+        except (UpstreamLostError, ReplyTimeoutError) as error:
+            logger.bind(
+                group=self.group.name, upstream=member.member_id, reason=repr(error)
+            ).info("question_unanswered")
+            return
+        finally:
+            member.pool.release(link)
+        member.note_position(began.position)
+        note_begun(self.group, member, began, asked_at_s)
+
+    async def replace_forever(self) -> None:
+        """Have a lost or leaving primary replaced until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            verdict = self.group.verdict
+            if not verdict.needs_promotion or not self.group.members:
+                continue
+            await asyncio.sleep(random.uniform(0, DUTY_SPREAD_S))
+            if self.group.look_at_primary() is not verdict:
+                continue
+            result = await self.promoter.run(verdict)
+            if result is not PromotionResult.LEADS:
+                await asyncio.sleep(RETRY_PAUSE_S * random.uniform(0.7, 1.3))
--- /dev/null
+++ b/ebonyrack/entry/route_proxy.py
@@ -0,0 +1,217 @@
+"""The running proxy for routes: owns all of its parts, from start to drained."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+from result import Err
+from result import Result
+
+from ebonyrack.core.owner import Owner
+from ebonyrack.core.tasks import end_tasks
+from ebonyrack.entry.leader_watch import LeaderWatch
+from ebonyrack.entry.listener import Listener
+from ebonyrack.entry.settings import RouteProxySettings
+from ebonyrack.members.group import Group
+from ebonyrack.members.presence import Presence
+from ebonyrack.members.roster import Decode
+from ebonyrack.members.roster import Roster
+from ebonyrack.placing.share import compute_share
+from ebonyrack.placing.suspicion import MISSING_LIMIT_S
+from ebonyrack.promotion.order import OrderDesk
+from ebonyrack.promotion.promoter import Promoter
+from ebonyrack.requests.codec import CallerCodec
+from ebonyrack.requests.codec import UpstreamCodec
+from ebonyrack.routes.route import RouteTable
+from ebonyrack.serving.services import Services
+from ebonyrack.store.follower import StoreFollower
+from ebonyrack.store.leasing_store import LeasingStore
+from ebonyrack.store.leasing_store import StoreChanges
+
+MISSING_LOOK_S = 0.5
+# Share in the queues by priority, the highest first; lower ones count 1.
+PRIORITY_WEIGHTS = {0: 8, 1: 4, 2: 2}
+
+
+class RouteDecoder(Protocol):
+    """Reads the routes out of their stored form."""
+
+    def __call__(self, value: bytes, /) -> Result[RouteTable, str]:
+        """Decode the routes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What the proxy meets, behind interfaces that an adapter fills.
+
+    Attributes:
+        store: The platform's store.
+        orders: Takes orders to change a primary.
+        caller_codec: Protocol of callers.
+        upstream_codec: Protocol of upstreams.
+        document_key: Key of the operators' routes.
+        decode_document: Reads them.
+        entry_prefix: Start of the keys of upstreams' entries.
+        decode_entry: Reads one.
+    """
+
+    store: LeasingStore
+    orders: OrderDesk
+    caller_codec: CallerCodec
+    upstream_codec: UpstreamCodec
+    document_key: str
+    decode_document: RouteDecoder
+    entry_prefix: str
+    decode_entry: Decode
+
+
+class RouteProxy(Owner):
+    """One proxy process: an async context manager that runs all parts.
+
+    Attributes:
+        settings: Settings of the process.
+        surroundings: What the proxy meets.
+        services: What callers' sessions use.
+        roster: The upstreams that the store names.
+        presence: The proxies that live.
+        follower: Follows the store.
+        listener: Takes callers' connections.
+        watches: Watch of each group's primary.
+    """
+
+    def __init__(
+        self, settings: RouteProxySettings, surroundings: Surroundings
+    ) -> None:
+        self.settings = settings
+        self.surroundings = surroundings
+        self.services = Services(settings)
+        self.roster = Roster(
+            surroundings.entry_prefix, surroundings.decode_entry, self.services.groups
+        )
+        self.presence = Presence(
+            surroundings.store, settings.name, self.divide_connections
+        )
+        self.follower = StoreFollower(surroundings.store, "", self.apply_changes)
+        self.listener = Listener(self.services, surroundings.caller_codec)
+        self.watches: dict[str, LeaderWatch] = {}
+        self.stack = AsyncExitStack()
+        self.missing_task: asyncio.Task[None] | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        if self.services.drain.is_draining or not self.roster.is_loaded:
+            return False
+        groups = self.services.groups.values()
+        return bool(groups) and any(group.members for group in groups)
+
+    async def start(self) -> None:
+        """Start all parts."""
+        await self.stack.enter_async_context(self.listener)
+        await self.stack.enter_async_context(self.follower)
+        await self.stack.enter_async_context(self.presence)
+        self.missing_task = asyncio.create_task(self.watch_missing())
+        self.services.drain.serve()
+        logger.bind(
+            address=str(self.settings.caller_address),
+            data_centre=self.settings.data_centre,
+        ).info("proxy_started")
+
+    async def stop(self) -> None:
+        """Stop all parts."""
+        await end_tasks([self.missing_task])
+        await self.stack.aclose()
+        for watch in self.watches.values():
+            await watch.stop()
+        for group in self.services.groups.values():
+            await group.stop()
+        logger.info("proxy_stopped")
+
+    async def serve(self) -> int:
+        """Serve callers until a shutdown is asked for, then drain.
+
+        Returns:
+            The number of sessions that the shutdown cut.
+        """
+        await self.services.drain.requested.wait()
+        cut = await self.listener.drain(self.settings.grace_s)
+        self.services.drain.finish()
+        logger.bind(cut_sessions=cut).info("proxy_drained")
+        return cut
+
+    async def apply_changes(self, changes: StoreChanges) -> None:
+        """Take over what the store says."""
+        for item in changes.items:
+            if item.key == self.surroundings.document_key:
+                await self.offer_document(item.value)
+        await self.roster.apply(changes)
+        self.presence.apply(changes)
+
+    async def offer_document(self, value: bytes) -> None:
+        """Put the operators' routes in force, unless they can't be read."""
+        found = self.surroundings.decode_document(value)
+        if isinstance(found, Err):
+            logger.bind(reason=found.err_value).error("routes_rejected")
+            return
+        if self.services.routes.offer(found.ok_value, "store"):
+            await self.apply_routes(found.ok_value)
+
+    async def apply_routes(self, table: RouteTable) -> None:
+        """Bring the groups to the routes in force."""
+        groups = self.services.groups
+        for name, limits in table.groups.items():
+            if name in groups:
+                groups[name].limits = limits
+                continue
+            group = Group(
+                limits,
+                self.settings.data_centre,
+                self.surroundings.upstream_codec,
+                compute_share(limits.maximum_connections, self.presence.live_count),
+            )
+            groups[name] = group
+            await self.roster.join_group(group)
+            await self.start_watch(group)
+        for name in set(groups) - set(table.groups):
+            await self.watches.pop(name).stop()
+            await groups.pop(name).stop()
+        self.divide_connections()
+        weights = {
+            database.decode("utf-8", "replace"): PRIORITY_WEIGHTS.get(route.priority, 1)
+            for database, route in table.routes.items()
+        }
+        for group in groups.values():
+            group.set_weights(weights)
+
+    async def start_watch(self, group: Group) -> None:
+        """Start to watch a group's primary."""
+        promoter = Promoter(
+            group,
+            self.surroundings.store,
+            self.surroundings.orders,
+            self.settings.name,
+        )
+        watch = LeaderWatch(group, promoter)
+        self.watches[group.name] = watch
+        await watch.start()
+
+    def divide_connections(self) -> None:
+        """Set this proxy's share of the upstreams' connections."""
+        for group in self.services.groups.values():
+            group.set_share(
+                compute_share(
+                    group.limits.maximum_connections, self.presence.live_count
+                )
+            )
+
+    async def watch_missing(self) -> None:
+        """Forget upstreams whose entries stay away, until cancelled."""
+        while True:
+            await asyncio.sleep(MISSING_LOOK_S)
+            await self.roster.drop_missing(
+                self.follower.answering_since_s, MISSING_LIMIT_S
+            )
--- /dev/null
+++ b/ebonyrack/entry/settings.py
@@ -0,0 +1,35 @@
+"""Settings of a proxy that serves routes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ebonyrack.core.address import Address
+
+
+@dataclass(frozen=True, slots=True)
+class RouteProxySettings:
+    """Who a process is, where it listens and what it reaches.
+
+    Attributes:
+        name: Name of the process, unique among all.
+        data_centre: Data centre of its VM.
+        caller_address: Where callers connect.
+        ready_address: Where the balancer asks whether the process is ready.
+        store_address: The platform's store.
+        order_address: Where promotions are ordered.
+        heartbeat_s: How often an upstream renews its entry, in seconds.
+        grace_s: Time between the signal to stop and the end, in seconds.
+        upstream_drain_s: Time for which a leaving upstream still takes work, in
+            seconds.
+    """
+
+    name: str
+    data_centre: str
+    caller_address: Address
+    ready_address: Address
+    store_address: Address
+    order_address: Address
+    heartbeat_s: float
+    grace_s: float
+    upstream_drain_s: float
--- /dev/null
+++ b/ebonyrack/members/link.py
@@ -0,0 +1,217 @@
+"""One connection to an upstream, used by one transaction or statement at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from ebonyrack.core.line_stream import LineStream
+from ebonyrack.core.line_stream import StreamLostError
+from ebonyrack.core.line_stream import connect_lines
+from ebonyrack.members.entry import MemberEntry
+from ebonyrack.members.liveness import Liveness
+from ebonyrack.members.session_names import PreparedStatement
+from ebonyrack.members.session_names import SessionNames
+from ebonyrack.pooling.pool import TOO_MANY_CONNECTIONS
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
+from ebonyrack.requests.codec import UpstreamCodec
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
+from ebonyrack.requests.reply import TransactionState
+from ebonyrack.requests.request import OWN_DISCARD
+from ebonyrack.requests.request import Request
+from ebonyrack.requests.request import RequestKind
+
+# TCP breaks a connection whose bytes stay unacknowledged this long. Links between
+# data centres answer in a few milliseconds, so only a cut or a dark VM does that.
+UNACKNOWLEDGED_MS = 1500
+
+
+class ReplyTimeoutError(Exception):
+    """No reply came in time; what was sent may have run."""
+
+
+class UpstreamLink:
+    """A connection to one upstream.
+
+    Attributes:
+        stream: The connection.
+        codec: Protocol of the upstream.
+        liveness: What the proxy knows of the upstream's life.
+        state: State of the upstream's session.
+        due: Replies still to come.
+        values: Session values that are set on it.
+        prepared: Names that are prepared on it.
+    """
+
+    __slots__ = ("stream", "codec", "liveness", "state", "due", "values", "prepared")
+
+    def __init__(
+        self, stream: LineStream, codec: UpstreamCodec, liveness: Liveness
+    ) -> None:
+        self.stream = stream
+        self.codec = codec
+        self.liveness = liveness
+        self.state = TransactionState.IDLE
+        self.due = 0
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: set[bytes] = set()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether statements can be sent."""
+        return self.stream.lost_reason is None
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether it is open and idle, with nothing due."""
+        return self.is_open and self.due == 0 and self.state is TransactionState.IDLE
+
+    def close(self) -> None:
+        """Drop the connection at once; an open transaction is rolled back."""
+        self.stream.abort("closed by the proxy")
+
+    async def exchange(
+        self, requests: Sequence[Request], timeout_s: float
+    ) -> list[Reply]:
+        """Send statements in one go and wait for all replies.
+
+        Args:
+            requests: The statements.
+            timeout_s: Seconds to wait. The connection is closed after that.
+
+        Returns:
+            A reply for each statement.
+
+        Raises:
+            UpstreamLostError: If the connection broke; what was sent may have run.
+            ReplyTimeoutError: If a reply did not come in time.
+        """
+        number = self.liveness.note_sent()
+        replies: list[Reply] = []
+        try:
+            data = b"".join(self.codec.encode_request(request) for request in requests)
+            self.stream.write(data)
+            self.due += len(requests)
+            async with asyncio.timeout(timeout_s):
+                for _ in requests:
+                    replies.append(await self.read_reply())
+        except StreamLostError as error:
+            raise UpstreamLostError(error.reason) from error
+        except TimeoutError:
+            self.close()
+            raise ReplyTimeoutError from None
+        except BaseException:
+            self.close()
+            raise
+        finally:
+            self.liveness.note_ended(number)
+        return replies
+
+    async def read_reply(self) -> Reply:
+        """Wait for the reply to the oldest statement that has none."""
+        reply = await self.codec.read_reply(self.stream)
+        self.due -= 1
+        self.state = reply.state
+        self.liveness.note_heard()
+        return reply
+
+    async def set_up(
+        self, names: SessionNames, prepared: PreparedStatement | None, timeout_s: float
+    ) -> None:
+        """Give the connection a caller's session values and a prepared statement.
+
+        It is awaited before the caller's own statement is sent, which must not run
+        with other values.
+
+        Args:
+            names: What the caller has set.
+            prepared: Statement that the caller executes next, or None.
+            timeout_s: Seconds to wait.
+
+        Raises:
+            UpstreamLostError: If the connection broke or the upstream refused.
+            ReplyTimeoutError: If a reply did not come in time.
+        """
+        requests = self.plan_set_up(names, prepared)
+        if not requests:
+            return
+        replies = await self.exchange(requests, timeout_s)
+        for reply in replies:
+            if reply.rejection is not None:
+                self.close()
+                raise UpstreamLostError(f"the set-up was refused: {reply.detail}")
+        if requests[0] is OWN_DISCARD:
+            self.prepared.clear()
+        self.values = dict(names.values)
+        if prepared is not None:
+            self.prepared.add(prepared.upstream_name)
+
+    def plan_set_up(
+        self, names: SessionNames, prepared: PreparedStatement | None
+    ) -> list[Request]:
+        """Return the statements that bring the connection to a caller's session."""
+        requests: list[Request] = []
+        known_values, known_names = self.values, self.prepared
+        if known_values.keys() - names.values.keys():
+            requests.append(OWN_DISCARD)
+            known_values, known_names = {}, set()
+        for name, value in names.values.items():
+            if known_values.get(name) != value:
+                requests.append(Request(RequestKind.SET, name=name, argument=value))
+        if prepared is not None and prepared.upstream_name not in known_names:
+            requests.append(
+                Request(
+                    RequestKind.PREPARE,
+                    name=prepared.upstream_name,
+                    argument=prepared.shape,
+                    writes=prepared.writes,
+                )
+            )
+        return requests
+
+
+async def open_link(
+    entry: MemberEntry, codec: UpstreamCodec, liveness: Liveness, timeout_s: float
+) -> UpstreamLink:
+    """Open a connection and name the upstream that is expected there.
+
+    Args:
+        entry: The upstream.
+        codec: Its protocol.
+        liveness: What the proxy knows of its life.
+        timeout_s: Seconds for connecting and opening the session.
+
+    Returns:
+        The connection, idle.
+
+    Raises:
+        UpstreamLostError: If it can't be reached, another one answers, or it has no
+            connection to spare.
+    """
+    number = liveness.note_sent()
+    stream: LineStream | None = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            stream = await connect_lines(entry.address, UNACKNOWLEDGED_MS)
+            stream.write(codec.encode_start(entry.group, entry.member_id))
+            reply = await codec.read_reply(stream)
+    except StreamLostError as error:
+        liveness.note_refused()
+        raise UpstreamLostError(error.reason) from error
+    except TimeoutError:
+        if stream is not None:
+            stream.abort("the session did not open")
+        raise UpstreamLostError(f"no session within {timeout_s:.3f} s") from None
+    except BaseException:
+        if stream is not None:
+            stream.abort("the session did not open")
+        raise
+    finally:
+        liveness.note_ended(number)
+    if reply.rejection is not None:
+        stream.abort("the session was refused")
+        too_many = reply.rejection is RejectionKind.TOO_MANY_CONNECTIONS
+        raise UpstreamLostError(reply.detail, TOO_MANY_CONNECTIONS if too_many else "")
+    liveness.note_heard()
+    return UpstreamLink(stream, codec, liveness)
--- /dev/null
+++ b/ebonyrack/members/member.py
@@ -0,0 +1,121 @@
+"""One upstream of a group: its pool and what is known of its log."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ebonyrack.core.clock import boot_time_s
+from ebonyrack.core.owner import Owner
+from ebonyrack.core.position import LogPosition
+from ebonyrack.members.entry import MemberEntry
+from ebonyrack.members.link import UpstreamLink
+from ebonyrack.members.link import open_link
+from ebonyrack.members.liveness import Liveness
+from ebonyrack.pooling.pool import Pool
+from ebonyrack.requests.codec import UpstreamCodec
+
+# Weight of the newest reply in the moving average of reply times.
+LATENCY_SMOOTHING = 0.1
+INITIAL_LATENCY_S = 0.02
+# How long a replica that lacked a position isn't asked for that one again; a replica
+# that keeps up applies a commit within this time.
+LAGGING_PAUSE_S = 0.03
+# How long an upstream that turned work away, or broke off, is tried last.
+AVOIDANCE_S = 0.25
+
+
+@dataclass(slots=True)
+class MemberQueue:
+    """Settings of the queue before one upstream's pool.
+
+    Attributes:
+        queue_limit: Largest number of requests that wait.
+    """
+
+    # More can't be served within a second by the few connections of one proxy.
+    queue_limit: int = 100
+
+
+class Member(Owner):
+    """One upstream.
+
+    Attributes:
+        entry: What it says of itself.
+        codec: Its protocol.
+        liveness: Whether it answers.
+        pool: Connections to it.
+        position: Newest position that it has named.
+        lacked: Position that it lacked when a read asked for it, or None.
+        lacked_until_s: Time until which it isn't asked for that again.
+        avoided_until_s: Time until which others are preferred.
+        latency_s: Moving average of its reply times, in seconds.
+        missing_since_s: Time since which its entry is missing, or None.
+        write_sent_s: Time of sending of each write or commit without an answer.
+    """
+
+    __slots__ = (
+        "entry",
+        "codec",
+        "liveness",
+        "pool",
+        "position",
+        "lacked",
+        "lacked_until_s",
+        "avoided_until_s",
+        "latency_s",
+        "missing_since_s",
+        "write_sent_s",
+    )
+
+    def __init__(self, entry: MemberEntry, codec: UpstreamCodec, limit: int) -> None:
+        self.entry = entry
+        self.codec = codec
+        self.liveness = Liveness()
+        self.pool: Pool[UpstreamLink, MemberQueue] = Pool(
+            entry.address, MemberQueue(), limit, self.open_link
+        )
+        self.position: LogPosition | None = None
+        self.lacked: LogPosition | None = None
+        self.lacked_until_s = 0.0
+        self.avoided_until_s = 0.0
+        self.latency_s = INITIAL_LATENCY_S
+        self.missing_since_s: float | None = None
+        self.write_sent_s: dict[int, float] = {}
+
+    async def stop(self) -> None:
+        """Close every connection, also those in use."""
+        await self.pool.stop()
+
+    @property
+    def member_id(self) -> str:
+        """Identity of the upstream."""
+        return self.entry.member_id
+
+    async def open_link(self, timeout_s: float) -> UpstreamLink:
+        """Open a connection outside the pool.
+
+        Args:
+            timeout_s: Seconds for connecting and opening the session.
+
+        Raises:
+            UpstreamLostError: If there is none.
+        """
+        return await open_link(self.entry, self.codec, self.liveness, timeout_s)
+
+    def note_position(self, position: LogPosition | None) -> None:
+        """Take over the position that a reply named."""
+        if position is not None and (self.position is None or position > self.position):
+            self.position = position
+
+    def note_lagging(self, position: LogPosition) -> None:
+        """Note that the upstream lacks a position."""
+        self.lacked = position
+        self.lacked_until_s = boot_time_s() + LAGGING_PAUSE_S
+
+    def note_trouble(self) -> None:
+        """Prefer others for a while."""
+        self.avoided_until_s = boot_time_s() + AVOIDANCE_S
+
+    def note_latency(self, elapsed_s: float) -> None:
+        """Take a reply time into the moving average."""
+        self.latency_s += LATENCY_SMOOTHING * (elapsed_s - self.latency_s)
--- /dev/null
+++ b/ebonyrack/members/presence.py
@@ -0,0 +1,128 @@
+"""Registers this proxy in the store and counts the others.
+
+Connections of upstreams are shared by all proxies, so each must know how many there
+are. A name ends with its lease, so that a proxy that died is no longer counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from loguru import logger
+from result import Err
+
+from ebonyrack.core.owner import Owner
+from ebonyrack.core.tasks import end_tasks
+from ebonyrack.store.backoff import Backoff
+from ebonyrack.store.leasing_store import LeasingStore
+from ebonyrack.store.leasing_store import StoreChanges
+from ebonyrack.store.leasing_store import StoreWrite
+
+PREFIX = "ebonyrack/proxies/"
+# Longer than the outages after which connections should be shared anew.
+LEASE_S = 10.0
+RENEWAL_S = 3.0
+FIRST_BACKOFF_S = 0.2
+MAXIMUM_BACKOFF_S = 2.0
+
+
+class Presence(Owner):
+    """Keeps this proxy's name in the store and the names of all.
+
+    Attributes:
+        store: The store.
+        name: Name of this proxy.
+        names: Names of the proxies that live, as last heard.
+        on_change: Called when their number changes.
+        task: Keeps the name in the store.
+    """
+
+    __slots__ = ("store", "name", "names", "on_change", "task")
+
+    def __init__(
+        self, store: LeasingStore, name: str, on_change: Callable[[], None]
+    ) -> None:
+        self.store = store
+        self.name = name
+        self.names: set[str] = set()
+        self.on_change = on_change
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to register."""
+        self.task = asyncio.create_task(self.register())
+
+    async def stop(self) -> None:
+        """Stop to register; the name ends with its lease."""
+        await end_tasks([self.task])
+
+    @property
+    def live_count(self) -> int:
+        """Number of proxies that live, this one included."""
+        return len(self.names | {self.name})
+
+    def apply(self, changes: StoreChanges) -> None:
+        """Take over what the store says.
+
+        Args:
+            changes: Items and keys of the store, of this prefix or others.
+        """
+        before = self.live_count
+        found = {
+            item.key.removeprefix(PREFIX)
+            for item in changes.items
+            if item.key.startswith(PREFIX)
+        }
+        gone = {
+            key.removeprefix(PREFIX)
+            for key in changes.deleted
+            if key.startswith(PREFIX)
+        }
+        self.names = found if changes.is_whole else (self.names | found) - gone
+        if self.live_count != before:
+            logger.bind(before=before, live=self.live_count).info("proxies_counted")
+            self.on_change()
+
+    async def register(self) -> None:
+        """Keep the name in the store until cancelled."""
+        backoff = Backoff(FIRST_BACKOFF_S, MAXIMUM_BACKOFF_S)
+        while True:
+            lease = await self.write_name()
+            if lease is not None:
+                backoff.reset()
+                await self.renew_while_held(lease)
+            await asyncio.sleep(backoff.choose_delay())
+
+    async def write_name(self) -> int | None:
+        """Write the name with a new lease; return the lease, None if that failed."""
+        lease = await self.store.grant_lease(LEASE_S)
+        if isinstance(lease, Err):
+            self.log_failure("lease", lease.err_value.reason)
+            return None
+        key = PREFIX + self.name
+        known = await self.store.read_key(key)
+        if isinstance(known, Err):
+            self.log_failure("read", known.err_value.reason)
+            return None
+        revision = known.ok_value.revision if known.ok_value is not None else 0
+        written = await self.store.write(StoreWrite(key, b"", lease.ok_value, revision))
+        if isinstance(written, Err) or written.ok_value is None:
+            self.log_failure("write", "refused or unanswered")
+            return None
+        return lease.ok_value
+
+    async def renew_while_held(self, lease: int) -> None:
+        """Renew a lease until it has ended."""
+        while True:
+            await asyncio.sleep(RENEWAL_S)
+            renewed = await self.store.renew_lease(lease)
+            if isinstance(renewed, Err):
+                self.log_failure("renew", renewed.err_value.reason)
+            elif not renewed.ok_value:
+                self.log_failure("renew", "the lease has ended")
+                return
+
+    def log_failure(self, step: str, reason: str) -> None:
+        """Log a call that failed; it is made again."""
+        logger.bind(step=step, reason=reason).warning("presence_not_renewed")
--- /dev/null
+++ b/ebonyrack/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on placing, waiting, shares and succession, without input or output."""
--- /dev/null
+++ b/ebonyrack/placing/read_order.py
@@ -0,0 +1,63 @@
+"""In which order the upstreams of a group are tried for a read.
+
+Load answered: readers in every data centre beside one primary, with replicas that
+fall behind by turns. Bytes between data centres cost far more than some
+milliseconds, so a near upstream serves until its queue would cost the caller's
+target; then the next one is taken, the primary last of equals as only it can write.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# What another data centre must be faster by before a read goes there, in seconds;
+# well below the targets of routes, which are 150 ms and more.
+REMOTE_COST_S = 0.06
+# What a read at the primary costs those who need it, in seconds.
+PRIMARY_COST_S = 0.01
+# Sorts behind all that serve: one that turned work away or lacks the position.
+AVOIDED_COST_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReadCandidate:
+    """An upstream that could serve a read.
+
+    Attributes:
+        member_id: Identity.
+        is_near: Whether it is in the proxy's own data centre.
+        leads: Whether it is the primary.
+        is_avoided: Whether it turned work away or lacked the position just now.
+        latency_s: Its usual reply time, in seconds.
+        waiting: Requests of this proxy that wait for a connection to it.
+        in_use: Connections of this proxy that are in use.
+        limit: Connections that this proxy may have to it.
+    """
+
+    member_id: str
+    is_near: bool
+    leads: bool
+    is_avoided: bool
+    latency_s: float
+    waiting: int
+    in_use: int
+    limit: int
+
+
+def estimate_cost(candidate: ReadCandidate) -> float:
+    """Return what a read there costs, in seconds."""
+    ahead = max(0, candidate.in_use + candidate.waiting + 1 - candidate.limit)
+    cost_s = candidate.latency_s * (1 + ahead / max(1, candidate.limit))
+    if not candidate.is_near:
+        cost_s += REMOTE_COST_S
+    if candidate.leads:
+        cost_s += PRIMARY_COST_S
+    if candidate.is_avoided:
+        cost_s += AVOIDED_COST_S
+    return cost_s
+
+
+def order_candidates(candidates: list[ReadCandidate]) -> list[str]:
+    """Return the identities in the order in which they are tried."""
+    ordered = sorted(candidates, key=lambda each: (estimate_cost(each), each.member_id))
+    return [candidate.member_id for candidate in ordered]
--- /dev/null
+++ b/ebonyrack/platform/assembly.py
@@ -0,0 +1,56 @@
+"""Puts a proxy for routes together with the platform's codecs and clients."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+
+from ebonyrack.core.owner import Owner
+from ebonyrack.entry.route_proxy import RouteProxy
+from ebonyrack.entry.route_proxy import Surroundings
+from ebonyrack.entry.settings import RouteProxySettings
+from ebonyrack.platform import member_entries
+from ebonyrack.platform import route_document
+from ebonyrack.platform.caller_codec import LineCallerCodec
+from ebonyrack.platform.kv_store import KvStore
+from ebonyrack.platform.promotion_calls import PromotionCalls
+from ebonyrack.platform.ready_probe import ReadyProbe
+from ebonyrack.platform.upstream_codec import LineUpstreamCodec
+
+
+class PlatformProxy(Owner):
+    """A proxy on the platform: an async context manager.
+
+    Attributes:
+        store: Client of the store.
+        orders: Client of the promotion calls.
+        proxy: The proxy.
+        probe: Tells the balancer whether the proxy is ready.
+    """
+
+    __slots__ = ("store", "orders", "proxy", "probe", "stack")
+
+    def __init__(self, settings: RouteProxySettings) -> None:
+        self.store = KvStore(settings.store_address)
+        self.orders = PromotionCalls(settings.order_address)
+        surroundings = Surroundings(
+            store=self.store,
+            orders=self.orders,
+            caller_codec=LineCallerCodec(),
+            upstream_codec=LineUpstreamCodec(),
+            document_key=route_document.KEY,
+            decode_document=route_document.decode_document,
+            entry_prefix=member_entries.PREFIX,
+            decode_entry=member_entries.decode_entry,
+        )
+        self.proxy = RouteProxy(settings, surroundings)
+        self.probe = ReadyProbe(settings.ready_address, lambda: self.proxy.is_ready)
+        self.stack = AsyncExitStack()
+
+    async def start(self) -> None:
+        """Start the clients, the proxy and the probe."""
+        for part in (self.store, self.orders, self.proxy, self.probe):
+            await self.stack.enter_async_context(part)
+
+    async def stop(self) -> None:
+        """Stop all of them."""
+        await self.stack.aclose()
--- /dev/null
+++ b/ebonyrack/platform/caller_codec.py
@@ -0,0 +1,219 @@
+"""The line protocol towards callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from result import Err
+from result import Ok
+from result import Result
+
+from ebonyrack.core.errors import ERROR_ANSWERS
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.line_stream import LineStream
+from ebonyrack.core.line_stream import LineTooLongError
+from ebonyrack.core.registry import Registry
+from ebonyrack.platform.words import ERROR_WORDS
+from ebonyrack.platform.words import LINE_END
+from ebonyrack.platform.words import NOTHING
+from ebonyrack.platform.words import STATE_LETTERS
+from ebonyrack.requests.codec import CALLER_CODECS
+from ebonyrack.requests.codec import BadRequest
+from ebonyrack.requests.reply import Answer
+from ebonyrack.requests.reply import TransactionState
+from ebonyrack.requests.request import Request
+from ebonyrack.requests.request import RequestKind
+
+Parse = Callable[[bytes, bytes], Request | None]
+
+# From the first word of a statement to what reads the rest of it.
+STATEMENTS: Registry[Parse] = Registry("statement")
+
+PREPARED_KINDS = {b"READ": False, b"WRITE": True}
+# The words in a line of the protocol; the last field may hold blanks.
+STARTUP_FIELDS = 3
+QUERY_FIELDS = 3
+
+
+@CALLER_CODECS.register("lines")
+class LineCallerCodec:
+    """Reads requests and writes answers, a line each."""
+
+    __slots__ = ()
+
+    async def read_startup(self, stream: LineStream) -> Result[bytes, BadRequest]:
+        """Read the name of the database for which a session is opened.
+
+        Args:
+            stream: The caller's connection.
+
+        Returns:
+            The name, or what is wrong with the message.
+
+        Raises:
+            StreamLostError: If the caller has gone.
+        """
+        try:
+            words = (await stream.read_line()).split(b" ", STARTUP_FIELDS - 1)
+        except LineTooLongError:
+            return Err(BadRequest(NOTHING, "the message is too long", True))
+        if len(words) != STARTUP_FIELDS or words[0] != b"STARTUP" or not words[1]:
+            return Err(BadRequest(NOTHING, "not a startup message", True))
+        return Ok(words[1])
+
+    async def read_request(
+        self, stream: LineStream
+    ) -> Result[Request | None, BadRequest]:
+        """Read the next request.
+
+        Args:
+            stream: The caller's connection.
+
+        Returns:
+            The request, None at the end of the session, or what is wrong with it.
+
+        Raises:
+            StreamLostError: If the caller has gone.
+        """
+        try:
+            line = await stream.read_line()
+        except LineTooLongError:
+            return Err(BadRequest(NOTHING, "the message is too long", True))
+        if line == b"TERMINATE":
+            return Ok(None)
+        words = line.split(b" ", QUERY_FIELDS - 1)
+        if len(words) != QUERY_FIELDS or words[0] != b"QUERY" or not words[1]:
+            return Err(BadRequest(NOTHING, "not a query message"))
+        return parse_statement(words[1], words[2])
+
+    def encode_started(self) -> bytes:
+        """Return the answer to a session that was opened."""
+        return encode_ready(TransactionState.IDLE)
+
+    def encode_refusal(self, error: RequestError) -> bytes:
+        """Return the answer to a session that is not opened."""
+        return encode_error(error)
+
+    def encode_answer(self, answer: Answer) -> bytes:
+        """Return the answer to a request."""
+        parts = [b"DATAROW %b\r\n" % row for row in answer.rows]
+        if answer.error is not None:
+            parts.append(encode_error(answer.error))
+        else:
+            parts.append(b"COMPLETE %b\r\n" % (answer.signature or NOTHING))
+        parts.append(encode_ready(answer.state))
+        return b"".join(parts)
+
+
+def encode_ready(state: TransactionState) -> bytes:
+    """Return the end of an answer; callers need no position."""
+    return b"READY %b %b\r\n" % (STATE_LETTERS[state], NOTHING)
+
+
+def encode_error(error: RequestError) -> bytes:
+    """Return an error with what happened and when to come back."""
+    text = error.reason or ERROR_ANSWERS[error.kind].text
+    if error.retry_after_s is not None:
+        text = f"{text}; retry after {round(error.retry_after_s * 1000)} ms"
+    plain = text.replace("\r", " ").replace("\n", " ")
+    return b"ERROR %b %b" % (ERROR_WORDS[error.kind], plain.encode()) + LINE_END
+
+
+def parse_statement(request_id: bytes, text: bytes) -> Result[Request, BadRequest]:
+    """Read the text of a statement.
+
+    Args:
+        request_id: The caller's id.
+        text: The statement.
+
+    Returns:
+        The request, or what is wrong with it.
+    """
+    word = text.partition(b" ")[0].decode("ascii", "replace")
+    parse = STATEMENTS.entries.get(word)
+    request = parse(request_id, text) if parse is not None else None
+    if request is None or request_id == NOTHING:
+        return Err(BadRequest(request_id, "the statement is not known"))
+    return Ok(request)
+
+
+@STATEMENTS.register("BEGIN")
+def parse_begin(request_id: bytes, text: bytes) -> Request | None:
+    """Read `BEGIN` or `BEGIN READ`."""
+    kinds = {
+        b"BEGIN": RequestKind.BEGIN,
+        b"BEGIN READ": RequestKind.BEGIN_READ_ONLY,
+    }
+    kind = kinds.get(text)
+    return Request(kind, request_id, text) if kind is not None else None
+
+
+@STATEMENTS.register("COMMIT")
+def parse_commit(request_id: bytes, text: bytes) -> Request | None:
+    """Read `COMMIT`."""
+    if text != b"COMMIT":
+        return None
+    return Request(RequestKind.COMMIT, request_id, text)
+
+
+@STATEMENTS.register("ROLLBACK")
+def parse_rollback(request_id: bytes, text: bytes) -> Request | None:
+    """Read `ROLLBACK`."""
+    if text != b"ROLLBACK":
+        return None
+    return Request(RequestKind.ROLLBACK, request_id, text)
+
+
+@STATEMENTS.register("READ")
+def parse_read(request_id: bytes, text: bytes) -> Request | None:
+    """Read `READ item`."""
+    words = text.split(b" ")
+    if len(words) != 2 or not words[1]:
+        return None
+    return Request(RequestKind.READ, request_id, text)
+
+
+@STATEMENTS.register("WRITE")
+def parse_write(request_id: bytes, text: bytes) -> Request | None:
+    """Read `WRITE item data`."""
+    words = text.split(b" ", 2)
+    if len(words) != 3 or not words[1]:
+        return None
+    return Request(RequestKind.WRITE, request_id, text)
+
+
+@STATEMENTS.register("SET")
+def parse_set(request_id: bytes, text: bytes) -> Request | None:
+    """Read `SET name value`."""
+    words = text.split(b" ", 2)
+    if len(words) != 3 or not words[1]:
+        return None
+    return Request(RequestKind.SET, request_id, text, words[1], words[2])
+
+
+@STATEMENTS.register("PREPARE")
+def parse_prepare(request_id: bytes, text: bytes) -> Request | None:
+    """Read `PREPARE name READ|WRITE shape`."""
+    words = text.split(b" ", 3)
+    if len(words) != 4 or not words[1] or words[2] not in PREPARED_KINDS:
+        return None
+    writes = PREPARED_KINDS[words[2]]
+    return Request(RequestKind.PREPARE, request_id, text, words[1], words[3], writes)
+
+
+@STATEMENTS.register("EXECUTE")
+def parse_execute(request_id: bytes, text: bytes) -> Request | None:
+    """Read `EXECUTE name item [data]`."""
+    words = text.split(b" ", 2)
+    if len(words) != 3 or not words[1] or not words[2]:
+        return None
+    return Request(RequestKind.EXECUTE, request_id, text, words[1], words[2])
+
+
+@STATEMENTS.register("CLOSE")
+def parse_close(request_id: bytes, text: bytes) -> Request | None:
+    """Read `CLOSE name`."""
+    words = text.split(b" ")
+    if len(words) != 2 or not words[1]:
+        return None
+    return Request(RequestKind.CLOSE, request_id, text, words[1])
--- /dev/null
+++ b/ebonyrack/platform/member_entries.py
@@ -0,0 +1,64 @@
+"""What upstreams write of themselves into the platform's store."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err
+from result import Ok
+from result import Result
+
+from ebonyrack.core.address import parse_address
+from ebonyrack.members.entry import MemberEntry
+from ebonyrack.store.leasing_store import StoreItem
+
+PREFIX = "servers/"
+PHASES = {"ready": False, "draining": True}
+ROLES = {"primary": True, "replica": False}
+
+
+def decode_entry(item: StoreItem) -> Result[MemberEntry, str]:
+    """Decode the entry of one upstream.
+
+    Args:
+        item: The item of the store.
+
+    Returns:
+        The entry, or why it names no upstream to use.
+    """
+    try:
+        body: Any = json.loads(item.value)
+        # Upstreams of older versions say nothing of their start.
+        born_ms = body.get("born", 0)
+        slots = body["slots"]
+        if not isinstance(born_ms, int) or not isinstance(slots, int):
+            return Err("born and slots must be whole numbers")
+        return Ok(
+            MemberEntry(
+                member_id=item.key.removeprefix(PREFIX),
+                group=read_text(body, "service"),
+                address=parse_address(read_text(body, "address")),
+                data_centre=read_text(body, "zone"),
+                slots=slots,
+                is_leaving=PHASES[read_text(body, "phase")],
+                reports_primary=ROLES[read_text(body, "dbRole")],
+                born_ms=born_ms,
+                revision=item.revision,
+            )
+        )
+    except (ValueError, LookupError, TypeError) as error:
+        return Err(f"bad entry: {error!r}")
+
+
+def read_text(body: dict[str, Any], name: str) -> str:
+    """Return a field that must be a text.
+
+    Raises:
+        TypeError: If it is something else.
+        KeyError: If it is missing.
+    """
+    value = body[name]
+    if not isinstance(value, str):
+        raise TypeError(f"{name} must be a text")
+    return value
--- /dev/null
+++ b/ebonyrack/platform/ready_probe.py
@@ -0,0 +1,92 @@
+"""Answers the balancer's question whether this proxy is ready."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+from loguru import logger
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
+
+READY_TARGET = b"/ready"
+READ_BYTES = 4096
+# A connection that asks nothing for this long is closed.
+IDLE_S = 30.0
+
+
+class ReadyProbe(Owner):
+    """A small HTTP server.
+
+    Attributes:
+        address: Where it listens.
+        is_ready: Tells whether callers should be sent here.
+        server: The listening socket, while open.
+    """
+
+    __slots__ = ("address", "is_ready", "server")
+
+    def __init__(self, address: Address, is_ready: Callable[[], bool]) -> None:
+        self.address = address
+        self.is_ready = is_ready
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await asyncio.start_server(
+            self.serve, self.address.host, self.address.port
+        )
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.close()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the questions of one connection."""
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while await self.answer(connection, reader, writer):
+                connection.start_next_cycle()
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            logger.bind(reason=repr(error)).debug("probe_connection_ended")
+        finally:
+            writer.close()
+
+    async def answer(
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer one question; return whether the connection goes on."""
+        status = 400
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                async with asyncio.timeout(IDLE_S):
+                    connection.receive_data(await reader.read(READ_BYTES))
+            elif isinstance(event, h11.Request):
+                status = self.choose_status(event)
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                return False
+        headers = [("Content-Length", "0")]
+        for part in (
+            h11.Response(status_code=status, headers=headers),
+            h11.EndOfMessage(),
+        ):
+            writer.write(connection.send(part) or b"")
+        await writer.drain()
+        return connection.our_state is h11.DONE
+
+    def choose_status(self, request: h11.Request) -> int:
+        """Return the status of an answer."""
+        if request.target.split(b"?")[0] != READY_TARGET:
+            return 404
+        return 200 if self.is_ready() else 503
--- /dev/null
+++ b/ebonyrack/platform/words.py
@@ -0,0 +1,55 @@
+"""Words of the line protocol that callers and upstreams speak."""
+
+from __future__ import annotations
+
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import TransactionState
+
+LINE_END = b"\r\n"
+# Stands for a missing id, signature or position.
+NOTHING = b"-"
+
+STATE_LETTERS: dict[TransactionState, bytes] = {
+    TransactionState.IDLE: b"I",
+    TransactionState.OPEN: b"T",
+    TransactionState.FAILED: b"E",
+}
+STATES = {letter: state for state, letter in STATE_LETTERS.items()}
+
+REJECTIONS: dict[bytes, RejectionKind] = {
+    b"BUSY": RejectionKind.BUSY,
+    b"LAGGING": RejectionKind.LAGGING,
+    b"READONLY": RejectionKind.READ_ONLY,
+    b"WRONGNODE": RejectionKind.WRONG_UPSTREAM,
+    b"TOOMANY": RejectionKind.TOO_MANY_CONNECTIONS,
+    b"NOSTMT": RejectionKind.UNKNOWN_STATEMENT,
+    b"FAILED": RejectionKind.FAILED,
+    b"TIMEOUT": RejectionKind.TIMED_OUT,
+}
+
+# BUSY and ABORTED promise the caller that nothing of its attempt is kept; the kinds
+# listed with them are raised only where that is so.
+ERROR_WORDS: dict[ErrorKind, bytes] = {
+    ErrorKind.QUEUE_FULL: b"BUSY",
+    ErrorKind.WAIT_TOO_LONG: b"BUSY",
+    ErrorKind.NO_PRIMARY: b"BUSY",
+    ErrorKind.NO_UPSTREAM: b"BUSY",
+    ErrorKind.POSITION_NOT_REACHED: b"BUSY",
+    ErrorKind.TOO_MANY_CALLERS: b"BUSY",
+    ErrorKind.CUT_OFF: b"BUSY",
+    ErrorKind.SHUTTING_DOWN: b"ABORTED",
+    ErrorKind.UPSTREAM_LOST: b"ABORTED",
+    ErrorKind.ANSWER_CUT: b"ABORTED",
+    ErrorKind.IDLE_IN_TRANSACTION: b"ABORTED",
+    ErrorKind.READ_ONLY_TRANSACTION: b"READONLY",
+    ErrorKind.UNKNOWN_STATEMENT: b"NOSTMT",
+    ErrorKind.STATEMENT_FAILED: b"FAILED",
+    ErrorKind.STATEMENT_TIMED_OUT: b"TIMEOUT",
+    ErrorKind.OUTCOME_UNKNOWN: b"INDOUBT",
+    ErrorKind.UNKNOWN_GROUP: b"NODB",
+    ErrorKind.REQUEST_TOO_LARGE: b"TOOLARGE",
+    ErrorKind.BAD_REQUEST: b"MALFORMED",
+    ErrorKind.TRANSACTION_FAILED: b"MALFORMED",
+    ErrorKind.INTERNAL: b"INDOUBT",
+}
--- /dev/null
+++ b/ebonyrack/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and answers, apart from the protocols that carry them."""
--- /dev/null
+++ b/ebonyrack/requests/codec.py
@@ -0,0 +1,82 @@
+"""Interfaces of the protocols on both sides of a proxy, and their registries."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Result
+
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.line_stream import LineStream
+from ebonyrack.core.registry import Registry
+from ebonyrack.requests.reply import Answer
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
+from ebonyrack.requests.reply import UpstreamStatus
+from ebonyrack.requests.request import Request
+
+
+@dataclass(frozen=True, slots=True)
+class BadRequest:
+    """A request that can't be understood.
+
+    Attributes:
+        request_id: The caller's id of it, as far as it could be read.
+        reason: What is wrong with it.
+        ends_session: Whether the rest of the stream can't be understood either.
+    """
+
+    request_id: bytes
+    reason: str
+    ends_session: bool = False
+
+
+class CallerCodec(Protocol):
+    """Protocol towards callers."""
+
+    async def read_startup(self, stream: LineStream) -> Result[bytes, BadRequest]:
+        """Read the name of the database for which a session is opened."""
+
+    async def read_request(
+        self, stream: LineStream
+    ) -> Result[Request | None, BadRequest]:
+        """Read the next request; None at the end of the session."""
+
+    def encode_started(self) -> bytes:
+        """Return the answer to a session that was opened."""
+
+    def encode_refusal(self, error: RequestError) -> bytes:
+        """Return the answer to a session that is not opened."""
+
+    def encode_answer(self, answer: Answer) -> bytes:
+        """Return the answer to a request."""
+
+
+class UpstreamCodec(Protocol):
+    """Protocol towards upstreams."""
+
+    def encode_start(self, group: str, member_id: str) -> bytes:
+        """Return the opening of a session with one upstream of a group."""
+
+    def encode_request(self, request: Request) -> bytes:
+        """Return a statement."""
+
+    async def read_reply(self, stream: LineStream) -> Reply:
+        """Read the answer to the oldest statement without one."""
+
+    def read_status(self, reply: Reply) -> Result[UpstreamStatus, str]:
+        """Read what an upstream says of its part in the group."""
+
+
+CALLER_CODECS: Registry[type[CallerCodec]] = Registry("protocol of callers")
+UPSTREAM_CODECS: Registry[type[UpstreamCodec]] = Registry("protocol of upstreams")
+
+__all__ = [
+    "CALLER_CODECS",
+    "UPSTREAM_CODECS",
+    "BadRequest",
+    "CallerCodec",
+    "RejectionKind",
+    "UpstreamCodec",
+]
--- /dev/null
+++ b/ebonyrack/scripts/route_daemon.py
@@ -0,0 +1,135 @@
+"""Entry point of `ebonyrack-routed`: runs one proxy for routes on the platform."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from loguru import logger
+from result import Err
+
+from ebonyrack import __version__
+from ebonyrack.core import logs
+from ebonyrack.core import metrics
+from ebonyrack.core.address import Address
+from ebonyrack.core.address import parse_address
+from ebonyrack.core.settings import LogSettings
+from ebonyrack.entry.settings import RouteProxySettings
+from ebonyrack.platform.assembly import PlatformProxy
+from ebonyrack.platform.settings_file import PATH_VARIABLE
+from ebonyrack.platform.settings_file import parse_settings
+
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+# Lines on requests that were served are samples; those that failed are all written.
+DEFAULT_SAMPLING = 0.02
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="ebonyrack-routed",
+        description="Run one proxy between callers of routes and database groups.",
+        epilog="signals: SIGTERM ends it gracefully, SIGHUP reads the settings again",
+    )
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        default=os.environ.get(PATH_VARIABLE),
+        help=f"file with the settings; the default is what {PATH_VARIABLE} names",
+    )
+    parser.add_argument("--log-level", choices=["debug", "info", "warning", "error"])
+    parser.add_argument(
+        "--log-sampling",
+        type=float,
+        default=DEFAULT_SAMPLING,
+        help="share of the decisions on requests that is logged, 0 to 1",
+    )
+    parser.add_argument(
+        "--metrics", type=parse_address, help="IP:port where metrics are served"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and leave"
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser
+
+
+def load_settings(path: Path | None) -> RouteProxySettings | None:
+    """Read the settings and print every fault to standard error.
+
+    Args:
+        path: The file, or None if none was named.
+
+    Returns:
+        The settings, or None if there are faults.
+    """
+    if path is None:
+        print(f"name the settings by --settings or {PATH_VARIABLE}", file=sys.stderr)
+        return None
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{path}: cannot be read: {error}", file=sys.stderr)
+        return None
+    found = parse_settings(text, str(path))
+    if isinstance(found, Err):
+        for fault in found.err_value:
+            print(fault, file=sys.stderr)
+        return None
+    return found.ok_value
+
+
+def reload_settings(path: Path | None, running: RouteProxySettings) -> None:
+    """Read the settings again and say whether they differ from those that run."""
+    settings = load_settings(path)
+    if settings is None:
+        logger.error("settings_rejected")
+        return
+    logger.bind(changed=settings != running).info("settings_read_again")
+
+
+async def run_proxy(settings: RouteProxySettings, path: Path | None) -> None:
+    """Run a proxy until it is told to stop."""
+    platform_proxy = PlatformProxy(settings)
+    drain = platform_proxy.proxy.services.drain
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, drain.request, number.name)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, path, settings)
+    async with platform_proxy:
+        await platform_proxy.proxy.serve()
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the program.
+
+    Args:
+        arguments: Command line without the program's name; None takes sys.argv.
+
+    Returns:
+        The exit status.
+    """
+    options = build_parser().parse_args(arguments)
+    settings = load_settings(options.settings)
+    if settings is None:
+        return EXIT_BAD_SETTINGS
+    if options.check:
+        print(f"{options.settings}: no faults")
+        return EXIT_OK
+    log_settings = LogSettings(
+        level=options.log_level or "info", decision_sampling=options.log_sampling
+    )
+    logs.start_logging(log_settings, settings.name)
+    address: Address | None = options.metrics
+    metrics.start_metrics(address)
+    asyncio.run(run_proxy(settings, options.settings))
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ebonyrack/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions of callers over protocol-neutral requests: reads, writes, transactions."""
--- /dev/null
+++ b/ebonyrack/serving/reading.py
@@ -0,0 +1,208 @@
+"""Serves a read outside a transaction: places it, and again elsewhere if need be."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ebonyrack.core import metrics
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.logs import log_decision
+from ebonyrack.core.position import LogPosition
+from ebonyrack.members.link import ReplyTimeoutError
+from ebonyrack.members.link import UpstreamLink
+from ebonyrack.members.member import Member
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
+from ebonyrack.serving.read_need import ReadNeed
+from ebonyrack.serving.read_need import find_need
+from ebonyrack.serving.statement_run import StatementRun
+from ebonyrack.serving.statement_run import run_proved_read
+from ebonyrack.serving.statement_run import set_up
+
+# Every upstream is tried, and most of them again; more tries mean a group in trouble.
+MAXIMUM_TRIES = 8
+# All upstreams lack the position or turn work away: one applies a commit in about
+# this time.
+ROUND_PAUSE_S = 0.01
+
+
+class ReadPlacement:
+    """One read on its way through the upstreams.
+
+    Attributes:
+        run: The read.
+        need: What it must see.
+        tried: Upstreams that were tried in this round.
+        was_offered: Whether an upstream was working on it.
+        last: The last rejection, or None.
+    """
+
+    __slots__ = ("run", "need", "tried", "was_offered", "last")
+
+    def __init__(self, run: StatementRun, need: ReadNeed) -> None:
+        self.run = run
+        self.need = need
+        self.tried: set[str] = set()
+        self.was_offered = False
+        self.last: Reply | None = None
+
+    async def serve(self) -> Reply:
+        """Try upstreams until one answers.
+
+        Returns:
+            The reply, without a rejection.
+
+        Raises:
+            RequestError: If none answers within the time of the route.
+        """
+        for number in range(MAXIMUM_TRIES):
+            self.run.check_time(self.was_offered)
+            member = await self.choose()
+            reply = await self.try_member(member)
+            if reply is None:
+                continue
+            if reply.rejection is None:
+                self.log_placed(member, number)
+                return reply
+            self.note_rejection(member, reply)
+        raise self.build_failure()
+
+    async def choose(self) -> Member:
+        """Return the upstream to try next.
+
+        Raises:
+            RequestError: If only a primary will do and there is none.
+        """
+        group = self.run.group
+        if self.need.position is None:
+            if len(self.tried) > 0:
+                await asyncio.sleep(ROUND_PAUSE_S)
+            return await group.wait_for_leader(self.run.deadline_s)
+        order = group.order_reads(self.need.position, self.tried)
+        if not order:
+            self.tried.clear()
+            await asyncio.sleep(ROUND_PAUSE_S)
+            order = group.order_reads(self.need.position, self.tried)
+        if not order:
+            raise RequestError(ErrorKind.NO_UPSTREAM, "the group has no upstream")
+        return group.members[order[0]]
+
+    async def try_member(self, member: Member) -> Reply | None:
+        """Run the read at one upstream.
+
+        Returns:
+            Its reply, or None if the connection was lost.
+
+        Raises:
+            RequestError: If it can't be served within the time of the route.
+        """
+        run = self.run
+        self.tried.add(member.member_id)
+        try:
+            link = await member.pool.acquire(run.caller, run.deadline_s)
+        except UpstreamLostError as error:
+            self.note_lost(member, error.reason)
+            return None
+        started_s = now_s()
+        try:
+            self.was_offered = True
+            reply = await self.run_at(member, link)
+        except UpstreamLostError as error:
+            self.note_lost(member, error.reason)
+            return None
+        except ReplyTimeoutError:
+            member.note_trouble()
+            raise RequestError(
+                ErrorKind.STATEMENT_TIMED_OUT, f"{member.member_id} did not answer"
+            ) from None
+        finally:
+            member.pool.release(link)
+        member.note_latency(now_s() - started_s)
+        member.note_position(reply.position)
+        return reply
+
+    async def run_at(self, member: Member, link: UpstreamLink) -> Reply:
+        """Set the connection up and read."""
+        await set_up(self.run, link)
+        if self.need.position is None:
+            return await run_proved_read(self.run, member, link)
+        request = self.run.request.with_position(self.need.position)
+        (reply,) = await link.exchange([request], self.run.time_left_s)
+        return reply
+
+    def note_rejection(self, member: Member, reply: Reply) -> None:
+        """Learn from a rejection; the read goes elsewhere."""
+        self.last = reply
+        if reply.rejection is RejectionKind.LAGGING and self.need.position is not None:
+            member.note_lagging(self.need.position)
+        elif reply.rejection is not RejectionKind.READ_ONLY:
+            member.note_trouble()
+        log_decision(
+            "read_rejected",
+            request=decode_id(self.run),
+            group=self.run.group.name,
+            upstream=member.member_id,
+            reason=reply.detail,
+            position=str(self.need.position),
+            age_s=round(self.need.age_s, 3),
+        )
+
+    def note_lost(self, member: Member, reason: str) -> None:
+        """Learn from a lost connection; the read goes elsewhere."""
+        member.note_trouble()
+        log_decision(
+            "read_upstream_lost",
+            request=decode_id(self.run),
+            group=self.run.group.name,
+            upstream=member.member_id,
+            reason=reason,
+        )
+
+    def log_placed(self, member: Member, tries: int) -> None:
+        """Log and count where the read was served."""
+        role = "primary" if member is self.run.group.leader else "replica"
+        metrics.placements.add(1, {"group": self.run.group.name, "role": role})
+        log_decision(
+            "read_placed",
+            request=decode_id(self.run),
+            group=self.run.group.name,
+            upstream=member.member_id,
+            role=role,
+            position=str(self.need.position),
+            age_s=round(self.need.age_s, 3),
+            tries=tries + 1,
+        )
+
+    def build_failure(self) -> RequestError:
+        """Build the error after the last try; reads keep nothing."""
+        if self.last is not None and self.last.rejection is RejectionKind.FAILED:
+            return RequestError(ErrorKind.STATEMENT_FAILED, self.last.detail)
+        if self.last is not None and self.last.rejection is RejectionKind.TIMED_OUT:
+            return RequestError(ErrorKind.STATEMENT_TIMED_OUT, self.last.detail)
+        reason = self.last.detail if self.last is not None else "connections were lost"
+        return RequestError(ErrorKind.NO_UPSTREAM, reason)
+
+
+async def serve_read(run: StatementRun, seen: LogPosition | None) -> Reply:
+    """Serve a read outside a transaction.
+
+    Args:
+        run: The read.
+        seen: Position of the session's own newest commit, or None.
+
+    Returns:
+        The reply, without a rejection.
+
+    Raises:
+        RequestError: If it can't be served.
+    """
+    need = find_need(run.route, run.group, seen, run.arrived_s)
+    return await ReadPlacement(run, need).serve()
+
+
+def decode_id(run: StatementRun) -> str:
+    """Return the id of the caller's request, for logs."""
+    return (run.request.request_id or b"-").decode("ascii", "replace")
--- /dev/null
+++ b/ebonyrack/serving/services.py
@@ -0,0 +1,58 @@
+"""What the sessions of callers share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.entry.settings import RouteProxySettings
+from ebonyrack.members.group import Group
+from ebonyrack.routes.route import Route
+from ebonyrack.routes.state import RouteState
+from ebonyrack.service.drain import Drain
+
+
+@dataclass(slots=True)
+class Services:
+    """Parts of the proxy that a session uses.
+
+    Attributes:
+        settings: Settings of the process.
+        routes: The routes in force.
+        groups: Database groups by name.
+        drain: Life cycle of the proxy.
+    """
+
+    settings: RouteProxySettings
+    routes: RouteState = field(default_factory=RouteState)
+    groups: dict[str, Group] = field(default_factory=dict)
+    drain: Drain = field(default_factory=Drain)
+
+    def find_route(self, database: bytes) -> Route:
+        """Return the route of a database in the version in force.
+
+        Args:
+            database: Name that the caller gave.
+
+        Raises:
+            RequestError: UNKNOWN_GROUP if there is none.
+        """
+        route = self.routes.table.routes.get(database)
+        if route is None:
+            raise RequestError(
+                ErrorKind.UNKNOWN_GROUP, f"version {self.routes.table.version}"
+            )
+        return route
+
+    def find_group(self, route: Route) -> Group:
+        """Return the group that serves a route.
+
+        Raises:
+            RequestError: NO_UPSTREAM if the document names no such group.
+        """
+        group = self.groups.get(route.group)
+        if group is None:
+            raise RequestError(ErrorKind.NO_UPSTREAM, f"no group {route.group}")
+        return group
--- /dev/null
+++ b/ebonyrack/serving/session.py
@@ -0,0 +1,239 @@
+"""A caller's session: answers its requests one after the other."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from loguru import logger
+
+from ebonyrack.core import metrics
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.logs import log_failure
+from ebonyrack.core.position import LogPosition
+from ebonyrack.core.registry import Registry
+from ebonyrack.members.session_names import PreparedStatement
+from ebonyrack.members.session_names import SessionNames
+from ebonyrack.requests.reply import Answer
+from ebonyrack.requests.reply import Reply
+from ebonyrack.requests.reply import TransactionState
+from ebonyrack.requests.request import Request
+from ebonyrack.requests.request import RequestKind
+from ebonyrack.serving.reading import serve_read
+from ebonyrack.serving.services import Services
+from ebonyrack.serving.statement_run import build_run
+from ebonyrack.serving.transaction import CallerTransaction
+from ebonyrack.serving.writing import serve_write
+
+Serve = Callable[["Session", Request], Awaitable[Answer]]
+
+# From the kind of a request to what serves it.
+REQUESTS: Registry[Serve] = Registry("kind of request")
+
+
+class Session:
+    """One caller's session.
+
+    Attributes:
+        services: What all sessions share.
+        database: Name of the database that the caller asked for.
+        names: Values and prepared statements that the caller has set.
+        seen: Group and position of the session's own newest commit, or None.
+        transaction: The open transaction, or None.
+    """
+
+    __slots__ = ("services", "database", "names", "seen", "transaction")
+
+    def __init__(self, services: Services, database: bytes) -> None:
+        self.services = services
+        self.database = database
+        self.names = SessionNames()
+        self.seen: tuple[str, LogPosition] | None = None
+        self.transaction: CallerTransaction | None = None
+
+    @property
+    def state(self) -> TransactionState:
+        """State that the caller is told."""
+        if self.transaction is None:
+            return TransactionState.IDLE
+        return self.transaction.state
+
+    async def answer(self, request: Request) -> Answer:
+        """Serve one request.
+
+        Args:
+            request: The request.
+
+        Returns:
+            The answer, also to one that fails.
+        """
+        started_s = now_s()
+        try:
+            serve = REQUESTS.get(request.kind)
+            self.check_state(request.kind)
+            answer = await serve(self, request)
+        except RequestError as error:
+            if self.transaction is not None:
+                self.transaction.fail()
+            answer = Answer(self.state, error=error)
+        elapsed_s = now_s() - started_s
+        self.count(request, answer, elapsed_s)
+        return answer
+
+    def check_state(self, kind: RequestKind) -> None:
+        """Refuse what a failed or a missing transaction doesn't allow.
+
+        Raises:
+            RequestError: TRANSACTION_FAILED or BAD_REQUEST.
+        """
+        ends = kind in (RequestKind.COMMIT, RequestKind.ROLLBACK)
+        if self.transaction is None:
+            if ends:
+                raise RequestError(ErrorKind.BAD_REQUEST, "no transaction is open")
+        elif kind in (RequestKind.BEGIN, RequestKind.BEGIN_READ_ONLY):
+            raise RequestError(ErrorKind.BAD_REQUEST, "a transaction is open")
+        elif self.transaction.is_failed and not ends:
+            raise RequestError(ErrorKind.TRANSACTION_FAILED)
+
+    def count(self, request: Request, answer: Answer, elapsed_s: float) -> None:
+        """Count an answer, and log one that failed."""
+        outcome = "served" if answer.error is None else str(answer.error.kind)
+        metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
+        metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
+        if answer.error is not None:
+            log_failure(
+                "request_failed",
+                request=(request.request_id or b"-").decode("ascii", "replace"),
+                database=self.database.decode("utf-8", "replace"),
+                kind=str(request.kind),
+                error=str(answer.error.kind),
+                reason=answer.error.reason,
+                retry_after_s=answer.error.retry_after_s,
+                version=self.services.routes.table.version,
+                elapsed_s=round(elapsed_s, 4),
+            )
+
+    def find_seen(self, group: str) -> LogPosition | None:
+        """Return the position of the session's newest commit in a group."""
+        if self.seen is None or self.seen[0] != group:
+            return None
+        return self.seen[1]
+
+    def note_commit(self, group: str, reply: Reply) -> None:
+        """Keep the position of a commit that the caller is told of."""
+        if reply.position is None:
+            return
+        known = self.find_seen(group)
+        if known is None or reply.position > known:
+            self.seen = (group, reply.position)
+
+    def is_idle_too_long(self, limit_s: float) -> bool:
+        """Return whether a transaction has waited for its caller too long."""
+        transaction = self.transaction
+        if transaction is None or transaction.is_failed:
+            return False
+        return now_s() - transaction.used_at_s > limit_s
+
+    def end_transaction(self, reason: str) -> None:
+        """Roll the open transaction back; the next request is told so."""
+        if self.transaction is not None and not self.transaction.is_failed:
+            self.transaction.fail()
+            logger.bind(
+                database=self.database.decode("utf-8", "replace"), reason=reason
+            ).info("transaction_ended")
+
+    def close(self) -> None:
+        """Give up what the session holds."""
+        if self.transaction is not None:
+            self.transaction.release()
+            self.transaction = None
+
+
+def build_answer(session: Session, reply: Reply) -> Answer:
+    """Build the answer that carries an upstream's reply."""
+    return Answer(session.state, reply.rows, reply.signature)
+
+
+@REQUESTS.register(RequestKind.READ)
+@REQUESTS.register(RequestKind.WRITE)
+@REQUESTS.register(RequestKind.EXECUTE)
+async def serve_statement(session: Session, request: Request) -> Answer:
+    """Serve a read or write."""
+    transaction = session.transaction
+    if transaction is not None:
+        run = build_run(request, transaction.route, transaction.group, session.names)
+        return build_answer(session, await transaction.run(run))
+    route = session.services.find_route(session.database)
+    group = session.services.find_group(route)
+    run = build_run(request, route, group, session.names)
+    if run.writes:
+        reply = await serve_write(run)
+        session.note_commit(group.name, reply)
+    else:
+        reply = await serve_read(run, session.find_seen(group.name))
+    return build_answer(session, reply)
+
+
+@REQUESTS.register(RequestKind.BEGIN)
+@REQUESTS.register(RequestKind.BEGIN_READ_ONLY)
+async def serve_begin(session: Session, request: Request) -> Answer:
+    """Begin a transaction; upstreams hear of it with its first statement."""
+    route = session.services.find_route(session.database)
+    group = session.services.find_group(route)
+    is_read_only = request.kind is RequestKind.BEGIN_READ_ONLY
+    if not is_read_only:
+        await group.wait_for_leader(now_s() + route.statement_timeout_s)
+    session.transaction = CallerTransaction(
+        route, group, is_read_only, session.find_seen(group.name)
+    )
+    return Answer(session.state)
+
+
+@REQUESTS.register(RequestKind.COMMIT)
+async def serve_commit(session: Session, request: Request) -> Answer:
+    """Commit the transaction; one that failed is rolled back."""
+    transaction = session.transaction
+    assert transaction is not None
+    session.transaction = None
+    if transaction.is_failed:
+        raise RequestError(ErrorKind.UPSTREAM_LOST, "the transaction had failed")
+    run = build_run(request, transaction.route, transaction.group, session.names)
+    try:
+        reply = await transaction.commit(run)
+    finally:
+        transaction.release()
+    if transaction.has_written:
+        session.note_commit(transaction.group.name, reply)
+    return build_answer(session, reply)
+
+
+@REQUESTS.register(RequestKind.ROLLBACK)
+async def serve_rollback(session: Session, request: Request) -> Answer:
+    """Roll the transaction back."""
+    session.close()
+    return Answer(session.state)
+
+
+@REQUESTS.register(RequestKind.SET)
+async def serve_set(session: Session, request: Request) -> Answer:
+    """Keep a session value; connections get it before they are used."""
+    session.names.values[request.name] = request.argument
+    return Answer(session.state)
+
+
+@REQUESTS.register(RequestKind.PREPARE)
+async def serve_prepare(session: Session, request: Request) -> Answer:
+    """Keep a prepared statement; connections get it before it is executed."""
+    session.names.prepared[request.name] = PreparedStatement(
+        request.argument, request.writes
+    )
+    return Answer(session.state)
+
+
+@REQUESTS.register(RequestKind.CLOSE)
+async def serve_close(session: Session, request: Request) -> Answer:
+    """Forget a prepared statement; one that isn't known is no error."""
+    session.names.prepared.pop(request.name, None)
+    return Answer(session.state)
--- /dev/null
+++ b/ebonyrack/serving/statement_run.py
@@ -0,0 +1,205 @@
+"""Runs one statement on one upstream, with the caller's session set up before."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+
+from ebonyrack.core.clock import boot_time_s
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.members.group import Group
+from ebonyrack.members.link import UpstreamLink
+from ebonyrack.members.member import Member
+from ebonyrack.members.session_names import PreparedStatement
+from ebonyrack.members.session_names import SessionNames
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
+from ebonyrack.requests.request import OWN_BEGIN
+from ebonyrack.requests.request import OWN_ROLLBACK
+from ebonyrack.requests.request import Request
+from ebonyrack.requests.request import RequestKind
+from ebonyrack.routes.route import Route
+
+SETUP_TIMEOUT_S = 0.5
+
+write_numbers = itertools.count()
+
+
+@dataclass(slots=True)
+class StatementRun:
+    """One statement of a caller, on its way.
+
+    Attributes:
+        request: The statement, with the name that upstreams know.
+        prepared: The prepared statement that it executes, or None.
+        route: Route of the session.
+        group: Its database group.
+        names: What the caller has set and prepared.
+        arrived_s: Time of arrival, on the boot clock.
+        deadline_s: Monotonic time at which the route's time for it ends.
+    """
+
+    request: Request
+    prepared: PreparedStatement | None
+    route: Route
+    group: Group
+    names: SessionNames
+    arrived_s: float
+    deadline_s: float
+
+    @property
+    def caller(self) -> str:
+        """Name under which it waits in queues: the database of its route."""
+        return self.route.database.decode("utf-8", "replace")
+
+    @property
+    def time_left_s(self) -> float:
+        """Seconds that the route still allows."""
+        return self.deadline_s - now_s()
+
+    @property
+    def writes(self) -> bool:
+        """Whether the statement writes."""
+        if self.prepared is not None:
+            return self.prepared.writes
+        return self.request.kind is RequestKind.WRITE
+
+    def check_time(self, was_offered: bool) -> None:
+        """End a statement whose time is over.
+
+        Args:
+            was_offered: Whether an upstream was working on it.
+
+        Raises:
+            RequestError: If its time is over.
+        """
+        if self.time_left_s > 0:
+            return
+        if was_offered:
+            raise RequestError(ErrorKind.STATEMENT_TIMED_OUT)
+        raise RequestError(ErrorKind.WAIT_TOO_LONG, "the time of the route is over")
+
+
+def build_run(
+    request: Request, route: Route, group: Group, names: SessionNames
+) -> StatementRun:
+    """Build the run of a statement that has just arrived.
+
+    Args:
+        request: The caller's statement.
+        route: Route of the session.
+        group: Its database group.
+        names: What the caller has set and prepared.
+
+    Raises:
+        RequestError: UNKNOWN_STATEMENT if it executes a name that isn't prepared.
+    """
+    prepared = None
+    if request.kind is RequestKind.EXECUTE:
+        prepared = names.prepared.get(request.name)
+        if prepared is None:
+            raise RequestError(ErrorKind.UNKNOWN_STATEMENT)
+        request = Request(
+            RequestKind.EXECUTE,
+            request.request_id,
+            request.text,
+            prepared.upstream_name,
+            request.argument,
+        )
+    return StatementRun(
+        request=request,
+        prepared=prepared,
+        route=route,
+        group=group,
+        names=names,
+        arrived_s=boot_time_s(),
+        deadline_s=now_s() + route.statement_timeout_s,
+    )
+
+
+async def set_up(run: StatementRun, link: UpstreamLink) -> None:
+    """Bring a connection to the caller's session before its statement is sent."""
+    await link.set_up(run.names, run.prepared, SETUP_TIMEOUT_S)
+
+
+async def run_proved_read(
+    run: StatementRun, member: Member, link: UpstreamLink
+) -> Reply:
+    """Read at an upstream that must be the primary while it reads.
+
+    The read runs in a plain transaction, which an upstream that has lost the lead
+    refuses; all goes in one send, so the proof costs no round trip.
+
+    Args:
+        run: The read.
+        member: The upstream.
+        link: Connection to it.
+
+    Returns:
+        The reply to the read; a refusal to lead in place of it.
+
+    Raises:
+        UpstreamLostError: If the connection broke.
+        ReplyTimeoutError: If no reply came in time.
+    """
+    asked_at_s = boot_time_s()
+    began, reply, _ = await link.exchange(
+        [OWN_BEGIN, run.request, OWN_ROLLBACK], run.time_left_s
+    )
+    note_begun(run.group, member, began, asked_at_s)
+    return began if began.rejection is not None else reply
+
+
+def note_begun(group: Group, member: Member, began: Reply, asked_at_s: float) -> None:
+    """Take what the answer to a plain transaction's start tells of the lead.
+
+    Args:
+        group: The group.
+        member: The upstream.
+        began: Its answer.
+        asked_at_s: Time of sending, on the boot clock.
+    """
+    if began.rejection is None:
+        group.note_leads(member, asked_at_s, began.position)
+    elif began.rejection is RejectionKind.READ_ONLY:
+        group.note_not_leading(member)
+
+
+async def run_commit(
+    group: Group,
+    member: Member,
+    link: UpstreamLink,
+    request: Request,
+    timeout_s: float,
+) -> Reply:
+    """Send a lone write or the commit of a transaction that wrote.
+
+    Args:
+        group: The group.
+        member: Its primary.
+        link: Connection to it.
+        request: The write or commit.
+        timeout_s: Seconds to wait.
+
+    Returns:
+        The reply.
+
+    Raises:
+        UpstreamLostError: If the connection broke; the outcome is not known.
+        ReplyTimeoutError: If no reply came in time; the outcome is not known.
+    """
+    number = next(write_numbers)
+    asked_at_s = boot_time_s()
+    member.write_sent_s[number] = asked_at_s
+    try:
+        (reply,) = await link.exchange([request], timeout_s)
+    finally:
+        member.write_sent_s.pop(number, None)
+    if reply.rejection is None:
+        # A commit was done, so those that still wait are not stalled.
+        for other in member.write_sent_s:
+            member.write_sent_s[other] = max(member.write_sent_s[other], asked_at_s)
+        group.note_leads(member, asked_at_s, reply.position)
+    return reply
--- /dev/null
+++ b/ebonyrack/serving/writing.py
@@ -0,0 +1,130 @@
+"""Serves a write outside a transaction: at the primary, run once."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.logs import log_decision
+from ebonyrack.members.link import ReplyTimeoutError
+from ebonyrack.members.member import Member
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
+from ebonyrack.serving.reading import decode_id
+from ebonyrack.serving.statement_run import StatementRun
+from ebonyrack.serving.statement_run import run_commit
+from ebonyrack.serving.statement_run import set_up
+
+# A write that was not run is tried again; more tries mean a group in trouble.
+MAXIMUM_TRIES = 6
+RETRY_PAUSE_S = 0.02
+
+
+async def serve_write(run: StatementRun) -> Reply:
+    """Run a write once, at the primary.
+
+    Only what surely was not run is tried again.
+
+    Args:
+        run: The write.
+
+    Returns:
+        The reply, without a rejection.
+
+    Raises:
+        RequestError: If it was not run, failed, or its outcome is not known.
+    """
+    reason = ""
+    for number in range(MAXIMUM_TRIES):
+        if number > 0:
+            await asyncio.sleep(RETRY_PAUSE_S)
+        run.check_time(was_offered=False)
+        member = await run.group.wait_for_leader(run.deadline_s)
+        reply = await try_primary(run, member)
+        if isinstance(reply, str):
+            reason = reply
+            continue
+        if reply.rejection is None:
+            log_decision(
+                "write_acknowledged",
+                request=decode_id(run),
+                group=run.group.name,
+                upstream=member.member_id,
+                position=str(reply.position),
+            )
+            return reply
+        if not reply.rejection.is_not_run:
+            raise build_write_failure(reply)
+        note_not_run(run, member, reply)
+        reason = reply.detail
+    raise RequestError(ErrorKind.NO_PRIMARY, f"not run: {reason}")
+
+
+async def try_primary(run: StatementRun, member: Member) -> Reply | str:
+    """Send the write to an upstream.
+
+    Returns:
+        Its reply; a text if the write surely was not sent.
+
+    Raises:
+        RequestError: If its outcome is not known.
+    """
+    try:
+        link = await member.pool.acquire(run.caller, run.deadline_s)
+    except UpstreamLostError as error:
+        return error.reason
+    is_sent = False
+    try:
+        await set_up(run, link)
+        is_sent = True
+        return await run_commit(
+            run.group, member, link, run.request, max(0.0, run.time_left_s)
+        )
+    except UpstreamLostError as error:
+        if not is_sent:
+            return error.reason
+        raise build_unknown(run, member, error.reason) from error
+    except ReplyTimeoutError:
+        if not is_sent:
+            return "the connection could not be set up"
+        raise RequestError(
+            ErrorKind.STATEMENT_TIMED_OUT, f"{member.member_id} did not answer"
+        ) from None
+    finally:
+        member.pool.release(link)
+
+
+def build_unknown(run: StatementRun, member: Member, reason: str) -> RequestError:
+    """Build the answer to a write whose outcome is not known."""
+    log_decision(
+        "write_outcome_unknown",
+        request=decode_id(run),
+        group=run.group.name,
+        upstream=member.member_id,
+        reason=reason,
+    )
+    return RequestError(
+        ErrorKind.OUTCOME_UNKNOWN, f"{member.member_id} was lost: {reason}"
+    )
+
+
+def build_write_failure(reply: Reply) -> RequestError:
+    """Build the answer to a write that the upstream ran without success."""
+    if reply.rejection is RejectionKind.TIMED_OUT:
+        return RequestError(ErrorKind.STATEMENT_TIMED_OUT, reply.detail)
+    return RequestError(ErrorKind.STATEMENT_FAILED, reply.detail)
+
+
+def note_not_run(run: StatementRun, member: Member, reply: Reply) -> None:
+    """Learn from a refusal to run a write."""
+    if reply.rejection is RejectionKind.READ_ONLY:
+        run.group.note_not_leading(member)
+    log_decision(
+        "write_not_run",
+        request=decode_id(run),
+        group=run.group.name,
+        upstream=member.member_id,
+        reason=reply.detail,
+    )
--- /dev/null
+++ b/ebonyrack/store/follower.py
@@ -0,0 +1,117 @@
+"""Follows the store: reads it once, then watches for changes at a bounded pace.
+
+Load answered: every upstream renews its entry all the time, so an unpaced watch of
+each proxy would return with each heartbeat. A pause between two watches gathers the
+changes of its length into one call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from loguru import logger
+from result import Err
+from result import Ok
+from result import Result
+
+from ebonyrack.core.clock import boot_time_s
+from ebonyrack.core.owner import Owner
+from ebonyrack.core.tasks import end_tasks
+from ebonyrack.store.backoff import Backoff
+from ebonyrack.store.leasing_store import LeasingStore
+from ebonyrack.store.leasing_store import StoreChanges
+from ebonyrack.store.store_answer import StoreError
+
+# A quarter of the time in which a change of the configuration must be in force.
+PAUSE_S = 0.7
+# A silent connection is noticed after this and the call's own time-out.
+WATCH_S = 2.0
+FIRST_BACKOFF_S = 0.1
+MAXIMUM_BACKOFF_S = 0.8
+
+Apply = Callable[[StoreChanges], Awaitable[None]]
+
+
+class StoreFollower(Owner):
+    """Hands on what the store holds and each change of it.
+
+    Attributes:
+        store: The store.
+        prefix: Start of the keys that are followed.
+        apply: Takes over what was read.
+        revision: Revision from which the next watch goes on; 0 to read anew.
+        answering_since_s: Time since which the store answers, or None.
+        task: Follows the store.
+    """
+
+    __slots__ = (
+        "store",
+        "prefix",
+        "apply",
+        "revision",
+        "answering_since_s",
+        "task",
+    )
+
+    def __init__(self, store: LeasingStore, prefix: str, apply: Apply) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.apply = apply
+        self.revision = 0
+        self.answering_since_s: float | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to follow."""
+        self.task = asyncio.create_task(self.follow())
+
+    async def stop(self) -> None:
+        """Stop to follow."""
+        await end_tasks([self.task])
+
+    async def follow(self) -> None:
+        """Read and watch until cancelled."""
+        backoff = Backoff(FIRST_BACKOFF_S, MAXIMUM_BACKOFF_S)
+        while True:
+            was_loaded = self.revision > 0
+            result = await self.take_step()
+            if isinstance(result, Err):
+                self.note_lost(result.err_value)
+                await asyncio.sleep(backoff.choose_delay())
+                continue
+            self.note_answering()
+            backoff.reset()
+            if was_loaded:
+                await asyncio.sleep(PAUSE_S)
+
+    async def take_step(self) -> Result[None, StoreError]:
+        """Read all once, or wait for one answer of a watch."""
+        found: Result[StoreChanges | None, StoreError]
+        if self.revision == 0:
+            found = await self.store.read_prefix(self.prefix)
+        else:
+            found = await self.store.watch_prefix(self.prefix, self.revision, WATCH_S)
+        if isinstance(found, Err):
+            return found
+        changes = found.ok_value
+        if changes is None:
+            logger.bind(revision=self.revision).warning("store_history_lost")
+            self.revision = 0
+            return Ok(None)
+        self.revision = changes.revision
+        await self.apply(changes)
+        return Ok(None)
+
+    def note_answering(self) -> None:
+        """Note that the store answers."""
+        if self.answering_since_s is None:
+            self.answering_since_s = boot_time_s()
+            logger.bind(revision=self.revision).info("store_answers")
+
+    def note_lost(self, error: StoreError) -> None:
+        """Note that the store does not answer."""
+        if self.answering_since_s is not None:
+            self.answering_since_s = None
+            logger.bind(kind=error.kind, reason=error.reason).warning("store_lost")
--- /dev/null
+++ b/ebonyrack/store/http_client.py
@@ -0,0 +1,115 @@
+"""HTTP calls to the platform: time-outs, and what is known after a failure."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import httpcore
+from result import Err
+from result import Ok
+from result import Result
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
+from ebonyrack.store.store_answer import StoreError
+from ebonyrack.store.store_answer import StoreErrorKind
+
+MAXIMUM_CONNECTIONS = 4
+KEEPALIVE_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """One call.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query, already quoted.
+        body: Body of the request.
+        headers: Headers besides those that the client adds.
+        timeout_s: Seconds for connecting, and again for the answer.
+        wait_s: Seconds for which the other side may hold the answer back.
+    """
+
+    method: str
+    target: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    timeout_s: float = 1.0
+    wait_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """Status, headers and body of an answer, whatever the status is."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class HttpClient(Owner):
+    """Connections to one address: an async context manager.
+
+    A call that times out closes its connection, so that one which went silent is
+    not used again.
+
+    Attributes:
+        address: Address of the service.
+        pool: HTTP connections; set while open.
+    """
+
+    __slots__ = ("address", "pool")
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.pool: httpcore.AsyncConnectionPool | None = None
+
+    async def start(self) -> None:
+        """Prepare for HTTP connections; each is made when it is needed."""
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=MAXIMUM_CONNECTIONS, keepalive_expiry=KEEPALIVE_S
+        )
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        if self.pool is not None:
+            await self.pool.aclose()
+            self.pool = None
+
+    async def call(self, call: HttpCall) -> Result[HttpAnswer, StoreError]:
+        """Make one call and sort what may come back.
+
+        Args:
+            call: The call.
+
+        Returns:
+            The answer, or why there is none: UNREACHABLE if the call was surely not
+            sent, UNKNOWN if it may have been carried out or still will be.
+        """
+        if self.pool is None:
+            return Err(StoreError(StoreErrorKind.UNREACHABLE, "the client isn't open"))
+        limits = dict.fromkeys(("connect", "write", "pool"), call.timeout_s)
+        limits["read"] = call.timeout_s + call.wait_s
+        try:
+            async with asyncio.timeout(2 * call.timeout_s + call.wait_s):
+                response = await self.pool.request(
+                    call.method,
+                    f"http://{self.address}{call.target}",
+                    content=call.body,
+                    headers=list(call.headers),
+                    extensions={"timeout": limits},
+                )
+        except (
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
+            httpcore.PoolTimeout,
+        ) as error:
+            return Err(StoreError(StoreErrorKind.UNREACHABLE, repr(error)))
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return Err(StoreError(StoreErrorKind.UNKNOWN, repr(error)))
+        except (httpcore.TimeoutException, TimeoutError) as error:
+            return Err(StoreError(StoreErrorKind.UNKNOWN, repr(error)))
+        headers = tuple(response.headers)
+        return Ok(HttpAnswer(response.status, headers, response.content))
--- a/ebonyrack/store/store.py
+++ b/ebonyrack/store/store.py
@@ -6,7 +6,6 @@
 from collections import Counter
 from urllib.parse import quote
 
-import httpcore
 from result import Err
 from result import Ok
 from result import Result
@@ -15,6 +14,9 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.settings import StoreSettings
+from ebonyrack.store.http_client import HttpAnswer
+from ebonyrack.store.http_client import HttpCall
+from ebonyrack.store.http_client import HttpClient
 from ebonyrack.store.rate_limit import RateLimit
 from ebonyrack.store.store_answer import StoreAnswer
 from ebonyrack.store.store_answer import StoreError
@@ -25,8 +27,6 @@
 from ebonyrack.store.store_answer import read_value
 
 MAXIMUM_VALUE_BYTES = 1_000_000
-MAXIMUM_CONNECTIONS = 4
-KEEPALIVE_S = 30.0
 
 
 class Store(Owner):
@@ -39,7 +39,7 @@
         settings: Address, prefix, time-outs and rate.
         calls: Number of calls made, by kind.
         heard_at_s: Time of the last answer of the store, or None.
-        pool: HTTP connections; set while open.
+        client: HTTP connections to the store.
     """
 
     def __init__(self, settings: StoreSettings) -> None:
@@ -47,19 +47,15 @@
         self.calls: Counter[str] = Counter()
         self.heard_at_s: float | None = None
         self.rate_limit = RateLimit(settings.maximum_calls_per_s)
-        self.pool: httpcore.AsyncConnectionPool | None = None
+        self.client = HttpClient(settings.address)
 
     async def start(self) -> None:
         """Prepare for HTTP connections; each is made when it is needed."""
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=MAXIMUM_CONNECTIONS, keepalive_expiry=KEEPALIVE_S
-        )
+        await self.client.start()
 
     async def stop(self) -> None:
         """Close the connections."""
-        if self.pool is not None:
-            await self.pool.aclose()
-            self.pool = None
+        await self.client.stop()
 
     async def get(self, key: str) -> Result[StoreValue | None, StoreError]:
         """Read a value; it may be older than the newest.
@@ -165,41 +161,20 @@
         self, method: str, target: str, body: bytes, wait_s: float
     ) -> Result[StoreAnswer, StoreError]:
         """Send a request and sort what may come back."""
-        if self.pool is None:
-            return Err(StoreError(StoreErrorKind.UNREACHABLE, "the store isn't open"))
-        timeout_s = self.settings.timeout_s
-        limits = dict.fromkeys(("connect", "write", "pool"), timeout_s)
-        limits["read"] = timeout_s + wait_s
-        try:
-            async with asyncio.timeout(2 * timeout_s + wait_s):
-                response = await self.pool.request(
-                    method,
-                    f"http://{self.settings.address}{target}",
-                    content=body,
-                    extensions={"timeout": limits},
-                )
-        except (
-            httpcore.ConnectError,
-            httpcore.ConnectTimeout,
-            httpcore.PoolTimeout,
-        ) as error:
-            return Err(StoreError(StoreErrorKind.UNREACHABLE, repr(error)))
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            return Err(StoreError(StoreErrorKind.UNKNOWN, repr(error)))
-        except (httpcore.TimeoutException, TimeoutError) as error:
-            return Err(StoreError(StoreErrorKind.UNKNOWN, repr(error)))
-        return self.sort_response(response)
-
-    def sort_response(
-        self, response: httpcore.Response
-    ) -> Result[StoreAnswer, StoreError]:
+        call = HttpCall(
+            method, target, body, timeout_s=self.settings.timeout_s, wait_s=wait_s
+        )
+        answer = await self.client.call(call)
+        return answer.and_then(self.sort_answer)
+
+    def sort_answer(self, answer: HttpAnswer) -> Result[StoreAnswer, StoreError]:
         """Tell a usable answer from a refusal."""
-        status = response.status
+        status = answer.status
         if status >= 400 and status != 404:
             kind = StoreErrorKind.UNKNOWN if status >= 500 else StoreErrorKind.REFUSED
             return Err(StoreError(kind, f"the store answered {status}"))
         self.heard_at_s = now_s()
-        return Ok(StoreAnswer(status, read_index(response), response.content))
+        return Ok(StoreAnswer(status, read_index(answer), answer.body))
 
     def build_path(self, key: str) -> str:
         """Return the path of a key below the prefix."""
--- a/ebonyrack/store/store_answer.py
+++ b/ebonyrack/store/store_answer.py
@@ -7,13 +7,16 @@
 import json
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import TYPE_CHECKING
 from typing import Any
 
-import httpcore
 from result import Err
 from result import Ok
 from result import Result
 
+if TYPE_CHECKING:
+    from ebonyrack.store.http_client import HttpAnswer
+
 
 class StoreErrorKind(StrEnum):
     """What is known of a call that brought no answer."""
@@ -54,9 +57,9 @@
     body: bytes
 
 
-def read_index(response: httpcore.Response) -> int:
+def read_index(answer: HttpAnswer) -> int:
     """Return the index that a watch goes on from, 0 if there is none."""
-    for name, value in response.headers:
+    for name, value in answer.headers:
         if name.lower() == b"x-consul-index" and value.isdigit():
             return int(value)
     return 0
