Wait until a transaction has begun before its first statement is sent

Cause: a read of a caller's transaction was sent along with BEGIN. Ruled out: proved reads of the proxy's own making; they are single statements and were not named. Change: BEGIN is answered first; one round trip more for a transaction.

--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -183,29 +183,21 @@
     async def begin_at(
         self, run: StatementRun, member: Member, link: UpstreamLink
     ) -> Reply:
-        """Begin and run the first statement.
+        """Begin, wait until that is done, and run the first statement.
 
-        A read goes in one send with the beginning, as it does no harm outside a
-        transaction; a write waits until the transaction is open.
+        Sent along, the statement would run outside the transaction where the
+        upstream refuses to begin.
         """
         await set_up(run, link)
         begin = OWN_BEGIN
         if self.need.position is not None:
             begin = Request(RequestKind.BEGIN_READ_ONLY, after=self.need.position)
         asked_at_s = boot_time_s()
-        is_sent_along = run.request.kind is not RequestKind.COMMIT and not run.writes
-        if is_sent_along:
-            began, reply = await link.exchange([begin, run.request], run.time_left_s)
-        else:
-            (began,) = await link.exchange([begin], run.time_left_s)
+        (began,) = await link.exchange([begin], run.time_left_s)
         member.note_position(began.position)
         if self.need.position is None:
             note_begun(self.group, member, began, asked_at_s)
-        if began.rejection is not None:
-            return began
-        if is_sent_along:
-            return reply
-        if run.request.kind is RequestKind.COMMIT:
+        if began.rejection is not None or run.request.kind is RequestKind.COMMIT:
             return began
         (reply,) = await link.exchange([run.request], run.time_left_s)
         return reply
