Stand-ins for the platform; tests of sessions and failures; search a new primary at once

Change: ebonyrack/standins gets a model of a group (terms, logs, positions, pauses, promotion), upstreams that speak the line protocol, the store with leases, watches and lost answers, and promotions with fencing and late orders.

--- /dev/null
+++ b/ebonyrack/entry/failures_test.py
@@ -0,0 +1,213 @@
+"""Outcomes of requests while upstreams and the platform fail."""
+
+import asyncio
+
+import pytest
+
+from ebonyrack.core.clock import now_s
+from ebonyrack.standins.line_system import LineCaller
+from ebonyrack.standins.line_system import LineSystem
+
+GIVE_UP_S = 8.0
+
+
+async def write_until_done(caller, item):
+    """Write as a caller that retries after a promise; return the seconds it took."""
+    started_s = now_s()
+    number = 0
+    while now_s() < started_s + GIVE_UP_S:
+        number += 1
+        answer = await caller.ask(f"WRITE {item} v{number}")
+        if answer and answer[0].startswith("COMPLETE"):
+            return now_s() - started_s
+        await asyncio.sleep(0.05)
+    raise AssertionError(f"nothing was written: {answer}")
+
+
+async def test_a_crashed_primary_is_replaced_and_nothing_acknowledged_is_lost(
+    system, connect
+):
+    caller = await connect("booking")
+    for number in range(20):
+        await caller.ask(f"WRITE slot-{number} mali")
+    await system.upstreams["up-1"].stop()
+    elapsed_s = await write_until_done(caller, "slot-x")
+    assert elapsed_s < 3
+    assert system.group.leader.member_id != "up-1"
+    assert system.group.find_lost() == []
+
+
+async def test_a_silent_primary_is_replaced(system, connect):
+    caller = await connect("booking")
+    await caller.ask("WRITE slot-1 mali")
+    system.upstreams["up-1"].faults.is_silent = True
+    await write_until_done(caller, "slot-x")
+    assert system.group.leader.member_id != "up-1"
+    assert system.group.find_lost() == []
+
+
+async def test_the_replica_with_the_longest_log_is_promoted(system, connect):
+    caller = await connect("booking")
+    system.group.members["up-2"].is_deaf = True
+    for number in range(5):
+        await caller.ask(f"WRITE slot-{number} mali")
+    await system.upstreams["up-1"].stop()
+    await write_until_done(caller, "slot-x")
+    assert system.group.promotions[0][0] == "up-3"
+    assert system.group.find_lost() == []
+
+
+async def test_nothing_is_promoted_while_a_replica_that_may_hold_more_is_silent(
+    system, connect
+):
+    caller = await connect("booking")
+    system.group.members["up-2"].is_deaf = True
+    await caller.ask("WRITE slot-1 mali")
+    system.upstreams["up-3"].faults.is_silent = True
+    await system.upstreams["up-1"].stop()
+    await asyncio.sleep(2.5)
+    assert system.group.promotions == []
+    system.upstreams["up-3"].faults.is_silent = False
+    await write_until_done(caller, "slot-x")
+    assert system.group.find_lost() == []
+
+
+async def test_a_leaving_primary_is_replaced_with_next_to_no_gap(system, connect):
+    caller = await connect("booking")
+    system.group.members["up-1"].is_leaving = True
+    slowest_s = 0.0
+    while system.group.leader.member_id == "up-1":
+        started_s = now_s()
+        await write_until_done(caller, "slot-x")
+        slowest_s = max(slowest_s, now_s() - started_s)
+    await write_until_done(caller, "slot-y")
+    assert slowest_s < 0.5
+    assert system.group.find_lost() == []
+
+
+async def test_a_lost_answer_to_a_write_is_in_doubt_and_the_write_runs_once(
+    system, connect
+):
+    caller = await connect("booking")
+    system.upstreams["up-1"].faults.lose_answers = 1
+    answer = await caller.ask("WRITE slot-1 mali")
+    assert answer[0].startswith("ERROR INDOUBT")
+    runs = [each for each in system.group.records if each.text == "WRITE slot-1 mali"]
+    assert len(runs) == 1
+
+
+async def test_a_lost_answer_to_a_read_is_read_elsewhere(system, connect):
+    caller = await connect("calendar")
+    for upstream in system.upstreams.values():
+        upstream.faults.lose_answers = 1
+    assert (await caller.ask("READ slot-1"))[0] == "DATAROW none"
+
+
+async def test_a_lost_answer_to_a_commit_that_wrote_nothing_is_a_promise(
+    system, connect
+):
+    caller = await connect("booking")
+    await caller.ask("BEGIN")
+    await caller.ask("READ slot-1")
+    system.upstreams["up-1"].faults.lose_answers = 1
+    assert (await caller.ask("COMMIT"))[0].startswith("ERROR ABORTED")
+
+
+@pytest.mark.parametrize("code", ["BUSY", "READONLY"])
+async def test_a_write_that_was_not_run_is_tried_again(system, connect, code):
+    caller = await connect("booking")
+    system.upstreams["up-1"].faults.rejections.append(code)
+    assert (await caller.ask("WRITE slot-1 mali"))[0].startswith("COMPLETE sig")
+    assert system.group.find_lost() == []
+
+
+async def test_a_write_that_failed_is_not_tried_again(system, connect):
+    caller = await connect("booking")
+    system.upstreams["up-1"].faults.rejections.append("FAILED")
+    assert (await caller.ask("WRITE slot-1 mali"))[0].startswith("ERROR FAILED")
+    assert not [each for each in system.group.records if "WRITE" in each.text]
+
+
+async def test_a_read_at_a_replaced_primary_is_not_passed_on(system, connect):
+    caller = await connect("booking")
+    await caller.ask("WRITE slot-1 mali")
+    # The change of primary is one that this proxy has not heard of.
+    system.group.promote("up-2")
+    system.group.members["up-1"].is_deaf = True
+    await system.group.commit(system.group.members["up-2"], (("slot-1", "somchai"),))
+    assert (await caller.ask("READ slot-1"))[0] == "DATAROW somchai"
+
+
+async def test_an_order_that_is_carried_out_late_loses_nothing(system, connect):
+    caller = await connect("booking")
+    await caller.ask("WRITE slot-1 mali")
+    system.service.faults.late_orders_s = 1.5
+    await system.upstreams["up-1"].stop()
+    await asyncio.sleep(1.0)
+    system.service.faults.late_orders_s = 0.0
+    for number in range(20):
+        await write_until_done(caller, f"slot-{number}")
+        await asyncio.sleep(0.1)
+    assert system.group.find_lost() == []
+
+
+async def test_proxies_agree_on_one_new_primary():
+    async with LineSystem(proxy_count=3) as system:
+        callers = []
+        for proxy in system.proxies:
+            address = proxy.proxy.settings.caller_address
+            callers.append(LineCaller(address, "booking"))
+            await callers[-1].start()
+        await callers[0].ask("WRITE slot-1 mali")
+        await system.upstreams["up-1"].stop()
+        await asyncio.gather(
+            *(write_until_done(caller, f"s{n}") for n, caller in enumerate(callers))
+        )
+        assert len(system.group.promotions) == 1
+        assert system.group.find_lost() == []
+        for caller in callers:
+            await caller.stop()
+
+
+async def test_requests_go_on_while_the_store_is_away(system, connect):
+    caller = await connect("booking")
+    system.service.faults.status = 503
+    await asyncio.sleep(1.0)
+    assert (await caller.ask("WRITE slot-1 mali"))[0].startswith("COMPLETE sig")
+    assert system.proxies[0].proxy.is_ready
+
+
+async def test_a_shutdown_cuts_no_request(system, connect):
+    caller, busy = await connect("booking"), await connect("booking")
+    await caller.ask("BEGIN")
+    await caller.ask("WRITE slot-1 mali")
+    proxy = system.proxies[0].proxy
+    task = asyncio.create_task(proxy.serve())
+    proxy.services.drain.request("test")
+    assert not proxy.is_ready
+    assert (await busy.ask("READ slot-1"))[0] == "DATAROW none"
+    assert (await caller.ask("COMMIT"))[0].startswith("COMPLETE sig")
+    assert await task == 0
+
+
+async def test_an_upstream_that_starts_anew_is_another_one(system, connect):
+    caller = await connect("calendar")
+    await caller.ask("READ slot-1")
+    group = system.proxies[0].proxy.services.groups["scheduling"]
+    before = group.members["up-2"]
+    system.group.members["up-2"].born_ms += 1
+    while group.members["up-2"] is before:
+        await asyncio.sleep(0.02)
+    assert not before.pool.is_accepting
+    assert (await caller.ask("READ slot-1"))[0] == "DATAROW none"
+
+
+async def test_entries_of_others_hide_no_upstream(system, connect):
+    await system.service.put("servers/odd-1", b"\xff\xfe")
+    await system.service.put_json("servers/odd-2", {"service": "scheduling"})
+    await system.service.put_json("servers/odd-3", {"born": "yesterday", "slots": 1})
+    await asyncio.sleep(1.0)
+    group = system.proxies[0].proxy.services.groups["scheduling"]
+    assert set(group.members) == {"up-1", "up-2", "up-3"}
+    caller = await connect("booking")
+    assert (await caller.ask("WRITE slot-1 mali"))[0].startswith("COMPLETE sig")
--- a/ebonyrack/entry/leader_watch.py
+++ b/ebonyrack/entry/leader_watch.py
@@ -71,7 +71,7 @@
     async def look_forever(self) -> None:
         """Look at the primary until cancelled."""
         while True:
-            await asyncio.sleep(LOOK_S * random.uniform(0.8, 1.2))
+            await self.group.changed.wait(LOOK_S * random.uniform(0.8, 1.2))
             leader = self.group.leader
             if leader is None or self.group.verdict is not Verdict.SERVING:
                 for member in list(self.group.members.values()):
--- /dev/null
+++ b/ebonyrack/entry/session_rules_test.py
@@ -0,0 +1,189 @@
+"""What a caller may rely on in its session, over real connections."""
+
+import asyncio
+
+from ebonyrack.placing import coverage
+from ebonyrack.standins.line_system import build_document
+
+DONE = "COMPLETE -"
+
+
+def find_runs(system, text):
+    return [each for each in system.group.records if each.text == text]
+
+
+async def test_a_write_is_read_back_and_both_carry_the_upstreams_signature(
+    system, connect
+):
+    caller = await connect("booking")
+    assert caller.greeting == "READY I -"
+    write = await caller.ask("WRITE slot-1 mali")
+    read = await caller.ask("READ slot-1")
+    assert write[0].startswith("COMPLETE sig")
+    assert read[0] == "DATAROW mali"
+    signatures = [each.signature for each in system.group.records]
+    assert read[1].removeprefix("COMPLETE ") in signatures
+
+
+async def test_a_session_reads_its_own_write_from_replicas_that_apply_late(
+    system, connect
+):
+    for member in system.group.members.values():
+        member.apply_delay_s = 0.2
+    caller = await connect("confirmation")
+    for number in range(5):
+        await caller.ask(f"WRITE rig-1 v{number}")
+        assert (await caller.ask("READ rig-1"))[0] == f"DATAROW v{number}"
+
+
+async def test_a_read_of_a_stated_age_sees_what_is_older(system, connect):
+    await (await connect("booking")).ask("WRITE slot-1 mali")
+    system.group.members["up-3"].is_deaf = True
+    await (await connect("booking")).ask("WRITE slot-1 somchai")
+    await asyncio.sleep(1.7)
+    caller = await connect("calendar")
+    for _ in range(10):
+        assert (await caller.ask("READ slot-1"))[0] == "DATAROW somchai"
+
+
+async def test_without_a_fresh_position_only_the_proved_primary_is_read(
+    system, connect, monkeypatch
+):
+    monkeypatch.setattr(coverage.Coverage, "find_position", lambda self, time_s: None)
+    caller = await connect("calendar")
+    await caller.ask("READ slot-1")
+    run = find_runs(system, "READ slot-1")[-1]
+    assert run.member_id == "up-1"
+    assert run.is_in_transaction
+
+
+async def test_a_statement_never_runs_beside_a_transaction_that_was_refused(
+    system, connect
+):
+    # A replica lacks the position and refuses to begin; a read sent along with the
+    # beginning would run outside the transaction.
+    await (await connect("booking")).ask("WRITE slot-1 mali")
+    caller = await connect("confirmation")
+    await caller.ask("WRITE slot-2 somchai")
+    for member in system.group.members.values():
+        if not member.leads:
+            member.applied = 0
+    assert (await caller.ask("BEGIN READ"))[0] == DONE
+    assert (await caller.ask("READ slot-2"))[0] == "DATAROW somchai"
+    runs = find_runs(system, "READ slot-2")
+    assert runs and all(run.is_in_transaction for run in runs)
+    assert (await caller.ask("COMMIT"))[0].startswith("COMPLETE sig")
+
+
+async def test_a_transaction_stays_on_one_connection_and_commits_once(system, connect):
+    caller, other = await connect("booking"), await connect("booking")
+    await caller.ask("BEGIN")
+    await caller.ask("WRITE slot-1 mali")
+    await other.ask("WRITE slot-9 other")
+    assert (await caller.ask("READ slot-1"))[0] == "DATAROW mali"
+    assert (await other.ask("READ slot-1"))[0] == "DATAROW none"
+    answer = await caller.ask("COMMIT")
+    assert answer[0].startswith("COMPLETE sig")
+    assert answer[1] == "READY I -"
+    sessions = {each.session for each in find_runs(system, "WRITE slot-1 mali")}
+    sessions |= {each.session for each in find_runs(system, "COMMIT")}
+    assert len(sessions) == 1
+
+
+async def test_values_of_one_caller_never_meet_statements_of_another(system, connect):
+    first, second = await connect("booking"), await connect("booking")
+    assert (await first.ask("SET zone bangkok"))[0] == DONE
+    await first.ask("READ slot-1")
+    await second.ask("READ slot-2")
+    await first.ask("READ slot-3")
+    values = {each.text: dict(each.values) for each in system.group.records}
+    assert values["READ slot-1"] == {"zone": "bangkok"}
+    assert values["READ slot-2"] == {}
+    assert values["READ slot-3"] == {"zone": "bangkok"}
+
+
+async def test_names_of_prepared_statements_may_collide(system, connect):
+    first, second = await connect("booking"), await connect("booking")
+    await first.ask("PREPARE s1 WRITE shape-a")
+    await second.ask("PREPARE s1 READ shape-b")
+    assert (await first.ask("EXECUTE s1 slot-1 mali"))[0].startswith("COMPLETE sig")
+    assert (await second.ask("EXECUTE s1 slot-1"))[0] == "DATAROW mali"
+    assert (await second.ask("CLOSE s1"))[0] == DONE
+    assert (await second.ask("EXECUTE s1 slot-1"))[0].startswith("ERROR NOSTMT")
+
+
+async def test_what_cannot_be_understood_is_refused_and_disturbs_nothing(
+    system, connect
+):
+    caller = await connect("booking")
+    for line in (b"NONSENSE\r\n", b"QUERY 1\r\n", b"QUERY 1 DROP x\r\n", b"\xff\r\n"):
+        answer = await caller.send_line(line)
+        assert answer[0].startswith("ERROR MALFORMED")
+        assert answer[1] == "READY I -"
+    assert (await caller.ask("READ slot-1"))[0] == "DATAROW none"
+
+
+async def test_a_message_that_is_too_long_ends_the_session(system, connect):
+    caller = await connect("booking")
+    line = b"QUERY 1 WRITE x " + b"y" * (1024 * 1024 + 100) + b"\r\n"
+    answer = await caller.send_line(line)
+    assert not answer or answer[0].startswith("ERROR TOOLARGE")
+
+
+async def test_an_unknown_database_is_refused(system, connect):
+    caller = await connect("nowhere")
+    assert caller.greeting.startswith("ERROR NODB")
+
+
+async def test_a_failed_transaction_can_only_be_rolled_back(system, connect):
+    caller = await connect("booking")
+    await caller.ask("BEGIN")
+    await caller.ask("WRITE slot-1 mali")
+    system.upstreams["up-1"].faults.rejections.append("FAILED")
+    assert (await caller.ask("WRITE slot-2 mali"))[0].startswith("ERROR ABORTED")
+    answer = await caller.ask("READ slot-1")
+    assert answer[0].startswith("ERROR MALFORMED")
+    assert answer[1] == "READY E -"
+    assert (await caller.ask("ROLLBACK")) == [DONE, "READY I -"]
+    assert (await caller.ask("READ slot-1"))[0] == "DATAROW none"
+
+
+async def test_a_route_that_goes_ends_at_the_next_transaction(system, connect):
+    caller = await connect("booking")
+    document = build_document(2)
+    document["routes"] = document["routes"][1:]
+    await caller.ask("BEGIN")
+    await caller.ask("READ slot-1")
+    await system.service.put_json("op/config", document)
+    while system.proxies[0].proxy.services.routes.table.version < 2:
+        await asyncio.sleep(0.02)
+    assert (await caller.ask("READ slot-2"))[0] == "DATAROW none"
+    assert (await caller.ask("COMMIT"))[0].startswith("COMPLETE sig")
+    assert (await caller.ask("READ slot-1"))[0].startswith("ERROR NODB")
+
+
+async def test_an_older_or_broken_document_is_never_put_in_force(system, connect):
+    routes = system.proxies[0].proxy.services.routes
+    await system.service.put_json("op/config", build_document(5))
+    while routes.table.version < 5:
+        await asyncio.sleep(0.02)
+    await system.service.put_json("op/config", build_document(4))
+    await system.service.put("op/config", b"{broken")
+    await system.service.drop_history()
+    await asyncio.sleep(1.0)
+    assert routes.table.version == 5
+    assert len(routes.table.routes) == 3
+
+
+async def test_a_transaction_whose_caller_rests_is_ended(system, connect):
+    document = build_document(2)
+    document["limits"]["txIdleMs"] = 200
+    await system.service.put_json("op/config", document)
+    while system.proxies[0].proxy.services.routes.table.version < 2:
+        await asyncio.sleep(0.02)
+    caller = await connect("booking")
+    await caller.ask("BEGIN")
+    await caller.ask("WRITE slot-1 mali")
+    await asyncio.sleep(0.8)
+    assert (await caller.ask("COMMIT"))[0].startswith("ERROR ABORTED")
+    assert (await caller.ask("READ slot-1"))[0] == "DATAROW none"
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -253,7 +253,8 @@
         """
         while not self.serves_writes:
             time_left_s = deadline_s - now_s()
-            decision = decide_gap(self.measure_loss(), time_left_s)
+            is_searching = self.leader is None and self.verdict is Verdict.SERVING
+            decision = decide_gap(self.measure_loss(), time_left_s, is_searching)
             if not decision.waits:
                 raise RequestError(
                     ErrorKind.NO_PRIMARY,
--- /dev/null
+++ b/ebonyrack/standins/kv_service.py
@@ -0,0 +1,297 @@
+"""Stand-in for the platform's store with leases and watches, and its promotions."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp import web
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.owner import Owner
+from ebonyrack.core.tasks import end_tasks
+from ebonyrack.standins.line_group import LineGroup
+
+EXPIRY_INTERVAL_S = 0.02
+PAGE_ITEMS = 3
+MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class KvFaults:
+    """What the service does wrong.
+
+    Attributes:
+        status: Status with which every call is refused, or 0.
+        lose_answers: How many changes yet are made with their answer lost.
+        late_orders_s: Delay with which orders are carried out, unanswered; 0 for
+            none.
+    """
+
+    status: int = 0
+    lose_answers: int = 0
+    late_orders_s: float = 0.0
+
+
+@dataclass(slots=True)
+class KvItem:
+    """A key with its value."""
+
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+@dataclass(slots=True)
+class KvLease:
+    """A lease: its length and the monotonic time of its end."""
+
+    ttl_s: float
+    ends_s: float
+
+
+class KvService(Owner):
+    """The platform's HTTP service: an async context manager.
+
+    Attributes:
+        groups: Groups whose primaries can be changed, by name.
+        address: Where it listens.
+        items: The keys.
+        events: Every change, in order.
+        oldest: Revision after which the history is known.
+        faults: What it does wrong.
+        tokens: Highest fencing token seen for each group.
+        orders: Group, upstream and token of each order that was accepted.
+        promote_s: How long a promotion takes.
+    """
+
+    def __init__(self, groups: dict[str, LineGroup]) -> None:
+        self.groups = groups
+        self.address = Address("127.0.0.1", 0)
+        self.items: dict[str, KvItem] = {}
+        self.leases: dict[int, KvLease] = {}
+        self.events: list[dict[str, Any]] = []
+        self.revision = 1
+        self.oldest = 0
+        self.faults = KvFaults()
+        self.tokens: dict[str, int] = {}
+        self.orders: list[tuple[str, str, int]] = []
+        self.promote_s = 0.05
+        self.calls: list[str] = []
+        self.changed = asyncio.Condition()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.runner: web.AppRunner | None = None
+        self.expiry: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        app = web.Application(middlewares=[self.apply_faults])
+        app.router.add_get("/kv-key", self.get_key)
+        app.router.add_get("/kv-range", self.get_range)
+        app.router.add_get("/kv-watch", self.get_watch)
+        app.router.add_post("/kv-txn", self.post_transaction)
+        app.router.add_post("/kv-lease", self.post_lease)
+        app.router.add_post("/kv-keep/{lease}", self.post_keep)
+        app.router.add_post("/promote", self.post_promote)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.05)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, self.address.host, self.address.port)
+        await site.start()
+        port = self.runner.addresses[0][1]
+        self.address = Address(self.address.host, port)
+        self.expiry = asyncio.create_task(self.expire())
+
+    async def stop(self) -> None:
+        """Stop listening; the keys stay."""
+        await end_tasks([self.expiry, *self.tasks])
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    @web.middleware
+    async def apply_faults(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        """Refuse a call, or lose the answer to a change."""
+        self.calls.append(request.path)
+        if self.faults.status:
+            return web.json_response({}, status=self.faults.status)
+        response: web.StreamResponse = await handler(request)
+        if request.path == "/kv-txn" and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key without a condition, as operators and upstreams do."""
+        self.revision += 1
+        known = self.items.get(key)
+        created = known.created if known is not None else self.revision
+        self.items[key] = KvItem(value, self.revision, created, lease)
+        await self.record(describe(key, self.items[key]))
+        return self.revision
+
+    async def put_json(self, key: str, body: dict[str, Any]) -> int:
+        """Write a key whose value is JSON."""
+        return await self.put(key, json.dumps(body).encode())
+
+    async def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            event = {"key": key, "revision": self.revision, "tombstone": True}
+            await self.record(event)
+
+    async def record(self, event: dict[str, Any]) -> None:
+        """Keep a change and wake the watches."""
+        self.events.append(event)
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def drop_history(self) -> None:
+        """Forget the changes so far and cut the watches."""
+        self.oldest = self.revision
+        self.events.clear()
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def expire(self) -> None:
+        """End leases whose time is over, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            now = now_s()
+            ended = [each for each, lease in self.leases.items() if lease.ends_s < now]
+            for lease in ended:
+                del self.leases[lease]
+                for key in [k for k, item in self.items.items() if item.lease == lease]:
+                    await self.remove(key)
+
+    async def get_key(self, request: web.Request) -> web.Response:
+        """Answer one key."""
+        key = request.query["key"]
+        item = self.items.get(key)
+        if item is None:
+            return web.json_response({}, status=404)
+        return web.json_response({**describe(key, item), "currentRev": self.revision})
+
+    async def get_range(self, request: web.Request) -> web.Response:
+        """Answer one page of keys."""
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        page = [describe(key, self.items[key]) for key in keys[:PAGE_ITEMS]]
+        return web.json_response(
+            {
+                "items": page,
+                "truncated": len(keys) > PAGE_ITEMS,
+                "currentRev": self.revision,
+            }
+        )
+
+    async def get_watch(self, request: web.Request) -> web.Response:
+        """Answer changes after a revision, or wait for them."""
+        prefix, after = request.query["prefix"], int(request.query["after"])
+        ends_s = now_s() + int(request.query["waitMs"]) / MS_PER_S
+        while True:
+            if after < self.oldest:
+                return web.json_response({}, status=410)
+            events = [
+                event
+                for event in self.events
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+            if events or now_s() >= ends_s:
+                return web.json_response(
+                    {"events": events, "currentRev": self.revision}
+                )
+            async with self.changed:
+                try:
+                    async with asyncio.timeout(ends_s - now_s()):
+                        await self.changed.wait()
+                except TimeoutError:
+                    continue
+
+    async def post_transaction(self, request: web.Request) -> web.Response:
+        """Make a change if its conditions hold."""
+        body = await request.json()
+        for row in body["expected"]:
+            item = self.items.get(row["key"])
+            if (item.revision if item is not None else 0) != row["revision"]:
+                return web.json_response({"items": []}, status=412)
+        for write in body["writes"]:
+            if write["lease"] and write["lease"] not in self.leases:
+                return web.json_response({}, status=404)
+        for write in body["writes"]:
+            value = base64.b64decode(write["value"])
+            await self.put(write["key"], value, write["lease"])
+        for key in body["deletes"]:
+            await self.remove(key)
+        return web.json_response({"revision": self.revision})
+
+    async def post_lease(self, request: web.Request) -> web.Response:
+        """Start a lease."""
+        ttl_ms = (await request.json())["ttlMs"]
+        self.revision += 1
+        ttl_s = ttl_ms / MS_PER_S
+        self.leases[self.revision] = KvLease(ttl_s, now_s() + ttl_s)
+        return web.json_response({"lease": self.revision, "ttlMs": ttl_ms})
+
+    async def post_keep(self, request: web.Request) -> web.Response:
+        """Renew a lease."""
+        lease = self.leases.get(int(request.match_info["lease"]))
+        if lease is None:
+            return web.json_response({}, status=404)
+        lease.ends_s = now_s() + lease.ttl_s
+        return web.json_response({"ttlMs": round(lease.ttl_s * MS_PER_S)})
+
+    async def post_promote(self, request: web.Request) -> web.Response:
+        """Take an order to change a primary."""
+        body = await request.json()
+        token = int(request.headers["X-Fencing-Token"])
+        name, member_id = body["service"], body["id"]
+        if self.faults.late_orders_s:
+            self.start_order(name, member_id, token, self.faults.late_orders_s)
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response()
+        if not self.accept_token(name, token):
+            return web.json_response({}, status=409)
+        self.orders.append((name, member_id, token))
+        self.start_order(name, member_id, token, self.promote_s)
+        return web.json_response({})
+
+    def accept_token(self, group: str, token: int) -> bool:
+        """Return whether no higher token was seen, and remember this one."""
+        if token < self.tokens.get(group, 0):
+            return False
+        self.tokens[group] = token
+        return True
+
+    def start_order(
+        self, group: str, member_id: str, token: int, delay_s: float
+    ) -> None:
+        """Carry an order out after a time, if its token still holds then."""
+
+        async def carry_out() -> None:
+            await asyncio.sleep(delay_s)
+            if self.accept_token(group, token):
+                self.groups[group].promote(member_id)
+
+        task = asyncio.create_task(carry_out())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def describe(key: str, item: KvItem) -> dict[str, Any]:
+    """Return an item as the service answers it."""
+    return {
+        "key": key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "createdRev": item.created,
+        "lease": item.lease,
+    }
--- /dev/null
+++ b/ebonyrack/standins/line_group.py
@@ -0,0 +1,239 @@
+"""Model of a database group behind the line protocol: terms, logs and promotions."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+
+from ebonyrack.core.position import LogPosition
+
+
+@dataclass(frozen=True, slots=True)
+class LogEntry:
+    """One commit.
+
+    Attributes:
+        position: Its place in the log.
+        writes: Item and data of each write.
+    """
+
+    position: LogPosition
+    writes: tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StatementRecord:
+    """One statement that an upstream has run.
+
+    Attributes:
+        member_id: The upstream.
+        request_id: Id that came with it.
+        text: The statement, without the position before it.
+        session: Number of the connection.
+        is_in_transaction: Whether a transaction was open.
+        values: Session values at that time.
+        signature: The upstream's mark on the answer.
+    """
+
+    member_id: str
+    request_id: str
+    text: str
+    session: int
+    is_in_transaction: bool
+    values: tuple[tuple[str, str], ...]
+    signature: str
+
+
+@dataclass(slots=True)
+class LineMember:
+    """One upstream of the group.
+
+    Attributes:
+        member_id: Identity.
+        leads: Whether it is the primary.
+        term: Newest term that it knows.
+        held_term: Term below which it receives nothing; 0 without a pause.
+        log: Commits that it has received.
+        applied: Number of them that reads see.
+        apply_delay_s: Time from receiving a commit to showing it.
+        is_deaf: Whether it receives nothing.
+        is_leaving: Whether it reports that it will end.
+        born_ms: Time of its start.
+    """
+
+    member_id: str
+    leads: bool = False
+    term: int = 1
+    held_term: int = 0
+    log: list[LogEntry] = field(default_factory=list)
+    applied: int = 0
+    apply_delay_s: float = 0.0
+    is_deaf: bool = False
+    is_leaving: bool = False
+    born_ms: int = 1
+
+    @property
+    def received(self) -> LogPosition:
+        """Position up to which it has received the log."""
+        return self.log[-1].position if self.log else LogPosition(self.term, 0)
+
+    @property
+    def shown(self) -> LogPosition:
+        """Position that its reads see."""
+        if self.applied == 0:
+            return LogPosition(1, 0)
+        return self.log[self.applied - 1].position
+
+    def read(self, item: str) -> str:
+        """Return the data of an item as reads see it."""
+        for entry in reversed(self.log[: self.applied]):
+            for written, data in reversed(entry.writes):
+                if written == item:
+                    return data
+        return "none"
+
+
+class LineGroup:
+    """The upstreams of one group and what they have run.
+
+    Attributes:
+        name: Name of the group.
+        members: Upstreams by identity.
+        acknowledging_replicas: Replicas that receive a commit before it is
+            acknowledged.
+        records: Statements that were run.
+        acknowledged: Entries whose commit was acknowledged.
+        promotions: Identity and term of each promotion.
+        changed: Wakes commits that wait for a replica.
+    """
+
+    __slots__ = (
+        "name",
+        "members",
+        "acknowledging_replicas",
+        "records",
+        "acknowledged",
+        "promotions",
+        "changed",
+        "tasks",
+    )
+
+    def __init__(
+        self, name: str, member_ids: list[str], acknowledging_replicas: int = 1
+    ) -> None:
+        self.name = name
+        self.members = {each: LineMember(each) for each in member_ids}
+        self.members[member_ids[0]].leads = True
+        self.acknowledging_replicas = acknowledging_replicas
+        self.records: list[StatementRecord] = []
+        self.acknowledged: list[LogEntry] = []
+        self.promotions: list[tuple[str, int]] = []
+        self.changed = asyncio.Condition()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def leader(self) -> LineMember | None:
+        """The primary in the newest term, or None."""
+        leaders = [member for member in self.members.values() if member.leads]
+        return max(leaders, key=lambda each: each.term) if leaders else None
+
+    async def commit(
+        self, member: LineMember, writes: tuple[tuple[str, str], ...]
+    ) -> LogEntry | None:
+        """Append a commit and wait until enough replicas have received it.
+
+        Args:
+            member: The upstream at which it was asked for.
+            writes: Item and data of each write.
+
+        Returns:
+            The entry, or None if the upstream lost the lead meanwhile.
+        """
+        term = member.term
+        number = member.log[-1].position.offset + 1 if member.log else 1
+        entry = LogEntry(LogPosition(term, number), writes)
+        member.log.append(entry)
+        member.applied = len(member.log)
+        self.replicate(member)
+        async with self.changed:
+            await self.changed.wait_for(
+                lambda: not self.leads_in(member, term) or self.is_held(member, entry)
+            )
+        if not self.leads_in(member, term):
+            return None
+        self.acknowledged.append(entry)
+        return entry
+
+    def leads_in(self, member: LineMember, term: int) -> bool:
+        """Return whether an upstream still leads in a term."""
+        return member.leads and member.term == term
+
+    def is_held(self, primary: LineMember, entry: LogEntry) -> bool:
+        """Return whether enough replicas have received an entry."""
+        holders = [
+            member
+            for member in self.members.values()
+            if member is not primary and entry in member.log
+        ]
+        return len(holders) >= self.acknowledging_replicas
+
+    def replicate(self, primary: LineMember) -> None:
+        """Hand the primary's log to every replica that receives."""
+        for member in self.members.values():
+            held = member.held_term > primary.term
+            if member is primary or member.is_deaf or held:
+                continue
+            if member.term > primary.term:
+                continue
+            member.term = primary.term
+            if member.log == primary.log:
+                continue
+            member.log = list(primary.log)
+            if member.apply_delay_s == 0:
+                member.applied = len(member.log)
+            else:
+                self.start(self.apply_later(member, len(member.log)))
+        self.start(self.notify())
+
+    async def apply_later(self, member: LineMember, count: int) -> None:
+        """Show entries to reads after the replica's delay."""
+        await asyncio.sleep(member.apply_delay_s)
+        member.applied = max(member.applied, min(count, len(member.log)))
+
+    async def notify(self) -> None:
+        """Wake commits that wait."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    def start(self, coroutine: object) -> None:
+        """Run something beside the caller."""
+        task = asyncio.ensure_future(coroutine)  # type: ignore[call-overload]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def promote(self, member_id: str) -> None:
+        """Make an upstream the primary of the next term, with what it has received."""
+        chosen = self.members[member_id]
+        if chosen.leads and chosen is self.leader:
+            return
+        term = max(member.term for member in self.members.values()) + 1
+        for member in self.members.values():
+            member.leads = False
+            member.held_term = 0
+        chosen.leads = True
+        chosen.term = term
+        chosen.applied = len(chosen.log)
+        self.promotions.append((member_id, term))
+        for member in self.members.values():
+            if member is not chosen and not member.is_deaf:
+                member.term = term
+                member.log = list(chosen.log)
+                member.applied = min(member.applied, len(member.log))
+        self.replicate(chosen)
+
+    def find_lost(self) -> list[LogEntry]:
+        """Return acknowledged entries that the present primary lacks."""
+        leader = self.leader
+        held = leader.log if leader is not None else []
+        return [entry for entry in self.acknowledged if entry not in held]
--- /dev/null
+++ b/ebonyrack/standins/line_system.py
@@ -0,0 +1,202 @@
+"""A whole platform of stand-ins in one event loop, with proxies on it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack
+from typing import Any
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
+from ebonyrack.core.tasks import end_tasks
+from ebonyrack.entry.settings import RouteProxySettings
+from ebonyrack.platform.assembly import PlatformProxy
+from ebonyrack.standins.kv_service import KvService
+from ebonyrack.standins.line_group import LineGroup
+from ebonyrack.standins.line_upstream import LineUpstream
+
+GROUP = "scheduling"
+MEMBER_IDS = ["up-1", "up-2", "up-3"]
+HEARTBEAT_S = 0.1
+DATA_CENTRE = "bangkok-a"
+
+
+def find_free_address() -> Address:
+    """Return a loopback address on which nothing listens."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", probe.getsockname()[1])
+
+
+def build_document(version: int, **changes: dict[str, Any]) -> dict[str, Any]:
+    """Return the operators' document, one database for each consistency.
+
+    Args:
+        version: Number of the version.
+        **changes: Fields of a route by the name of its database.
+    """
+    routes = []
+    for database, kind in (
+        ("booking", "primary"),
+        ("calendar", "bounded_staleness"),
+        ("confirmation", "read_your_writes"),
+    ):
+        route = {
+            "host": database,
+            "kind": kind,
+            "service": GROUP,
+            "timeoutMs": 800,
+            "targetLatencyMs": 250,
+            "priority": 1,
+        }
+        if kind != "primary":
+            route["maxStalenessMs"] = 1500
+        routes.append({**route, **changes.get(database, {})})
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": GROUP, "maxConnections": 22, "syncReplicas": 1}],
+        "limits": {"txIdleMs": 3000, "headerTimeoutMs": 3000},
+    }
+
+
+class LineSystem(Owner):
+    """A group of three upstreams, the platform's service and proxies.
+
+    Attributes:
+        group: Model of the group.
+        service: The platform's service.
+        upstreams: Upstreams by identity.
+        proxies: The proxies.
+        beats: Writes the upstreams' entries.
+    """
+
+    def __init__(self, proxy_count: int = 1) -> None:
+        self.group = LineGroup(GROUP, MEMBER_IDS)
+        self.service = KvService({GROUP: self.group})
+        self.upstreams = {
+            member_id: LineUpstream(self.group, member)
+            for member_id, member in self.group.members.items()
+        }
+        self.proxy_count = proxy_count
+        self.proxies: list[PlatformProxy] = []
+        self.stack = AsyncExitStack()
+        self.beats: dict[str, asyncio.Task[None]] = {}
+
+    async def start(self) -> None:
+        """Start all parts and wait until the proxies are ready."""
+        await self.stack.enter_async_context(self.service)
+        for upstream in self.upstreams.values():
+            await self.stack.enter_async_context(upstream)
+            await self.beat(upstream)
+        await self.service.put_json("op/config", build_document(1))
+        for member_id, upstream in self.upstreams.items():
+            self.beats[member_id] = asyncio.create_task(self.beat_forever(upstream))
+        for number in range(self.proxy_count):
+            await self.add_proxy(f"proxy-{number}")
+
+    async def stop(self) -> None:
+        """Stop all parts."""
+        await end_tasks(self.beats.values())
+        await self.stack.aclose()
+
+    async def add_proxy(self, name: str) -> PlatformProxy:
+        """Start a proxy and wait until it is ready."""
+        proxy = PlatformProxy(
+            RouteProxySettings(
+                name=name,
+                data_centre=DATA_CENTRE,
+                caller_address=find_free_address(),
+                ready_address=find_free_address(),
+                store_address=self.service.address,
+                order_address=self.service.address,
+                heartbeat_s=HEARTBEAT_S,
+                grace_s=2.0,
+                upstream_drain_s=2.0,
+            )
+        )
+        await self.stack.enter_async_context(proxy)
+        self.proxies.append(proxy)
+        while not proxy.proxy.is_ready:
+            await asyncio.sleep(0.01)
+        return proxy
+
+    async def beat(self, upstream: LineUpstream, **changes: object) -> None:
+        """Write an upstream's entry."""
+        member = upstream.member
+        entry = {
+            "service": GROUP,
+            "address": str(upstream.address),
+            "zone": DATA_CENTRE,
+            "version": "v1",
+            "slots": 3,
+            "phase": "draining" if member.is_leaving else "ready",
+            "coldRemainingMs": 0,
+            "dbRole": "primary" if member.leads else "replica",
+            "born": member.born_ms,
+            **changes,
+        }
+        await self.service.put_json(f"servers/{member.member_id}", entry)
+
+    async def beat_forever(self, upstream: LineUpstream) -> None:
+        """Renew an upstream's entry until cancelled."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            if upstream.server is not None:
+                await self.beat(upstream)
+
+
+class LineCaller(Owner):
+    """A caller of a proxy.
+
+    Attributes:
+        address: The proxy.
+        database: Database that it asks for.
+        greeting: Answer to its startup.
+        number: Number of its last request.
+    """
+
+    def __init__(self, address: Address, database: str) -> None:
+        self.address = address
+        self.database = database
+        self.greeting = ""
+        self.number = 0
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def start(self) -> None:
+        """Connect and open a session."""
+        self.reader, self.writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        self.writer.write(f"STARTUP {self.database} tester\r\n".encode())
+        self.greeting = (await self.reader.readline()).decode().strip()
+
+    async def stop(self) -> None:
+        """Go away."""
+        if self.writer is not None:
+            self.writer.close()
+
+    async def ask(self, text: str) -> list[str]:
+        """Send a statement; return the lines of the answer, the id left out."""
+        assert self.writer is not None
+        self.number += 1
+        self.writer.write(f"QUERY {id(self):x}{self.number} {text}\r\n".encode())
+        return await self.read_answer()
+
+    async def send_line(self, line: bytes) -> list[str]:
+        """Send a line as it is; return the lines of the answer."""
+        assert self.writer is not None
+        self.writer.write(line)
+        return await self.read_answer()
+
+    async def read_answer(self) -> list[str]:
+        """Return the lines up to the end of an answer, or of the connection."""
+        assert self.reader is not None
+        lines = []
+        while line := (await self.reader.readline()).decode():
+            lines.append(line.strip())
+            if line.startswith("READY"):
+                break
+        return lines
--- /dev/null
+++ b/ebonyrack/standins/line_upstream.py
@@ -0,0 +1,335 @@
+"""Stand-in upstream that speaks the line protocol over TCP, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from dataclasses import dataclass
+from dataclasses import field
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.owner import Owner
+from ebonyrack.core.position import LogPosition
+from ebonyrack.core.tasks import end_tasks
+from ebonyrack.standins.line_group import LineGroup
+from ebonyrack.standins.line_group import LineMember
+from ebonyrack.standins.line_group import StatementRecord
+
+SIGNATURES = itertools.count(1)
+SESSIONS = itertools.count(1)
+
+
+class Rejected(Exception):  # noqa: N818
+    """A statement that ends with an error code."""
+
+
+@dataclass(slots=True)
+class LineFaults:
+    """What an upstream does wrong.
+
+    Attributes:
+        is_silent: Whether it answers nothing, on old and new connections.
+        lose_answers: How many answers yet to statements with an id are lost, the
+            connection broken in their place.
+        rejections: Codes with which the next statements with an id are rejected.
+        delay_s: How long each statement with an id takes.
+        is_full: Whether it takes no further connection.
+    """
+
+    is_silent: bool = False
+    lose_answers: int = 0
+    rejections: list[str] = field(default_factory=list)
+    delay_s: float = 0.0
+    is_full: bool = False
+
+
+@dataclass(slots=True)
+class LineSession:
+    """One connection.
+
+    Attributes:
+        number: Its number.
+        state: `I`, `T` or `E`.
+        is_read_only: Whether the open transaction is read only.
+        term: Term in which the open transaction began.
+        writes: Writes of the open transaction.
+        values: Session values.
+        prepared: Kind and shape by name.
+    """
+
+    number: int = field(default_factory=lambda: next(SESSIONS))
+    state: str = "I"
+    is_read_only: bool = False
+    term: int = 0
+    writes: list[tuple[str, str]] = field(default_factory=list)
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, tuple[str, str]] = field(default_factory=dict)
+
+
+class LineUpstream(Owner):
+    """One upstream of a group: an async context manager.
+
+    Attributes:
+        group: The group.
+        member: Its own part in the model.
+        address: Where it listens; port 0 is replaced at the first start.
+        faults: What it does wrong.
+        server: The listening socket, while open.
+        tasks: Tasks of its connections.
+        connections: Number of connections that were opened.
+    """
+
+    __slots__ = (
+        "group",
+        "member",
+        "address",
+        "faults",
+        "server",
+        "tasks",
+        "connections",
+    )
+
+    def __init__(self, group: LineGroup, member: LineMember) -> None:
+        self.group = group
+        self.member = member
+        self.address = Address("127.0.0.1", 0)
+        self.faults = LineFaults()
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.connections = 0
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await asyncio.start_server(
+            self.serve, self.address.host, self.address.port
+        )
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = Address(self.address.host, port)
+
+    async def stop(self) -> None:
+        """Refuse connections and break those that are open, as a crash does."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        await end_tasks(list(self.tasks))
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        self.connections += 1
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+                await self.serve_session(reader, writer)
+        finally:
+            self.tasks.discard(task)
+            writer.transport.abort()
+
+    async def serve_session(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Open the session and run its statements."""
+        words = (await reader.readline()).decode().split()
+        if not words:
+            return
+        await self.hold_while_silent()
+        refusal = self.check_startup(words)
+        if refusal:
+            writer.write(f"ERROR {refusal}\r\n".encode())
+            await writer.drain()
+            return
+        session = LineSession()
+        writer.write(self.render_ready(session))
+        while line := (await reader.readline()).decode().rstrip("\r\n"):
+            _, request_id, text = line.split(" ", 2)
+            answer = await self.answer(session, request_id, text)
+            await self.hold_while_silent()
+            if request_id != "-" and self.faults.lose_answers > 0:
+                self.faults.lose_answers -= 1
+                return
+            writer.write(answer + self.render_ready(session))
+            await writer.drain()
+
+    async def hold_while_silent(self) -> None:
+        """Wait while the upstream answers nothing."""
+        while self.faults.is_silent:
+            await asyncio.sleep(0.01)
+
+    def check_startup(self, words: list[str]) -> str:
+        """Return why a session is refused, or an empty text."""
+        if self.faults.is_full:
+            return "TOOMANY -"
+        expected = words[3] if len(words) > 3 else self.member.member_id
+        if words[1] != self.group.name or expected != self.member.member_id:
+            return "WRONGNODE -"
+        return ""
+
+    def render_ready(self, session: LineSession) -> bytes:
+        """Return the end of an answer."""
+        shown = self.member.received if self.member.leads else self.member.shown
+        return f"READY {session.state} {shown.term}.{shown.offset}\r\n".encode()
+
+    async def answer(self, session: LineSession, request_id: str, text: str) -> bytes:
+        """Run a statement and return its answer without the end."""
+        try:
+            row, signature = await self.run(session, request_id, text)
+        except Rejected as rejection:
+            if session.state == "T":
+                session.state = "E"
+            return f"ERROR {rejection} {self.member.member_id}\r\n".encode()
+        rows = f"DATAROW {row}\r\n" if row else ""
+        return f"{rows}COMPLETE {signature}\r\n".encode()
+
+    async def run(
+        self, session: LineSession, request_id: str, text: str
+    ) -> tuple[str, str]:
+        """Run a statement; return its row and signature."""
+        after, text = split_after(text)
+        word, _, rest = text.partition(" ")
+        if request_id != "-":
+            await self.apply_faults()
+        if after is not None and self.member.shown < after:
+            raise Rejected("LAGGING")
+        if session.state == "E" and word not in ("ROLLBACK", "COMMIT"):
+            raise Rejected("MALFORMED")
+        handler = getattr(self, f"run_{word.lower()}", None)
+        if handler is None:
+            raise Rejected("MALFORMED")
+        row = await handler(session, rest)
+        signature = "-" if request_id == "-" else f"sig{next(SIGNATURES)}"
+        self.group.records.append(
+            StatementRecord(
+                self.member.member_id,
+                request_id,
+                text,
+                session.number,
+                session.state == "T",
+                tuple(sorted(session.values.items())),
+                signature,
+            )
+        )
+        return row, signature
+
+    async def apply_faults(self) -> None:
+        """Delay or reject a statement, as the faults say."""
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.rejections:
+            raise Rejected(self.faults.rejections.pop(0))
+
+    def check_lead(self, session: LineSession) -> None:
+        """Refuse what only the primary does."""
+        lost = session.state == "T" and self.member.term != session.term
+        if not self.member.leads or lost:
+            raise Rejected("READONLY")
+
+    async def run_begin(self, session: LineSession, rest: str) -> str:
+        """Begin a transaction."""
+        session.is_read_only = rest == "READ"
+        if not session.is_read_only:
+            self.check_lead(session)
+        session.state, session.term, session.writes = "T", self.member.term, []
+        return ""
+
+    async def run_read(self, session: LineSession, rest: str) -> str:
+        """Read an item; the transaction's own writes are seen."""
+        if session.state == "T" and not session.is_read_only:
+            self.check_lead(session)
+        own = [data for item, data in session.writes if item == rest]
+        return own[-1] if own else self.member.read(rest)
+
+    async def run_write(self, session: LineSession, rest: str) -> str:
+        """Write an item, at once or with the transaction."""
+        item, _, data = rest.partition(" ")
+        self.check_lead(session)
+        if session.state == "T":
+            session.writes.append((item, data))
+        elif await self.group.commit(self.member, ((item, data),)) is None:
+            raise Rejected("FAILED")
+        return ""
+
+    async def run_commit(self, session: LineSession, rest: str) -> str:
+        """Commit the transaction."""
+        state, session.state = session.state, "I"
+        if state != "T":
+            raise Rejected("MALFORMED")
+        if session.writes:
+            session.state = "T"
+            try:
+                self.check_lead(session)
+            finally:
+                session.state = "I"
+            writes, session.writes = tuple(session.writes), []
+            if await self.group.commit(self.member, writes) is None:
+                raise Rejected("FAILED")
+        return ""
+
+    async def run_rollback(self, session: LineSession, rest: str) -> str:
+        """Roll the transaction back."""
+        session.state, session.writes = "I", []
+        return ""
+
+    async def run_set(self, session: LineSession, rest: str) -> str:
+        """Set a session value."""
+        name, _, value = rest.partition(" ")
+        session.values[name] = value
+        return ""
+
+    async def run_prepare(self, session: LineSession, rest: str) -> str:
+        """Prepare a statement."""
+        name, kind, shape = rest.split(" ", 2)
+        session.prepared[name] = (kind, shape)
+        return ""
+
+    async def run_execute(self, session: LineSession, rest: str) -> str:
+        """Execute a prepared statement."""
+        name, _, arguments = rest.partition(" ")
+        if name not in session.prepared:
+            raise Rejected("NOSTMT")
+        if session.prepared[name][0] == "WRITE":
+            return await self.run_write(session, arguments)
+        return await self.run_read(session, arguments)
+
+    async def run_discard(self, session: LineSession, rest: str) -> str:
+        """Forget session values and prepared statements."""
+        session.values.clear()
+        session.prepared.clear()
+        return ""
+
+    async def run_status(self, session: LineSession, rest: str) -> str:
+        """Say what part this upstream has in the group."""
+        member = self.member
+        role = "primary" if member.leads else "replica"
+        received = member.received
+        return (
+            f"{role} {member.term} {received.term}.{received.offset} "
+            f"{member.held_term} 0 0 {len(self.tasks)}"
+        )
+
+    async def run_pause(self, session: LineSession, rest: str) -> str:
+        """Receive nothing of terms below one."""
+        if int(rest) <= self.member.term:
+            raise Rejected("MALFORMED")
+        self.member.held_term = int(rest)
+        return await self.run_status(session, "")
+
+    async def run_resume(self, session: LineSession, rest: str) -> str:
+        """Receive again."""
+        self.member.held_term = 0
+        leader = self.group.leader
+        if leader is not None:
+            self.group.replicate(leader)
+        return await self.run_status(session, "")
+
+
+def split_after(text: str) -> tuple[LogPosition | None, str]:
+    """Split the position that a log must hold off a statement."""
+    if not text.startswith("AFTER "):
+        return None, text
+    _, position, text = text.split(" ", 2)
+    term, _, number = position.partition(".")
+    return LogPosition(int(term), int(number)), text
