--- a/ebonyrack/core/tasks_test.py
+++ b/ebonyrack/core/tasks_test.py
@@ -1,6 +1,7 @@
 import asyncio
 
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.core.tasks import start_loop
 
 
 async def test_all_tasks_have_ended_whatever_they_end_with():
@@ -17,3 +18,20 @@
     await asyncio.sleep(0)
     await end_tasks(tasks)
     assert all(task.done() for task in tasks if task is not None)
+
+
+async def test_a_loop_that_breaks_goes_on(monkeypatch):
+    monkeypatch.setattr("ebonyrack.core.tasks.RESTART_PAUSE_S", 0.0)
+    runs = []
+
+    async def run():
+        runs.append(1)
+        if len(runs) < 3:
+            raise ValueError("odd")
+        await asyncio.Event().wait()
+
+    task = start_loop(run)
+    while len(runs) < 3:
+        await asyncio.sleep(0)
+    await end_tasks([task])
+    assert len(runs) == 3
--- a/ebonyrack/entry/leader_watch.py
+++ b/ebonyrack/entry/leader_watch.py
@@ -12,6 +12,7 @@
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.core.tasks import start_loop
 from ebonyrack.members.group import Group
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.member import Member
@@ -60,8 +61,8 @@
     async def start(self) -> None:
         """Start to watch."""
         self.tasks = [
-            asyncio.create_task(self.look_forever()),
-            asyncio.create_task(self.replace_forever()),
+            start_loop(self.look_forever),
+            start_loop(self.replace_forever),
         ]
 
     async def stop(self) -> None:
--- a/ebonyrack/entry/listener.py
+++ b/ebonyrack/entry/listener.py
@@ -10,6 +10,7 @@
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.core.tasks import start_loop
 from ebonyrack.entry.caller_connection import CallerConnection
 from ebonyrack.requests.codec import CallerCodec
 from ebonyrack.serving.services import Services
@@ -54,7 +55,7 @@
             address.port,
             backlog=BACKLOG,
         )
-        self.idle_task = asyncio.create_task(self.watch_idle())
+        self.idle_task = start_loop(self.watch_idle)
 
     async def stop(self) -> None:
         """Stop listening and cut what still runs."""
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -13,6 +13,7 @@
 
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.core.tasks import start_loop
 from ebonyrack.entry.leader_watch import LeaderWatch
 from ebonyrack.entry.listener import Listener
 from ebonyrack.entry.settings import RouteProxySettings
@@ -114,7 +115,7 @@
         await self.stack.enter_async_context(self.listener)
         await self.stack.enter_async_context(self.follower)
         await self.stack.enter_async_context(self.presence)
-        self.missing_task = asyncio.create_task(self.watch_missing())
+        self.missing_task = start_loop(self.watch_missing)
         self.services.drain.serve()
         logger.bind(
             address=str(self.settings.caller_address),
--- a/ebonyrack/members/presence.py
+++ b/ebonyrack/members/presence.py
@@ -14,6 +14,7 @@
 
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.core.tasks import start_loop
 from ebonyrack.store.backoff import Backoff
 from ebonyrack.store.leasing_store import LeasingStore
 from ebonyrack.store.leasing_store import StoreChanges
@@ -51,7 +52,7 @@
 
     async def start(self) -> None:
         """Start to register."""
-        self.task = asyncio.create_task(self.register())
+        self.task = start_loop(self.register)
 
     async def stop(self) -> None:
         """Stop to register; the name ends with its lease."""
--- /dev/null
+++ b/ebonyrack/platform/caller_codec_test.py
@@ -0,0 +1,135 @@
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+from result import Ok
+
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.line_stream import LineStream
+from ebonyrack.core.line_stream import StreamLostError
+from ebonyrack.platform.caller_codec import LineCallerCodec
+from ebonyrack.platform.caller_codec import parse_statement
+from ebonyrack.platform.words import ERROR_WORDS
+from ebonyrack.requests.reply import Answer
+from ebonyrack.requests.reply import TransactionState
+from ebonyrack.requests.request import Request
+from ebonyrack.requests.request import RequestKind
+
+CODEC = LineCallerCodec()
+
+
+@pytest.mark.parametrize(
+    ("text", "kind"),
+    [
+        (b"BEGIN", RequestKind.BEGIN),
+        (b"BEGIN READ", RequestKind.BEGIN_READ_ONLY),
+        (b"COMMIT", RequestKind.COMMIT),
+        (b"ROLLBACK", RequestKind.ROLLBACK),
+        (b"READ 1a4", RequestKind.READ),
+        (b"WRITE 1a4 some data", RequestKind.WRITE),
+        (b"SET zone far away", RequestKind.SET),
+        (b"PREPARE s1 WRITE q2c", RequestKind.PREPARE),
+        (b"EXECUTE s1 1a4 data", RequestKind.EXECUTE),
+        (b"CLOSE s1", RequestKind.CLOSE),
+    ],
+)
+def test_statements_keep_their_text(text, kind):
+    request = parse_statement(b"7", text).ok_value
+    assert request.kind is kind
+    assert request.request_id == b"7"
+    assert request.text == text
+
+
+def test_fields_of_statements():
+    prepare = parse_statement(b"7", b"PREPARE s1 WRITE q2c").ok_value
+    assert (prepare.name, prepare.argument, prepare.writes) == (b"s1", b"q2c", True)
+    execute = parse_statement(b"7", b"EXECUTE s1 1a4 a b").ok_value
+    assert (execute.name, execute.argument) == (b"s1", b"1a4 a b")
+    value = parse_statement(b"7", b"SET zone far away").ok_value
+    assert (value.name, value.argument) == (b"zone", b"far away")
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"BEGIN WRITE",
+        b"COMMIT now",
+        b"READ",
+        b"READ ",
+        b"READ a b",
+        b"WRITE a",
+        b"SET a",
+        b"PREPARE s1 DROP q",
+        b"EXECUTE s1",
+        b"CLOSE",
+        b"STATUS",
+        b"PAUSE 9",
+        b"AFTER 1.1 READ a",
+        b"DISCARD",
+        b"begin",
+    ],
+)
+def test_what_callers_may_not_send_is_refused(text):
+    assert isinstance(parse_statement(b"7", text), Err)
+
+
+def test_callers_may_not_use_the_proxys_own_id():
+    assert isinstance(parse_statement(b"-", b"READ a"), Err)
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_are_requests_refusals_or_the_end(data):
+    stream = LineStream()
+    stream.buffer += data
+    stream.mark_lost("ended")
+
+    async def read_all():
+        for _ in range(len(data) + 1):
+            found = await CODEC.read_request(stream)
+            assert isinstance(found, Ok | Err)
+            if isinstance(found, Ok):
+                assert found.ok_value is None or isinstance(found.ok_value, Request)
+
+    with pytest.raises(StreamLostError):
+        asyncio.run(read_all())
+
+
+@given(st.binary(max_size=100))
+def test_any_bytes_at_the_start_are_a_name_or_a_refusal(data):
+    stream = LineStream()
+    stream.buffer += data + b"\n"
+    stream.mark_lost("ended")
+    found = asyncio.run(CODEC.read_startup(stream))
+    assert isinstance(found, Ok | Err)
+
+
+def test_an_answer_with_rows():
+    answer = Answer(TransactionState.OPEN, [b"one", b"two"], b"sig")
+    assert CODEC.encode_answer(answer) == (
+        b"DATAROW one\r\nDATAROW two\r\nCOMPLETE sig\r\nREADY T -\r\n"
+    )
+
+
+def test_a_refusal_says_when_to_come_back_in_one_line():
+    error = RequestError(ErrorKind.NO_PRIMARY, "gone\r\nREADY I -", 0.25)
+    answer = CODEC.encode_answer(Answer(TransactionState.IDLE, error=error))
+    assert answer.count(b"\r\n") == 2
+    assert answer.startswith(b"ERROR BUSY gone")
+    assert b"retry after 250 ms" in answer
+
+
+def test_every_kind_that_sessions_raise_has_a_word():
+    foreign = {
+        ErrorKind.BAD_TOKEN,
+        ErrorKind.UNSUPPORTED,
+        ErrorKind.AUTHENTICATION_FAILED,
+        ErrorKind.NOT_ALLOWED,
+        ErrorKind.REPLICAS_LAG,
+        ErrorKind.ALREADY_RAN,
+        ErrorKind.CANCELLED,
+    }
+    assert set(ERROR_WORDS) == set(ErrorKind) - foreign
--- /dev/null
+++ b/ebonyrack/platform/documents_test.py
@@ -0,0 +1,116 @@
+"""Settings, entries and routes as the platform writes them."""
+
+import json
+
+import pytest
+from result import Err
+
+from ebonyrack.core.address import Address
+from ebonyrack.platform.member_entries import decode_entry
+from ebonyrack.platform.route_document import decode_document
+from ebonyrack.platform.settings_file import parse_settings
+from ebonyrack.routes.route import Consistency
+from ebonyrack.standins.line_system import build_document
+from ebonyrack.store.leasing_store import StoreItem
+
+SETTINGS = """\
+nodeName=front-bkk-a-1
+zone=bkk-a
+listen.front=10.1.0.8:8784
+listen.healthAddr=10.1.0.8:8785
+platform.address=10.200.1.7:8783
+cloud.address=10.200.0.160:8783
+heartbeatMs=1200
+bounds.graceS=6
+bounds.drainMs=7000
+limits.unheard.of=1
+"""
+ENTRY = {
+    "service": "scheduling",
+    "address": "10.128.0.9:8080",
+    "zone": "bkk-a",
+    "version": "v1",
+    "slots": 3,
+    "phase": "ready",
+    "coldRemainingMs": 0,
+    "dbRole": "replica",
+    "sequence": 4,
+    "born": 1790000000000,
+}
+
+
+def build_item(value):
+    return StoreItem("servers/i-7f", value, 12, 10)
+
+
+def test_settings():
+    settings = parse_settings(SETTINGS, "boot.conf").ok_value
+    assert settings.name == "front-bkk-a-1"
+    assert settings.caller_address == Address("10.1.0.8", 8784)
+    assert (settings.heartbeat_s, settings.grace_s) == (1.2, 6.0)
+
+
+def test_every_fault_of_the_settings_is_named_at_once():
+    text = SETTINGS.replace("graceS=6", "graceS=soon").replace("nodeName=", "name=")
+    text += "no equals sign\n"
+    faults = parse_settings(text, "boot.conf").err_value
+    assert {fault.key for fault in faults} == {"nodeName", "bounds.graceS", "line 11"}
+
+
+@pytest.mark.parametrize("value", ["0", "-1", "inf", "nan", ""])
+def test_times_must_be_above_zero(value):
+    text = SETTINGS.replace("heartbeatMs=1200", f"heartbeatMs={value}")
+    assert isinstance(parse_settings(text, "boot.conf"), Err)
+
+
+def test_an_entry():
+    entry = decode_entry(build_item(json.dumps(ENTRY).encode())).ok_value
+    assert entry.member_id == "i-7f"
+    assert entry.group == "scheduling"
+    assert not entry.is_leaving
+    assert not entry.reports_primary
+    assert entry.revision == 12
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": None},
+        {"service": 7},
+        {"address": "somewhere"},
+        {"phase": "resting"},
+        {"dbRole": "king"},
+        {"born": "now"},
+        {"born": 1.5},
+        {"born": True},
+        {"slots": "3"},
+        {"zone": ["a"]},
+        {"phase": ["ready"]},
+    ],
+)
+def test_an_entry_with_a_bad_field_names_no_upstream(changes):
+    item = build_item(json.dumps({**ENTRY, **changes}).encode())
+    assert isinstance(decode_entry(item), Err)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b"7", b"null", b'"text"'])
+def test_bytes_that_are_no_entry(value):
+    assert isinstance(decode_entry(build_item(value)), Err)
+    assert isinstance(decode_document(value), Err)
+
+
+def test_routes():
+    document = build_document(7, booking={"unheard": 1})
+    table = decode_document(json.dumps(document).encode()).ok_value
+    assert table.version == 7
+    route = table.routes[b"confirmation"]
+    assert route.consistency is Consistency.READ_YOUR_WRITES
+    assert (route.statement_timeout_s, route.maximum_age_s) == (0.8, 1.5)
+    assert table.groups["scheduling"].acknowledging_replicas == 1
+
+
+@pytest.mark.parametrize("field", ["version", "routes", "services", "limits"])
+def test_routes_with_a_field_missing_are_refused(field):
+    document = build_document(7)
+    del document[field]
+    assert isinstance(decode_document(json.dumps(document).encode()), Err)
--- a/ebonyrack/platform/member_entries.py
+++ b/ebonyrack/platform/member_entries.py
@@ -32,7 +32,7 @@
         # Upstreams of older versions say nothing of their start.
         born_ms = body.get("born", 0)
         slots = body["slots"]
-        if not isinstance(born_ms, int) or not isinstance(slots, int):
+        if type(born_ms) is not int or type(slots) is not int:
             return Err("born and slots must be whole numbers")
         return Ok(
             MemberEntry(
@@ -47,7 +47,7 @@
                 revision=item.revision,
             )
         )
-    except (ValueError, LookupError, TypeError) as error:
+    except (ValueError, LookupError, TypeError, AttributeError) as error:
         return Err(f"bad entry: {error!r}")
 
 
--- /dev/null
+++ b/ebonyrack/platform/upstream_codec_test.py
@@ -0,0 +1,91 @@
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from ebonyrack.core.line_stream import LineStream
+from ebonyrack.core.line_stream import StreamLostError
+from ebonyrack.core.position import LogPosition
+from ebonyrack.platform.upstream_codec import LineUpstreamCodec
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
+from ebonyrack.requests.reply import TransactionState
+from ebonyrack.requests.request import OWN_BEGIN
+from ebonyrack.requests.request import Request
+from ebonyrack.requests.request import RequestKind
+from ebonyrack.requests.request import build_pause
+
+CODEC = LineUpstreamCodec()
+
+
+async def test_a_reply_with_rows_position_and_state(feed):
+    data = b"DATAROW a b\r\nCOMPLETE 7.1f\r\nREADY T 3.1209\r\n"
+    reply = await CODEC.read_reply(feed(data))
+    assert reply.rows == [b"a b"]
+    assert reply.signature == b"7.1f"
+    assert reply.state is TransactionState.OPEN
+    assert reply.position == LogPosition(3, 1209)
+
+
+async def test_a_rejection(feed):
+    reply = await CODEC.read_reply(feed(b"ERROR READONLY i-7f\r\nREADY E -\r\n"))
+    assert reply.rejection is RejectionKind.READ_ONLY
+    assert reply.rejection.is_not_run
+    assert reply.position is None
+
+
+async def test_a_code_that_is_not_known_promises_nothing(feed):
+    reply = await CODEC.read_reply(feed(b"ERROR ODD x\r\nREADY I 1.1\r\n"))
+    assert reply.rejection is RejectionKind.OTHER
+    assert not reply.rejection.is_not_run
+
+
+async def test_a_refused_opening_ends_with_the_connection(feed):
+    reply = await CODEC.read_reply(feed(b"ERROR TOOMANY -\r\n"))
+    assert reply.rejection is RejectionKind.TOO_MANY_CONNECTIONS
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"DATAROW a\r\n", b"READY X 1.1\r\n", b"READY I one\r\n", b"HELLO\r\n", b""],
+)
+async def test_replies_that_break_off_or_make_no_sense(feed, data):
+    with pytest.raises(StreamLostError):
+        await CODEC.read_reply(feed(data))
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_are_a_reply_or_lose_the_connection(data):
+    stream = LineStream()
+    stream.buffer += data
+    stream.mark_lost("ended")
+    try:
+        reply = asyncio.run(CODEC.read_reply(stream))
+    except StreamLostError:
+        return
+    assert isinstance(reply, Reply)
+
+
+def test_statements():
+    read = Request(RequestKind.READ, b"5c", b"READ 1a4")
+    assert CODEC.encode_request(read) == b"QUERY 5c READ 1a4\r\n"
+    placed = read.with_position(LogPosition(3, 1207))
+    assert CODEC.encode_request(placed) == b"QUERY 5c AFTER 3.1207 READ 1a4\r\n"
+    assert CODEC.encode_request(OWN_BEGIN) == b"QUERY - BEGIN\r\n"
+    assert CODEC.encode_request(build_pause(4)) == b"QUERY - PAUSE 4\r\n"
+    assert CODEC.encode_start("g", "i-1") == b"STARTUP g ebonyrack i-1\r\n"
+
+
+def test_status():
+    reply = Reply(rows=[b"replica 3 3.1209 0 12 2 17"])
+    status = CODEC.read_status(reply).ok_value
+    assert not status.leads
+    assert (status.term, status.received) == (3, LogPosition(3, 1209))
+    assert (status.lag_s, status.busy_slots, status.connections) == (0.012, 2, 17)
+
+
+@pytest.mark.parametrize("row", [b"replica 3", b"replica x 3.1 0 0 0 0", b""])
+def test_a_status_that_makes_no_sense(row):
+    assert isinstance(CODEC.read_status(Reply(rows=[row])), Err)
--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -19,6 +19,7 @@
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.core.tasks import start_loop
 from ebonyrack.store.backoff import Backoff
 from ebonyrack.store.leasing_store import LeasingStore
 from ebonyrack.store.leasing_store import StoreChanges
@@ -65,7 +66,7 @@
 
     async def start(self) -> None:
         """Start to follow."""
-        self.task = asyncio.create_task(self.follow())
+        self.task = start_loop(self.follow)
 
     async def stop(self) -> None:
         """Stop to follow."""
