--- a/ebonyrack/config/document.py
+++ b/ebonyrack/config/document.py
@@ -14,7 +14,7 @@
 from ebonyrack.config.sections import OperatorSection
 from ebonyrack.config.text import PREAMBLE
 from ebonyrack.config.text import split_sections
-from ebonyrack.core.ini import Fault
+from ebonyrack.core.fault import Fault
 from ebonyrack.core.ini import Section
 from ebonyrack.core.ini import check_section
 from ebonyrack.core.ini import parse_ini
--- a/ebonyrack/config/references.py
+++ b/ebonyrack/config/references.py
@@ -8,7 +8,7 @@
 
 from ebonyrack.config.sections import ApplicationSection
 from ebonyrack.config.sections import GroupSection
-from ebonyrack.core.ini import Fault
+from ebonyrack.core.fault import Fault
 
 Records = dict[str, dict[str, Any]]
 
--- a/ebonyrack/core/ini.py
+++ b/ebonyrack/core/ini.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import configparser
-from dataclasses import dataclass
 from typing import Annotated
 from typing import Any
 
@@ -14,29 +13,7 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.address import parse_address
-
-
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """One fault of an INI document.
-
-    Attributes:
-        source: File or document in which the fault is.
-        section: Section, or an empty string.
-        key: Key, or an empty string.
-        text: What is wrong and what is allowed.
-    """
-
-    source: str
-    section: str
-    key: str
-    text: str
-
-    def __str__(self) -> str:
-        place = f"[{self.section}]" if self.section else ""
-        if self.key:
-            place = f"{place} {self.key}"
-        return f"{self.source}: {place}: {self.text}"
+from ebonyrack.core.fault import Fault
 
 
 class Section(BaseModel):
--- a/ebonyrack/core/logs.py
+++ b/ebonyrack/core/logs.py
@@ -7,6 +7,7 @@
 import random
 import time
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from loguru import logger
 
@@ -16,8 +17,6 @@
 if TYPE_CHECKING:
     from loguru import Message
 
-    from ebonyrack.core.settings import LogSettings
-
 decision_sampling = 1.0
 writer: LogWriter | None = None
 # Lines on failed requests each second; the rest is counted, as all may fail at once.
@@ -26,6 +25,18 @@
 LAST_LINES_S = 0.5
 
 
+class LogOptions(Protocol):
+    """What is logged."""
+
+    @property
+    def level(self) -> str:
+        """Lowest level that is written."""
+
+    @property
+    def decision_sampling(self) -> float:
+        """Share of the decisions on requests that is written, 0 to 1."""
+
+
 class FailureBudget:
     """Bounds the lines on failures in each second.
 
@@ -57,7 +68,7 @@
 failure_budget = FailureBudget()
 
 
-def start_logging(settings: LogSettings, proxy_name: str) -> None:
+def start_logging(settings: LogOptions, proxy_name: str) -> None:
     """Send log records to standard output, one JSON object a line.
 
     Args:
--- a/ebonyrack/core/settings.py
+++ b/ebonyrack/core/settings.py
@@ -8,9 +8,9 @@
 
 from pydantic import Field
 
+from ebonyrack.core.fault import Fault
 from ebonyrack.core.ini import Addresses
 from ebonyrack.core.ini import AddressField
-from ebonyrack.core.ini import Fault
 from ebonyrack.core.ini import Section
 from ebonyrack.core.ini import check_section
 from ebonyrack.core.ini import parse_ini
--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -259,3 +259,29 @@
     while proxy.is_ready:
         assert now_s() < started_s + GIVE_UP_S
         await asyncio.sleep(0.05)
+
+
+async def test_reads_go_elsewhere_while_an_upstream_takes_no_connection(
+    system, connect
+):
+    # Connections of proxies that lost power linger at the upstreams.
+    for member_id in ("up-2", "up-3"):
+        system.upstreams[member_id].faults.is_full = True
+        await system.upstreams[member_id].stop()
+        await system.upstreams[member_id].start()
+        await system.beat(system.upstreams[member_id])
+    caller = await connect("calendar")
+    for _ in range(10):
+        assert (await caller.ask("READ slot-1"))[0] == "DATAROW none"
+
+
+async def test_a_write_waits_for_a_connection_to_the_primary(system, connect):
+    upstream = system.upstreams["up-1"]
+    group = system.proxies[0].proxy.services.groups["scheduling"]
+    upstream.faults.is_full = True
+    group.members["up-1"].pool.close_idle()
+    caller = await connect("booking")
+    write = asyncio.create_task(caller.ask("WRITE slot-1 mali"))
+    await asyncio.sleep(0.3)
+    upstream.faults.is_full = False
+    assert (await write)[0].startswith("COMPLETE sig")
--- a/ebonyrack/platform/settings_file.py
+++ b/ebonyrack/platform/settings_file.py
@@ -10,7 +10,7 @@
 from result import Result
 
 from ebonyrack.core.address import parse_address
-from ebonyrack.core.ini import Fault
+from ebonyrack.core.fault import Fault
 from ebonyrack.entry.settings import RouteProxySettings
 
 # The platform names the file in this variable of the environment.
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -26,6 +26,11 @@
 
 TOO_MANY_CONNECTIONS = "53300"
 
+
+class NoConnectionError(RequestError):
+    """The upstream has no connection to spare, and this pool holds none."""
+
+
 Settings = TypeVar("Settings", bound=QueueSettings)
 
 
@@ -243,11 +248,12 @@
         self.grant_places()
         return await self.wait_for_grant(waiter)
 
-    def build_no_connection(self) -> RequestError:
+    def build_no_connection(self) -> NoConnectionError:
         """Build the refusal for an upstream that has no connection to spare."""
-        return self.queue.build_refusal(
+        refusal = self.queue.build_refusal(
             ErrorKind.WAIT_TOO_LONG, "the upstream has no connection to spare", 1
         )
+        return NoConnectionError(refusal.kind, refusal.reason, refusal.retry_after_s)
 
     def release(self, connection: Connection) -> None:
         """Take a connection back; one that is not clean is closed.
--- a/ebonyrack/scripts/route_daemon.py
+++ b/ebonyrack/scripts/route_daemon.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 
 from loguru import logger
@@ -17,7 +18,7 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.core.address import parse_address
-from ebonyrack.core.settings import LogSettings
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.entry.settings import RouteProxySettings
 from ebonyrack.platform.assembly import PlatformProxy
 from ebonyrack.platform.settings_file import PATH_VARIABLE
@@ -27,6 +28,22 @@
 EXIT_BAD_SETTINGS = 2
 # Lines on requests that were served are samples; those that failed are all written.
 DEFAULT_SAMPLING = 0.02
+# Metrics start after the first callers are served: loading their libraries takes a
+# third as long as the whole start.
+METRICS_DELAY_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class LogChoice:
+    """What is logged.
+
+    Attributes:
+        level: Lowest level that is written.
+        decision_sampling: Share of the decisions on requests that is written.
+    """
+
+    level: str
+    decision_sampling: float
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -93,7 +110,9 @@
     logger.bind(changed=settings != running).info("settings_read_again")
 
 
-async def run_proxy(settings: RouteProxySettings, path: Path | None) -> None:
+async def run_proxy(
+    settings: RouteProxySettings, path: Path | None, metrics_address: Address | None
+) -> None:
     """Run a proxy until it is told to stop."""
     platform_proxy = PlatformProxy(settings)
     drain = platform_proxy.proxy.services.drain
@@ -101,8 +120,16 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, drain.request, number.name)
     loop.add_signal_handler(signal.SIGHUP, reload_settings, path, settings)
+    metrics_task = asyncio.create_task(start_metrics_later(metrics_address))
     async with platform_proxy:
         await platform_proxy.proxy.serve()
+    await end_tasks([metrics_task])
+
+
+async def start_metrics_later(address: Address | None) -> None:
+    """Serve metrics once the start is over."""
+    await asyncio.sleep(METRICS_DELAY_S)
+    await asyncio.to_thread(metrics.start_metrics, address)
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -121,13 +148,9 @@
     if options.check:
         print(f"{options.settings}: no faults")
         return EXIT_OK
-    log_settings = LogSettings(
-        level=options.log_level or "info", decision_sampling=options.log_sampling
-    )
-    logs.start_logging(log_settings, settings.name)
-    address: Address | None = options.metrics
-    metrics.start_metrics(address)
-    asyncio.run(run_proxy(settings, options.settings))
+    choice = LogChoice(options.log_level or "info", options.log_sampling)
+    logs.start_logging(choice, settings.name)
+    asyncio.run(run_proxy(settings, options.settings, options.metrics))
     return EXIT_OK
 
 
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -13,6 +13,7 @@
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
+from ebonyrack.pooling.pool import NoConnectionError
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
@@ -22,11 +23,12 @@
 from ebonyrack.serving.statement_run import run_proved_read
 from ebonyrack.serving.statement_run import set_up
 
-# Every upstream is tried, and most of them again; more tries mean a group in trouble.
-MAXIMUM_TRIES = 8
+# Every upstream is tried several times; more tries mean a group in trouble.
+MAXIMUM_TRIES = 16
 # All upstreams lack the position or turn work away: one applies a commit in about
 # this time.
 ROUND_PAUSE_S = 0.01
+LONGEST_PAUSE_S = 0.1
 
 
 class ReadPlacement:
@@ -36,16 +38,18 @@
         run: The read.
         need: What it must see.
         tried: Upstreams that were tried in this round.
+        rounds: Rounds through all upstreams that have ended.
         was_offered: Whether an upstream was working on it.
         last: The last rejection, or None.
     """
 
-    __slots__ = ("run", "need", "tried", "was_offered", "last")
+    __slots__ = ("run", "need", "tried", "rounds", "was_offered", "last")
 
     def __init__(self, run: StatementRun, need: ReadNeed) -> None:
         self.run = run
         self.need = need
         self.tried: set[str] = set()
+        self.rounds = 0
         self.was_offered = False
         self.last: Reply | None = None
 
@@ -78,18 +82,25 @@
         """
         group = self.run.group
         if self.need.position is None:
-            if len(self.tried) > 0:
-                await asyncio.sleep(ROUND_PAUSE_S)
+            if self.rounds > 0:
+                await asyncio.sleep(self.next_pause())
+            self.rounds += 1
             return await group.wait_for_leader(self.run.deadline_s)
         order = group.order_reads(self.need.position, self.tried)
         if not order:
             self.tried.clear()
-            await asyncio.sleep(ROUND_PAUSE_S)
+            await asyncio.sleep(self.next_pause())
+            self.rounds += 1
             order = group.order_reads(self.need.position, self.tried)
         if not order:
             raise RequestError(ErrorKind.NO_UPSTREAM, "the group has no upstream")
         return group.members[order[0]]
 
+    def next_pause(self) -> float:
+        """Return the pause before the next round, each twice as long as the last."""
+        pause_s = ROUND_PAUSE_S * 2.0 ** max(0, self.rounds - 1)
+        return min(pause_s, LONGEST_PAUSE_S, max(0.0, self.run.time_left_s))
+
     async def try_member(self, member: Member) -> Reply | None:
         """Run the read at one upstream.
 
@@ -103,7 +114,7 @@
         self.tried.add(member.member_id)
         try:
             link = await member.pool.acquire(run.caller, run.deadline_s)
-        except UpstreamLostError as error:
+        except (UpstreamLostError, NoConnectionError) as error:
             self.note_lost(member, error.reason)
             return None
         started_s = now_s()
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -14,6 +14,7 @@
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
+from ebonyrack.pooling.pool import NoConnectionError
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
@@ -32,8 +33,9 @@
 from ebonyrack.serving.statement_run import set_up
 
 # A first statement that was not run is tried elsewhere this often.
-MAXIMUM_TRIES = 6
-RETRY_PAUSE_S = 0.02
+MAXIMUM_TRIES = 8
+# Before the second try; each later pause is twice as long.
+RETRY_PAUSE_S = 0.01
 # A statement that found all slots taken, in a transaction that stays open, is sent
 # again after this.
 BUSY_PAUSE_S = 0.02
@@ -140,13 +142,13 @@
         tried: set[str] = set()
         for number in range(MAXIMUM_TRIES):
             if number > 0:
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await asyncio.sleep(RETRY_PAUSE_S * 2.0 ** (number - 1))
             run.check_time(was_offered=False)
             member = await self.choose_member(run, tried)
             tried.add(member.member_id)
             try:
                 link = await member.pool.acquire(run.caller, run.deadline_s)
-            except UpstreamLostError as error:
+            except (UpstreamLostError, NoConnectionError) as error:
                 member.note_trouble()
                 reason = error.reason
                 continue
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -9,6 +9,7 @@
 from ebonyrack.core.logs import log_decision
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.member import Member
+from ebonyrack.pooling.pool import NoConnectionError
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
@@ -18,8 +19,9 @@
 from ebonyrack.serving.statement_run import set_up
 
 # A write that was not run is tried again; more tries mean a group in trouble.
-MAXIMUM_TRIES = 6
-RETRY_PAUSE_S = 0.02
+MAXIMUM_TRIES = 8
+# Before the second try; each later pause is twice as long.
+RETRY_PAUSE_S = 0.01
 
 
 async def serve_write(run: StatementRun) -> Reply:
@@ -39,7 +41,7 @@
     reason = ""
     for number in range(MAXIMUM_TRIES):
         if number > 0:
-            await asyncio.sleep(RETRY_PAUSE_S)
+            await asyncio.sleep(RETRY_PAUSE_S * 2.0 ** (number - 1))
         run.check_time(was_offered=False)
         member = await run.group.wait_for_leader(run.deadline_s)
         reply = await try_primary(run, member)
@@ -73,7 +75,7 @@
     """
     try:
         link = await member.pool.acquire(run.caller, run.deadline_s)
-    except UpstreamLostError as error:
+    except (UpstreamLostError, NoConnectionError) as error:
         return error.reason
     is_sent = False
     try:
