Borrow connections while all is calm; count proxies a while longer; let callers go when cut off

Change: up to two connections beyond the share after 3 s without loss or refusal, given back after 0.5 s unused; a name counts 15 s after it has gone; a proxy that reaches neither store nor primary ends idle sessions once the balancer has noticed.

--- a/ebonyrack/entry/caller_connection.py
+++ b/ebonyrack/entry/caller_connection.py
@@ -150,10 +150,16 @@
     def close_when_idle(self) -> None:
         """End the session between two requests, at once if it waits for one."""
         self.is_closing = True
-        if self.session is None:
-            return
-        if self.is_waiting and self.session.state is TransactionState.IDLE:
-            self.stream.close("the proxy shuts down")
+        self.end_if_idle()
+
+    def end_if_idle(self) -> bool:
+        """End the session if it waits for a request outside a transaction."""
+        if self.session is None or not self.is_waiting:
+            return False
+        if self.session.state is not TransactionState.IDLE:
+            return False
+        self.stream.close("the caller is served elsewhere")
+        return True
 
     def end_idle_transaction(self, limit_s: float, reason: str) -> None:
         """Roll a transaction back whose caller has been idle too long."""
--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -285,3 +285,25 @@
     await asyncio.sleep(0.3)
     upstream.faults.is_full = False
     assert (await write)[0].startswith("COMPLETE sig")
+
+
+async def test_a_resting_transaction_does_not_hold_up_other_callers(system, connect):
+    group = system.proxies[0].proxy.services.groups["scheduling"]
+    group.troubled_at_s -= 60
+    group.set_share(1)
+    resting, other = await connect("booking"), await connect("booking")
+    await resting.ask("BEGIN")
+    await resting.ask("WRITE slot-1 mali")
+    assert (await other.ask("WRITE slot-2 mali"))[0].startswith("COMPLETE sig")
+    await resting.ask("ROLLBACK")
+    await asyncio.sleep(1.0)
+    assert group.members["up-1"].pool.open_count == 1
+
+
+async def test_idle_callers_of_a_proxy_that_is_cut_off_are_let_go(system, connect):
+    caller = await connect("booking")
+    await system.service.stop()
+    for upstream in system.upstreams.values():
+        upstream.faults.is_silent = True
+    async with asyncio.timeout(GIVE_UP_S):
+        assert await caller.reader.read() == b""
--- a/ebonyrack/entry/listener.py
+++ b/ebonyrack/entry/listener.py
@@ -84,6 +84,10 @@
             for connection in list(self.connections.values()):
                 connection.end_idle_transaction(limit_s, "the caller was idle")
 
+    def shed_idle(self) -> int:
+        """End the sessions that wait for a request; return how many there were."""
+        return sum(c.end_if_idle() for c in list(self.connections.values()))
+
     async def drain(self, grace_s: float) -> int:
         """Let callers finish and end their sessions.
 
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -11,10 +11,12 @@
 from result import Err
 from result import Result
 
+from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
 from ebonyrack.entry.leader_watch import LeaderWatch
+from ebonyrack.entry.listener import BALANCER_NOTICE_S
 from ebonyrack.entry.listener import Listener
 from ebonyrack.entry.settings import RouteProxySettings
 from ebonyrack.members.group import Group
@@ -33,7 +35,7 @@
 from ebonyrack.store.leasing_store import LeasingStore
 from ebonyrack.store.leasing_store import StoreChanges
 
-MISSING_LOOK_S = 0.5
+LOOK_S = 0.5
 # Without store and primary for this long, a proxy counts as cut off from both; the
 # store is asked at least every two seconds, a primary several times a second.
 ISOLATED_AFTER_S = 1.0
@@ -85,6 +87,8 @@
         follower: Follows the store.
         listener: Takes callers' connections.
         watches: Watch of each group's primary.
+        isolated_since_s: Time since which others serve callers better, or None; it
+            starts anew when callers were let go.
         was_settled: Whether all upstreams have once had time to be known.
     """
 
@@ -106,6 +110,7 @@
         self.listener = Listener(self.services, surroundings.caller_codec)
         self.watches: dict[str, LeaderWatch] = {}
         self.was_settled = False
+        self.isolated_since_s: float | None = None
         self.stack = AsyncExitStack()
         self.missing_task: asyncio.Task[None] | None = None
 
@@ -129,6 +134,23 @@
         groups = self.services.groups.values()
         return any(group.measure_loss() > ISOLATED_AFTER_S for group in groups)
 
+    def shed_if_isolated(self) -> None:
+        """Let idle callers connect to other proxies while this one can't serve them.
+
+        The balancer is given time to notice first, or they would come back here.
+        """
+        if not self.is_isolated():
+            self.isolated_since_s = None
+            return
+        now = boot_time_s()
+        if self.isolated_since_s is None:
+            self.isolated_since_s = now
+            logger.warning("proxy_isolated")
+        elif now - self.isolated_since_s > BALANCER_NOTICE_S:
+            count = self.listener.shed_idle()
+            logger.bind(sessions=count).info("idle_callers_shed")
+            self.isolated_since_s = now
+
     def lacks_upstreams(self) -> bool:
         """Whether some group has no upstream or no primary that serves."""
         groups = self.services.groups.values()
@@ -139,7 +161,7 @@
         await self.stack.enter_async_context(self.listener)
         await self.stack.enter_async_context(self.follower)
         await self.stack.enter_async_context(self.presence)
-        self.missing_task = start_loop(self.watch_missing)
+        self.missing_task = start_loop(self.watch_surroundings)
         self.services.drain.serve()
         logger.bind(
             address=str(self.settings.caller_address),
@@ -243,10 +265,11 @@
                 )
             )
 
-    async def watch_missing(self) -> None:
-        """Forget upstreams whose entries stay away, until cancelled."""
+    async def watch_surroundings(self) -> None:
+        """Act on what stays away too long, until cancelled."""
         while True:
-            await asyncio.sleep(MISSING_LOOK_S)
+            await asyncio.sleep(LOOK_S)
+            self.shed_if_isolated()
             await self.roster.drop_missing(
                 self.follower.answering_since_s, MISSING_LIMIT_S
             )
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -22,12 +22,17 @@
 from ebonyrack.placing.primary_gap import decide_gap
 from ebonyrack.placing.read_order import ReadCandidate
 from ebonyrack.placing.read_order import order_candidates
+from ebonyrack.placing.share import compute_limit
 from ebonyrack.placing.suspicion import PrimaryView
 from ebonyrack.placing.suspicion import Verdict
 from ebonyrack.placing.suspicion import judge_primary
 from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.routes.route import GroupLimits
 
+# A borrowed connection that was unused this long is given back, in seconds; opening
+# one anew costs an upstream's slot for some ten milliseconds.
+BORROWED_UNUSED_S = 0.5
+
 
 class Group(Owner):
     """A primary and its replicas.
@@ -44,7 +49,8 @@
         verdict: What was found about the primary at the last look.
         lost_since_s: Time since which the verdict is that it is lost, or None.
         gaps: How long such times have lasted.
-        connection_share: Connections to each upstream that this proxy may hold.
+        connection_share: Connections to each upstream that are this proxy's own.
+        troubled_at_s: Time of the last change or loss of the primary.
         queue_weights: Shares of the databases in the queues.
     """
 
@@ -61,6 +67,7 @@
         "lost_since_s",
         "gaps",
         "connection_share",
+        "troubled_at_s",
         "queue_weights",
     )
 
@@ -79,6 +86,7 @@
         self.lost_since_s: float | None = None
         self.gaps = GapEstimate()
         self.connection_share = share
+        self.troubled_at_s = boot_time_s()
         self.queue_weights: dict[str, int] = {}
 
     async def stop(self) -> None:
@@ -98,11 +106,19 @@
         return self.members.get(leader_id) if leader_id is not None else None
 
     def set_share(self, share: int) -> None:
-        """Set how many connections to each upstream this proxy may hold."""
+        """Set how many connections to each upstream are this proxy's own."""
         self.connection_share = share
+        self.limit_connections()
+
+    def limit_connections(self) -> None:
+        """Bring each pool to its limit of now, and give back what is borrowed."""
         for member in self.members.values():
-            if member.pool.limit != share:
-                member.pool.resize(share)
+            refused_for_s = now_s() - member.pool.limits.last_refusal_s
+            calm_for_s = min(refused_for_s, boot_time_s() - self.troubled_at_s)
+            limit = compute_limit(self.connection_share, calm_for_s)
+            if member.pool.limit != limit:
+                member.pool.resize(limit)
+            member.pool.trim_idle(self.connection_share, BORROWED_UNUSED_S)
 
     def set_weights(self, weights: dict[str, int]) -> None:
         """Set the shares of the databases in the queues."""
@@ -192,6 +208,7 @@
         leader = self.leadership.leader
         if leader == before:
             return
+        self.troubled_at_s = boot_time_s()
         if leader is None:
             self.unknown_since_s = self.unknown_since_s or boot_time_s()
         else:
@@ -240,6 +257,7 @@
                 stalled_for_s=round(view.stalled_for_s, 3),
             ).warning("primary_judged")
             self.verdict = verdict
+            self.troubled_at_s = boot_time_s()
             self.note_gap(verdict)
         return verdict
 
--- a/ebonyrack/members/presence.py
+++ b/ebonyrack/members/presence.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from result import Err
 
+from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.owner import Owner
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
@@ -24,6 +25,9 @@
 # Longer than the outages after which connections should be shared anew.
 LEASE_S = 10.0
 RENEWAL_S = 3.0
+# A name that has gone counts this much longer: the proxy may be restarted, its lease
+# may have been taken away in an outage, and its connections linger at the upstreams.
+LINGER_S = 15.0
 FIRST_BACKOFF_S = 0.2
 MAXIMUM_BACKOFF_S = 2.0
 
@@ -35,11 +39,12 @@
         store: The store.
         name: Name of this proxy.
         names: Names of the proxies that live, as last heard.
+        gone_at_s: Time at which each of the other names was last heard.
         on_change: Called when their number changes.
         task: Keeps the name in the store.
     """
 
-    __slots__ = ("store", "name", "names", "on_change", "task")
+    __slots__ = ("store", "name", "names", "gone_at_s", "on_change", "task")
 
     def __init__(
         self, store: LeasingStore, name: str, on_change: Callable[[], None]
@@ -47,6 +52,7 @@
         self.store = store
         self.name = name
         self.names: set[str] = set()
+        self.gone_at_s: dict[str, float] = {}
         self.on_change = on_change
         self.task: asyncio.Task[None] | None = None
 
@@ -60,8 +66,8 @@
 
     @property
     def live_count(self) -> int:
-        """Number of proxies that live, this one included."""
-        return len(self.names | {self.name})
+        """Number of proxies that live or did a moment ago, this one included."""
+        return len(self.names | self.gone_at_s.keys() | {self.name})
 
     def apply(self, changes: StoreChanges) -> None:
         """Take over what the store says.
@@ -80,11 +86,23 @@
             for key in changes.deleted
             if key.startswith(PREFIX)
         }
-        self.names = found if changes.is_whole else (self.names | found) - gone
+        known = self.names
+        self.names = found if changes.is_whole else (known | found) - gone
+        self.note_gone(known - self.names)
         if self.live_count != before:
             logger.bind(before=before, live=self.live_count).info("proxies_counted")
             self.on_change()
 
+    def note_gone(self, names: set[str]) -> None:
+        """Count names for a while after they have gone."""
+        now = boot_time_s()
+        self.gone_at_s.update(dict.fromkeys(names, now))
+        self.gone_at_s = {
+            name: gone_s
+            for name, gone_s in self.gone_at_s.items()
+            if now - gone_s < LINGER_S and name not in self.names
+        }
+
     async def register(self) -> None:
         """Keep the name in the store until cancelled."""
         backoff = Backoff(FIRST_BACKOFF_S, MAXIMUM_BACKOFF_S)
--- /dev/null
+++ b/ebonyrack/members/presence_test.py
@@ -0,0 +1,35 @@
+import pytest
+
+from ebonyrack.members import presence as module
+from ebonyrack.members.presence import LINGER_S
+from ebonyrack.members.presence import PREFIX
+from ebonyrack.members.presence import Presence
+from ebonyrack.store.leasing_store import StoreChanges
+from ebonyrack.store.leasing_store import StoreItem
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    class Clock:
+        time_s = 100.0
+
+    monkeypatch.setattr(module, "boot_time_s", lambda: Clock.time_s)
+    return Clock
+
+
+def build_changes(names, deleted=(), is_whole=False):
+    items = tuple(StoreItem(PREFIX + name, b"", 1, 1) for name in names)
+    return StoreChanges(items, tuple(PREFIX + name for name in deleted), 1, is_whole)
+
+
+def test_names_that_were_taken_away_count_until_their_proxies_could_be_back(clock):
+    presence = Presence(None, "a", lambda: None)
+    presence.apply(build_changes(["a", "b", "c"], is_whole=True))
+    assert presence.live_count == 3
+    presence.apply(build_changes([], deleted=["b", "c"]))
+    assert presence.live_count == 3
+    clock.time_s += LINGER_S + 1
+    presence.apply(build_changes([]))
+    assert presence.live_count == 1
+    presence.apply(build_changes(["b"]))
+    assert presence.live_count == 2
--- a/ebonyrack/placing/decisions_test.py
+++ b/ebonyrack/placing/decisions_test.py
@@ -13,6 +13,7 @@
 from ebonyrack.placing.primary_gap import decide_gap
 from ebonyrack.placing.read_order import ReadCandidate
 from ebonyrack.placing.read_order import order_candidates
+from ebonyrack.placing.share import compute_limit
 from ebonyrack.placing.share import compute_share
 from ebonyrack.placing.successor import ReplicaState
 from ebonyrack.placing.successor import choose_candidate
@@ -161,3 +162,12 @@
     leaving = ReplicaState("b", LogPosition(1, 5), True, True)
     assert choose_candidate([staying, leaving], primary_serves=False) == "b"
     assert choose_candidate([staying, leaving], primary_serves=True) == "a"
+
+
+def test_connections_are_borrowed_only_while_all_is_calm():
+    # 29 proxies, 43 connections: a resting transaction must not hold up the others.
+    share = compute_share(43, 29)
+    assert share == 1
+    assert compute_limit(share, 10.0) > share
+    # All connect anew after a loss: the shares alone fit the upstream's limit.
+    assert compute_limit(share, 0.5) * 29 <= 43
--- a/ebonyrack/placing/share.py
+++ b/ebonyrack/placing/share.py
@@ -1,4 +1,11 @@
-"""How many connections to each upstream one proxy may hold."""
+"""How many connections to each upstream one proxy may hold.
+
+Load answered: 29 proxies before upstreams that accept 43 connections. A share of one
+would let each transaction that rests between its statements hold up all others of its
+proxy, while most shares are unused at any moment. So a proxy may borrow beyond its
+share while all is calm, and gives back what it doesn't use; after a loss or a refusal,
+when all connect at once, the share alone holds.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +13,11 @@
 RESERVED_CONNECTIONS = 2
 # One more proxy than is known may have just started.
 UNSEEN_PROXIES = 1
+# Connections beyond the share; two transactions of one group rarely meet in a proxy.
+BORROWED_CONNECTIONS = 2
+# Time without a loss or refusal after which connections may be borrowed; upstreams
+# drop connections of proxies that are gone after about as long.
+CALM_S = 3.0
 
 
 def compute_share(maximum_connections: int, live_proxies: int) -> int:
@@ -17,3 +29,13 @@
     """
     usable = maximum_connections - RESERVED_CONNECTIONS
     return max(1, usable // (max(1, live_proxies) + UNSEEN_PROXIES))
+
+
+def compute_limit(share: int, calm_for_s: float) -> int:
+    """Return the connections that one proxy may hold now, borrowed ones included.
+
+    Args:
+        share: Its share.
+        calm_for_s: Seconds since the last loss or refusal.
+    """
+    return share + (BORROWED_CONNECTIONS if calm_for_s > CALM_S else 0)
--- a/ebonyrack/pooling/pool_places.py
+++ b/ebonyrack/pooling/pool_places.py
@@ -19,16 +19,18 @@
         limits: Largest number of places, now and without refusals.
         idle: Connections that nobody uses, the one used last at the end.
         busy: Connections in use, with the monotonic time of the grant.
+        idle_since_s: Monotonic time since which each idle connection is unused.
         opening: Number of connections being opened.
         is_accepting: Whether new work is taken.
     """
 
-    __slots__ = ("limits", "idle", "busy", "opening", "is_accepting")
+    __slots__ = ("limits", "idle", "busy", "idle_since_s", "opening", "is_accepting")
 
     def __init__(self, limit: int) -> None:
         self.limits = ConnectionLimit(limit, self.grant_places)
         self.idle: list[Connection] = []
         self.busy: dict[Connection, float] = {}
+        self.idle_since_s: dict[Connection, float] = {}
         self.opening = 0
         self.is_accepting = True
 
@@ -74,6 +76,9 @@
             if not connection.is_clean:
                 connection.close()
         self.idle = [connection for connection in self.idle if connection.is_clean]
+        self.idle_since_s = {
+            each: self.idle_since_s.get(each, 0.0) for each in self.idle
+        }
 
     def take_place(self) -> Connection | None:
         """Take an idle connection, or the place of one to be opened (None)."""
@@ -81,6 +86,7 @@
             self.opening += 1
             return None
         connection = self.idle.pop()
+        self.idle_since_s.pop(connection, None)
         self.busy[connection] = now_s()
         return connection
 
@@ -93,6 +99,7 @@
         has_room = self.open_count < self.present_limit
         if self.is_accepting and has_room and connection.is_clean:
             self.idle.append(connection)
+            self.idle_since_s[connection] = now_s()
         else:
             connection.close()
 
@@ -101,6 +108,26 @@
         for connection in self.idle:
             connection.close()
         self.idle = []
+        self.idle_since_s.clear()
+
+    def trim_idle(self, kept: int, unused_s: float) -> None:
+        """Close connections above a number that nobody has used for a time.
+
+        Args:
+            kept: Connections that stay open however long they are unused.
+            unused_s: Seconds after which others are closed.
+        """
+        limit_s = now_s() - unused_s
+        while self.idle and self.open_count > kept:
+            if self.idle_since_s.get(self.idle[0], 0.0) > limit_s:
+                return
+            self.drop_oldest()
+
+    def drop_oldest(self) -> None:
+        """Close the idle connection that is unused for longest."""
+        connection = self.idle.pop(0)
+        self.idle_since_s.pop(connection, None)
+        connection.close()
 
     def resize(self, limit: int) -> None:
         """Change the limit; busy connections above it close as they come back.
@@ -110,5 +137,5 @@
         """
         self.limits.limit = max(1, limit)
         while self.idle and self.open_count > self.limit:
-            self.idle.pop(0).close()
+            self.drop_oldest()
         self.grant_places()
