Read entries at a pace and watch only the routes

Change: the routes are watched for 15 s a call, with keep-alive probes of TCP against connections that go silent; entries are read every 3 s, four times a second while a group lacks its primary; names of proxies every 10 s.

--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -20,6 +20,7 @@
 from ebonyrack.entry.listener import Listener
 from ebonyrack.entry.settings import RouteProxySettings
 from ebonyrack.members.group import Group
+from ebonyrack.members.presence import PREFIX as PROXIES_PREFIX
 from ebonyrack.members.presence import Presence
 from ebonyrack.members.roster import Decode
 from ebonyrack.members.roster import Roster
@@ -31,11 +32,19 @@
 from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.routes.route import RouteTable
 from ebonyrack.serving.services import Services
+from ebonyrack.store.follower import FollowPlan
 from ebonyrack.store.follower import StoreFollower
 from ebonyrack.store.leasing_store import LeasingStore
 from ebonyrack.store.leasing_store import StoreChanges
 
 LOOK_S = 0.5
+# A watch of the document returns with each change; a connection that went silent is
+# noticed by its keep-alive probes.
+DOCUMENT_WATCH_S = 15.0
+# Upstreams that leave serve on for at least twice as long.
+ENTRIES_PAUSE_S = 3.0
+# Connections are divided anew within this time and the pools' own limits.
+PROXIES_PAUSE_S = 10.0
 # Without store and primary for this long, a proxy counts as cut off from both; the
 # store is asked at least every two seconds, a primary several times a second.
 ISOLATED_AFTER_S = 1.0
@@ -84,7 +93,8 @@
         services: What callers' sessions use.
         roster: The upstreams that the store names.
         presence: The proxies that live.
-        follower: Follows the store.
+        follower: Follows the entries of the upstreams.
+        followers: Follow the parts of the store.
         listener: Takes callers' connections.
         watches: Watch of each group's primary.
         isolated_since_s: Time since which others serve callers better, or None; it
@@ -104,8 +114,29 @@
         self.presence = Presence(
             surroundings.store, settings.name, self.divide_connections
         )
+        store = surroundings.store
+        # The entries tell for how long the store has answered, as they are read at
+        # the shortest pace.
         self.follower = StoreFollower(
-            surroundings.store, "", self.apply_changes, self.lacks_upstreams
+            store,
+            FollowPlan(surroundings.entry_prefix, pause_s=ENTRIES_PAUSE_S),
+            self.roster.apply,
+            self.lacks_upstreams,
+        )
+        self.followers = (
+            StoreFollower(
+                store,
+                FollowPlan(surroundings.document_key, watch_s=DOCUMENT_WATCH_S),
+                self.apply_document,
+                lambda: False,
+            ),
+            self.follower,
+            StoreFollower(
+                store,
+                FollowPlan(PROXIES_PREFIX, pause_s=PROXIES_PAUSE_S),
+                self.presence.apply,
+                lambda: False,
+            ),
         )
         self.listener = Listener(self.services, surroundings.caller_codec)
         self.watches: dict[str, LeaderWatch] = {}
@@ -152,14 +183,15 @@
             self.isolated_since_s = now
 
     def lacks_upstreams(self) -> bool:
-        """Whether some group has no upstream or no primary that serves."""
+        """Whether some group lacks its primary or an upstream refuses connections."""
         groups = self.services.groups.values()
-        return not all(group.members and group.serves_writes for group in groups)
+        return any(group.is_troubled for group in groups)
 
     async def start(self) -> None:
         """Start all parts."""
         await self.stack.enter_async_context(self.listener)
-        await self.stack.enter_async_context(self.follower)
+        for follower in self.followers:
+            await self.stack.enter_async_context(follower)
         await self.stack.enter_async_context(self.presence)
         self.missing_task = start_loop(self.watch_surroundings)
         self.services.drain.serve()
@@ -190,13 +222,11 @@
         logger.bind(cut_sessions=cut).info("proxy_drained")
         return cut
 
-    async def apply_changes(self, changes: StoreChanges) -> None:
-        """Take over what the store says."""
+    async def apply_document(self, changes: StoreChanges) -> None:
+        """Take over the operators' routes."""
         for item in changes.items:
             if item.key == self.surroundings.document_key:
                 await self.offer_document(item.value)
-        await self.roster.apply(changes)
-        self.presence.apply(changes)
 
     async def offer_document(self, value: bytes) -> None:
         """Put the operators' routes in force, unless they can't be read."""
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -272,6 +272,15 @@
             self.lost_since_s = None
             self.changed.notify()
 
+    @property
+    def is_troubled(self) -> bool:
+        """Whether it lacks its primary, or an upstream refuses connections."""
+        refusing = any(
+            member.liveness.refused_since_s is not None
+            for member in self.members.values()
+        )
+        return refusing or not self.members or not self.serves_writes
+
     @property
     def serves_writes(self) -> bool:
         """Whether the primary is known and taken to be alive."""
--- a/ebonyrack/members/presence.py
+++ b/ebonyrack/members/presence.py
@@ -69,7 +69,7 @@
         """Number of proxies that live or did a moment ago, this one included."""
         return len(self.names | self.gone_at_s.keys() | {self.name})
 
-    def apply(self, changes: StoreChanges) -> None:
+    async def apply(self, changes: StoreChanges) -> None:
         """Take over what the store says.
 
         Args:
--- a/ebonyrack/members/presence_test.py
+++ b/ebonyrack/members/presence_test.py
@@ -22,14 +22,16 @@
     return StoreChanges(items, tuple(PREFIX + name for name in deleted), 1, is_whole)
 
 
-def test_names_that_were_taken_away_count_until_their_proxies_could_be_back(clock):
+async def test_names_that_were_taken_away_count_until_their_proxies_could_be_back(
+    clock,
+):
     presence = Presence(None, "a", lambda: None)
-    presence.apply(build_changes(["a", "b", "c"], is_whole=True))
+    await presence.apply(build_changes(["a", "b", "c"], is_whole=True))
     assert presence.live_count == 3
-    presence.apply(build_changes([], deleted=["b", "c"]))
+    await presence.apply(build_changes([], deleted=["b", "c"]))
     assert presence.live_count == 3
     clock.time_s += LINGER_S + 1
-    presence.apply(build_changes([]))
+    await presence.apply(build_changes([]))
     assert presence.live_count == 1
-    presence.apply(build_changes(["b"]))
+    await presence.apply(build_changes(["b"]))
     assert presence.live_count == 2
--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -1,8 +1,9 @@
-"""Follows the store: reads it once, then watches for changes at a bounded pace.
+"""Follows a part of the store: watches what changes seldom, reads the rest at a pace.
 
-Load answered: every upstream renews its entry all the time, so an unpaced watch of
-each proxy would return with each heartbeat. A pause between two watches gathers the
-changes of its length into one call.
+Load answered: every upstream renews its entry each second, so a watch of each proxy
+would return with each heartbeat and carry all of them. Reading the entries every few
+seconds costs a third of the bytes and calls; while something is missing that the store
+may bring, the pace is a call every quarter of a second.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from loguru import logger
 from result import Err
@@ -25,24 +27,37 @@
 from ebonyrack.store.leasing_store import StoreChanges
 from ebonyrack.store.store_answer import StoreError
 
-# A quarter of the time in which a change of the configuration must be in force.
-PAUSE_S = 0.7
-# The same while something is missing that the store may bring any moment.
-HURRIED_PAUSE_S = 0.1
-# A silent connection is noticed after this and the call's own time-out.
-WATCH_S = 2.0
+# While something is missing that the store may bring any moment.
+HURRIED_PAUSE_S = 0.25
+# Between two watches, so that a series of changes is not a call each.
+WATCH_PAUSE_S = 0.1
 FIRST_BACKOFF_S = 0.1
 MAXIMUM_BACKOFF_S = 0.4
 
 Apply = Callable[[StoreChanges], Awaitable[None]]
 
 
+@dataclass(frozen=True, slots=True)
+class FollowPlan:
+    """How a part of the store is followed.
+
+    Attributes:
+        prefix: Start of its keys.
+        watch_s: Seconds for which a watch waits for a change; 0 to read at a pace.
+        pause_s: Seconds between two reads.
+    """
+
+    prefix: str
+    watch_s: float = 0.0
+    pause_s: float = WATCH_PAUSE_S
+
+
 class StoreFollower(Owner):
     """Hands on what the store holds and each change of it.
 
     Attributes:
         store: The store.
-        prefix: Start of the keys that are followed.
+        plan: What is followed, and how.
         apply: Takes over what was read.
         is_hurried: Tells whether something is missing that changes may bring.
         revision: Revision from which the next watch goes on; 0 to read anew.
@@ -53,7 +68,7 @@
 
     __slots__ = (
         "store",
-        "prefix",
+        "plan",
         "apply",
         "is_hurried",
         "revision",
@@ -65,12 +80,12 @@
     def __init__(
         self,
         store: LeasingStore,
-        prefix: str,
+        plan: FollowPlan,
         apply: Apply,
         is_hurried: Callable[[], bool],
     ) -> None:
         self.store = store
-        self.prefix = prefix
+        self.plan = plan
         self.apply = apply
         self.is_hurried = is_hurried
         self.revision = 0
@@ -90,7 +105,6 @@
         """Read and watch until cancelled."""
         backoff = Backoff(FIRST_BACKOFF_S, MAXIMUM_BACKOFF_S)
         while True:
-            was_loaded = self.revision > 0
             result = await self.take_step()
             if isinstance(result, Err):
                 self.note_lost(result.err_value)
@@ -98,17 +112,21 @@
                 continue
             self.note_answering()
             backoff.reset()
-            if was_loaded:
-                pause_s = HURRIED_PAUSE_S if self.is_hurried() else PAUSE_S
-                await asyncio.sleep(pause_s)
+            pause_s = self.plan.pause_s
+            if self.is_hurried():
+                pause_s = min(pause_s, HURRIED_PAUSE_S)
+            await asyncio.sleep(pause_s)
 
     async def take_step(self) -> Result[None, StoreError]:
         """Read all once, or wait for one answer of a watch."""
         found: Result[StoreChanges | None, StoreError]
-        if self.revision == 0:
-            found = await self.store.read_prefix(self.prefix)
+        plan = self.plan
+        if self.revision == 0 or plan.watch_s == 0.0:
+            found = await self.store.read_prefix(plan.prefix)
         else:
-            found = await self.store.watch_prefix(self.prefix, self.revision, WATCH_S)
+            found = await self.store.watch_prefix(
+                plan.prefix, self.revision, plan.watch_s
+            )
         if isinstance(found, Err):
             return found
         changes = found.ok_value
@@ -135,11 +153,15 @@
         if self.answering_since_s is None:
             self.answering_since_s = boot_time_s()
             self.lost_since_s = None
-            logger.bind(revision=self.revision).info("store_answers")
+            logger.bind(prefix=self.plan.prefix, revision=self.revision).info(
+                "store_answers"
+            )
 
     def note_lost(self, error: StoreError) -> None:
         """Note that the store does not answer."""
         if self.answering_since_s is not None:
             self.answering_since_s = None
             self.lost_since_s = boot_time_s()
-            logger.bind(kind=error.kind, reason=error.reason).warning("store_lost")
+            logger.bind(
+                prefix=self.plan.prefix, kind=error.kind, reason=error.reason
+            ).warning("store_lost")
--- a/ebonyrack/store/http_client.py
+++ b/ebonyrack/store/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import dataclass
 
 import httpcore
@@ -17,6 +18,20 @@
 
 MAXIMUM_CONNECTIONS = 4
 KEEPALIVE_S = 30.0
+# Probes of TCP show within some seconds that a connection went silent for good, also
+# one on which an answer is held back: the first probe, the next ones, their number.
+PROBE_AFTER_S = 1
+PROBE_INTERVAL_S = 1
+PROBES = 2
+# The same for bytes that stay unacknowledged, in milliseconds.
+UNACKNOWLEDGED_MS = 2000
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +84,9 @@
     async def start(self) -> None:
         """Prepare for HTTP connections; each is made when it is needed."""
         self.pool = httpcore.AsyncConnectionPool(
-            max_connections=MAXIMUM_CONNECTIONS, keepalive_expiry=KEEPALIVE_S
+            max_connections=MAXIMUM_CONNECTIONS,
+            keepalive_expiry=KEEPALIVE_S,
+            socket_options=SOCKET_OPTIONS,
         )
 
     async def stop(self) -> None:
