Hurry the store and give connections back less often

Change: borrowed connections stay for 5 s unused; the store is hurried only while a group knows no upstream or has found no primary by questions for 1.5 s.

--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -183,9 +183,9 @@
             self.isolated_since_s = now
 
     def lacks_upstreams(self) -> bool:
-        """Whether some group lacks its primary or an upstream refuses connections."""
+        """Whether the store should be asked more often than usual."""
         groups = self.services.groups.values()
-        return any(group.is_troubled for group in groups)
+        return any(group.lacks_upstreams for group in groups)
 
     async def start(self) -> None:
         """Start all parts."""
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -29,9 +29,12 @@
 from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.routes.route import GroupLimits
 
-# A borrowed connection that was unused this long is given back, in seconds; opening
-# one anew costs an upstream's slot for some ten milliseconds.
-BORROWED_UNUSED_S = 0.5
+# A borrowed connection that was unused this long is given back, in seconds. Opening
+# one takes an upstream's slot for some ten milliseconds, as long as a statement.
+BORROWED_UNUSED_S = 5.0
+# Questions to the upstreams find a new primary within this time, in seconds; the store
+# knows more only if the upstreams that are known are not all.
+FOUND_BY_QUESTIONS_S = 1.5
 
 
 class Group(Owner):
@@ -273,13 +276,9 @@
             self.changed.notify()
 
     @property
-    def is_troubled(self) -> bool:
-        """Whether it lacks its primary, or an upstream refuses connections."""
-        refusing = any(
-            member.liveness.refused_since_s is not None
-            for member in self.members.values()
-        )
-        return refusing or not self.members or not self.serves_writes
+    def lacks_upstreams(self) -> bool:
+        """Whether upstreams that are not known yet may be what it needs."""
+        return not self.members or self.measure_gap() > FOUND_BY_QUESTIONS_S
 
     @property
     def serves_writes(self) -> bool:
--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -3,7 +3,7 @@
 Load answered: every upstream renews its entry each second, so a watch of each proxy
 would return with each heartbeat and carry all of them. Reading the entries every few
 seconds costs a third of the bytes and calls; while something is missing that the store
-may bring, the pace is a call every quarter of a second.
+may bring, the pace is some calls a second.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 from ebonyrack.store.store_answer import StoreError
 
 # While something is missing that the store may bring any moment.
-HURRIED_PAUSE_S = 0.25
+HURRIED_PAUSE_S = 0.4
 # Between two watches, so that a series of changes is not a call each.
 WATCH_PAUSE_S = 0.1
 FIRST_BACKOFF_S = 0.1
