Place reads by the expected wait; bound waiting by the target; promote over pooled connections

Change: the cost of a read counts the wait that its queue expects; a queue that refuses sends it to the next upstream; nobody waits longer for a connection than the target of the route; connections may be borrowed whenever the upstream has not refused one for 3 s; a promotion uses the pools' connections.

--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -31,7 +31,7 @@
 
 # A borrowed connection that was unused this long is given back, in seconds. Opening
 # one takes an upstream's slot for some ten milliseconds, as long as a statement.
-BORROWED_UNUSED_S = 5.0
+BORROWED_UNUSED_S = 2.0
 # Questions to the upstreams find a new primary within this time, in seconds; the store
 # knows more only if the upstreams that are known are not all.
 FOUND_BY_QUESTIONS_S = 1.5
@@ -53,7 +53,6 @@
         lost_since_s: Time since which the verdict is that it is lost, or None.
         gaps: How long such times have lasted.
         connection_share: Connections to each upstream that are this proxy's own.
-        troubled_at_s: Time of the last change or loss of the primary.
         queue_weights: Shares of the databases in the queues.
     """
 
@@ -70,7 +69,6 @@
         "lost_since_s",
         "gaps",
         "connection_share",
-        "troubled_at_s",
         "queue_weights",
     )
 
@@ -89,7 +87,6 @@
         self.lost_since_s: float | None = None
         self.gaps = GapEstimate()
         self.connection_share = share
-        self.troubled_at_s = boot_time_s()
         self.queue_weights: dict[str, int] = {}
 
     async def stop(self) -> None:
@@ -117,8 +114,7 @@
         """Bring each pool to its limit of now, and give back what is borrowed."""
         for member in self.members.values():
             refused_for_s = now_s() - member.pool.limits.last_refusal_s
-            calm_for_s = min(refused_for_s, boot_time_s() - self.troubled_at_s)
-            limit = compute_limit(self.connection_share, calm_for_s)
+            limit = compute_limit(self.connection_share, refused_for_s)
             if member.pool.limit != limit:
                 member.pool.resize(limit)
             member.pool.trim_idle(self.connection_share, BORROWED_UNUSED_S)
@@ -211,7 +207,6 @@
         leader = self.leadership.leader
         if leader == before:
             return
-        self.troubled_at_s = boot_time_s()
         if leader is None:
             self.unknown_since_s = self.unknown_since_s or boot_time_s()
         else:
@@ -260,7 +255,6 @@
                 stalled_for_s=round(view.stalled_for_s, 3),
             ).warning("primary_judged")
             self.verdict = verdict
-            self.troubled_at_s = boot_time_s()
             self.note_gap(verdict)
         return verdict
 
@@ -332,23 +326,26 @@
             view.stalled_for_s,
         )
 
-    def order_reads(self, position: LogPosition | None, tried: set[str]) -> list[str]:
+    def order_reads(
+        self, position: LogPosition | None, tried: set[str], caller: str
+    ) -> list[str]:
         """Return the upstreams that may serve a read, the best first.
 
         Args:
             position: Position that it must see.
+            caller: Name under which it waits in queues.
             tried: Upstreams that were tried for it already.
         """
         now = boot_time_s()
         candidates = [
-            self.build_candidate(member, position, now)
+            self.build_candidate(member, position, caller, now)
             for member in self.members.values()
             if member.member_id not in tried and takes_new_work(member)
         ]
         return order_candidates(candidates)
 
     def build_candidate(
-        self, member: Member, position: LogPosition | None, now: float
+        self, member: Member, position: LogPosition | None, caller: str, now: float
     ) -> ReadCandidate:
         """Return what placing a read needs to know of an upstream."""
         lacks = (
@@ -368,9 +365,7 @@
             leads=member is self.leader,
             is_avoided=lacks or is_silent or now < member.avoided_until_s,
             latency_s=member.latency_s,
-            waiting=member.pool.waiting_count,
-            in_use=member.pool.busy_count,
-            limit=member.pool.present_limit,
+            expected_wait_s=member.pool.expect_wait(caller),
         )
 
 
--- a/ebonyrack/placing/read_order.py
+++ b/ebonyrack/placing/read_order.py
@@ -29,9 +29,7 @@
         leads: Whether it is the primary.
         is_avoided: Whether it turned work away or lacked the position just now.
         latency_s: Its usual reply time, in seconds.
-        waiting: Requests of this proxy that wait for a connection to it.
-        in_use: Connections of this proxy that are in use.
-        limit: Connections that this proxy may have to it.
+        expected_wait_s: How long it would wait for a connection, in seconds.
     """
 
     member_id: str
@@ -39,15 +37,12 @@
     leads: bool
     is_avoided: bool
     latency_s: float
-    waiting: int
-    in_use: int
-    limit: int
+    expected_wait_s: float
 
 
 def estimate_cost(candidate: ReadCandidate) -> float:
     """Return what a read there costs, in seconds."""
-    ahead = max(0, candidate.in_use + candidate.waiting + 1 - candidate.limit)
-    cost_s = candidate.latency_s * (1 + ahead / max(1, candidate.limit))
+    cost_s = candidate.latency_s + candidate.expected_wait_s
     if not candidate.is_near:
         cost_s += REMOTE_COST_S
     if candidate.leads:
--- a/ebonyrack/placing/share.py
+++ b/ebonyrack/placing/share.py
@@ -3,8 +3,8 @@
 Load answered: 29 proxies before upstreams that accept 43 connections. A share of one
 would let each transaction that rests between its statements hold up all others of its
 proxy, while most shares are unused at any moment. So a proxy may borrow beyond its
-share while all is calm, and gives back what it doesn't use; after a loss or a refusal,
-when all connect at once, the share alone holds.
+share and gives back what it doesn't use; after a refusal, when many connect at once,
+the share alone holds for a while.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 UNSEEN_PROXIES = 1
 # Connections beyond the share; two transactions of one group rarely meet in a proxy.
 BORROWED_CONNECTIONS = 2
-# Time without a loss or refusal after which connections may be borrowed; upstreams
-# drop connections of proxies that are gone after about as long.
+# Time without a refusal after which connections may be borrowed; upstreams drop
+# connections of proxies that are gone after about as long.
 CALM_S = 3.0
 
 
@@ -31,11 +31,11 @@
     return max(1, usable // (max(1, live_proxies) + UNSEEN_PROXIES))
 
 
-def compute_limit(share: int, calm_for_s: float) -> int:
+def compute_limit(share: int, refused_for_s: float) -> int:
     """Return the connections that one proxy may hold now, borrowed ones included.
 
     Args:
         share: Its share.
-        calm_for_s: Seconds since the last loss or refusal.
+        refused_for_s: Seconds since the upstream last refused a connection.
     """
-    return share + (BORROWED_CONNECTIONS if calm_for_s > CALM_S else 0)
+    return share + (BORROWED_CONNECTIONS if refused_for_s > CALM_S else 0)
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -73,6 +73,16 @@
         """Requests that wait for a place."""
         return len(self.queue)
 
+    def expect_wait(self, caller: str) -> float:
+        """Return how long a request would wait for a connection, in seconds.
+
+        Args:
+            caller: Name of the application that asks.
+        """
+        if not self.queue and self.has_place():
+            return 0.0
+        return self.queue.estimate_wait(caller, self.present_limit)
+
     def set_weights(self, weights: dict[str, int]) -> None:
         """Set the shares of the applications in the queue.
 
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -11,6 +11,8 @@
 from result import Ok
 
 from ebonyrack.core.clock import boot_time_s
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import RequestError
 from ebonyrack.members.group import Group
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
@@ -40,6 +42,10 @@
 QUESTION_TIMEOUT_S = 0.5
 # One question to a primary that seems lost; whoever answers later is too late.
 LOST_QUESTION_TIMEOUT_S = 0.15
+# An idle connection of the pool is taken if one comes free in this time.
+POOL_WAIT_S = 0.03
+# Name under which a promotion waits for a connection.
+PROMOTER = "ebonyrack promotion"
 # Between two looks at replicas that must catch up or answer.
 LOOK_PAUSE_S = 0.05
 # Between two questions whether the new primary leads.
@@ -74,15 +80,35 @@
         link: The connection; None if there is none.
         status: What it said last, or None.
         is_paused: Whether it was paused on this connection.
+        is_pooled: Whether the connection is the pool's.
     """
 
     member: Member
     link: UpstreamLink | None = None
     status: UpstreamStatus | None = None
     is_paused: bool = False
+    is_pooled: bool = False
 
-    async def open(self, timeout_s: float = QUESTION_TIMEOUT_S) -> None:
-        """Connect and ask for the status; failures leave both empty."""
+    async def open(self) -> None:
+        """Take a connection and ask for the status; failures leave both empty.
+
+        One of the pool is preferred, as the upstream may have none to spare.
+        """
+        self.close()
+        give_up_s = now_s() + POOL_WAIT_S
+        try:
+            self.link = await self.member.pool.acquire(PROMOTER, give_up_s)
+            self.is_pooled = True
+        except (RequestError, UpstreamLostError) as error:
+            logger.bind(upstream=self.member.member_id, reason=str(error)).debug(
+                "promotion_opens_connection"
+            )
+            await self.open_own(QUESTION_TIMEOUT_S)
+            return
+        await self.ask(OWN_STATUS)
+
+    async def open_own(self, timeout_s: float) -> None:
+        """Open a connection outside the pool and ask for the status."""
         try:
             self.link = await self.member.open_link(timeout_s)
         except UpstreamLostError as error:
@@ -129,9 +155,15 @@
         return replies[0].rejection is None
 
     def close(self) -> None:
-        """Drop the connection."""
-        if self.link is not None:
-            self.link.close()
+        """Give the connection back, or drop it."""
+        link, self.link = self.link, None
+        if link is None:
+            return
+        if self.is_pooled:
+            self.is_pooled = False
+            self.member.pool.release(link)
+        else:
+            link.close()
 
     def log_silent(self, reason: str) -> None:
         """Log an upstream that did not answer."""
@@ -193,14 +225,13 @@
         leader = self.group.leader
         contacts = [Contact(member) for member in self.group.members.values()]
         try:
+            # Open connections to a lost primary may be silent for good.
             is_lost = verdict is not Verdict.LEAVING
             await asyncio.gather(
                 *(
-                    contact.open(
-                        LOST_QUESTION_TIMEOUT_S
-                        if is_lost and contact.member is leader
-                        else QUESTION_TIMEOUT_S
-                    )
+                    contact.open_own(LOST_QUESTION_TIMEOUT_S)
+                    if is_lost and contact.member is leader
+                    else contact.open()
                     for contact in contacts
                 )
             )
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -86,16 +86,28 @@
                 await asyncio.sleep(self.next_pause())
             self.rounds += 1
             return await group.wait_for_leader(self.run.deadline_s)
-        order = group.order_reads(self.need.position, self.tried)
+        order = group.order_reads(self.need.position, self.tried, self.run.caller)
         if not order:
             self.tried.clear()
             await asyncio.sleep(self.next_pause())
             self.rounds += 1
-            order = group.order_reads(self.need.position, self.tried)
+            order = group.order_reads(self.need.position, self.tried, self.run.caller)
         if not order:
             raise RequestError(ErrorKind.NO_UPSTREAM, "the group has no upstream")
         return group.members[order[0]]
 
+    def check_others(self, refusal: RequestError) -> None:
+        """Go on elsewhere after a queue has refused the read, if there is elsewhere.
+
+        Raises:
+            RequestError: The refusal, if every other upstream was tried.
+        """
+        others = self.run.group.order_reads(
+            self.need.position, self.tried, self.run.caller
+        )
+        if self.need.position is None or not others:
+            raise refusal
+
     def next_pause(self) -> float:
         """Return the pause before the next round, each twice as long as the last."""
         pause_s = ROUND_PAUSE_S * 2.0 ** max(0, self.rounds - 1)
@@ -113,10 +125,13 @@
         run = self.run
         self.tried.add(member.member_id)
         try:
-            link = await member.pool.acquire(run.caller, run.deadline_s)
+            link = await member.pool.acquire(run.caller, run.queue_deadline_s)
         except (UpstreamLostError, NoConnectionError) as error:
             self.note_lost(member, error.reason)
             return None
+        except RequestError as error:
+            self.check_others(error)
+            return None
         started_s = now_s()
         try:
             self.was_offered = True
--- a/ebonyrack/serving/statement_run.py
+++ b/ebonyrack/serving/statement_run.py
@@ -39,6 +39,9 @@
         names: What the caller has set and prepared.
         arrived_s: Time of arrival, on the boot clock.
         deadline_s: Monotonic time at which the route's time for it ends.
+        queue_deadline_s: Monotonic time up to which it may wait for a connection. A
+            caller that is refused by then has time to try another proxy, whose
+            connections may be free; after its target an answer is worth little.
     """
 
     request: Request
@@ -48,6 +51,7 @@
     names: SessionNames
     arrived_s: float
     deadline_s: float
+    queue_deadline_s: float
 
     @property
     def caller(self) -> str:
@@ -108,6 +112,7 @@
             prepared.upstream_name,
             request.argument,
         )
+    now = now_s()
     return StatementRun(
         request=request,
         prepared=prepared,
@@ -115,7 +120,8 @@
         group=group,
         names=names,
         arrived_s=boot_time_s(),
-        deadline_s=now_s() + route.statement_timeout_s,
+        deadline_s=now + route.statement_timeout_s,
+        queue_deadline_s=now + min(route.target_latency_s, route.statement_timeout_s),
     )
 
 
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -147,11 +147,16 @@
             member = await self.choose_member(run, tried)
             tried.add(member.member_id)
             try:
-                link = await member.pool.acquire(run.caller, run.deadline_s)
+                link = await member.pool.acquire(run.caller, run.queue_deadline_s)
             except (UpstreamLostError, NoConnectionError) as error:
                 member.note_trouble()
                 reason = error.reason
                 continue
+            except RequestError:
+                is_elsewhere = len(tried) < len(self.group.members)
+                if self.need.position is None or not is_elsewhere:
+                    raise
+                continue
             self.member, self.link = member, link
             try:
                 reply = await self.begin_at(run, member, link)
@@ -174,10 +179,10 @@
         """Return the upstream at which to begin."""
         if self.need.position is None:
             return await self.group.wait_for_leader(run.deadline_s)
-        order = self.group.order_reads(self.need.position, tried)
+        order = self.group.order_reads(self.need.position, tried, run.caller)
         if not order:
             tried.clear()
-            order = self.group.order_reads(self.need.position, tried)
+            order = self.group.order_reads(self.need.position, tried, run.caller)
         if not order:
             raise RequestError(ErrorKind.NO_UPSTREAM, "the group has no upstream")
         return self.group.members[order[0]]
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -74,7 +74,7 @@
         RequestError: If its outcome is not known.
     """
     try:
-        link = await member.pool.acquire(run.caller, run.deadline_s)
+        link = await member.pool.acquire(run.caller, run.queue_deadline_s)
     except (UpstreamLostError, NoConnectionError) as error:
         return error.reason
     is_sent = False
