Keep few connections unused; refuse at once without one; let one follower ask for the store

While the store refused a proxy, its three followers asked several times a second (3,467 calls). Change: borrowing is taken back (tried and not kept). A read goes to another data centre when the wait costs over 0.12 s. One follower asks on while the store is lost.

--- a/ebonyrack/entry/leader_watch.py
+++ b/ebonyrack/entry/leader_watch.py
@@ -89,7 +89,7 @@
             await self.group.changed.wait(LOOK_S * random.uniform(0.8, 1.2))
             self.note_pause(pauses.measure_pause())
             self.look_at_silent()
-            self.group.limit_connections()
+            self.group.close_unused()
             leader = self.group.leader
             if leader is None or self.group.verdict is not Verdict.SERVING:
                 for member in list(self.group.members.values()):
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -34,6 +34,7 @@
 from ebonyrack.serving.services import Services
 from ebonyrack.store.follower import FollowPlan
 from ebonyrack.store.follower import StoreFollower
+from ebonyrack.store.follower import StoreReach
 from ebonyrack.store.leasing_store import LeasingStore
 from ebonyrack.store.leasing_store import StoreChanges
 
@@ -93,7 +94,7 @@
         services: What callers' sessions use.
         roster: The upstreams that the store names.
         presence: The proxies that live.
-        follower: Follows the entries of the upstreams.
+        reach: Whether the store answers.
         followers: Follow the parts of the store.
         listener: Takes callers' connections.
         watches: Watch of each group's primary.
@@ -115,27 +116,29 @@
             surroundings.store, settings.name, self.divide_connections
         )
         store = surroundings.store
-        # The entries tell for how long the store has answered, as they are read at
-        # the shortest pace.
-        self.follower = StoreFollower(
-            store,
-            FollowPlan(surroundings.entry_prefix, pause_s=ENTRIES_PAUSE_S),
-            self.roster.apply,
-            self.lacks_upstreams,
-        )
+        self.reach = StoreReach()
         self.followers = (
+            StoreFollower(
+                store,
+                FollowPlan(surroundings.entry_prefix, pause_s=ENTRIES_PAUSE_S),
+                self.roster.apply,
+                self.lacks_upstreams,
+                self.reach,
+                asks_on=True,
+            ),
             StoreFollower(
                 store,
                 FollowPlan(surroundings.document_key, watch_s=DOCUMENT_WATCH_S),
                 self.apply_document,
                 lambda: False,
+                self.reach,
             ),
-            self.follower,
             StoreFollower(
                 store,
                 FollowPlan(PROXIES_PREFIX, pause_s=PROXIES_PAUSE_S),
                 self.presence.apply,
                 lambda: False,
+                self.reach,
             ),
         )
         self.listener = Listener(self.services, surroundings.caller_codec)
@@ -160,7 +163,7 @@
         That is so if neither the store nor some group's primary can be reached from
         here for a while: the others may have replaced it meanwhile.
         """
-        if self.follower.measure_silence() < ISOLATED_AFTER_S:
+        if self.reach.measure_silence() < ISOLATED_AFTER_S:
             return False
         groups = self.services.groups.values()
         return any(group.measure_loss() > ISOLATED_AFTER_S for group in groups)
@@ -283,7 +286,7 @@
         it. A successor chosen before that could lack what an unknown one holds.
         """
         if not self.was_settled:
-            self.was_settled = self.follower.measure_answering() > MISSING_LIMIT_S
+            self.was_settled = self.reach.measure_answering() > MISSING_LIMIT_S
         return self.was_settled
 
     def divide_connections(self) -> None:
@@ -301,5 +304,5 @@
             await asyncio.sleep(LOOK_S)
             self.shed_if_isolated()
             await self.roster.drop_missing(
-                self.follower.answering_since_s, MISSING_LIMIT_S
+                self.reach.answering_since_s, MISSING_LIMIT_S
             )
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -22,16 +22,16 @@
 from ebonyrack.placing.primary_gap import decide_gap
 from ebonyrack.placing.read_order import ReadCandidate
 from ebonyrack.placing.read_order import order_candidates
-from ebonyrack.placing.share import compute_limit
+from ebonyrack.placing.share import compute_kept
 from ebonyrack.placing.suspicion import PrimaryView
 from ebonyrack.placing.suspicion import Verdict
 from ebonyrack.placing.suspicion import judge_primary
 from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.routes.route import GroupLimits
 
-# A borrowed connection that was unused this long is given back, in seconds. Opening
+# A connection that isn't kept is closed after this time unused, in seconds. Opening
 # one takes an upstream's slot for some ten milliseconds, as long as a statement.
-BORROWED_UNUSED_S = 2.0
+UNUSED_S = 2.0
 # Questions to the upstreams find a new primary within this time, in seconds; the store
 # knows more only if the upstreams that are known are not all.
 FOUND_BY_QUESTIONS_S = 1.5
@@ -52,7 +52,7 @@
         verdict: What was found about the primary at the last look.
         lost_since_s: Time since which the verdict is that it is lost, or None.
         gaps: How long such times have lasted.
-        connection_share: Connections to each upstream that are this proxy's own.
+        connection_share: Connections to each upstream that this proxy may hold.
         queue_weights: Shares of the databases in the queues.
     """
 
@@ -106,18 +106,18 @@
         return self.members.get(leader_id) if leader_id is not None else None
 
     def set_share(self, share: int) -> None:
-        """Set how many connections to each upstream are this proxy's own."""
+        """Set how many connections to each upstream this proxy may hold."""
         self.connection_share = share
-        self.limit_connections()
+        for member in self.members.values():
+            if member.pool.limit != share:
+                member.pool.resize(share)
 
-    def limit_connections(self) -> None:
-        """Bring each pool to its limit of now, and give back what is borrowed."""
+    def close_unused(self) -> None:
+        """Close connections that are unused and not kept."""
         for member in self.members.values():
-            refused_for_s = now_s() - member.pool.limits.last_refusal_s
-            limit = compute_limit(self.connection_share, refused_for_s)
-            if member.pool.limit != limit:
-                member.pool.resize(limit)
-            member.pool.trim_idle(self.connection_share, BORROWED_UNUSED_S)
+            is_near = member.entry.data_centre == self.data_centre
+            kept = compute_kept(self.connection_share, is_near, member is self.leader)
+            member.pool.trim_idle(kept, UNUSED_S)
 
     def set_weights(self, weights: dict[str, int]) -> None:
         """Set the shares of the databases in the queues."""
--- a/ebonyrack/placing/read_order.py
+++ b/ebonyrack/placing/read_order.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 
 # What another data centre must be faster by before a read goes there, in seconds;
-# well below the targets of routes, which are 150 ms and more.
-REMOTE_COST_S = 0.06
+# below the targets of routes, which are 150 ms and more.
+REMOTE_COST_S = 0.12
 # What a read at the primary costs those who need it, in seconds.
 PRIMARY_COST_S = 0.01
 # Sorts behind all that serve: one that turned work away or lacks the position.
--- a/ebonyrack/placing/share.py
+++ b/ebonyrack/placing/share.py
@@ -1,10 +1,9 @@
-"""How many connections to each upstream one proxy may hold.
+"""How many connections to each upstream one proxy may hold, and keep unused.
 
-Load answered: 29 proxies before upstreams that accept 43 connections. A share of one
-would let each transaction that rests between its statements hold up all others of its
-proxy, while most shares are unused at any moment. So a proxy may borrow beyond its
-share and gives back what it doesn't use; after a refusal, when many connect at once,
-the share alone holds for a while.
+Load answered: 29 proxies before upstreams that accept 43 connections, and all proxies
+lose power at once. The connections of before linger at the upstreams for some seconds,
+so that only what was not open then can be opened: the fewer a proxy keeps without need,
+the more proxies serve again at once.
 """
 
 from __future__ import annotations
@@ -13,11 +12,6 @@
 RESERVED_CONNECTIONS = 2
 # One more proxy than is known may have just started.
 UNSEEN_PROXIES = 1
-# Connections beyond the share; two transactions of one group rarely meet in a proxy.
-BORROWED_CONNECTIONS = 2
-# Time without a refusal after which connections may be borrowed; upstreams drop
-# connections of proxies that are gone after about as long.
-CALM_S = 3.0
 
 
 def compute_share(maximum_connections: int, live_proxies: int) -> int:
@@ -31,11 +25,12 @@
     return max(1, usable // (max(1, live_proxies) + UNSEEN_PROXIES))
 
 
-def compute_limit(share: int, refused_for_s: float) -> int:
-    """Return the connections that one proxy may hold now, borrowed ones included.
+def compute_kept(share: int, is_near: bool, leads: bool) -> int:
+    """Return the connections to an upstream that a proxy keeps unused.
 
     Args:
-        share: Its share.
-        refused_for_s: Seconds since the upstream last refused a connection.
+        share: Connections that it may hold.
+        is_near: Whether the upstream is in the proxy's own data centre.
+        leads: Whether it is the primary, which every proxy needs.
     """
-    return share + (BORROWED_CONNECTIONS if refused_for_s > CALM_S else 0)
+    return share if is_near or leads else 0
--- a/ebonyrack/pooling/connection_limit.py
+++ b/ebonyrack/pooling/connection_limit.py
@@ -21,7 +21,6 @@
         serve: Called when the lowered limit rises.
         refused_limit: Places that were held when the upstream refused one more.
         refused_at_s: Monotonic time of that refusal, or None once its effect is over.
-        last_refusal_s: Monotonic time of the last refusal; minus infinity before one.
         raise_timer: Calls `serve` when the lowered limit rises.
     """
 
@@ -30,7 +29,6 @@
         "serve",
         "refused_limit",
         "refused_at_s",
-        "last_refusal_s",
         "raise_timer",
     )
 
@@ -39,7 +37,6 @@
         self.serve = serve
         self.refused_limit = 0
         self.refused_at_s: float | None = None
-        self.last_refusal_s = float("-inf")
         self.raise_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -61,7 +58,7 @@
             open_count: Places that are held.
         """
         self.refused_limit = open_count
-        self.refused_at_s = self.last_refusal_s = now_s()
+        self.refused_at_s = now_s()
         self.raise_after(REFUSED_LIMIT_S)
 
     def raise_after(self, delay_s: float) -> None:
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -26,11 +26,6 @@
 
 TOO_MANY_CONNECTIONS = "53300"
 
-
-class NoConnectionError(RequestError):
-    """The upstream has no connection to spare, and this pool holds none."""
-
-
 Settings = TypeVar("Settings", bound=QueueSettings)
 
 
@@ -258,12 +253,11 @@
         self.grant_places()
         return await self.wait_for_grant(waiter)
 
-    def build_no_connection(self) -> NoConnectionError:
+    def build_no_connection(self) -> RequestError:
         """Build the refusal for an upstream that has no connection to spare."""
-        refusal = self.queue.build_refusal(
+        return self.queue.build_refusal(
             ErrorKind.WAIT_TOO_LONG, "the upstream has no connection to spare", 1
         )
-        return NoConnectionError(refusal.kind, refusal.reason, refusal.retry_after_s)
 
     def release(self, connection: Connection) -> None:
         """Take a connection back; one that is not clean is closed.
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -13,7 +13,6 @@
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
-from ebonyrack.pooling.pool import NoConnectionError
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
@@ -126,10 +125,11 @@
         self.tried.add(member.member_id)
         try:
             link = await member.pool.acquire(run.caller, run.queue_deadline_s)
-        except (UpstreamLostError, NoConnectionError) as error:
+        except UpstreamLostError as error:
             self.note_lost(member, error.reason)
             return None
         except RequestError as error:
+            member.note_trouble()
             self.check_others(error)
             return None
         started_s = now_s()
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -14,7 +14,6 @@
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
-from ebonyrack.pooling.pool import NoConnectionError
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
@@ -148,11 +147,12 @@
             tried.add(member.member_id)
             try:
                 link = await member.pool.acquire(run.caller, run.queue_deadline_s)
-            except (UpstreamLostError, NoConnectionError) as error:
+            except UpstreamLostError as error:
                 member.note_trouble()
                 reason = error.reason
                 continue
             except RequestError:
+                member.note_trouble()
                 is_elsewhere = len(tried) < len(self.group.members)
                 if self.need.position is None or not is_elsewhere:
                     raise
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -9,7 +9,6 @@
 from ebonyrack.core.logs import log_decision
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.member import Member
-from ebonyrack.pooling.pool import NoConnectionError
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
@@ -75,7 +74,7 @@
     """
     try:
         link = await member.pool.acquire(run.caller, run.queue_deadline_s)
-    except (UpstreamLostError, NoConnectionError) as error:
+    except UpstreamLostError as error:
         return error.reason
     is_sent = False
     try:
--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -20,6 +20,7 @@
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.owner import Owner
+from ebonyrack.core.signal import Signal
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
 from ebonyrack.store.backoff import Backoff
@@ -32,7 +33,9 @@
 # Between two watches, so that a series of changes is not a call each.
 WATCH_PAUSE_S = 0.1
 FIRST_BACKOFF_S = 0.1
-MAXIMUM_BACKOFF_S = 0.4
+MAXIMUM_BACKOFF_S = 0.5
+# A follower that leaves the asking to another one asks itself after this, in seconds.
+LONGEST_WAIT_S = 1.0
 
 Apply = Callable[[StoreChanges], Awaitable[None]]
 
@@ -52,6 +55,51 @@
     pause_s: float = WATCH_PAUSE_S
 
 
+class StoreReach:
+    """Whether the store answers, as all followers of a process know it.
+
+    While it doesn't, one of them asks on and the others wait for it: calls that are
+    refused cost the store as much as others.
+
+    Attributes:
+        answering_since_s: Time since which it answers, or None.
+        lost_since_s: Time since which it does not, or None.
+        regained: Wakes those who wait for it.
+    """
+
+    __slots__ = ("answering_since_s", "lost_since_s", "regained")
+
+    def __init__(self) -> None:
+        self.answering_since_s: float | None = None
+        self.lost_since_s: float | None = boot_time_s()
+        self.regained = Signal()
+
+    def measure_answering(self) -> float:
+        """Return for how long the store has answered without a failure, in seconds."""
+        since_s = self.answering_since_s
+        return boot_time_s() - since_s if since_s is not None else 0.0
+
+    def measure_silence(self) -> float:
+        """Return for how long the store has not answered, in seconds."""
+        since_s = self.lost_since_s
+        return boot_time_s() - since_s if since_s is not None else 0.0
+
+    def note_answering(self) -> None:
+        """Note that the store answers."""
+        if self.answering_since_s is None:
+            self.answering_since_s = boot_time_s()
+            self.lost_since_s = None
+            logger.info("store_answers")
+            self.regained.notify()
+
+    def note_lost(self, error: StoreError) -> None:
+        """Note that the store does not answer."""
+        if self.answering_since_s is not None:
+            self.answering_since_s = None
+            self.lost_since_s = boot_time_s()
+            logger.bind(kind=error.kind, reason=error.reason).warning("store_lost")
+
+
 class StoreFollower(Owner):
     """Hands on what the store holds and each change of it.
 
@@ -61,8 +109,8 @@
         apply: Takes over what was read.
         is_hurried: Tells whether something is missing that changes may bring.
         revision: Revision from which the next watch goes on; 0 to read anew.
-        answering_since_s: Time since which the store answers, or None.
-        lost_since_s: Time since which it does not, or None.
+        reach: Whether the store answers.
+        asks_on: Whether this one asks on while the store doesn't answer.
         task: Follows the store.
     """
 
@@ -72,8 +120,8 @@
         "apply",
         "is_hurried",
         "revision",
-        "answering_since_s",
-        "lost_since_s",
+        "reach",
+        "asks_on",
         "task",
     )
 
@@ -83,14 +131,16 @@
         plan: FollowPlan,
         apply: Apply,
         is_hurried: Callable[[], bool],
+        reach: StoreReach,
+        asks_on: bool = False,
     ) -> None:
         self.store = store
         self.plan = plan
         self.apply = apply
         self.is_hurried = is_hurried
         self.revision = 0
-        self.answering_since_s: float | None = None
-        self.lost_since_s: float | None = boot_time_s()
+        self.reach = reach
+        self.asks_on = asks_on
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -107,10 +157,11 @@
         while True:
             result = await self.take_step()
             if isinstance(result, Err):
-                self.note_lost(result.err_value)
-                await asyncio.sleep(backoff.choose_delay())
+                self.note_failed(result.err_value)
+                await self.wait_for_store(backoff.choose_delay())
                 continue
-            self.note_answering()
+            if self.asks_on:
+                self.reach.note_answering()
             backoff.reset()
             pause_s = self.plan.pause_s
             if self.is_hurried():
@@ -138,30 +189,18 @@
         await self.apply(changes)
         return Ok(None)
 
-    def measure_answering(self) -> float:
-        """Return for how long the store has answered without a failure, in seconds."""
-        since_s = self.answering_since_s
-        return boot_time_s() - since_s if since_s is not None else 0.0
-
-    def measure_silence(self) -> float:
-        """Return for how long the store has not answered, in seconds."""
-        since_s = self.lost_since_s
-        return boot_time_s() - since_s if since_s is not None else 0.0
-
-    def note_answering(self) -> None:
-        """Note that the store answers."""
-        if self.answering_since_s is None:
-            self.answering_since_s = boot_time_s()
-            self.lost_since_s = None
-            logger.bind(prefix=self.plan.prefix, revision=self.revision).info(
-                "store_answers"
-            )
-
-    def note_lost(self, error: StoreError) -> None:
-        """Note that the store does not answer."""
-        if self.answering_since_s is not None:
-            self.answering_since_s = None
-            self.lost_since_s = boot_time_s()
-            logger.bind(
-                prefix=self.plan.prefix, kind=error.kind, reason=error.reason
-            ).warning("store_lost")
+    def note_failed(self, error: StoreError) -> None:
+        """Note a call that failed; a watch may be cut while the store answers."""
+        if self.asks_on:
+            self.reach.note_lost(error)
+            return
+        logger.bind(prefix=self.plan.prefix, kind=error.kind, reason=error.reason).info(
+            "store_call_failed"
+        )
+
+    async def wait_for_store(self, delay_s: float) -> None:
+        """Wait before the next call after one that failed."""
+        if self.asks_on or self.reach.answering_since_s is not None:
+            await asyncio.sleep(delay_s)
+        else:
+            await self.reach.regained.wait(LONGEST_WAIT_S)
--- /dev/null
+++ b/ebonyrack/store/follower_test.py
@@ -0,0 +1,88 @@
+import asyncio
+
+from result import Err
+from result import Ok
+
+from ebonyrack.store.follower import FollowPlan
+from ebonyrack.store.follower import StoreFollower
+from ebonyrack.store.follower import StoreReach
+from ebonyrack.store.leasing_store import StoreChanges
+from ebonyrack.store.store_answer import StoreError
+from ebonyrack.store.store_answer import StoreErrorKind
+
+REFUSED = Err(StoreError(StoreErrorKind.REFUSED, "busy"))
+
+
+class FakeStore:
+    """Answers reads and watches as the test says."""
+
+    def __init__(self):
+        self.answers = []
+        self.calls = []
+
+    async def read_prefix(self, prefix):
+        self.calls.append("read")
+        return await self.answer()
+
+    async def watch_prefix(self, prefix, revision, wait_s):
+        self.calls.append(f"watch {revision}")
+        return await self.answer()
+
+    async def answer(self):
+        if self.answers:
+            return self.answers.pop(0)
+        await asyncio.Event().wait()
+
+
+def build_follower(store, plan, reach, asks_on=False):
+    seen = []
+
+    async def apply(changes):
+        seen.append(changes.revision)
+
+    follower = StoreFollower(store, plan, apply, lambda: False, reach, asks_on)
+    return follower, seen
+
+
+async def follow(follower, until):
+    async with follower:
+        async with asyncio.timeout(5):
+            while not until():
+                await asyncio.sleep(0.01)
+
+
+async def test_a_watch_goes_on_from_what_was_read_and_reads_anew_after_lost_history():
+    store = FakeStore()
+    whole = Ok(StoreChanges((), (), 7, is_whole=True))
+    store.answers = [whole, Ok(StoreChanges((), (), 9)), Ok(None), whole]
+    plan = FollowPlan("op/", watch_s=1.0, pause_s=0.0)
+    follower, seen = build_follower(store, plan, StoreReach())
+    await follow(follower, lambda: len(store.calls) == 5)
+    assert store.calls == ["read", "watch 7", "watch 9", "read", "watch 7"]
+    assert seen == [7, 9, 7]
+
+
+async def test_a_watch_that_is_cut_goes_on_at_once_while_the_store_answers():
+    store = FakeStore()
+    store.answers = [Ok(StoreChanges((), (), 7)), REFUSED, Ok(StoreChanges((), (), 8))]
+    reach = StoreReach()
+    reach.note_answering()
+    plan = FollowPlan("op/", watch_s=1.0, pause_s=0.0)
+    follower, seen = build_follower(store, plan, reach)
+    started_s = asyncio.get_running_loop().time()
+    await follow(follower, lambda: seen == [7, 8])
+    assert asyncio.get_running_loop().time() - started_s < 0.5
+    assert reach.answering_since_s is not None
+
+
+async def test_one_follower_asks_on_for_all_while_the_store_is_lost():
+    store = FakeStore()
+    store.answers = [REFUSED] * 3
+    reach = StoreReach()
+    follower, _ = build_follower(store, FollowPlan("op/", watch_s=1.0), reach)
+    async with follower:
+        await asyncio.sleep(0.5)
+        assert len(store.calls) == 1
+        reach.note_answering()
+        await asyncio.sleep(0.05)
+        assert len(store.calls) == 2
