Use upstreams whose entries lapsed until they count as gone

Change: only an upstream that says so is leaving; while entries are missing the store is asked more often, so that none is removed for an entry that is back already.

--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.tasks import end_tasks
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import LineSystem
 
@@ -326,3 +327,33 @@
     await system.upstreams["up-1"].stop()
     await write_until_done(caller, "slot-x")
     assert system.group.find_lost() == []
+
+
+async def test_upstreams_whose_entries_lapsed_with_the_store_serve_on(system, connect):
+    caller, reader = await connect("booking"), await connect("calendar")
+    await end_tasks(system.beats.values())
+    for member_id in system.upstreams:
+        await system.service.remove(f"servers/{member_id}")
+    group = system.proxies[0].proxy.services.groups["scheduling"]
+    async with asyncio.timeout(GIVE_UP_S):
+        while any(each.missing_since_s is None for each in group.members.values()):
+            await asyncio.sleep(0.02)
+    assert (await reader.ask("READ slot-1"))[0] == "DATAROW none"
+    assert (await caller.ask("WRITE slot-1 mali"))[0].startswith("COMPLETE sig")
+    before = dict(group.members)
+    for upstream in system.upstreams.values():
+        await system.beat(upstream)
+    await asyncio.sleep(3.0)
+    assert group.members == before
+    assert system.group.promotions == []
+
+
+async def test_an_upstream_whose_entry_stays_away_counts_as_gone(system, connect):
+    reader = await connect("calendar")
+    await end_tasks([system.beats["up-3"]])
+    await system.service.remove("servers/up-3")
+    group = system.proxies[0].proxy.services.groups["scheduling"]
+    async with asyncio.timeout(GIVE_UP_S):
+        while "up-3" in group.members:
+            await asyncio.sleep(0.05)
+    assert (await reader.ask("READ slot-1"))[0] == "DATAROW none"
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -272,7 +272,9 @@
     @property
     def lacks_upstreams(self) -> bool:
         """Whether upstreams that are not known yet may be what it needs."""
-        return not self.members or self.measure_gap() > FOUND_BY_QUESTIONS_S
+        if not self.members or self.measure_gap() > FOUND_BY_QUESTIONS_S:
+            return True
+        return any(each.missing_since_s is not None for each in self.members.values())
 
     @property
     def serves_writes(self) -> bool:
@@ -403,5 +405,9 @@
 
 
 def takes_new_work(member: Member) -> bool:
-    """Return whether an upstream wants new work, as far as is known."""
-    return not member.entry.is_leaving and member.missing_since_s is None
+    """Return whether an upstream wants new work, as far as is known.
+
+    One whose entry is missing is used until it counts as gone: all entries lapse at
+    once in an outage of the store.
+    """
+    return not member.entry.is_leaving
