--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.standins.line_system import LineCaller
@@ -357,3 +358,31 @@
         while "up-3" in group.members:
             await asyncio.sleep(0.05)
     assert (await reader.ask("READ slot-1"))[0] == "DATAROW none"
+
+
+async def test_reads_don_t_ask_for_a_position_that_a_change_of_primary_took_back(
+    system, connect
+):
+    caller, reader = await connect("booking"), await connect("calendar")
+    await caller.ask("WRITE slot-1 mali")
+    group = system.proxies[0].proxy.services.groups["scheduling"]
+    for member_id in ("up-2", "up-3"):
+        system.group.members[member_id].is_deaf = True
+    # The commit is in the primary's log only and never acknowledged.
+    write = asyncio.create_task(caller.ask("WRITE slot-1 somchai"))
+    await asyncio.sleep(0.05)
+    group.coverage.clear()
+    asked_at_s = boot_time_s()
+    group.note_leads(
+        group.members["up-1"], asked_at_s, system.group.members["up-1"].received
+    )
+    system.group.promote("up-2")
+    for member_id in ("up-2", "up-3"):
+        system.group.members[member_id].is_deaf = False
+    await write
+    # Once the new primary is known, reads ask for its positions.
+    async with asyncio.timeout(GIVE_UP_S):
+        while group.leadership.confirmed != "up-2":
+            await asyncio.sleep(0.02)
+    for _ in range(5):
+        assert (await reader.ask("READ slot-1"))[0] == "DATAROW mali"
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -188,9 +188,14 @@
         if position is None or member.member_id not in self.members:
             return
         member.note_position(position)
+        before = self.leadership.confirmed
         with self.watching_leader("answer"):
             self.leadership.confirm(member.member_id, position.term)
-        if position.term == self.leadership.confirmed_term:
+        if before != self.leadership.confirmed:
+            # The log of an earlier primary may have ended in commits that the change
+            # took back; no upstream will ever hold those positions.
+            self.coverage.clear()
+        if self.leadership.confirmed == member.member_id:
             self.coverage.add(PositionSample(asked_at_s, position))
 
     def note_not_leading(self, member: Member) -> None:
--- a/ebonyrack/placing/coverage.py
+++ b/ebonyrack/placing/coverage.py
@@ -48,6 +48,10 @@
         while samples[0].asked_at_s < sample.asked_at_s - KEPT_S:
             samples.popleft()
 
+    def clear(self) -> None:
+        """Forget the samples of an earlier primary."""
+        self.samples.clear()
+
     def find_position(self, time_s: float) -> LogPosition | None:
         """Return a position that covers all commits acknowledged before a time.
 
