Log every rejected, lost and late request, not samples of them

Cause: lines on reads and writes that were turned away, lost or late were written for 2% of them only, so that most failed requests could not be followed by their id. The operators' page is docs/OPERATIONS.md now, with the error kinds of today.

--- a/ebonyrack/ops/error_table_test.py
+++ b/ebonyrack/ops/error_table_test.py
@@ -3,7 +3,7 @@
 import ebonyrack
 from ebonyrack.ops.error_table import format_error_table
 
-PAGE = Path(ebonyrack.__file__).parent.parent / "docs" / "OPERATING.md"
+PAGE = Path(ebonyrack.__file__).parent.parent / "docs" / "OPERATIONS.md"
 
 
 def test_the_operators_page_has_the_present_table():
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -9,6 +9,7 @@
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.logs import log_decision
+from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
@@ -37,17 +38,19 @@
         run: The read.
         need: What it must see.
         tried: Upstreams that were tried in this round.
+        queued_s: Seconds for which it waited for the connection that served it.
         rounds: Rounds through all upstreams that have ended.
         was_offered: Whether an upstream was working on it.
         last: The last rejection, or None.
     """
 
-    __slots__ = ("run", "need", "tried", "rounds", "was_offered", "last")
+    __slots__ = ("run", "need", "tried", "queued_s", "rounds", "was_offered", "last")
 
     def __init__(self, run: StatementRun, need: ReadNeed) -> None:
         self.run = run
         self.need = need
         self.tried: set[str] = set()
+        self.queued_s = 0.0
         self.rounds = 0
         self.was_offered = False
         self.last: Reply | None = None
@@ -123,6 +126,7 @@
         """
         run = self.run
         self.tried.add(member.member_id)
+        queued_at_s = now_s()
         try:
             link = await member.pool.acquire(run.caller, run.queue_deadline_s)
         except UpstreamLostError as error:
@@ -133,6 +137,7 @@
             self.check_others(error)
             return None
         started_s = now_s()
+        self.queued_s = started_s - queued_at_s
         try:
             self.was_offered = True
             reply = await self.run_at(member, link)
@@ -166,7 +171,7 @@
             member.note_lagging(self.need.position)
         elif reply.rejection is not RejectionKind.READ_ONLY:
             member.note_trouble()
-        log_decision(
+        log_failure(
             "read_rejected",
             request=decode_id(self.run),
             group=self.run.group.name,
@@ -179,7 +184,7 @@
     def note_lost(self, member: Member, reason: str) -> None:
         """Learn from a lost connection; the read goes elsewhere."""
         member.note_trouble()
-        log_decision(
+        log_failure(
             "read_upstream_lost",
             request=decode_id(self.run),
             group=self.run.group.name,
@@ -191,8 +196,11 @@
         """Log and count where the read was served."""
         role = "primary" if member is self.run.group.leader else "replica"
         metrics.placements.add(1, {"group": self.run.group.name, "role": role})
-        log_decision(
-            "read_placed",
+        elapsed_s = self.run.elapsed_s
+        is_late = elapsed_s > self.run.route.target_latency_s
+        log = log_failure if is_late else log_decision
+        log(
+            "read_late" if is_late else "read_placed",
             request=decode_id(self.run),
             group=self.run.group.name,
             upstream=member.member_id,
@@ -200,6 +208,8 @@
             position=str(self.need.position),
             age_s=round(self.need.age_s, 3),
             tries=tries + 1,
+            queued_s=round(self.queued_s, 4),
+            elapsed_s=round(elapsed_s, 4),
         )
 
     def build_failure(self) -> RequestError:
--- a/ebonyrack/serving/statement_run.py
+++ b/ebonyrack/serving/statement_run.py
@@ -63,6 +63,11 @@
         """Seconds that the route still allows."""
         return self.deadline_s - now_s()
 
+    @property
+    def elapsed_s(self) -> float:
+        """Seconds since it arrived."""
+        return boot_time_s() - self.arrived_s
+
     @property
     def writes(self) -> bool:
         """Whether the statement writes."""
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -8,7 +8,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
-from ebonyrack.core.logs import log_decision
+from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
 from ebonyrack.members.group import Group
 from ebonyrack.members.link import ReplyTimeoutError
@@ -285,7 +285,7 @@
 
     def build_unknown(self, run: StatementRun, reason: str) -> RequestError:
         """Build the answer to a commit without a reply."""
-        log_decision(
+        log_failure(
             "commit_outcome_unknown",
             request=decode_id(run),
             group=self.group.name,
@@ -303,7 +303,7 @@
             member.note_lagging(self.need.position)
         elif reply.rejection is not RejectionKind.READ_ONLY:
             member.note_trouble()
-        log_decision(
+        log_failure(
             "transaction_not_begun",
             request=decode_id(run),
             group=self.group.name,
@@ -322,7 +322,7 @@
     try:
         await link.exchange([OWN_ROLLBACK], ROLLBACK_TIMEOUT_S)
     except (UpstreamLostError, ReplyTimeoutError) as error:
-        log_decision(
+        log_failure(
             "rollback_unanswered", upstream=member.member_id, reason=repr(error)
         )
     finally:
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -7,6 +7,7 @@
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.logs import log_decision
+from ebonyrack.core.logs import log_failure
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.member import Member
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
@@ -48,12 +49,16 @@
             reason = reply
             continue
         if reply.rejection is None:
-            log_decision(
-                "write_acknowledged",
+            is_late = run.elapsed_s > run.route.target_latency_s
+            log = log_failure if is_late else log_decision
+            log(
+                "write_late" if is_late else "write_acknowledged",
                 request=decode_id(run),
                 group=run.group.name,
                 upstream=member.member_id,
                 position=str(reply.position),
+                tries=number + 1,
+                elapsed_s=round(run.elapsed_s, 4),
             )
             return reply
         if not reply.rejection.is_not_run:
@@ -99,7 +104,7 @@
 
 def build_unknown(run: StatementRun, member: Member, reason: str) -> RequestError:
     """Build the answer to a write whose outcome is not known."""
-    log_decision(
+    log_failure(
         "write_outcome_unknown",
         request=decode_id(run),
         group=run.group.name,
@@ -122,7 +127,7 @@
     """Learn from a refusal to run a write."""
     if reply.rejection is RejectionKind.READ_ONLY:
         run.group.note_not_leading(member)
-    log_decision(
+    log_failure(
         "write_not_run",
         request=decode_id(run),
         group=run.group.name,
