--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -33,6 +33,8 @@
 from ebonyrack.load.results import format_rows
 from ebonyrack.load.results import read_results
 from ebonyrack.load.results import write_results
+from ebonyrack.load.soak import SoakOptions
+from ebonyrack.load.soak import run_soak
 from ebonyrack.load.workload_options import WorkloadOptions
 from ebonyrack.scripts.load_arguments import build_parser
 
@@ -180,7 +182,23 @@
     return EXIT_OK
 
 
+async def run_soak_command(arguments: argparse.Namespace) -> int:
+    """Run soaks, print a line for each; any broken promise is an error."""
+    logger.remove()
+    status = EXIT_OK
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        options = SoakOptions(
+            seed, arguments.seconds, arguments.processes, arguments.callers
+        )
+        row = await run_soak(options)
+        print(json.dumps(row), flush=True)
+        if row["faults"]:
+            status = EXIT_WRONG
+    return status
+
+
 COMMANDS = {
+    "soak": run_soak_command,
     "booking": run_booking_command,
     "document": run_document_command,
     "bench": run_bench_command,
--- a/ebonyrack/scripts/load_arguments.py
+++ b/ebonyrack/scripts/load_arguments.py
@@ -27,9 +27,24 @@
     add_experiment(commands)
     add_report(commands)
     add_control_plane(commands)
+    add_soak(commands)
     return parser
 
 
+def add_soak(commands: Commands) -> None:
+    """Add the command that runs proxies under random faults."""
+    soak = commands.add_parser(
+        "soak", help="run proxies as processes under random faults, check promises"
+    )
+    soak.add_argument("--seed", type=int, default=1, help="first seed")
+    soak.add_argument(
+        "--seeds", type=int, default=1, help="how many, one after another"
+    )
+    soak.add_argument("--seconds", type=read_not_negative, default=10.0)
+    soak.add_argument("--processes", type=int, default=3, help="proxy processes")
+    soak.add_argument("--callers", type=int, default=8)
+
+
 def add_booking(commands: Commands) -> None:
     """Add the command that runs the booking workload."""
     booking = commands.add_parser("booking", help="reserve slots and read them back")
