Read the routes anew after a watch was cut

When the store drops its history it first cuts the watches. A watch made anew within the 0.05 s between waits from its old revision, hears nothing of the change that was made before, and is told of the lost history with the next change only, 5.6 s later. Ruled out: the watch's length; a shorter one only makes it rarer. Change: after any call that failed the key is read before it is watched again.

--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -157,6 +157,9 @@
         while True:
             result = await self.take_step()
             if isinstance(result, Err):
+                # The store may forget what a watch that was cut has not brought; a
+                # new one would wait for the next change.
+                self.revision = 0
                 self.note_failed(result.err_value)
                 await self.wait_for_store(backoff.choose_delay())
                 continue
--- a/ebonyrack/store/follower_test.py
+++ b/ebonyrack/store/follower_test.py
@@ -75,6 +75,20 @@
     assert reach.answering_since_s is not None
 
 
+async def test_after_a_watch_was_cut_all_is_read_anew():
+    # A watch that is made anew right after the cut, before the store drops its
+    # history, hears of nothing that was changed before.
+    store = FakeStore()
+    whole = Ok(StoreChanges((), (), 7, is_whole=True))
+    store.answers = [whole, REFUSED, whole]
+    reach = StoreReach()
+    reach.note_answering()
+    plan = FollowPlan("op/", watch_s=1.0, pause_s=0.0)
+    follower, _ = build_follower(store, plan, reach)
+    await follow(follower, lambda: len(store.calls) == 4)
+    assert store.calls == ["read", "watch 7", "read", "watch 7"]
+
+
 async def test_one_follower_asks_on_for_all_while_the_store_is_lost():
     store = FakeStore()
     store.answers = [REFUSED] * 3
