--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -386,3 +386,18 @@
             await asyncio.sleep(0.02)
     for _ in range(5):
         assert (await reader.ask("READ slot-1"))[0] == "DATAROW mali"
+
+
+async def test_a_leaving_replica_gets_no_new_work(system, connect):
+    reader = await connect("calendar")
+    await reader.ask("READ slot-1")
+    system.group.members["up-3"].is_leaving = True
+    group = system.proxies[0].proxy.services.groups["scheduling"]
+    async with asyncio.timeout(GIVE_UP_S):
+        while not group.members["up-3"].entry.is_leaving:
+            await asyncio.sleep(0.02)
+    count = len(system.group.records)
+    for _ in range(20):
+        await reader.ask("READ slot-1")
+    asked = [each for each in system.group.records[count:] if "READ" in each.text]
+    assert asked and all(each.member_id != "up-3" for each in asked)
