--- a/ebonyrack/load/soak_test.py
+++ b/ebonyrack/load/soak_test.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from ebonyrack.load.soak import SoakOptions
 from ebonyrack.load.soak import run_soak
 from ebonyrack.load.soak_caller import Ledger
+from ebonyrack.load.soak_system import SoakOptions
 
 # Seeds that have failed once are kept here, with a line on the cause.
 SEEDS = (1, 2)
--- /dev/null
+++ b/ebonyrack/promotion/contact.py
@@ -0,0 +1,139 @@
+"""One upstream in a change of primary: its connection and what it said on it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from loguru import logger
+from result import Err
+
+from ebonyrack.core.clock import boot_time_s
+from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import RequestError
+from ebonyrack.members.link import ReplyTimeoutError
+from ebonyrack.members.link import UpstreamLink
+from ebonyrack.members.member import Member
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import UpstreamStatus
+from ebonyrack.requests.request import OWN_BEGIN
+from ebonyrack.requests.request import OWN_ROLLBACK
+from ebonyrack.requests.request import OWN_STATUS
+from ebonyrack.requests.request import Request
+from ebonyrack.requests.request import build_pause
+
+# One question to an upstream, a connection included.
+QUESTION_TIMEOUT_S = 0.5
+# An idle connection of the pool is taken if one comes free in this time.
+POOL_WAIT_S = 0.03
+# Name under which a promotion waits for a connection.
+PROMOTER = "ebonyrack promotion"
+# An upstream whose slots are all taken is asked again after this.
+BUSY_PAUSE_S = 0.03
+
+
+@dataclass(slots=True)
+class Contact:
+    """A connection for one change of primary, and what the upstream said on it.
+
+    The connection stays open from the pause to the order: while it does, the
+    upstream has not started anew and lost the pause.
+
+    Attributes:
+        member: The upstream.
+        link: The connection; None if there is none.
+        status: What it said last, or None.
+        is_paused: Whether it was paused on this connection.
+        is_pooled: Whether the connection is the pool's.
+    """
+
+    member: Member
+    link: UpstreamLink | None = None
+    status: UpstreamStatus | None = None
+    is_paused: bool = False
+    is_pooled: bool = False
+
+    async def open(self) -> None:
+        """Take a connection and ask for the status; failures leave both empty.
+
+        One of the pool is preferred, as the upstream may have none to spare.
+        """
+        self.close()
+        give_up_s = now_s() + POOL_WAIT_S
+        try:
+            self.link = await self.member.pool.acquire(PROMOTER, give_up_s)
+            self.is_pooled = True
+        except (RequestError, UpstreamLostError) as error:
+            logger.bind(upstream=self.member.member_id, reason=str(error)).debug(
+                "promotion_opens_connection"
+            )
+            await self.open_own(QUESTION_TIMEOUT_S)
+            return
+        await self.ask(OWN_STATUS)
+
+    async def open_own(self, timeout_s: float) -> None:
+        """Open a connection outside the pool and ask for the status."""
+        try:
+            self.link = await self.member.open_link(timeout_s)
+        except UpstreamLostError as error:
+            self.log_silent(error.reason)
+            return
+        await self.ask(OWN_STATUS)
+
+    async def ask(self, request: Request) -> UpstreamStatus | None:
+        """Send an order whose answer is the status; return that, None without one."""
+        self.status = None
+        give_up_s = boot_time_s() + QUESTION_TIMEOUT_S
+        while self.link is not None and self.link.is_open:
+            try:
+                (reply,) = await self.link.exchange([request], QUESTION_TIMEOUT_S)
+            except (UpstreamLostError, ReplyTimeoutError) as error:
+                self.log_silent(repr(error))
+                return None
+            if reply.rejection is RejectionKind.BUSY and boot_time_s() < give_up_s:
+                await asyncio.sleep(BUSY_PAUSE_S)
+                continue
+            found = self.link.codec.read_status(reply)
+            if isinstance(found, Err):
+                self.log_silent(found.err_value)
+            else:
+                self.status = found.ok_value
+            return self.status
+        return None
+
+    async def pause(self, term: int) -> None:
+        """Stop the upstream from receiving in the terms so far."""
+        self.is_paused = await self.ask(build_pause(term)) is not None
+
+    async def leads(self) -> bool:
+        """Ask whether the upstream leads now, by a transaction that only then opens."""
+        if self.link is None or not self.link.is_open:
+            return False
+        try:
+            replies = await self.link.exchange(
+                [OWN_BEGIN, OWN_ROLLBACK], QUESTION_TIMEOUT_S
+            )
+        except (UpstreamLostError, ReplyTimeoutError) as error:
+            self.log_silent(repr(error))
+            return False
+        return replies[0].rejection is None
+
+    def close(self) -> None:
+        """Give the connection back, or drop it."""
+        link, self.link = self.link, None
+        if link is None:
+            return
+        if self.is_pooled:
+            self.is_pooled = False
+            self.member.pool.release(link)
+        else:
+            link.close()
+
+    def log_silent(self, reason: str) -> None:
+        """Log an upstream that did not answer."""
+        logger.bind(
+            group=self.member.entry.group,
+            upstream=self.member.member_id,
+            reason=reason,
+        ).warning("promotion_contact_silent")
--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -33,8 +33,8 @@
 from ebonyrack.load.results import format_rows
 from ebonyrack.load.results import read_results
 from ebonyrack.load.results import write_results
-from ebonyrack.load.soak import SoakOptions
 from ebonyrack.load.soak import run_soak
+from ebonyrack.load.soak_system import SoakOptions
 from ebonyrack.load.workload_options import WorkloadOptions
 from ebonyrack.scripts.load_arguments import build_parser
 
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -14,6 +14,7 @@
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
+from ebonyrack.members.read_candidates import order_reads
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
@@ -88,12 +89,12 @@
                 await asyncio.sleep(self.next_pause())
             self.rounds += 1
             return await group.wait_for_leader(self.run.deadline_s)
-        order = group.order_reads(self.need.position, self.tried, self.run.caller)
+        order = order_reads(group, self.need.position, self.tried, self.run.caller)
         if not order:
             self.tried.clear()
             await asyncio.sleep(self.next_pause())
             self.rounds += 1
-            order = group.order_reads(self.need.position, self.tried, self.run.caller)
+            order = order_reads(group, self.need.position, self.tried, self.run.caller)
         if not order:
             raise RequestError(ErrorKind.NO_UPSTREAM, "the group has no upstream")
         return group.members[order[0]]
@@ -104,8 +105,8 @@
         Raises:
             RequestError: The refusal, if every other upstream was tried.
         """
-        others = self.run.group.order_reads(
-            self.need.position, self.tried, self.run.caller
+        others = order_reads(
+            self.run.group, self.need.position, self.tried, self.run.caller
         )
         if self.need.position is None or not others:
             raise refusal
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -14,6 +14,7 @@
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
+from ebonyrack.members.read_candidates import order_reads
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
@@ -179,10 +180,10 @@
         """Return the upstream at which to begin."""
         if self.need.position is None:
             return await self.group.wait_for_leader(run.deadline_s)
-        order = self.group.order_reads(self.need.position, tried, run.caller)
+        order = order_reads(self.group, self.need.position, tried, run.caller)
         if not order:
             tried.clear()
-            order = self.group.order_reads(self.need.position, tried, run.caller)
+            order = order_reads(self.group, self.need.position, tried, run.caller)
         if not order:
             raise RequestError(ErrorKind.NO_UPSTREAM, "the group has no upstream")
         return self.group.members[order[0]]
