Prove a lead with the position of that proof; keep pauses that an order may still need

Cause, found while reading the promoter: (1) a primary that led after all was noted with the position of an earlier status under the time of the later proof; commits acknowledged in between were then taken for covered, and a read of a stated age could miss them. (2) After an accepted order that did not lead within 2 s the replicas were let receive again; carried out after that, it could lack commits that they acknowledged. (3) A holder whose turn was over lifted pauses that a later holder had made. Change: the proof's own reply gives the position; pauses stay unless nothing of the order can happen any more; a pause is lifted only while it is the one that was made.

--- a/ebonyrack/promotion/contact.py
+++ b/ebonyrack/promotion/contact.py
@@ -14,10 +14,12 @@
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
+from ebonyrack.placing.coverage import PositionSample
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import UpstreamStatus
 from ebonyrack.requests.request import OWN_BEGIN
+from ebonyrack.requests.request import OWN_RESUME
 from ebonyrack.requests.request import OWN_ROLLBACK
 from ebonyrack.requests.request import OWN_STATUS
 from ebonyrack.requests.request import Request
@@ -45,6 +47,7 @@
         link: The connection; None if there is none.
         status: What it said last, or None.
         is_paused: Whether it was paused on this connection.
+        paused_term: Term of that pause.
         is_pooled: Whether the connection is the pool's.
     """
 
@@ -52,6 +55,7 @@
     link: UpstreamLink | None = None
     status: UpstreamStatus | None = None
     is_paused: bool = False
+    paused_term: int = 0
     is_pooled: bool = False
 
     async def open(self) -> None:
@@ -104,20 +108,40 @@
 
     async def pause(self, term: int) -> None:
         """Stop the upstream from receiving in the terms so far."""
+        self.paused_term = term
         self.is_paused = await self.ask(build_pause(term)) is not None
 
-    async def leads(self) -> bool:
-        """Ask whether the upstream leads now, by a transaction that only then opens."""
+    async def resume(self) -> None:
+        """Let the upstream receive again, unless another proxy has paused it since.
+
+        Whoever holds the duty later pauses with a higher term.
+        """
+        if not self.is_paused:
+            return
+        status = await self.ask(OWN_STATUS)
+        if status is not None and status.held_term == self.paused_term:
+            await self.ask(OWN_RESUME)
+
+    async def prove_lead(self) -> PositionSample | None:
+        """Ask whether the upstream leads now, by a transaction that only then opens.
+
+        Returns:
+            The position of its log, with the time of the question; None if it
+            doesn't lead or doesn't answer.
+        """
         if self.link is None or not self.link.is_open:
-            return False
+            return None
+        asked_at_s = boot_time_s()
         try:
-            replies = await self.link.exchange(
+            began, _ = await self.link.exchange(
                 [OWN_BEGIN, OWN_ROLLBACK], QUESTION_TIMEOUT_S
             )
         except (UpstreamLostError, ReplyTimeoutError) as error:
             self.log_silent(repr(error))
-            return False
-        return replies[0].rejection is None
+            return None
+        if began.rejection is not None or began.position is None:
+            return None
+        return PositionSample(asked_at_s, began.position)
 
     def close(self) -> None:
         """Give the connection back, or drop it."""
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from loguru import logger
+from result import Err
 from result import Ok
 
 from ebonyrack.core.clock import boot_time_s
@@ -21,7 +22,6 @@
 from ebonyrack.promotion.order import OrderDesk
 from ebonyrack.promotion.order import OrderOutcome
 from ebonyrack.promotion.order import PromotionOrder
-from ebonyrack.requests.request import OWN_RESUME
 from ebonyrack.requests.request import OWN_STATUS
 from ebonyrack.store.leasing_store import LeasingStore
 
@@ -43,10 +43,17 @@
     NOT_HELD = "not_held"
     NO_SAFE_SUCCESSOR = "no_safe_successor"
     REFUSED = "refused"
+    NOT_TAKEN = "not_taken"
     UNANSWERED = "unanswered"
     NOT_LEADING = "not_leading"
 
 
+# After these nothing of the order will happen.
+SURELY_NOT_CARRIED_OUT = frozenset(
+    {PromotionResult.NOT_HELD, PromotionResult.REFUSED, PromotionResult.NOT_TAKEN}
+)
+
+
 class Promoter:
     """Changes the primary of one group on behalf of this proxy.
 
@@ -127,10 +134,14 @@
         status = contact.status
         if status is None or not status.leads:
             return False
-        asked_at_s = boot_time_s()
-        if not await contact.leads():
+        return await self.note_lead(contact)
+
+    async def note_lead(self, contact: Contact) -> bool:
+        """Have an upstream prove that it leads; the group is told if it does."""
+        proof = await contact.prove_lead()
+        if proof is None:
             return False
-        self.group.note_leads(contact.member, asked_at_s, status.received)
+        self.group.note_leads(contact.member, proof.asked_at_s, proof.position)
         return True
 
     async def promote_best(
@@ -151,10 +162,10 @@
             await self.resume(replicas)
             return PromotionResult.NO_SAFE_SUCCESSOR
         result = await self.order(duty, chosen)
-        if result is not PromotionResult.LEADS:
-            # An order that may still be carried out needs the pauses to stay.
-            if result is not PromotionResult.UNANSWERED:
-                await self.resume(replicas)
+        # An order that may still be carried out needs the pauses to stay: what the
+        # replicas receive from now on, the successor may lack.
+        if result in SURELY_NOT_CARRIED_OUT:
+            await self.resume(replicas)
         return result
 
     async def find_successor(
@@ -214,13 +225,11 @@
         ).info("promotion_ordered")
         if isinstance(outcome, Ok) and outcome.ok_value is OrderOutcome.REFUSED:
             return PromotionResult.REFUSED
+        if isinstance(outcome, Err):
+            return PromotionResult.NOT_TAKEN
         give_up_s = boot_time_s() + LEAD_WAIT_S
-        while isinstance(outcome, Ok) and boot_time_s() < give_up_s:
-            asked_at_s = boot_time_s()
-            if await chosen.leads():
-                status = await chosen.ask(OWN_STATUS)
-                if status is not None:
-                    self.group.note_leads(member, asked_at_s, status.received)
+        while boot_time_s() < give_up_s:
+            if await self.note_lead(chosen):
                 return PromotionResult.LEADS
             await asyncio.sleep(LEAD_PAUSE_S)
         if outcome == Ok(OrderOutcome.UNANSWERED):
@@ -230,8 +239,7 @@
     async def resume(self, replicas: list[Contact]) -> None:
         """Let paused replicas receive again."""
         for contact in replicas:
-            if contact.is_paused:
-                await contact.ask(OWN_RESUME)
+            await contact.resume()
 
     def log_unsafe(self, states: list[ReplicaState]) -> None:
         """Log why no replica may lead yet."""
--- /dev/null
+++ b/ebonyrack/promotion/promoter_test.py
@@ -0,0 +1,90 @@
+"""Changes of primary step by step, over real connections to stand-ins."""
+
+import pytest
+
+from ebonyrack.placing.suspicion import Verdict
+from ebonyrack.promotion.contact import Contact
+from ebonyrack.promotion.promoter import PromotionResult
+from ebonyrack.standins.line_system import LineCaller
+from ebonyrack.standins.line_system import LineSystem
+
+
+@pytest.fixture
+async def system():
+    async with LineSystem() as running:
+        yield running
+
+
+def get_promoter(system):
+    return system.proxies[0].proxy.watches["scheduling"].promoter
+
+
+async def write(system, count):
+    address = system.proxies[0].proxy.settings.caller_address
+    async with LineCaller(address, "booking") as caller:
+        for number in range(count):
+            answer = await caller.ask(f"WRITE slot-{number} mali")
+            assert answer[0].startswith("COMPLETE")
+
+
+async def test_a_primary_that_leads_after_all_gives_a_position_of_that_time(system):
+    promoter = get_promoter(system)
+    contact = Contact(promoter.group.members["up-1"])
+    await contact.open()
+    # Other proxies go on writing between the status and the proof.
+    await write(system, 3)
+    promoter.group.coverage.clear()
+    assert await promoter.finds_leading(contact)
+    contact.close()
+    newest = promoter.group.coverage.samples[-1].position
+    assert newest == system.group.members["up-1"].received
+
+
+async def test_replicas_stay_paused_while_an_accepted_order_may_still_be_carried_out(
+    system, monkeypatch
+):
+    monkeypatch.setattr("ebonyrack.promotion.promoter.LEAD_WAIT_S", 0.2)
+    await write(system, 3)
+    system.service.promote_s = 60.0
+    result = await get_promoter(system).run(Verdict.LEAVING)
+    assert result is PromotionResult.NOT_LEADING
+    assert any(member.held_term for member in system.group.members.values())
+
+
+async def test_replicas_receive_again_after_an_order_that_was_surely_not_taken(
+    system, monkeypatch
+):
+    await write(system, 3)
+    promoter = get_promoter(system)
+    original = promoter.order
+
+    async def refuse(duty, chosen):
+        system.service.faults.status = 503
+        try:
+            return await original(duty, chosen)
+        finally:
+            system.service.faults.status = 0
+
+    monkeypatch.setattr(type(promoter), "order", lambda self, *rest: refuse(*rest))
+    assert await promoter.run(Verdict.LEAVING) is PromotionResult.NOT_TAKEN
+    assert not any(member.held_term for member in system.group.members.values())
+
+
+async def test_a_healthy_primary_is_not_replaced_for_one_suspicion(system):
+    await write(system, 1)
+    assert await get_promoter(system).run(Verdict.SILENT) is PromotionResult.NOT_NEEDED
+    assert system.group.promotions == []
+
+
+async def test_a_pause_of_a_later_holder_is_not_lifted(system):
+    promoter = get_promoter(system)
+    contact = Contact(promoter.group.members["up-2"])
+    await contact.open()
+    await contact.pause(5)
+    system.group.members["up-2"].held_term = 6
+    await contact.resume()
+    assert system.group.members["up-2"].held_term == 6
+    system.group.members["up-2"].held_term = 5
+    await contact.resume()
+    assert system.group.members["up-2"].held_term == 0
+    contact.close()
