Probe only the platform's store connections; record the time to an answer on both fronts

Seven of service/region_test.py (each time, also alone): the store's client set TCP options on every connection, and the test's links are socket pairs, on which that fails; the PostgreSQL path had not asked for them. One of service/proxy_test.py: the new metric was not recorded by the PostgreSQL front. Change: keep-alive probes are asked for by the platform's clients; the PostgreSQL front records ebonyrack_answer, and the test counts and demands one metric more. Ruled out: load; the region tests failed alone as well.

--- a/ebonyrack/callers/session.py
+++ b/ebonyrack/callers/session.py
@@ -20,6 +20,7 @@
 from ebonyrack.callers.upstream_holder import Phase
 from ebonyrack.callers.upstream_holder import UpstreamHolder
 from ebonyrack.core import metrics
+from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ERROR_ANSWERS
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
@@ -208,11 +209,13 @@
         Raises:
             RequestError: If the session ends with it.
         """
+        started_s = now_s()
         try:
             is_success = await run_simple(self, statement, request)
         except RequestError as error:
             self.fail(error)
             is_success = False
+        metrics.answer_time.record(now_s() - started_s, {"kind": statement.kind.value})
         self.count_request(statement, is_success)
         return is_success
 
--- a/ebonyrack/platform/kv_store.py
+++ b/ebonyrack/platform/kv_store.py
@@ -15,6 +15,7 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.core.owner import Owner
+from ebonyrack.store.http_client import PROBING
 from ebonyrack.store.http_client import HttpAnswer
 from ebonyrack.store.http_client import HttpCall
 from ebonyrack.store.http_client import HttpClient
@@ -45,7 +46,7 @@
     __slots__ = ("client", "timeout_s")
 
     def __init__(self, address: Address, timeout_s: float = CALL_TIMEOUT_S) -> None:
-        self.client = HttpClient(address)
+        self.client = HttpClient(address, PROBING)
         self.timeout_s = timeout_s
 
     async def start(self) -> None:
--- a/ebonyrack/platform/promotion_calls.py
+++ b/ebonyrack/platform/promotion_calls.py
@@ -12,6 +12,7 @@
 from ebonyrack.core.owner import Owner
 from ebonyrack.promotion.order import OrderOutcome
 from ebonyrack.promotion.order import PromotionOrder
+from ebonyrack.store.http_client import PROBING
 from ebonyrack.store.http_client import HttpCall
 from ebonyrack.store.http_client import HttpClient
 from ebonyrack.store.store_answer import StoreErrorKind
@@ -32,7 +33,7 @@
     __slots__ = ("client",)
 
     def __init__(self, address: Address) -> None:
-        self.client = HttpClient(address)
+        self.client = HttpClient(address, PROBING)
 
     async def start(self) -> None:
         """Prepare for HTTP connections."""
--- a/ebonyrack/service/proxy_test.py
+++ b/ebonyrack/service/proxy_test.py
@@ -252,7 +252,7 @@
 async def test_every_metric_of_the_operators_page_is_recorded(monkeypatch):
     names = [name for name in vars(metrics) if hasattr(vars(metrics)[name], "_name")]
     names.remove("meter")
-    assert len(names) == 7
+    assert len(names) == 8
     recorders = {name: Recorder() for name in names}
     for name, recorder in recorders.items():
         monkeypatch.setattr(metrics, name, recorder)
--- a/ebonyrack/store/http_client.py
+++ b/ebonyrack/store/http_client.py
@@ -25,7 +25,9 @@
 PROBES = 2
 # The same for bytes that stay unacknowledged, in milliseconds.
 UNACKNOWLEDGED_MS = 2000
-SOCKET_OPTIONS = (
+SocketOptions = tuple[tuple[int, int, int], ...]
+
+PROBING: SocketOptions = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
@@ -72,13 +74,16 @@
 
     Attributes:
         address: Address of the service.
+        socket_options: Options of each connection; `PROBING` for those on which an
+            answer may be held back for long.
         pool: HTTP connections; set while open.
     """
 
-    __slots__ = ("address", "pool")
+    __slots__ = ("address", "socket_options", "pool")
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, socket_options: SocketOptions = ()) -> None:
         self.address = address
+        self.socket_options = socket_options
         self.pool: httpcore.AsyncConnectionPool | None = None
 
     async def start(self) -> None:
@@ -86,7 +91,7 @@
         self.pool = httpcore.AsyncConnectionPool(
             max_connections=MAXIMUM_CONNECTIONS,
             keepalive_expiry=KEEPALIVE_S,
-            socket_options=SOCKET_OPTIONS,
+            socket_options=self.socket_options,
         )
 
     async def stop(self) -> None:
