--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -31,8 +31,11 @@
 start() {
   local name=$1 module=$2
   shift 2
+  # The daemon's log is its standard output.
+  local out=$WORK/$name.out
+  [ "$module" != daemon ] || out=$WORK/$name.log
   "$PYTHON" -m "ebonyrack.scripts.$module" "$@" \
-    >"$WORK/$name.out" 2>"$WORK/$name.log" &
+    >>"$out" 2>>"$WORK/$name.log" &
   PIDS+=($!)
 }
 
