Call one piece for busy slots, rejections, log ids and upstream names

Cause, from reading the whole change again: the loop that sends a statement again while no slot is free stood twice in the transaction, learning from a rejection twice, the id for logs twice; the pool closes what isn't clean, which two callers did before it; the name of a prepared statement was hashed up to three times for each execution. Change: one of each; the name is remembered by shape. Behaviour stays as it is.

--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -146,7 +146,7 @@
         self.was_settled = False
         self.isolated_since_s: float | None = None
         self.stack = AsyncExitStack()
-        self.missing_task: asyncio.Task[None] | None = None
+        self.surroundings_task: asyncio.Task[None] | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -196,7 +196,7 @@
         for follower in self.followers:
             await self.stack.enter_async_context(follower)
         await self.stack.enter_async_context(self.presence)
-        self.missing_task = start_loop(self.watch_surroundings)
+        self.surroundings_task = start_loop(self.watch_surroundings)
         self.services.drain.serve()
         logger.bind(
             address=str(self.settings.caller_address),
@@ -205,7 +205,7 @@
 
     async def stop(self) -> None:
         """Stop all parts."""
-        await end_tasks([self.missing_task])
+        await end_tasks([self.surroundings_task])
         await self.stack.aclose()
         for watch in self.watches.values():
             await watch.stop()
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -13,6 +13,8 @@
 from ebonyrack.members.liveness import Liveness
 from ebonyrack.pooling.pool import Pool
 from ebonyrack.requests.codec import UpstreamCodec
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
 
 # Weight of the newest reply in the moving average of reply times.
 LATENCY_SMOOTHING = 0.1
@@ -133,6 +135,18 @@
         self.lacked = position
         self.lacked_until_s = boot_time_s() + LAGGING_PAUSE_S
 
+    def note_rejection(self, reply: Reply, position: LogPosition | None) -> None:
+        """Learn from a rejection of a read or of a transaction's beginning.
+
+        Args:
+            reply: The rejection.
+            position: Position that the log had to hold, or None.
+        """
+        if reply.rejection is RejectionKind.LAGGING and position is not None:
+            self.note_lagging(position)
+        elif reply.rejection is not RejectionKind.READ_ONLY:
+            self.note_trouble()
+
     def note_trouble(self) -> None:
         """Prefer others for a while."""
         self.avoided_until_s = boot_time_s() + AVOIDANCE_S
--- a/ebonyrack/members/session_names.py
+++ b/ebonyrack/members/session_names.py
@@ -5,6 +5,10 @@
 import hashlib
 from dataclasses import dataclass
 from dataclasses import field
+from functools import lru_cache
+
+# Callers prepare few shapes, each of them in many sessions.
+REMEMBERED_SHAPES = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,9 +29,15 @@
 
         Callers' own names collide, and sharing by shape spares preparing again.
         """
-        digest = hashlib.sha256(self.shape).hexdigest()[:24]
-        kind = "w" if self.writes else "r"
-        return f"{kind}{digest}".encode()
+        return derive_name(self.shape, self.writes)
+
+
+@lru_cache(maxsize=REMEMBERED_SHAPES)
+def derive_name(shape: bytes, writes: bool) -> bytes:
+    """Return the name of a prepared statement on connections to upstreams."""
+    digest = hashlib.sha256(shape).hexdigest()[:24]
+    kind = "w" if writes else "r"
+    return f"{kind}{digest}".encode()
 
 
 @dataclass(slots=True)
--- a/ebonyrack/requests/request.py
+++ b/ebonyrack/requests/request.py
@@ -51,6 +51,11 @@
     writes: bool = False
     after: LogPosition | None = None
 
+    @property
+    def log_id(self) -> str:
+        """The caller's id, for logs."""
+        return (self.request_id or b"-").decode("ascii", "replace")
+
     def with_position(self, position: LogPosition | None) -> Request:
         """Return the same statement with a position that the log must hold."""
         return replace(self, after=position)
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -168,13 +168,10 @@
     def note_rejection(self, member: Member, reply: Reply) -> None:
         """Learn from a rejection; the read goes elsewhere."""
         self.last = reply
-        if reply.rejection is RejectionKind.LAGGING and self.need.position is not None:
-            member.note_lagging(self.need.position)
-        elif reply.rejection is not RejectionKind.READ_ONLY:
-            member.note_trouble()
+        member.note_rejection(reply, self.need.position)
         log_failure(
             "read_rejected",
-            request=decode_id(self.run),
+            request=self.run.request.log_id,
             group=self.run.group.name,
             upstream=member.member_id,
             reason=reply.detail,
@@ -187,7 +184,7 @@
         member.note_trouble()
         log_failure(
             "read_upstream_lost",
-            request=decode_id(self.run),
+            request=self.run.request.log_id,
             group=self.run.group.name,
             upstream=member.member_id,
             reason=reason,
@@ -202,7 +199,7 @@
         log = log_failure if is_late else log_decision
         log(
             "read_late" if is_late else "read_placed",
-            request=decode_id(self.run),
+            request=self.run.request.log_id,
             group=self.run.group.name,
             upstream=member.member_id,
             role=role,
@@ -238,8 +235,3 @@
     """
     need = find_need(run.route, run.group, seen, run.arrived_s)
     return await ReadPlacement(run, need).serve()
-
-
-def decode_id(run: StatementRun) -> str:
-    """Return the id of the caller's request, for logs."""
-    return (run.request.request_id or b"-").decode("ascii", "replace")
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -105,7 +105,7 @@
         if answer.error is not None:
             log_failure(
                 "request_failed",
-                request=(request.request_id or b"-").decode("ascii", "replace"),
+                request=request.log_id,
                 database=self.database.decode("utf-8", "replace"),
                 kind=str(request.kind),
                 error=str(answer.error.kind),
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -26,7 +26,6 @@
 from ebonyrack.routes.route import Route
 from ebonyrack.serving.read_need import ReadNeed
 from ebonyrack.serving.read_need import find_need
-from ebonyrack.serving.reading import decode_id
 from ebonyrack.serving.statement_run import StatementRun
 from ebonyrack.serving.statement_run import note_begun
 from ebonyrack.serving.statement_run import run_commit
@@ -104,8 +103,6 @@
         if link is None or member is None:
             return
         if link.is_clean or not link.is_open or link.due:
-            if not link.is_clean:
-                link.close()
             member.pool.release(link)
             return
         task = asyncio.create_task(roll_back(member, link))
@@ -215,14 +212,7 @@
         assert self.link is not None
         try:
             await set_up(run, self.link)
-            while True:
-                (reply,) = await self.link.exchange([run.request], run.time_left_s)
-                is_open = reply.state is TransactionState.OPEN
-                if reply.rejection is not RejectionKind.BUSY or not is_open:
-                    return reply
-                if run.time_left_s < 2 * BUSY_PAUSE_S:
-                    return reply
-                await asyncio.sleep(BUSY_PAUSE_S)
+            return await self.send(run, self.link)
         except UpstreamLostError as error:
             raise RequestError(ErrorKind.UPSTREAM_LOST, error.reason) from error
         except ReplyTimeoutError:
@@ -251,7 +241,7 @@
         assert self.link is not None and self.member is not None
         member = self.member
         try:
-            reply = await self.send_commit(run, member, self.link)
+            reply = await self.send(run, self.link)
         except UpstreamLostError as error:
             raise self.build_unknown(run, error.reason) from error
         except ReplyTimeoutError:
@@ -266,14 +256,14 @@
             )
         raise RequestError(ErrorKind.OUTCOME_UNKNOWN, reply.detail)
 
-    async def send_commit(
-        self, run: StatementRun, member: Member, link: UpstreamLink
-    ) -> Reply:
-        """Send the commit, again while the upstream has no slot for it."""
+    async def send(self, run: StatementRun, link: UpstreamLink) -> Reply:
+        """Send a statement, again while the upstream has no slot for it."""
+        is_commit = run.request.kind is RequestKind.COMMIT
         while True:
-            if self.has_written:
+            if is_commit and self.has_written:
+                assert self.member is not None
                 reply = await run_commit(
-                    self.group, member, link, run.request, run.time_left_s
+                    self.group, self.member, link, run.request, run.time_left_s
                 )
             else:
                 (reply,) = await link.exchange([run.request], run.time_left_s)
@@ -288,7 +278,7 @@
         """Build the answer to a commit without a reply."""
         log_failure(
             "commit_outcome_unknown",
-            request=decode_id(run),
+            request=run.request.log_id,
             group=self.group.name,
             upstream=self.member.member_id if self.member is not None else None,
             has_written=self.has_written,
@@ -300,13 +290,10 @@
 
     def note_not_begun(self, run: StatementRun, member: Member, reply: Reply) -> None:
         """Learn from a refusal to begin."""
-        if reply.rejection is RejectionKind.LAGGING and self.need.position is not None:
-            member.note_lagging(self.need.position)
-        elif reply.rejection is not RejectionKind.READ_ONLY:
-            member.note_trouble()
+        member.note_rejection(reply, self.need.position)
         log_failure(
             "transaction_not_begun",
-            request=decode_id(run),
+            request=run.request.log_id,
             group=self.group.name,
             upstream=member.member_id,
             reason=reply.detail,
@@ -327,8 +314,6 @@
             "rollback_unanswered", upstream=member.member_id, reason=repr(error)
         )
     finally:
-        if not link.is_clean:
-            link.close()
         member.pool.release(link)
 
 
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -13,7 +13,6 @@
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
-from ebonyrack.serving.reading import decode_id
 from ebonyrack.serving.statement_run import StatementRun
 from ebonyrack.serving.statement_run import run_commit
 from ebonyrack.serving.statement_run import set_up
@@ -53,7 +52,7 @@
             log = log_failure if is_late else log_decision
             log(
                 "write_late" if is_late else "write_acknowledged",
-                request=decode_id(run),
+                request=run.request.log_id,
                 group=run.group.name,
                 upstream=member.member_id,
                 position=str(reply.position),
@@ -106,7 +105,7 @@
     """Build the answer to a write whose outcome is not known."""
     log_failure(
         "write_outcome_unknown",
-        request=decode_id(run),
+        request=run.request.log_id,
         group=run.group.name,
         upstream=member.member_id,
         reason=reason,
@@ -129,7 +128,7 @@
         run.group.note_not_leading(member)
     log_failure(
         "write_not_run",
-        request=decode_id(run),
+        request=run.request.log_id,
         group=run.group.name,
         upstream=member.member_id,
         reason=reply.detail,
