Share the stream's end, the question for the lead and the reading of settings

Cause, from reading the whole change again: the line stream had copied how a frame transport ends, writes and waits; the question whether an upstream leads stood in the watch and in the promotion; both daemons read their settings file in the same words; and each commit rewrote the times of all others to tell that they are not stalled. Change: core/losable_stream is the base of both streams; UpstreamLink.ask_lead asks; scripts/settings_text reads; a stall is derived from the newest commit's time. Behaviour stays as it is.

--- a/ebonyrack/core/line_stream.py
+++ b/ebonyrack/core/line_stream.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from ebonyrack.core.address import Address
-from ebonyrack.core.byte_stream import ByteStream
+from ebonyrack.core.losable_stream import LosableStream
 
 # Longest line and its end; the protocols that are spoken allow no longer message.
 MAXIMUM_LINE_BYTES = 1024 * 1024
@@ -32,22 +32,20 @@
         self.reason = reason
 
 
-class LineStream(ByteStream):
+class LineStream(LosableStream):
     """Splits what arrives into lines.
 
     Attributes:
-        lost_reason: Why the connection has ended, or None while it is open.
         searched: Bytes of the buffer that hold no end of a line.
         on_connected: Called once with this stream when it is connected, or None.
     """
 
-    __slots__ = ("lost_reason", "searched", "on_connected")
+    __slots__ = ("searched", "on_connected")
 
     def __init__(
         self, on_connected: Callable[[LineStream], None] | None = None
     ) -> None:
         super().__init__(READ_BUFFER_BYTES)
-        self.lost_reason: str | None = None
         self.searched = 0
         self.on_connected = on_connected
 
@@ -59,24 +57,9 @@
         if self.on_connected is not None:
             self.on_connected(self)
 
-    def eof_received(self) -> bool:
-        """Treat the end of the stream as a lost connection (called by asyncio)."""
-        self.mark_lost("the other side closed the connection")
-        return False
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Note that the connection is gone (called by asyncio)."""
-        self.mark_lost(f"the connection broke: {error}" if error else "closed")
-
-    def mark_lost(self, reason: str) -> None:
-        """Keep the first reason for the end of the connection and wake waiters.
-
-        Args:
-            reason: What happened.
-        """
-        if self.lost_reason is None:
-            self.lost_reason = reason
-        self.wake_waiters()
+    def build_lost(self, reason: str) -> StreamLostError:
+        """Build the error that readers and writers get after the end."""
+        return StreamLostError(reason)
 
     def close(self, reason: str) -> None:
         """End the connection after what is queued was sent.
@@ -88,40 +71,6 @@
         if self.transport is not None:
             self.transport.close()
 
-    def abort(self, reason: str) -> None:
-        """Drop the connection at once.
-
-        Args:
-            reason: Why, for whoever reads from it later.
-        """
-        self.mark_lost(reason)
-        if self.transport is not None:
-            self.transport.abort()
-
-    def write(self, data: bytes) -> None:
-        """Queue bytes for sending.
-
-        Args:
-            data: Bytes to send.
-
-        Raises:
-            StreamLostError: If the connection has ended.
-        """
-        if self.lost_reason is not None or self.transport is None:
-            raise StreamLostError(self.lost_reason or "not connected")
-        self.transport.write(data)
-
-    async def drain(self) -> None:
-        """Wait until the queue of bytes to send is short.
-
-        Raises:
-            StreamLostError: If the connection has ended.
-        """
-        while self.is_writing_paused and self.lost_reason is None:
-            await self.wait_for_room()
-        if self.lost_reason is not None:
-            raise StreamLostError(self.lost_reason)
-
     def take_line(self) -> bytes | None:
         """Take the next whole line without its end, or return None.
 
--- /dev/null
+++ b/ebonyrack/core/losable_stream.py
@@ -0,0 +1,83 @@
+"""Bytes over one TCP connection that remembers why it ended."""
+
+from __future__ import annotations
+
+from ebonyrack.core.byte_stream import ByteStream
+
+
+class LosableStream(ByteStream):
+    """Base of streams whose readers and writers are told of the end of the connection.
+
+    Attributes:
+        lost_reason: Why the connection has ended, or None while it is open.
+    """
+
+    __slots__ = ("lost_reason",)
+
+    # What is told if the other side ends the stream.
+    end_reason = "the other side closed the connection"
+
+    def __init__(self, limit_bytes: int) -> None:
+        super().__init__(limit_bytes)
+        self.lost_reason: str | None = None
+
+    def build_lost(self, reason: str) -> Exception:
+        """Build the error that readers and writers get after the end.
+
+        Args:
+            reason: What happened.
+        """
+        raise NotImplementedError
+
+    def eof_received(self) -> bool:
+        """Treat the end of the stream as a lost connection (called by asyncio)."""
+        self.mark_lost(self.end_reason)
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note that the connection is gone (called by asyncio)."""
+        self.mark_lost(f"the connection broke: {error}" if error else "closed")
+
+    def mark_lost(self, reason: str) -> None:
+        """Keep the first reason for the end of the connection and wake waiters.
+
+        Args:
+            reason: What happened.
+        """
+        if self.lost_reason is None:
+            self.lost_reason = reason
+        self.wake_waiters()
+
+    def abort(self, reason: str) -> None:
+        """Drop the connection at once, without sending what is still queued.
+
+        Args:
+            reason: Why, for whoever reads from it later.
+        """
+        self.mark_lost(reason)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes for sending.
+
+        Args:
+            data: Bytes to send.
+
+        Raises:
+            Exception: The error of `build_lost`, if the connection has ended.
+        """
+        if self.lost_reason is not None or self.transport is None:
+            raise self.build_lost(self.lost_reason or "not connected")
+        self.transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the queue of bytes to send is short.
+
+        Raises:
+            Exception: The error of `build_lost`, if the connection has ended.
+        """
+        while self.is_writing_paused and self.lost_reason is None:
+            await self.wait_for_room()
+        if self.lost_reason is not None:
+            raise self.build_lost(self.lost_reason)
--- a/ebonyrack/entry/leader_watch.py
+++ b/ebonyrack/entry/leader_watch.py
@@ -22,8 +22,6 @@
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.promotion.promoter import Promoter
 from ebonyrack.promotion.promoter import PromotionResult
-from ebonyrack.requests.request import OWN_BEGIN
-from ebonyrack.requests.request import OWN_ROLLBACK
 from ebonyrack.serving.statement_run import note_begun
 
 # Between two looks at a primary.
@@ -135,7 +133,7 @@
         task.add_done_callback(lambda _: self.questions.pop(member.member_id, None))
 
     async def question(self, member: Member) -> None:
-        """Open a plain transaction, which only the primary allows, and end it."""
+        """Ask an upstream whether it leads; the group is told what it answers."""
         try:
             link = await member.pool.acquire(QUESTIONER, now_s() + QUESTION_TIMEOUT_S)
         except (RequestError, UpstreamLostError) as error:
@@ -143,11 +141,8 @@
                 group=self.group.name, upstream=member.member_id, reason=str(error)
             ).debug("question_not_sent")
             return
-        asked_at_s = boot_time_s()
         try:
-            began, _ = await link.exchange(
-                [OWN_BEGIN, OWN_ROLLBACK], QUESTION_TIMEOUT_S
-            )
+            began, asked_at_s = await link.ask_lead(QUESTION_TIMEOUT_S)
         except (UpstreamLostError, ReplyTimeoutError) as error:
             logger.bind(
                 group=self.group.name, upstream=member.member_id, reason=repr(error)
--- a/ebonyrack/members/link.py
+++ b/ebonyrack/members/link.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Sequence
 
+from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import StreamLostError
 from ebonyrack.core.line_stream import connect_lines
@@ -18,7 +19,9 @@
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.reply import TransactionState
+from ebonyrack.requests.request import OWN_BEGIN
 from ebonyrack.requests.request import OWN_DISCARD
+from ebonyrack.requests.request import OWN_ROLLBACK
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import RequestKind
 
@@ -129,6 +132,24 @@
             self.liveness.note_ended(number, was_given_up)
         return replies
 
+    async def ask_lead(self, timeout_s: float) -> tuple[Reply, float]:
+        """Open a plain transaction, which only the primary allows, and end it.
+
+        Args:
+            timeout_s: Seconds to wait.
+
+        Returns:
+            The reply to its beginning, and the time of the question on the boot
+            clock.
+
+        Raises:
+            UpstreamLostError: If the connection broke.
+            ReplyTimeoutError: If no reply came in time.
+        """
+        asked_at_s = boot_time_s()
+        began, _ = await self.exchange([OWN_BEGIN, OWN_ROLLBACK], timeout_s)
+        return began, asked_at_s
+
     async def read_reply(self) -> Reply:
         """Wait for the reply to the oldest statement that has none."""
         reply = await self.codec.read_reply(self.stream)
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -54,6 +54,7 @@
         latency_s: Moving average of its reply times, in seconds.
         missing_since_s: Time since which its entry is missing, or None.
         write_sent_s: Time of sending of each write or commit without an answer.
+        committed_sent_s: Time of sending of the newest one that was acknowledged.
     """
 
     __slots__ = (
@@ -69,6 +70,7 @@
         "latency_s",
         "missing_since_s",
         "write_sent_s",
+        "committed_sent_s",
     )
 
     def __init__(self, entry: MemberEntry, codec: UpstreamCodec, limit: int) -> None:
@@ -86,6 +88,7 @@
         self.latency_s = INITIAL_LATENCY_S
         self.missing_since_s: float | None = None
         self.write_sent_s: dict[int, float] = {}
+        self.committed_sent_s = 0.0
 
     async def stop(self) -> None:
         """Close every connection, also those in use."""
@@ -107,6 +110,13 @@
         """
         return await open_link(self.entry, self.codec, self.liveness, timeout_s)
 
+    def measure_stall(self) -> float:
+        """Return for how long commits wait without any being done, in seconds."""
+        if not self.write_sent_s:
+            return 0.0
+        oldest_s = min(self.write_sent_s.values())
+        return boot_time_s() - max(oldest_s, self.committed_sent_s)
+
     def abandon(self) -> int:
         """Give up what runs or waits here and may run elsewhere.
 
--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -131,12 +131,11 @@
             unknown_since_s = self.unknown_since_s or now
             return PrimaryView(False, unknown_for_s=now - unknown_since_s)
         missing_since_s = leader.missing_since_s
-        sent = leader.write_sent_s.values()
         return PrimaryView(
             is_known=True,
             silent_for_s=leader.liveness.measure_silence(),
             refused_for_s=leader.liveness.measure_refusal(),
-            stalled_for_s=now - min(sent) if sent else 0.0,
+            stalled_for_s=leader.measure_stall(),
             is_leaving=leader.entry.is_leaving,
             missing_for_s=now - missing_since_s if missing_since_s else 0.0,
         )
--- a/ebonyrack/promotion/contact.py
+++ b/ebonyrack/promotion/contact.py
@@ -18,9 +18,7 @@
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import UpstreamStatus
-from ebonyrack.requests.request import OWN_BEGIN
 from ebonyrack.requests.request import OWN_RESUME
-from ebonyrack.requests.request import OWN_ROLLBACK
 from ebonyrack.requests.request import OWN_STATUS
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import build_pause
@@ -131,11 +129,8 @@
         """
         if self.link is None or not self.link.is_open:
             return None
-        asked_at_s = boot_time_s()
         try:
-            began, _ = await self.link.exchange(
-                [OWN_BEGIN, OWN_ROLLBACK], QUESTION_TIMEOUT_S
-            )
+            began, asked_at_s = await self.link.ask_lead(QUESTION_TIMEOUT_S)
         except (UpstreamLostError, ReplyTimeoutError) as error:
             self.log_silent(repr(error))
             return None
--- a/ebonyrack/scripts/daemon.py
+++ b/ebonyrack/scripts/daemon.py
@@ -13,6 +13,8 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.settings import parse_settings
+from ebonyrack.scripts.settings_text import print_faults
+from ebonyrack.scripts.settings_text import read_settings_text
 from ebonyrack.service.proxy import Proxy
 
 EXIT_OK = 0
@@ -56,14 +58,11 @@
     Returns:
         The settings, or None if there are faults.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        print(f"{path}: cannot be read: {error}", file=sys.stderr)
+    text = read_settings_text(path)
+    if text is None:
         return None
     settings, faults = parse_settings(text, str(path))
-    for fault in faults:
-        print(fault, file=sys.stderr)
+    print_faults(faults)
     return settings
 
 
--- a/ebonyrack/scripts/route_daemon.py
+++ b/ebonyrack/scripts/route_daemon.py
@@ -23,6 +23,8 @@
 from ebonyrack.platform.assembly import PlatformProxy
 from ebonyrack.platform.settings_file import PATH_VARIABLE
 from ebonyrack.platform.settings_file import parse_settings
+from ebonyrack.scripts.settings_text import print_faults
+from ebonyrack.scripts.settings_text import read_settings_text
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
@@ -88,15 +90,12 @@
     if path is None:
         print(f"name the settings by --settings or {PATH_VARIABLE}", file=sys.stderr)
         return None
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        print(f"{path}: cannot be read: {error}", file=sys.stderr)
+    text = read_settings_text(Path(path))
+    if text is None:
         return None
     found = parse_settings(text, str(path))
     if isinstance(found, Err):
-        for fault in found.err_value:
-            print(fault, file=sys.stderr)
+        print_faults(found.err_value)
         return None
     return found.ok_value
 
--- a/ebonyrack/serving/statement_run.py
+++ b/ebonyrack/serving/statement_run.py
@@ -209,8 +209,6 @@
     finally:
         member.write_sent_s.pop(number, None)
     if reply.rejection is None:
-        # A commit was done, so those that still wait are not stalled.
-        for other in member.write_sent_s:
-            member.write_sent_s[other] = max(member.write_sent_s[other], asked_at_s)
+        member.committed_sent_s = max(member.committed_sent_s, asked_at_s)
         group.note_leads(member, asked_at_s, reply.position)
     return reply
--- a/ebonyrack/upstreams/transport.py
+++ b/ebonyrack/upstreams/transport.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from ebonyrack.core.address import Address
-from ebonyrack.core.byte_stream import ByteStream
+from ebonyrack.core.losable_stream import LosableStream
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 
 __all__ = ["FrameTransport", "Message", "UpstreamLostError", "connect"]
@@ -38,37 +38,19 @@
         return memoryview(self.raw)[HEADER_BYTES:]
 
 
-class FrameTransport(ByteStream):
-    """Splits what arrives from an upstream into frames.
+class FrameTransport(LosableStream):
+    """Splits what arrives from an upstream into frames."""
 
-    Attributes:
-        lost_reason: Why the connection ended, or None while it is open.
-    """
+    __slots__ = ()
 
-    __slots__ = ("lost_reason",)
+    end_reason = "the upstream closed the connection"
 
     def __init__(self) -> None:
         super().__init__(READ_BUFFER_BYTES)
-        self.lost_reason: str | None = None
-
-    def eof_received(self) -> bool:
-        """Treat the end of the stream as a lost connection (called by asyncio)."""
-        self.mark_lost("the upstream closed the connection")
-        return False
 
-    def connection_lost(self, error: Exception | None) -> None:
-        """Note that the connection is gone (called by asyncio)."""
-        self.mark_lost(f"the connection broke: {error}" if error else "closed")
-
-    def mark_lost(self, reason: str) -> None:
-        """Keep the first reason for the end of the connection and wake waiters.
-
-        Args:
-            reason: What happened.
-        """
-        if self.lost_reason is None:
-            self.lost_reason = reason
-        self.wake_waiters()
+    def build_lost(self, reason: str) -> UpstreamLostError:
+        """Build the error that readers and writers get after the end."""
+        return UpstreamLostError(reason)
 
     def close(self, reason: str) -> None:
         """Drop the connection at once, without sending what is still queued.
@@ -76,33 +58,7 @@
         Args:
             reason: Why, for whoever reads from it later.
         """
-        self.mark_lost(reason)
-        if self.transport is not None:
-            self.transport.abort()
-
-    def write(self, data: bytes) -> None:
-        """Queue bytes for sending.
-
-        Args:
-            data: Bytes to send.
-
-        Raises:
-            UpstreamLostError: If the connection has ended.
-        """
-        if self.lost_reason is not None or self.transport is None:
-            raise UpstreamLostError(self.lost_reason or "not connected")
-        self.transport.write(data)
-
-    async def drain(self) -> None:
-        """Wait until the queue of bytes to send is short.
-
-        Raises:
-            UpstreamLostError: If the connection has ended.
-        """
-        while self.is_writing_paused and self.lost_reason is None:
-            await self.wait_for_room()
-        if self.lost_reason is not None:
-            raise UpstreamLostError(self.lost_reason)
+        self.abort(reason)
 
     def take_frame(self) -> Message | None:
         """Take the next whole frame that has arrived, or return None.
