Leave upstreams that don't answer out of the order of reads

Ruled out: proxies that did not know of the crash (each had judged the primary silent within the first second). Change: an upstream is not tried while it is silent for longer than its reply times let expect (mean and four deviations, 0.4 to 1.5 s), or refuses connections; the watch goes on asking it. Work at an upstream is given up after the same time, so that a full queue isn't taken for a crash.

--- a/ebonyrack/entry/leader_watch.py
+++ b/ebonyrack/entry/leader_watch.py
@@ -36,10 +36,8 @@
 QUESTIONER = "ebonyrack"
 # Proxies that see the same loss don't ask for the duty at the same moment.
 DUTY_SPREAD_S = 0.05
-# An upstream that was silent this long is asked on another connection, and what it was
-# to read is read elsewhere unless it answers.
+# An upstream that was silent this long is asked on another connection.
 SILENT_S = 0.25
-ABANDON_S = 0.4
 # The process was away if a look comes later than this; silence is counted anew then.
 AWAY_S = 0.3
 # After an attempt that did not end with a new primary.
@@ -112,8 +110,9 @@
             silent_s = member.liveness.measure_silence()
             if silent_s > SILENT_S or member.liveness.refused_since_s is not None:
                 self.ask(member)
+            limit_s = member.reply_time.silence_limit_s
             abandoned_for_s = boot_time_s() - member.abandoned_at_s
-            if silent_s <= ABANDON_S or abandoned_for_s <= ABANDON_S:
+            if silent_s <= limit_s or abandoned_for_s <= limit_s:
                 continue
             count = member.abandon()
             if count:
@@ -121,6 +120,7 @@
                     group=self.group.name,
                     upstream=member.member_id,
                     silent_s=round(silent_s, 3),
+                    limit_s=round(limit_s, 3),
                     exchanges=count,
                 ).info("upstream_abandoned")
 
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -11,14 +11,12 @@
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.link import open_link
 from ebonyrack.members.liveness import Liveness
+from ebonyrack.placing.reply_time import ReplyTime
 from ebonyrack.pooling.pool import Pool
 from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
 
-# Weight of the newest reply in the moving average of reply times.
-LATENCY_SMOOTHING = 0.1
-INITIAL_LATENCY_S = 0.02
 # How long a replica that lacked a position isn't asked for that one again; a replica
 # that keeps up applies a commit within this time.
 LAGGING_PAUSE_S = 0.03
@@ -51,7 +49,7 @@
         lacked_until_s: Time until which it isn't asked for that again.
         avoided_until_s: Time until which others are preferred.
         abandoned_at_s: Time at which all work here was last given up.
-        latency_s: Moving average of its reply times, in seconds.
+        reply_time: How long it takes to answer.
         missing_since_s: Time since which its entry is missing, or None.
         write_sent_s: Time of sending of each write or commit without an answer.
         committed_sent_s: Time of sending of the newest one that was acknowledged.
@@ -67,7 +65,7 @@
         "lacked_until_s",
         "avoided_until_s",
         "abandoned_at_s",
-        "latency_s",
+        "reply_time",
         "missing_since_s",
         "write_sent_s",
         "committed_sent_s",
@@ -85,7 +83,7 @@
         self.lacked_until_s = 0.0
         self.avoided_until_s = 0.0
         self.abandoned_at_s = 0.0
-        self.latency_s = INITIAL_LATENCY_S
+        self.reply_time = ReplyTime()
         self.missing_since_s: float | None = None
         self.write_sent_s: dict[int, float] = {}
         self.committed_sent_s = 0.0
@@ -99,6 +97,13 @@
         """Identity of the upstream."""
         return self.entry.member_id
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether it may be expected to answer; the watch asks one that isn't."""
+        if self.liveness.refused_since_s is not None:
+            return False
+        return self.liveness.measure_silence() <= self.reply_time.silence_limit_s
+
     async def open_link(self, timeout_s: float) -> UpstreamLink:
         """Open a connection outside the pool.
 
@@ -160,7 +165,3 @@
     def note_trouble(self) -> None:
         """Prefer others for a while."""
         self.avoided_until_s = boot_time_s() + AVOIDANCE_S
-
-    def note_latency(self, elapsed_s: float) -> None:
-        """Take a reply time into the moving average."""
-        self.latency_s += LATENCY_SMOOTHING * (elapsed_s - self.latency_s)
--- a/ebonyrack/members/read_candidates.py
+++ b/ebonyrack/members/read_candidates.py
@@ -45,16 +45,14 @@
         and now < member.lacked_until_s
         and (member.position is None or member.position < position)
     )
-    is_silent = (
-        member.liveness.measure_silence() > SILENT_READ_S
-        or member.liveness.refused_since_s is not None
-    )
+    is_silent = member.liveness.measure_silence() > SILENT_READ_S
     return ReadCandidate(
         member_id=member.member_id,
         is_near=member.entry.data_centre == group.data_centre,
         leads=member is group.leader,
+        is_reachable=member.is_reachable,
         is_avoided=lacks or is_silent or now < member.avoided_until_s,
-        latency_s=member.latency_s,
+        latency_s=member.reply_time.mean_s,
         expected_wait_s=member.pool.expect_wait(caller),
     )
 
--- a/ebonyrack/placing/decisions_test.py
+++ b/ebonyrack/placing/decisions_test.py
@@ -13,6 +13,9 @@
 from ebonyrack.placing.primary_gap import decide_gap
 from ebonyrack.placing.read_order import ReadCandidate
 from ebonyrack.placing.read_order import order_candidates
+from ebonyrack.placing.reply_time import LONGEST_LIMIT_S
+from ebonyrack.placing.reply_time import SHORTEST_LIMIT_S
+from ebonyrack.placing.reply_time import ReplyTime
 from ebonyrack.placing.share import compute_kept
 from ebonyrack.placing.share import compute_share
 from ebonyrack.placing.successor import ReplicaState
@@ -34,6 +37,7 @@
     values = {
         "is_near": True,
         "leads": False,
+        "is_reachable": True,
         "is_avoided": False,
         "latency_s": 0.02,
         "expected_wait_s": 0.0,
@@ -72,6 +76,28 @@
     assert order_candidates([lagging, far]) == ["far", "near"]
 
 
+def test_one_that_does_not_answer_is_not_tried_however_long_the_others_queue():
+    # A primary has crashed; one replica lacks the position, the other has a queue.
+    lagging = build_candidate("near", is_avoided=True)
+    crowded = build_candidate("far", expected_wait_s=2.0)
+    dead = build_candidate("dead", leads=True, is_reachable=False)
+    assert order_candidates([dead, lagging, crowded]) == ["near", "far"]
+    assert order_candidates([dead]) == []
+
+
+def test_a_full_queue_is_not_taken_for_a_crash():
+    # 24 statements wait for 3 slots; each reply takes 0.1 to 0.4 s, at times 0.5 s.
+    crowded, usual = ReplyTime(), ReplyTime()
+    for number in range(100):
+        crowded.note((0.1, 0.4, 0.25)[number % 3])
+        usual.note(0.03)
+    assert crowded.silence_limit_s > 0.5
+    assert usual.silence_limit_s == SHORTEST_LIMIT_S
+    for _ in range(100):
+        crowded.note(5.0)
+    assert crowded.silence_limit_s == LONGEST_LIMIT_S
+
+
 def test_a_report_of_leading_counts_once_and_proof_goes_first():
     leadership = Leadership()
     leadership.report("a", True, 1)
--- a/ebonyrack/placing/read_order.py
+++ b/ebonyrack/placing/read_order.py
@@ -27,6 +27,7 @@
         member_id: Identity.
         is_near: Whether it is in the proxy's own data centre.
         leads: Whether it is the primary.
+        is_reachable: Whether it may be expected to answer.
         is_avoided: Whether it turned work away or lacked the position just now.
         latency_s: Its usual reply time, in seconds.
         expected_wait_s: How long it would wait for a connection, in seconds.
@@ -35,6 +36,7 @@
     member_id: str
     is_near: bool
     leads: bool
+    is_reachable: bool
     is_avoided: bool
     latency_s: float
     expected_wait_s: float
@@ -53,6 +55,11 @@
 
 
 def order_candidates(candidates: list[ReadCandidate]) -> list[str]:
-    """Return the identities in the order in which they are tried."""
-    ordered = sorted(candidates, key=lambda each: (estimate_cost(each), each.member_id))
+    """Return the identities in the order in which they are tried.
+
+    One that can't be reached is left out, also if it is the only one: a read that waits
+    for its answer would have had time to be served by another proxy.
+    """
+    reachable = [candidate for candidate in candidates if candidate.is_reachable]
+    ordered = sorted(reachable, key=lambda each: (estimate_cost(each), each.member_id))
     return [candidate.member_id for candidate in ordered]
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -96,7 +96,9 @@
             self.rounds += 1
             order = order_reads(group, self.need.position, self.tried, self.run.caller)
         if not order:
-            raise RequestError(ErrorKind.NO_UPSTREAM, "the group has no upstream")
+            raise RequestError(
+                ErrorKind.NO_UPSTREAM, "no upstream of the group answers"
+            )
         return group.members[order[0]]
 
     def check_others(self, refusal: RequestError) -> None:
@@ -152,7 +154,7 @@
             ) from None
         finally:
             member.pool.release(link)
-        member.note_latency(now_s() - started_s)
+        member.reply_time.note(now_s() - started_s)
         member.note_position(reply.position)
         return reply
 
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -182,7 +182,9 @@
             tried.clear()
             order = order_reads(self.group, self.need.position, tried, run.caller)
         if not order:
-            raise RequestError(ErrorKind.NO_UPSTREAM, "the group has no upstream")
+            raise RequestError(
+                ErrorKind.NO_UPSTREAM, "no upstream of the group answers"
+            )
         return self.group.members[order[0]]
 
     async def begin_at(
