Pass connections to primaries from hand to hand after a start

Of the 43 connections that a primary accepts 29 linger, the first 14 proxies that are back take one each and keep it unused most of the time; the others serve nothing, not even from replicas, as positions come from the primary. Ruled out: the store (answers at once) and the start (0.4 s). The two tests of kept connections now state that their proxy has run for long.

--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -11,6 +11,8 @@
 from ebonyrack.standins.line_system import LineSystem
 
 GIVE_UP_S = 8.0
+# Start of a proxy that has run for long, on the boot clock.
+LONG_AGO_S = -1000.0
 
 
 async def write_until_done(caller, item):
@@ -295,9 +297,26 @@
     assert not [each for each in system.group.records if "WRITE" in each.text]
 
 
+async def test_a_proxy_that_has_just_started_leaves_connections_to_others(
+    system, connect
+):
+    # 29 proxies lose power at once; of 43 connections to the primary 29 linger.
+    caller, reader = await connect("booking"), await connect("calendar")
+    group = system.proxies[0].proxy.services.groups["scheduling"]
+    assert (await caller.ask("WRITE slot-1 mali"))[0].startswith("COMPLETE sig")
+    assert (await reader.ask("READ slot-1"))[0].startswith("DATAROW")
+    assert group.members["up-1"].pool.open_count == 0
+    group.started_s = LONG_AGO_S
+    group.close_unused()
+    assert (await caller.ask("WRITE slot-2 mali"))[0].startswith("COMPLETE sig")
+    assert group.members["up-1"].pool.open_count == 1
+
+
 async def test_connections_to_far_replicas_are_not_kept(system, connect):
     group = system.proxies[0].proxy.services.groups["scheduling"]
     group.data_centre = "ayutthaya"
+    group.started_s = LONG_AGO_S
+    group.close_unused()
     for member in group.members.values():
         await member.pool.warm(1)
         member.pool.idle_since_s = dict.fromkeys(member.pool.idle_since_s, 0.0)
@@ -320,6 +339,8 @@
     await caller.ask("WRITE slot-1 mali")
     reader = await connect("calendar")
     group = system.proxies[0].proxy.services.groups["scheduling"]
+    group.started_s = LONG_AGO_S
+    group.close_unused()
     for member in group.members.values():
         await member.pool.warm(1)
     await reader.ask("READ slot-1")
--- a/ebonyrack/entry/leader_watch.py
+++ b/ebonyrack/entry/leader_watch.py
@@ -29,6 +29,8 @@
 # A position this old is asked for again; the youngest age that routes state is well
 # above a second.
 SAMPLE_AGE_S = 0.4
+# The same while each question needs a connection of its own.
+COSTLY_SAMPLE_AGE_S = 1.0
 # One question. A primary that is only busy answers in a few milliseconds, as the
 # question takes no slot.
 QUESTION_TIMEOUT_S = 0.8
@@ -90,10 +92,16 @@
             if leader is None or self.group.verdict is not Verdict.SERVING:
                 for member in list(self.group.members.values()):
                     self.ask(member)
-            elif self.group.coverage.measure_age(boot_time_s()) > SAMPLE_AGE_S:
+            elif self.is_sample_due():
                 self.ask(leader)
             self.group.look_at_primary()
 
+    def is_sample_due(self) -> bool:
+        """Whether the primary should be asked for its position again."""
+        is_costly = self.group.is_returning
+        limit_s = COSTLY_SAMPLE_AGE_S if is_costly else SAMPLE_AGE_S
+        return self.group.coverage.measure_age(boot_time_s()) > limit_s
+
     def note_pause(self, away_s: float) -> None:
         """Count silence anew after this process was away itself."""
         if away_s == 0.0:
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -4,11 +4,13 @@
 
 from loguru import logger
 
+from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.owner import Owner
 from ebonyrack.members.entry import MemberEntry
 from ebonyrack.members.member import Member
 from ebonyrack.members.primary_state import PrimaryState
 from ebonyrack.placing.share import compute_kept
+from ebonyrack.placing.share import is_returning
 from ebonyrack.placing.shedding import Demand
 from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.routes.route import GroupLimits
@@ -28,6 +30,7 @@
         limits: What the operators say of the group.
         data_centre: Data centre of this proxy.
         codec: Protocol of the upstreams.
+        started_s: Time since which the proxy serves it, on the boot clock.
         connection_share: Connections to each upstream that this proxy may hold.
         queue_weights: Shares of the databases in the queues.
         demand: The classes of reads that ask for the group.
@@ -37,6 +40,7 @@
         "limits",
         "data_centre",
         "codec",
+        "started_s",
         "connection_share",
         "queue_weights",
         "demand",
@@ -49,6 +53,7 @@
         self.data_centre = data_centre
         self.codec = codec
         super().__init__()
+        self.started_s = boot_time_s()
         self.connection_share = share
         self.queue_weights: dict[str, int] = {}
         self.demand = Demand()
@@ -70,11 +75,18 @@
             if member.pool.limit != share:
                 member.pool.resize(share)
 
+    @property
+    def is_returning(self) -> bool:
+        """Whether connections of before the proxy's start may still linger."""
+        return is_returning(boot_time_s() - self.started_s)
+
     def close_unused(self) -> None:
         """Close connections that are unused and not kept."""
         for member in self.members.values():
+            leads = member is self.leader
+            member.pool.keeps_unused = not (leads and self.is_returning)
             is_near = member.entry.data_centre == self.data_centre
-            kept = compute_kept(self.connection_share, is_near, member is self.leader)
+            kept = compute_kept(self.connection_share, is_near, leads)
             member.pool.trim_idle(kept, UNUSED_S)
 
     def set_weights(self, weights: dict[str, int]) -> None:
@@ -96,6 +108,7 @@
         if member is None:
             member = Member(entry, self.codec, self.connection_share)
             member.pool.set_weights(self.queue_weights)
+            member.pool.keeps_unused = not (entry.reports_primary and self.is_returning)
             self.members[entry.member_id] = member
             logger.bind(
                 group=self.name,
--- a/ebonyrack/placing/decisions_test.py
+++ b/ebonyrack/placing/decisions_test.py
@@ -18,6 +18,7 @@
 from ebonyrack.placing.reply_time import ReplyTime
 from ebonyrack.placing.share import compute_kept
 from ebonyrack.placing.share import compute_share
+from ebonyrack.placing.share import is_returning
 from ebonyrack.placing.successor import ReplicaState
 from ebonyrack.placing.successor import choose_candidate
 from ebonyrack.placing.successor import is_safe_successor
@@ -206,3 +207,5 @@
     kept += far * compute_kept(share, False, False)
     assert kept + 29 * share <= 43
     assert compute_kept(share, False, True) == share
+    assert is_returning(3.0)
+    assert not is_returning(4.0)
--- a/ebonyrack/placing/share.py
+++ b/ebonyrack/placing/share.py
@@ -3,7 +3,9 @@
 Load answered: 29 proxies before upstreams that accept 43 connections, and all proxies
 lose power at once. The connections of before linger at the upstreams for some seconds,
 so that only what was not open then can be opened: the fewer a proxy keeps without need,
-the more proxies serve again at once.
+the more proxies serve again at once. Those to the primary, which all need, are passed
+from hand to hand until the lingering ones are gone: a proxy that has just started keeps
+none unused.
 """
 
 from __future__ import annotations
@@ -12,6 +14,9 @@
 RESERVED_CONNECTIONS = 2
 # One more proxy than is known may have just started.
 UNSEEN_PROXIES = 1
+# Upstreams drop connections of a VM that is gone after three seconds, and may notice
+# that somewhat late.
+RETURN_S = 3.5
 
 
 def compute_share(maximum_connections: int, live_proxies: int) -> int:
@@ -34,3 +39,12 @@
         leads: Whether it is the primary, which every proxy needs.
     """
     return share if is_near or leads else 0
+
+
+def is_returning(age_s: float) -> bool:
+    """Return whether a proxy leaves unused connections to the primary to others.
+
+    Args:
+        age_s: Seconds since it has started.
+    """
+    return age_s <= RETURN_S
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -285,6 +285,8 @@
             self.queue.pace.note_service(now_s() - granted_at_s)
         self.keep_or_close(connection)
         self.grant_places()
+        if not self.keeps_unused:
+            self.close_idle()
 
     def stop_new_work(self) -> None:
         """Refuse new work; connections in use may finish what they run."""
--- a/ebonyrack/pooling/pool_places.py
+++ b/ebonyrack/pooling/pool_places.py
@@ -22,9 +22,18 @@
         idle_since_s: Monotonic time since which each idle connection is unused.
         opening: Number of connections being opened.
         is_accepting: Whether new work is taken.
+        keeps_unused: Whether a connection stays open that nobody waits for.
     """
 
-    __slots__ = ("limits", "idle", "busy", "idle_since_s", "opening", "is_accepting")
+    __slots__ = (
+        "limits",
+        "idle",
+        "busy",
+        "idle_since_s",
+        "opening",
+        "is_accepting",
+        "keeps_unused",
+    )
 
     def __init__(self, limit: int) -> None:
         self.limits = ConnectionLimit(limit, self.grant_places)
@@ -33,6 +42,7 @@
         self.idle_since_s: dict[Connection, float] = {}
         self.opening = 0
         self.is_accepting = True
+        self.keeps_unused = True
 
     @property
     def limit(self) -> int:
