Halve the statements at once when an upstream turns one away

Answers of BUSY, which come at once, also made the upstream look fast to the shedding. Change: a pool lets fewer statements run at once, half of those at work, when one is turned away, and one more again after each half second (the same limit as for connections, beside it; connections stay open). What waits does so in the proxy, where priorities count and what can't be served in time is refused at once. Only replies that were served count for the reply time. Classes of reads with under a twentieth of the demand don't count for the shedding: some routes with a few requests stood before the real first one.

--- a/ebonyrack/members/link.py
+++ b/ebonyrack/members/link.py
@@ -81,6 +81,11 @@
         """Whether it is open and idle, with nothing due."""
         return self.is_open and self.due == 0 and self.state is TransactionState.IDLE
 
+    @property
+    def is_resting(self) -> bool:
+        """Whether a transaction holds it and nothing is due."""
+        return self.due == 0 and self.state is TransactionState.OPEN
+
     def close(self) -> None:
         """Drop the connection at once; an open transaction is rolled back."""
         self.stream.abort("closed by the proxy")
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -161,6 +161,8 @@
             self.note_lagging(position)
         elif reply.rejection is not RejectionKind.READ_ONLY:
             self.note_trouble()
+        if reply.rejection is RejectionKind.BUSY:
+            self.pool.note_busy()
 
     def note_trouble(self) -> None:
         """Prefer others for a while."""
--- a/ebonyrack/members/read_candidates.py
+++ b/ebonyrack/members/read_candidates.py
@@ -69,15 +69,14 @@
     Raises:
         RequestError: WAIT_TOO_LONG if it gives way.
     """
-    now = boot_time_s()
-    group.demand.note(read.work_class, now)
-    if gives_way(group, primary, read, now):
+    group.demand.note(read.work_class, boot_time_s())
+    if gives_way(group, primary, read):
         raise build_crowded(primary, read.caller)
 
 
-def gives_way(group: Group, member: Member, read: PlacedRead, now: float) -> bool:
+def gives_way(group: Group, member: Member, read: PlacedRead) -> bool:
     """Return whether a read gives way to others at an upstream."""
-    active = group.demand.list_active(now)
+    active = group.demand.list_active()
     return read.draw < compute_shed_share(
         read.work_class, active, expect_answer(member, read.caller)
     )
@@ -115,7 +114,7 @@
         leads=member is group.leader,
         is_reachable=member.is_reachable,
         is_avoided=lacks or is_silent or now < member.avoided_until_s,
-        is_spared=gives_way(group, member, read, now),
+        is_spared=gives_way(group, member, read),
         latency_s=member.reply_time.mean_s,
         expected_wait_s=member.pool.expect_wait(read.caller),
     )
--- a/ebonyrack/placing/shedding.py
+++ b/ebonyrack/placing/shedding.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 # Expected time to an answer at which the first reads give way, as a share of the
@@ -16,8 +17,10 @@
 FIRST_SHARE = 0.4
 # Between there and this much more, all reads of one class have given way.
 CLASS_SHARE = 0.3
-# Routes that nobody has used for so long don't count, in seconds.
-ACTIVE_S = 5.0
+# Reads count for the demand as long as this, in seconds, weighted by their age; and
+# classes that have less than this share of it don't count.
+DEMAND_S = 5.0
+LEAST_SHARE = 0.05
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -34,29 +37,30 @@
 
 
 class Demand:
-    """The classes of reads that ask for a group.
+    """How often the classes of reads ask for a group.
 
     Attributes:
-        asked_at_s: Time of the newest read of each class.
+        counts: Reads of each class, which fade exponentially.
+        counted_at_s: Time up to which they have faded.
     """
 
-    __slots__ = ("asked_at_s",)
+    __slots__ = ("counts", "counted_at_s")
 
     def __init__(self) -> None:
-        self.asked_at_s: dict[WorkClass, float] = {}
+        self.counts: dict[WorkClass, float] = {}
+        self.counted_at_s = 0.0
 
     def note(self, work_class: WorkClass, now: float) -> None:
-        """Note that a read of a class has come."""
-        self.asked_at_s[work_class] = now
+        """Count a read of a class."""
+        faded = math.exp(min(0.0, self.counted_at_s - now) / DEMAND_S)
+        self.counted_at_s = now
+        self.counts = {each: count * faded for each, count in self.counts.items()}
+        self.counts[work_class] = self.counts.get(work_class, 0.0) + 1.0
 
-    def list_active(self, now: float) -> list[WorkClass]:
+    def list_active(self) -> list[WorkClass]:
         """Return the classes that are in use, the most important one first."""
-        oldest_s = now - ACTIVE_S
-        return sorted(
-            work_class
-            for work_class, asked_at_s in self.asked_at_s.items()
-            if asked_at_s >= oldest_s
-        )
+        least = LEAST_SHARE * sum(self.counts.values())
+        return sorted(each for each, count in self.counts.items() if count >= least)
 
 
 def compute_shed_share(
--- a/ebonyrack/placing/shedding_test.py
+++ b/ebonyrack/placing/shedding_test.py
@@ -49,7 +49,7 @@
         is_counted = now > WARM_UP_S
         asked[work_class] += is_counted
         if sheds:
-            active = demand.list_active(now)
+            active = demand.list_active()
             answer_s = max(0.0, proxy.free_at_s - now) + proxy.reply_time.mean_s
             share = compute_shed_share(work_class, active, answer_s)
             if random_.random() < share:
@@ -104,7 +104,9 @@
 
 def test_routes_that_nobody_uses_don_t_count():
     demand = Demand()
-    demand.note(VIEW, 0.0)
-    demand.note(CONFIRM, 4.0)
-    assert demand.list_active(4.0) == [CONFIRM, VIEW]
-    assert demand.list_active(6.0) == [CONFIRM]
+    for number in range(50):
+        demand.note(VIEW if number % 2 else CONFIRM, number / 10)
+    demand.note(RESERVE, 5.0)
+    assert demand.list_active() == [CONFIRM, VIEW]
+    demand.note(RESERVE, 60.0)
+    assert demand.list_active() == [RESERVE]
--- /dev/null
+++ b/ebonyrack/pooling/busy_upstream_test.py
@@ -0,0 +1,85 @@
+"""A burst before an upstream whose own queue is full, and which turns work away."""
+
+import asyncio
+
+import pytest
+
+from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
+from ebonyrack.members.member import MemberQueue
+from ebonyrack.pooling import connection_limit
+from ebonyrack.pooling.pool import Pool
+
+SHARE = 7
+WAIT_S = 20.0
+
+
+class FakeConnection:
+    def __init__(self):
+        self.is_clean = True
+        self.is_resting = False
+
+    def close(self):
+        self.is_clean = False
+
+
+@pytest.fixture
+async def pool():
+    async def connect(timeout_s):
+        return FakeConnection()
+
+    async with Pool(Address("127.0.0.1", 1), MemberQueue(), SHARE, connect) as running:
+        yield running
+
+
+async def acquire_many(pool, count):
+    return [await pool.acquire("booking", now_s() + WAIT_S) for _ in range(count)]
+
+
+def start_waiter(pool):
+    return asyncio.create_task(pool.acquire("booking", now_s() + WAIT_S))
+
+
+async def test_what_an_upstream_turns_away_waits_in_the_proxy(pool):
+    working = await acquire_many(pool, SHARE)
+    pool.note_busy()
+    for connection in working[:4]:
+        pool.release(connection)
+    waiter = start_waiter(pool)
+    await asyncio.sleep(0)
+    assert pool.waiting_count == 1
+    pool.release(working[4])
+    await waiter
+    assert pool.working_count == SHARE // 2
+
+
+async def test_connections_stay_open_while_fewer_are_used_at_once(pool):
+    working = await acquire_many(pool, SHARE)
+    pool.note_busy()
+    for connection in working:
+        pool.release(connection)
+    assert pool.idle_count == SHARE
+
+
+async def test_a_transaction_that_rests_leaves_its_place_to_others(pool):
+    (connection,) = await acquire_many(pool, 1)
+    pool.note_busy()
+    waiter = start_waiter(pool)
+    await asyncio.sleep(0)
+    assert not waiter.done()
+    connection.is_resting = True
+    pool.grant_places()
+    await waiter
+
+
+async def test_the_statements_at_once_rise_again(pool, monkeypatch):
+    monkeypatch.setattr(connection_limit, "REFUSED_LIMIT_S", 0.0)
+    monkeypatch.setattr(connection_limit, "RAISE_INTERVAL_S", 0.01)
+    working = await acquire_many(pool, SHARE)
+    pool.note_busy()
+    waiters = [start_waiter(pool) for _ in working]
+    for connection in working:
+        pool.release(connection)
+    async with asyncio.timeout(WAIT_S):
+        await asyncio.gather(*waiters)
+    assert pool.working_count == SHARE
--- a/ebonyrack/pooling/connection_limit.py
+++ b/ebonyrack/pooling/connection_limit.py
@@ -1,4 +1,4 @@
-"""Number of connections that a pool may open, lowered while the upstream refuses."""
+"""Number of connections that a pool may use, lowered while the upstream refuses."""
 
 from __future__ import annotations
 
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -60,6 +60,7 @@
         """Take no more work and close every connection, also those in use."""
         self.stop_new_work()
         self.limits.stop_raising()
+        self.work_limits.stop_raising()
         for connection in list(self.busy):
             connection.close()
 
@@ -76,7 +77,7 @@
         """
         if not self.queue and self.has_place():
             return 0.0
-        return self.queue.estimate_wait(caller, self.present_limit)
+        return self.queue.estimate_wait(caller, self.servers)
 
     def set_weights(self, weights: dict[str, int]) -> None:
         """Set the shares of the applications in the queue.
@@ -106,7 +107,7 @@
             connection = self.take_place()
         else:
             self.queue.limit = self.section.queue_limit
-            self.queue.add(waiter, self.present_limit)
+            self.queue.add(waiter, self.servers)
             self.grant_places()
             connection = await self.wait_for_grant(waiter)
         while connection is None:
@@ -146,7 +147,7 @@
         except TimeoutError:
             self.give_back_grant(waiter)
             raise self.queue.build_refusal(
-                ErrorKind.WAIT_TOO_LONG, "the deadline passed", self.present_limit
+                ErrorKind.WAIT_TOO_LONG, "the deadline passed", self.servers
             ) from None
         except asyncio.CancelledError:
             self.give_back_grant(waiter)
@@ -231,6 +232,10 @@
             "upstream refused a connection"
         )
 
+    def note_busy(self) -> None:
+        """Halve the statements at once, as the upstream turned one away unrun."""
+        self.work_limits.note_refusal(max(1, self.working_count // 2))
+
     async def wait_for_release(self, waiter: Waiter) -> Connection | None:
         """Wait for another place, after the upstream refused a connection.
 
@@ -249,7 +254,7 @@
         if self.open_count == 0:
             self.queue.fail_all(self.build_no_connection)
             raise self.build_no_connection()
-        self.queue.put_back(waiter, self.present_limit)
+        self.queue.put_back(waiter, self.servers)
         self.grant_places()
         return await self.wait_for_grant(waiter)
 
@@ -266,7 +271,7 @@
             kind: Kind of refusal.
             reason: What happened.
         """
-        return self.queue.build_refusal(kind, reason, self.present_limit)
+        return self.queue.build_refusal(kind, reason, self.servers)
 
     def release(self, connection: Connection) -> None:
         """Take a connection back; one that is not clean is closed.
--- a/ebonyrack/pooling/pool_places.py
+++ b/ebonyrack/pooling/pool_places.py
@@ -17,6 +17,8 @@
 
     Attributes:
         limits: Largest number of places, now and without refusals.
+        work_limits: Largest number of connections on which the upstream works at
+            once, lowered while it turns statements away as its own queue is full.
         idle: Connections that nobody uses, the one used last at the end.
         busy: Connections in use, with the monotonic time of the grant.
         idle_since_s: Monotonic time since which each idle connection is unused.
@@ -27,6 +29,7 @@
 
     __slots__ = (
         "limits",
+        "work_limits",
         "idle",
         "busy",
         "idle_since_s",
@@ -37,6 +40,7 @@
 
     def __init__(self, limit: int) -> None:
         self.limits = ConnectionLimit(limit, self.grant_places)
+        self.work_limits = ConnectionLimit(limit, self.grant_places)
         self.idle: list[Connection] = []
         self.busy: dict[Connection, float] = {}
         self.idle_since_s: dict[Connection, float] = {}
@@ -54,6 +58,16 @@
         """Largest number of places now."""
         return self.limits.present
 
+    @property
+    def servers(self) -> int:
+        """Connections that may be used at once now."""
+        return min(self.limits.present, self.work_limits.present)
+
+    @property
+    def working_count(self) -> int:
+        """Connections on which the upstream works, or that are being opened."""
+        return self.opening + sum(not each.is_resting for each in self.busy)
+
     @property
     def open_count(self) -> int:
         """Places held: idle, busy and opening connections."""
@@ -75,6 +89,8 @@
 
     def has_place(self) -> bool:
         """Whether a caller can be served without waiting for a release."""
+        if self.working_count >= self.work_limits.present:
+            return False
         self.drop_lost_idle()
         return bool(self.idle) or self.open_count < self.present_limit
 
@@ -146,6 +162,7 @@
             limit: New largest number of connections; at least 1 is kept.
         """
         self.limits.limit = max(1, limit)
+        self.work_limits.limit = max(1, limit)
         while self.idle and self.open_count > self.limit:
             self.drop_oldest()
         self.grant_places()
--- a/ebonyrack/pooling/pooled_connection.py
+++ b/ebonyrack/pooling/pooled_connection.py
@@ -12,6 +12,10 @@
     def is_clean(self) -> bool:
         """Whether it is open and idle, with nothing due."""
 
+    @property
+    def is_resting(self) -> bool:
+        """Whether it is held by a transaction whose caller has asked for nothing."""
+
     def close(self) -> None:
         """Drop the connection at once."""
 
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -166,7 +166,8 @@
             ) from None
         finally:
             member.pool.release(link)
-        member.reply_time.note(now_s() - started_s)
+        if reply.rejection is None:
+            member.reply_time.note(now_s() - started_s)
         member.note_position(reply.position)
         return reply
 
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -130,6 +130,8 @@
             reply = await self.go_on(run)
         self.used_at_s = now_s()
         self.has_written = self.has_written or run.writes
+        if self.member is not None:
+            self.member.pool.grant_places()
         if reply.rejection is not None:
             raise build_failure(reply)
         return reply
@@ -276,6 +278,8 @@
             is_open = reply.state is TransactionState.OPEN
             if reply.rejection is not RejectionKind.BUSY or not is_open:
                 return reply
+            assert self.member is not None
+            self.member.pool.note_busy()
             if run.time_left_s < 2 * BUSY_PAUSE_S:
                 return reply
             await asyncio.sleep(BUSY_PAUSE_S)
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -126,6 +126,8 @@
     """Learn from a refusal to run a write."""
     if reply.rejection is RejectionKind.READ_ONLY:
         run.group.note_not_leading(member)
+    elif reply.rejection is RejectionKind.BUSY:
+        member.pool.note_busy()
     log_failure(
         "write_not_run",
         request=run.request.log_id,
--- a/ebonyrack/upstreams/connection.py
+++ b/ebonyrack/upstreams/connection.py
@@ -77,6 +77,11 @@
         """Whether the connection has ended, on either side."""
         return self.frames.lost_reason is not None
 
+    @property
+    def is_resting(self) -> bool:
+        """Whether it counts as unused; a transaction between statements does not."""
+        return False
+
     @property
     def is_clean(self) -> bool:
         """Whether another caller may use the connection."""
--- a/ebonyrack/upstreams/pool_machine_test.py
+++ b/ebonyrack/upstreams/pool_machine_test.py
@@ -42,6 +42,7 @@
 
     def __init__(self):
         self.is_clean = True
+        self.is_resting = False
         self.users = 0
 
     def close(self):
