Don't take a crowded primary for a lost one

Change: silence counts from the later of 0.5 s and what the primary's reply times let expect; while a promotion waits, the old primary is asked too, and ends it if it proves to lead. The new test of the promoter ended with no_safe_successor before.

--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -134,6 +134,7 @@
         return PrimaryView(
             is_known=True,
             silent_for_s=leader.liveness.measure_silence(),
+            silence_limit_s=leader.reply_time.silence_limit_s,
             refused_for_s=leader.liveness.measure_refusal(),
             stalled_for_s=leader.measure_stall(),
             is_leaving=leader.entry.is_leaving,
@@ -152,6 +153,7 @@
                 before=self.verdict,
                 verdict=verdict,
                 silent_for_s=round(view.silent_for_s, 3),
+                silence_limit_s=round(view.silence_limit_s, 3),
                 refused_for_s=round(view.refused_for_s, 3),
                 stalled_for_s=round(view.stalled_for_s, 3),
             ).warning("primary_judged")
--- a/ebonyrack/placing/decisions_test.py
+++ b/ebonyrack/placing/decisions_test.py
@@ -147,6 +147,9 @@
     [
         (PrimaryView(True), Verdict.SERVING),
         (PrimaryView(True, silent_for_s=0.9), Verdict.SILENT),
+        # A burst: replies of a primary with a full queue take up to a second.
+        (PrimaryView(True, silent_for_s=0.9, silence_limit_s=1.1), Verdict.SERVING),
+        (PrimaryView(True, silent_for_s=1.2, silence_limit_s=1.1), Verdict.SILENT),
         (PrimaryView(True, refused_for_s=0.4), Verdict.REFUSING),
         (PrimaryView(True, stalled_for_s=1.0), Verdict.STALLED),
         (PrimaryView(True, is_leaving=True), Verdict.LEAVING),
--- a/ebonyrack/placing/suspicion.py
+++ b/ebonyrack/placing/suspicion.py
@@ -42,6 +42,7 @@
         is_known: Whether any upstream is taken for the primary.
         unknown_for_s: Seconds since none is.
         silent_for_s: Seconds for which it has not answered what was sent.
+        silence_limit_s: Seconds of silence that its reply times let expect.
         refused_for_s: Seconds for which it has refused connections.
         stalled_for_s: Seconds for which commits wait without any being done.
         is_leaving: Whether it will end soon.
@@ -51,6 +52,7 @@
     is_known: bool
     unknown_for_s: float = 0.0
     silent_for_s: float = 0.0
+    silence_limit_s: float = SILENCE_LIMIT_S
     refused_for_s: float = 0.0
     stalled_for_s: float = 0.0
     is_leaving: bool = False
@@ -64,7 +66,7 @@
         return Verdict.UNKNOWN if lost else Verdict.SERVING
     if view.refused_for_s > REFUSAL_LIMIT_S:
         return Verdict.REFUSING
-    if view.silent_for_s > SILENCE_LIMIT_S:
+    if view.silent_for_s > max(SILENCE_LIMIT_S, view.silence_limit_s):
         return Verdict.SILENT
     if view.stalled_for_s > STALL_LIMIT_S:
         return Verdict.STALLED
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -35,6 +35,10 @@
 LEAD_WAIT_S = 2.0
 
 
+# Under these verdicts a primary that proves to lead is not replaced.
+ENDED_BY_ANSWERS = frozenset({Verdict.SILENT, Verdict.REFUSING, Verdict.UNKNOWN})
+
+
 class PromotionResult(StrEnum):
     """How an attempt ended."""
 
@@ -119,7 +123,7 @@
                 if contact.member is not leader and await self.finds_leading(contact):
                     return PromotionResult.NOT_NEEDED
             old = [contact for contact in contacts if contact.member is leader]
-            if verdict in (Verdict.SILENT, Verdict.REFUSING, Verdict.UNKNOWN):
+            if verdict in ENDED_BY_ANSWERS:
                 for contact in old:
                     if await self.finds_leading(contact):
                         return PromotionResult.NOT_NEEDED
@@ -152,15 +156,14 @@
         replicas: list[Contact],
     ) -> PromotionResult:
         """Find a successor that holds all that was acknowledged and order it."""
-        primary_serves = verdict is Verdict.LEAVING
         statuses = [c.status for c in old + replicas if c.status is not None]
         newest = max(
             (max(status.term, status.held_term) for status in statuses), default=0
         )
-        chosen = await self.find_successor(duty, newest + 1, primary_serves, replicas)
-        if chosen is None:
+        chosen = await self.find_successor(duty, newest + 1, verdict, old, replicas)
+        if isinstance(chosen, PromotionResult):
             await self.resume(replicas)
-            return PromotionResult.NO_SAFE_SUCCESSOR
+            return chosen
         result = await self.order(duty, chosen)
         # An order that may still be carried out needs the pauses to stay: what the
         # replicas receive from now on, the successor may lack.
@@ -169,9 +172,19 @@
         return result
 
     async def find_successor(
-        self, duty: Duty, term: int, primary_serves: bool, replicas: list[Contact]
-    ) -> Contact | None:
-        """Pause the others and wait until one replica holds what all of them do."""
+        self,
+        duty: Duty,
+        term: int,
+        verdict: Verdict,
+        old: list[Contact],
+        replicas: list[Contact],
+    ) -> Contact | PromotionResult:
+        """Pause the others and wait until one replica holds what all of them do.
+
+        Returns:
+            That replica, or why there is none.
+        """
+        primary_serves = verdict is Verdict.LEAVING
         needed = self.group.limits.acknowledging_replicas
         while duty.is_held:
             states = [describe(contact) for contact in replicas]
@@ -193,8 +206,25 @@
                     await chosen[0].pause(term)
             self.log_unsafe(states)
             await asyncio.sleep(LOOK_PAUSE_S)
-            await self.look_again(replicas)
-        return None
+            is_back, _ = await asyncio.gather(
+                self.is_back(verdict, old), self.look_again(replicas)
+            )
+            if is_back:
+                return PromotionResult.NOT_NEEDED
+        return PromotionResult.NO_SAFE_SUCCESSOR
+
+    async def is_back(self, verdict: Verdict, old: list[Contact]) -> bool:
+        """Return whether the primary that seemed lost leads after all."""
+        if verdict not in ENDED_BY_ANSWERS:
+            return False
+        for contact in old:
+            if contact.link is None or not contact.link.is_open:
+                await contact.open_own(LOST_QUESTION_TIMEOUT_S)
+            else:
+                await contact.ask(OWN_STATUS)
+            if await self.finds_leading(contact):
+                return True
+        return False
 
     async def look_again(self, replicas: list[Contact]) -> None:
         """Ask those that wait to catch up, and connect again to the silent ones."""
--- a/ebonyrack/promotion/promoter_test.py
+++ b/ebonyrack/promotion/promoter_test.py
@@ -1,5 +1,7 @@
 """Changes of primary step by step, over real connections to stand-ins."""
 
+import asyncio
+
 import pytest
 
 from ebonyrack.placing.suspicion import Verdict
@@ -76,6 +78,20 @@
     assert system.group.promotions == []
 
 
+async def test_a_primary_that_comes_back_ends_the_wait_for_a_silent_replica(system):
+    # A crowded primary answered too late, while a replica is down: without its answer
+    # no successor is safe, and the duty was held for nothing.
+    await write(system, 1)
+    for member_id in ("up-1", "up-3"):
+        system.upstreams[member_id].faults.is_silent = True
+    running = asyncio.create_task(get_promoter(system).run(Verdict.SILENT))
+    await asyncio.sleep(1.0)
+    assert not running.done()
+    system.upstreams["up-1"].faults.is_silent = False
+    assert await running is PromotionResult.NOT_NEEDED
+    assert not any(member.held_term for member in system.group.members.values())
+
+
 async def test_a_pause_of_a_later_holder_is_not_lifted(system):
     promoter = get_promoter(system)
     contact = Contact(promoter.group.members["up-2"])
