Borrow a connection while transactions rest

A proxy's share is one connection to each upstream, so one resting transaction keeps all other work of its group out of that proxy; 400 requests of four seconds waited for 0.2 to 0.4 s and were refused. Ruled out: slots (a resting transaction has none). The shares leave some of the connections that an upstream accepts.

--- a/ebonyrack/pooling/busy_upstream_test.py
+++ b/ebonyrack/pooling/busy_upstream_test.py
@@ -83,3 +83,27 @@
     async with asyncio.timeout(WAIT_S):
         await asyncio.gather(*waiters)
     assert pool.working_count == SHARE
+
+
+async def test_resting_transactions_leave_one_connection_to_others(pool):
+    # Callers that begin, write and rest hold all connections of the proxy's share.
+    for connection in await acquire_many(pool, SHARE):
+        connection.is_resting = True
+    async with asyncio.timeout(WAIT_S):
+        borrowed = await start_waiter(pool)
+    waiter = start_waiter(pool)
+    await asyncio.sleep(0)
+    assert pool.open_count == SHARE + 1
+    pool.release(borrowed)
+    assert not borrowed.is_clean
+    await waiter
+
+
+async def test_nothing_is_borrowed_from_an_upstream_that_refused(pool):
+    for connection in await acquire_many(pool, SHARE):
+        connection.is_resting = True
+    pool.note_refusal()
+    waiter = start_waiter(pool)
+    await asyncio.sleep(0)
+    assert pool.open_count == SHARE
+    waiter.cancel()
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -227,6 +227,7 @@
 
     def note_refusal(self) -> None:
         """Lower the limit to what the upstream has let us open."""
+        self.refused_at_s = now_s()
         self.limits.note_refusal(self.open_count)
         logger.bind(address=str(self.address), limit=self.present_limit).warning(
             "upstream refused a connection"
--- a/ebonyrack/pooling/pool_places.py
+++ b/ebonyrack/pooling/pool_places.py
@@ -5,15 +5,20 @@
 from typing import Generic
 
 from ebonyrack.core.clock import now_s
+from ebonyrack.pooling.connection_limit import REFUSED_LIMIT_S
 from ebonyrack.pooling.connection_limit import ConnectionLimit
 from ebonyrack.pooling.connection_opener import Connection
 
+# Connections above the limit while transactions rest. The shares of all proxies leave
+# some of those that an upstream accepts.
+BORROWED_CONNECTIONS = 1
+
 
 class PoolPlaces(Generic[Connection]):
     """Connections that count against the limit of one upstream.
 
     A place is an idle, busy or opening connection; there are never more places than
-    the limit allows.
+    the limit allows, except for what `may_borrow` says.
 
     Attributes:
         limits: Largest number of places, now and without refusals.
@@ -25,6 +30,7 @@
         opening: Number of connections being opened.
         is_accepting: Whether new work is taken.
         keeps_unused: Whether a connection stays open that nobody waits for.
+        refused_at_s: Monotonic time at which the upstream last refused a connection.
     """
 
     __slots__ = (
@@ -36,6 +42,7 @@
         "opening",
         "is_accepting",
         "keeps_unused",
+        "refused_at_s",
     )
 
     def __init__(self, limit: int) -> None:
@@ -47,6 +54,7 @@
         self.opening = 0
         self.is_accepting = True
         self.keeps_unused = True
+        self.refused_at_s = float("-inf")
 
     @property
     def limit(self) -> int:
@@ -92,7 +100,20 @@
         if self.working_count >= self.work_limits.present:
             return False
         self.drop_lost_idle()
-        return bool(self.idle) or self.open_count < self.present_limit
+        if self.idle or self.open_count < self.present_limit:
+            return True
+        return self.may_borrow()
+
+    def may_borrow(self) -> bool:
+        """Whether a connection above the limit may be opened, as transactions rest.
+
+        Callers that begin, write and rest would else keep all others out. It is closed
+        as it comes back. An upstream that refused a connection is spared the question.
+        """
+        if now_s() - self.refused_at_s < REFUSED_LIMIT_S:
+            return False
+        is_resting = any(connection.is_resting for connection in self.busy)
+        return is_resting and self.open_count < self.limit + BORROWED_CONNECTIONS
 
     def drop_lost_idle(self) -> None:
         """Forget idle connections that have ended meanwhile."""
