Read the names of proxies from answers that may be stale

A sixth of them reads the names of the proxies, for which an answer that is some seconds old does as well, at a tenth of the price; another tenth renews a watch of the routes every 15 s, though the platform holds one for up to 30 s. Ruled out: stale reads of the upstreams' entries; with answers 6 s behind after a lost history a leaving upstream could get work too late. Change: FollowPlan.may_be_stale, used for the names; the watch of the routes lasts 25 s.

--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -40,11 +40,12 @@
 
 LOOK_S = 0.5
 # A watch of the document returns with each change; a connection that went silent is
-# noticed by its keep-alive probes.
-DOCUMENT_WATCH_S = 15.0
+# noticed by its keep-alive probes. The platform holds a watch for 30 s at most.
+DOCUMENT_WATCH_S = 25.0
 # Upstreams that leave serve on for at least twice as long.
 ENTRIES_PAUSE_S = 3.0
-# Connections are divided anew within this time and the pools' own limits.
+# Connections are divided anew within this time and the pools' own limits. Names that
+# are some seconds old will do, as names that have gone count longer than that.
 PROXIES_PAUSE_S = 10.0
 # Without store and primary for this long, a proxy counts as cut off from both; the
 # store is asked at least every two seconds, a primary several times a second.
@@ -135,7 +136,7 @@
             ),
             StoreFollower(
                 store,
-                FollowPlan(PROXIES_PREFIX, pause_s=PROXIES_PAUSE_S),
+                FollowPlan(PROXIES_PREFIX, pause_s=PROXIES_PAUSE_S, may_be_stale=True),
                 self.presence.apply,
                 lambda: False,
                 self.reach,
--- a/ebonyrack/platform/kv_store.py
+++ b/ebonyrack/platform/kv_store.py
@@ -57,13 +57,16 @@
         """Close the connections."""
         await self.client.stop()
 
-    async def read_prefix(self, prefix: str) -> Result[StoreChanges, StoreError]:
+    async def read_prefix(
+        self, prefix: str, may_be_stale: bool = False
+    ) -> Result[StoreChanges, StoreError]:
         """Read all keys with a prefix.
 
         The pages are not a snapshot, so a watch goes on from the first of them.
 
         Args:
             prefix: Start of the keys.
+            may_be_stale: Whether what the store held some seconds ago will do.
 
         Returns:
             The items, or why they aren't known.
@@ -73,6 +76,9 @@
         after = ""
         while True:
             query = {"prefix": prefix}
+            if may_be_stale:
+                # The platform calls reads that may be seconds old "serializable".
+                query["serializable"] = "1"
             if after:
                 query["after"] = after
             answer = await self.get("range", "/kv-range", query)
--- a/ebonyrack/platform/kv_store_test.py
+++ b/ebonyrack/platform/kv_store_test.py
@@ -33,6 +33,14 @@
     assert changes.is_whole
 
 
+async def test_only_reads_that_may_be_stale_are_asked_for_as_such(service, store):
+    await service.put("servers/1", b"x")
+    await store.read_prefix("servers/")
+    assert service.stale_reads == 0
+    assert (await store.read_prefix("servers/", may_be_stale=True)).ok_value.items
+    assert service.stale_reads == 1
+
+
 async def test_a_watch_brings_the_last_state_of_each_key(service, store):
     revision = await service.put("a/1", b"old")
     await service.put("a/2", b"gone")
--- a/ebonyrack/standins/kv_service.py
+++ b/ebonyrack/standins/kv_service.py
@@ -68,6 +68,8 @@
         tokens: Highest fencing token seen for each group.
         orders: Group, upstream and token of each order that was accepted.
         promote_s: How long a promotion takes.
+        calls: Path of each call.
+        stale_reads: Reads that were asked for as possibly stale.
     """
 
     def __init__(self, groups: dict[str, LineGroup]) -> None:
@@ -83,6 +85,7 @@
         self.orders: list[tuple[str, str, int]] = []
         self.promote_s = 0.05
         self.calls: list[str] = []
+        self.stale_reads = 0
         self.changed = asyncio.Condition()
         self.tasks: set[asyncio.Task[None]] = set()
         self.runner: web.AppRunner | None = None
@@ -182,6 +185,7 @@
     async def get_range(self, request: web.Request) -> web.Response:
         """Answer one page of keys."""
         prefix, after = request.query["prefix"], request.query.get("after", "")
+        self.stale_reads += request.query.get("serializable") == "1"
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
         page = [describe(key, self.items[key]) for key in keys[:PAGE_ITEMS]]
         return web.json_response(
--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -48,11 +48,13 @@
         prefix: Start of its keys.
         watch_s: Seconds for which a watch waits for a change; 0 to read at a pace.
         pause_s: Seconds between two reads.
+        may_be_stale: Whether what the store held some seconds ago will do.
     """
 
     prefix: str
     watch_s: float = 0.0
     pause_s: float = WATCH_PAUSE_S
+    may_be_stale: bool = False
 
 
 class StoreReach:
@@ -185,7 +187,7 @@
         found: Result[StoreChanges | None, StoreError]
         plan = self.plan
         if self.revision == 0 or plan.watch_s == 0.0:
-            found = await self.store.read_prefix(plan.prefix)
+            found = await self.store.read_prefix(plan.prefix, plan.may_be_stale)
         else:
             found = await self.store.watch_prefix(
                 plan.prefix, self.revision, plan.watch_s
--- a/ebonyrack/store/follower_test.py
+++ b/ebonyrack/store/follower_test.py
@@ -20,7 +20,7 @@
         self.answers = []
         self.calls = []
 
-    async def read_prefix(self, prefix):
+    async def read_prefix(self, prefix, may_be_stale=False):
         self.calls.append("read")
         return await self.answer()
 
--- a/ebonyrack/store/leasing_store.py
+++ b/ebonyrack/store/leasing_store.py
@@ -64,8 +64,10 @@
 class LeasingStore(Protocol):
     """What the parts of a proxy use of the platform's store."""
 
-    async def read_prefix(self, prefix: str) -> Result[StoreChanges, StoreError]:
-        """Read all keys with a prefix."""
+    async def read_prefix(
+        self, prefix: str, may_be_stale: bool = False
+    ) -> Result[StoreChanges, StoreError]:
+        """Read all keys with a prefix; stale reads cost the store less."""
 
     async def watch_prefix(
         self, prefix: str, revision: int, wait_s: float
