Tell the story of a request from the logs

Cause: OPERATIONS.md led from a request's id to its cause by filters written by hand; the lines on the beliefs that decided have no id and were found by time and group only. Change: `ebonyrackctl story ID LOG...` prints the lines with the id and those on which its proxies' beliefs of its groups changed around it, in order of time.

--- a/ebonyrack/scripts/ctl.py
+++ b/ebonyrack/scripts/ctl.py
@@ -27,6 +27,8 @@
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.output import Output
+from ebonyrack.ops.story import StoryQuestion
+from ebonyrack.ops.story import show_story
 from ebonyrack.scripts.arguments import read_address_argument
 from ebonyrack.store.store import Store
 
@@ -38,6 +40,10 @@
 DEFAULT_EDIT_LIMIT_S = 10.0
 DEFAULT_WAIT_S = 10.0
 DEFAULT_HISTORY = 20
+# Beliefs that decided on a request are a few seconds old at most; a change of primary
+# that it ran into ends within two.
+STORY_BEFORE_S = 5.0
+STORY_AFTER_S = 2.0
 
 Commands = argparse._SubParsersAction  # type: ignore[type-arg]
 
@@ -64,10 +70,20 @@
     switchover.add_argument("--to", default="", help="upstream to be primary")
     check = commands.add_parser("check", help="check a document file")
     check.add_argument("file", type=Path)
+    add_story_command(commands)
     add_config_commands(commands)
     return parser
 
 
+def add_story_command(commands: Commands) -> None:
+    """Add the command that reads logs."""
+    story = commands.add_parser("story", help="what logs tell of one request")
+    story.add_argument("request", help="id of the request")
+    story.add_argument("log", nargs="+", type=Path, help="logs of proxies")
+    story.add_argument("--before", type=float, default=STORY_BEFORE_S, metavar="S")
+    story.add_argument("--after", type=float, default=STORY_AFTER_S, metavar="S")
+
+
 def add_access_options(parser: argparse.ArgumentParser) -> None:
     """Add the options that say how the system is reached."""
     environment = os.environ
@@ -177,6 +193,11 @@
     match options.command:
         case "check":
             return configuration.check_file(options.file, output)
+        case "story":
+            question = StoryQuestion(
+                options.request, tuple(options.log), options.before, options.after
+            )
+            return show_story(question, output)
         case "config" if options.store is not None:
             settings = StoreSettings.model_validate(
                 {"address": options.store, "prefix": options.prefix}
