--- a/ebonyrack/ops/story.py
+++ b/ebonyrack/ops/story.py
@@ -92,7 +92,7 @@
         for line in lines
         if "request" not in line
         and line.get("proxy") in proxies
-        and line.get("group", None) in groups | {None}
+        and line.get("group") in groups | {None}
         and first <= read_time(line) <= last
     ]
 
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -103,9 +103,11 @@
         metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
         metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
         if answer.error is not None:
+            route = self.services.routes.table.routes.get(self.database)
             log_failure(
                 "request_failed",
                 request=request.log_id,
+                group=route.group if route is not None else None,
                 database=self.database.decode("utf-8", "replace"),
                 kind=str(request.kind),
                 error=str(answer.error.kind),
