Read again what an upstream doesn't answer; let slow reply times fade

Cause 2, found by the test of it: the retry had no time to open a connection ("no session within 0.000 s"), as the time to wait in queues ends with the target, before the first try is given up; a write that had waited for a primary met the same. Change: a read is given up when no reply came within what the upstream's reply times let expect, and read again, elsewhere if it can; each try may wait 0.1 s for a connection; reply times without a further reply fade after a second by half each second.

--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -227,6 +227,24 @@
     assert now_s() - started_s < 0.75
 
 
+@pytest.mark.parametrize("database", ["calendar", "booking"])
+async def test_a_read_whose_answer_does_not_come_is_read_again(
+    system, connect, database
+):
+    # An upstream loses a part of its answers and gives all others.
+    caller = await connect(database)
+    await caller.ask("READ slot-1")
+    faults = [upstream.faults for upstream in system.upstreams.values()]
+    for each in faults:
+        each.mute_answers = 1
+    reading = asyncio.create_task(caller.ask("READ slot-1"))
+    while all(each.mute_answers for each in faults):
+        await asyncio.sleep(0.01)
+    for each in faults:
+        each.mute_answers = 0
+    assert (await reading)[0] == "DATAROW none"
+
+
 async def test_nothing_is_promoted_before_all_upstreams_could_be_known(system, connect):
     # After an outage of the store some entries are back before others.
     proxy = system.proxies[0].proxy
--- a/ebonyrack/entry/leader_watch.py
+++ b/ebonyrack/entry/leader_watch.py
@@ -118,7 +118,7 @@
             silent_s = member.liveness.measure_silence()
             if silent_s > SILENT_S or member.liveness.refused_since_s is not None:
                 self.ask(member)
-            limit_s = member.reply_time.silence_limit_s
+            limit_s = member.silence_limit_s
             abandoned_for_s = boot_time_s() - member.abandoned_at_s
             if silent_s <= limit_s or abandoned_for_s <= limit_s:
                 continue
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -102,7 +102,17 @@
         """Whether it may be expected to answer; the watch asks one that isn't."""
         if self.liveness.refused_since_s is not None:
             return False
-        return self.liveness.measure_silence() <= self.reply_time.silence_limit_s
+        return self.liveness.measure_silence() <= self.silence_limit_s
+
+    @property
+    def expected_reply_s(self) -> float:
+        """How long a reply is expected to take, in seconds."""
+        return self.reply_time.estimate(boot_time_s())
+
+    @property
+    def silence_limit_s(self) -> float:
+        """Seconds of silence after which no answer is expected any more."""
+        return self.reply_time.limit_silence(boot_time_s())
 
     async def open_link(self, timeout_s: float) -> UpstreamLink:
         """Open a connection outside the pool.
@@ -164,6 +174,10 @@
         if reply.rejection is RejectionKind.BUSY:
             self.pool.note_busy()
 
+    def note_reply_time(self, elapsed_s: float) -> None:
+        """Take a reply time into the averages."""
+        self.reply_time.note(elapsed_s, boot_time_s())
+
     def note_trouble(self) -> None:
         """Prefer others for a while."""
         self.avoided_until_s = boot_time_s() + AVOIDANCE_S
--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -134,7 +134,7 @@
         return PrimaryView(
             is_known=True,
             silent_for_s=leader.liveness.measure_silence(),
-            silence_limit_s=leader.reply_time.silence_limit_s,
+            silence_limit_s=leader.silence_limit_s,
             refused_for_s=leader.liveness.measure_refusal(),
             stalled_for_s=leader.measure_stall(),
             is_leaving=leader.entry.is_leaving,
--- a/ebonyrack/placing/decisions_test.py
+++ b/ebonyrack/placing/decisions_test.py
@@ -91,13 +91,26 @@
     # 24 statements wait for 3 slots; each reply takes 0.1 to 0.4 s, at times 0.5 s.
     crowded, usual = ReplyTime(), ReplyTime()
     for number in range(100):
-        crowded.note((0.1, 0.4, 0.25)[number % 3])
-        usual.note(0.03)
-    assert crowded.silence_limit_s > 0.5
-    assert usual.silence_limit_s == SHORTEST_LIMIT_S
+        crowded.note((0.1, 0.4, 0.25)[number % 3], number / 10)
+        usual.note(0.03, number / 10)
+    assert crowded.limit_silence(10.0) > 0.5
+    assert usual.limit_silence(10.0) == SHORTEST_LIMIT_S
     for _ in range(100):
-        crowded.note(5.0)
-    assert crowded.silence_limit_s == LONGEST_LIMIT_S
+        crowded.note(5.0, 10.0)
+    assert crowded.limit_silence(10.0) == LONGEST_LIMIT_S
+
+
+def test_an_upstream_that_was_slow_is_tried_again_after_some_seconds():
+    # A server hangs for six seconds; nobody reads there until it may be fast again.
+    slow = ReplyTime()
+    for number in range(20):
+        slow.note(1.2, number / 10)
+    near = {"latency_s": slow.estimate(2.5)}
+    far = build_candidate("far", is_near=False)
+    assert order_candidates([build_candidate("near", **near), far])[0] == "far"
+    near = {"latency_s": slow.estimate(8.0)}
+    assert order_candidates([build_candidate("near", **near), far])[0] == "near"
+    assert slow.limit_silence(10.0) == SHORTEST_LIMIT_S
 
 
 def test_a_report_of_leading_counts_once_and_proof_goes_first():
--- a/ebonyrack/placing/reply_time.py
+++ b/ebonyrack/placing/reply_time.py
@@ -12,6 +12,10 @@
 # times a second, and a crowd of a few seconds must be noticed within the first.
 MEAN_SMOOTHING = 0.25
 DEVIATION_SMOOTHING = 0.25
+# Without a further reply the averages count in full as long as this, in seconds, and
+# then half as much after each further second: troubles last some seconds.
+KEPT_S = 1.0
+HALVED_S = 1.0
 # Deviations above the mean after which no answer is expected, as for TCP's
 # retransmission timer.
 DEVIATIONS = 4.0
@@ -24,25 +28,42 @@
 class ReplyTime:
     """Moving averages of an upstream's reply times.
 
+    One that answered slowly gets less work, and so might never be seen to have become
+    fast again; what is known of it fades.
+
     Attributes:
-        mean_s: Average, in seconds.
+        mean_s: Average at the newest reply, in seconds.
         deviation_s: Average distance from it, in seconds.
+        noted_at_s: Time of the newest reply, on the caller's clock.
     """
 
-    __slots__ = ("mean_s", "deviation_s")
+    __slots__ = ("mean_s", "deviation_s", "noted_at_s")
 
     def __init__(self) -> None:
         self.mean_s = INITIAL_S
         self.deviation_s = INITIAL_S / 2
+        self.noted_at_s = 0.0
 
-    def note(self, elapsed_s: float) -> None:
+    def note(self, elapsed_s: float, now: float) -> None:
         """Take a reply time into the averages."""
+        self.mean_s = self.estimate(now)
+        self.deviation_s *= self.measure_faded(now)
+        self.noted_at_s = now
         error_s = elapsed_s - self.mean_s
         self.mean_s += MEAN_SMOOTHING * error_s
         self.deviation_s += DEVIATION_SMOOTHING * (abs(error_s) - self.deviation_s)
 
-    @property
-    def silence_limit_s(self) -> float:
-        """Seconds of silence after which no answer is expected any more."""
-        limit_s = self.mean_s + DEVIATIONS * self.deviation_s
+    def measure_faded(self, now: float) -> float:
+        """Return the share of what is known that still counts, 0 to 1."""
+        silent_s = now - self.noted_at_s - KEPT_S
+        return 0.5 ** (max(0.0, silent_s) / HALVED_S)
+
+    def estimate(self, now: float) -> float:
+        """Return how long a reply is expected to take, in seconds."""
+        return INITIAL_S + (self.mean_s - INITIAL_S) * self.measure_faded(now)
+
+    def limit_silence(self, now: float) -> float:
+        """Return the seconds of silence after which no answer is expected any more."""
+        deviation_s = self.deviation_s * self.measure_faded(now)
+        limit_s = self.estimate(now) + DEVIATIONS * deviation_s
         return min(LONGEST_LIMIT_S, max(SHORTEST_LIMIT_S, limit_s))
--- a/ebonyrack/placing/shedding_test.py
+++ b/ebonyrack/placing/shedding_test.py
@@ -44,13 +44,13 @@
         work_class = random_.choices(CLASSES, SHARES)[0]
         proxy = random_.choice(proxies)
         while proxy.replies and proxy.replies[0][0] <= now:
-            proxy.reply_time.note(heapq.heappop(proxy.replies)[1])
+            proxy.reply_time.note(heapq.heappop(proxy.replies)[1], now)
         demand.note(work_class, now)
         is_counted = now > WARM_UP_S
         asked[work_class] += is_counted
         if sheds:
             active = demand.list_active()
-            answer_s = max(0.0, proxy.free_at_s - now) + proxy.reply_time.mean_s
+            answer_s = max(0.0, proxy.free_at_s - now) + proxy.reply_time.estimate(now)
             share = compute_shed_share(work_class, active, answer_s)
             if random_.random() < share:
                 continue
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -134,7 +134,7 @@
         """Run the read at one upstream.
 
         Returns:
-            Its reply, or None if the connection was lost.
+            Its reply, or None if none came.
 
         Raises:
             RequestError: If it can't be served within the time of the route.
@@ -143,7 +143,7 @@
         self.tried.add(member.member_id)
         queued_at_s = now_s()
         try:
-            link = await member.pool.acquire(run.caller, run.queue_deadline_s)
+            link = await member.pool.acquire(run.caller, run.connection_deadline_s)
         except UpstreamLostError as error:
             self.note_lost(member, error.reason)
             return None
@@ -160,24 +160,26 @@
             self.note_lost(member, error.reason)
             return None
         except ReplyTimeoutError:
-            member.note_trouble()
-            raise RequestError(
-                ErrorKind.STATEMENT_TIMED_OUT, f"{member.member_id} did not answer"
-            ) from None
+            # Its reply takes at least as long; else one that has turned slow would be
+            # given up again and again.
+            member.note_reply_time(now_s() - started_s)
+            self.note_lost(member, "no reply within what its reply times let expect")
+            return None
         finally:
             member.pool.release(link)
         if reply.rejection is None:
-            member.reply_time.note(now_s() - started_s)
+            member.note_reply_time(now_s() - started_s)
         member.note_position(reply.position)
         return reply
 
     async def run_at(self, member: Member, link: UpstreamLink) -> Reply:
         """Set the connection up and read."""
         await set_up(self.run, link)
+        limit_s = min(self.run.time_left_s, member.silence_limit_s)
         if self.need.position is None:
-            return await run_proved_read(self.run, member, link)
+            return await run_proved_read(self.run, member, link, limit_s)
         request = self.run.request.with_position(self.need.position)
-        (reply,) = await link.exchange([request], self.run.time_left_s)
+        (reply,) = await link.exchange([request], limit_s)
         return reply
 
     def note_rejection(self, member: Member, reply: Reply) -> None:
--- a/ebonyrack/serving/statement_run.py
+++ b/ebonyrack/serving/statement_run.py
@@ -27,6 +27,9 @@
 from ebonyrack.routes.route import Route
 
 SETUP_TIMEOUT_S = 0.5
+# A connection is opened within some ten milliseconds, by an upstream whose slots are
+# taken within a hundred.
+LEAST_CONNECTION_WAIT_S = 0.1
 
 write_numbers = itertools.count()
 
@@ -64,6 +67,16 @@
         """Name under which it waits in queues: the database of its route."""
         return self.route.database.decode("utf-8", "replace")
 
+    @property
+    def connection_deadline_s(self) -> float:
+        """Monotonic time up to which the next try may wait for a connection.
+
+        One that has waited for a primary or for a lost reply gets the time to open a
+        connection too.
+        """
+        earliest_s = now_s() + LEAST_CONNECTION_WAIT_S
+        return min(self.deadline_s, max(self.queue_deadline_s, earliest_s))
+
     @property
     def time_left_s(self) -> float:
         """Seconds that the route still allows."""
@@ -153,7 +166,7 @@
 
 
 async def run_proved_read(
-    run: StatementRun, member: Member, link: UpstreamLink
+    run: StatementRun, member: Member, link: UpstreamLink, timeout_s: float
 ) -> Reply:
     """Read at an upstream that must be the primary while it reads.
 
@@ -164,6 +177,7 @@
         run: The read.
         member: The upstream.
         link: Connection to it.
+        timeout_s: Seconds to wait.
 
     Returns:
         The reply to the read; a refusal to lead in place of it.
@@ -174,7 +188,7 @@
     """
     asked_at_s = boot_time_s()
     began, reply, _ = await link.exchange(
-        [OWN_BEGIN, run.request, OWN_ROLLBACK], run.time_left_s
+        [OWN_BEGIN, run.request, OWN_ROLLBACK], timeout_s
     )
     note_begun(run.group, member, began, asked_at_s)
     return began if began.rejection is not None else reply
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -147,7 +147,7 @@
             member = await self.choose_member(run, tried)
             tried.add(member.member_id)
             try:
-                link = await member.pool.acquire(run.caller, run.queue_deadline_s)
+                link = await member.pool.acquire(run.caller, run.connection_deadline_s)
             except UpstreamLostError as error:
                 member.note_trouble()
                 reason = error.reason
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -77,7 +77,7 @@
         RequestError: If its outcome is not known.
     """
     try:
-        link = await member.pool.acquire(run.caller, run.queue_deadline_s)
+        link = await member.pool.acquire(run.caller, run.connection_deadline_s)
     except UpstreamLostError as error:
         return error.reason
     is_sent = False
--- a/ebonyrack/standins/line_upstream.py
+++ b/ebonyrack/standins/line_upstream.py
@@ -32,6 +32,8 @@
         is_silent: Whether it answers nothing, on old and new connections.
         lose_answers: How many answers yet to statements with an id are lost, the
             connection broken in their place.
+        mute_answers: How many answers yet to statements with an id don't come, while
+            the connection stays.
         rejections: Codes with which the next statements with an id are rejected.
         delay_s: How long each statement with an id takes.
         is_full: Whether it takes no further connection.
@@ -39,6 +41,7 @@
 
     is_silent: bool = False
     lose_answers: int = 0
+    mute_answers: int = 0
     rejections: list[str] = field(default_factory=list)
     delay_s: float = 0.0
     is_full: bool = False
@@ -151,6 +154,9 @@
             if request_id != "-" and self.faults.lose_answers > 0:
                 self.faults.lose_answers -= 1
                 return
+            if request_id != "-" and self.faults.mute_answers > 0:
+                self.faults.mute_answers -= 1
+                continue
             writer.write(answer + self.render_ready(session))
             await writer.drain()
 
