--- a/ebonyrack/load/soak_faults.py
+++ b/ebonyrack/load/soak_faults.py
@@ -11,6 +11,7 @@
 from ebonyrack.load.soak_system import APPLY_DELAY_S
 from ebonyrack.load.soak_system import SoakSystem
 from ebonyrack.standins.line_system import build_document
+from ebonyrack.standins.line_upstream import LineUpstream
 
 # How long a primary stays down: long enough to be replaced.
 CRASH_S = 2.5
@@ -81,14 +82,18 @@
 @FAULTS.register("crash_upstream")
 async def crash_upstream(system: SoakSystem, length_s: float) -> None:
     """Crash an upstream that comes back with its log."""
-    link = system.draw_link()
-    if link.upstream.server is None:
+    await crash(system.draw_link().upstream, length_s)
+
+
+async def crash(upstream: LineUpstream, length_s: float) -> None:
+    """Crash an upstream unless another fault has done so; start it again."""
+    if upstream.server is None:
         return
-    await link.upstream.stop()
+    await upstream.stop()
     try:
         await asyncio.sleep(length_s)
     finally:
-        await link.upstream.start()
+        await upstream.start()
 
 
 @FAULTS.register("deafen_replica")
@@ -119,17 +124,14 @@
 ) -> None:
     """Let one replica receive nothing, and crash the primary meanwhile."""
     leader = system.group.leader
-    if leader is None or system.upstreams[leader.member_id].server is None:
+    if leader is None:
         return
     others = [each for each in system.group.members.values() if each is not leader]
     deaf = system.draws.choice(others)
     deaf.is_deaf = True
     try:
         await asyncio.sleep(length_s)
-        upstream = system.upstreams[leader.member_id]
-        await upstream.stop()
-        await asyncio.sleep(CRASH_S)
-        await upstream.start()
+        await crash(system.upstreams[leader.member_id], CRASH_S)
     finally:
         deaf.is_deaf = False
 
