Pass connections from hand to hand only where they are short

Change: placing/share decides it by the connections that an upstream accepts and the proxies that live; the group divides its connections itself, as it needs their number. Nothing changes on the grown sites, where connections are short.

--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -1,6 +1,7 @@
 """Outcomes of requests while upstreams and the platform fail."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -321,6 +322,8 @@
     # 29 proxies lose power at once; of 43 connections to the primary 29 linger.
     caller, reader = await connect("booking"), await connect("calendar")
     group = system.proxies[0].proxy.services.groups["scheduling"]
+    group.limits = replace(group.limits, maximum_connections=1)
+    group.close_unused()
     assert (await caller.ask("WRITE slot-1 mali"))[0].startswith("COMPLETE sig")
     assert (await reader.ask("READ slot-1"))[0].startswith("DATAROW")
     assert group.members["up-1"].pool.open_count == 0
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -24,7 +24,6 @@
 from ebonyrack.members.presence import Presence
 from ebonyrack.members.roster import Decode
 from ebonyrack.members.roster import Roster
-from ebonyrack.placing.share import compute_share
 from ebonyrack.placing.suspicion import MISSING_LIMIT_S
 from ebonyrack.promotion.order import OrderDesk
 from ebonyrack.promotion.promoter import Promoter
@@ -252,7 +251,7 @@
                 limits,
                 self.settings.data_centre,
                 self.surroundings.upstream_codec,
-                compute_share(limits.maximum_connections, self.presence.live_count),
+                self.presence.live_count,
             )
             groups[name] = group
             await self.roster.join_group(group)
@@ -293,11 +292,7 @@
     def divide_connections(self) -> None:
         """Set this proxy's share of the upstreams' connections."""
         for group in self.services.groups.values():
-            group.set_share(
-                compute_share(
-                    group.limits.maximum_connections, self.presence.live_count
-                )
-            )
+            group.divide_connections(self.presence.live_count)
 
     async def watch_surroundings(self) -> None:
         """Act on what stays away too long, until cancelled."""
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -10,6 +10,7 @@
 from ebonyrack.members.member import Member
 from ebonyrack.members.primary_state import PrimaryState
 from ebonyrack.placing.share import compute_kept
+from ebonyrack.placing.share import compute_share
 from ebonyrack.placing.share import is_returning
 from ebonyrack.placing.shedding import Demand
 from ebonyrack.requests.codec import UpstreamCodec
@@ -31,6 +32,7 @@
         data_centre: Data centre of this proxy.
         codec: Protocol of the upstreams.
         started_s: Time since which the proxy serves it, on the boot clock.
+        live_proxies: Proxies that are known to live, this one included.
         connection_share: Connections to each upstream that this proxy may hold.
         queue_weights: Shares of the databases in the queues.
         demand: The classes of reads that ask for the group.
@@ -41,20 +43,25 @@
         "data_centre",
         "codec",
         "started_s",
+        "live_proxies",
         "connection_share",
         "queue_weights",
         "demand",
     )
 
     def __init__(
-        self, limits: GroupLimits, data_centre: str, codec: UpstreamCodec, share: int
+        self,
+        limits: GroupLimits,
+        data_centre: str,
+        codec: UpstreamCodec,
+        live_proxies: int,
     ) -> None:
         self.limits = limits
         self.data_centre = data_centre
         self.codec = codec
         super().__init__()
         self.started_s = boot_time_s()
-        self.connection_share = share
+        self.divide_connections(live_proxies)
         self.queue_weights: dict[str, int] = {}
         self.demand = Demand()
 
@@ -68,8 +75,14 @@
         """Name of the group."""
         return self.limits.name
 
-    def set_share(self, share: int) -> None:
-        """Set how many connections to each upstream this proxy may hold."""
+    def divide_connections(self, live_proxies: int) -> None:
+        """Set how many connections to each upstream this proxy may hold.
+
+        Args:
+            live_proxies: Proxies that are known to live, this one included.
+        """
+        share = compute_share(self.limits.maximum_connections, live_proxies)
+        self.live_proxies = live_proxies
         self.connection_share = share
         for member in self.members.values():
             if member.pool.limit != share:
@@ -78,7 +91,8 @@
     @property
     def is_returning(self) -> bool:
         """Whether connections of before the proxy's start may still linger."""
-        return is_returning(boot_time_s() - self.started_s)
+        age_s = boot_time_s() - self.started_s
+        return is_returning(age_s, self.limits.maximum_connections, self.live_proxies)
 
     def close_unused(self) -> None:
         """Close connections that are unused and not kept."""
--- a/ebonyrack/placing/decisions_test.py
+++ b/ebonyrack/placing/decisions_test.py
@@ -223,5 +223,7 @@
     kept += far * compute_kept(share, False, False)
     assert kept + 29 * share <= 43
     assert compute_kept(share, False, True) == share
-    assert is_returning(3.0)
-    assert not is_returning(4.0)
+    assert is_returning(3.0, 43, 29)
+    assert not is_returning(4.0, 43, 29)
+    # 5 proxies hold 3 of 22 each; what is left is enough for one more each.
+    assert not is_returning(3.0, 22, 5)
--- a/ebonyrack/placing/share.py
+++ b/ebonyrack/placing/share.py
@@ -41,10 +41,16 @@
     return share if is_near or leads else 0
 
 
-def is_returning(age_s: float) -> bool:
+def is_returning(age_s: float, maximum_connections: int, live_proxies: int) -> bool:
     """Return whether a proxy leaves unused connections to the primary to others.
 
+    It does so where not every proxy can have one beside all that may linger.
+
     Args:
         age_s: Seconds since it has started.
+        maximum_connections: Connections that the upstream accepts from everyone.
+        live_proxies: Proxies that are known to live, this one included.
     """
-    return age_s <= RETURN_S
+    lingering = live_proxies * compute_share(maximum_connections, live_proxies)
+    is_short = lingering + live_proxies > maximum_connections
+    return is_short and age_s <= RETURN_S
