Ask a replica whether the primary leads where promotions are not fenced

Cause: on platforms that don't fence promotions a replaced primary goes on as if it led until it steps down.

Change: every promotion pauses all replicas, the candidate too, before the order, so a replica that still receives in the primary's term shows that no order had been sent. A change that is seen under way holds writes back; one that was abandoned is completed. The replaced primary is told to step down.

Ruled out: a read inside a committed transaction as proof (commits nothing the caller asked for); proofs by acknowledged commits alone (too rare per proxy).

--- a/ebonyrack/core/route_settings.py
+++ b/ebonyrack/core/route_settings.py
@@ -19,6 +19,8 @@
         store_address: Address of the platform's store.
         order_address: Where promotions are ordered.
         grace_s: Time between the signal to stop and the end of the process, in seconds.
+        is_promotion_fenced: Whether the platform ends the lead of the old primary and
+            refuses outdated orders when it promotes another upstream.
     """
 
     name: str
@@ -28,3 +30,4 @@
     store_address: Address
     order_address: Address
     grace_s: float
+    is_promotion_fenced: bool = False
--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from loguru import logger
+from result import Ok
 
 from ebonyrack.core.clock import PauseDetector
 from ebonyrack.core.clock import boot_time_s
@@ -22,7 +23,10 @@
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.promotion.promoter import Promoter
 from ebonyrack.promotion.promoter import PromotionResult
+from ebonyrack.requests.request import STATUS_REQUEST
+from ebonyrack.serving.statement import confirm_leadership
 from ebonyrack.serving.statement import record_begin_reply
+from ebonyrack.serving.statement import start_leadership_check
 
 CHECK_INTERVAL_S = 0.1
 # A position sample is renewed at this age; the lowest maximum staleness that routes
@@ -94,6 +98,8 @@
             self.probe_silent()
             self.group.trim_idle_connections()
             primary = self.group.primary
+            if self.group.changing_since_s is not None:
+                self.start_leadership_check()
             if primary is None or self.group.health is not PrimaryHealth.SERVING:
                 for member in list(self.group.members.values()):
                     self.start_probe(member)
@@ -107,6 +113,11 @@
         limit_s = MAXIMUM_COSTLY_SAMPLE_AGE_S if is_costly else MAXIMUM_SAMPLE_AGE_S
         return self.group.position_history.measure_age(boot_time_s()) > limit_s
 
+    def start_leadership_check(self) -> None:
+        """Find out whether the change of primary by another proxy has ended."""
+        if self.group.leadership is not None:
+            self.group.leadership.start()
+
     def handle_pause(self, pause_s: float) -> None:
         """Restart the measurement of silence after a pause of this process."""
         if pause_s == 0.0:
@@ -150,6 +161,7 @@
 
     async def probe(self, member: Member) -> None:
         """Probe whether an upstream is the primary; record its reply in the group."""
+        started_s = boot_time_s()
         try:
             link = await member.pool.acquire(PROBE_CALLER, now_s() + PROBE_TIMEOUT_S)
         except (RequestError, UpstreamLostError) as error:
@@ -157,7 +169,14 @@
                 group=self.group.name, upstream=member.member_id, reason=str(error)
             ).debug("probe_not_sent")
             return
+        check = None
+        if member is self.group.primary:
+            check = start_leadership_check(self.group)
         try:
+            if self.group.needs_status_of(member):
+                found = await link.request_status(STATUS_REQUEST, PROBE_TIMEOUT_S)
+                if isinstance(found, Ok):
+                    self.group.record_status(member, found.ok_value)
             reply, sent_at_s = await link.probe_primary(PROBE_TIMEOUT_S)
         except (UpstreamLostError, ReplyTimeoutError) as error:
             logger.bind(
@@ -168,6 +187,16 @@
             member.pool.release(link)
         member.record_position(reply.position)
         record_begin_reply(self.group, member, reply, sent_at_s)
+        if check is None or reply.rejection is not None:
+            return
+        try:
+            await confirm_leadership(
+                self.group, member, check, reply, min(sent_at_s, started_s)
+            )
+        except RequestError as error:
+            logger.bind(group=self.group.name, reason=error.reason).debug(
+                "position_not_sampled"
+            )
 
     async def replace_forever(self) -> None:
         """Replace a lost or leaving primary, until cancelled."""
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -259,6 +259,7 @@
                 self.settings.data_centre,
                 self.dependencies.upstream_codec,
                 self.presence.live_count,
+                self.settings.is_promotion_fenced,
             )
             groups[name] = group
             await self.directory.add_group(group)
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -7,6 +7,8 @@
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.component import Component
 from ebonyrack.members.entry import MemberEntry
+from ebonyrack.members.leadership_check import CHECK_CALLER
+from ebonyrack.members.leadership_check import LeadershipCheck
 from ebonyrack.members.member import Member
 from ebonyrack.members.primary_state import PrimaryState
 from ebonyrack.placing.connection_share import compute_idle_limit
@@ -22,6 +24,10 @@
 # Probes of the known upstreams find a new primary within this time, in seconds; after
 # that, the store may list upstreams that aren't known yet.
 PROBE_DISCOVERY_S = 1.5
+# Upstreams that a proxy finds within this time of its start were there before.
+INITIAL_DISCOVERY_S = 3.0
+# Weight of leadership checks in the queues; many requests wait for one check.
+CHECK_WEIGHT = 16
 
 
 class Group(PrimaryState, Component):
@@ -36,6 +42,8 @@
         connection_share: Connections to each upstream that this proxy may hold.
         queue_weights: Queue weight by database.
         demand: Recent reads of the group by class.
+        leadership: Checks that the primary still leads; None where the platform ends
+            the lead of a replaced primary.
     """
 
     __slots__ = (
@@ -47,6 +55,7 @@
         "connection_share",
         "queue_weights",
         "demand",
+        "leadership",
     )
 
     def __init__(
@@ -55,6 +64,7 @@
         data_centre: str,
         codec: UpstreamCodec,
         live_proxies: int,
+        is_promotion_fenced: bool,
     ) -> None:
         self.limits = limits
         self.data_centre = data_centre
@@ -64,9 +74,12 @@
         self.update_connection_share(live_proxies)
         self.queue_weights: dict[str, int] = {}
         self.demand = ReadDemand()
+        self.leadership = None if is_promotion_fenced else LeadershipCheck(self)
 
     async def stop(self) -> None:
         """Close every connection."""
+        if self.leadership is not None:
+            await self.leadership.stop()
         for member in list(self.members.values()):
             await member.stop()
 
@@ -75,6 +88,12 @@
         """Name of the group."""
         return self.limits.name
 
+    def needs_status_of(self, member: Member) -> bool:
+        """Whether only an upstream's status tells if it may be the primary."""
+        if self.leadership is None:
+            return False
+        return self.primary_tracker.confirmed != member.member_id
+
     def update_connection_share(self, live_proxies: int) -> None:
         """Set how many connections to each upstream this proxy may hold.
 
@@ -109,9 +128,9 @@
 
     def set_weights(self, weights: dict[str, int]) -> None:
         """Set the queue weights of the databases."""
-        self.queue_weights = weights
+        self.queue_weights = {**weights, CHECK_CALLER: CHECK_WEIGHT}
         for member in self.members.values():
-            member.pool.set_weights(weights)
+            member.pool.set_weights(self.queue_weights)
 
     async def apply_entry(self, entry: MemberEntry) -> None:
         """Apply the newest entry of an upstream.
@@ -125,6 +144,8 @@
             member = None
         if member is None:
             member = Member(entry, self.codec, self.connection_share)
+            if boot_time_s() - self.started_s > INITIAL_DISCOVERY_S:
+                member.known_since_s = boot_time_s()
             member.pool.set_weights(self.queue_weights)
             member.pool.keeps_idle_connections = not (
                 entry.reports_primary and self.is_short_of_connections
--- a/ebonyrack/members/link.py
+++ b/ebonyrack/members/link.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Sequence
 
+from result import Result
+
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import StreamLostError
@@ -19,6 +21,7 @@
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.reply import TransactionState
+from ebonyrack.requests.reply import UpstreamStatus
 from ebonyrack.requests.request import BEGIN_REQUEST
 from ebonyrack.requests.request import DISCARD_REQUEST
 from ebonyrack.requests.request import ROLLBACK_REQUEST
@@ -160,6 +163,25 @@
         began, _ = await self.exchange([BEGIN_REQUEST, ROLLBACK_REQUEST], timeout_s)
         return began, sent_at_s
 
+    async def request_status(
+        self, request: Request, timeout_s: float
+    ) -> Result[UpstreamStatus, str]:
+        """Send a request whose reply is a status.
+
+        Args:
+            request: The request.
+            timeout_s: Seconds to wait.
+
+        Returns:
+            The status, or why the reply has none.
+
+        Raises:
+            UpstreamLostError: If the connection broke.
+            ReplyTimeoutError: If no reply came in time.
+        """
+        (reply,) = await self.exchange([request], timeout_s)
+        return self.codec.read_status(reply)
+
     async def read_reply(self) -> Reply:
         """Wait for the reply to the oldest unanswered request."""
         reply = await self.codec.read_reply(self.stream)
--- a/ebonyrack/members/liveness.py
+++ b/ebonyrack/members/liveness.py
@@ -19,6 +19,7 @@
             was abandoned or whose connection broke; None if there is none.
         refused_since_s: Time of the first refused connection since the last reply, or
             None.
+        refused_at_s: Time of the last refused connection; far in the past if none was.
         exchange_numbers: Source of exchange numbers.
     """
 
@@ -27,6 +28,7 @@
         "replied_at_s",
         "abandoned_sent_s",
         "refused_since_s",
+        "refused_at_s",
         "exchange_numbers",
     )
 
@@ -35,6 +37,7 @@
         self.replied_at_s = 0.0
         self.abandoned_sent_s: float | None = None
         self.refused_since_s: float | None = None
+        self.refused_at_s = float("-inf")
         self.exchange_numbers = itertools.count()
 
     def record_sent(self) -> int:
@@ -51,6 +54,7 @@
 
     def record_refusal(self) -> None:
         """Record a refused connection."""
+        self.refused_at_s = boot_time_s()
         if self.refused_since_s is None:
             self.refused_since_s = boot_time_s()
 
--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -12,6 +12,7 @@
 from ebonyrack.core.notifier import Notifier
 from ebonyrack.core.position import LogPosition
 from ebonyrack.members.member import Member
+from ebonyrack.placing.leadership import LeadershipVerdict
 from ebonyrack.placing.position_history import PositionHistory
 from ebonyrack.placing.position_history import PositionSample
 from ebonyrack.placing.primary_health import PrimaryHealth
@@ -21,6 +22,7 @@
 from ebonyrack.placing.primary_outage import OutageEstimate
 from ebonyrack.placing.primary_outage import decide_wait
 from ebonyrack.placing.primary_tracker import PrimaryTracker
+from ebonyrack.requests.reply import UpstreamStatus
 
 # Longest time between two checks of a request that waits for a primary.
 RECHECK_INTERVAL_S = 0.1
@@ -38,6 +40,8 @@
         health: Health state of the primary at the last assessment.
         lost_since_s: Time since which the primary counts as lost, or None.
         outage_estimate: Estimates the length of outages.
+        changing_since_s: Time since which another proxy is changing the primary, or
+            None; known only where promotions are not fenced.
     """
 
     __slots__ = (
@@ -49,6 +53,7 @@
         "health",
         "lost_since_s",
         "outage_estimate",
+        "changing_since_s",
     )
 
     def __init__(self) -> None:
@@ -60,6 +65,7 @@
         self.health = PrimaryHealth.SERVING
         self.lost_since_s: float | None = None
         self.outage_estimate = OutageEstimate()
+        self.changing_since_s: float | None = None
 
     @property
     def name(self) -> str:
@@ -95,6 +101,46 @@
         if self.primary_tracker.confirmed == member.member_id:
             self.position_history.add(PositionSample(sent_at_s, position))
 
+    def record_status(self, member: Member, status: UpstreamStatus) -> None:
+        """Record the role and the term that an upstream reports.
+
+        Args:
+            member: The upstream.
+            status: Its status.
+        """
+        if member.member_id not in self.members:
+            return
+        before = self.primary_tracker.confirmed
+        with self.track_primary_change("status"):
+            if status.is_primary:
+                self.record_claim(member, status.term)
+            else:
+                self.primary_tracker.deny(member.member_id)
+                self.primary_tracker.supersede(status.term)
+        if before != self.primary_tracker.confirmed:
+            self.position_history.clear()
+            self.changing_since_s = None
+
+    def record_claim(self, member: Member, term: int) -> None:
+        """Record that an upstream reports leading a term."""
+        tracker = self.primary_tracker
+        if tracker.confirmed not in (None, member.member_id):
+            if term <= tracker.confirmed_term:
+                # A replaced primary that knows the new term but hasn't stepped down.
+                logger.bind(group=self.name, upstream=member.member_id, term=term).info(
+                    "replaced_primary_claims_to_lead"
+                )
+                return
+        tracker.confirm(member.member_id, term)
+
+    def record_verdict(self, verdict: LeadershipVerdict) -> None:
+        """Record what a leadership check found."""
+        if verdict is LeadershipVerdict.CHANGING:
+            self.changing_since_s = self.changing_since_s or boot_time_s()
+        elif verdict is LeadershipVerdict.LEADS and self.changing_since_s is not None:
+            self.changing_since_s = None
+            self.changed.notify()
+
     def record_not_primary(self, member: Member) -> None:
         """Record a rejection that only a replica gives."""
         with self.track_primary_change("refusal"):
@@ -136,7 +182,7 @@
             silent_for_s=primary.liveness.measure_silence(),
             silence_limit_s=primary.silence_limit_s,
             refused_for_s=primary.liveness.measure_refusal(),
-            stalled_for_s=primary.measure_stall(),
+            stalled_for_s=max(primary.measure_stall(), self.measure_change()),
             is_leaving=primary.entry.is_leaving,
             missing_for_s=now - entry_missing_since_s if entry_missing_since_s else 0.0,
         )
@@ -175,11 +221,17 @@
     @property
     def serves_writes(self) -> bool:
         """Whether the primary is known and presumed to be alive."""
-        return self.primary is not None and self.health in (
-            PrimaryHealth.SERVING,
-            PrimaryHealth.LEAVING,
+        return (
+            self.primary is not None
+            and self.changing_since_s is None
+            and self.health in (PrimaryHealth.SERVING, PrimaryHealth.LEAVING)
         )
 
+    def measure_change(self) -> float:
+        """Return the seconds for which another proxy is changing the primary."""
+        since_s = self.changing_since_s
+        return boot_time_s() - since_s if since_s is not None else 0.0
+
     async def wait_for_primary(self, deadline_s: float) -> Member:
         """Return the primary, waiting for one only if it is expected in time.
 
@@ -207,7 +259,7 @@
 
     def measure_known_outage(self) -> float:
         """Return the seconds since this proxy detected the outage, 0 without one."""
-        since_s = self.lost_since_s or self.unknown_since_s
+        since_s = self.lost_since_s or self.unknown_since_s or self.changing_since_s
         return boot_time_s() - since_s if since_s is not None else 0.0
 
     def estimate_outage(self) -> float:
--- a/ebonyrack/placing/primary_tracker.py
+++ b/ebonyrack/placing/primary_tracker.py
@@ -70,6 +70,12 @@
         self.confirmed_term = term
         self.denied.discard(member_id)
 
+    def supersede(self, term: int) -> None:
+        """Record a term that has begun; the primary of an earlier one is replaced."""
+        if self.confirmed is not None and term > self.confirmed_term:
+            self.denied.add(self.confirmed)
+            self.confirmed = None
+
     def deny(self, member_id: str) -> None:
         """Record a rejection that only a replica gives."""
         self.denied.add(member_id)
--- a/ebonyrack/platform/settings_file.py
+++ b/ebonyrack/platform/settings_file.py
@@ -42,6 +42,17 @@
     return text
 
 
+def read_flag(text: str) -> bool:
+    """Parse true or false.
+
+    Raises:
+        ValueError: If it is neither.
+    """
+    if text not in ("true", "false"):
+        raise ValueError(f"must be true or false: {text!r}")
+    return text == "true"
+
+
 # Attribute of the settings, key in the file, parser of the value.
 FIELDS: tuple[tuple[str, str, Callable[[str], Any]], ...] = (
     ("name", "nodeName", read_nonempty),
@@ -52,7 +63,10 @@
     ("store_address", "platform.address", parse_address),
     ("order_address", "cloud.address", parse_address),
     ("grace_s", "bounds.graceS", read_seconds),
+    ("is_promotion_fenced", "bounds.requireFencing", read_flag),
 )
+# Keys that a platform which doesn't know them leaves out.
+OPTIONAL_KEYS = frozenset({"bounds.requireFencing"})
 
 
 def parse_settings(text: str, source: str) -> Result[RouteProxySettings, ConfigErrors]:
@@ -77,6 +91,8 @@
     settings: dict[str, Any] = {}
     for attribute, key, read in FIELDS:
         if key not in values:
+            if key in OPTIONAL_KEYS:
+                continue
             errors.append(ConfigError(source, "", key, "is missing"))
             continue
         try:
--- a/ebonyrack/platform/upstream_codec.py
+++ b/ebonyrack/platform/upstream_codec.py
@@ -58,6 +58,7 @@
     RequestKind.STATUS: lambda request: b"STATUS",
     RequestKind.PAUSE: lambda request: b"PAUSE %b" % request.argument,
     RequestKind.RESUME: lambda request: b"RESUME",
+    RequestKind.STEP_DOWN: lambda request: b"STEPDOWN %b" % request.argument,
 }
 
 
@@ -126,7 +127,7 @@
         """Parse an upstream's report of its role in the group.
 
         Args:
-            reply: Reply to STATUS, PAUSE or RESUME.
+            reply: Reply to STATUS, PAUSE, RESUME or STEPDOWN.
 
         Returns:
             The status, or why it is missing or invalid.
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -22,9 +22,12 @@
 from ebonyrack.requests.request import STATUS_REQUEST
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import build_pause_request
+from ebonyrack.requests.request import build_step_down_request
 
 # Timeout of one request to an upstream, including connecting.
 REQUEST_TIMEOUT_S = 0.5
+# Timeout of a request to a primary that seems lost; a later reply is of no use.
+LOST_PRIMARY_TIMEOUT_S = 0.15
 # Time to wait for a connection of the pool before opening another one.
 POOL_WAIT_S = 0.03
 # Name under which a promotion waits for a connection.
@@ -122,6 +125,17 @@
         if status is not None and status.paused_term == self.paused_term:
             await self.request_status(RESUME_REQUEST)
 
+    async def step_down(self, term: int) -> None:
+        """Ask the upstream to end its lead of an earlier term; log the outcome."""
+        if self.link is None or not self.link.is_open:
+            await self.connect_directly(LOST_PRIMARY_TIMEOUT_S)
+        status = await self.request_status(build_step_down_request(term))
+        logger.bind(
+            upstream=self.member.member_id,
+            term=term,
+            leads=status.is_primary if status is not None else None,
+        ).info("former_primary_stepped_down")
+
     async def prove_primary(self) -> PositionSample | None:
         """Probe with a read-write transaction whether the upstream is the primary.
 
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -21,12 +21,11 @@
 from ebonyrack.promotion.order import OrderOutcome
 from ebonyrack.promotion.order import PromotionOrder
 from ebonyrack.promotion.order import PromotionOrderClient
+from ebonyrack.promotion.participant import LOST_PRIMARY_TIMEOUT_S
 from ebonyrack.promotion.participant import PromotionParticipant
 from ebonyrack.requests.request import STATUS_REQUEST
 from ebonyrack.store.leasing_store import LeasingStore
 
-# Timeout of a request to a primary that seems lost; a later reply is of no use.
-LOST_PRIMARY_TIMEOUT_S = 0.15
 # Pause between checks of replicas that must catch up or reply.
 RECHECK_PAUSE_S = 0.05
 # Pause between probes of the new primary.
@@ -165,6 +164,9 @@
         status = participant.status
         if status is None or not status.is_primary:
             return False
+        if status.term < self.group.primary_tracker.confirmed_term:
+            # A replaced primary may go on as if it led.
+            return False
         return await self.prove_primary(participant)
 
     async def prove_primary(self, participant: PromotionParticipant) -> bool:
@@ -172,6 +174,13 @@
         proof = await participant.prove_primary()
         if proof is None:
             return False
+        if self.group.leadership is not None:
+            # Only the status tells the term in which the upstream leads.
+            status = await participant.request_status(STATUS_REQUEST)
+            if status is None or not status.is_primary:
+                return False
+            self.group.record_status(participant.member, status)
+            return self.group.primary is participant.member
         self.group.record_primary_reply(
             participant.member, proof.sent_at_s, proof.position
         )
@@ -199,7 +208,7 @@
         if isinstance(chosen, PromotionResult):
             await self.resume(replicas)
             return chosen
-        result = await self.send_order(lease, chosen)
+        result = await self.send_order(lease, chosen, primary_participants)
         # Replicas stay paused if the order may still be carried out: the new primary
         # may lack what they receive from now on.
         if result in KNOWN_NOT_CARRIED_OUT:
@@ -237,9 +246,10 @@
             ]
             if chosen and chosen[0].status is not None:
                 if not chosen[0].is_paused:
-                    await chosen[0].request_status(STATUS_REQUEST)
+                    await self.prepare_candidate(chosen[0], replicas, term)
                 states = [build_replica_state(participant) for participant in replicas]
-                if is_safe_candidate(
+                is_stopped = self.group.leadership is None or chosen[0].is_paused
+                if is_stopped and is_safe_candidate(
                     chosen[0].member.member_id, states, acknowledging_replicas
                 ):
                     return chosen[0]
@@ -258,6 +268,27 @@
                 return PromotionResult.NOT_NEEDED
         return PromotionResult.NO_SAFE_SUCCESSOR
 
+    async def prepare_candidate(
+        self,
+        candidate: PromotionParticipant,
+        replicas: list[PromotionParticipant],
+        term: int,
+    ) -> None:
+        """Update the status of the candidate, which receives nothing more if unfenced.
+
+        Where a replaced primary may go on, every replica must be paused before the
+        order: a replica that isn't shows the proxies that the primary leads, and a
+        commit that it receives is acknowledged.
+        """
+        await candidate.request_status(STATUS_REQUEST)
+        if self.group.leadership is None or candidate.status is None:
+            return
+        received = [
+            each.status.received for each in replicas if each.status is not None
+        ]
+        if candidate.status.received >= max(received):
+            await candidate.pause(term)
+
     async def has_primary_recovered(
         self, health: PrimaryHealth, primary_participants: list[PromotionParticipant]
     ) -> bool:
@@ -283,9 +314,21 @@
                 await participant.request_status(STATUS_REQUEST)
 
     async def send_order(
-        self, lease: PromotionLease, chosen: PromotionParticipant
+        self,
+        lease: PromotionLease,
+        chosen: PromotionParticipant,
+        former: list[PromotionParticipant],
     ) -> PromotionResult:
-        """Order the promotion and wait until the upstream is the primary."""
+        """Order the promotion and wait until the upstream is the primary.
+
+        Args:
+            lease: The promotion lease.
+            chosen: The upstream to be promoted.
+            former: The primary until now, if it is known.
+
+        Returns:
+            The result of the attempt.
+        """
         if not lease.is_held:
             return PromotionResult.LEASE_NOT_HELD
         member = chosen.member
@@ -309,12 +352,25 @@
         deadline_s = boot_time_s() + PRIMARY_WAIT_S
         while boot_time_s() < deadline_s:
             if await self.prove_primary(chosen):
+                await self.end_former_lead(former)
                 return PromotionResult.PROMOTED
             await asyncio.sleep(PRIMARY_CHECK_PAUSE_S)
         if outcome == Ok(OrderOutcome.UNANSWERED):
             return PromotionResult.UNANSWERED
         return PromotionResult.NOT_PRIMARY
 
+    async def end_former_lead(self, former: list[PromotionParticipant]) -> None:
+        """Make the replaced primary a replica if it can be reached.
+
+        Another proxy may still send it requests; without this it would go on until it
+        reaches the new primary.
+        """
+        if self.group.leadership is None:
+            return
+        term = self.group.primary_tracker.confirmed_term
+        for participant in former:
+            await participant.step_down(term)
+
     async def resume(self, replicas: list[PromotionParticipant]) -> None:
         """Let the paused replicas receive again."""
         for participant in replicas:
--- a/ebonyrack/promotion/promoter_test.py
+++ b/ebonyrack/promotion/promoter_test.py
@@ -60,10 +60,10 @@
     promoter = get_promoter(system)
     original = promoter.send_order
 
-    async def refuse(lease, chosen):
+    async def refuse(*arguments):
         system.service.faults.status = 503
         try:
-            return await original(lease, chosen)
+            return await original(*arguments)
         finally:
             system.service.faults.status = 0
 
--- a/ebonyrack/requests/request.py
+++ b/ebonyrack/requests/request.py
@@ -27,6 +27,7 @@
     STATUS = "status"
     PAUSE = "pause"
     RESUME = "resume"
+    STEP_DOWN = "step_down"
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,3 +72,8 @@
 def build_pause_request(term: int) -> Request:
     """Build the request to a replica to receive nothing of terms below a given one."""
     return Request(RequestKind.PAUSE, argument=str(term).encode())
+
+
+def build_step_down_request(term: int) -> Request:
+    """Build the request to a primary of a lower term to become a replica."""
+    return Request(RequestKind.STEP_DOWN, argument=str(term).encode())
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -28,9 +28,11 @@
 from ebonyrack.serving.read_requirement import ReadRequirement
 from ebonyrack.serving.read_requirement import find_requirement
 from ebonyrack.serving.statement import Statement
+from ebonyrack.serving.statement import confirm_leadership
 from ebonyrack.serving.statement import record_begin_reply
 from ebonyrack.serving.statement import send_committing_request
 from ebonyrack.serving.statement import set_up_session
+from ebonyrack.serving.statement import start_leadership_check
 
 # Attempts at a first statement that was not run, at any of the upstreams.
 MAXIMUM_ATTEMPTS = 8
@@ -215,15 +217,21 @@
             begin = Request(
                 RequestKind.BEGIN_READ_ONLY, minimum_position=self.requirement.position
             )
+        needs_primary = self.requirement.position is None
+        ends_at_once = statement.request.kind is RequestKind.COMMIT
         sent_at_s = boot_time_s()
+        check = None
+        if needs_primary and not ends_at_once:
+            check = start_leadership_check(self.group)
         (began,) = await link.exchange([begin], statement.remaining_s)
         member.record_position(began.position)
-        if self.requirement.position is None:
+        if needs_primary:
             record_begin_reply(self.group, member, began, sent_at_s)
-        if began.rejection is not None or statement.request.kind is RequestKind.COMMIT:
+        if began.rejection is not None or ends_at_once:
             return began
         (reply,) = await link.exchange([statement.request], statement.remaining_s)
-        return reply
+        refusal = await confirm_leadership(self.group, member, check, began, sent_at_s)
+        return refusal or reply
 
     async def run_next(self, statement: Statement) -> Reply:
         """Run a later statement on the connection of the transaction."""
--- a/ebonyrack/standins/kv_service.py
+++ b/ebonyrack/standins/kv_service.py
@@ -65,7 +65,9 @@
         events: Changes of the kept history, in order.
         compacted_revision: Revision up to which the history was dropped.
         faults: Injected faults.
+        requires_fencing: Whether orders with a token below the highest are refused.
         tokens: Highest fencing token seen for each group.
+        lower_tokens: Tokens of orders that came after a higher one.
         accepted_orders: Group, upstream and token of each accepted order.
         promotion_duration_s: Duration of a promotion, in seconds.
         calls: Path of each call, in order.
@@ -81,7 +83,9 @@
         self.revision = 1
         self.compacted_revision = 0
         self.faults = KvFaults()
+        self.requires_fencing = True
         self.tokens: dict[str, int] = {}
+        self.lower_tokens: list[int] = []
         self.accepted_orders: list[tuple[str, str, int]] = []
         self.promotion_duration_s = 0.05
         self.calls: list[str] = []
@@ -277,9 +281,10 @@
         return web.json_response({})
 
     def accept_token(self, group: str, token: int) -> bool:
-        """Return whether no higher token was seen; if so, record this one."""
+        """Return whether an order is carried out, and record its token."""
         if token < self.tokens.get(group, 0):
-            return False
+            self.lower_tokens.append(token)
+            return not self.requires_fencing
         self.tokens[group] = token
         return True
 
--- a/ebonyrack/standins/line_group.py
+++ b/ebonyrack/standins/line_group.py
@@ -8,6 +8,11 @@
 
 from ebonyrack.core.position import LogPosition
 
+# Where promotions are not fenced, a replaced primary that can reach the new one still
+# leads for this long.
+REPLACED_PRIMARY_LEADS_S = 1.0
+STEP_DOWN_CHECK_S = 0.02
+
 
 @dataclass(frozen=True, slots=True)
 class LogEntry:
@@ -106,6 +111,8 @@
         acknowledged: Entries whose commit was acknowledged.
         promotions: Member ID and term of each promotion.
         changed: Notified after each replication, for commits that wait.
+        is_promotion_fenced: Whether a promotion ends the lead of the old primary.
+        isolated: Upstreams that can't reach the others.
     """
 
     __slots__ = (
@@ -117,10 +124,16 @@
         "promotions",
         "changed",
         "tasks",
+        "is_promotion_fenced",
+        "isolated",
     )
 
     def __init__(
-        self, name: str, member_ids: list[str], acknowledging_replicas: int = 1
+        self,
+        name: str,
+        member_ids: list[str],
+        acknowledging_replicas: int = 1,
+        is_promotion_fenced: bool = True,
     ) -> None:
         self.name = name
         self.members = {member_id: LineMember(member_id) for member_id in member_ids}
@@ -131,6 +144,8 @@
         self.promotions: list[tuple[str, int]] = []
         self.changed = asyncio.Condition()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.is_promotion_fenced = is_promotion_fenced
+        self.isolated: set[str] = set()
 
     @property
     def primary(self) -> LineMember | None:
@@ -187,6 +202,10 @@
             is_paused = member.paused_below_term > primary.term
             if member is primary or member.is_replication_blocked or is_paused:
                 continue
+            if member.is_primary:
+                continue
+            if self.isolated & {primary.member_id, member.member_id}:
+                continue
             if member.term > primary.term:
                 continue
             member.term = primary.term
@@ -220,21 +239,54 @@
         chosen = self.members[member_id]
         if chosen.is_primary and chosen is self.primary:
             return
+        old = self.primary
         term = max(member.term for member in self.members.values()) + 1
-        for member in self.members.values():
-            member.is_primary = False
-            member.paused_below_term = 0
         chosen.is_primary = True
         chosen.term = term
+        chosen.paused_below_term = 0
         chosen.applied_count = len(chosen.log)
         self.promotions.append((member_id, term))
         for member in self.members.values():
-            if member is not chosen and not member.is_replication_blocked:
-                member.term = term
-                member.log = list(chosen.log)
-                member.applied_count = min(member.applied_count, len(member.log))
+            if member is chosen:
+                continue
+            if self.is_promotion_fenced:
+                member.is_primary = False
+                member.paused_below_term = 0
+                if not member.is_replication_blocked:
+                    self.follow(member, chosen)
+            elif member is old:
+                self.start_task(self.step_down_later(member, chosen))
+            elif member.member_id not in self.isolated:
+                member.paused_below_term = 0
+                self.follow(member, chosen)
         self.replicate(chosen)
 
+    def follow(self, member: LineMember, primary: LineMember) -> None:
+        """Make an upstream a replica of a primary; entries that it lacks are cut."""
+        member.is_primary = False
+        member.term = primary.term
+        member.log = list(primary.log)
+        member.applied_count = min(member.applied_count, len(member.log))
+
+    async def step_down_later(self, old: LineMember, new: LineMember) -> None:
+        """End the lead of a replaced primary once it has reached the new one."""
+        while old.member_id in self.isolated:
+            await asyncio.sleep(STEP_DOWN_CHECK_S)
+        await asyncio.sleep(REPLACED_PRIMARY_LEADS_S)
+        if old.is_primary and old.term < new.term:
+            self.step_down(old, new.term)
+
+    def step_down(self, member: LineMember, term: int) -> None:
+        """Make a primary of a lower term a replica."""
+        if not member.is_primary or member.term >= term:
+            return
+        member.is_primary = False
+        member.term = term
+        primary = self.primary
+        if primary is not None and member.member_id not in self.isolated:
+            self.follow(member, primary)
+        self.start_task(self.notify_waiters())
+
     def find_lost_entries(self) -> list[LogEntry]:
         """Return acknowledged entries that the current primary lacks."""
         primary = self.primary
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -72,9 +72,12 @@
         publisher_tasks: Tasks that renew the entries of the upstreams, by member ID.
     """
 
-    def __init__(self, proxy_count: int = 1) -> None:
-        self.group = LineGroup(GROUP, MEMBER_IDS)
+    def __init__(self, proxy_count: int = 1, is_promotion_fenced: bool = True) -> None:
+        self.group = LineGroup(
+            GROUP, MEMBER_IDS, is_promotion_fenced=is_promotion_fenced
+        )
         self.service = KvService({GROUP: self.group})
+        self.service.requires_fencing = is_promotion_fenced
         self.upstreams = {
             member_id: LineUpstream(self.group, member)
             for member_id, member in self.group.members.items()
@@ -114,6 +117,7 @@
                 store_address=self.service.address,
                 order_address=self.service.address,
                 grace_s=2.0,
+                is_promotion_fenced=self.group.is_promotion_fenced,
             )
         )
         await self.stack.enter_async_context(proxy)
--- a/ebonyrack/standins/line_upstream.py
+++ b/ebonyrack/standins/line_upstream.py
@@ -329,6 +329,11 @@
         self.member.paused_below_term = int(rest)
         return await self.run_status(session, "")
 
+    async def run_stepdown(self, session: LineSession, rest: str) -> str:
+        """End the lead of a primary of a term below the given one."""
+        self.group.step_down(self.member, int(rest))
+        return await self.run_status(session, "")
+
     async def run_resume(self, session: LineSession, rest: str) -> str:
         """Resume replication."""
         self.member.paused_below_term = 0
