Revert "Send a strict read without a transaction where a replica shows the leader"

Only STATUS is priced as a probe, not BEGIN and ROLLBACK, and a read no longer sampled the position for nothing, so the monitors sent more of them; replicas with two slots refused some.

--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from loguru import logger
-from result import Err
+from result import Ok
 
 from ebonyrack.core.clock import PauseDetector
 from ebonyrack.core.clock import boot_time_s
@@ -18,14 +18,13 @@
 from ebonyrack.core.tasks import start_loop
 from ebonyrack.members.group import Group
 from ebonyrack.members.link import ReplyTimeoutError
-from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
-from ebonyrack.placing.leadership import LeadershipVerdict
 from ebonyrack.placing.primary_health import PrimaryHealth
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.promotion.promoter import Promoter
 from ebonyrack.promotion.promoter import PromotionResult
 from ebonyrack.requests.request import STATUS_REQUEST
+from ebonyrack.serving.statement import confirm_leadership
 from ebonyrack.serving.statement import record_begin_reply
 from ebonyrack.serving.statement import start_leadership_check
 
@@ -162,6 +161,7 @@
 
     async def probe(self, member: Member) -> None:
         """Probe whether an upstream is the primary; record its reply in the group."""
+        started_s = boot_time_s()
         try:
             link = await member.pool.acquire(PROBE_CALLER, now_s() + PROBE_TIMEOUT_S)
         except (RequestError, UpstreamLostError) as error:
@@ -169,42 +169,34 @@
                 group=self.group.name, upstream=member.member_id, reason=str(error)
             ).debug("probe_not_sent")
             return
+        check = None
+        if member is self.group.primary:
+            check = start_leadership_check(self.group)
         try:
-            if self.group.leadership is None:
-                reply, sent_at_s = await link.probe_primary(PROBE_TIMEOUT_S)
-                member.record_position(reply.position)
-                record_begin_reply(self.group, member, reply, sent_at_s)
-            else:
-                await self.sample_position(member, link)
+            if self.group.needs_status_of(member):
+                found = await link.request_status(STATUS_REQUEST, PROBE_TIMEOUT_S)
+                if isinstance(found, Ok):
+                    self.group.record_status(member, found.ok_value)
+            reply, sent_at_s = await link.probe_primary(PROBE_TIMEOUT_S)
         except (UpstreamLostError, ReplyTimeoutError) as error:
             logger.bind(
                 group=self.group.name, upstream=member.member_id, reason=repr(error)
             ).info("probe_unanswered")
+            return
         finally:
             member.pool.release(link)
-
-    async def sample_position(self, member: Member, link: UpstreamLink) -> None:
-        """Request an upstream's status; sample its position if a replica agrees.
-
-        Where promotions are not fenced, the status alone proves nothing.
-        """
-        started_s = boot_time_s()
-        check = None
-        if member is self.group.primary:
-            check = start_leadership_check(self.group)
-        found = await link.request_status(STATUS_REQUEST, PROBE_TIMEOUT_S)
-        if isinstance(found, Err):
-            logger.bind(
-                group=self.group.name, upstream=member.member_id, reason=found.err_value
-            ).debug("status_unknown")
-            return
-        status = found.ok_value
-        self.group.record_status(member, status)
-        if check is None or not status.is_primary:
+        member.record_position(reply.position)
+        record_begin_reply(self.group, member, reply, sent_at_s)
+        if check is None or reply.rejection is not None:
             return
-        verdict = await asyncio.shield(check)
-        if verdict is LeadershipVerdict.LEADS and member is self.group.primary:
-            self.group.record_primary_reply(member, started_s, status.received)
+        try:
+            await confirm_leadership(
+                self.group, member, check, reply, min(sent_at_s, started_s)
+            )
+        except RequestError as error:
+            logger.bind(group=self.group.name, reason=error.reason).debug(
+                "position_not_sampled"
+            )
 
     async def replace_forever(self) -> None:
         """Replace a lost or leaving primary, until cancelled."""
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -174,6 +174,10 @@
 ) -> Reply:
     """Read at an upstream that must be the primary at the time of the read.
 
+    The read runs in a read-write transaction, which an upstream that is no longer the
+    primary rejects. All requests go in one send, so the proof costs no round trip.
+    Where a replaced primary may go on as before, a replica is asked meanwhile.
+
     Args:
         statement: The read.
         member: The upstream.
@@ -186,28 +190,19 @@
     Raises:
         UpstreamLostError: If the connection broke.
         ReplyTimeoutError: If no reply came in time.
-        RequestError: NO_PRIMARY if no replica tells whether the upstream leads.
-    """
-    check = start_leadership_check(statement.group)
-    if check is None:
-        return await read_in_transaction(statement, member, link, timeout_s)
-    (reply,) = await link.exchange([statement.request], timeout_s)
-    return await refuse_unless_leading(statement.group, member, check) or reply
-
-
-async def read_in_transaction(
-    statement: Statement, member: Member, link: UpstreamLink, timeout_s: float
-) -> Reply:
-    """Read in a read-write transaction, which a replaced primary rejects.
-
-    All requests go in one send, so the proof costs no round trip.
     """
     sent_at_s = boot_time_s()
+    check = start_leadership_check(statement.group)
     began, reply, _ = await link.exchange(
         [BEGIN_REQUEST, statement.request, ROLLBACK_REQUEST], timeout_s
     )
     record_begin_reply(statement.group, member, began, sent_at_s)
-    return began if began.rejection is not None else reply
+    if began.rejection is not None:
+        return began
+    return (
+        await confirm_leadership(statement.group, member, check, began, sent_at_s)
+        or reply
+    )
 
 
 def start_leadership_check(group: Group) -> asyncio.Task[LeadershipVerdict] | None:
@@ -215,15 +210,22 @@
     return group.leadership.start() if group.leadership is not None else None
 
 
-async def refuse_unless_leading(
-    group: Group, member: Member, check: asyncio.Task[LeadershipVerdict] | None
+async def confirm_leadership(
+    group: Group,
+    member: Member,
+    check: asyncio.Task[LeadershipVerdict] | None,
+    began: Reply,
+    sent_at_s: float,
 ) -> Reply | None:
-    """Wait for a leadership check that was started before a request was sent.
+    """Wait for a leadership check that was started before a BEGIN was sent.
 
     Args:
         group: The group.
-        member: The upstream that replied.
+        member: The upstream that accepted the BEGIN.
         check: The check, or None if the reply itself shows that the upstream leads.
+        began: Its reply to the BEGIN.
+        sent_at_s: Time before the check was started and the BEGIN was sent, on the
+            boot clock.
 
     Returns:
         None if the upstream led, otherwise a rejection.
@@ -235,6 +237,7 @@
         return None
     verdict = await asyncio.shield(check)
     if verdict is LeadershipVerdict.LEADS and member is group.primary:
+        group.record_primary_reply(member, sent_at_s, began.position)
         return None
     if verdict is LeadershipVerdict.INCONCLUSIVE:
         raise RequestError(
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -28,8 +28,8 @@
 from ebonyrack.serving.read_requirement import ReadRequirement
 from ebonyrack.serving.read_requirement import find_requirement
 from ebonyrack.serving.statement import Statement
+from ebonyrack.serving.statement import confirm_leadership
 from ebonyrack.serving.statement import record_begin_reply
-from ebonyrack.serving.statement import refuse_unless_leading
 from ebonyrack.serving.statement import send_committing_request
 from ebonyrack.serving.statement import set_up_session
 from ebonyrack.serving.statement import start_leadership_check
@@ -230,7 +230,8 @@
         if began.rejection is not None or ends_at_once:
             return began
         (reply,) = await link.exchange([statement.request], statement.remaining_s)
-        return await refuse_unless_leading(self.group, member, check) or reply
+        refusal = await confirm_leadership(self.group, member, check, began, sent_at_s)
+        return refusal or reply
 
     async def run_next(self, statement: Statement) -> Reply:
         """Run a later statement on the connection of the transaction."""
