--- a/ebonyrack/members/directory.py
+++ b/ebonyrack/members/directory.py
@@ -75,6 +75,11 @@
             return
         entry = found.ok_value
         known = self.entries.get(entry.member_id)
+        if known is not None and reverts_leaving(known, entry):
+            logger.bind(group=entry.group, upstream=entry.member_id).info(
+                "upstream_entry_outdated"
+            )
+            return
         if known is not None and known.revision > entry.revision:
             return
         if (
@@ -129,3 +134,16 @@
                 if now - since_s > limit_s and member is not group.primary:
                     self.entries.pop(member.member_id, None)
                     await group.remove(member.member_id, "its entry is missing")
+
+
+def reverts_leaving(known: MemberEntry, entry: MemberEntry) -> bool:
+    """Whether an entry says again of a leaving upstream that it takes new work.
+
+    An upstream that has said that it will shut down does so. Only a store that was
+    restored from a copy says otherwise, until the upstream has written its entry again.
+    """
+    is_same_start = (known.started_at_ms, known.address) == (
+        entry.started_at_ms,
+        entry.address,
+    )
+    return known.is_leaving and not entry.is_leaving and is_same_start
--- a/ebonyrack/members/presence.py
+++ b/ebonyrack/members/presence.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from loguru import logger
@@ -134,7 +135,8 @@
     async def renew_while_held(self, lease: int) -> None:
         """Renew a lease until it has expired."""
         while True:
-            await asyncio.sleep(RENEWAL_INTERVAL_S)
+            # Proxies that started together don't all renew at once.
+            await asyncio.sleep(RENEWAL_INTERVAL_S * random.uniform(0.7, 1.0))
             renewed = await self.store.renew_lease(lease)
             if isinstance(renewed, Err):
                 self.log_failure("renew", renewed.err_value.reason)
--- a/ebonyrack/platform/kv_store.py
+++ b/ebonyrack/platform/kv_store.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 import json
+from collections.abc import Coroutine
 from typing import Any
 from urllib.parse import urlencode
 
@@ -15,6 +17,9 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.core.component import Component
+from ebonyrack.core.tasks import end_tasks
+from ebonyrack.platform.store_era import StoreEra
+from ebonyrack.platform.store_era import strip_era
 from ebonyrack.store.http_client import KEEPALIVE_OPTIONS
 from ebonyrack.store.http_client import HttpClient
 from ebonyrack.store.http_client import HttpRequest
@@ -40,15 +45,27 @@
 
     Attributes:
         client: HTTP connections to the store.
+        era: The store's era, after which revisions and leases are numbered.
         timeout_s: Timeout of a call that does not wait for a change, in seconds.
     """
 
-    __slots__ = ("client", "timeout_s")
+    __slots__ = ("client", "era", "timeout_s")
 
     def __init__(self, address: Address, timeout_s: float = CALL_TIMEOUT_S) -> None:
         self.client = HttpClient(address, KEEPALIVE_OPTIONS)
+        self.era = StoreEra()
         self.timeout_s = timeout_s
 
+    @property
+    def generation(self) -> int:
+        """Number that grows each time the store was restored from a copy."""
+        return self.era.number
+
+    @property
+    def generation_seen_s(self) -> float:
+        """Time at which this process first saw the generation, on the boot clock."""
+        return self.era.seen_at_s
+
     async def start(self) -> None:
         """Start the HTTP client, which connects on demand."""
         await self.client.start()
@@ -75,6 +92,7 @@
         items: list[StoreItem] = []
         revision = 0
         after = ""
+        era: int | None = None
         while True:
             query = {"prefix": prefix}
             if allow_stale:
@@ -86,9 +104,13 @@
             body = response.and_then(lambda reply: read_body(reply, (STATUS_OK,)))
             if isinstance(body, Err):
                 return body
+            if era not in (None, self.era.number):
+                # The earlier pages are of a store that has been replaced by a copy.
+                return await self.read_prefix(prefix, allow_stale)
+            era = self.era.number
             try:
-                page = [decode_item(item) for item in body.ok_value["items"]]
-                revision = revision or int(body.ok_value["currentRev"])
+                page = [decode_item(item, self.era) for item in body.ok_value["items"]]
+                revision = revision or self.era.extend(int(body.ok_value["currentRev"]))
                 is_truncated = bool(body.ok_value["truncated"])
             except (ValueError, LookupError, TypeError) as error:
                 return Err(build_bad_response_error(error))
@@ -110,16 +132,39 @@
         Returns:
             The changes, None if their history is lost, or why they could not be read.
         """
+        if not self.era.holds(revision):
+            return Ok(None)
         query = {
             "prefix": prefix,
-            "after": str(revision),
+            "after": str(strip_era(revision)),
             "waitMs": str(round(wait_s * MS_PER_S)),
         }
-        response = await self.get("watch", "/kv-watch", query, wait_s)
+        response = await self.wait_in_era(self.get("watch", "/kv-watch", query, wait_s))
+        if not self.era.holds(revision):
+            return Ok(None)
         if isinstance(response, Ok) and response.ok_value.status == STATUS_HISTORY_LOST:
             return Ok(None)
         body = response.and_then(lambda reply: read_body(reply, (STATUS_OK,)))
-        return body.and_then(decode_changes)
+        return body.and_then(lambda events: decode_changes(events, self.era))
+
+    async def wait_in_era(
+        self, call: Coroutine[Any, Any, Result[HttpResponse, StoreError]]
+    ) -> Result[HttpResponse, StoreError]:
+        """Wait for a response, but not beyond the era in which the call was made.
+
+        A restored store may leave a watch of its former self without any response.
+        """
+        calling = asyncio.create_task(call)
+        changing = asyncio.get_running_loop().create_future()
+        self.era.changed.waiters.add(changing)
+        try:
+            await asyncio.wait([calling, changing], return_when=asyncio.FIRST_COMPLETED)
+            if calling.done():
+                return calling.result()
+            return Err(StoreError(StoreErrorKind.UNKNOWN, "the store was restored"))
+        finally:
+            self.era.changed.waiters.discard(changing)
+            await end_tasks([calling])
 
     async def write(self, write: StoreWrite) -> Result[int | None, StoreError]:
         """Write a key if it is still at a revision.
@@ -131,11 +176,18 @@
             The revision of the change, None if the condition did not hold, or why
             the outcome is unknown; the change may then still be made later.
         """
+        if not (
+            self.era.holds(write.expected_revision) and self.era.holds(write.lease)
+        ):
+            return Ok(None)
         value = base64.b64encode(write.value).decode()
+        lease = strip_era(write.lease)
         return await self.transact(
             {
-                "expected": [{"key": write.key, "revision": write.expected_revision}],
-                "writes": [{"key": write.key, "value": value, "lease": write.lease}],
+                "expected": [
+                    {"key": write.key, "revision": strip_era(write.expected_revision)}
+                ],
+                "writes": [{"key": write.key, "value": value, "lease": lease}],
                 "deletes": [],
             }
         )
@@ -150,13 +202,19 @@
         Returns:
             Whether it was deleted, or why the outcome is unknown.
         """
-        expected = [{"key": key, "revision": revision}]
+        if not self.era.holds(revision):
+            return Ok(False)
+        expected = [{"key": key, "revision": strip_era(revision)}]
         body = {"expected": expected, "writes": [], "deletes": [key]}
         return (await self.transact(body)).map(lambda result: result is not None)
 
     async def transact(self, body: dict[str, Any]) -> Result[int | None, StoreError]:
         """Make a conditional change; return its revision, None if a condition fails."""
+        era = self.era.number
         response = await self.post("txn", "/kv-txn", body)
+        if era not in (0, self.era.number):
+            reason = "the store was restored during the call"
+            return Err(StoreError(StoreErrorKind.UNKNOWN, reason))
         # 404 means that the lease has ended, so that nothing was written.
         statuses = (STATUS_OK, STATUS_CONDITION_FAILED, STATUS_NOT_FOUND)
         result = response.and_then(lambda reply: read_body(reply, statuses))
@@ -165,7 +223,7 @@
         if response.unwrap().status != STATUS_OK:
             return Ok(None)
         try:
-            return Ok(int(result.ok_value["revision"]))
+            return Ok(self.era.extend(int(result.ok_value["revision"])))
         except (ValueError, LookupError, TypeError) as error:
             return Err(build_bad_response_error(error))
 
@@ -185,7 +243,7 @@
         if isinstance(body, Err):
             return body
         try:
-            return Ok(decode_item(body.ok_value))
+            return Ok(decode_item(body.ok_value, self.era))
         except (ValueError, LookupError, TypeError) as error:
             return Err(build_bad_response_error(error))
 
@@ -204,7 +262,7 @@
         if isinstance(result, Err):
             return result
         try:
-            return Ok(int(result.ok_value["lease"]))
+            return Ok(self.era.extend(int(result.ok_value["lease"])))
         except (ValueError, LookupError, TypeError) as error:
             return Err(build_bad_response_error(error))
 
@@ -217,7 +275,12 @@
         Returns:
             Whether it still existed, or why the outcome is unknown.
         """
-        response = await self.post("renew", f"/kv-keep/{lease}", {})
+        if not self.era.holds(lease):
+            return Ok(False)
+        response = await self.post("renew", f"/kv-keep/{strip_era(lease)}", {})
+        if not self.era.holds(lease):
+            # Another lease may have got the same number.
+            return Ok(False)
         result = response.and_then(
             lambda reply: read_body(reply, (STATUS_OK, STATUS_NOT_FOUND))
         )
@@ -230,7 +293,7 @@
         metrics.store_calls.add(1, {"kind": kind})
         target = f"{path}?{urlencode(query)}"
         request = HttpRequest("GET", target, timeout_s=self.timeout_s, wait_s=wait_s)
-        return await self.client.send(request)
+        return (await self.client.send(request)).and_then(self.era.accept)
 
     async def post(
         self, kind: str, path: str, body: dict[str, Any]
@@ -241,7 +304,7 @@
         request = HttpRequest(
             "POST", path, data, JSON_HEADERS, timeout_s=self.timeout_s
         )
-        return await self.client.send(request)
+        return (await self.client.send(request)).and_then(self.era.accept)
 
 
 def read_body(
@@ -271,8 +334,8 @@
     return Ok(body)
 
 
-def decode_item(item: dict[str, Any]) -> StoreItem:
-    """Decode one item.
+def decode_item(item: dict[str, Any], era: StoreEra) -> StoreItem:
+    """Decode one item of an era.
 
     Raises:
         ValueError, LookupError, TypeError: If it is malformed.
@@ -282,11 +345,16 @@
     except binascii.Error as error:
         raise ValueError(f"invalid value: {error}") from error
     return StoreItem(
-        str(item["key"]), value, int(item["revision"]), int(item["createdRev"])
+        str(item["key"]),
+        value,
+        era.extend(int(item["revision"])),
+        era.extend(int(item["createdRev"])),
     )
 
 
-def decode_changes(body: dict[str, Any]) -> Result[StoreChanges | None, StoreError]:
+def decode_changes(
+    body: dict[str, Any], era: StoreEra
+) -> Result[StoreChanges | None, StoreError]:
     """Decode the result of a watch."""
     items: list[StoreItem] = []
     deleted: list[str] = []
@@ -299,8 +367,8 @@
             if event.get("tombstone"):
                 deleted.append(key)
             else:
-                items.append(decode_item(event))
-        revision = int(body["currentRev"])
+                items.append(decode_item(event, era))
+        revision = era.extend(int(body["currentRev"]))
     except (ValueError, LookupError, TypeError, AttributeError) as error:
         return Err(build_bad_response_error(error))
     return Ok(StoreChanges(tuple(items), tuple(deleted), revision))
--- /dev/null
+++ b/ebonyrack/platform/store_era.py
@@ -0,0 +1,80 @@
+"""Numbers revisions and leases of the platform's store across its restorations.
+
+The platform may restore its store from a copy that is some seconds old. Revisions and
+leases go back then and are given out again; the era in each response rises by one.
+Numbered after their era, they never repeat and keep increasing.
+"""
+
+from __future__ import annotations
+
+from loguru import logger
+from result import Err
+from result import Ok
+from result import Result
+
+from ebonyrack.core.clock import boot_time_s
+from ebonyrack.core.notifier import Notifier
+from ebonyrack.store.http_client import HttpResponse
+from ebonyrack.store.store_response import StoreError
+from ebonyrack.store.store_response import StoreErrorKind
+
+ERA_HEADER = b"store-era"
+# Bits of a number below the era. A store at 1,000 changes a second takes 49 days to
+# reach the next era's numbers.
+NUMBER_BITS = 32
+NUMBER_MASK = (1 << NUMBER_BITS) - 1
+
+
+class StoreEra:
+    """The newest era of the store that a response has shown.
+
+    Attributes:
+        number: The era; 0 before the first response and on a store without eras.
+        seen_at_s: Time at which it was first seen, on the boot clock; far in the past
+            on a store without eras.
+        changed: Wakes tasks that wait for a response of an earlier era.
+    """
+
+    __slots__ = ("number", "seen_at_s", "changed")
+
+    def __init__(self) -> None:
+        self.number = 0
+        self.seen_at_s = float("-inf")
+        self.changed = Notifier()
+
+    def accept(self, response: HttpResponse) -> Result[HttpResponse, StoreError]:
+        """Record the era of a response; reject a response of an earlier era."""
+        number = read_era(response)
+        if number is None:
+            return Ok(response)
+        if number < self.number:
+            reason = f"a late response of era {number}, now {self.number}"
+            return Err(StoreError(StoreErrorKind.UNKNOWN, reason))
+        if number > self.number:
+            if self.number:
+                logger.bind(before=self.number, era=number).warning("store_restored")
+            self.number = number
+            self.seen_at_s = boot_time_s()
+            self.changed.notify()
+        return Ok(response)
+
+    def extend(self, number: int) -> int:
+        """Return a revision or lease of this era as numbered across eras."""
+        return self.number << NUMBER_BITS | number if number else 0
+
+    def holds(self, extended: int) -> bool:
+        """Whether a revision or lease is of this era; 0 stands for none."""
+        return extended == 0 or extended >> NUMBER_BITS == self.number
+
+
+def strip_era(extended: int) -> int:
+    """Return a revision or lease as the store numbers it."""
+    return extended & NUMBER_MASK
+
+
+def read_era(response: HttpResponse) -> int | None:
+    """Return the era that a response states, or None."""
+    for name, value in response.headers:
+        if name.lower() == ERA_HEADER and value.isdigit():
+            return int(value)
+    return None
--- a/ebonyrack/promotion/lease.py
+++ b/ebonyrack/promotion/lease.py
@@ -23,6 +23,8 @@
 # The holder acts only this long, counted from before its request for the lease, so that
 # it has certainly stopped when the lease expires.
 HOLD_LIMIT_S = 3.2
+# An order may be on its way for about this long.
+ORDER_ALLOWANCE_S = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,16 +35,33 @@
         group: The database group.
         fencing_token: Number that grows with each acquisition.
         deadline_s: Time after which the holder must not act, on the boot clock.
+        store: The store that granted it.
+        generation: Generation of the store that granted it; a later one may have
+            forgotten the lease.
     """
 
     group: str
     fencing_token: int
     deadline_s: float
+    store: LeasingStore
+    generation: int
 
     @property
     def is_held(self) -> bool:
         """Whether the holder may still act."""
-        return boot_time_s() < self.deadline_s
+        return self.remaining_s > 0
+
+    @property
+    def allows_order(self) -> bool:
+        """Whether an order sent now arrives while the lease is held."""
+        return self.remaining_s > ORDER_ALLOWANCE_S
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds for which the holder may still act; 0 if the store was restored."""
+        if self.store.generation != self.generation:
+            return 0.0
+        return self.deadline_s - boot_time_s()
 
 
 async def acquire_promotion_lease(
@@ -63,6 +82,10 @@
     if isinstance(store_lease, Err):
         log_not_acquired(group, store_lease.err_value.reason)
         return None
+    generation = store.generation
+    if started_s - store.generation_seen_s < LEASE_TTL_S:
+        log_not_acquired(group, "the store may have forgotten an earlier holder")
+        return None
     # A unique value for each attempt resolves the outcome if the reply is lost.
     value = f"{holder} {secrets.token_hex(8)}".encode()
     key = PREFIX + group
@@ -80,7 +103,7 @@
     else:
         token = written.ok_value
     logger.bind(group=group, fencing_token=token).info("duty_taken")
-    return PromotionLease(group, token, started_s + HOLD_LIMIT_S)
+    return PromotionLease(group, token, started_s + HOLD_LIMIT_S, store, generation)
 
 
 async def release_promotion_lease(store: LeasingStore, lease: PromotionLease) -> None:
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -329,7 +329,7 @@
         Returns:
             The result of the attempt.
         """
-        if not lease.is_held:
+        if not lease.allows_order:
             return PromotionResult.LEASE_NOT_HELD
         member = chosen.member
         outcome = await self.order_client.promote(
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -76,7 +76,7 @@
         self.group = LineGroup(
             GROUP, MEMBER_IDS, is_promotion_fenced=is_promotion_fenced
         )
-        self.service = KvService({GROUP: self.group})
+        self.service = KvService({GROUP: self.group}, era=1)
         self.service.requires_fencing = is_promotion_fenced
         self.upstreams = {
             member_id: LineUpstream(self.group, member)
@@ -126,6 +126,7 @@
             await asyncio.sleep(0.01)
         # Tests start as if the platform had been running for a long time.
         proxy.proxy.discovery_completed = True
+        proxy.store.era.seen_at_s = float("-inf")
         return proxy
 
     async def publish_entry(self, upstream: LineUpstream, **changes: object) -> None:
--- a/ebonyrack/store/leasing_store.py
+++ b/ebonyrack/store/leasing_store.py
@@ -62,7 +62,19 @@
 
 
 class LeasingStore(Protocol):
-    """The platform's store, as the proxy's components use it."""
+    """The platform's store, as the proxy's components use it.
+
+    Revisions and leases increase also across generations: the store starts a new one
+    when it is restored from a copy, and forgets what was written since the copy.
+    """
+
+    @property
+    def generation(self) -> int:
+        """Number that grows each time the store was restored from a copy."""
+
+    @property
+    def generation_seen_s(self) -> float:
+        """Time at which this process first saw the generation, on the boot clock."""
 
     async def read_prefix(
         self, prefix: str, allow_stale: bool = False
