--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -22,7 +22,7 @@
 from ebonyrack.placing.primary_health import PrimaryHealth
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.promotion.promoter import Promoter
-from ebonyrack.promotion.promoter import PromotionResult
+from ebonyrack.promotion.result import PromotionResult
 from ebonyrack.requests.request import STATUS_REQUEST
 from ebonyrack.serving.statement import confirm_leadership
 from ebonyrack.serving.statement import record_begin_reply
--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -40,6 +40,8 @@
         health: Health state of the primary at the last assessment.
         lost_since_s: Time since which the primary counts as lost, or None.
         outage_estimate: Estimates the length of outages.
+        newest_acknowledged: Newest position up to which this proxy has seen all commits
+            acknowledged, or None.
         changing_since_s: Time since which another proxy is changing the primary, or
             None; known only where promotions are not fenced.
     """
@@ -53,6 +55,7 @@
         "health",
         "lost_since_s",
         "outage_estimate",
+        "newest_acknowledged",
         "changing_since_s",
     )
 
@@ -65,6 +68,7 @@
         self.health = PrimaryHealth.SERVING
         self.lost_since_s: float | None = None
         self.outage_estimate = OutageEstimate()
+        self.newest_acknowledged: LogPosition | None = None
         self.changing_since_s: float | None = None
 
     @property
@@ -101,6 +105,12 @@
         if self.primary_tracker.confirmed == member.member_id:
             self.position_history.add(PositionSample(sent_at_s, position))
 
+    def record_acknowledged(self, position: LogPosition | None) -> None:
+        """Record a position up to which all commits are acknowledged."""
+        newest = self.newest_acknowledged
+        if position is not None and (newest is None or position > newest):
+            self.newest_acknowledged = position
+
     def record_status(self, member: Member, status: UpstreamStatus) -> None:
         """Record the role and the term that an upstream reports.
 
--- a/ebonyrack/placing/promotion_candidate.py
+++ b/ebonyrack/placing/promotion_candidate.py
@@ -54,7 +54,10 @@
 
 
 def is_safe_candidate(
-    candidate: str, replicas: list[ReplicaState], acknowledging_replicas: int
+    candidate: str,
+    replicas: list[ReplicaState],
+    acknowledging_replicas: int,
+    newest_acknowledged: LogPosition | None = None,
 ) -> bool:
     """Return whether an upstream holds every commit that was acknowledged.
 
@@ -63,6 +66,8 @@
         replicas: All upstreams that may have acknowledged a commit.
         acknowledging_replicas: Number of replicas that must receive a commit before
             it is acknowledged.
+        newest_acknowledged: Newest position whose commit is known to be acknowledged,
+            or None. The replica that received it may have left the group since.
     """
     if acknowledging_replicas == 0:
         return True
@@ -70,6 +75,8 @@
     candidate_position = states[candidate].received
     if candidate_position is None:
         return False
+    if newest_acknowledged is not None and candidate_position < newest_acknowledged:
+        return False
     for other in replicas:
         if other.member_id == candidate:
             continue
--- /dev/null
+++ b/ebonyrack/promotion/candidate_search.py
@@ -0,0 +1,193 @@
+"""Searches the replica to be promoted: the one that holds all acknowledged commits."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from loguru import logger
+
+from ebonyrack.members.group import Group
+from ebonyrack.placing.primary_health import PrimaryHealth
+from ebonyrack.placing.promotion_candidate import ReplicaState
+from ebonyrack.placing.promotion_candidate import choose_candidate
+from ebonyrack.placing.promotion_candidate import is_safe_candidate
+from ebonyrack.promotion.lease import PromotionLease
+from ebonyrack.promotion.participant import LOST_PRIMARY_TIMEOUT_S
+from ebonyrack.promotion.participant import PromotionParticipant
+from ebonyrack.promotion.primary_proof import is_serving_primary
+from ebonyrack.promotion.result import PromotionResult
+from ebonyrack.requests.request import STATUS_REQUEST
+
+# Pause between checks of replicas that must catch up or reply.
+RECHECK_PAUSE_S = 0.05
+# In these health states a primary that proves its role is not replaced.
+CLEARED_BY_PROOF = frozenset(
+    {PrimaryHealth.SILENT, PrimaryHealth.REFUSING, PrimaryHealth.UNKNOWN}
+)
+
+
+@dataclass(slots=True)
+class CandidateSearch:
+    """The search for the replica to be promoted, during one promotion.
+
+    Attributes:
+        group: The group.
+        lease: The promotion lease.
+        health: Health state of the primary.
+        term: Term below which the replicas are paused.
+        former: The primary until now, if it is known.
+        replicas: All other upstreams.
+        required_id: The only upstream that may be promoted, or None for any.
+    """
+
+    group: Group
+    lease: PromotionLease
+    health: PrimaryHealth
+    term: int
+    former: list[PromotionParticipant]
+    replicas: list[PromotionParticipant]
+    required_id: str | None = None
+
+    @property
+    def primary_serves(self) -> bool:
+        """Whether the primary still serves, so that replicas can catch up with it."""
+        return self.health is PrimaryHealth.LEAVING
+
+    @property
+    def pauses_candidate(self) -> bool:
+        """Whether the candidate must be paused as well before the order.
+
+        Where a replaced primary may go on, a replica that isn't paused shows the
+        proxies that the primary leads, and a commit that it receives is acknowledged.
+        """
+        return self.group.leadership is not None
+
+    async def run(self) -> PromotionParticipant | PromotionResult:
+        """Pause the other replicas and wait until the candidate holds all they hold.
+
+        Returns:
+            The candidate, or the result of the attempt if none is safe.
+        """
+        while self.lease.is_held:
+            candidate = self.choose()
+            await self.pause_others(candidate)
+            if candidate is not None and candidate.status is not None:
+                if await self.is_safe(candidate):
+                    return candidate
+                # While a replica is silent, pausing the candidate achieves nothing and
+                # would stall commits if the primary is only unreachable from here.
+                if self.all_reply and not self.primary_serves:
+                    await self.pause(candidate)
+            self.log_unsafe()
+            await asyncio.sleep(RECHECK_PAUSE_S)
+            has_primary_recovered, _ = await asyncio.gather(
+                self.has_primary_recovered(), self.refresh_replicas()
+            )
+            if has_primary_recovered:
+                return PromotionResult.NOT_NEEDED
+        return PromotionResult.NO_SAFE_SUCCESSOR
+
+    def list_states(self) -> list[ReplicaState]:
+        """Return the states of the replicas for the choice of the candidate."""
+        return [build_replica_state(participant) for participant in self.replicas]
+
+    @property
+    def all_reply(self) -> bool:
+        """Whether every replica has told its status."""
+        return all(each.status is not None for each in self.replicas)
+
+    def choose(self) -> PromotionParticipant | None:
+        """Return the replica to be promoted, None without one."""
+        chosen_id = self.required_id or choose_candidate(
+            self.list_states(), self.primary_serves
+        )
+        for participant in self.replicas:
+            if participant.member.member_id == chosen_id:
+                return participant
+        return None
+
+    async def pause_others(self, candidate: PromotionParticipant | None) -> None:
+        """Pause every replica but the candidate."""
+        for participant in self.replicas:
+            if participant is not candidate:
+                await self.pause(participant)
+
+    async def pause(self, participant: PromotionParticipant) -> None:
+        """Pause a replica unless it is paused already."""
+        if not participant.is_paused:
+            await participant.pause(self.term)
+
+    async def is_safe(self, candidate: PromotionParticipant) -> bool:
+        """Update the candidate's status; return whether it may be promoted."""
+        if not candidate.is_paused:
+            await candidate.request_status(STATUS_REQUEST)
+        if not self.holds_all(candidate):
+            return False
+        if not self.pauses_candidate:
+            return True
+        await self.pause(candidate)
+        return candidate.is_paused and self.holds_all(candidate)
+
+    def holds_all(self, candidate: PromotionParticipant) -> bool:
+        """Return whether a replica holds every commit that was acknowledged."""
+        return is_safe_candidate(
+            candidate.member.member_id,
+            self.list_states(),
+            self.group.limits.acknowledging_replicas,
+            self.group.newest_acknowledged,
+        )
+
+    async def has_primary_recovered(self) -> bool:
+        """Return whether the primary that seemed lost proves its role after all."""
+        if self.health not in CLEARED_BY_PROOF:
+            return False
+        for participant in self.former:
+            if participant.link is None or not participant.link.is_open:
+                await participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
+            else:
+                await participant.request_status(STATUS_REQUEST)
+            if await is_serving_primary(self.group, participant):
+                return True
+        return False
+
+    async def refresh_replicas(self) -> None:
+        """Update the status of unpaused replicas and reconnect to the silent ones."""
+        for participant in self.replicas:
+            if participant.link is None or not participant.link.is_open:
+                participant.is_paused = False
+                await participant.connect()
+            elif not participant.is_paused:
+                await participant.request_status(STATUS_REQUEST)
+
+    async def pause_returned(self) -> None:
+        """Pause replicas again that have come back; a restart ends a pause."""
+        for participant in self.replicas:
+            if participant.link is None or not participant.link.is_open:
+                participant.is_paused = False
+                await participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
+                if participant.status is not None and not participant.status.is_primary:
+                    await participant.pause(self.term)
+
+    def log_unsafe(self) -> None:
+        """Log why no replica can be promoted yet."""
+        logger.bind(
+            group=self.group.name,
+            required=self.required_id,
+            acknowledged=str(self.group.newest_acknowledged),
+            replicas={
+                each.member_id: f"{each.received} paused={each.is_paused}"
+                for each in self.list_states()
+            },
+        ).warning("promotion_waits")
+
+
+def build_replica_state(participant: PromotionParticipant) -> ReplicaState:
+    """Return the state of an upstream for the choice of the candidate."""
+    status = participant.status
+    return ReplicaState(
+        member_id=participant.member.member_id,
+        received=status.received if status is not None else None,
+        is_paused=participant.is_paused and status is not None,
+        is_leaving=participant.member.entry.is_leaving,
+    )
--- a/ebonyrack/promotion/promoter_test.py
+++ b/ebonyrack/promotion/promoter_test.py
@@ -6,7 +6,8 @@
 
 from ebonyrack.placing.primary_health import PrimaryHealth
 from ebonyrack.promotion.participant import PromotionParticipant
-from ebonyrack.promotion.promoter import PromotionResult
+from ebonyrack.promotion.primary_proof import is_serving_primary
+from ebonyrack.promotion.result import PromotionResult
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import LineSystem
 
@@ -36,7 +37,7 @@
     # Another caller writes between the status and the proof.
     await write(system, 3)
     promoter.group.position_history.clear()
-    assert await promoter.is_serving_primary(participant)
+    assert await is_serving_primary(promoter.group, participant)
     participant.close()
     newest = promoter.group.position_history.samples[-1].position
     assert newest == system.group.members["up-1"].received_position
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -289,6 +289,9 @@
         UpstreamLostError: If the connection broke; the outcome is not known.
         ReplyTimeoutError: If no reply came in time; the outcome is not known.
     """
+    # The commit comes after this position, so what was logged up to it is acknowledged
+    # with the commit; the reply may report a log that has grown further.
+    position_before = member.position
     number = next(write_numbers)
     sent_at_s = boot_time_s()
     member.write_sent_s[number] = sent_at_s
@@ -298,5 +301,6 @@
         member.write_sent_s.pop(number, None)
     if reply.rejection is None:
         member.committed_sent_s = max(member.committed_sent_s, sent_at_s)
+        group.record_acknowledged(position_before)
         group.record_primary_reply(member, sent_at_s, reply.position)
     return reply
