Number leases of the store with all their 64 bits

Cause: the era's numbering cut lease numbers to 32 bits; the platform's have 63. The stand-in gave small numbers.

Change: leases and revisions are numbered with widths of their own, and not at all on a store without eras. The stand-in's leases have 63 bits: the tests of names and of the promotion lease fail with the former numbering. Leadership checks ask a replica with an open connection first, and another one after 50 ms instead of 20.

--- a/ebonyrack/members/leadership_check.py
+++ b/ebonyrack/members/leadership_check.py
@@ -27,9 +27,9 @@
 if TYPE_CHECKING:
     from ebonyrack.members.group import Group
 
-# A replica with a free slot replies within a few milliseconds; after this time another
-# one is asked as well.
-HEDGE_DELAY_S = 0.02
+# A replica with a free slot replies within a few milliseconds, and within the time of a
+# statement or two otherwise; after this time another one is asked as well.
+HEDGE_DELAY_S = 0.05
 # Limit on one check. A caller that is refused by then can still try another proxy.
 CHECK_TIMEOUT_S = 0.25
 # Caller name under which status requests wait for a connection.
@@ -144,9 +144,9 @@
         return sorted(
             replicas,
             key=lambda member: (
-                member.pool.estimate_wait(CHECK_CALLER) > 0,
                 now < member.deprioritized_until_s,
                 not member.pool.idle,
+                member.pool.estimate_wait(CHECK_CALLER) > 0,
                 member.entry.data_centre != self.group.data_centre,
                 member.member_id,
             ),
--- a/ebonyrack/platform/kv_store.py
+++ b/ebonyrack/platform/kv_store.py
@@ -19,7 +19,6 @@
 from ebonyrack.core.component import Component
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.platform.store_era import StoreEra
-from ebonyrack.platform.store_era import strip_era
 from ebonyrack.store.http_client import KEEPALIVE_OPTIONS
 from ebonyrack.store.http_client import HttpClient
 from ebonyrack.store.http_client import HttpRequest
@@ -110,7 +109,9 @@
             era = self.era.number
             try:
                 page = [decode_item(item, self.era) for item in body.ok_value["items"]]
-                revision = revision or self.era.extend(int(body.ok_value["currentRev"]))
+                revision = revision or self.era.extend_revision(
+                    int(body.ok_value["currentRev"])
+                )
                 is_truncated = bool(body.ok_value["truncated"])
             except (ValueError, LookupError, TypeError) as error:
                 return Err(build_bad_response_error(error))
@@ -132,15 +133,16 @@
         Returns:
             The changes, None if their history is lost, or why they could not be read.
         """
-        if not self.era.holds(revision):
+        after = self.era.strip_revision(revision)
+        if after is None:
             return Ok(None)
         query = {
             "prefix": prefix,
-            "after": str(strip_era(revision)),
+            "after": str(after),
             "waitMs": str(round(wait_s * MS_PER_S)),
         }
         response = await self.wait_in_era(self.get("watch", "/kv-watch", query, wait_s))
-        if not self.era.holds(revision):
+        if self.era.strip_revision(revision) is None:
             return Ok(None)
         if isinstance(response, Ok) and response.ok_value.status == STATUS_HISTORY_LOST:
             return Ok(None)
@@ -176,17 +178,14 @@
             The revision of the change, None if the condition did not hold, or why
             the outcome is unknown; the change may then still be made later.
         """
-        if not (
-            self.era.holds(write.expected_revision) and self.era.holds(write.lease)
-        ):
+        expected = self.era.strip_revision(write.expected_revision)
+        lease = self.era.strip_lease(write.lease)
+        if expected is None or lease is None:
             return Ok(None)
         value = base64.b64encode(write.value).decode()
-        lease = strip_era(write.lease)
         return await self.transact(
             {
-                "expected": [
-                    {"key": write.key, "revision": strip_era(write.expected_revision)}
-                ],
+                "expected": [{"key": write.key, "revision": expected}],
                 "writes": [{"key": write.key, "value": value, "lease": lease}],
                 "deletes": [],
             }
@@ -202,9 +201,10 @@
         Returns:
             Whether it was deleted, or why the outcome is unknown.
         """
-        if not self.era.holds(revision):
+        number = self.era.strip_revision(revision)
+        if number is None:
             return Ok(False)
-        expected = [{"key": key, "revision": strip_era(revision)}]
+        expected = [{"key": key, "revision": number}]
         body = {"expected": expected, "writes": [], "deletes": [key]}
         return (await self.transact(body)).map(lambda result: result is not None)
 
@@ -223,7 +223,7 @@
         if response.unwrap().status != STATUS_OK:
             return Ok(None)
         try:
-            return Ok(self.era.extend(int(result.ok_value["revision"])))
+            return Ok(self.era.extend_revision(int(result.ok_value["revision"])))
         except (ValueError, LookupError, TypeError) as error:
             return Err(build_bad_response_error(error))
 
@@ -262,7 +262,7 @@
         if isinstance(result, Err):
             return result
         try:
-            return Ok(self.era.extend(int(result.ok_value["lease"])))
+            return Ok(self.era.extend_lease(int(result.ok_value["lease"])))
         except (ValueError, LookupError, TypeError) as error:
             return Err(build_bad_response_error(error))
 
@@ -275,10 +275,11 @@
         Returns:
             Whether it still existed, or why the outcome is unknown.
         """
-        if not self.era.holds(lease):
+        number = self.era.strip_lease(lease)
+        if number is None:
             return Ok(False)
-        response = await self.post("renew", f"/kv-keep/{strip_era(lease)}", {})
-        if not self.era.holds(lease):
+        response = await self.post("renew", f"/kv-keep/{number}", {})
+        if self.era.strip_lease(lease) is None:
             # Another lease may have got the same number.
             return Ok(False)
         result = response.and_then(
@@ -347,8 +348,8 @@
     return StoreItem(
         str(item["key"]),
         value,
-        era.extend(int(item["revision"])),
-        era.extend(int(item["createdRev"])),
+        era.extend_revision(int(item["revision"])),
+        era.extend_revision(int(item["createdRev"])),
     )
 
 
@@ -368,7 +369,7 @@
                 deleted.append(key)
             else:
                 items.append(decode_item(event, era))
-        revision = era.extend(int(body["currentRev"]))
+        revision = era.extend_revision(int(body["currentRev"]))
     except (ValueError, LookupError, TypeError, AttributeError) as error:
         return Err(build_bad_response_error(error))
     return Ok(StoreChanges(tuple(items), tuple(deleted), revision))
--- a/ebonyrack/platform/store_era.py
+++ b/ebonyrack/platform/store_era.py
@@ -19,10 +19,10 @@
 from ebonyrack.store.store_response import StoreErrorKind
 
 ERA_HEADER = b"store-era"
-# Bits of a number below the era. A store at 1,000 changes a second takes 49 days to
-# reach the next era's numbers.
-NUMBER_BITS = 32
-NUMBER_MASK = (1 << NUMBER_BITS) - 1
+# Bits below the era. A store at 1,000 changes a second takes 49 days to reach the next
+# era's revisions; leases have any number of 64 bits.
+REVISION_BITS = 32
+LEASE_BITS = 64
 
 
 class StoreEra:
@@ -58,18 +58,32 @@
             self.changed.notify()
         return Ok(response)
 
-    def extend(self, number: int) -> int:
-        """Return a revision or lease of this era as numbered across eras."""
-        return self.number << NUMBER_BITS | number if number else 0
+    def extend_revision(self, revision: int) -> int:
+        """Return a revision of this era as numbered across eras."""
+        return revision + (self.number << REVISION_BITS)
 
-    def holds(self, extended: int) -> bool:
-        """Whether a revision or lease is of this era; 0 stands for none."""
-        return extended == 0 or extended >> NUMBER_BITS == self.number
+    def extend_lease(self, lease: int) -> int:
+        """Return a lease of this era as numbered across eras."""
+        return lease + (self.number << LEASE_BITS)
 
+    def strip_revision(self, extended: int) -> int | None:
+        """Return a revision as the store numbers it; None for one of another era."""
+        return strip(extended, self.number, REVISION_BITS)
 
-def strip_era(extended: int) -> int:
-    """Return a revision or lease as the store numbers it."""
-    return extended & NUMBER_MASK
+    def strip_lease(self, extended: int) -> int | None:
+        """Return a lease as the store numbers it; None for one of another era."""
+        return strip(extended, self.number, LEASE_BITS)
+
+
+def strip(extended: int, era: int, bits: int) -> int | None:
+    """Return a number without its era; None if it is of another one.
+
+    0 stands for no revision or no lease in every era.
+    """
+    if extended == 0 or era == 0:
+        return extended
+    number = extended - (era << bits)
+    return number if 0 <= number < 1 << bits else None
 
 
 def read_era(response: HttpResponse) -> int | None:
--- a/ebonyrack/standins/kv_service.py
+++ b/ebonyrack/standins/kv_service.py
@@ -20,6 +20,8 @@
 EXPIRY_INTERVAL_S = 0.02
 PAGE_ITEMS = 3
 MS_PER_S = 1000
+# Leases have numbers of 64 bits.
+FIRST_LEASE = 1 << 62
 
 
 @dataclass(slots=True)
@@ -288,8 +290,9 @@
         ttl_ms = (await request.json())["ttlMs"]
         self.revision += 1
         ttl_s = ttl_ms / MS_PER_S
-        self.leases[self.revision] = KvLease(ttl_s, now_s() + ttl_s)
-        return web.json_response({"lease": self.revision, "ttlMs": ttl_ms})
+        lease = FIRST_LEASE + self.revision
+        self.leases[lease] = KvLease(ttl_s, now_s() + ttl_s)
+        return web.json_response({"lease": lease, "ttlMs": ttl_ms})
 
     async def post_keep(self, request: web.Request) -> web.Response:
         """Renew a lease."""
