--- a/ebonyrack/load/soak.py
+++ b/ebonyrack/load/soak.py
@@ -13,6 +13,7 @@
 from ebonyrack.load.soak_caller import SoakCaller
 from ebonyrack.load.soak_daemon import SoakDaemon
 from ebonyrack.load.soak_faults import FAULTS
+from ebonyrack.load.soak_faults import UNFENCED_FAULTS
 from ebonyrack.load.soak_faults import Fault
 from ebonyrack.load.soak_system import SoakOptions
 from ebonyrack.load.soak_system import SoakSystem
@@ -59,15 +60,18 @@
         How often each fault was injected.
     """
     injected: Counter[str] = Counter()
+    faults = dict(FAULTS.entries)
+    if not system.options.is_promotion_fenced:
+        faults |= UNFENCED_FAULTS.entries
     deadline_s = now_s() + system.options.duration_s
     async with AsyncExitStack() as stack:
         group = await stack.enter_async_context(asyncio.TaskGroup())
         while now_s() < deadline_s:
             await asyncio.sleep(system.random.uniform(*FAULT_PAUSES_S))
-            name = system.random.choice(sorted(FAULTS.entries))
+            name = system.random.choice(sorted(faults))
             injected[name] += 1
             duration_s = system.random.uniform(*FAULT_DURATIONS_S)
-            group.create_task(run_fault(FAULTS.get(name), system, duration_s))
+            group.create_task(run_fault(faults[name], system, duration_s))
     return injected
 
 
--- a/ebonyrack/load/soak_daemon.py
+++ b/ebonyrack/load/soak_daemon.py
@@ -21,6 +21,7 @@
 platform.address={store}
 cloud.address={store}
 bounds.graceS=2
+bounds.requireFencing={fenced}
 """
 
 
@@ -31,18 +32,31 @@
         name: Name of the proxy.
         folder: Directory of its settings and its log.
         store: Address of the platform's service.
+        is_promotion_fenced: Whether the platform fences promotions.
         address: Address at which callers connect.
         process: The current process, or None before the first start.
         start_count: Number of times that the process was started.
         task: Task that restarts the process.
     """
 
-    __slots__ = ("name", "folder", "store", "address", "process", "start_count", "task")
+    __slots__ = (
+        "name",
+        "folder",
+        "store",
+        "is_promotion_fenced",
+        "address",
+        "process",
+        "start_count",
+        "task",
+    )
 
-    def __init__(self, name: str, folder: Path, store: Address) -> None:
+    def __init__(
+        self, name: str, folder: Path, store: Address, is_promotion_fenced: bool
+    ) -> None:
         self.name = name
         self.folder = folder
         self.store = store
+        self.is_promotion_fenced = is_promotion_fenced
         self.address = find_free_address()
         self.process: asyncio.subprocess.Process | None = None
         self.start_count = 0
@@ -55,6 +69,7 @@
             front=self.address,
             ready=find_free_address(),
             store=self.store,
+            fenced=str(self.is_promotion_fenced).lower(),
         )
         (self.folder / f"{self.name}.conf").write_text(text)
         self.task = asyncio.create_task(self.run_and_restart())
--- a/ebonyrack/load/soak_faults.py
+++ b/ebonyrack/load/soak_faults.py
@@ -15,10 +15,14 @@
 
 # Long enough for another upstream to be promoted.
 CRASH_DURATION_S = 2.5
+# Time for which the store is away before it comes back from a copy.
+STORE_AWAY_S = 0.3
 
 Fault = Callable[[SoakSystem, float], Awaitable[None]]
 
 FAULTS: Registry[Fault] = Registry("fault")
+# Faults that are injected besides where promotions are not fenced.
+UNFENCED_FAULTS: Registry[Fault] = Registry("fault without fencing")
 
 
 @FAULTS.register("kill_proxy")
@@ -176,3 +180,37 @@
     system.version += system.random.randint(1, 5)
     document = build_document(system.version, booking={"timeoutMs": 700})
     await system.service.put_json("op/config", document)
+
+
+@UNFENCED_FAULTS.register("restore_store")
+async def restore_store(system: SoakSystem, duration_s: float) -> None:
+    """Restore the store from a copy; the operators write their newest version again."""
+    service = system.service
+    if service.copy is not None:
+        return
+    service.take_copy()
+    await asyncio.sleep(duration_s)
+    service.faults.status = 503
+    await asyncio.sleep(STORE_AWAY_S)
+    service.faults.status = 0
+    await service.restore_copy()
+    await service.put_json("op/config", build_document(system.version))
+    for upstream in system.upstreams.values():
+        if upstream.server is not None:
+            await system.publish_entry(upstream)
+
+
+@UNFENCED_FAULTS.register("isolate_primary")
+async def isolate_primary(system: SoakSystem, duration_s: float) -> None:
+    """Cut the primary off from the other upstreams, but not from the proxies."""
+    primary = system.group.primary
+    if primary is None:
+        return
+    system.group.isolated.add(primary.member_id)
+    try:
+        await asyncio.sleep(CRASH_DURATION_S)
+    finally:
+        system.group.isolated.discard(primary.member_id)
+        current = system.group.primary
+        if current is not None:
+            system.group.replicate(current)
--- a/ebonyrack/load/soak_system.py
+++ b/ebonyrack/load/soak_system.py
@@ -24,12 +24,15 @@
         duration_s: Time during which faults are injected, in seconds.
         proxies: Number of proxy processes.
         callers: Number of callers.
+        is_promotion_fenced: Whether the platform fences promotions; if not, its store
+            is also restored from copies.
     """
 
     seed: int
     duration_s: float
     proxies: int = 3
     callers: int = 8
+    is_promotion_fenced: bool = True
 
 
 class SoakSystem(LineSystem):
@@ -45,7 +48,7 @@
     """
 
     def __init__(self, options: SoakOptions, folder: Path) -> None:
-        super().__init__(proxy_count=0)
+        super().__init__(0, options.is_promotion_fenced)
         self.options = options
         self.folder = folder
         self.links = {
@@ -64,7 +67,12 @@
             await self.stack.enter_async_context(link)
         await super().start()
         for number in range(self.options.proxies):
-            daemon = SoakDaemon(f"proxy-{number}", self.folder, self.service.address)
+            daemon = SoakDaemon(
+                f"proxy-{number}",
+                self.folder,
+                self.service.address,
+                self.options.is_promotion_fenced,
+            )
             self.daemons.append(await self.stack.enter_async_context(daemon))
 
     async def publish_entry(self, upstream: LineUpstream, **changes: object) -> None:
--- a/ebonyrack/load/soak_test.py
+++ b/ebonyrack/load/soak_test.py
@@ -23,6 +23,14 @@
     assert row["acknowledged"] > 0
 
 
+@pytest.mark.parametrize("seed", (1, 2))
+async def test_guarantees_hold_where_promotions_are_not_fenced(seed):
+    options = SoakOptions(seed, 6.0, proxies=2, callers=4, is_promotion_fenced=False)
+    row = await run_soak(options)
+    assert row["faults"] == []
+    assert row["acknowledged"] > 0
+
+
 async def test_overlapping_crashes_restart_the_upstream_once():
     group = LineGroup("scheduling", ["up-1"])
     async with LineUpstream(group, group.members["up-1"]) as upstream:
--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -188,7 +188,11 @@
     status = EXIT_OK
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         options = SoakOptions(
-            seed, arguments.seconds, arguments.processes, arguments.callers
+            seed,
+            arguments.seconds,
+            arguments.processes,
+            arguments.callers,
+            not arguments.unfenced,
         )
         row = await run_soak(options)
         print(json.dumps(row), flush=True)
--- a/ebonyrack/scripts/load_arguments.py
+++ b/ebonyrack/scripts/load_arguments.py
@@ -43,6 +43,11 @@
     soak.add_argument("--seconds", type=parse_non_negative, default=10.0)
     soak.add_argument("--processes", type=int, default=3, help="proxy processes")
     soak.add_argument("--callers", type=int, default=8)
+    soak.add_argument(
+        "--unfenced",
+        action="store_true",
+        help="promotions are not fenced, and the store is restored from copies",
+    )
 
 
 def add_booking(commands: Commands) -> None:
