Let a replica that came back show the leader again after a second

Cause: a replica that had refused a connection was no witness for 4 s, though the holder of the promotion lease pauses a returned replica at once.

--- a/ebonyrack/members/leadership_check.py
+++ b/ebonyrack/members/leadership_check.py
@@ -18,6 +18,7 @@
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.member import Member
 from ebonyrack.placing.leadership import MINIMUM_KNOWN_S
+from ebonyrack.placing.leadership import MINIMUM_RUNNING_S
 from ebonyrack.placing.leadership import LeadershipVerdict
 from ebonyrack.placing.leadership import judge_replica_status
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
@@ -138,7 +139,7 @@
             for member in self.group.members.values()
             if member is not primary
             and member.is_reachable
-            and now - member.liveness.refused_at_s > MINIMUM_KNOWN_S
+            and now - member.liveness.refused_at_s > MINIMUM_RUNNING_S
             and now - member.known_since_s > MINIMUM_KNOWN_S
         ]
         return sorted(
--- a/ebonyrack/placing/leadership.py
+++ b/ebonyrack/placing/leadership.py
@@ -15,6 +15,9 @@
 # A replica shows nothing for this long after it became known: a promotion that began
 # before may not have paused it. A promotion lease lasts less long.
 MINIMUM_KNOWN_S = 4.0
+# The same after it refused a connection: it may have restarted, which ends a pause. The
+# holder of the promotion lease pauses it again, or the new primary reaches it.
+MINIMUM_RUNNING_S = 1.0
 
 
 class LeadershipVerdict(StrEnum):
