--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -24,9 +24,9 @@
 from ebonyrack.promotion.promoter import Promoter
 from ebonyrack.promotion.result import PromotionResult
 from ebonyrack.requests.request import STATUS_REQUEST
-from ebonyrack.serving.statement import confirm_leadership
-from ebonyrack.serving.statement import record_begin_reply
-from ebonyrack.serving.statement import start_leadership_check
+from ebonyrack.serving.primary_proof import confirm_leadership
+from ebonyrack.serving.primary_proof import record_begin_reply
+from ebonyrack.serving.primary_proof import start_leadership_check
 
 CHECK_INTERVAL_S = 0.1
 # A position sample is renewed at this age; the lowest maximum staleness that routes
--- a/ebonyrack/entry/unfenced_test.py
+++ b/ebonyrack/entry/unfenced_test.py
@@ -17,16 +17,6 @@
         yield running
 
 
-async def write_until_complete(caller, item):
-    deadline_s = now_s() + TIMEOUT_S
-    while now_s() < deadline_s:
-        answer = await caller.execute(f"WRITE {item} mali")
-        if answer and answer[0].startswith("COMPLETE"):
-            return
-        await asyncio.sleep(0.05)
-    raise AssertionError(f"no write completed: {answer}")
-
-
 def get_group(system, proxy=0):
     return system.proxies[proxy].proxy.services.groups["scheduling"]
 
@@ -126,7 +116,7 @@
 
     monkeypatch.setattr(type(system.group), "promote", lambda self, name: record(name))
     await system.upstreams["up-1"].stop()
-    await write_until_complete(caller, "slot-x")
+    await caller.write_until_complete("slot-x", TIMEOUT_S)
     assert paused[0] == {"up-2", "up-3"}
     assert system.group.find_lost_entries() == []
 
@@ -140,7 +130,7 @@
             await asyncio.sleep(0.02)
     # It would go on for another second by itself.
     assert system.group.promotions[0][0] != "up-1"
-    await write_until_complete(caller, "slot-x")
+    await caller.write_until_complete("slot-x", TIMEOUT_S)
     assert system.group.find_lost_entries() == []
 
 
@@ -154,7 +144,7 @@
     answer = await caller.execute("WRITE slot-1 aroon")
     assert answer[0].startswith("ERROR BUSY")
     assert not [each for each in system.group.records if "aroon" in each.text]
-    await write_until_complete(caller, "slot-x")
+    await caller.write_until_complete("slot-x", TIMEOUT_S)
     assert system.group.find_lost_entries() == []
 
 
@@ -168,7 +158,10 @@
     await callers[0].execute("WRITE slot-1 mali")
     await system.upstreams["up-1"].stop()
     await asyncio.gather(
-        *(write_until_complete(caller, f"s{n}") for n, caller in enumerate(callers))
+        *(
+            caller.write_until_complete(f"s{n}", TIMEOUT_S)
+            for n, caller in enumerate(callers)
+        )
     )
     assert len(system.group.promotions) == 1
     assert system.group.find_lost_entries() == []
--- a/ebonyrack/promotion/open_order_test.py
+++ b/ebonyrack/promotion/open_order_test.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from ebonyrack.core.clock import now_s
 from ebonyrack.core.position import LogPosition
 from ebonyrack.placing.promotion_candidate import ReplicaState
 from ebonyrack.placing.promotion_candidate import is_safe_candidate
@@ -29,18 +28,8 @@
         yield running
 
 
-async def write_until_complete(caller, item):
-    deadline_s = now_s() + TIMEOUT_S
-    while now_s() < deadline_s:
-        answer = await caller.execute(f"WRITE {item} mali")
-        if answer and answer[0].startswith("COMPLETE"):
-            return
-        await asyncio.sleep(0.05)
-    raise AssertionError(f"no write completed: {answer}")
-
-
 async def test_no_other_upstream_is_promoted_while_an_order_may_come(system, caller):
-    await write_until_complete(caller, "slot-1")
+    await caller.write_until_complete("slot-1", TIMEOUT_S)
     system.service.faults.late_orders_s = 3.0
     await system.upstreams["up-1"].stop()
     while RECORD not in system.service.items:
@@ -54,7 +43,7 @@
     await asyncio.sleep(1.5)
     assert system.group.promotions == []
     system.upstreams[ordered].faults.is_silent = False
-    await write_until_complete(caller, "slot-2")
+    await caller.write_until_complete("slot-2", TIMEOUT_S)
     await asyncio.sleep(1.5)
     assert {name for name, _ in system.group.promotions} == {ordered}
     assert other not in {name for name, _ in system.group.promotions}
@@ -62,9 +51,9 @@
 
 
 async def test_record_of_an_answered_order_is_deleted(system, caller):
-    await write_until_complete(caller, "slot-1")
+    await caller.write_until_complete("slot-1", TIMEOUT_S)
     await system.upstreams["up-1"].stop()
-    await write_until_complete(caller, "slot-2")
+    await caller.write_until_complete("slot-2", TIMEOUT_S)
     async with asyncio.timeout(TIMEOUT_S):
         while RECORD in system.service.items:
             await asyncio.sleep(0.02)
@@ -75,10 +64,10 @@
     system, caller, monkeypatch
 ):
     monkeypatch.setattr(open_order, "LATE_ORDER_LIMIT_S", 1.0)
-    await write_until_complete(caller, "slot-1")
+    await caller.write_until_complete("slot-1", TIMEOUT_S)
     await system.service.put(RECORD, b"up-9 1")
     await system.upstreams["up-1"].stop()
-    await write_until_complete(caller, "slot-2")
+    await caller.write_until_complete("slot-2", TIMEOUT_S)
     assert system.group.find_lost_entries() == []
 
 
@@ -90,7 +79,7 @@
 
 
 async def test_replica_that_returns_while_an_order_is_open_is_paused(system, caller):
-    await write_until_complete(caller, "slot-1")
+    await caller.write_until_complete("slot-1", TIMEOUT_S)
     system.service.faults.late_orders_s = 1.5
     await system.upstreams["up-1"].stop()
     while RECORD not in system.service.items:
@@ -103,7 +92,7 @@
     await system.upstreams[other].start()
     await asyncio.sleep(0.3)
     assert system.group.members[other].paused_below_term > 1
-    await write_until_complete(caller, "slot-2")
+    await caller.write_until_complete("slot-2", TIMEOUT_S)
     assert system.group.find_lost_entries() == []
 
 
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -19,10 +19,10 @@
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
+from ebonyrack.serving.primary_proof import read_at_proven_primary
 from ebonyrack.serving.read_requirement import ReadRequirement
 from ebonyrack.serving.read_requirement import find_requirement
 from ebonyrack.serving.statement import Statement
-from ebonyrack.serving.statement import read_at_proven_primary
 from ebonyrack.serving.statement import set_up_session
 
 # Every upstream is tried several times; a group that needs more attempts is failing.
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -25,14 +25,14 @@
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import RequestKind
 from ebonyrack.routes.route import Route
+from ebonyrack.serving.primary_proof import confirm_leadership
+from ebonyrack.serving.primary_proof import record_begin_reply
+from ebonyrack.serving.primary_proof import start_leadership_check
 from ebonyrack.serving.read_requirement import ReadRequirement
 from ebonyrack.serving.read_requirement import find_requirement
 from ebonyrack.serving.statement import Statement
-from ebonyrack.serving.statement import confirm_leadership
-from ebonyrack.serving.statement import record_begin_reply
 from ebonyrack.serving.statement import send_committing_request
 from ebonyrack.serving.statement import set_up_session
-from ebonyrack.serving.statement import start_leadership_check
 
 # Attempts at a first statement that was not run, at any of the upstreams.
 MAXIMUM_ATTEMPTS = 8
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -20,6 +20,8 @@
 MEMBER_IDS = ["up-1", "up-2", "up-3"]
 HEARTBEAT_INTERVAL_S = 0.1
 DATA_CENTRE = "bangkok-a"
+# Pause before a caller retries a write that did not complete.
+WRITE_PAUSE_S = 0.05
 
 
 def find_free_address() -> Address:
@@ -194,6 +196,18 @@
         )
         return await self.read_reply()
 
+    async def write_until_complete(self, item: str, limit_s: float) -> None:
+        """Retry a write until it completes.
+
+        Raises:
+            TimeoutError: If none completes in time.
+        """
+        async with asyncio.timeout(limit_s):
+            answer = await self.execute(f"WRITE {item} mali")
+            while not answer or not answer[0].startswith("COMPLETE"):
+                await asyncio.sleep(WRITE_PAUSE_S)
+                answer = await self.execute(f"WRITE {item} mali")
+
     async def send_line(self, line: bytes) -> list[str]:
         """Send a raw line; return the lines of the reply."""
         assert self.writer is not None
