Free the connection of a strict read before its leadership check ends

Cause: a strict read held its connection to the primary until a replica had replied, and the wait counted as the primary's reply time, so that more reads were shed; a hedged status request was cancelled, which closed its connection. Removing a group cancelled the checks on which requests waited, which ended their callers' connections.

Change: the proof is confirmed after the release; hedged requests run to their end; expired records are deleted by the proxy that left them; a stop waits for the checks.

--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -24,9 +24,8 @@
 from ebonyrack.promotion.promoter import Promoter
 from ebonyrack.promotion.result import PromotionResult
 from ebonyrack.requests.request import STATUS_REQUEST
-from ebonyrack.serving.primary_proof import confirm_leadership
 from ebonyrack.serving.primary_proof import record_begin_reply
-from ebonyrack.serving.primary_proof import start_leadership_check
+from ebonyrack.serving.primary_proof import start_proof
 
 CHECK_INTERVAL_S = 0.1
 # A position sample is renewed at this age; the lowest maximum staleness that routes
@@ -161,7 +160,6 @@
 
     async def probe(self, member: Member) -> None:
         """Probe whether an upstream is the primary; record its reply in the group."""
-        started_s = boot_time_s()
         try:
             link = await member.pool.acquire(PROBE_CALLER, now_s() + PROBE_TIMEOUT_S)
         except (RequestError, UpstreamLostError) as error:
@@ -169,9 +167,9 @@
                 group=self.group.name, upstream=member.member_id, reason=str(error)
             ).debug("probe_not_sent")
             return
-        check = None
+        proof = None
         if member is self.group.primary:
-            check = start_leadership_check(self.group)
+            proof = start_proof(self.group, member)
         try:
             if self.group.needs_status_of(member):
                 found = await link.request_status(STATUS_REQUEST, PROBE_TIMEOUT_S)
@@ -187,12 +185,10 @@
             member.pool.release(link)
         member.record_position(reply.position)
         record_begin_reply(self.group, member, reply, sent_at_s)
-        if check is None or reply.rejection is not None:
+        if proof is None or reply.rejection is not None:
             return
         try:
-            await confirm_leadership(
-                self.group, member, check, reply, min(sent_at_s, started_s)
-            )
+            await proof.confirm(reply.position)
         except RequestError as error:
             logger.bind(group=self.group.name, reason=error.reason).debug(
                 "position_not_sampled"
@@ -202,6 +198,7 @@
         """Replace a lost or leaving primary, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            await self.promoter.delete_expired_order()
             health = self.group.health
             if not health.needs_promotion or not self.group.members:
                 continue
--- a/ebonyrack/members/leadership_check.py
+++ b/ebonyrack/members/leadership_check.py
@@ -53,18 +53,23 @@
         group: The group.
         running: The check whose status requests may have been sent, or None.
         next: The check that starts after it, or None.
+        asking: Requests to replicas without a reply.
     """
 
-    __slots__ = ("group", "running", "next")
+    __slots__ = ("group", "running", "next", "asking")
 
     def __init__(self, group: Group) -> None:
         self.group = group
         self.running: asyncio.Task[LeadershipVerdict] | None = None
         self.next: asyncio.Task[LeadershipVerdict] | None = None
+        self.asking: set[asyncio.Task[LeadershipVerdict]] = set()
 
     async def stop(self) -> None:
-        """Cancel the checks."""
-        await end_tasks([self.running, self.next])
+        """Wait until the checks have ended; requests wait for their verdicts."""
+        tasks = [task for task in (self.running, self.next) if task is not None]
+        if tasks:
+            await asyncio.wait(tasks)
+        await end_tasks(list(self.asking))
 
     def start(self) -> asyncio.Task[LeadershipVerdict]:
         """Return a check whose status requests are sent after this call.
@@ -98,24 +103,20 @@
         pending: set[asyncio.Task[LeadershipVerdict]] = set()
         deadline_s = now_s() + CHECK_TIMEOUT_S
         verdict = LeadershipVerdict.INCONCLUSIVE
-        try:
-            while (remaining or pending) and verdict not in CONCLUSIVE:
-                if remaining:
-                    replica = remaining.pop(0)
-                    pending.add(asyncio.create_task(self.ask(replica, term)))
-                wait_s = deadline_s - now_s()
-                if wait_s <= 0:
-                    break
-                done, pending = await asyncio.wait(
-                    pending,
-                    timeout=min(wait_s, HEDGE_DELAY_S) if remaining else wait_s,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for task in done:
-                    if verdict not in CONCLUSIVE:
-                        verdict = task.result()
-        finally:
-            await end_tasks(pending)
+        while (remaining or pending) and verdict not in CONCLUSIVE:
+            if remaining:
+                pending.add(self.start_asking(remaining.pop(0), term))
+            wait_s = deadline_s - now_s()
+            if wait_s <= 0:
+                break
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=min(wait_s, HEDGE_DELAY_S) if remaining else wait_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                if verdict not in CONCLUSIVE:
+                    verdict = task.result()
         if verdict is not LeadershipVerdict.LEADS:
             logger.bind(
                 group=self.group.name,
@@ -153,6 +154,18 @@
             ),
         )
 
+    def start_asking(
+        self, replica: Member, term: int
+    ) -> asyncio.Task[LeadershipVerdict]:
+        """Ask a replica in a task that may outlast the check.
+
+        Cancelling the request would close its connection.
+        """
+        task = asyncio.create_task(self.ask(replica, term))
+        self.asking.add(task)
+        task.add_done_callback(self.asking.discard)
+        return task
+
     async def ask(self, replica: Member, term: int) -> LeadershipVerdict:
         """Ask one replica for its status."""
         status = await self.request_status(replica)
--- a/ebonyrack/promotion/open_order_test.py
+++ b/ebonyrack/promotion/open_order_test.py
@@ -60,6 +60,21 @@
     assert len(system.group.promotions) == 1
 
 
+async def test_record_of_an_unanswered_order_is_deleted_in_the_end(
+    system, caller, monkeypatch
+):
+    # It would make the next holder wait although the order can't come any more.
+    monkeypatch.setattr(open_order, "LATE_ORDER_LIMIT_S", 1.0)
+    await caller.write_until_complete("slot-1", TIMEOUT_S)
+    system.service.faults.late_orders_s = 0.3
+    await system.upstreams["up-1"].stop()
+    await caller.write_until_complete("slot-2", TIMEOUT_S)
+    assert RECORD in system.service.items
+    async with asyncio.timeout(TIMEOUT_S):
+        while RECORD in system.service.items:
+            await asyncio.sleep(0.02)
+
+
 async def test_order_that_never_comes_blocks_others_for_a_limited_time(
     system, caller, monkeypatch
 ):
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -186,6 +186,11 @@
             await self.resume(replicas)
         return result
 
+    async def delete_expired_order(self) -> None:
+        """Delete the record of an order that can't be carried out any more."""
+        if self.open_order.seen is not None and self.open_order.awaited is None:
+            await self.open_order.delete()
+
     async def order_promotion(
         self,
         search: CandidateSearch,
--- a/ebonyrack/serving/primary_proof.py
+++ b/ebonyrack/serving/primary_proof.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.position import LogPosition
 from ebonyrack.members.group import Group
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
@@ -18,14 +20,64 @@
 from ebonyrack.serving.statement import Statement
 
 
-async def read_at_proven_primary(
+@dataclass(frozen=True, slots=True)
+class PrimaryProof:
+    """What shows that an upstream led when a request was run there.
+
+    Attributes:
+        group: The group.
+        member: The upstream.
+        check: Check with the replicas that was started before the request was sent;
+            None if the upstream's reply itself shows that it led.
+        started_s: Time before that, on the boot clock.
+    """
+
+    group: Group
+    member: Member
+    check: asyncio.Task[LeadershipVerdict] | None
+    started_s: float
+
+    async def confirm(self, position: LogPosition | None) -> Reply | None:
+        """Wait until the check has ended.
+
+        Args:
+            position: Position in the upstream's reply to BEGIN.
+
+        Returns:
+            None if the upstream led, otherwise a rejection of the request.
+
+        Raises:
+            RequestError: NO_PRIMARY if no replica tells.
+        """
+        if self.check is None:
+            return None
+        verdict = await asyncio.shield(self.check)
+        if verdict is LeadershipVerdict.LEADS and self.member is self.group.primary:
+            self.group.record_primary_reply(self.member, self.started_s, position)
+            return None
+        if verdict is LeadershipVerdict.INCONCLUSIVE:
+            raise RequestError(
+                ErrorKind.NO_PRIMARY,
+                f"no replica shows that {self.member.member_id} leads",
+            )
+        return Reply(
+            rejection=RejectionKind.READ_ONLY, detail=f"leadership check: {verdict}"
+        )
+
+
+def start_proof(group: Group, member: Member) -> PrimaryProof:
+    """Start to show that an upstream leads; its request is sent after this call."""
+    started_s = boot_time_s()
+    check = group.leadership.start() if group.leadership is not None else None
+    return PrimaryProof(group, member, check, started_s)
+
+
+async def read_in_transaction(
     statement: Statement, member: Member, link: UpstreamLink, timeout_s: float
-) -> Reply:
-    """Read at an upstream that must be the primary at the time of the read.
+) -> tuple[Reply, LogPosition | None]:
+    """Read in a read-write transaction, which only an upstream that leads accepts.
 
-    The read runs in a read-write transaction, which an upstream that is no longer the
-    primary rejects. All requests go in one send, so the proof costs no round trip.
-    Where a replaced primary may go on as before, a replica is asked meanwhile.
+    All requests go in one send, so that this costs no round trip.
 
     Args:
         statement: The read.
@@ -34,67 +86,19 @@
         timeout_s: Seconds to wait.
 
     Returns:
-        The reply to the read, or a rejection if the upstream may not be the primary.
+        The reply to the read, or to BEGIN if that is rejected, and the position of the
+        upstream's log before the read.
 
     Raises:
         UpstreamLostError: If the connection broke.
         ReplyTimeoutError: If no reply came in time.
     """
     sent_at_s = boot_time_s()
-    check = start_leadership_check(statement.group)
     began, reply, _ = await link.exchange(
         [BEGIN_REQUEST, statement.request, ROLLBACK_REQUEST], timeout_s
     )
     record_begin_reply(statement.group, member, began, sent_at_s)
-    if began.rejection is not None:
-        return began
-    return (
-        await confirm_leadership(statement.group, member, check, began, sent_at_s)
-        or reply
-    )
-
-
-def start_leadership_check(group: Group) -> asyncio.Task[LeadershipVerdict] | None:
-    """Start to check that a group's primary leads; None if its own replies show it."""
-    return group.leadership.start() if group.leadership is not None else None
-
-
-async def confirm_leadership(
-    group: Group,
-    member: Member,
-    check: asyncio.Task[LeadershipVerdict] | None,
-    began: Reply,
-    sent_at_s: float,
-) -> Reply | None:
-    """Wait for a leadership check that was started before a BEGIN was sent.
-
-    Args:
-        group: The group.
-        member: The upstream that accepted the BEGIN.
-        check: The check, or None if the reply itself shows that the upstream leads.
-        began: Its reply to the BEGIN.
-        sent_at_s: Time before the check was started and the BEGIN was sent, on the
-            boot clock.
-
-    Returns:
-        None if the upstream led, otherwise a rejection.
-
-    Raises:
-        RequestError: NO_PRIMARY if no replica tells.
-    """
-    if check is None:
-        return None
-    verdict = await asyncio.shield(check)
-    if verdict is LeadershipVerdict.LEADS and member is group.primary:
-        group.record_primary_reply(member, sent_at_s, began.position)
-        return None
-    if verdict is LeadershipVerdict.INCONCLUSIVE:
-        raise RequestError(
-            ErrorKind.NO_PRIMARY, f"no replica shows that {member.member_id} leads"
-        )
-    return Reply(
-        rejection=RejectionKind.READ_ONLY, detail=f"leadership check: {verdict}"
-    )
+    return (began if began.rejection is not None else reply), began.position
 
 
 def record_begin_reply(
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -19,7 +19,8 @@
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
-from ebonyrack.serving.primary_proof import read_at_proven_primary
+from ebonyrack.serving.primary_proof import read_in_transaction
+from ebonyrack.serving.primary_proof import start_proof
 from ebonyrack.serving.read_requirement import ReadRequirement
 from ebonyrack.serving.read_requirement import find_requirement
 from ebonyrack.serving.statement import Statement
@@ -155,9 +156,12 @@
             return None
         started_s = now_s()
         self.queued_s = started_s - queued_at_s
+        proof = None
+        if self.requirement.position is None:
+            proof = start_proof(statement.group, member)
         try:
             self.was_sent = True
-            reply = await self.read_at(member, link)
+            reply, position = await self.read_at(member, link)
         except UpstreamLostError as error:
             self.record_lost(member, error.reason)
             return None
@@ -172,17 +176,25 @@
         if reply.rejection is None:
             member.record_reply_time(now_s() - started_s)
         member.record_position(reply.position)
+        if proof is not None and reply.rejection is None:
+            return await proof.confirm(position) or reply
         return reply
 
-    async def read_at(self, member: Member, link: UpstreamLink) -> Reply:
-        """Set up the session on the connection and run the read."""
+    async def read_at(
+        self, member: Member, link: UpstreamLink
+    ) -> tuple[Reply, LogPosition | None]:
+        """Set up the session on the connection and run the read.
+
+        Returns:
+            The reply, and the position of the upstream's log before the read.
+        """
         await set_up_session(self.statement, link)
         limit_s = min(self.statement.remaining_s, member.silence_limit_s)
         if self.requirement.position is None:
-            return await read_at_proven_primary(self.statement, member, link, limit_s)
+            return await read_in_transaction(self.statement, member, link, limit_s)
         request = self.statement.request.with_position(self.requirement.position)
         (reply,) = await link.exchange([request], limit_s)
-        return reply
+        return reply, reply.position
 
     def record_rejection(self, member: Member, reply: Reply) -> None:
         """Record and log a rejection by an upstream."""
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -25,9 +25,8 @@
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import RequestKind
 from ebonyrack.routes.route import Route
-from ebonyrack.serving.primary_proof import confirm_leadership
 from ebonyrack.serving.primary_proof import record_begin_reply
-from ebonyrack.serving.primary_proof import start_leadership_check
+from ebonyrack.serving.primary_proof import start_proof
 from ebonyrack.serving.read_requirement import ReadRequirement
 from ebonyrack.serving.read_requirement import find_requirement
 from ebonyrack.serving.statement import Statement
@@ -220,9 +219,9 @@
         needs_primary = self.requirement.position is None
         ends_at_once = statement.request.kind is RequestKind.COMMIT
         sent_at_s = boot_time_s()
-        check = None
+        proof = None
         if needs_primary and not ends_at_once:
-            check = start_leadership_check(self.group)
+            proof = start_proof(self.group, member)
         (began,) = await link.exchange([begin], statement.remaining_s)
         member.record_position(began.position)
         if needs_primary:
@@ -230,8 +229,9 @@
         if began.rejection is not None or ends_at_once:
             return began
         (reply,) = await link.exchange([statement.request], statement.remaining_s)
-        refusal = await confirm_leadership(self.group, member, check, began, sent_at_s)
-        return refusal or reply
+        if proof is not None:
+            return await proof.confirm(began.position) or reply
+        return reply
 
     async def run_next(self, statement: Statement) -> Reply:
         """Run a later statement on the connection of the transaction."""
