--- a/ebonyrack/entry/restored_store_test.py
+++ b/ebonyrack/entry/restored_store_test.py
@@ -28,7 +28,9 @@
         await system.service.put(f"other/{number % 5}", b"x")
 
 
-async def test_upstream_that_leaves_after_the_drill_gets_no_new_reads(system, connect):
+async def test_upstream_that_leaves_after_a_restoration_gets_no_new_reads(
+    system, connect
+):
     reader = await connect("calendar")
     system.service.take_copy()
     await raise_revision(system)
@@ -95,7 +97,9 @@
         assert PROXIES_PREFIX + "proxy-1" in system.service.items
 
 
-async def test_primary_that_crashes_around_the_drill_is_replaced_once(system, connect):
+async def test_primary_that_crashes_around_a_restoration_is_replaced_once(
+    system, connect
+):
     caller = await connect("booking")
     for number in range(10):
         await caller.execute(f"WRITE slot-{number} mali")
@@ -114,7 +118,7 @@
     assert system.service.lower_tokens == []
 
 
-async def test_second_promotion_after_the_drill_has_a_higher_token(system, connect):
+async def test_second_promotion_after_a_restoration_has_a_higher_token(system, connect):
     caller = await connect("booking")
     await caller.execute("WRITE slot-1 mali")
     system.service.take_copy()
