Decide on grants of accounts' limits without input or output

Cause: a limit that is summed over proxies which may not hear each other can only be kept by spending what was granted before.

--- /dev/null
+++ b/ebonyrack/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of client accounts, kept over all proxies together."""
--- /dev/null
+++ b/ebonyrack/limits/shard_hold.py
@@ -0,0 +1,263 @@
+"""Which shards this proxy owns, for how long, and which it should claim.
+
+A shard belongs to the process whose word is in its key. The key has a lease, so it ends
+some time after its owner; the owner stops at its own clock before that. Nobody writes a
+key that exists, except a process that was started again on the VM of the owner: two
+processes with the same name and address never run at the same time.
+
+After the store was restored from a copy, an owner may exist whose key the copy lacks. A
+mark in the store says that this time has passed since the restoration; the copy has an
+older mark. Without it a proxy waits until all leases of before have ended.
+
+Load pattern: all proxies are killed at once and their callers return at once. Each
+process that starts again takes the shards of its predecessor at its first reading.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ebonyrack.limits.grant_book import GrantBook
+from ebonyrack.limits.grant_terms import LimitBounds
+from ebonyrack.limits.shard import SHARD_COUNT
+from ebonyrack.limits.shard import rank_owner
+
+# Longer than most outages of the store, in which the owners go on.
+LEASE_TTL_S = 12.0
+# The owner stops this much before its lease may end, for the spread of the clocks.
+LEASE_MARGIN_S = 1.0
+RENEWAL_INTERVAL_S = 3.0
+# Others wait this long for each proxy that is preferred to them.
+RANK_DELAY_S = 0.5
+# ... and for each shard that they own already, so that shards spread.
+OWNED_DELAY_S = 1.0
+LONGEST_CLAIM_DELAY_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class ShardOwner:
+    """The value of a shard's key.
+
+    Attributes:
+        name: Name of the owner.
+        address: Address that only one process at a time can have.
+        word: Random word of the owner's lease.
+    """
+
+    name: str
+    address: str
+    word: str
+
+    def encode(self) -> bytes:
+        """Return the value of the key."""
+        return f"{self.name} {self.address} {self.word}".encode()
+
+
+def decode_owner(value: bytes) -> ShardOwner | None:
+    """Return the owner that a key's value names, or None if it is malformed."""
+    words = value.decode("utf-8", "replace").split(" ")
+    return ShardOwner(*words) if len(words) == 3 else None
+
+
+@dataclass(frozen=True, slots=True)
+class ShardKey:
+    """The key of a shard, as it was read last.
+
+    Attributes:
+        owner: The owner, or None if the key doesn't exist or is malformed.
+        revision: Its revision; 0 if it doesn't exist.
+        seen_s: Time since which it is known so, on the boot clock.
+    """
+
+    owner: ShardOwner | None
+    revision: int
+    seen_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ShardLease:
+    """The lease of this proxy's keys.
+
+    Attributes:
+        number: Its number in the store.
+        generation: Generation of the store that granted it.
+        word: Random word that its keys hold.
+        deadline_s: Time at which its owner stops, on the boot clock.
+    """
+
+    number: int
+    generation: int
+    word: str
+    deadline_s: float
+
+
+class ShardHold:
+    """The shards of this proxy and the owners of the others.
+
+    Attributes:
+        name: Name of this proxy.
+        address: Address that only this process has.
+        started_s: Start of this process, on the boot clock.
+        bounds: How strictly the limits are checked.
+        lease: Lease of the owned keys, or None.
+        keys: Key by shard, for those that have been read.
+        books: Book by owned shard.
+        mark: Revision and generation of the mark in the store; (0, 0) without one.
+        is_leaving: Whether this proxy claims nothing any more.
+    """
+
+    __slots__ = (
+        "name",
+        "address",
+        "started_s",
+        "bounds",
+        "lease",
+        "keys",
+        "books",
+        "mark",
+        "is_leaving",
+    )
+
+    def __init__(
+        self, name: str, address: str, started_s: float, bounds: LimitBounds
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.started_s = started_s
+        self.bounds = bounds
+        self.lease: ShardLease | None = None
+        self.keys: dict[int, ShardKey] = {}
+        self.books: dict[int, GrantBook] = {}
+        self.mark = (0, 0)
+        self.is_leaving = False
+
+    def is_valid(self, now_s: float, generation: int) -> bool:
+        """Return whether the lease certainly stands."""
+        lease = self.lease
+        return (
+            lease is not None
+            and lease.generation == generation
+            and now_s < lease.deadline_s
+        )
+
+    def find_book(self, shard: int, now_s: float, generation: int) -> GrantBook | None:
+        """Return the book of a shard, or None if this proxy may not grant from it."""
+        return self.books.get(shard) if self.is_valid(now_s, generation) else None
+
+    def find_owner(self, shard: int) -> str | None:
+        """Return the name of the owner of a shard, as far as it is known."""
+        key = self.keys.get(shard)
+        return key.owner.name if key is not None and key.owner is not None else None
+
+    def start_lease(
+        self, number: int, generation: int, word: str, asked_s: float
+    ) -> None:
+        """Begin to use a new lease.
+
+        Args:
+            number: Its number.
+            generation: Generation of the store at the time.
+            word: Random word that no other lease has.
+            asked_s: Time before the request was sent, on the boot clock.
+        """
+        self.books.clear()
+        deadline_s = asked_s + LEASE_TTL_S - LEASE_MARGIN_S
+        self.lease = ShardLease(number, generation, word, deadline_s)
+
+    def extend_lease(self, lease: ShardLease, asked_s: float) -> None:
+        """Extend the lease after a renewal, if it is still the one that was renewed."""
+        if self.lease is None or self.lease.number != lease.number:
+            return
+        deadline_s = asked_s + LEASE_TTL_S - LEASE_MARGIN_S
+        self.lease = ShardLease(
+            lease.number,
+            lease.generation,
+            lease.word,
+            max(deadline_s, self.lease.deadline_s),
+        )
+
+    def end_lease(self) -> None:
+        """Stop to own anything; the keys end with the lease."""
+        self.lease = None
+        self.books.clear()
+
+    def record_key(self, shard: int, value: bytes, revision: int, now_s: float) -> None:
+        """Record that a key was read or written."""
+        known = self.keys.get(shard)
+        if known is not None and revision < known.revision:
+            return
+        owner = decode_owner(value)
+        if known is None or known.revision != revision:
+            self.keys[shard] = ShardKey(owner, revision, now_s)
+        word = self.lease.word if self.lease is not None else None
+        if owner is None or owner.word != word:
+            self.books.pop(shard, None)
+        elif shard not in self.books:
+            started_s = now_s if known is None else self.choose_start(known, now_s)
+            self.books[shard] = GrantBook(self.bounds, started_s)
+
+    def choose_start(self, replaced: ShardKey, now_s: float) -> float:
+        """Return the time since which nobody else grants from a shard just taken."""
+        if replaced.owner is not None and self.is_predecessor(replaced.owner):
+            return self.started_s
+        return now_s
+
+    def record_absent(self, shard: int, now_s: float) -> None:
+        """Record that a shard has no key."""
+        self.books.pop(shard, None)
+        known = self.keys.get(shard)
+        if known is None or known.owner is not None:
+            self.keys[shard] = ShardKey(None, 0, now_s)
+
+    def forget_keys(self) -> None:
+        """Forget all keys, as the store was restored."""
+        self.end_lease()
+        self.keys.clear()
+        self.mark = (0, 0)
+
+    def may_claim(self, now_s: float, generation: int, seen_s: float) -> bool:
+        """Return whether all owners that the store may have forgotten have stopped.
+
+        Args:
+            now_s: Current time on the boot clock.
+            generation: Generation of the store; 0 if it is never restored.
+            seen_s: Time at which this process first saw it.
+        """
+        is_marked = generation in (0, self.mark[1])
+        return is_marked or now_s - seen_s >= LEASE_TTL_S
+
+    def is_predecessor(self, owner: ShardOwner) -> bool:
+        """Return whether an owner was an earlier process on this VM."""
+        word = self.lease.word if self.lease is not None else None
+        return (
+            owner.name == self.name
+            and owner.address == self.address
+            and owner.word != word
+        )
+
+    def choose_claims(self, names: Iterable[str], now_s: float) -> list[int]:
+        """Return the shards that this proxy should claim now.
+
+        Args:
+            names: Names of the live proxies.
+            now_s: Current time on the boot clock.
+        """
+        if self.is_leaving:
+            return []
+        known = list(names)
+        claims = []
+        for shard in range(SHARD_COUNT):
+            key = self.keys.get(shard)
+            if key is None:
+                continue
+            if key.owner is not None:
+                if self.is_predecessor(key.owner):
+                    claims.append(shard)
+                continue
+            rank = rank_owner(shard, self.name, known)
+            owned = len(self.books) + len(claims)
+            delay_s = rank * RANK_DELAY_S + owned * OWNED_DELAY_S
+            if now_s - key.seen_s >= min(delay_s, LONGEST_CLAIM_DELAY_S):
+                claims.append(shard)
+        return claims
