Link the proxies for routes with each other

Cause: proxies for routes could not ask each other anything, so neither limits over the fleet nor work handed over was possible.

Change: a proxy listens on the first of its internal ports (without them nothing changes) and tells address, data centre, processor share and build in its presence entry; entries without a value stay alive and are never asked. ProxyLinks dials a link when something is asked, keeps it while it is used, at most one for two proxies; it finds silent links by a message that is answered at once, answers questions of unknown types, and answers what is in flight at shutdown. LinkFailure says whether the question may have been handled. Frames, codec, registry and correlation are those of the PostgreSQL proxy's peers: RequestLink is what PeerLink had apart from its secret and membership.

Ruled out: a second set of frames and correlations; a shared secret, which the platform doesn't have.

Conclusion: the part for limits can register its questions.

--- a/ebonyrack/config/authentication.py
+++ b/ebonyrack/config/authentication.py
@@ -15,10 +15,10 @@
 from ebonyrack.peers.hub import OPERATOR_ROLE
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.peers.link_messages import Failure
 from ebonyrack.peers.message import Message
 from ebonyrack.peers.operator_messages import AuthenticateReply
 from ebonyrack.peers.operator_messages import AuthenticateRequest
+from ebonyrack.peers.reply_messages import Failure
 
 
 class OperatorAuthentication:
--- a/ebonyrack/config/edit_handler.py
+++ b/ebonyrack/config/edit_handler.py
@@ -23,9 +23,9 @@
 from ebonyrack.peers.edit_messages import RevisionsReply
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.message import Message
+from ebonyrack.peers.request_link import PeerLostError
 from ebonyrack.store.consul_store import ConsulStore
 
 MAXIMUM_EDIT_TIMEOUT_S = 60.0
--- a/ebonyrack/config/fault_matrix_test.py
+++ b/ebonyrack/config/fault_matrix_test.py
@@ -15,8 +15,8 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.ops.client import ProxyAccess
 from ebonyrack.ops.document_access import ProxyDocument
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member import MemberState
+from ebonyrack.peers.request_link import PeerLostError
 from ebonyrack.standins.control_plane import wait_until
 
 STEPS = ["read", "check", "swap", "answer", "announce", "apply"]
--- a/ebonyrack/config/propagation.py
+++ b/ebonyrack/config/propagation.py
@@ -23,9 +23,9 @@
 from ebonyrack.peers.document_messages import DocumentReply
 from ebonyrack.peers.hub import PeerHub
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member_messages import Heartbeat
 from ebonyrack.peers.message import Message
+from ebonyrack.peers.request_link import PeerLostError
 
 FETCH_TIMEOUT_S = 2.0
 
--- a/ebonyrack/config/verification.py
+++ b/ebonyrack/config/verification.py
@@ -15,7 +15,7 @@
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.document_messages import AskDocument
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.peers.link import PeerLostError
+from ebonyrack.peers.request_link import PeerLostError
 from ebonyrack.store.consul_store import ConsulStore
 
 RETRY_DELAY_S = 0.2
--- a/ebonyrack/core/line_stream.py
+++ b/ebonyrack/core/line_stream.py
@@ -8,6 +8,7 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.connection_stream import ConnectionStream
+from ebonyrack.core.socket_options import connect_socket
 
 # Longest line without its line feed; the supported protocols allow no longer messages.
 MAXIMUM_LINE_BYTES = 1024 * 1024
@@ -123,13 +124,12 @@
         StreamLostError: If it is refused or unreachable.
     """
     loop = asyncio.get_running_loop()
-    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    connection.setblocking(False)
-    connection.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_limit_ms
-    )
+    limit = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_limit_ms)
+    try:
+        connection = await connect_socket(address, (limit,))
+    except OSError as error:
+        raise StreamLostError(f"can't connect to {address}: {error}") from error
     try:
-        await loop.sock_connect(connection, (address.host, address.port))
         _, stream = await loop.create_connection(LineStream, sock=connection)
     except OSError as error:
         connection.close()
--- a/ebonyrack/core/route_settings.py
+++ b/ebonyrack/core/route_settings.py
@@ -21,6 +21,8 @@
         grace_s: Time between the signal to stop and the end of the process, in seconds.
         is_promotion_fenced: Whether the platform ends the lead of the old primary and
             refuses outdated orders when it promotes another upstream.
+        peer_address: Where other proxies connect; None without links between them.
+        processor_share: Processing power of the VM in cores.
     """
 
     name: str
@@ -31,3 +33,5 @@
     order_address: Address
     grace_s: float
     is_promotion_fenced: bool = False
+    peer_address: Address | None = None
+    processor_share: float = 1.0
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -11,6 +11,7 @@
 from result import Err
 from result import Result
 
+from ebonyrack import __version__
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.component import Component
 from ebonyrack.core.route_settings import RouteProxySettings
@@ -24,6 +25,8 @@
 from ebonyrack.members.group import Group
 from ebonyrack.members.presence import PREFIX as PROXIES_PREFIX
 from ebonyrack.members.presence import Presence
+from ebonyrack.peers.proxy_entry import ProxyEntry
+from ebonyrack.peers.proxy_links import ProxyLinks
 from ebonyrack.placing.primary_health import MISSING_ENTRY_LIMIT_S
 from ebonyrack.promotion.order import PromotionOrderClient
 from ebonyrack.promotion.promoter import Promoter
@@ -96,6 +99,7 @@
         services: State shared by callers' sessions.
         directory: The upstreams that are registered in the store.
         presence: The live proxies.
+        links: Links to other proxies.
         store_availability: Whether the store answers.
         followers: Apply changes of entries, routes and proxies in the store.
         listener: Accepts callers' connections.
@@ -115,8 +119,12 @@
             dependencies.entry_prefix, dependencies.decode_entry, self.services.groups
         )
         self.presence = Presence(
-            dependencies.store, settings.name, self.update_connection_shares
+            dependencies.store,
+            settings.name,
+            self.update_connection_shares,
+            build_entry(settings),
         )
+        self.links = ProxyLinks(settings, lambda: self.presence.proxies)
         store = dependencies.store
         self.store_availability = StoreAvailability()
         self.followers = (
@@ -199,6 +207,7 @@
 
     async def start(self) -> None:
         """Start all components."""
+        await self.stack.enter_async_context(self.links)
         await self.stack.enter_async_context(self.listener)
         for follower in self.followers:
             await self.stack.enter_async_context(follower)
@@ -313,3 +322,16 @@
             await self.directory.remove_missing(
                 self.store_availability.available_since_s, MISSING_ENTRY_LIMIT_S
             )
+
+
+def build_entry(settings: RouteProxySettings) -> ProxyEntry | None:
+    """Build what the other proxies are told of this one; None without links."""
+    if settings.peer_address is None:
+        return None
+    return ProxyEntry(
+        settings.name,
+        settings.peer_address,
+        settings.data_centre,
+        settings.processor_share,
+        __version__,
+    )
--- a/ebonyrack/failover/bench_test.py
+++ b/ebonyrack/failover/bench_test.py
@@ -20,7 +20,7 @@
 from ebonyrack.failover.pre_vote import PrimaryMessageHandler
 from ebonyrack.failover.ranking import COORDINATORS_PER_GROUP
 from ebonyrack.failover.terms import TermSource
-from ebonyrack.peers.link import PeerLostError
+from ebonyrack.peers.request_link import PeerLostError
 from ebonyrack.routing.write_path import acknowledge_write
 from ebonyrack.routing.write_path import check_write_admitted
 from ebonyrack.standins.group import StandinGroup
--- a/ebonyrack/failover/pre_vote.py
+++ b/ebonyrack/failover/pre_vote.py
@@ -8,13 +8,13 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.failover.ranking import rank_members
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.message import Message
 from ebonyrack.peers.primary_messages import AskPrimary
 from ebonyrack.peers.primary_messages import HoldWrites
 from ebonyrack.peers.primary_messages import PrimaryOpinion
 from ebonyrack.peers.primary_messages import PrimarySeen
 from ebonyrack.peers.primary_messages import WritesHeld
+from ebonyrack.peers.request_link import PeerLostError
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
--- a/ebonyrack/failover/switchover.py
+++ b/ebonyrack/failover/switchover.py
@@ -8,9 +8,9 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.logs import log_decision
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.primary_messages import HoldWrites
 from ebonyrack.peers.primary_messages import WritesHeld
+from ebonyrack.peers.request_link import PeerLostError
 from ebonyrack.upstreams.connection import UpstreamLostError
 
 if TYPE_CHECKING:
--- a/ebonyrack/members/presence.py
+++ b/ebonyrack/members/presence.py
@@ -1,4 +1,4 @@
-"""Registers this proxy in the store and counts the live proxies.
+"""Registers this proxy in the store and lists the live proxies.
 
 All proxies share the connections of the upstreams, so each must know how many proxies
 there are. A name expires with its lease, so a crashed proxy stops being counted.
@@ -17,6 +17,9 @@
 from ebonyrack.core.component import Component
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
+from ebonyrack.peers.proxy_entry import ProxyEntry
+from ebonyrack.peers.proxy_entry import decode_entry
+from ebonyrack.peers.proxy_entry import encode_entry
 from ebonyrack.store.backoff import Backoff
 from ebonyrack.store.leasing_store import LeasingStore
 from ebonyrack.store.leasing_store import StoreChanges
@@ -39,20 +42,39 @@
     Attributes:
         store: The store.
         name: Name of this proxy.
+        entry: What the other proxies are told of it; None without links.
         live_names: Names that the store listed last.
+        proxies: The live proxies that told an address, this one too, by name.
         departed_at_s: Time at which each recently removed name went missing.
-        on_change: Called when the number of live proxies changes.
+        on_change: Called when the live proxies change.
         task: Keeps the name in the store.
     """
 
-    __slots__ = ("store", "name", "live_names", "departed_at_s", "on_change", "task")
+    __slots__ = (
+        "store",
+        "name",
+        "entry",
+        "live_names",
+        "proxies",
+        "departed_at_s",
+        "on_change",
+        "task",
+    )
 
     def __init__(
-        self, store: LeasingStore, name: str, on_change: Callable[[], None]
+        self,
+        store: LeasingStore,
+        name: str,
+        on_change: Callable[[], None],
+        entry: ProxyEntry | None = None,
     ) -> None:
         self.store = store
         self.name = name
+        self.entry = entry
         self.live_names: set[str] = set()
+        self.proxies: dict[str, ProxyEntry] = {}
+        if entry is not None:
+            self.proxies[name] = entry
         self.departed_at_s: dict[str, float] = {}
         self.on_change = on_change
         self.task: asyncio.Task[None] | None = None
@@ -76,24 +98,47 @@
         Args:
             changes: Items and keys of the store, with this prefix or others.
         """
-        before = self.live_count
-        found = {
-            item.key.removeprefix(PREFIX)
+        before, known_proxies = self.live_count, self.proxies
+        values = {
+            item.key.removeprefix(PREFIX): item.value
             for item in changes.items
             if item.key.startswith(PREFIX)
         }
+        found = values.keys()
         removed = {
             key.removeprefix(PREFIX)
             for key in changes.deleted
             if key.startswith(PREFIX)
         }
         known = self.live_names
-        self.live_names = found if changes.is_complete else (known | found) - removed
+        self.live_names = (set() if changes.is_complete else known) | found
+        self.live_names -= removed
         self.record_departed(known - self.live_names)
+        self.proxies = self.build_proxies(values)
         if self.live_count != before:
             logger.bind(before=before, live=self.live_count).info("proxies_counted")
+        if self.live_count != before or self.proxies != known_proxies:
             self.on_change()
 
+    def build_proxies(self, values: dict[str, bytes]) -> dict[str, ProxyEntry]:
+        """Return the live proxies that told an address, this one too.
+
+        Args:
+            values: Value of each entry that was read or changed, by name.
+        """
+        proxies = {
+            name: entry
+            for name, entry in self.proxies.items()
+            if name in self.live_names and name not in values
+        }
+        for name, value in values.items():
+            entry = decode_entry(name, value)
+            if entry is not None and name in self.live_names:
+                proxies[name] = entry
+        if self.entry is not None:
+            proxies[self.name] = self.entry
+        return proxies
+
     def record_departed(self, names: set[str]) -> None:
         """Record missing names, which still count for a while."""
         now = boot_time_s()
@@ -126,7 +171,10 @@
             self.log_failure("read", known.err_value.reason)
             return None
         revision = known.ok_value.revision if known.ok_value is not None else 0
-        written = await self.store.write(StoreWrite(key, b"", lease.ok_value, revision))
+        value = encode_entry(self.entry) if self.entry is not None else b""
+        written = await self.store.write(
+            StoreWrite(key, value, lease.ok_value, revision)
+        )
         if isinstance(written, Err) or written.ok_value is None:
             self.log_failure("write", "refused or unanswered")
             return None
--- a/ebonyrack/ops/client.py
+++ b/ebonyrack/ops/client.py
@@ -16,13 +16,13 @@
 from ebonyrack.peers.handshake import build_hello
 from ebonyrack.peers.hub import OPERATOR_ROLE
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.link import dial
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.message import Message
 from ebonyrack.peers.operator_messages import AuthenticateReply
 from ebonyrack.peers.operator_messages import AuthenticateRequest
+from ebonyrack.peers.request_link import PeerLostError
 
 NO_ADDRESS = Address("0.0.0.0", 0)
 
--- a/ebonyrack/ops/document_access.py
+++ b/ebonyrack/ops/document_access.py
@@ -29,7 +29,7 @@
 from ebonyrack.peers.edit_messages import EditReply
 from ebonyrack.peers.edit_messages import EditRequest
 from ebonyrack.peers.edit_messages import RevisionsReply
-from ebonyrack.peers.link import PeerLostError
+from ebonyrack.peers.request_link import PeerLostError
 from ebonyrack.store.consul_store import ConsulStore
 
 REPLY_MARGIN_S = 2.0
--- a/ebonyrack/ops/proxy_commands.py
+++ b/ebonyrack/ops/proxy_commands.py
@@ -12,11 +12,11 @@
 from ebonyrack.ops.exit_status import ExitStatus
 from ebonyrack.ops.output import Output
 from ebonyrack.ops.status import fetch_status
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.message import Message
 from ebonyrack.peers.operator_messages import CommandReply
 from ebonyrack.peers.operator_messages import DrainRequest
 from ebonyrack.peers.operator_messages import SwitchoverRequest
+from ebonyrack.peers.request_link import PeerLostError
 
 
 async def drain(access: ProxyAccess, proxy: str, output: Output) -> ExitStatus:
--- a/ebonyrack/peers/codec.py
+++ b/ebonyrack/peers/codec.py
@@ -6,25 +6,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import msgpack
-from pydantic import TypeAdapter
-from pydantic import ValidationError
-from pydantic_core import ArgsKwargs
 
 from ebonyrack.core.address import Address
-from ebonyrack.peers import messages  # noqa: F401 (registers the message types)
 from ebonyrack.peers.message import MESSAGE_CODES
 from ebonyrack.peers.message import MESSAGE_TYPES
 from ebonyrack.peers.message import BadMessageError
 from ebonyrack.peers.message import Message
+from ebonyrack.peers.message import UnknownMessageError
 from ebonyrack.peers.message import get_fields
+from ebonyrack.peers.plain_fields import build_plain_validator
 
 PROTOCOL_VERSION = 1
 MAXIMUM_FRAME_BYTES = 2 * 1024 * 1024
 
-ADAPTERS: dict[type[Message], TypeAdapter[Any]] = {}
+Validate = Callable[[list[Any]], Message]
+
+VALIDATORS: dict[type[Message], Validate] = {}
 
 
 def pack_message(message: Message, correlation: int = 0) -> bytes:
@@ -58,14 +59,20 @@
     message_type = MESSAGE_TYPES.get(code) if isinstance(code, int) else None
     if message_type is None or not isinstance(fields, list):
         raise BadMessageError(f"unknown message code {code!r}")
-    adapter = ADAPTERS.get(message_type)
-    if adapter is None:
-        adapter = ADAPTERS[message_type] = TypeAdapter(message_type)
-    try:
-        message: Message = adapter.validate_python(ArgsKwargs(tuple(fields)))
-    except ValidationError as error:
-        raise BadMessageError(f"bad fields of {message_type.__name__}") from error
-    return message
+    validate = VALIDATORS.get(message_type)
+    if validate is None:
+        validate = VALIDATORS[message_type] = find_validator(message_type)
+    return validate(fields)
+
+
+def find_validator(message_type: type[Message]) -> Validate:
+    """Return the function that validates the fields of a type of message."""
+    validate = build_plain_validator(message_type)
+    if validate is not None:
+        return validate
+    from ebonyrack.peers.validation import build_validator
+
+    return build_validator(message_type)
 
 
 def parse_frame(frame: object) -> tuple[Message, int]:
@@ -78,11 +85,14 @@
         The message and its correlation.
 
     Raises:
+        UnknownMessageError: If only its type of message is not known.
         BadMessageError: If it is not a valid frame.
     """
     if not isinstance(frame, list) or len(frame) != 3 or not isinstance(frame[1], int):
         raise BadMessageError("not a frame of the peers' protocol")
     code, correlation, fields = frame
+    if type(code) is int and code not in MESSAGE_TYPES and isinstance(fields, list):
+        raise UnknownMessageError(code, correlation)
     return build_message(code, fields), correlation
 
 
--- a/ebonyrack/peers/codec_test.py
+++ b/ebonyrack/peers/codec_test.py
@@ -14,6 +14,7 @@
 from ebonyrack.peers.message import BadMessageError
 from ebonyrack.peers.message import Message
 from ebonyrack.peers.message import register_message
+from ebonyrack.peers.plain_fields import build_plain_validator
 
 # Fields are encoded by position: processes of two releases are compatible only while
 # each code keeps its message type and the order of its fields.
@@ -21,6 +22,7 @@
     1: "Hello version role member nonce",
     2: "Proof digest",
     3: "Failure reason",
+    4: "NotHandled reason",
     10: "Heartbeat incarnation revision digest interval_ms news",
     11: "AskMembers",
     12: "MembersReply members",
@@ -51,6 +53,9 @@
     54: "AuthenticateRequest operator data",
     55: "AuthenticateReply data",
     60: "CancelSession number secret_key",
+    190: "ProxyHello version name incarnation",
+    191: "EndLink",
+    192: "LinkAlive",
 }
 MEMBER = Member("p-1", Address("127.0.0.1", 7), "dc-1", "north", 5, MemberState.ALIVE)
 MEMBER_ARRAY = ["p-1", "127.0.0.1:7", "dc-1", "north", 5, 0]
@@ -61,7 +66,12 @@
 
 
 def test_wire_format_is_unchanged():
-    present = {code: describe(entry) for code, entry in MESSAGE_TYPES.items()}
+    present = {
+        code: describe(entry)
+        for code, entry in MESSAGE_TYPES.items()
+        if entry.__module__.startswith("ebonyrack.peers.")
+        and not entry.__module__.endswith("_test")
+    }
     assert present == WIRE_FORMAT
 
 
@@ -97,6 +107,42 @@
         parse_frame(frame)
 
 
+@register_message(9001)
+class Plain(Message):
+    number: int
+    ratio: float
+    text: str | None
+    rows: list[bytes]
+    values: dict[bytes, bytes]
+    is_last: bool = False
+
+
+PLAIN_FIELDS = [1, 2.5, "a", [b"r"], {b"k": b"v"}, True]
+
+
+def test_plain_fields_are_accepted_without_pydantic():
+    message = parse_frame([9001, 0, PLAIN_FIELDS])[0]
+    assert message == Plain(*PLAIN_FIELDS)
+    assert build_plain_validator(Heartbeat) is None
+
+
+@pytest.mark.parametrize(
+    ("index", "value"),
+    [(0, True), (0, "1"), (1, "2"), (2, b"a"), (3, ["r"]), (4, {b"k": 1}), (5, 1)],
+)
+def test_plain_fields_of_another_type_are_rejected(index, value):
+    fields = [*PLAIN_FIELDS]
+    fields[index] = value
+    with pytest.raises(BadMessageError):
+        parse_frame([9001, 0, fields])
+
+
+@pytest.mark.parametrize("fields", [PLAIN_FIELDS[:-1], [*PLAIN_FIELDS, 1]])
+def test_wrong_number_of_plain_fields_is_rejected(fields):
+    with pytest.raises(BadMessageError):
+        parse_frame([9001, 0, fields])
+
+
 def test_duplicate_message_code_is_rejected():
     with pytest.raises(ValueError, match="code 10 is registered already"):
 
--- a/ebonyrack/peers/dialler.py
+++ b/ebonyrack/peers/dialler.py
@@ -15,9 +15,9 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.component import Component
 from ebonyrack.core.tasks import end_tasks
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
+from ebonyrack.peers.request_link import PeerLostError
 
 if TYPE_CHECKING:
     from ebonyrack.peers.hub import PeerHub
--- a/ebonyrack/peers/failure_detector.py
+++ b/ebonyrack/peers/failure_detector.py
@@ -8,13 +8,13 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.member_messages import AskReach
 from ebonyrack.peers.member_messages import ReachReply
 from ebonyrack.peers.membership import MemberEntry
 from ebonyrack.peers.message import Message
+from ebonyrack.peers.request_link import PeerLostError
 
 if TYPE_CHECKING:
     from ebonyrack.peers.hub import PeerHub
--- a/ebonyrack/peers/heartbeat.py
+++ b/ebonyrack/peers/heartbeat.py
@@ -13,13 +13,13 @@
 from ebonyrack.core.component import Component
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.member_messages import AskMembers
 from ebonyrack.peers.member_messages import Heartbeat
 from ebonyrack.peers.member_messages import MembersReply
 from ebonyrack.peers.message import Message
+from ebonyrack.peers.request_link import PeerLostError
 
 if TYPE_CHECKING:
     from ebonyrack.peers.hub import PeerHub
--- a/ebonyrack/peers/hub.py
+++ b/ebonyrack/peers/hub.py
@@ -21,15 +21,15 @@
 from ebonyrack.peers.handshake import build_hello
 from ebonyrack.peers.heartbeat import HeartbeatTask
 from ebonyrack.peers.link import PeerLink
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.link import dial
-from ebonyrack.peers.link_messages import Failure
 from ebonyrack.peers.link_messages import Unlink
 from ebonyrack.peers.member import Member
 from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.member_messages import Leaving
 from ebonyrack.peers.membership import Membership
 from ebonyrack.peers.message import Message
+from ebonyrack.peers.reply_messages import Failure
+from ebonyrack.peers.request_link import PeerLostError
 
 MAXIMUM_ACCEPTED_LINKS = 600
 FLUSH_TIMEOUT_S = 0.5
--- a/ebonyrack/peers/hub_test.py
+++ b/ebonyrack/peers/hub_test.py
@@ -12,13 +12,13 @@
 from ebonyrack.peers.codec import pack_message
 from ebonyrack.peers.handshake import build_hello
 from ebonyrack.peers.hub import PeerHub
-from ebonyrack.peers.link import PeerLostError
 from ebonyrack.peers.link import dial
 from ebonyrack.peers.member import MemberState
 from ebonyrack.peers.membership import Membership
 from ebonyrack.peers.primary_messages import AskPrimary
 from ebonyrack.peers.primary_messages import PrimaryOpinion
 from ebonyrack.peers.primary_messages import PrimarySeen
+from ebonyrack.peers.request_link import PeerLostError
 
 # A fresh secret for each run: another test process may reuse the port of a proxy, and
 # its proxies must not be admitted.
--- a/ebonyrack/peers/link.py
+++ b/ebonyrack/peers/link.py
@@ -1,79 +1,45 @@
-"""A link between two processes: requests, replies and one-way messages."""
+"""A link between two authenticated processes of the PostgreSQL proxy."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from loguru import logger
-
 from ebonyrack.core.address import Address
-from ebonyrack.core.clock import now_s
-from ebonyrack.core.component import Component
-from ebonyrack.core.tasks import end_tasks
-from ebonyrack.peers.frames import FrameStream
+from ebonyrack.peers import messages  # noqa: F401 (registers the message types)
 from ebonyrack.peers.frames import Traffic
 from ebonyrack.peers.handshake import perform_handshake
-from ebonyrack.peers.link_messages import Failure
 from ebonyrack.peers.link_messages import Hello
 from ebonyrack.peers.member import Member
-from ebonyrack.peers.message import BadMessageError
 from ebonyrack.peers.message import Message
-
-HANDSHAKE_TIMEOUT_S = 2.0
-MAXIMUM_CONCURRENT_REQUESTS = 64
-
-
-class PeerLostError(Exception):
-    """Raised when a peer can't be reached or its link breaks.
-
-    Attributes:
-        reason: What happened.
-    """
-
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
-
+from ebonyrack.peers.reply_messages import Failure
+from ebonyrack.peers.request_link import HANDSHAKE_TIMEOUT_S
+from ebonyrack.peers.request_link import PeerLostError
+from ebonyrack.peers.request_link import RequestLink
 
 Handler = Callable[["PeerLink", Message], Awaitable[Message | None]]
 
 
-class PeerLink(FrameStream, Component):
-    """A link to another process: an async context manager with one read task.
-
-    It ends when either side closes it, sends an invalid frame, or doesn't read what
-    is queued for it.
+class PeerLink(RequestLink):
+    """A link between processes that share a secret.
 
     Attributes:
         hello: Hello message of this side.
-        is_dialler: Whether this side opened the connection.
         secret: Secret that all processes share.
         handler: Called for each message that is not a reply.
         remote: Hello message of the other side, None before the handshake.
         operator: Name of the authenticated operator, or empty.
-        opened_at_s: Time at which the connection was opened.
         is_unlinked: Whether it is closed only because a side no longer needs it.
-        is_closed: Set when the link has ended.
     """
 
     __slots__ = (
         "hello",
-        "is_dialler",
         "secret",
         "handler",
         "remote",
         "operator",
-        "opened_at_s",
         "is_unlinked",
-        "is_closed",
-        "correlations",
-        "pending_replies",
-        "request_tasks",
-        "request_slots",
-        "read_task",
     )
 
     def __init__(
@@ -86,45 +52,24 @@
         handler: Handler,
         traffic: Traffic,
     ) -> None:
-        super().__init__(reader, writer, traffic)
+        super().__init__(reader, writer, is_dialler, traffic)
         self.hello = hello
-        self.is_dialler = is_dialler
         self.secret = secret
         self.handler = handler
         self.remote: Hello | None = None
         self.operator = ""
-        self.opened_at_s = now_s()
         self.is_unlinked = False
-        self.is_closed = asyncio.Event()
-        self.correlations = itertools.count(1)
-        self.pending_replies: dict[int, asyncio.Future[Message]] = {}
-        self.request_tasks: set[asyncio.Task[None]] = set()
-        self.request_slots = asyncio.Semaphore(MAXIMUM_CONCURRENT_REQUESTS)
-        self.read_task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Perform the handshake and start to read.
 
-        Raises:
-            PeerLostError: If the handshake fails or times out.
-        """
-        try:
-            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                self.remote = await perform_handshake(
-                    self, self.hello, self.is_dialler, self.secret
-                )
-        except (OSError, TimeoutError, BadMessageError) as error:
-            self.close()
-            raise PeerLostError(f"handshake failed: {error!r}") from error
-        except BaseException:
-            self.close()
-            raise
-        self.read_task = asyncio.create_task(self.serve_frames())
+    async def perform_handshake(self) -> None:
+        """Authenticate both sides."""
+        self.remote = await perform_handshake(
+            self, self.hello, self.is_dialler, self.secret
+        )
 
-    async def stop(self) -> None:
-        """Close the link and end its tasks."""
-        self.close()
-        await end_tasks([self.read_task, *self.request_tasks])
+    @property
+    def peer_name(self) -> str:
+        """Name of the other side, for logs; empty before the handshake."""
+        return self.remote.member.name if self.remote is not None else ""
 
     @property
     def member(self) -> Member:
@@ -133,108 +78,9 @@
             raise PeerLostError("the link is not open")
         return self.remote.member
 
-    async def serve_frames(self) -> None:
-        """Read and serve frames until the link ends."""
-        try:
-            while True:
-                message, correlation = await self.read_frame()
-                await self.serve_frame(message, correlation)
-        except BadMessageError as error:
-            logger.bind(peer=self.member.name, reason=str(error)).warning(
-                "peer_sent_bad_message"
-            )
-        except OSError as error:
-            logger.bind(peer=self.member.name, reason=repr(error)).debug("link_ended")
-        finally:
-            self.close()
-
-    async def serve_frame(self, message: Message, correlation: int) -> None:
-        """Pass a reply to its request, or handle another message in a task."""
-        if correlation < 0:
-            future = self.pending_replies.pop(-correlation, None)
-            if future is not None and not future.done():
-                future.set_result(message)
-            return
-        await self.request_slots.acquire()
-        task = asyncio.create_task(self.handle_message(message, correlation))
-        self.request_tasks.add(task)
-        task.add_done_callback(self.release_request_slot)
-
-    def release_request_slot(self, task: asyncio.Task[None]) -> None:
-        """Release the slot of a request that has been served."""
-        self.request_tasks.discard(task)
-        self.request_slots.release()
-
-    async def handle_message(self, message: Message, correlation: int) -> None:
-        """Run the handler for one message and send its reply."""
-        try:
-            reply = await self.handler(self, message)
-        except Exception as error:
-            logger.opt(exception=error).error("message_handler_failed")
-            reply = Failure(f"the handler failed: {error!r}")
-        if correlation > 0:
-            self.send(reply or Failure("no reply"), -correlation)
-
-    def send(self, message: Message, correlation: int = 0) -> None:
-        """Queue a message; the link ends if too much is queued already.
-
-        Args:
-            message: The message.
-            correlation: Number of the request, negative for its reply.
-        """
-        if self.is_closed.is_set() or self.writer.is_closing():
-            return
-        if self.is_queue_full:
-            self.close()
-        else:
-            self.write_frame(message, correlation)
-
-    async def request(self, message: Message, timeout_s: float) -> Message:
-        """Send a request and wait for its reply.
-
-        Args:
-            message: The request.
-            timeout_s: Seconds to wait.
-
-        Returns:
-            The reply.
-
-        Raises:
-            PeerLostError: If the link ends, the reply is late or reports a failure.
-        """
-        if self.is_closed.is_set():
-            raise PeerLostError("the link is closed")
-        correlation = next(self.correlations)
-        future = asyncio.get_running_loop().create_future()
-        self.pending_replies[correlation] = future
-        self.send(message, correlation)
-        try:
-            async with asyncio.timeout(timeout_s):
-                reply: Message = await future
-        except TimeoutError:
-            raise PeerLostError(f"no reply within {timeout_s} s") from None
-        finally:
-            self.pending_replies.pop(correlation, None)
-        if isinstance(reply, Failure):
-            raise PeerLostError(reply.reason)
-        return reply
-
-    async def flush(self) -> None:
-        """Wait until all that is queued is sent or the link ends."""
-        self.writer.transport.set_write_buffer_limits(high=0)
-        try:
-            await self.writer.drain()
-        except OSError:
-            self.close()
-
-    def close(self) -> None:
-        """Close the stream and fail the requests that wait for a reply."""
-        self.is_closed.set()
-        self.close_stream()
-        for future in self.pending_replies.values():
-            if not future.done():
-                future.set_exception(PeerLostError("the link ended"))
-        self.pending_replies.clear()
+    async def handle(self, message: Message) -> Message | None:
+        """Pass a message to the handler."""
+        return await self.handler(self, message)
 
 
 async def reject_message(link: PeerLink, message: Message) -> Message | None:
--- a/ebonyrack/peers/link_messages.py
+++ b/ebonyrack/peers/link_messages.py
@@ -33,13 +33,6 @@
     digest: bytes
 
 
-@register_message(3)
-class Failure(Message):
-    """Reply to a request that could not be answered."""
-
-    reason: str
-
-
 @register_message(16)
 class Flood(Message):
     """A broadcast that receivers relay when not all members are linked.
--- a/ebonyrack/peers/member.py
+++ b/ebonyrack/peers/member.py
@@ -11,7 +11,7 @@
 
 from ebonyrack.core.ini import AddressField
 from ebonyrack.peers.message import Message
-from ebonyrack.peers.message import read_fields
+from ebonyrack.peers.validation import read_fields
 
 DIGEST_BYTES = 8
 
--- a/ebonyrack/peers/message.py
+++ b/ebonyrack/peers/message.py
@@ -1,7 +1,8 @@
 """Base class of the messages between processes, and the registry of their codes.
 
 A new message is one class in a module `*_messages.py`, with a unique code;
-codec_test.py pins the code and the fields, which must not change afterwards.
+codec_test.py pins the code and the fields, which must not change afterwards. Codes
+below 100 belong to the PostgreSQL proxy, others to the proxy for routes.
 """
 
 from __future__ import annotations
@@ -9,13 +10,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
-from typing import ClassVar
 from typing import TypeVar
 from typing import dataclass_transform
 
-from pydantic import ConfigDict
-from pydantic_core import ArgsKwargs
-
 PeerRecord = TypeVar("PeerRecord", bound="type[Message]")
 
 
@@ -23,11 +20,24 @@
     """Raised for bytes from a peer that are not a valid message."""
 
 
+class UnknownMessageError(BadMessageError):
+    """Raised for a valid frame with a message of a type that isn't known here.
+
+    Attributes:
+        correlation: Correlation of the frame.
+    """
+
+    def __init__(self, code: object, correlation: int) -> None:
+        super().__init__(f"unknown message code {code!r}")
+        self.correlation = correlation
+
+
 class Message:
     """Base of all records that are sent on a link."""
 
     __slots__ = ()
-    __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(arbitrary_types_allowed=True)
+    # A plain dictionary, as pydantic is loaded only by processes that need it.
+    __pydantic_config__ = {"arbitrary_types_allowed": True}
 
 
 MESSAGE_TYPES: dict[int, type[Message]] = {}
@@ -63,8 +73,3 @@
     """Return the values of a message's fields in their order."""
     names = type(message).__dataclass_fields__  # type: ignore[attr-defined]
     return [getattr(message, name) for name in names]
-
-
-def read_fields(value: object) -> object:
-    """Wrap the array of a nested record's fields for validation by pydantic."""
-    return ArgsKwargs(tuple(value)) if isinstance(value, list) else value
--- a/ebonyrack/peers/messages.py
+++ b/ebonyrack/peers/messages.py
@@ -6,6 +6,8 @@
 from ebonyrack.peers import member_messages
 from ebonyrack.peers import operator_messages
 from ebonyrack.peers import primary_messages
+from ebonyrack.peers import proxy_link_messages
+from ebonyrack.peers import reply_messages
 from ebonyrack.peers import session_messages
 
 __all__ = [
@@ -15,5 +17,7 @@
     "member_messages",
     "operator_messages",
     "primary_messages",
+    "proxy_link_messages",
+    "reply_messages",
     "session_messages",
 ]
--- a/ebonyrack/platform/documents_test.py
+++ b/ebonyrack/platform/documents_test.py
@@ -50,6 +50,33 @@
     assert settings.grace_s == 6.0
 
 
+NETWORK = """\
+ip=10.1.0.8
+internalPorts=7440,7455
+limits.cpuShare=0.5
+limits.cores=2
+"""
+
+
+def test_network_and_processor_are_optional():
+    settings = parse_settings(SETTINGS, "boot.conf").ok_value
+    assert (settings.peer_address, settings.processor_share) == (None, 1.0)
+    settings = parse_settings(SETTINGS + NETWORK, "boot.conf").ok_value
+    assert settings.peer_address == Address("10.1.0.8", 7440)
+    assert settings.processor_share == 1.0
+    text = SETTINGS + NETWORK.replace("cores=2", "cores=4.3")
+    assert parse_settings(text, "boot.conf").ok_value.processor_share == 2.15
+
+
+@pytest.mark.parametrize(
+    ("known", "changed"),
+    [("=7440", "=x"), ("=2", "=0"), ("0.5", "nan"), ("ip=10", "ip=front")],
+)
+def test_malformed_network_and_processor_are_reported(known, changed):
+    text = SETTINGS + NETWORK.replace(known, changed)
+    assert len(parse_settings(text, "boot.conf").err_value) == 1
+
+
 def test_all_configuration_errors_are_reported_together():
     text = SETTINGS.replace("graceS=6", "graceS=soon").replace("nodeName=", "name=")
     text += "no equals sign\n"
--- a/ebonyrack/platform/kv_store.py
+++ b/ebonyrack/platform/kv_store.py
@@ -16,13 +16,13 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.core.component import Component
+from ebonyrack.core.socket_options import KEEPALIVE_OPTIONS
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.platform.kv_bodies import build_bad_response_error
 from ebonyrack.platform.kv_bodies import decode_changes
 from ebonyrack.platform.kv_bodies import decode_item
 from ebonyrack.platform.kv_bodies import read_body
 from ebonyrack.platform.store_era import StoreEra
-from ebonyrack.store.http_client import KEEPALIVE_OPTIONS
 from ebonyrack.store.http_client import HttpClient
 from ebonyrack.store.http_client import HttpRequest
 from ebonyrack.store.http_client import HttpResponse
--- a/ebonyrack/platform/promotion_client.py
+++ b/ebonyrack/platform/promotion_client.py
@@ -10,9 +10,9 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.component import Component
+from ebonyrack.core.socket_options import KEEPALIVE_OPTIONS
 from ebonyrack.promotion.order import OrderOutcome
 from ebonyrack.promotion.order import PromotionOrder
-from ebonyrack.store.http_client import KEEPALIVE_OPTIONS
 from ebonyrack.store.http_client import HttpClient
 from ebonyrack.store.http_client import HttpRequest
 from ebonyrack.store.store_response import StoreErrorKind
--- a/ebonyrack/platform/settings_file.py
+++ b/ebonyrack/platform/settings_file.py
@@ -9,6 +9,7 @@
 from result import Ok
 from result import Result
 
+from ebonyrack.core.address import Address
 from ebonyrack.core.address import parse_address
 from ebonyrack.core.config_error import ConfigError
 from ebonyrack.core.route_settings import RouteProxySettings
@@ -53,6 +54,27 @@
     return text == "true"
 
 
+def read_first_port(host: str, ports: str) -> Address:
+    """Parse the address at the first of a range of ports.
+
+    Raises:
+        ValueError: If it is not an address.
+    """
+    return parse_address(f"{host}:{ports.split(',')[0].strip()}")
+
+
+def read_processor_share(share: str, cores: str) -> float:
+    """Parse the part of one core and the speed of the VM, both above 0.
+
+    Raises:
+        ValueError: If it is not a finite number above 0.
+    """
+    power = float(share) * float(cores)
+    if not 0 < power < float("inf"):
+        raise ValueError(f"must be above 0: {share!r} x {cores!r}")
+    return power
+
+
 # Attribute of the settings, key in the file, parser of the value.
 FIELDS: tuple[tuple[str, str, Callable[[str], Any]], ...] = (
     ("name", "nodeName", read_nonempty),
@@ -65,6 +87,12 @@
     ("grace_s", "bounds.graceS", read_seconds),
     ("is_promotion_fenced", "bounds.requireFencing", read_flag),
 )
+# Attribute of the settings, keys in the file that it is built of, their parser. An
+# attribute keeps its default unless the file has all of them.
+COMBINED_FIELDS: tuple[tuple[str, tuple[str, ...], Callable[..., Any]], ...] = (
+    ("peer_address", ("ip", "internalPorts"), read_first_port),
+    ("processor_share", ("limits.cpuShare", "limits.cores"), read_processor_share),
+)
 # Keys that a platform which doesn't know them leaves out.
 OPTIONAL_KEYS = frozenset({"bounds.requireFencing"})
 
@@ -99,6 +127,14 @@
             settings[attribute] = read(values[key])
         except ValueError as error:
             errors.append(ConfigError(source, "", key, str(error)))
+    for attribute, keys, read in COMBINED_FIELDS:
+        parts = [values.get(key, "") for key in keys]
+        if not all(parts):
+            continue
+        try:
+            settings[attribute] = read(*parts)
+        except ValueError as error:
+            errors.append(ConfigError(source, "", ", ".join(keys), str(error)))
     if errors:
         return Err(tuple(errors))
     return Ok(RouteProxySettings(**settings))
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -120,6 +120,7 @@
                 order_address=self.service.address,
                 grace_s=2.0,
                 is_promotion_fenced=self.group.is_promotion_fenced,
+                peer_address=find_free_address(),
             )
         )
         await self.stack.enter_async_context(proxy)
--- a/ebonyrack/store/http_client.py
+++ b/ebonyrack/store/http_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from dataclasses import dataclass
 
 import httpcore
@@ -13,27 +12,12 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.component import Component
+from ebonyrack.core.socket_options import SocketOptions
 from ebonyrack.store.store_response import StoreError
 from ebonyrack.store.store_response import StoreErrorKind
 
 MAXIMUM_CONNECTIONS = 4
 IDLE_EXPIRY_S = 30.0
-# TCP keep-alive probes detect a dead connection within seconds, even while the server
-# holds a response back. Time to the first probe, interval and number of probes:
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-# Limit on how long sent bytes may stay unacknowledged.
-USER_TIMEOUT_MS = 2000
-SocketOptions = tuple[tuple[int, int, int], ...]
-
-KEEPALIVE_OPTIONS: SocketOptions = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-)
 
 
 @dataclass(frozen=True, slots=True)
