Replace a prepared statement at the limit, show settings as they were set

Cause: StatementStore.add checked the number of statements also when it replaced a known name, so a session with exactly 1,000 statements could not parse one of them again. SHOW reported the first accepted value of a setting whatever the session had set, and SET extra_float_digits = 0 was accepted although it changes results and was never applied.

Change: the count is checked for new names only; a session keeps the accepted value of each setting for SHOW; extra_float_digits 0 is rejected.

Ruled out: sending planner settings to upstreams, as connections are shared between sessions and the settings change no result.

Checked: three tests that fail without the change (seen); the tests of callers/ pass.

--- a/ebonyrack/callers/statement_store.py
+++ b/ebonyrack/callers/statement_store.py
@@ -65,9 +65,8 @@
         known = self.statements.get(name)
         added_bytes = len(prepared.body) - (0 if known is None else len(known.body))
         if (
-            len(self.statements) >= MAXIMUM_STATEMENTS
-            or self.statement_bytes + added_bytes > MAXIMUM_STATEMENT_BYTES
-        ):
+            known is None and len(self.statements) >= MAXIMUM_STATEMENTS
+        ) or self.statement_bytes + added_bytes > MAXIMUM_STATEMENT_BYTES:
             reason = "the prepared statements of the session exceed their limits"
             raise RequestError(ErrorKind.UNSUPPORTED, reason)
         self.statement_bytes += added_bytes
--- a/ebonyrack/callers/variables.py
+++ b/ebonyrack/callers/variables.py
@@ -26,14 +26,16 @@
 SECONDS_OF_UNIT = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
 MAXIMUM_KEY_CHARACTERS = 200
 
-# Values of upstream connections; a caller may set no others. SHOW reports the first.
+# Accepted values; the first is the default, which pooled connections have. The others
+# have the same results: another spelling, or a setting of the planner or of the output
+# of floats that changes no result here.
 KNOWN_SETTINGS: dict[str, tuple[str, ...]] = {
     "client_encoding": ("UTF8", "utf-8", "unicode"),
     "client_min_messages": ("notice", "warning"),
     "datestyle": ("ISO, MDY", "iso", "iso,mdy"),
     "default_transaction_isolation": ("read committed",),
     "default_transaction_read_only": ("off", "false", "no", "0"),
-    "extra_float_digits": ("1", "0", "2", "3"),
+    "extra_float_digits": ("1", "2", "3"),
     "geqo": ("on", "off"),
     "integer_datetimes": ("on",),
     "intervalstyle": ("postgres",),
@@ -62,6 +64,7 @@
         idempotency_key: Idempotency key of the next transaction, or an empty string.
         served_by: Name and role of the upstream that served the last request.
         application_name: Application name given by the caller.
+        settings: Accepted value of each setting that the caller has set.
     """
 
     __slots__ = (
@@ -75,6 +78,7 @@
         "idempotency_key",
         "served_by",
         "application_name",
+        "settings",
     )
 
     def __init__(self, group: str, token_key: bytes) -> None:
@@ -88,6 +92,7 @@
         self.idempotency_key = ""
         self.served_by = ""
         self.application_name = ""
+        self.settings: dict[str, str] = {}
 
     def set(self, name: str, value: str) -> None:
         """Set a variable.
@@ -109,7 +114,23 @@
         elif name == APPLICATION_NAME:
             self.application_name = value
         else:
-            check_known_setting(name, value)
+            self.set_setting(name, value)
+
+    def set_setting(self, name: str, value: str) -> None:
+        """Record the value of a setting that pooled connections satisfy.
+
+        Args:
+            name: Name in lower case.
+            value: The requested value.
+
+        Raises:
+            RequestError: UNSUPPORTED.
+        """
+        accepted = find_known_setting(name, value)
+        if accepted is None:
+            self.settings.pop(name, None)
+        else:
+            self.settings[name] = accepted
 
     def set_token(self, value: str) -> None:
         """Replace the positions by those of a token; an empty one clears them.
@@ -150,7 +171,9 @@
         if name == "all":
             self.maximum_age_s = None
             self.idempotency_key = ""
+            self.settings.clear()
             return
+        self.settings.pop(name, None)
         if name in (TOKEN, IDEMPOTENCY_KEY, APPLICATION_NAME):
             self.set(name, "")
         elif name == MAXIMUM_AGE:
@@ -179,7 +202,7 @@
         if name == APPLICATION_NAME:
             return self.application_name
         if name in KNOWN_SETTINGS:
-            return KNOWN_SETTINGS[name][0]
+            return self.settings.get(name, KNOWN_SETTINGS[name][0])
         raise RequestError(ErrorKind.UNSUPPORTED, f"SHOW {name}")
 
     def record_write(self, position: LogPosition) -> None:
@@ -221,21 +244,21 @@
     return float(match[1]) * SECONDS_OF_UNIT[match[2] or "ms"] or None
 
 
-def check_known_setting(name: str, value: str) -> None:
-    """Reject a setting or value that pooled connections don't have.
+def find_known_setting(name: str, value: str) -> str | None:
+    """Return the spelling of an accepted value, None for the default.
 
     Args:
         name: Name in lower case.
         value: The requested value.
 
     Raises:
-        RequestError: UNSUPPORTED.
+        RequestError: UNSUPPORTED if pooled connections don't have the value.
     """
-    allowed = KNOWN_SETTINGS.get(name)
-    if allowed is None:
-        raise RequestError(ErrorKind.UNSUPPORTED, f"SET {name}")
     normalized = value.strip().strip("'").lower()
-    if normalized not in ("", "default") and normalized not in [
-        spelling.lower() for spelling in allowed
-    ]:
-        raise RequestError(ErrorKind.UNSUPPORTED, f"SET {name} to {value!r}")
+    if name in KNOWN_SETTINGS and normalized in ("", "default"):
+        return None
+    for spelling in KNOWN_SETTINGS.get(name, ()):
+        if normalized == spelling.lower():
+            return spelling
+    setting = f"SET {name} to {value!r}" if name in KNOWN_SETTINGS else f"SET {name}"
+    raise RequestError(ErrorKind.UNSUPPORTED, setting)
