Split the pools' admission and the status reports off the database group

Change: moved, not rewritten: pool_admission.py opens and closes pools, status_report.py applies an upstream's status, the lag of a majority stands beside the history from which it is computed.

Checked: the tests of upstreams/, routing/ and failover/ pass; the only changed test calls the moved function.

--- a/ebonyrack/routing/write_path.py
+++ b/ebonyrack/routing/write_path.py
@@ -11,6 +11,7 @@
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.logs import log_decision
 from ebonyrack.core.registry import Registry
+from ebonyrack.upstreams.lag import compute_confirm_lag
 
 if TYPE_CHECKING:
     from ebonyrack.core.position import LogPosition
@@ -75,7 +76,7 @@
 
     def check_admitted(self, group: DatabaseGroup) -> None:
         """Refuse a write while too few replicas could confirm it in time."""
-        lag_s = group.compute_confirm_lag()
+        lag_s = compute_confirm_lag(group)
         if lag_s <= group.section.lag_refusal_s:
             return
         retry_after_s = random.uniform(MINIMUM_RETRY_S, MAXIMUM_RETRY_S)
--- a/ebonyrack/routing/write_path_test.py
+++ b/ebonyrack/routing/write_path_test.py
@@ -13,6 +13,7 @@
 from ebonyrack.routing.write_path import check_write_admitted
 from ebonyrack.standins.group import StandinGroup
 from ebonyrack.upstreams.group import DatabaseGroup
+from ebonyrack.upstreams.lag import compute_confirm_lag
 
 INSERT = "INSERT INTO bookings (slot, booker) VALUES (1, 'a')"
 
@@ -72,11 +73,11 @@
     group = await start_group(standins, lag_refusal_s=0.05)
     standins["up-3"].options.receive_delay_s = 60.0
     await insert(standins, group)
-    await poll_until(group, lambda: group.compute_confirm_lag() == 0.0)
+    await poll_until(group, lambda: compute_confirm_lag(group) == 0.0)
     check_write_admitted(group)
     standins["up-2"].options.receive_delay_s = 60.0
     await insert(standins, group)
-    await poll_until(group, lambda: group.compute_confirm_lag() > 0.05)
+    await poll_until(group, lambda: compute_confirm_lag(group) > 0.05)
     error = get_refusal(group)
     assert error.kind is ErrorKind.REPLICAS_LAG
     assert error.retry_after_s > 0
--- a/ebonyrack/upstreams/group.py
+++ b/ebonyrack/upstreams/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from typing import TYPE_CHECKING
 
@@ -20,8 +21,10 @@
 from ebonyrack.upstreams.confirmation_tracker import ConfirmationTracker
 from ebonyrack.upstreams.lag import PrimaryHistory
 from ebonyrack.upstreams.monitor import UpstreamMonitor
+from ebonyrack.upstreams.pool_admission import close_busy_connections
+from ebonyrack.upstreams.pool_admission import update_pool_admission
 from ebonyrack.upstreams.primary_wait import PrimaryWait
-from ebonyrack.upstreams.status import Role
+from ebonyrack.upstreams.status_report import handle_status
 from ebonyrack.upstreams.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -120,7 +123,7 @@
             spec: The upstream.
         """
         upstream = Upstream(spec, self.section, self.connection_limit)
-        upstream.on_status = self.handle_status
+        upstream.on_status = functools.partial(handle_status, self)
         upstream.on_change = self.handle_state_change
         self.upstreams[spec.name] = upstream
         self.monitors[spec.name] = UpstreamMonitor(self, upstream)
@@ -185,7 +188,7 @@
         upstream = self.upstreams.get(upstream_name)
         if upstream is not None:
             upstream.set_leaving(leaving)
-            self.update_pool_admission(upstream)
+            update_pool_admission(self, upstream)
 
     def primary(self) -> Upstream | None:
         """Return the primary if it accepts writes now, or None."""
@@ -323,7 +326,7 @@
         self.primary_wait.switch_primary(self.upstreams.get(primary_name), previous)
         for upstream in (previous, self.upstreams.get(primary_name)):
             if upstream is not None:
-                self.update_pool_admission(upstream)
+                update_pool_admission(self, upstream)
         metrics.primary_changes.add(1, {"group": self.name})
         logger.bind(group=self.name, term=term, upstream=primary_name).info(
             "primary_learned"
@@ -348,69 +351,6 @@
             reconnection_s=round(now_s() - (self.primary_learned_at_s or now_s()), 4),
         )
 
-    def handle_status(self, upstream: Upstream) -> None:
-        """Update the group from an upstream's latest status.
-
-        Args:
-            upstream: The upstream that reported it.
-        """
-        status = upstream.status
-        if status is None or self.upstreams.get(upstream.name) is not upstream:
-            return
-        if status.role is Role.PRIMARY:
-            self.record_primary(status.term, upstream.name)
-        if upstream.name == self.primary_name and upstream.is_primary_in(self.term):
-            self.primary_history.add(status.received)
-            for other in self.upstreams.values():
-                other.confirmed_log.observe_primary(
-                    status.received, upstream.poll_sent_at_s
-                )
-        if upstream.confirmed_log.observe(status.received, upstream.poll_sent_at_s):
-            self.handle_log_regression(upstream)
-        if not upstream.is_regressed:
-            if self.confirmations.observe(upstream.name, status):
-                self.record_confirmed_positions()
-        if upstream.update_summary():
-            self.update_pool_admission(upstream)
-            upstream.set_connection_limit(self.connection_limit)
-            self.changed.notify()
-
-    def record_confirmed_positions(self) -> None:
-        """Record the confirmed position that the primary and each replica hold."""
-        confirmations = self.confirmations
-        if not confirmations.confirmed_offset:
-            return
-        primary_name = confirmations.primary_name or ""
-        offsets = {
-            **confirmations.held_offsets,
-            primary_name: confirmations.confirmed_offset,
-        }
-        for name, offset in offsets.items():
-            upstream = self.upstreams.get(name)
-            if upstream is not None:
-                confirmed_offset = min(offset, confirmations.confirmed_offset)
-                upstream.confirmed_log.record_confirmed(
-                    LogPosition(confirmations.term, confirmed_offset)
-                )
-
-    def handle_log_regression(self, upstream: Upstream) -> None:
-        """Handle the loss of an upstream's log, or its catching up again.
-
-        Args:
-            upstream: The upstream.
-        """
-        if upstream.is_regressed:
-            self.confirmations.discard_replica(upstream.name)
-        log_decision(
-            "upstream_regressed" if upstream.is_regressed else "upstream_caught_up",
-            group=self.name,
-            term=self.term,
-            upstream=upstream.name,
-            counted=str(upstream.confirmed_log.position),
-            received=str(upstream.status.received) if upstream.status else "",
-        )
-        self.changed.notify()
-
     def handle_state_change(self, upstream: Upstream) -> None:
         """Log a change of an upstream's state and update its pool.
 
@@ -420,46 +360,9 @@
         logger.bind(group=self.name, upstream=upstream.name, state=upstream.state).info(
             "upstream_state"
         )
-        self.update_pool_admission(upstream)
+        update_pool_admission(self, upstream)
         self.changed.notify()
 
-    def update_pool_admission(self, upstream: Upstream) -> None:
-        """Open or close an upstream's pool for new requests, according to its state.
-
-        Args:
-            upstream: The upstream.
-        """
-        is_primary = upstream.name == self.primary_name
-        if upstream.is_leaving:
-            self.leaving_since_s.setdefault(upstream.name, now_s())
-        else:
-            self.leaving_since_s.pop(upstream.name, None)
-        if upstream.state == "lost":
-            upstream.pool.stop_new_work()
-            if not is_primary or upstream.refuses_connections:
-                close_busy_connections(upstream)
-        elif upstream.is_leaving and not is_primary:
-            upstream.pool.stop_new_work()
-        else:
-            upstream.pool.resume_new_work()
-
-    def close_overdue_connections(self, upstream: Upstream) -> None:
-        """Close busy connections of an upstream that has been leaving for too long.
-
-        Args:
-            upstream: An upstream of the group.
-        """
-        since_s = self.leaving_since_s.get(upstream.name)
-        if since_s is None or not upstream.pool.busy:
-            return
-        if now_s() - since_s > self.section.leaving_limit_s:
-            logger.bind(
-                group=self.name,
-                upstream=upstream.name,
-                connections=len(upstream.pool.busy),
-            ).warning("leaving_limit_passed")
-            close_busy_connections(upstream)
-
     async def confirm(self, position: LogPosition, deadline_s: float) -> None:
         """Wait until a majority of the upstreams holds a committed write.
 
@@ -496,41 +399,7 @@
             return False
         return await confirmations.wait(position.offset)
 
-    def compute_confirm_lag(self) -> float:
-        """Return the replication lag of the slowest replica in the fastest majority.
-
-        Returns:
-            The lag in seconds; infinite if too few replicas are reachable.
-        """
-        needed = self.majority - 1
-        reachable = [
-            upstream
-            for upstream in self.upstreams.values()
-            if upstream.is_reachable and upstream.name != self.primary_name
-        ]
-        if len(reachable) < needed:
-            return float("inf")
-        lags = sorted(
-            self.primary_history.compute_lag(upstream.status.received)
-            for upstream in reachable
-            if upstream.status is not None and upstream.is_following(self.term)
-        )
-        if len(lags) < needed:
-            # Shortly after a promotion the replicas still switch to the new primary.
-            return now_s() - (self.primary_learned_at_s or 0.0)
-        return lags[needed - 1] if needed else 0.0
-
     async def poll_all(self) -> None:
         """Poll every upstream once; those that don't reply are recorded as lost."""
         polls = [upstream.poll() for upstream in self.upstreams.values()]
         await asyncio.gather(*polls, return_exceptions=True)
-
-
-def close_busy_connections(upstream: Upstream) -> None:
-    """Close the connections that callers' requests use.
-
-    Args:
-        upstream: An upstream from which they can expect no reply.
-    """
-    for connection in tuple(upstream.pool.busy):
-        connection.close()
--- a/ebonyrack/upstreams/lag.py
+++ b/ebonyrack/upstreams/lag.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from ebonyrack.core.position import LogPosition
+    from ebonyrack.upstreams.group import DatabaseGroup
 
 SAMPLE_INTERVAL_S = 0.02
 MAXIMUM_SAMPLES = 512
@@ -58,3 +59,31 @@
     def clear(self) -> None:
         """Discard the positions of an earlier term."""
         self.samples.clear()
+
+
+def compute_confirm_lag(group: DatabaseGroup) -> float:
+    """Return the replication lag of the slowest replica in the fastest majority.
+
+    Args:
+        group: The group.
+
+    Returns:
+        The lag in seconds; infinite if too few replicas are reachable.
+    """
+    needed = group.majority - 1
+    reachable = [
+        upstream
+        for upstream in group.upstreams.values()
+        if upstream.is_reachable and upstream.name != group.primary_name
+    ]
+    if len(reachable) < needed:
+        return float("inf")
+    lags = sorted(
+        group.primary_history.compute_lag(upstream.status.received)
+        for upstream in reachable
+        if upstream.status is not None and upstream.is_following(group.term)
+    )
+    if len(lags) < needed:
+        # Shortly after a promotion the replicas still switch to the new primary.
+        return now_s() - (group.primary_learned_at_s or 0.0)
+    return lags[needed - 1] if needed else 0.0
--- a/ebonyrack/upstreams/monitor.py
+++ b/ebonyrack/upstreams/monitor.py
@@ -10,6 +10,7 @@
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.upstreams.connection import UpstreamLostError
+from ebonyrack.upstreams.pool_admission import close_overdue_connections
 
 if TYPE_CHECKING:
     from ebonyrack.upstreams.group import DatabaseGroup
@@ -74,7 +75,7 @@
             except UpstreamLostError:
                 # Already recorded by the upstream; the next round polls again.
                 pass
-            self.group.close_overdue_connections(self.upstream)
+            close_overdue_connections(self.group, self.upstream)
             interval_s = self.compute_poll_interval() * random.uniform(0.9, 1.0)
             try:
                 async with asyncio.timeout(max(0.0, started_s + interval_s - now_s())):
