Read client accounts and their keys, and deny unknown keys

Any key was served: the third word of a startup was dropped, and neither tenants nor allowAnonymous were read. A session opens if an account in force holds its key or its route allows anonymous callers, else it is answered DENIED (28000 on the PostgreSQL side). Without `tenants` everything stays anonymous.

Decided: an account without ratePerS is unlimited, one without burst has none, without priority it has 1, and a route without allowAnonymous needs a key where there are tenants. A limit that is present and no finite number from 0, a name that isn't one word, two accounts with one name or key, and keys that aren't strings reject the whole version; the reason in the log quotes no value, as the text of a ValueError may contain a key. An integer too large for a float used to escape the decoder (OverflowError).

Ruled out: accepting the valid accounts of a bad version, as a key could move between accounts by halves.

The stand-in upstream records the account of each connection and statement, as the tests of the connections need it.

--- a/ebonyrack/core/errors.py
+++ b/ebonyrack/core/errors.py
@@ -20,6 +20,7 @@
     AUTHENTICATION_FAILED = "authentication_failed"
     NOT_ALLOWED = "not_allowed"
     UNKNOWN_GROUP = "unknown_group"
+    UNKNOWN_ACCOUNT = "unknown_account"
     TOO_MANY_CALLERS = "too_many_callers"
     QUEUE_FULL = "queue_full"
     WAIT_TOO_LONG = "wait_too_long"
@@ -97,6 +98,13 @@
     ErrorKind.UNKNOWN_GROUP: ErrorAnswer(
         "3D000", Executed.NO, False, "the database group is not configured", fatal=True
     ),
+    ErrorKind.UNKNOWN_ACCOUNT: ErrorAnswer(
+        "28000",
+        Executed.NO,
+        False,
+        "no client account in force holds the caller's key",
+        fatal=True,
+    ),
     ErrorKind.TOO_MANY_CALLERS: ErrorAnswer(
         "53300", Executed.NO, True, "the proxy serves no more connections", fatal=True
     ),
--- a/ebonyrack/entry/caller_connection.py
+++ b/ebonyrack/entry/caller_connection.py
@@ -81,19 +81,20 @@
                 RequestError(ErrorKind.BAD_REQUEST, result.err_value.reason)
             )
             return False
-        database = result.ok_value
+        startup = result.ok_value
         try:
             await self.wait_for_routes()
-            self.services.find_route(database)
+            route = self.services.find_route(startup.database)
+            account = self.services.find_account(route, startup.key_digest)
         except RequestError as error:
             logger.bind(
-                database=database.decode("utf-8", "replace"),
+                database=startup.database.decode("utf-8", "replace"),
                 error=str(error.kind),
                 version=self.services.routes.table.version,
             ).info("session_refused")
             self.refuse_session(error)
             return False
-        self.session = Session(self.services, database)
+        self.session = Session(self.services, startup, account)
         self.stream.write(self.codec.encode_started())
         return True
 
--- a/ebonyrack/entry/conftest.py
+++ b/ebonyrack/entry/conftest.py
@@ -25,9 +25,11 @@
     """Return a function that opens caller sessions, closed after the test."""
     async with AsyncExitStack() as stack:
 
-        async def open_caller(database: str, proxy: int = 0) -> LineCaller:
+        async def open_caller(
+            database: str, proxy: int = 0, key: str = "tester"
+        ) -> LineCaller:
             address = system.proxies[proxy].proxy.settings.caller_address
-            caller = LineCaller(address, database)
+            caller = LineCaller(address, database, key)
             return await stack.enter_async_context(caller)
 
         yield open_caller
--- a/ebonyrack/platform/caller_codec.py
+++ b/ebonyrack/platform/caller_codec.py
@@ -19,10 +19,12 @@
 from ebonyrack.platform.line_protocol import STATE_CODES
 from ebonyrack.requests.codec import CALLER_CODECS
 from ebonyrack.requests.codec import BadRequest
+from ebonyrack.requests.codec import Startup
 from ebonyrack.requests.reply import Answer
 from ebonyrack.requests.reply import TransactionState
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import RequestKind
+from ebonyrack.routes.account import digest_key
 
 Parse = Callable[[bytes, bytes], Request | None]
 
@@ -42,14 +44,14 @@
 
     __slots__ = ()
 
-    async def read_startup(self, stream: LineStream) -> Result[bytes, BadRequest]:
-        """Read the name of the database for which a session is opened.
+    async def read_startup(self, stream: LineStream) -> Result[Startup, BadRequest]:
+        """Read the database and the key for which a session is opened.
 
         Args:
             stream: The caller's connection.
 
         Returns:
-            The name, or why the message is invalid.
+            The message, or why it is invalid.
 
         Raises:
             StreamLostError: If the caller has disconnected.
@@ -60,7 +62,7 @@
             return Err(BadRequest(NO_VALUE, "the message is too long", True))
         if len(fields) != STARTUP_FIELDS or fields[0] != b"STARTUP" or not fields[1]:
             return Err(BadRequest(NO_VALUE, "not a startup message", True))
-        return Ok(fields[1])
+        return Ok(Startup(fields[1], digest_key(fields[2])))
 
     async def read_request(
         self, stream: LineStream
--- a/ebonyrack/platform/line_protocol.py
+++ b/ebonyrack/platform/line_protocol.py
@@ -48,6 +48,7 @@
     ErrorKind.STATEMENT_TIMED_OUT: b"TIMEOUT",
     ErrorKind.OUTCOME_UNKNOWN: b"INDOUBT",
     ErrorKind.UNKNOWN_GROUP: b"NODB",
+    ErrorKind.UNKNOWN_ACCOUNT: b"DENIED",
     ErrorKind.REQUEST_TOO_LARGE: b"TOOLARGE",
     ErrorKind.BAD_REQUEST: b"MALFORMED",
     ErrorKind.TRANSACTION_FAILED: b"MALFORMED",
--- a/ebonyrack/requests/codec.py
+++ b/ebonyrack/requests/codec.py
@@ -31,11 +31,24 @@
     ends_session: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Startup:
+    """A caller's first message.
+
+    Attributes:
+        database: Name of the database for which a session is opened.
+        key_digest: Digest of the key that the caller showed; the key isn't kept.
+    """
+
+    database: bytes
+    key_digest: bytes
+
+
 class CallerCodec(Protocol):
     """Protocol towards callers."""
 
-    async def read_startup(self, stream: LineStream) -> Result[bytes, BadRequest]:
-        """Read the name of the database for which a session is opened."""
+    async def read_startup(self, stream: LineStream) -> Result[Startup, BadRequest]:
+        """Read the first message of a caller."""
 
     async def read_request(
         self, stream: LineStream
--- a/ebonyrack/routes/route.py
+++ b/ebonyrack/routes/route.py
@@ -6,6 +6,8 @@
 from dataclasses import field
 from enum import StrEnum
 
+from ebonyrack.routes.account import ClientAccount
+
 
 class Consistency(StrEnum):
     """What the reads of a route must see."""
@@ -28,6 +30,7 @@
         priority: 0 is served first.
         maximum_age_s: Maximum staleness of reads in seconds, where the consistency
             allows staleness.
+        allows_anonymous: Whether callers without the key of an account are served.
     """
 
     database: bytes
@@ -37,6 +40,7 @@
     target_latency_s: float
     priority: int
     maximum_age_s: float
+    allows_anonymous: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +67,9 @@
         version: Version number; 0 is the empty table.
         routes: Route by name of the database.
         groups: Limits by name of the group.
+        accounts: Client account by name; empty where the operators have none.
+        account_names: Name of the account by digest of each of its keys.
+        requires_accounts: Whether the operators' document has client accounts.
         transaction_idle_s: Idle time after which a transaction may be ended, in
             seconds.
         startup_timeout_s: Time limit for the first message of a caller, in seconds.
@@ -71,8 +78,20 @@
     version: int
     routes: dict[bytes, Route] = field(default_factory=dict)
     groups: dict[str, GroupLimits] = field(default_factory=dict)
+    accounts: dict[str, ClientAccount] = field(default_factory=dict)
+    account_names: dict[bytes, str] = field(default_factory=dict)
+    requires_accounts: bool = False
     transaction_idle_s: float = 3.0
     startup_timeout_s: float = 3.0
 
+    def find_account(self, key_digest: bytes) -> ClientAccount | None:
+        """Return the account that holds a key, or None.
+
+        Args:
+            key_digest: Digest of the key, see `digest_key`.
+        """
+        name = self.account_names.get(key_digest)
+        return self.accounts[name] if name is not None else None
+
 
 EMPTY_TABLE = RouteTable(0)
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -9,6 +9,7 @@
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.route_settings import RouteProxySettings
 from ebonyrack.members.group import Group
+from ebonyrack.routes.account import ClientAccount
 from ebonyrack.routes.route import Route
 from ebonyrack.routes.state import RouteState
 from ebonyrack.service.drain import Drain
@@ -47,6 +48,29 @@
             )
         return route
 
+    def find_account(self, route: Route, key_digest: bytes) -> ClientAccount | None:
+        """Return the account that a caller of a route acts for.
+
+        Args:
+            route: The route.
+            key_digest: Digest of the key that the caller showed.
+
+        Returns:
+            The account, or None for an anonymous caller.
+
+        Raises:
+            RequestError: UNKNOWN_ACCOUNT if no account in force holds the key and the
+                route doesn't allow anonymous callers.
+        """
+        table = self.routes.table
+        account = table.find_account(key_digest)
+        if account is None and not route.allows_anonymous:
+            raise RequestError(
+                ErrorKind.UNKNOWN_ACCOUNT,
+                f"no account holds the key in version {table.version}",
+            )
+        return account
+
     def find_group(self, route: Route) -> Group:
         """Return the group that serves a route.
 
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -16,11 +16,14 @@
 from ebonyrack.core.registry import Registry
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
+from ebonyrack.requests.codec import Startup
 from ebonyrack.requests.reply import Answer
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.reply import TransactionState
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import RequestKind
+from ebonyrack.routes.account import ANONYMOUS
+from ebonyrack.routes.account import ClientAccount
 from ebonyrack.serving.reading import serve_read
 from ebonyrack.serving.services import Services
 from ebonyrack.serving.statement import build_statement
@@ -39,17 +42,30 @@
     Attributes:
         services: Parts of the proxy that all sessions share.
         database: Name of the database that the caller requested.
+        key_digest: Digest of the key that the caller showed.
         context: The caller's session values and prepared statements.
         last_commit: Group and position of the session's newest commit, or None.
         transaction: The open transaction, or None.
     """
 
-    __slots__ = ("services", "database", "context", "last_commit", "transaction")
+    __slots__ = (
+        "services",
+        "database",
+        "key_digest",
+        "context",
+        "last_commit",
+        "transaction",
+    )
 
-    def __init__(self, services: Services, database: bytes) -> None:
+    def __init__(
+        self, services: Services, startup: Startup, account: ClientAccount | None
+    ) -> None:
         self.services = services
-        self.database = database
-        self.context = SessionContext()
+        self.database = startup.database
+        self.key_digest = startup.key_digest
+        self.context = SessionContext(
+            account=account.name if account is not None else ANONYMOUS
+        )
         self.last_commit: tuple[str, LogPosition] | None = None
         self.transaction: CallerTransaction | None = None
 
--- a/ebonyrack/standins/line_group.py
+++ b/ebonyrack/standins/line_group.py
@@ -39,6 +39,7 @@
         is_in_transaction: Whether a transaction was open.
         values: Session values at that time.
         signature: Signature in the reply.
+        account: Name with which the connection was opened.
     """
 
     member_id: str
@@ -48,6 +49,7 @@
     is_in_transaction: bool
     values: tuple[tuple[str, str], ...]
     signature: str
+    account: str
 
 
 @dataclass(slots=True)
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -63,6 +63,26 @@
     }
 
 
+def require_accounts(
+    document: dict[str, Any],
+    keys: dict[str, list[str]],
+    **limits: dict[str, Any],
+) -> dict[str, Any]:
+    """Return a document with client accounts, whose routes need a key.
+
+    Args:
+        document: The document.
+        keys: Keys by name of the account.
+        **limits: Further fields of an account, by its name.
+    """
+    tenants = [
+        {"name": name, "apiKeys": account_keys, "priority": 1, **limits.get(name, {})}
+        for name, account_keys in keys.items()
+    ]
+    routes = [{**route, "allowAnonymous": False} for route in document["routes"]]
+    return {**document, "routes": routes, "tenants": tenants}
+
+
 class LineSystem(Component):
     """A group of three upstreams, the platform's service and proxies.
 
@@ -72,6 +92,7 @@
         upstreams: Upstreams by member ID.
         proxies: The running proxies.
         publisher_tasks: Tasks that renew the entries of the upstreams, by member ID.
+        document: The newest document of the operators.
     """
 
     def __init__(self, proxy_count: int = 1, is_promotion_fenced: bool = True) -> None:
@@ -88,6 +109,7 @@
         self.proxies: list[PlatformProxy] = []
         self.stack = AsyncExitStack()
         self.publisher_tasks: dict[str, asyncio.Task[None]] = {}
+        self.document = build_document(1)
 
     async def start(self) -> None:
         """Start the stand-ins and the proxies; wait until the proxies are ready."""
@@ -95,7 +117,7 @@
         for upstream in self.upstreams.values():
             await self.stack.enter_async_context(upstream)
             await self.publish_entry(upstream)
-        await self.service.put_json("op/config", build_document(1))
+        await self.publish_document(self.document)
         for member_id, upstream in self.upstreams.items():
             self.publisher_tasks[member_id] = asyncio.create_task(
                 self.publish_entries(upstream)
@@ -131,6 +153,18 @@
         proxy.store.era.seen_at_s = float("-inf")
         return proxy
 
+    async def publish_document(self, document: dict[str, Any]) -> None:
+        """Write a document to the store."""
+        self.document = document
+        await self.service.put_json("op/config", document)
+
+    async def change_document(self, document: dict[str, Any]) -> None:
+        """Write a document and wait until all proxies have it in force."""
+        await self.publish_document(document)
+        for proxy in self.proxies:
+            while proxy.proxy.services.routes.table.version < document["version"]:
+                await asyncio.sleep(0.01)
+
     async def publish_entry(self, upstream: LineUpstream, **changes: object) -> None:
         """Write an upstream's entry to the store."""
         member = upstream.member
@@ -162,13 +196,15 @@
     Attributes:
         address: Address of the proxy.
         database: Database that it connects to.
+        key: Its key, or any word where there are no accounts.
         startup_reply: Reply to its startup line.
         request_number: Number of its last request.
     """
 
-    def __init__(self, address: Address, database: str) -> None:
+    def __init__(self, address: Address, database: str, key: str = "tester") -> None:
         self.address = address
         self.database = database
+        self.key = key
         self.startup_reply = ""
         self.request_number = 0
         self.reader: asyncio.StreamReader | None = None
@@ -179,7 +215,7 @@
         self.reader, self.writer = await asyncio.open_connection(
             self.address.host, self.address.port
         )
-        self.writer.write(f"STARTUP {self.database} tester\r\n".encode())
+        self.writer.write(f"STARTUP {self.database} {self.key}\r\n".encode())
         self.startup_reply = (await self.reader.readline()).decode().strip()
 
     async def stop(self) -> None:
--- a/ebonyrack/standins/line_upstream.py
+++ b/ebonyrack/standins/line_upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -52,6 +53,7 @@
     """Session of one connection.
 
     Attributes:
+        account: Name with which the connection was opened.
         number: Its number.
         state: `I` (idle), `T` (in a transaction) or `E` (in a failed transaction).
         is_read_only: Whether the open transaction is read-only.
@@ -61,6 +63,7 @@
         prepared: Kind and shape of each prepared statement, by name.
     """
 
+    account: str
     number: int = field(default_factory=lambda: next(session_numbers))
     state: str = "I"
     is_read_only: bool = False
@@ -81,6 +84,7 @@
         server: The listening server, while running.
         tasks: Tasks of its connections.
         connections: Number of connections accepted so far.
+        account_connections: Number of sessions opened so far, by name of the account.
     """
 
     __slots__ = (
@@ -91,6 +95,7 @@
         "server",
         "tasks",
         "connections",
+        "account_connections",
     )
 
     def __init__(self, group: LineGroup, member: LineMember) -> None:
@@ -101,6 +106,7 @@
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections = 0
+        self.account_connections: Counter[str] = Counter()
 
     async def start(self) -> None:
         """Start listening."""
@@ -145,7 +151,8 @@
             writer.write(f"ERROR {error}\r\n".encode())
             await writer.drain()
             return
-        session = LineSession()
+        session = LineSession(words[2])
+        self.account_connections[session.account] += 1
         writer.write(self.render_ready(session))
         while line := (await reader.readline()).decode().rstrip("\r\n"):
             _, request_id, text = line.split(" ", 2)
@@ -222,6 +229,7 @@
                 session.state == "T",
                 tuple(sorted(session.values.items())),
                 signature,
+                session.account,
             )
         )
         return row, signature
