Let connections to upstreams belong to client accounts

Upstreams are told for which client account a connection works, so a connection may carry the statements of that account only. Until now every connection was opened under the proxy's own name and served every caller.

Pool.acquire takes the account: its idle connection, else a free slot, else the least recently used idle connection of another account is closed for it, else it waits. The proxy's own requests (probes, leadership checks, promotions) pass None and use any idle connection. The codec's startup message names the account; "" is the proxy's own name as before, which deployments without accounts use throughout. The PostgreSQL proxy passes none. Statements take the account from their session's context, which the startup of sessions has still to fill.

Ruled out: a pool for each pair of upstream and account, whose shares would mostly stand empty.

--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -161,7 +161,9 @@
     async def probe(self, member: Member) -> None:
         """Probe whether an upstream is the primary; record its reply in the group."""
         try:
-            link = await member.pool.acquire(PROBE_CALLER, now_s() + PROBE_TIMEOUT_S)
+            link = await member.pool.acquire(
+                PROBE_CALLER, now_s() + PROBE_TIMEOUT_S, account=None
+            )
         except (RequestError, UpstreamLostError) as error:
             logger.bind(
                 group=self.group.name, upstream=member.member_id, reason=str(error)
--- a/ebonyrack/members/leadership_check.py
+++ b/ebonyrack/members/leadership_check.py
@@ -177,7 +177,9 @@
     async def request_status(self, replica: Member) -> UpstreamStatus | None:
         """Return the status of a replica, None if it doesn't tell it in time."""
         try:
-            link = await replica.pool.acquire(CHECK_CALLER, now_s() + CHECK_TIMEOUT_S)
+            link = await replica.pool.acquire(
+                CHECK_CALLER, now_s() + CHECK_TIMEOUT_S, account=None
+            )
         except (RequestError, UpstreamLostError) as error:
             self.log_unanswered(replica, str(error))
             return None
--- a/ebonyrack/members/link.py
+++ b/ebonyrack/members/link.py
@@ -45,6 +45,7 @@
         stream: The connection.
         codec: Protocol of the upstream.
         liveness: Records whether the upstream replies.
+        account: Client account for which it was opened; empty for the proxy's own name.
         state: State of the upstream's session.
         outstanding_replies: Number of replies that are still to come.
         values: Session values that are set on the connection.
@@ -57,6 +58,7 @@
         "stream",
         "codec",
         "liveness",
+        "account",
         "state",
         "outstanding_replies",
         "values",
@@ -65,11 +67,16 @@
     )
 
     def __init__(
-        self, stream: LineStream, codec: UpstreamCodec, liveness: Liveness
+        self,
+        stream: LineStream,
+        codec: UpstreamCodec,
+        liveness: Liveness,
+        account: str = "",
     ) -> None:
         self.stream = stream
         self.codec = codec
         self.liveness = liveness
+        self.account = account
         self.state = TransactionState.IDLE
         self.outstanding_replies = 0
         self.values: dict[bytes, bytes] = {}
@@ -249,7 +256,11 @@
 
 
 async def open_link(
-    entry: MemberEntry, codec: UpstreamCodec, liveness: Liveness, timeout_s: float
+    entry: MemberEntry,
+    codec: UpstreamCodec,
+    liveness: Liveness,
+    timeout_s: float,
+    account: str,
 ) -> UpstreamLink:
     """Open a session that names the upstream expected at the address.
 
@@ -258,6 +269,7 @@
         codec: Its protocol.
         liveness: Records whether it replies.
         timeout_s: Seconds for connecting and opening the session.
+        account: Client account that it is for; empty for the proxy's own name.
 
     Returns:
         The connection, idle.
@@ -272,7 +284,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             stream = await open_line_stream(entry.address, UNACKNOWLEDGED_LIMIT_MS)
-            stream.write(codec.encode_start(entry.group, entry.member_id))
+            stream.write(codec.encode_start(entry.group, entry.member_id, account))
             reply = await codec.read_reply(stream)
     except StreamLostError as error:
         liveness.record_refusal()
@@ -295,4 +307,4 @@
         too_many = reply.rejection is RejectionKind.TOO_MANY_CONNECTIONS
         raise UpstreamLostError(reply.detail, TOO_MANY_CONNECTIONS if too_many else "")
     liveness.record_reply()
-    return UpstreamLink(stream, codec, liveness)
+    return UpstreamLink(stream, codec, liveness, account)
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -118,16 +118,19 @@
         """Seconds of silence after which no reply is expected."""
         return self.reply_time.compute_silence_limit(boot_time_s())
 
-    async def open_link(self, timeout_s: float) -> UpstreamLink:
+    async def open_link(self, timeout_s: float, account: str = "") -> UpstreamLink:
         """Open a connection outside the pool.
 
         Args:
             timeout_s: Seconds for connecting and opening the session.
+            account: Client account that it is for; empty for the proxy's own name.
 
         Raises:
             UpstreamLostError: If none can be opened.
         """
-        return await open_link(self.entry, self.codec, self.liveness, timeout_s)
+        return await open_link(
+            self.entry, self.codec, self.liveness, timeout_s, account
+        )
 
     def measure_stall(self) -> float:
         """Return the seconds for which commits have waited without any completing."""
--- a/ebonyrack/members/session_context.py
+++ b/ebonyrack/members/session_context.py
@@ -47,7 +47,9 @@
     Attributes:
         values: Value by name.
         prepared: Prepared statement by the caller's name.
+        account: Name of the client account; empty for an anonymous caller.
     """
 
     values: dict[bytes, bytes] = field(default_factory=dict)
     prepared: dict[bytes, PreparedStatement] = field(default_factory=dict)
+    account: str = ""
--- a/ebonyrack/platform/upstream_codec.py
+++ b/ebonyrack/platform/upstream_codec.py
@@ -23,7 +23,7 @@
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import RequestKind
 
-# Name under which a proxy connects to upstreams, which accept any name.
+# Name under which a proxy connects to upstreams for itself and anonymous callers.
 APPLICATION_NAME = "ebonyrack"
 STATUS_FIELDS = 7
 MS_PER_S = 1000.0
@@ -68,9 +68,10 @@
 
     __slots__ = ()
 
-    def encode_start(self, group: str, member_id: str) -> bytes:
+    def encode_start(self, group: str, member_id: str, account: str) -> bytes:
         """Return the startup message for a session with one upstream of a group."""
-        return f"STARTUP {group} {APPLICATION_NAME} {member_id}".encode() + LINE_END
+        name = account or APPLICATION_NAME
+        return f"STARTUP {group} {name} {member_id}".encode() + LINE_END
 
     def encode_request(self, request: Request) -> bytes:
         """Return the message for a statement."""
--- a/ebonyrack/platform/upstream_codec_test.py
+++ b/ebonyrack/platform/upstream_codec_test.py
@@ -75,7 +75,8 @@
     assert CODEC.encode_request(placed) == b"QUERY 5c AFTER 3.1207 READ 1a4\r\n"
     assert CODEC.encode_request(BEGIN_REQUEST) == b"QUERY - BEGIN\r\n"
     assert CODEC.encode_request(build_pause_request(4)) == b"QUERY - PAUSE 4\r\n"
-    assert CODEC.encode_start("g", "i-1") == b"STARTUP g ebonyrack i-1\r\n"
+    assert CODEC.encode_start("g", "i-1", "") == b"STARTUP g ebonyrack i-1\r\n"
+    assert CODEC.encode_start("g", "i-1", "t7") == b"STARTUP g t7 i-1\r\n"
 
 
 def test_status_is_parsed():
--- a/ebonyrack/pooling/admission.py
+++ b/ebonyrack/pooling/admission.py
@@ -23,16 +23,20 @@
         caller: Name of the requesting application.
         deadline_s: Monotonic time at which the request gives up.
         number: Sequence number of its arrival.
+        account: Client account whose connections it may use; None for any.
         granted: Future resolved to what the request is granted; None until the request
             is queued.
     """
 
-    __slots__ = ("caller", "deadline_s", "number", "granted")
+    __slots__ = ("caller", "deadline_s", "number", "account", "granted")
 
-    def __init__(self, caller: str, deadline_s: float, number: int) -> None:
+    def __init__(
+        self, caller: str, deadline_s: float, number: int, account: str | None = ""
+    ) -> None:
         self.caller = caller
         self.deadline_s = deadline_s
         self.number = number
+        self.account = account
         self.granted: asyncio.Future[Any] | None = None
 
 
--- a/ebonyrack/pooling/busy_upstream_test.py
+++ b/ebonyrack/pooling/busy_upstream_test.py
@@ -15,7 +15,8 @@
 
 
 class FakeConnection:
-    def __init__(self):
+    def __init__(self, account=""):
+        self.account = account
         self.is_clean = True
         self.is_idle_in_transaction = False
 
@@ -25,8 +26,8 @@
 
 @pytest.fixture
 async def pool():
-    async def connect(timeout_s):
-        return FakeConnection()
+    async def connect(timeout_s, account):
+        return FakeConnection(account)
 
     async with Pool(
         Address("127.0.0.1", 1), MemberQueueSettings(), SHARE, connect
--- a/ebonyrack/pooling/connection_opener.py
+++ b/ebonyrack/pooling/connection_opener.py
@@ -16,7 +16,7 @@
 OPEN_TIMEOUT_S = 2.0
 
 Connection = TypeVar("Connection", bound=PooledConnection)
-Connect = Callable[[float], Awaitable[Connection]]
+Connect = Callable[[float, str], Awaitable[Connection]]
 
 
 class ConnectionOpener(Generic[Connection]):
@@ -24,7 +24,8 @@
 
     Attributes:
         address: Address of the upstream.
-        connect: Opens one connection within a given number of seconds.
+        connect: Opens one connection within a given number of seconds, for a client
+            account.
         attempts: Tasks of the attempts in progress.
     """
 
@@ -35,11 +36,13 @@
         self.connect = connect
         self.attempts: set[asyncio.Task[Connection]] = set()
 
-    async def open(self, deadline_s: float) -> Connection:
+    async def open(self, deadline_s: float, account: str) -> Connection:
         """Open a connection.
 
         Args:
             deadline_s: Monotonic time at which to give up.
+            account: Client account that the connection is for; empty for the proxy's
+                own name.
 
         Returns:
             The connection.
@@ -49,7 +52,7 @@
                 attempts were cancelled.
         """
         timeout_s = max(0.0, min(OPEN_TIMEOUT_S, deadline_s - now_s()))
-        attempt = asyncio.ensure_future(self.connect(timeout_s))
+        attempt = asyncio.ensure_future(self.connect(timeout_s, account))
         self.attempts.add(attempt)
         try:
             await asyncio.wait({attempt})
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -87,12 +87,17 @@
         """
         self.queue.weights = weights
 
-    async def acquire(self, caller: str, deadline_s: float) -> Connection:
+    async def acquire(
+        self, caller: str, deadline_s: float, account: str | None = ""
+    ) -> Connection:
         """Wait for a connection.
 
         Args:
             caller: Name of the requesting application.
             deadline_s: Monotonic time at which the request gives up.
+            account: Client account that the connection must have been opened for, or
+                empty for the proxy's own name. None accepts any connection, for the
+                proxy's own requests.
 
         Returns:
             A clean connection, held until `release`.
@@ -103,9 +108,9 @@
                 reached.
         """
         self.check_accepting()
-        waiter = Waiter(caller, deadline_s, next(self.queue.arrivals))
+        waiter = Waiter(caller, deadline_s, next(self.queue.arrivals), account)
         if not self.queue and self.has_free_slot():
-            connection = self.take_slot()
+            connection = self.take_slot(account)
         else:
             self.queue.limit = self.section.queue_limit
             self.queue.add(waiter, self.servers)
@@ -124,9 +129,11 @@
         """Serve waiters as long as there are free slots."""
         while self.queue and self.is_accepting and self.has_free_slot():
             waiter = self.queue.pop()
-            granted = waiter.granted if waiter is not None else None
-            if granted is not None and not granted.done():
-                granted.set_result(self.take_slot())
+            if waiter is None or waiter.granted is None:
+                continue
+            granted = waiter.granted
+            if not granted.done():
+                granted.set_result(self.take_slot(waiter.account))
 
     async def wait_for_grant(self, waiter: Waiter) -> Connection | None:
         """Wait until a slot is granted, up to the waiter's deadline.
@@ -195,7 +202,7 @@
             UpstreamLostError: If the upstream can't be reached.
         """
         try:
-            connection = await self.opener.open(waiter.deadline_s)
+            connection = await self.opener.open(waiter.deadline_s, waiter.account or "")
         except UpstreamLostError as error:
             self.opening -= 1
             if error.sqlstate != TOO_MANY_CONNECTIONS:
@@ -327,7 +334,7 @@
         while self.is_accepting and self.open_count < min(count, self.current_limit):
             self.opening += 1
             try:
-                connection = await self.opener.open(now_s() + OPEN_TIMEOUT_S)
+                connection = await self.opener.open(now_s() + OPEN_TIMEOUT_S, "")
             except UpstreamLostError as error:
                 self.free_opening_slot()
                 if error.sqlstate != TOO_MANY_CONNECTIONS:
--- a/ebonyrack/pooling/pool_slots.py
+++ b/ebonyrack/pooling/pool_slots.py
@@ -132,16 +132,37 @@
             each: self.idle_since_s.get(each, 0.0) for each in self.idle
         }
 
-    def take_slot(self) -> Connection | None:
-        """Take an idle connection, or a slot in which to open one (None)."""
-        if not self.idle:
+    def take_slot(self, account: str | None) -> Connection | None:
+        """Take an idle connection, or a slot in which to open one (None).
+
+        An idle connection of another account is closed if all slots are in use.
+
+        Args:
+            account: Client account that the connection must have been opened for; None
+                accepts any connection.
+        """
+        connection = self.find_idle(account)
+        if connection is None:
+            if self.idle and self.open_count >= self.current_limit:
+                self.close_oldest_idle()
             self.opening += 1
             return None
-        connection = self.idle.pop()
+        self.idle.remove(connection)
         self.idle_since_s.pop(connection, None)
         self.busy[connection] = now_s()
         return connection
 
+    def find_idle(self, account: str | None) -> Connection | None:
+        """Return the most recently used idle connection of an account, or None.
+
+        Args:
+            account: The client account; None for any.
+        """
+        for connection in reversed(self.idle):
+            if account is None or connection.account == account:
+                return connection
+        return None
+
     def keep_or_close(self, connection: Connection) -> None:
         """Keep a connection as an idle one, or close it.
 
--- a/ebonyrack/pooling/pooled_connection.py
+++ b/ebonyrack/pooling/pooled_connection.py
@@ -8,6 +8,10 @@
 class PooledConnection(Protocol):
     """A connection that is used by one caller at a time."""
 
+    @property
+    def account(self) -> str:
+        """Client account for which it was opened; empty for the proxy's own name."""
+
     @property
     def is_clean(self) -> bool:
         """Whether it is open and idle, with no reply outstanding."""
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -67,7 +67,9 @@
         self.close()
         deadline_s = now_s() + POOL_WAIT_S
         try:
-            self.link = await self.member.pool.acquire(POOL_CALLER_NAME, deadline_s)
+            self.link = await self.member.pool.acquire(
+                POOL_CALLER_NAME, deadline_s, account=None
+            )
             self.is_pooled = True
         except (RequestError, UpstreamLostError) as error:
             logger.bind(upstream=self.member.member_id, reason=str(error)).debug(
--- a/ebonyrack/requests/codec.py
+++ b/ebonyrack/requests/codec.py
@@ -55,8 +55,15 @@
 class UpstreamCodec(Protocol):
     """Protocol towards upstreams."""
 
-    def encode_start(self, group: str, member_id: str) -> bytes:
-        """Return the startup message for a session with one upstream of a group."""
+    def encode_start(self, group: str, member_id: str, account: str) -> bytes:
+        """Return the startup message for a session with one upstream of a group.
+
+        Args:
+            group: Name of the group.
+            member_id: Identity of the upstream that is expected.
+            account: Client account that the session is for; empty for the proxy's own
+                name.
+        """
 
     def encode_request(self, request: Request) -> bytes:
         """Return an encoded request."""
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -145,7 +145,7 @@
         queued_at_s = now_s()
         try:
             link = await member.pool.acquire(
-                statement.caller, statement.connection_deadline_s
+                statement.caller, statement.connection_deadline_s, statement.account
             )
         except UpstreamLostError as error:
             self.record_lost(member, error.reason)
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -64,6 +64,11 @@
         """Name under which it waits in queues: the database of its route."""
         return self.route.database.decode("utf-8", "replace")
 
+    @property
+    def account(self) -> str:
+        """Client account whose connections it uses; empty for an anonymous caller."""
+        return self.context.account
+
     @property
     def connection_deadline_s(self) -> float:
         """Monotonic time up to which the next attempt may wait for a connection.
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -155,7 +155,7 @@
             tried.add(member.member_id)
             try:
                 link = await member.pool.acquire(
-                    statement.caller, statement.connection_deadline_s
+                    statement.caller, statement.connection_deadline_s, statement.account
                 )
             except UpstreamLostError as error:
                 member.deprioritize()
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -78,7 +78,7 @@
     """
     try:
         link = await member.pool.acquire(
-            statement.caller, statement.connection_deadline_s
+            statement.caller, statement.connection_deadline_s, statement.account
         )
     except UpstreamLostError as error:
         return error.reason
--- a/ebonyrack/upstreams/connection.py
+++ b/ebonyrack/upstreams/connection.py
@@ -77,6 +77,11 @@
         """Whether either side has closed the connection."""
         return self.frames.lost_reason is not None
 
+    @property
+    def account(self) -> str:
+        """Always empty: PostgreSQL callers have no client accounts."""
+        return ""
+
     @property
     def is_idle_in_transaction(self) -> bool:
         """Always False: a connection with an idle transaction counts as in use."""
--- a/ebonyrack/upstreams/pool.py
+++ b/ebonyrack/upstreams/pool.py
@@ -17,11 +17,12 @@
     def __init__(self, address: Address, section: GroupSection, limit: int) -> None:
         super().__init__(address, section, limit, self.connect)
 
-    async def connect(self, timeout_s: float) -> UpstreamConnection:
-        """Open a connection.
+    async def connect(self, timeout_s: float, account: str) -> UpstreamConnection:
+        """Open a connection with the credentials of the group.
 
         Args:
             timeout_s: Seconds for connecting and starting the session.
+            account: Empty; PostgreSQL callers have no client accounts.
 
         Returns:
             The connection, idle.
--- a/ebonyrack/upstreams/pool_machine_test.py
+++ b/ebonyrack/upstreams/pool_machine_test.py
@@ -40,7 +40,8 @@
 class FakeConnection:
     """A connection that is clean until the test changes it."""
 
-    def __init__(self):
+    def __init__(self, account=""):
+        self.account = account
         self.is_clean = True
         self.is_idle_in_transaction = False
         self.users = 0
