End the work of sessions whose key is withdrawn

A session kept the right that its key had at the startup: withdrawn, moved or closed-off keys went on for as long as the connection stood. Now the decision (routes/withdrawal, no input or output) is made again before each request, and with each version for all sessions: an idle one is closed, an open transaction is rolled back and its next request answered DENIED, a running statement is finished and its answer delivered.

A request that had arrived but wasn't read yet would have been lost when its idle session was closed; it is answered now, also when idle sessions are closed for a shutdown or an isolated proxy (end_if_idle, LineStream.has_line).

Ruled out: cancelling what runs (its outcome would be unknown), ending all sessions of a proxy without the store (docs/design/accounts.md).

--- a/ebonyrack/core/line_stream.py
+++ b/ebonyrack/core/line_stream.py
@@ -71,6 +71,11 @@
         if self.transport is not None:
             self.transport.close()
 
+    @property
+    def has_line(self) -> bool:
+        """Whether a whole line has arrived that nobody has read."""
+        return self.buffer.find(b"\n", self.searched) >= 0
+
     def pop_line(self) -> bytes | None:
         """Remove and return the next whole line without its end, or return None.
 
--- a/ebonyrack/entry/caller_connection.py
+++ b/ebonyrack/entry/caller_connection.py
@@ -90,6 +90,7 @@
             logger.bind(
                 database=startup.database.decode("utf-8", "replace"),
                 error=str(error.kind),
+                reason=error.reason,
                 version=self.services.routes.table.version,
             ).info("session_refused")
             self.refuse_session(error)
@@ -119,6 +120,8 @@
         assert self.session is not None
         while not self.is_finished():
             self.is_waiting = True
+            # A version may have come into force while a request was served.
+            self.end_if_withdrawn()
             result = await self.codec.read_request(self.stream)
             self.is_waiting = False
             if isinstance(result, Err):
@@ -130,6 +133,8 @@
             answer = await self.session.answer(result.ok_value)
             self.stream.write(self.codec.encode_answer(answer))
             await self.stream.drain()
+            if is_denied(answer):
+                return
 
     def is_finished(self) -> bool:
         """Whether the session is closing and has no open transaction."""
@@ -159,17 +164,43 @@
         self.end_if_idle()
 
     def end_if_idle(self) -> bool:
-        """End the session if idle outside a transaction; return whether it was idle."""
-        if self.session is None or not self.is_waiting:
+        """End the session if idle outside a transaction; return whether it was idle.
+
+        A request that has arrived and waits to be read is still answered.
+        """
+        if self.session is None or not self.is_waiting or self.stream.has_line:
             return False
         if self.session.state is not TransactionState.IDLE:
             return False
         self.stream.close("idle session closed by the proxy")
         return True
 
+    def end_if_withdrawn(self) -> bool:
+        """End the work of a session whose account is no longer in force.
+
+        An idle session is closed. In a transaction, that is rolled back and the next
+        request ends the session with the error. A request that is being served is
+        finished first.
+
+        Returns:
+            Whether the account of the session is no longer in force.
+        """
+        reason = self.session.find_withdrawal() if self.session is not None else None
+        if self.session is None or reason is None:
+            return False
+        if self.is_waiting:
+            self.session.end_transaction(reason)
+            self.end_if_idle()
+        return True
+
     def end_idle_transaction(self, limit_s: float, reason: str) -> None:
         """Roll back the transaction if its caller has been idle too long."""
         if self.session is None or not self.is_waiting:
             return
         if self.session.is_idle_too_long(limit_s):
             self.session.end_transaction(reason)
+
+
+def is_denied(answer: Answer) -> bool:
+    """Return whether an answer ends the session for the lack of an account."""
+    return answer.error is not None and answer.error.kind is ErrorKind.UNKNOWN_ACCOUNT
--- a/ebonyrack/entry/listener.py
+++ b/ebonyrack/entry/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 from loguru import logger
 
@@ -13,6 +14,7 @@
 from ebonyrack.core.tasks import start_loop
 from ebonyrack.entry.caller_connection import CallerConnection
 from ebonyrack.requests.codec import CallerCodec
+from ebonyrack.routes.route import RouteTable
 from ebonyrack.serving.services import Services
 
 # Connections that may wait to be accepted; many callers may reconnect at once.
@@ -56,6 +58,7 @@
             backlog=BACKLOG,
         )
         self.idle_task = start_loop(self.end_idle_transactions)
+        self.services.routes.subscribe(self.end_withdrawn_sessions)
 
     async def stop(self) -> None:
         """Stop listening and cancel the sessions that are left."""
@@ -84,6 +87,21 @@
             for connection in list(self.connections.values()):
                 connection.end_idle_transaction(limit_s, "the caller was idle")
 
+    def end_withdrawn_sessions(self, table: RouteTable) -> None:
+        """End the work of sessions whose accounts a new version withdraws.
+
+        Args:
+            table: The version in force.
+        """
+        sessions: Counter[str] = Counter()
+        for connection in list(self.connections.values()):
+            if connection.end_if_withdrawn() and connection.session is not None:
+                sessions[connection.session.identity.account] += 1
+        for account, count in sessions.items():
+            logger.bind(account=account, sessions=count, version=table.version).info(
+                "account_withdrawn"
+            )
+
     def close_idle_sessions(self) -> int:
         """Close sessions that are idle outside a transaction; return their number."""
         return sum(c.end_if_idle() for c in list(self.connections.values()))
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -24,6 +24,8 @@
 from ebonyrack.requests.request import RequestKind
 from ebonyrack.routes.account import ANONYMOUS
 from ebonyrack.routes.account import ClientAccount
+from ebonyrack.routes.withdrawal import SessionIdentity
+from ebonyrack.routes.withdrawal import find_withdrawal
 from ebonyrack.serving.reading import serve_read
 from ebonyrack.serving.services import Services
 from ebonyrack.serving.statement import build_statement
@@ -41,8 +43,7 @@
 
     Attributes:
         services: Parts of the proxy that all sessions share.
-        database: Name of the database that the caller requested.
-        key_digest: Digest of the key that the caller showed.
+        identity: On whose behalf the session was opened.
         context: The caller's session values and prepared statements.
         last_commit: Group and position of the session's newest commit, or None.
         transaction: The open transaction, or None.
@@ -50,8 +51,7 @@
 
     __slots__ = (
         "services",
-        "database",
-        "key_digest",
+        "identity",
         "context",
         "last_commit",
         "transaction",
@@ -61,14 +61,17 @@
         self, services: Services, startup: Startup, account: ClientAccount | None
     ) -> None:
         self.services = services
-        self.database = startup.database
-        self.key_digest = startup.key_digest
-        self.context = SessionContext(
-            account=account.name if account is not None else ANONYMOUS
-        )
+        name = account.name if account is not None else ANONYMOUS
+        self.identity = SessionIdentity(startup.database, startup.key_digest, name)
+        self.context = SessionContext(account=name)
         self.last_commit: tuple[str, LogPosition] | None = None
         self.transaction: CallerTransaction | None = None
 
+    @property
+    def database(self) -> bytes:
+        """Name of the database that the caller requested."""
+        return self.identity.database
+
     @property
     def state(self) -> TransactionState:
         """Transaction state as reported to the caller."""
@@ -88,6 +91,7 @@
         started_s = now_s()
         try:
             handle = REQUEST_HANDLERS.get(request.kind)
+            self.check_account()
             self.check_state(request.kind)
             answer = await handle(self, request)
         except RequestError as error:
@@ -98,6 +102,21 @@
         self.record_answer(request, answer, elapsed_s)
         return answer
 
+    def find_withdrawal(self) -> str | None:
+        """Return why the session may run no further work, or None if it may."""
+        return find_withdrawal(self.services.routes.table, self.identity)
+
+    def check_account(self) -> ClientAccount | None:
+        """Return the client account as it is in force, or None if anonymous.
+
+        Raises:
+            RequestError: UNKNOWN_ACCOUNT if the session may run no further work.
+        """
+        reason = self.find_withdrawal()
+        if reason is not None:
+            raise RequestError(ErrorKind.UNKNOWN_ACCOUNT, reason)
+        return self.services.routes.table.accounts.get(self.identity.account)
+
     def check_state(self, kind: RequestKind) -> None:
         """Reject a request that the state of the transaction doesn't allow.
 
@@ -125,6 +144,7 @@
                 request=request.log_id,
                 group=route.group if route is not None else None,
                 database=self.database.decode("utf-8", "replace"),
+                account=self.identity.account,
                 kind=str(request.kind),
                 error=str(answer.error.kind),
                 reason=answer.error.reason,
