Keep the limits of client accounts over all proxies

Cause: ratePerS and burst of an account count over all proxies, in touch or not; nothing counted by account.

Change: FleetLimiter admits operations in sessions. Accounts are hashed into eight shards, each owned by one proxy through a key with a lease; proxies ask the owner over the links between them. A shard that is released at a planned stop keeps the levels of its buckets for the next owner. A token is checked again just before the operation is sent.

Ruled out: deleting the key at a planned stop: buckets that start empty then refuse operations below the limit. Taking a shard from an owner whose VM refuses connections: a cut link may look like that.

Conclusion: switched on where the settings name the window and an account has a limit.

--- a/ebonyrack/core/errors.py
+++ b/ebonyrack/core/errors.py
@@ -24,6 +24,7 @@
     TOO_MANY_CALLERS = "too_many_callers"
     QUEUE_FULL = "queue_full"
     WAIT_TOO_LONG = "wait_too_long"
+    RATE_LIMITED = "rate_limited"
     NO_PRIMARY = "no_primary"
     NO_UPSTREAM = "no_upstream"
     REPLICAS_LAG = "replicas_lag"
@@ -114,6 +115,9 @@
     ErrorKind.WAIT_TOO_LONG: ErrorAnswer(
         "53400", Executed.NO, True, "no connection came free within the time allowed"
     ),
+    ErrorKind.RATE_LIMITED: ErrorAnswer(
+        "53400", Executed.NO, True, "the limit of the client account is used up"
+    ),
     ErrorKind.NO_PRIMARY: ErrorAnswer(
         "57P03", Executed.NO, True, "the database group has no primary now"
     ),
--- a/ebonyrack/core/metrics.py
+++ b/ebonyrack/core/metrics.py
@@ -20,6 +20,11 @@
 placements = meter.create_counter(
     "ebonyrack_placements", description="Requests placed, by group, role and reason"
 )
+limit_decisions = meter.create_counter(
+    "ebonyrack_limit_decisions",
+    description="Operations under a limit, by account and outcome; small accounts are"
+    " counted together as other",
+)
 acknowledge_time = meter.create_histogram(
     "ebonyrack_acknowledge", unit="s", description="Wait for a majority after a commit"
 )
--- a/ebonyrack/core/route_settings.py
+++ b/ebonyrack/core/route_settings.py
@@ -23,6 +23,10 @@
             refuses outdated orders when it promotes another upstream.
         peer_address: Where other proxies connect; None without links between them.
         processor_share: Processing power of the VM in cores.
+        limit_window_s: Length in seconds of the windows in which the platform checks
+            the limits of client accounts; None if it has none.
+        limit_overshoot: Part of a limit by which a window may be above it.
+        limit_slack: Operations by which a window may be above that.
     """
 
     name: str
@@ -35,3 +39,6 @@
     is_promotion_fenced: bool = False
     peer_address: Address | None = None
     processor_share: float = 1.0
+    limit_window_s: float | None = None
+    limit_overshoot: float = 0.0
+    limit_slack: float = 0.0
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 from result import Err
+from result import Ok
 from result import Result
 
 from ebonyrack import __version__
@@ -20,6 +21,8 @@
 from ebonyrack.entry.listener import BALANCER_REMOVAL_S
 from ebonyrack.entry.listener import Listener
 from ebonyrack.entry.primary_monitor import PrimaryMonitor
+from ebonyrack.limits.fleet_limiter import FleetLimiter
+from ebonyrack.limits.grant_terms import LimitBounds
 from ebonyrack.members.directory import DecodeEntry
 from ebonyrack.members.directory import UpstreamDirectory
 from ebonyrack.members.group import Group
@@ -127,6 +130,7 @@
         self.links = ProxyLinks(settings, lambda: self.presence.proxies)
         store = dependencies.store
         self.store_availability = StoreAvailability()
+        self.services.limiter = self.build_limiter()
         self.followers = (
             StoreFollower(
                 store,
@@ -205,9 +209,35 @@
         groups = self.services.groups.values()
         return any(group.lacks_upstreams for group in groups)
 
+    def build_limiter(self) -> FleetLimiter | None:
+        """Build what keeps the limits of accounts, where the platform checks them."""
+        settings = self.settings
+        if settings.limit_window_s is None or settings.peer_address is None:
+            return None
+        bounds = LimitBounds(
+            settings.limit_window_s, settings.limit_overshoot, settings.limit_slack
+        )
+        return FleetLimiter(
+            settings,
+            bounds,
+            self.dependencies.store,
+            self.links,
+            lambda: self.presence.proxies,
+            self.refresh_proxies,
+            self.store_availability,
+        )
+
+    async def refresh_proxies(self) -> None:
+        """Read the live proxies from the store now."""
+        found = await self.dependencies.store.read_prefix(PROXIES_PREFIX)
+        if isinstance(found, Ok):
+            await self.presence.apply(found.ok_value)
+
     async def start(self) -> None:
         """Start all components."""
         await self.stack.enter_async_context(self.links)
+        if self.services.limiter is not None:
+            await self.stack.enter_async_context(self.services.limiter)
         await self.stack.enter_async_context(self.listener)
         for follower in self.followers:
             await self.stack.enter_async_context(follower)
@@ -236,7 +266,12 @@
             Number of sessions that the shutdown cut.
         """
         await self.services.drain.requested.wait()
-        cut_sessions = await self.listener.drain(self.settings.grace_s)
+        draining = self.listener.drain(self.settings.grace_s)
+        if self.services.limiter is None:
+            cut_sessions = await draining
+        else:
+            releasing = self.services.limiter.release()
+            cut_sessions, _ = await asyncio.gather(draining, releasing)
         self.services.drain.finish()
         logger.bind(cut_sessions=cut_sessions).info("proxy_drained")
         return cut_sessions
@@ -258,6 +293,8 @@
 
     async def apply_routes(self, table: RouteTable) -> None:
         """Update, create and remove groups to match the routes in force."""
+        if self.services.limiter is not None:
+            await self.services.limiter.apply_table(table)
         groups = self.services.groups
         for name, limits in table.groups.items():
             if name in groups:
--- a/ebonyrack/limits/fleet_machine_test.py
+++ b/ebonyrack/limits/fleet_machine_test.py
@@ -389,6 +389,17 @@
         spend_for(world, other, 0.2, [asker])
 
 
+def play_new_leases(world):
+    """The owner loses its lease again and again and takes the shard with a new one."""
+    owner, asker, _ = world.proxies
+    start_owner(world, owner)
+    spend_for(world, owner, 2.0, [asker])
+    for _ in range(4):
+        owner.hold.end_lease()
+        owner.claim(True)
+        spend_for(world, owner, 0.2, [asker])
+
+
 def play_hoarding(world):
     """Proxies ask for much, use nothing for a long time and then everything."""
     owner, asker, other = world.proxies
@@ -451,7 +462,7 @@
 
 
 def start_full(monkeypatch):
-    def build(terms, now_s):
+    def build(terms, now_s, level):
         return TokenBucket(terms, now_s, level=terms.capacity)
 
     monkeypatch.setattr(grant_book, "TokenBucket", build)
@@ -489,12 +500,19 @@
     )
 
 
+def forget_own_leases(monkeypatch):
+    monkeypatch.setattr(
+        ShardHold, "choose_start", lambda self, replaced, now_s: self.started_s
+    )
+
+
 SCENARIOS = [
     (play_restarts, start_full),
     (play_lost_store, ignore_own_clock),
     (play_hoarding, ignore_validity),
     (play_restoration, ignore_generation),
     (play_returns, return_everything),
+    (play_new_leases, forget_own_leases),
     (play_lower_limit, keep_grants_of_higher_limits),
 ]
 
--- a/ebonyrack/limits/grant_book.py
+++ b/ebonyrack/limits/grant_book.py
@@ -60,6 +60,7 @@
     Attributes:
         bounds: How strictly the limits are checked.
         started_s: Time since which nobody else has granted anything of the shard.
+        levels: Level at that time by name of the account; others start empty.
         version: Version of the configuration in force at the owner.
         limits: Newest known limit by name of the account.
         buckets: Bucket by name of the account.
@@ -71,6 +72,7 @@
     __slots__ = (
         "bounds",
         "started_s",
+        "levels",
         "version",
         "limits",
         "buckets",
@@ -79,8 +81,14 @@
         "told_s",
     )
 
-    def __init__(self, bounds: LimitBounds, started_s: float) -> None:
+    def __init__(
+        self,
+        bounds: LimitBounds,
+        started_s: float,
+        levels: Mapping[str, float] | None = None,
+    ) -> None:
         self.bounds = bounds
+        self.levels = dict(levels or {})
         self.started_s = started_s
         self.version = 0
         self.limits: dict[str, AccountLimit] = {}
@@ -116,11 +124,18 @@
             terms = choose_terms(limit.rate_per_s, limit.burst, self.bounds)
             bucket = self.buckets.get(name)
             if bucket is None:
-                self.buckets[name] = TokenBucket(terms, self.started_s)
+                level = min(terms.capacity, self.levels.get(name, 0.0))
+                self.buckets[name] = TokenBucket(terms, self.started_s, level)
             elif bucket.terms != terms:
                 bucket.set_terms(terms, now_s)
                 self.forget_lots(name)
 
+    def compute_levels(self, now_s: float) -> dict[str, float]:
+        """Return the level of each account's bucket, for the next owner."""
+        for bucket in self.buckets.values():
+            bucket.refill(now_s)
+        return {name: bucket.level for name, bucket in self.buckets.items()}
+
     def forget_lots(self, account: str) -> None:
         """Take back no earlier grants of an account, as its bucket has changed."""
         self.lots = {key: lot for key, lot in self.lots.items() if key[2] != account}
--- a/ebonyrack/limits/shard_hold.py
+++ b/ebonyrack/limits/shard_hold.py
@@ -15,8 +15,12 @@
 
 from __future__ import annotations
 
+import json
+import math
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 
 from ebonyrack.limits.grant_book import GrantBook
 from ebonyrack.limits.grant_terms import LimitBounds
@@ -28,10 +32,13 @@
 # The owner stops this much before its lease may end, for the spread of the clocks.
 LEASE_MARGIN_S = 1.0
 RENEWAL_INTERVAL_S = 3.0
-# Others wait this long for each proxy that is preferred to them.
-RANK_DELAY_S = 0.5
-# ... and for each shard that they own already, so that shards spread.
-OWNED_DELAY_S = 1.0
+# A process that has just started takes over from its predecessor only, until the other
+# proxies that start with it are known.
+SETTLING_S = 2.0
+# A proxy waits this long for each one that is preferred to it as the owner.
+RANK_DELAY_S = 0.25
+# ... and for each shard that it owns beyond its part, so that shards spread.
+EXCESS_DELAY_S = 1.0
 LONGEST_CLAIM_DELAY_S = 3.0
 
 
@@ -54,6 +61,26 @@
         return f"{self.name} {self.address} {self.word}".encode()
 
 
+def encode_levels(levels: Mapping[str, float]) -> bytes:
+    """Return the value of the key of a released shard.
+
+    Args:
+        levels: Level of the bucket by name of the account.
+    """
+    return json.dumps(
+        {name: round(level, 2) for name, level in levels.items()}
+    ).encode()
+
+
+def decode_levels(value: bytes) -> dict[str, float]:
+    """Return the levels that the key of a released shard holds; none if malformed."""
+    try:
+        body = json.loads(value)
+        return {str(name): float(level) for name, level in body.items()}
+    except (ValueError, TypeError, AttributeError):
+        return {}
+
+
 def decode_owner(value: bytes) -> ShardOwner | None:
     """Return the owner that a key's value names, or None if it is malformed."""
     words = value.decode("utf-8", "replace").split(" ")
@@ -65,14 +92,18 @@
     """The key of a shard, as it was read last.
 
     Attributes:
-        owner: The owner, or None if the key doesn't exist or is malformed.
+        owner: The owner, or None if it has none.
         revision: Its revision; 0 if it doesn't exist.
         seen_s: Time since which it is known so, on the boot clock.
+        last_owner: Name of the owner before, where there is none now.
+        levels: Level of the accounts' buckets when the shard was released.
     """
 
     owner: ShardOwner | None
     revision: int
     seen_s: float
+    last_owner: str | None = None
+    levels: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +134,7 @@
         lease: Lease of the owned keys, or None.
         keys: Key by shard, for those that have been read.
         books: Book by owned shard.
+        lease_count: Number of leases that this process has used.
         mark: Revision and generation of the mark in the store; (0, 0) without one.
         is_leaving: Whether this proxy claims nothing any more.
     """
@@ -115,6 +147,7 @@
         "lease",
         "keys",
         "books",
+        "lease_count",
         "mark",
         "is_leaving",
     )
@@ -129,6 +162,7 @@
         self.lease: ShardLease | None = None
         self.keys: dict[int, ShardKey] = {}
         self.books: dict[int, GrantBook] = {}
+        self.lease_count = 0
         self.mark = (0, 0)
         self.is_leaving = False
 
@@ -150,6 +184,11 @@
         key = self.keys.get(shard)
         return key.owner.name if key is not None and key.owner is not None else None
 
+    def is_released(self, shard: int) -> bool:
+        """Return whether a shard was given back and will be taken soon."""
+        key = self.keys.get(shard)
+        return key is not None and key.owner is None and key.revision != 0
+
     def start_lease(
         self, number: int, generation: int, word: str, asked_s: float
     ) -> None:
@@ -162,6 +201,7 @@
             asked_s: Time before the request was sent, on the boot clock.
         """
         self.books.clear()
+        self.lease_count += 1
         deadline_s = asked_s + LEASE_TTL_S - LEASE_MARGIN_S
         self.lease = ShardLease(number, generation, word, deadline_s)
 
@@ -189,17 +229,27 @@
             return
         owner = decode_owner(value)
         if known is None or known.revision != revision:
-            self.keys[shard] = ShardKey(owner, revision, now_s)
+            levels = decode_levels(value) if owner is None else {}
+            last_owner = self.find_owner(shard)
+            self.keys[shard] = ShardKey(owner, revision, now_s, last_owner, levels)
         word = self.lease.word if self.lease is not None else None
         if owner is None or owner.word != word:
             self.books.pop(shard, None)
         elif shard not in self.books:
             started_s = now_s if known is None else self.choose_start(known, now_s)
-            self.books[shard] = GrantBook(self.bounds, started_s)
+            levels = {} if known is None else known.levels
+            self.books[shard] = GrantBook(self.bounds, started_s, levels)
 
     def choose_start(self, replaced: ShardKey, now_s: float) -> float:
-        """Return the time since which nobody else grants from a shard just taken."""
-        if replaced.owner is not None and self.is_predecessor(replaced.owner):
+        """Return the time since which nobody has granted from a shard just taken.
+
+        The owner before may have been this process itself, with an earlier lease.
+        """
+        if (
+            self.lease_count == 1
+            and replaced.owner is not None
+            and self.is_predecessor(replaced.owner)
+        ):
             return self.started_s
         return now_s
 
@@ -207,8 +257,9 @@
         """Record that a shard has no key."""
         self.books.pop(shard, None)
         known = self.keys.get(shard)
-        if known is None or known.owner is not None:
-            self.keys[shard] = ShardKey(None, 0, now_s)
+        if known is None or known.revision != 0:
+            last_owner = self.find_owner(shard)
+            self.keys[shard] = ShardKey(None, 0, now_s, last_owner)
 
     def forget_keys(self) -> None:
         """Forget all keys, as the store was restored."""
@@ -245,7 +296,8 @@
         """
         if self.is_leaving:
             return []
-        known = list(names)
+        known = set(names) | {self.name}
+        is_settled = now_s >= self.started_s + SETTLING_S
         claims = []
         for shard in range(SHARD_COUNT):
             key = self.keys.get(shard)
@@ -255,9 +307,14 @@
                 if self.is_predecessor(key.owner):
                     claims.append(shard)
                 continue
-            rank = rank_owner(shard, self.name, known)
-            owned = len(self.books) + len(claims)
-            delay_s = rank * RANK_DELAY_S + owned * OWNED_DELAY_S
-            if now_s - key.seen_s >= min(delay_s, LONGEST_CLAIM_DELAY_S):
+            if not is_settled:
+                continue
+            # The owner before stops, or is lost.
+            others = known - {key.last_owner}
+            part = math.ceil(SHARD_COUNT / len(others | {self.name}))
+            excess = max(0, len(self.books) + len(claims) + 1 - part)
+            delay_s = rank_owner(shard, self.name, others) * RANK_DELAY_S
+            delay_s = min(delay_s + excess * EXCESS_DELAY_S, LONGEST_CLAIM_DELAY_S)
+            if now_s - key.seen_s >= delay_s:
                 claims.append(shard)
         return claims
--- a/ebonyrack/platform/line_protocol.py
+++ b/ebonyrack/platform/line_protocol.py
@@ -33,6 +33,7 @@
 ERROR_CODES: dict[ErrorKind, bytes] = {
     ErrorKind.QUEUE_FULL: b"BUSY",
     ErrorKind.WAIT_TOO_LONG: b"BUSY",
+    ErrorKind.RATE_LIMITED: b"BUSY",
     ErrorKind.NO_PRIMARY: b"BUSY",
     ErrorKind.NO_UPSTREAM: b"BUSY",
     ErrorKind.POSITION_NOT_REACHED: b"BUSY",
--- a/ebonyrack/platform/settings_file.py
+++ b/ebonyrack/platform/settings_file.py
@@ -32,6 +32,18 @@
     return value
 
 
+def read_nonnegative(text: str) -> float:
+    """Parse a number from 0.
+
+    Raises:
+        ValueError: If it is not a finite number from 0.
+    """
+    value = float(text)
+    if not 0 <= value < float("inf"):
+        raise ValueError(f"must be a number from 0: {text!r}")
+    return value
+
+
 def read_nonempty(text: str) -> str:
     """Return a string that must not be empty.
 
@@ -86,6 +98,9 @@
     ("order_address", "cloud.address", parse_address),
     ("grace_s", "bounds.graceS", read_seconds),
     ("is_promotion_fenced", "bounds.requireFencing", read_flag),
+    ("limit_window_s", "bounds.quotaWindowS", read_seconds),
+    ("limit_overshoot", "bounds.quotaOvershoot", read_nonnegative),
+    ("limit_slack", "bounds.quotaSlack", read_nonnegative),
 )
 # Attribute of the settings, keys in the file that it is built of, their parser. An
 # attribute keeps its default unless the file has all of them.
@@ -94,7 +109,14 @@
     ("processor_share", ("limits.cpuShare", "limits.cores"), read_processor_share),
 )
 # Keys that a platform which doesn't know them leaves out.
-OPTIONAL_KEYS = frozenset({"bounds.requireFencing"})
+OPTIONAL_KEYS = frozenset(
+    {
+        "bounds.requireFencing",
+        "bounds.quotaWindowS",
+        "bounds.quotaOvershoot",
+        "bounds.quotaSlack",
+    }
+)
 
 
 def parse_settings(text: str, source: str) -> Result[RouteProxySettings, ConfigErrors]:
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -8,6 +8,7 @@
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.route_settings import RouteProxySettings
+from ebonyrack.limits.fleet_limiter import FleetLimiter
 from ebonyrack.members.group import Group
 from ebonyrack.routes.account import ClientAccount
 from ebonyrack.routes.route import Route
@@ -24,12 +25,14 @@
         routes: Routes in force.
         groups: Database groups by name.
         drain: Life cycle state of the proxy.
+        limiter: Keeps the limits of client accounts; None where there are none.
     """
 
     settings: RouteProxySettings
     routes: RouteState = field(default_factory=RouteState)
     groups: dict[str, Group] = field(default_factory=dict)
     drain: Drain = field(default_factory=Drain)
+    limiter: FleetLimiter | None = None
 
     def find_route(self, database: bytes) -> Route:
         """Return the route of a database.
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from loguru import logger
+from result import Err
 
 from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
@@ -14,6 +15,7 @@
 from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.registry import Registry
+from ebonyrack.limits.admission import Admission
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
 from ebonyrack.requests.codec import Startup
@@ -117,6 +119,23 @@
             raise RequestError(ErrorKind.UNKNOWN_ACCOUNT, reason)
         return self.services.routes.table.accounts.get(self.identity.account)
 
+    async def admit(self) -> Admission:
+        """Admit one operation under the limit of the client account.
+
+        Raises:
+            RequestError: RATE_LIMITED if it must not run now.
+        """
+        account = self.services.routes.table.accounts.get(self.identity.account)
+        if account is None or self.services.limiter is None:
+            return Admission()
+        result = await self.services.limiter.admit(account)
+        if isinstance(result, Err):
+            rejection = result.err_value
+            raise RequestError(
+                ErrorKind.RATE_LIMITED, rejection.reason, rejection.retry_after_s
+            )
+        return result.ok_value
+
     def check_state(self, kind: RequestKind) -> None:
         """Reject a request that the state of the transaction doesn't allow.
 
@@ -204,15 +223,20 @@
         statement = build_statement(
             request, transaction.route, transaction.group, session.context
         )
+        statement.admission = transaction.admission
         return build_answer(session, await transaction.execute(statement))
     route = session.services.find_route(session.database)
     group = session.services.find_group(route)
     statement = build_statement(request, route, group, session.context)
-    if statement.writes:
-        reply = await serve_write(statement)
-        session.record_commit(group.name, reply)
-    else:
-        reply = await serve_read(statement, session.find_last_commit(group.name))
+    statement.admission = await session.admit()
+    try:
+        if statement.writes:
+            reply = await serve_write(statement)
+            session.record_commit(group.name, reply)
+        else:
+            reply = await serve_read(statement, session.find_last_commit(group.name))
+    finally:
+        statement.admission.give_back()
     return build_answer(session, reply)
 
 
@@ -225,8 +249,9 @@
     is_read_only = request.kind is RequestKind.BEGIN_READ_ONLY
     if not is_read_only:
         await group.wait_for_primary(now_s() + route.statement_timeout_s)
+    admission = await session.admit()
     session.transaction = CallerTransaction(
-        route, group, is_read_only, session.find_last_commit(group.name)
+        route, group, is_read_only, session.find_last_commit(group.name), admission
     )
     return Answer(session.state)
 
@@ -242,6 +267,7 @@
     statement = build_statement(
         request, transaction.route, transaction.group, session.context
     )
+    statement.admission = transaction.admission
     try:
         reply = await transaction.commit(statement)
     finally:
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -5,12 +5,14 @@
 import itertools
 import random
 from dataclasses import dataclass
+from dataclasses import field
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.position import LogPosition
+from ebonyrack.limits.admission import Admission
 from ebonyrack.members.group import Group
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
@@ -47,6 +49,7 @@
             caller that is rejected by then has time to try another proxy, whose
             connections may be free; an answer after its target is worth little.
         shedding_draw: Random number that decides whether the statement is shed.
+        admission: Permission of its operation under the limit of the account.
     """
 
     request: Request
@@ -58,6 +61,7 @@
     deadline_s: float
     queue_deadline_s: float
     shedding_draw: float
+    admission: Admission = field(default_factory=Admission)
 
     @property
     def caller(self) -> str:
@@ -165,8 +169,18 @@
 
 
 async def set_up_session(statement: Statement, link: UpstreamLink) -> None:
-    """Set up the caller's session on a connection before its statement is sent."""
+    """Set up the caller's session on a connection before its statement is sent.
+
+    Raises:
+        UpstreamLostError, ReplyTimeoutError: If that failed.
+        RequestError: RATE_LIMITED if the operation may not be sent any more.
+    """
     await link.set_up_session(statement.context, statement.prepared, SETUP_TIMEOUT_S)
+    rejection = await statement.admission.confirm()
+    if rejection is not None:
+        raise RequestError(
+            ErrorKind.RATE_LIMITED, rejection.reason, rejection.retry_after_s
+        )
 
 
 async def send_committing_request(
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -10,6 +10,7 @@
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
+from ebonyrack.limits.admission import Admission
 from ebonyrack.members.group import Group
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.link import UpstreamLink
@@ -52,6 +53,7 @@
         route: Route at its beginning.
         group: Its database group.
         is_read_only: Whether it may not write.
+        admission: Permission under the limit of the client account.
         requirement: What its reads must see; only a read-only transaction may run on a
             replica.
         member: The upstream on which it runs, once begun.
@@ -65,6 +67,7 @@
         "route",
         "group",
         "is_read_only",
+        "admission",
         "requirement",
         "member",
         "link",
@@ -79,10 +82,12 @@
         group: Group,
         is_read_only: bool,
         last_commit: LogPosition | None,
+        admission: Admission,
     ) -> None:
         self.route = route
         self.group = group
         self.is_read_only = is_read_only
+        self.admission = admission
         self.requirement = ReadRequirement(None)
         if is_read_only:
             self.requirement = find_requirement(
@@ -106,6 +111,7 @@
 
     def release(self) -> None:
         """Release the connection; an open transaction is rolled back first."""
+        self.admission.give_back()
         link, member = self.link, self.member
         self.link = None
         if link is None or member is None:
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -93,6 +93,7 @@
         proxies: The running proxies.
         publisher_tasks: Tasks that renew the entries of the upstreams, by member ID.
         document: The newest document of the operators.
+        setting_changes: Settings of the proxies that differ from the usual ones.
     """
 
     def __init__(self, proxy_count: int = 1, is_promotion_fenced: bool = True) -> None:
@@ -110,6 +111,7 @@
         self.stack = AsyncExitStack()
         self.publisher_tasks: dict[str, asyncio.Task[None]] = {}
         self.document = build_document(1)
+        self.setting_changes: dict[str, Any] = {}
 
     async def start(self) -> None:
         """Start the stand-ins and the proxies; wait until the proxies are ready."""
@@ -143,6 +145,7 @@
                 grace_s=2.0,
                 is_promotion_fenced=self.group.is_promotion_fenced,
                 peer_address=find_free_address(),
+                **self.setting_changes,
             )
         )
         await self.stack.enter_async_context(proxy)
