Return a promotion's pooled connection when another one is opened

Cause: a participant of a promotion whose pooled connection had broken opened another one directly and kept `is_pooled`. The end of the promotion then released a connection that the pool didn't know ("the connection is not in use"), and the slot of the former one was never freed. If that happened while the proxy was stopping, the exception replaced the cancellation and the loop of the primary monitor started again, so the stop waited for ever.

Change: connecting directly returns or closes the former connection first; a background loop ends if it fails while it is being cancelled.

--- a/ebonyrack/core/tasks.py
+++ b/ebonyrack/core/tasks.py
@@ -39,11 +39,15 @@
 
 
 async def run_forever(run: Callable[[], Awaitable[None]]) -> None:
-    """Restart a loop whenever it ends or raises an exception."""
+    """Restart a loop whenever it ends or raises an exception, until cancelled."""
     while True:
         try:
             await run()
         except Exception:
             name = getattr(run, "__qualname__", str(run))
             logger.bind(loop=name).exception("loop_failed")
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                # The exception of a failed clean-up has replaced the cancellation.
+                raise
         await asyncio.sleep(RESTART_PAUSE_S)
--- a/ebonyrack/core/tasks_test.py
+++ b/ebonyrack/core/tasks_test.py
@@ -35,3 +35,17 @@
         await asyncio.sleep(0)
     await end_tasks([task])
     assert len(runs) == 3
+
+
+async def test_loop_whose_clean_up_fails_ends_when_it_is_cancelled():
+    async def fail_when_cancelled():
+        try:
+            await asyncio.sleep(60)
+        finally:
+            raise ValueError("the connection is not in use")
+
+    loop = start_loop(fail_when_cancelled)
+    await asyncio.sleep(0)
+    async with asyncio.timeout(5):
+        await end_tasks([loop])
+    assert loop.done()
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -81,6 +81,7 @@
 
     async def connect_directly(self, timeout_s: float) -> None:
         """Open a connection outside the pool and request the status."""
+        self.close()
         try:
             self.link = await self.member.open_link(timeout_s)
         except UpstreamLostError as error:
