--- a/ebonyrack/core/route_settings.py
+++ b/ebonyrack/core/route_settings.py
@@ -21,6 +21,8 @@
         grace_s: Time between the signal to stop and the end of the process, in seconds.
         is_promotion_fenced: Whether the platform ends the lead of the old primary and
             refuses outdated orders when it promotes another upstream.
+        leaving_limit_s: Seconds for which an upstream that has reported that it is
+            leaving may get work; None for no limit.
     """
 
     name: str
@@ -31,3 +33,4 @@
     order_address: Address
     grace_s: float
     is_promotion_fenced: bool = False
+    leaving_limit_s: float | None = None
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -260,6 +260,7 @@
                 self.dependencies.upstream_codec,
                 self.presence.live_count,
                 self.settings.is_promotion_fenced,
+                self.settings.leaving_limit_s,
             )
             groups[name] = group
             await self.directory.add_group(group)
@@ -282,6 +283,7 @@
             self.dependencies.store,
             self.dependencies.orders,
             self.settings.name,
+            lambda: self.directory.read(self.dependencies.store),
         )
         monitor = PrimaryMonitor(group, promoter, self.is_discovery_complete)
         self.primary_monitors[group.name] = monitor
--- a/ebonyrack/members/directory.py
+++ b/ebonyrack/members/directory.py
@@ -11,9 +11,14 @@
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.members.entry import MemberEntry
 from ebonyrack.members.group import Group
+from ebonyrack.store.leasing_store import LeasingStore
 from ebonyrack.store.leasing_store import StoreChanges
 from ebonyrack.store.leasing_store import StoreItem
 
+# Entries are read at least this often, in seconds, while the store replies. A report
+# that came later than that after the last reading came after an outage.
+LONGEST_READING_GAP_S = 4.0
+
 DecodeEntry = Callable[[StoreItem], Result[MemberEntry, str]]
 
 
@@ -29,9 +34,19 @@
         groups: Groups by name.
         entries: Entry by identity.
         is_loaded: Whether the store has been read once.
+        applied_revision: Store revision of the newest reading that was applied.
+        read_at_s: Time of that reading, on the boot clock; None before the first.
     """
 
-    __slots__ = ("prefix", "decode", "groups", "entries", "is_loaded")
+    __slots__ = (
+        "prefix",
+        "decode",
+        "groups",
+        "entries",
+        "is_loaded",
+        "applied_revision",
+        "read_at_s",
+    )
 
     def __init__(
         self, prefix: str, decode: DecodeEntry, groups: dict[str, Group]
@@ -41,6 +56,16 @@
         self.groups = groups
         self.entries: dict[str, MemberEntry] = {}
         self.is_loaded = False
+        self.applied_revision = 0
+        self.read_at_s: float | None = None
+
+    async def read(self, store: LeasingStore) -> None:
+        """Read all entries now and apply them; a failure is logged."""
+        found = await store.read_prefix(self.prefix)
+        if isinstance(found, Err):
+            logger.bind(reason=found.err_value.reason).info("entries_not_read")
+            return
+        await self.apply(found.ok_value)
 
     async def apply(self, changes: StoreChanges) -> None:
         """Apply changes of the store.
@@ -48,11 +73,19 @@
         Args:
             changes: Items and keys of the store, with this prefix or others.
         """
+        if changes.is_complete and changes.revision < self.applied_revision:
+            # Two readings overlapped, and this one began earlier.
+            return
+        self.applied_revision = changes.revision
+        now = boot_time_s()
+        unchanged_at_s, self.read_at_s = self.read_at_s, now
+        if unchanged_at_s is not None:
+            unchanged_at_s = max(unchanged_at_s, now - LONGEST_READING_GAP_S)
         present = set()
         for item in changes.items:
             if item.key.startswith(self.prefix):
                 present.add(item.key.removeprefix(self.prefix))
-                await self.apply_item(item)
+                await self.apply_item(item, unchanged_at_s)
         if changes.is_complete:
             self.is_loaded = True
             missing = set(self.entries) - present
@@ -65,8 +98,14 @@
         for member_id in missing:
             self.record_missing(member_id)
 
-    async def apply_item(self, item: StoreItem) -> None:
-        """Apply one entry; an undecodable one is logged and ignored."""
+    async def apply_item(self, item: StoreItem, unchanged_at_s: float | None) -> None:
+        """Apply one entry; an undecodable one is logged and ignored.
+
+        Args:
+            item: The entry.
+            unchanged_at_s: Time of the reading before, which did not have it yet; None
+                if this is the first reading.
+        """
         found = self.decode(item)
         if isinstance(found, Err):
             logger.bind(key=item.key, reason=found.err_value).warning(
@@ -93,7 +132,7 @@
         self.entries[entry.member_id] = entry
         group = self.groups.get(entry.group)
         if group is not None:
-            await group.apply_entry(entry)
+            await group.apply_entry(entry, unchanged_at_s)
 
     def record_missing(self, member_id: str) -> None:
         """Record that an entry is no longer in the store."""
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -65,11 +65,12 @@
         codec: UpstreamCodec,
         live_proxies: int,
         is_promotion_fenced: bool,
+        leaving_limit_s: float | None = None,
     ) -> None:
         self.limits = limits
         self.data_centre = data_centre
         self.codec = codec
-        super().__init__()
+        super().__init__(leaving_limit_s)
         self.started_s = boot_time_s()
         self.update_connection_share(live_proxies)
         self.queue_weights: dict[str, int] = {}
@@ -132,11 +133,15 @@
         for member in self.members.values():
             member.pool.set_weights(self.queue_weights)
 
-    async def apply_entry(self, entry: MemberEntry) -> None:
+    async def apply_entry(
+        self, entry: MemberEntry, unchanged_at_s: float | None = None
+    ) -> None:
         """Apply the newest entry of an upstream.
 
         Args:
             entry: The entry.
+            unchanged_at_s: Time, on the boot clock, at which the store did not have it
+                yet; None if that isn't known.
         """
         member = self.members.get(entry.member_id)
         if member is not None and is_restarted(member.entry, entry):
@@ -165,6 +170,8 @@
             )
         member.entry = entry
         member.entry_missing_since_s = None
+        if entry.is_leaving and member.leaving_since_s is None:
+            member.leaving_since_s = unchanged_at_s or boot_time_s()
         with self.track_primary_change("entry"):
             self.primary_tracker.report(
                 entry.member_id, entry.reports_primary, entry.revision
--- a/ebonyrack/members/link.py
+++ b/ebonyrack/members/link.py
@@ -292,6 +292,8 @@
         liveness.record_ended(number, was_abandoned)
     if reply.rejection is not None:
         stream.abort("the session was rejected")
+        if reply.rejection is RejectionKind.WRONG_UPSTREAM:
+            liveness.record_replaced()
         too_many = reply.rejection is RejectionKind.TOO_MANY_CONNECTIONS
         raise UpstreamLostError(reply.detail, TOO_MANY_CONNECTIONS if too_many else "")
     liveness.record_reply()
--- a/ebonyrack/members/liveness.py
+++ b/ebonyrack/members/liveness.py
@@ -20,6 +20,8 @@
         refused_since_s: Time of the first refused connection since the last reply, or
             None.
         refused_at_s: Time of the last refused connection; far in the past if none was.
+        is_replaced: Whether another upstream has answered at its address since its last
+            reply.
         exchange_numbers: Source of exchange numbers.
     """
 
@@ -29,6 +31,7 @@
         "abandoned_sent_s",
         "refused_since_s",
         "refused_at_s",
+        "is_replaced",
         "exchange_numbers",
     )
 
@@ -38,6 +41,7 @@
         self.abandoned_sent_s: float | None = None
         self.refused_since_s: float | None = None
         self.refused_at_s = float("-inf")
+        self.is_replaced = False
         self.exchange_numbers = itertools.count()
 
     def record_sent(self) -> int:
@@ -51,6 +55,11 @@
         self.replied_at_s = boot_time_s()
         self.abandoned_sent_s = None
         self.refused_since_s = None
+        self.is_replaced = False
+
+    def record_replaced(self) -> None:
+        """Record that another upstream answered at the address."""
+        self.is_replaced = True
 
     def record_refusal(self) -> None:
         """Record a refused connection."""
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -53,6 +53,8 @@
         entry_missing_since_s: Time since which its entry is missing, or None.
         write_sent_s: Send time of each write or commit without a reply, by number.
         committed_sent_s: Send time of the newest acknowledged write or commit.
+        leaving_since_s: Earliest time, on the boot clock, at which the store may have
+            shown that it is leaving; None if it isn't.
         known_since_s: Time since which the upstream is known; far in the past if the
             first reading of the store listed it.
     """
@@ -72,6 +74,7 @@
         "write_sent_s",
         "committed_sent_s",
         "known_since_s",
+        "leaving_since_s",
     )
 
     def __init__(self, entry: MemberEntry, codec: UpstreamCodec, limit: int) -> None:
@@ -91,6 +94,7 @@
         self.write_sent_s: dict[int, float] = {}
         self.committed_sent_s = 0.0
         self.known_since_s = float("-inf")
+        self.leaving_since_s: float | None = None
 
     async def stop(self) -> None:
         """Close every connection, also those in use."""
--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -11,6 +11,7 @@
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.notifier import Notifier
 from ebonyrack.core.position import LogPosition
+from ebonyrack.members.leaving import measure_overtime
 from ebonyrack.members.member import Member
 from ebonyrack.placing.leadership import LeadershipVerdict
 from ebonyrack.placing.position_history import PositionHistory
@@ -44,6 +45,7 @@
             acknowledged, or None.
         changing_since_s: Time since which another proxy is changing the primary, or
             None; known only where promotions are not fenced.
+        leaving_limit_s: Seconds for which a leaving upstream may get work, or None.
     """
 
     __slots__ = (
@@ -57,9 +59,11 @@
         "outage_estimate",
         "newest_acknowledged",
         "changing_since_s",
+        "leaving_limit_s",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, leaving_limit_s: float | None) -> None:
+        self.leaving_limit_s = leaving_limit_s
         self.members: dict[str, Member] = {}
         self.primary_tracker = PrimaryTracker()
         self.position_history = PositionHistory()
@@ -234,6 +238,7 @@
         return (
             self.primary is not None
             and self.changing_since_s is None
+            and self.measure_overtime() == 0.0
             and self.health in (PrimaryHealth.SERVING, PrimaryHealth.LEAVING)
         )
 
@@ -242,6 +247,13 @@
         since_s = self.changing_since_s
         return boot_time_s() - since_s if since_s is not None else 0.0
 
+    def measure_overtime(self) -> float:
+        """Return the seconds for which a leaving primary may get no work any more."""
+        primary = self.primary
+        if primary is None:
+            return 0.0
+        return measure_overtime(primary, self.leaving_limit_s)
+
     async def wait_for_primary(self, deadline_s: float) -> Member:
         """Return the primary, waiting for one only if it is expected in time.
 
@@ -256,7 +268,8 @@
             decision = decide_wait(
                 self.measure_known_outage(), remaining_s, self.estimate_outage()
             )
-            if not decision.waits:
+            # A change that has not succeeded in all that time isn't worth waiting for.
+            if not decision.waits or self.measure_overtime() > 0.0:
                 raise RequestError(
                     ErrorKind.NO_PRIMARY,
                     f"no primary for {self.measure_outage():.3f} s",
@@ -270,7 +283,9 @@
     def measure_known_outage(self) -> float:
         """Return the seconds since this proxy detected the outage, 0 without one."""
         since_s = self.lost_since_s or self.unknown_since_s or self.changing_since_s
-        return boot_time_s() - since_s if since_s is not None else 0.0
+        if since_s is None:
+            return self.measure_overtime()
+        return boot_time_s() - since_s
 
     def estimate_outage(self) -> float:
         """Return the expected total length of the current outage, in seconds."""
@@ -286,6 +301,7 @@
             observation.silent_for_s,
             observation.refused_for_s,
             observation.stalled_for_s,
+            self.measure_overtime(),
         )
 
 
--- a/ebonyrack/placing/promotion_candidate.py
+++ b/ebonyrack/placing/promotion_candidate.py
@@ -1,8 +1,11 @@
 """Chooses an upstream to promote without losing an acknowledged commit.
 
-A commit is acknowledged once one replica has received it. The promotion candidate must
-hold all that any other replica has received, as each may have acknowledged commits. The
-others are paused first, so that they can't acknowledge any further commits.
+A commit is acknowledged once one replica has received it. After a primary is lost, the
+candidate must hold all that any other replica has received, as each may have
+acknowledged commits; the others are paused first, so that they can't acknowledge any
+further ones. A primary that can be reached is made a replica first. All commits that it
+ever acknowledged are in its log then, so the candidate must hold that log, whatever the
+other replicas hold.
 """
 
 from __future__ import annotations
@@ -53,6 +56,29 @@
     return best.member_id
 
 
+def choose_successor(
+    replicas: list[ReplicaState], final_position: LogPosition
+) -> str | None:
+    """Return the replica that should succeed a primary that has stepped down, or None.
+
+    Args:
+        replicas: The other upstreams.
+        final_position: End of the former primary's log after it stepped down.
+    """
+    holders = [
+        each
+        for each in replicas
+        if each.received is not None and each.received >= final_position
+    ]
+    if not holders:
+        return None
+    best = max(
+        holders,
+        key=lambda each: (not each.is_leaving, each.received, each.member_id),
+    )
+    return best.member_id
+
+
 def is_safe_candidate(
     candidate: str,
     replicas: list[ReplicaState],
--- a/ebonyrack/platform/settings_file.py
+++ b/ebonyrack/platform/settings_file.py
@@ -16,6 +16,8 @@
 # Environment variable in which the platform passes the path of the file.
 PATH_VARIABLE = "EBONYRACK_NODE_FILE"
 
+MS_PER_S = 1000.0
+
 ConfigErrors = tuple[ConfigError, ...]
 
 
@@ -31,6 +33,15 @@
     return value
 
 
+def read_milliseconds(text: str) -> float:
+    """Parse a duration in milliseconds; return it in seconds.
+
+    Raises:
+        ValueError: If it is not a finite number above 0.
+    """
+    return read_seconds(text) / MS_PER_S
+
+
 def read_nonempty(text: str) -> str:
     """Return a string that must not be empty.
 
@@ -64,9 +75,10 @@
     ("order_address", "cloud.address", parse_address),
     ("grace_s", "bounds.graceS", read_seconds),
     ("is_promotion_fenced", "bounds.requireFencing", read_flag),
+    ("leaving_limit_s", "bounds.drainMs", read_milliseconds),
 )
 # Keys that a platform which doesn't know them leaves out.
-OPTIONAL_KEYS = frozenset({"bounds.requireFencing"})
+OPTIONAL_KEYS = frozenset({"bounds.requireFencing", "bounds.drainMs"})
 
 
 def parse_settings(text: str, source: str) -> Result[RouteProxySettings, ConfigErrors]:
--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -1,4 +1,7 @@
-"""Searches the replica to be promoted: the one that holds all acknowledged commits."""
+"""Searches the replica to be promoted after the loss of a primary.
+
+It must hold all acknowledged commits; the other replicas are paused and compared.
+"""
 
 from __future__ import annotations
 
@@ -8,6 +11,7 @@
 from loguru import logger
 
 from ebonyrack.members.group import Group
+from ebonyrack.members.member import Member
 from ebonyrack.placing.primary_health import PrimaryHealth
 from ebonyrack.placing.promotion_candidate import ReplicaState
 from ebonyrack.placing.promotion_candidate import choose_candidate
@@ -70,6 +74,7 @@
             The candidate, or the result of the attempt if none is safe.
         """
         while self.lease.is_held:
+            await self.update_replicas()
             candidate = self.choose()
             await self.pause_others(candidate)
             if candidate is not None and candidate.status is not None:
@@ -99,14 +104,54 @@
 
     def choose(self) -> PromotionParticipant | None:
         """Return the replica to be promoted, None without one."""
-        chosen_id = self.required_id or choose_candidate(
-            self.list_states(), self.primary_serves
+        return self.find(
+            self.required_id
+            or choose_candidate(self.list_states(), self.primary_serves)
         )
+
+    def find(self, member_id: str | None) -> PromotionParticipant | None:
+        """Return a replica by its identity, None if it takes no part."""
         for participant in self.replicas:
-            if participant.member.member_id == chosen_id:
+            if participant.member.member_id == member_id:
                 return participant
         return None
 
+    async def update_replicas(self) -> None:
+        """Adapt the replicas to the upstreams that have joined or are gone since."""
+        for participant in list(self.replicas):
+            if self.is_gone(participant.member):
+                self.log_changed(participant, "promotion_without_upstream")
+                self.replicas.remove(participant)
+                participant.close()
+        known = {id(each.member) for each in self.former + self.replicas}
+        for member in list(self.group.members.values()):
+            if id(member) not in known and not self.is_gone(member):
+                participant = PromotionParticipant(member)
+                self.replicas.append(participant)
+                self.log_changed(participant, "promotion_with_upstream")
+                await participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
+
+    def is_gone(self, member: Member) -> bool:
+        """Return whether an upstream has certainly left, so that it holds up nothing.
+
+        Its entry was removed or is of another start, or its address is that of another
+        replica, which has received its log.
+        """
+        if self.group.members.get(member.member_id) is not member:
+            return True
+        return member.liveness.is_replaced and any(
+            other.member.entry.address == member.entry.address
+            and other.status is not None
+            for other in self.replicas
+            if other.member is not member
+        )
+
+    def log_changed(self, participant: PromotionParticipant, event: str) -> None:
+        """Log a replica that joined or left during the promotion."""
+        logger.bind(group=self.group.name, upstream=participant.member.member_id).info(
+            event
+        )
+
     async def pause_others(self, candidate: PromotionParticipant | None) -> None:
         """Pause every replica but the candidate."""
         for participant in self.replicas:
@@ -153,21 +198,32 @@
 
     async def refresh_replicas(self) -> None:
         """Update the status of unpaused replicas and reconnect to the silent ones."""
-        for participant in self.replicas:
-            if participant.link is None or not participant.link.is_open:
-                participant.is_paused = False
-                await participant.connect()
-            elif not participant.is_paused:
-                await participant.request_status(STATUS_REQUEST)
+        await asyncio.gather(*(self.refresh(each) for each in self.replicas))
 
-    async def pause_returned(self) -> None:
-        """Pause replicas again that have come back; a restart ends a pause."""
-        for participant in self.replicas:
-            if participant.link is None or not participant.link.is_open:
+    async def refresh(self, participant: PromotionParticipant) -> None:
+        """Update the status of an unpaused replica, or reconnect to it."""
+        if not participant.is_connected:
+            participant.is_paused = False
+            await participant.connect()
+        elif not participant.is_paused:
+            await participant.request_status(STATUS_REQUEST)
+
+    async def pause_returned(self, chosen: PromotionParticipant) -> None:
+        """Pause replicas that have joined or come back; a restart ends a pause.
+
+        Args:
+            chosen: The upstream that was ordered to be promoted.
+        """
+        await self.update_replicas()
+        for participant in list(self.replicas):
+            if not participant.is_connected:
                 participant.is_paused = False
                 await participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
-                if participant.status is not None and not participant.status.is_primary:
-                    await participant.pause(self.term)
+            status = participant.status
+            if participant is chosen or participant.is_paused:
+                continue
+            if status is not None and not status.is_primary:
+                await participant.pause(self.term)
 
     def log_unsafe(self) -> None:
         """Log why no replica can be promoted yet."""
--- /dev/null
+++ b/ebonyrack/promotion/group_change_test.py
@@ -0,0 +1,378 @@
+"""Changes of a primary with upstreams that join, leave, restart or go dark meanwhile.
+
+The product's promoter runs against a model of a group, in a loop whose time passes at
+once. Before each request that the promoter makes, hypothesis draws what happens in the
+group.
+"""
+
+import asyncio
+import types
+
+import pytest
+from hypothesis import example
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from loguru import logger
+from result import Ok
+
+from ebonyrack.core import clock
+from ebonyrack.core.address import Address
+from ebonyrack.core.position import LogPosition
+from ebonyrack.members.entry import MemberEntry
+from ebonyrack.members.group import Group
+from ebonyrack.members.member import Member
+from ebonyrack.placing.primary_health import PrimaryHealth
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
+from ebonyrack.promotion.entry_refresh import EntryRefresh
+from ebonyrack.promotion.lease import PromotionLease
+from ebonyrack.promotion.order import OrderOutcome
+from ebonyrack.promotion.participant import PromotionParticipant
+from ebonyrack.promotion.promoter import Promoter
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
+from ebonyrack.requests.reply import UpstreamStatus
+from ebonyrack.requests.request import RequestKind
+from ebonyrack.routes.route import GroupLimits
+from ebonyrack.store.leasing_store import StoreItem
+
+FIRST = ("a", "b", "c")
+JOINING = ("d", "e")
+NAMES = st.sampled_from(FIRST + JOINING)
+REQUEST_S = 0.002
+PLANNED_EVENTS = ("commit", "log", "join", "register", "leave", "restart", "dark")
+LOSS_EVENTS = ("join", "register", "restart", "dark")
+RETURNING_EVENTS = LOSS_EVENTS + ("return_primary", "commit")
+RETURN_EVENTS = ("back", "carry_out", "catch_up")
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time passes at once."""
+
+    def __init__(self):
+        super().__init__()
+        self.passed_s = 1000.0
+
+    def time(self):
+        return self.passed_s
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self.passed_s = max(self.passed_s, self._scheduled[0].when())
+        super()._run_once()
+
+
+class Upstream:
+    """An upstream: its role, term, pause and log of (term, offset, commit)."""
+
+    def __init__(self, name):
+        self.name = name
+        self.leads = name == "a"
+        self.term = 1
+        self.paused_term = 0
+        self.log = [LogPosition(1, 1)]
+        self.start = 1
+        self.is_dark = False
+        self.is_leaving = False
+        self.is_registered = True
+
+    def report(self):
+        return UpstreamStatus(
+            self.leads, self.term, self.log[-1], self.paused_term, 0.0, 0, 0
+        )
+
+
+class Model:
+    """The group, the orders, and what was acknowledged."""
+
+    def __init__(self, events):
+        self.events = list(events)
+        self.upstreams = {name: Upstream(name) for name in FIRST}
+        self.acknowledged = {LogPosition(1, 1)}
+        self.orders = []
+        self.promoted = []
+        self.lost = []
+        self.is_crashed = False
+
+    def step(self):
+        """Let the next drawn events happen."""
+        for kind, name in self.events.pop(0) if self.events else ():
+            getattr(self, kind)(name)
+
+    def receive(self, name):
+        """Send the leader's log to a replica; return whether it counts."""
+        leader, replica = self.leader, self.upstreams.get(name)
+        if leader is None or replica is None or replica.leads:
+            return None
+        if leader.name == "a" and self.is_crashed:
+            return None
+        if replica.paused_term > leader.term or replica.term > leader.term:
+            return None
+        replica.term, replica.log = leader.term, list(leader.log)
+        return leader
+
+    @property
+    def leader(self):
+        leaders = [each for each in self.upstreams.values() if each.leads]
+        return max(leaders, key=lambda each: each.term, default=None)
+
+    def log(self, name):
+        """Log a commit at the primary that no replica has received yet."""
+        if self.leader is not None:
+            offset = self.leader.log[-1].offset + 1
+            self.leader.log.append(LogPosition(self.leader.term, offset))
+
+    def commit(self, name):
+        """Acknowledge a commit that a replica has received."""
+        if name in self.upstreams and not self.upstreams[name].leads:
+            self.log(name)
+            leader = self.receive(name)
+            if leader is not None:
+                self.acknowledged |= set(leader.log)
+
+    def catch_up(self, name):
+        leader = self.receive(name)
+        if leader is not None:
+            self.acknowledged |= set(leader.log)
+
+    def join(self, name):
+        if name in JOINING and name not in self.upstreams:
+            self.upstreams[name] = Upstream(name)
+            self.upstreams[name].is_registered = False
+
+    def register(self, name):
+        if name in self.upstreams:
+            self.upstreams[name].is_registered = True
+
+    def leave(self, name):
+        if name != "a" and len(self.upstreams) > 2 and name in self.upstreams:
+            if not self.upstreams[name].leads:
+                del self.upstreams[name]
+
+    def restart(self, name):
+        if name in self.upstreams and not self.upstreams[name].leads and name != "a":
+            self.upstreams[name].paused_term = 0
+            self.upstreams[name].start += 1
+
+    def dark(self, name):
+        if name != "a" and name in self.upstreams:
+            self.upstreams[name].is_dark = True
+
+    def back(self, name):
+        if name in self.upstreams:
+            self.upstreams[name].is_dark = False
+
+    def return_primary(self, name):
+        """Let a lost primary come back, or reach its replicas and callers again."""
+        self.is_crashed = False
+        self.upstreams["a"].is_dark = False
+
+    def carry_out(self, name):
+        """Promote the upstream of an order that was accepted or left unanswered."""
+        if not self.orders:
+            return
+        chosen = self.upstreams.get(self.orders.pop(0))
+        if chosen is None or chosen is self.leader:
+            return
+        self.promoted.append(chosen.name)
+        lost = self.acknowledged - set(chosen.log)
+        if lost:
+            self.lost.append((chosen.name, lost))
+        term = max(each.term for each in self.upstreams.values()) + 1
+        for each in self.upstreams.values():
+            each.leads = False
+            each.paused_term = 0
+        chosen.leads, chosen.term = True, term
+
+
+class Link:
+    """A connection to an upstream of the model."""
+
+    def __init__(self, model, name):
+        self.model, self.name = model, name
+        self.upstream = model.upstreams[name]
+        self.start = self.upstream.start
+        self.codec = self
+
+    @property
+    def is_open(self):
+        upstream = self.model.upstreams.get(self.name)
+        return upstream is self.upstream and upstream.start == self.start
+
+    def close(self):
+        self.start = -1
+
+    def read_status(self, reply):
+        return Ok(reply.rows[0])
+
+    async def exchange(self, requests, timeout_s):
+        await asyncio.sleep(REQUEST_S)
+        self.model.step()
+        if self.upstream.is_dark:
+            await asyncio.sleep(timeout_s)
+        if self.upstream.is_dark or not self.is_open:
+            self.close()
+            raise UpstreamLostError("dark")
+        return [self.run(request) for request in requests]
+
+    def run(self, request):
+        upstream = self.upstream
+        if request.kind is RequestKind.PAUSE and not upstream.leads:
+            upstream.paused_term = int(request.argument)
+        elif request.kind is RequestKind.RESUME:
+            upstream.paused_term = 0
+        elif request.kind is RequestKind.STEP_DOWN:
+            if upstream.leads and upstream.term < int(request.argument):
+                upstream.leads, upstream.term = False, int(request.argument)
+        return Reply(rows=[upstream.report()])
+
+    async def probe_primary(self, timeout_s):
+        await asyncio.sleep(REQUEST_S)
+        self.model.step()
+        if self.upstream.is_dark or not self.is_open:
+            self.close()
+            raise UpstreamLostError("dark")
+        rejection = None if self.upstream.leads else RejectionKind.READ_ONLY
+        return Reply(rejection=rejection, position=self.upstream.log[-1]), clock.now_s()
+
+
+class Platform:
+    """The store's record of orders, and the platform that takes orders."""
+
+    generation = 1
+    generation_seen_s = 0.0
+
+    def __init__(self, model, answers):
+        self.model = model
+        self.answers = list(answers)
+        self.items = {}
+
+    async def read_key(self, key):
+        return Ok(self.items.get(key))
+
+    async def write(self, write):
+        self.items[write.key] = StoreItem(write.key, write.value, 1, 1)
+        return Ok(1)
+
+    async def delete(self, key, revision):
+        self.items.pop(key, None)
+        return Ok(True)
+
+    async def promote(self, order):
+        await asyncio.sleep(REQUEST_S)
+        self.model.step()
+        is_answered = self.answers.pop(0) if self.answers else True
+        self.model.orders.append(order.member_id)
+        asyncio.get_running_loop().call_later(0.6, self.model.carry_out, "")
+        return Ok(OrderOutcome.ACCEPTED if is_answered else OrderOutcome.UNANSWERED)
+
+
+async def change_primary(model, health, answers, is_fenced):
+    """Run one attempt of the product's promoter against the model."""
+    group = Group(GroupLimits("bookings", 9, 1), "bangkok", None, 1, is_fenced)
+    platform = Platform(model, answers)
+
+    async def read_entries():
+        await asyncio.sleep(REQUEST_S)
+        for upstream in list(model.upstreams.values()):
+            if upstream.is_registered and upstream.name not in group.members:
+                await group.apply_entry(build_entry(upstream))
+        for name in set(group.members) - set(model.upstreams):
+            await group.remove(name, "its entry is missing")
+
+    async def open_link(member, timeout_s):
+        await asyncio.sleep(REQUEST_S)
+        upstream = model.upstreams.get(member.member_id)
+        if upstream is None or upstream.is_dark:
+            raise UpstreamLostError("dark")
+        return Link(model, member.member_id)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Member, "open_link", open_link)
+        patch.setattr(
+            PromotionParticipant,
+            "connect",
+            lambda self, wait_s=0: self.connect_directly(wait_s),
+        )
+        await read_entries()
+        group.primary_tracker.confirm("a", 1)
+        promoter = Promoter(group, platform, platform, "proxy-1", read_entries)
+        lease = PromotionLease("bookings", 7, clock.boot_time_s() + 3.2, platform, 1)
+        async with EntryRefresh(read_entries) as refresh:
+            result = await promoter.change_primary(lease, health, refresh)
+        await asyncio.sleep(8.0)
+    return result
+
+
+def build_entry(upstream):
+    return MemberEntry(
+        upstream.name,
+        "bookings",
+        Address("127.0.0.1", 1),
+        "bangkok",
+        3,
+        upstream.is_leaving,
+        upstream.leads,
+        1,
+        1,
+    )
+
+
+def play(model, health, answers, is_fenced):
+    """Play a change; return its result."""
+    loop = VirtualLoop()
+    logger.disable("ebonyrack")
+    with pytest.MonkeyPatch.context() as patch:
+        fake = types.SimpleNamespace(
+            monotonic=loop.time, clock_gettime=lambda _: loop.time(), CLOCK_BOOTTIME=7
+        )
+        patch.setattr(clock, "time", fake)
+        try:
+            return loop.run_until_complete(
+                change_primary(model, health, answers, is_fenced)
+            )
+        finally:
+            loop.close()
+            logger.enable("ebonyrack")
+
+
+def draw_steps(kinds):
+    event = st.tuples(st.sampled_from(kinds + RETURN_EVENTS), NAMES)
+    return st.lists(st.lists(event, max_size=3), max_size=30)
+
+
+ANSWERS = st.lists(st.booleans(), max_size=3)
+
+
+@pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
+@given(steps=draw_steps(PLANNED_EVENTS), answers=ANSWERS)
+@settings(max_examples=300)
+def test_planned_change_loses_no_commit(is_fenced, steps, answers):
+    model = Model(steps)
+    model.upstreams["a"].is_leaving = True
+    play(model, PrimaryHealth.LEAVING, answers, is_fenced)
+    assert model.lost == []
+
+
+@pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
+@given(steps=draw_steps(LOSS_EVENTS), answers=ANSWERS)
+@settings(max_examples=300)
+def test_change_after_a_loss_loses_no_commit(is_fenced, steps, answers):
+    model = Model([[("commit", "b"), ("commit", "c")], *steps])
+    model.step()
+    model.upstreams["a"].is_dark = model.is_crashed = True
+    play(model, PrimaryHealth.REFUSING, answers, is_fenced)
+    assert model.lost == []
+
+
+@pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
+@given(steps=draw_steps(RETURNING_EVENTS), answers=ANSWERS)
+@example(steps=[[("join", "e"), ("return_primary", "a"), ("commit", "e")]], answers=[])
+@settings(max_examples=300)
+def test_primary_that_returns_during_its_change_loses_no_commit(
+    is_fenced, steps, answers
+):
+    model = Model(steps)
+    model.upstreams["a"].is_dark = model.is_crashed = True
+    play(model, PrimaryHealth.REFUSING, answers, is_fenced)
+    assert model.lost == []
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -49,6 +49,7 @@
         status: The last status received, or None.
         is_paused: Whether it was paused on this connection.
         paused_term: Term of that pause.
+        was_paused: Whether another holder had paused it before, or may have.
         is_pooled: Whether the connection belongs to the pool.
     """
 
@@ -57,15 +58,19 @@
     status: UpstreamStatus | None = None
     is_paused: bool = False
     paused_term: int = 0
+    was_paused: bool = False
     is_pooled: bool = False
 
-    async def connect(self) -> None:
+    async def connect(self, pool_wait_s: float = POOL_WAIT_S) -> None:
         """Acquire a connection and request the status; both stay None on failure.
 
         A pooled connection is preferred, as the upstream may accept no others.
+
+        Args:
+            pool_wait_s: Seconds to wait for it.
         """
         self.close()
-        deadline_s = now_s() + POOL_WAIT_S
+        deadline_s = now_s() + pool_wait_s
         try:
             self.link = await self.member.pool.acquire(POOL_CALLER_NAME, deadline_s)
             self.is_pooled = True
@@ -109,24 +114,37 @@
 
     async def pause(self, term: int) -> None:
         """Make the upstream receive nothing of terms below a given one."""
+        found = self.status
+        if found is None or found.paused_term not in (0, self.paused_term):
+            self.was_paused = True
         self.paused_term = term
         self.is_paused = (
             await self.request_status(build_pause_request(term)) is not None
         )
 
     async def resume(self) -> None:
-        """Let the upstream receive again, unless another proxy has paused it since.
+        """Let the upstream receive again, unless another proxy has paused it.
 
-        A later lease holder pauses with a higher term.
+        A later lease holder pauses with a higher term. An order of an earlier one may
+        still be carried out, or was carried out while this upstream was cut off.
         """
-        if not self.is_paused:
+        if not self.is_paused or self.was_paused:
             return
         status = await self.request_status(STATUS_REQUEST)
         if status is not None and status.paused_term == self.paused_term:
             await self.request_status(RESUME_REQUEST)
 
-    async def step_down(self, term: int) -> None:
-        """Ask the upstream to end its lead of an earlier term; log the outcome."""
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection to it is open."""
+        return self.link is not None and self.link.is_open
+
+    async def step_down(self, term: int) -> UpstreamStatus | None:
+        """Ask the upstream to end its lead of an earlier term.
+
+        Returns:
+            Its status after that, None without a reply.
+        """
         if self.link is None or not self.link.is_open:
             await self.connect_directly(LOST_PRIMARY_TIMEOUT_S)
         status = await self.request_status(build_step_down_request(term))
@@ -134,7 +152,9 @@
             upstream=self.member.member_id,
             term=term,
             leads=status.is_primary if status is not None else None,
+            received=str(status.received) if status is not None else None,
         ).info("former_primary_stepped_down")
+        return status
 
     async def prove_primary(self) -> PositionSample | None:
         """Probe with a read-write transaction whether the upstream is the primary.
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -1,4 +1,4 @@
-"""Changes a group's primary: pause replicas, compare logs, order a promotion, wait."""
+"""Changes a group's primary: choose its successor, order a promotion, wait."""
 
 from __future__ import annotations
 
@@ -13,6 +13,8 @@
 from ebonyrack.placing.primary_health import PrimaryHealth
 from ebonyrack.promotion.candidate_search import CLEARED_BY_PROOF
 from ebonyrack.promotion.candidate_search import CandidateSearch
+from ebonyrack.promotion.entry_refresh import EntryRefresh
+from ebonyrack.promotion.entry_refresh import ReadEntries
 from ebonyrack.promotion.lease import PromotionLease
 from ebonyrack.promotion.lease import acquire_promotion_lease
 from ebonyrack.promotion.lease import release_promotion_lease
@@ -23,6 +25,7 @@
 from ebonyrack.promotion.order import PromotionOrderClient
 from ebonyrack.promotion.participant import LOST_PRIMARY_TIMEOUT_S
 from ebonyrack.promotion.participant import PromotionParticipant
+from ebonyrack.promotion.planned_change import PlannedChange
 from ebonyrack.promotion.primary_proof import is_serving_primary
 from ebonyrack.promotion.primary_proof import prove_primary
 from ebonyrack.promotion.result import KNOWN_NOT_CARRIED_OUT
@@ -34,6 +37,10 @@
 # The platform takes up to a second for an order; after this time the attempt ends and
 # may be retried.
 PRIMARY_WAIT_S = 2.0
+# An order without a response is repeated after this time, while the lease lasts.
+REPEAT_AFTER_S = 0.2
+# Time to wait for a pooled connection to a leaving primary, whose callers use them all.
+LEAVING_POOL_WAIT_S = 0.3
 
 
 class Promoter:
@@ -44,6 +51,7 @@
         store: The store that holds the promotion lease.
         order_client: Sends promotion orders.
         name: Name of this proxy.
+        read_entries: Reads the upstreams' entries once.
         open_order: Record of an order whose fate is unknown.
         was_unanswered: Whether the last order got no response.
     """
@@ -53,6 +61,7 @@
         "store",
         "order_client",
         "name",
+        "read_entries",
         "open_order",
         "was_unanswered",
     )
@@ -63,11 +72,13 @@
         store: LeasingStore,
         order_client: PromotionOrderClient,
         name: str,
+        read_entries: ReadEntries,
     ) -> None:
         self.group = group
         self.store = store
         self.order_client = order_client
         self.name = name
+        self.read_entries = read_entries
         self.open_order = OpenOrderRecord(store, group.name)
         self.was_unanswered = False
 
@@ -85,7 +96,8 @@
             return PromotionResult.LEASE_NOT_HELD
         started_s = boot_time_s()
         try:
-            result = await self.change_primary(lease, health)
+            async with EntryRefresh(self.read_entries) as refresh:
+                result = await self.change_primary(lease, health, refresh)
         finally:
             await release_promotion_lease(self.store, lease)
         logger.bind(
@@ -98,48 +110,32 @@
         return result
 
     async def change_primary(
-        self, lease: PromotionLease, health: PrimaryHealth
+        self, lease: PromotionLease, health: PrimaryHealth, refresh: EntryRefresh
     ) -> PromotionResult:
         """Query all upstreams and change the primary if that is still needed."""
         primary = self.group.primary
         participants = [
             PromotionParticipant(member) for member in self.group.members.values()
         ]
+        former = [each for each in participants if each.member is primary]
+        # The search adds upstreams that join, and removes those that are gone.
+        replicas = [each for each in participants if each.member is not primary]
         try:
-            # Open connections to a lost primary may never reply.
-            is_lost = health is not PrimaryHealth.LEAVING
             await asyncio.gather(
-                *(
-                    participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
-                    if is_lost and participant.member is primary
-                    else participant.connect()
-                    for participant in participants
-                )
+                refresh.wait_for_reading(),
+                *(connect_former(each, health) for each in former),
+                *(each.connect() for each in replicas),
             )
-            for participant in participants:
-                if participant.member is not primary and await is_serving_primary(
-                    self.group, participant
-                ):
+            for participant in replicas:
+                if await is_serving_primary(self.group, participant):
                     return PromotionResult.NOT_NEEDED
-            primary_participants = [
-                participant
-                for participant in participants
-                if participant.member is primary
-            ]
             if health in CLEARED_BY_PROOF:
-                for participant in primary_participants:
+                for participant in former:
                     if await is_serving_primary(self.group, participant):
                         return PromotionResult.NOT_NEEDED
-            replicas = [
-                participant
-                for participant in participants
-                if participant.member is not primary
-            ]
-            return await self.promote_candidate(
-                lease, health, primary_participants, replicas
-            )
+            return await self.promote_candidate(lease, health, former, replicas)
         finally:
-            for participant in participants:
+            for participant in former + replicas:
                 participant.close()
 
     async def promote_candidate(
@@ -173,12 +169,14 @@
             replicas,
             awaited.member_id if awaited is not None else None,
         )
-        chosen = await search.run()
+        chosen = await self.choose_successor(search)
         result = (
             chosen
             if isinstance(chosen, PromotionResult)
             else await self.order_promotion(search, chosen, awaited)
         )
+        if isinstance(chosen, PromotionParticipant):
+            result = await self.restore_lead(search, chosen, awaited, result)
         # Replicas stay paused if an order may still be carried out: the new primary
         # may lack what they receive from now on.
         is_over = result in KNOWN_NOT_CARRIED_OUT or result is chosen
@@ -186,6 +184,45 @@
             await self.resume(replicas)
         return result
 
+    async def choose_successor(
+        self, search: CandidateSearch
+    ) -> PromotionParticipant | PromotionResult:
+        """Choose the upstream to be promoted; a primary that replies steps down."""
+        if search.primary_serves:
+            for participant in search.former:
+                status = participant.status
+                if status is not None and status.is_primary:
+                    return await PlannedChange(search, participant).run()
+        return await search.run()
+
+    async def restore_lead(
+        self,
+        search: CandidateSearch,
+        chosen: PromotionParticipant,
+        awaited: OpenOrder | None,
+        result: PromotionResult,
+    ) -> PromotionResult:
+        """Order a primary that has stepped down back if its successor was refused.
+
+        Args:
+            search: The search with the participants.
+            chosen: The upstream whose promotion was ordered.
+            awaited: An earlier order that may still be carried out, or None.
+            result: Result of that order.
+
+        Returns:
+            The result of the last order.
+        """
+        if not search.primary_serves or result not in KNOWN_NOT_CARRIED_OUT:
+            return result
+        if awaited is not None:
+            return result
+        for former in search.former:
+            if former is not chosen and former.is_connected:
+                await self.resume(search.replicas)
+                return await self.order_promotion(search, former, None)
+        return result
+
     async def delete_expired_order(self) -> None:
         """Delete the record of an order that can't be carried out any more."""
         if self.open_order.seen is not None and self.open_order.awaited is None:
@@ -221,7 +258,10 @@
     async def send_order(
         self, search: CandidateSearch, chosen: PromotionParticipant
     ) -> PromotionResult:
-        """Order the promotion and wait until the upstream is the primary.
+        """Order the promotion, repeatedly while there is no response.
+
+        The token and the upstream stay the same, so it doesn't matter which of the
+        orders is carried out, or whether several are.
 
         Args:
             search: The search that found the candidate.
@@ -230,10 +270,22 @@
         Returns:
             The result of the attempt.
         """
-        lease = search.lease
         self.was_unanswered = False
-        if not lease.allows_order:
-            return PromotionResult.LEASE_NOT_HELD
+        result = PromotionResult.LEASE_NOT_HELD
+        while search.lease.allows_order:
+            result = await self.send_order_once(search, chosen)
+            is_repeated = result is PromotionResult.UNANSWERED and chosen.is_connected
+            if not is_repeated:
+                break
+        if self.was_unanswered and result in KNOWN_NOT_CARRIED_OUT:
+            return PromotionResult.UNANSWERED
+        return result
+
+    async def send_order_once(
+        self, search: CandidateSearch, chosen: PromotionParticipant
+    ) -> PromotionResult:
+        """Order the promotion and wait until the upstream is the primary."""
+        lease = search.lease
         member = chosen.member
         outcome = await self.order_client.promote(
             PromotionOrder(
@@ -252,18 +304,30 @@
             return PromotionResult.REFUSED
         if isinstance(outcome, Err):
             return PromotionResult.NOT_ACCEPTED
-        self.was_unanswered = outcome == Ok(OrderOutcome.UNANSWERED)
-        deadline_s = boot_time_s() + PRIMARY_WAIT_S
-        while boot_time_s() < deadline_s:
+        is_unanswered = outcome == Ok(OrderOutcome.UNANSWERED)
+        self.was_unanswered = self.was_unanswered or is_unanswered
+        sent_at_s = boot_time_s()
+        while not self.is_wait_over(search.lease, sent_at_s, is_unanswered):
             if await prove_primary(self.group, chosen):
-                await self.end_former_lead(search.former)
+                await self.end_former_lead(
+                    [each for each in search.former if each is not chosen]
+                )
                 return PromotionResult.PROMOTED
-            await search.pause_returned()
+            await search.pause_returned(chosen)
             await asyncio.sleep(PRIMARY_CHECK_PAUSE_S)
-        if self.was_unanswered:
+        if is_unanswered:
             return PromotionResult.UNANSWERED
         return PromotionResult.NOT_PRIMARY
 
+    def is_wait_over(
+        self, lease: PromotionLease, sent_at_s: float, is_unanswered: bool
+    ) -> bool:
+        """Return whether the wait for the effect of an order has ended."""
+        waited_s = boot_time_s() - sent_at_s
+        if is_unanswered and lease.allows_order:
+            return waited_s > REPEAT_AFTER_S
+        return waited_s > PRIMARY_WAIT_S
+
     async def end_former_lead(self, former: list[PromotionParticipant]) -> None:
         """Make the replaced primary a replica if it can be reached.
 
@@ -280,3 +344,16 @@
         """Let the paused replicas receive again."""
         for participant in replicas:
             await participant.resume()
+
+
+async def connect_former(
+    participant: PromotionParticipant, health: PrimaryHealth
+) -> None:
+    """Connect to the primary until now.
+
+    Open connections to a lost one may never reply.
+    """
+    if health is PrimaryHealth.LEAVING:
+        await participant.connect(LEAVING_POOL_WAIT_S)
+    else:
+        await participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
--- a/ebonyrack/promotion/promoter_test.py
+++ b/ebonyrack/promotion/promoter_test.py
@@ -96,6 +96,18 @@
     assert not any(member.paused_below_term for member in system.group.members.values())
 
 
+async def test_pause_by_an_earlier_lease_holder_is_not_resumed(system):
+    # Its order may still be carried out, or was while this replica was cut off.
+    promoter = get_promoter(system)
+    participant = PromotionParticipant(promoter.group.members["up-2"])
+    system.group.members["up-2"].paused_below_term = 5
+    await participant.connect()
+    await participant.pause(6)
+    await participant.resume()
+    assert system.group.members["up-2"].paused_below_term == 6
+    participant.close()
+
+
 async def test_pause_by_a_later_lease_holder_is_not_resumed(system):
     promoter = get_promoter(system)
     participant = PromotionParticipant(promoter.group.members["up-2"])
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -14,6 +14,7 @@
 from ebonyrack.platform.proxy import PlatformProxy
 from ebonyrack.standins.kv_service import KvService
 from ebonyrack.standins.line_group import LineGroup
+from ebonyrack.standins.line_group import LineMember
 from ebonyrack.standins.line_upstream import LineUpstream
 
 GROUP = "scheduling"
@@ -108,6 +109,31 @@
         await end_tasks(self.publisher_tasks.values())
         await self.stack.aclose()
 
+    async def add_upstream(
+        self, member_id: str, address: Address | None = None
+    ) -> LineUpstream:
+        """Start another replica, which receives the primary's log.
+
+        Args:
+            member_id: ID of the upstream.
+            address: Address of a stopped upstream that it takes over, or None.
+        """
+        member = LineMember(member_id)
+        self.group.members[member_id] = member
+        upstream = LineUpstream(self.group, member)
+        if address is not None:
+            upstream.address = address
+        self.upstreams[member_id] = upstream
+        await self.stack.enter_async_context(upstream)
+        await self.publish_entry(upstream)
+        self.publisher_tasks[member_id] = asyncio.create_task(
+            self.publish_entries(upstream)
+        )
+        primary = self.group.primary
+        if primary is not None:
+            self.group.replicate(primary)
+        return upstream
+
     async def add_proxy(self, name: str) -> PlatformProxy:
         """Start a proxy and wait until it is ready."""
         proxy = PlatformProxy(
