Record a repeated order again, and wait out a lost record of one

Cause: an order that is repeated may come up to 8 s after its repetition, but its time counted from the first record. A store that is restored from a copy forgets the record, and a holder is found again after 4 s although the order may come for 8 s (unfenced platforms only).

Change: each sending is recorded, and the time counts from its revision. For 8 s after a proxy has seen a restoration it takes an order for possible and sends none; a proxy that started after it can't know, and waits the 4 s as before. A repetition follows a probe of the successor. Former primary's end and the resuming of replicas moved to the search, so that the promoter stays readable.

Tests: test_no_order_is_sent_while_a_restored_store_may_have_lost_the_record and test_repeated_order_is_awaited_from_its_last_sending. In test_no_other_upstream_is_promoted_while_an_order_may_come the ordered upstream falls silent before orders come in time again (and they come after 4 s instead of 3): its order is repeated now as long as it replies, and the test expects that nobody is promoted. Its assertions are the same.

--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -224,7 +224,7 @@
     def record_outage(self, health: PrimaryHealth) -> None:
         """Record the start or the end of an outage of the primary."""
         now = boot_time_s()
-        is_lost = health not in (PrimaryHealth.SERVING, PrimaryHealth.LEAVING)
+        is_lost = health.is_lost
         if is_lost and self.lost_since_s is None:
             self.lost_since_s = now
         elif not is_lost and self.lost_since_s is not None:
@@ -239,7 +239,7 @@
             self.primary is not None
             and self.changing_since_s is None
             and self.measure_overtime() == 0.0
-            and self.health in (PrimaryHealth.SERVING, PrimaryHealth.LEAVING)
+            and not self.health.is_lost
         )
 
     def measure_change(self) -> float:
--- a/ebonyrack/placing/primary_health.py
+++ b/ebonyrack/placing/primary_health.py
@@ -33,6 +33,11 @@
         """Whether another upstream should be promoted."""
         return self is not PrimaryHealth.SERVING
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the primary serves no requests."""
+        return self not in (PrimaryHealth.SERVING, PrimaryHealth.LEAVING)
+
 
 @dataclass(frozen=True, slots=True)
 class PrimaryObservation:
--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -225,6 +225,26 @@
             if status is not None and not status.is_primary:
                 await participant.pause(self.term)
 
+    async def end_former_lead(self, chosen: PromotionParticipant) -> None:
+        """Make the replaced primary a replica if it can be reached.
+
+        Another proxy may still send it requests; without this it would go on until it
+        reaches the new primary.
+
+        Args:
+            chosen: The new primary.
+        """
+        if self.group.leadership is None:
+            return
+        for participant in self.former:
+            if participant is not chosen:
+                await participant.step_down(self.group.primary_tracker.confirmed_term)
+
+    async def resume(self) -> None:
+        """Let the paused replicas receive again."""
+        for participant in self.replicas:
+            await participant.resume()
+
     def log_unsafe(self) -> None:
         """Log why no replica can be promoted yet."""
         logger.bind(
--- a/ebonyrack/promotion/open_order.py
+++ b/ebonyrack/promotion/open_order.py
@@ -19,6 +19,7 @@
 from ebonyrack.store.leasing_store import StoreItem
 from ebonyrack.store.leasing_store import StoreWrite
 from ebonyrack.store.store_response import StoreError
+from ebonyrack.store.store_response import StoreErrorKind
 
 PREFIX = "ebonyrack/orders/"
 # An order without a response is carried out within this time or never.
@@ -48,15 +49,17 @@
         group: Name of the group.
         seen: The open order that was last seen, or None.
         seen_at_s: Time at which it was first seen, on the boot clock.
+        generation: Generation of the store in which a record was never lost.
     """
 
-    __slots__ = ("store", "group", "seen", "seen_at_s")
+    __slots__ = ("store", "group", "seen", "seen_at_s", "generation")
 
     def __init__(self, store: LeasingStore, group: str) -> None:
         self.store = store
         self.group = group
         self.seen: OpenOrder | None = None
         self.seen_at_s = 0.0
+        self.generation = store.generation
 
     @property
     def key(self) -> str:
@@ -70,12 +73,22 @@
             return None
         return self.seen
 
+    @property
+    def may_be_lost(self) -> bool:
+        """Whether the store was restored while an order may still be carried out."""
+        if self.store.generation == self.generation:
+            return False
+        return boot_time_s() - self.store.generation_seen_s < LATE_ORDER_LIMIT_S
+
     async def read(self) -> Result[OpenOrder | None, StoreError]:
         """Read the record.
 
         Returns:
             The order that may still be carried out, or why it isn't known.
         """
+        if self.may_be_lost:
+            reason = "the store may have forgotten an order"
+            return Err(StoreError(StoreErrorKind.UNKNOWN, reason))
         found = await self.store.read_key(self.key)
         if isinstance(found, Err):
             return found
@@ -83,12 +96,15 @@
         return Ok(self.awaited)
 
     def remember(self, order: OpenOrder | None) -> None:
-        """Remember an open order; its time counts from when it was first seen."""
+        """Remember an open order; its time counts from when it was first seen.
+
+        An order that is repeated is recorded again.
+        """
         known = self.seen
         self.seen = order
         if order is None:
             return
-        if known is None or known.fencing_token != order.fencing_token:
+        if known is None or known.revision != order.revision:
             self.seen_at_s = boot_time_s()
 
     async def write(self, member_id: str, fencing_token: int) -> bool:
--- a/ebonyrack/promotion/open_order_test.py
+++ b/ebonyrack/promotion/open_order_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from result import Err
 
 from ebonyrack.core.position import LogPosition
 from ebonyrack.placing.promotion_candidate import ReplicaState
@@ -30,16 +31,18 @@
 
 async def test_no_other_upstream_is_promoted_while_an_order_may_come(system, caller):
     await caller.write_until_complete("slot-1", TIMEOUT_S)
-    system.service.faults.late_orders_s = 3.0
+    system.service.faults.late_orders_s = 4.0
     await system.upstreams["up-1"].stop()
     while RECORD not in system.service.items:
         await asyncio.sleep(0.02)
     ordered = system.service.items[RECORD].value.split()[0].decode()
     await asyncio.sleep(0.7)
-    system.service.faults.late_orders_s = 0.0
     other = next(name for name in system.upstreams if name not in ("up-1", ordered))
-    # The other replica seems better now, and the ordered one can't be reached.
+    # The other replica seems better now, and the ordered one can't be reached, so that
+    # its order isn't repeated any more.
     system.upstreams[ordered].faults.is_silent = True
+    await asyncio.sleep(0.7)
+    system.service.faults.late_orders_s = 0.0
     await asyncio.sleep(1.5)
     assert system.group.promotions == []
     system.upstreams[ordered].faults.is_silent = False
@@ -86,6 +89,39 @@
     assert system.group.find_lost_entries() == []
 
 
+async def test_no_order_is_sent_while_a_restored_store_may_have_lost_the_record(
+    system, caller, monkeypatch
+):
+    monkeypatch.setattr(open_order, "LATE_ORDER_LIMIT_S", 5.0)
+    proxy = system.proxies[0]
+    record = proxy.proxy.primary_monitors["scheduling"].promoter.open_order
+    await caller.write_until_complete("slot-1", TIMEOUT_S)
+    system.service.take_copy()
+    assert await record.write("up-3", 1)
+    await system.service.restore_copy()
+    assert RECORD not in system.service.items
+    async with asyncio.timeout(TIMEOUT_S):
+        while proxy.store.generation == record.generation:
+            await asyncio.sleep(0.02)
+    # A holder may be found again before the order can't come any more.
+    await system.upstreams["up-1"].stop()
+    async with asyncio.timeout(TIMEOUT_S):
+        while isinstance(await record.read(), Err):
+            assert system.group.promotions == []
+            await asyncio.sleep(0.05)
+    await caller.write_until_complete("slot-2", TIMEOUT_S)
+    assert system.group.find_lost_entries() == []
+
+
+async def test_repeated_order_is_awaited_from_its_last_sending(system, monkeypatch):
+    record = system.proxies[0].proxy.primary_monitors["scheduling"].promoter.open_order
+    assert await record.write("up-2", 1)
+    record.seen_at_s -= open_order.LATE_ORDER_LIMIT_S
+    assert record.awaited is None
+    assert await record.write("up-2", 1)
+    assert record.awaited is not None
+
+
 async def test_record_by_another_writer_is_no_order_to_a_known_upstream(system):
     promoter = system.proxies[0].proxy.primary_monitors["scheduling"].promoter
     await system.service.put(RECORD, b"\xff\xfe")
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -30,6 +30,8 @@
 LOST_PRIMARY_TIMEOUT_S = 0.15
 # Time to wait for a connection of the pool before opening another one.
 POOL_WAIT_S = 0.03
+# The same for a leaving primary.
+PRIMARY_POOL_WAIT_S = 0.3
 # Name under which a promotion waits for a connection.
 POOL_CALLER_NAME = "ebonyrack promotion"
 # Pause before retrying at an upstream whose slots are all in use.
@@ -82,6 +84,17 @@
             return
         await self.request_status(STATUS_REQUEST)
 
+    async def connect_primary(self, is_lost: bool) -> None:
+        """Connect to the primary until now.
+
+        Open connections to a lost one may never reply; those to a leaving one are all
+        in use by callers.
+        """
+        if is_lost:
+            await self.connect_directly(LOST_PRIMARY_TIMEOUT_S)
+        else:
+            await self.connect(PRIMARY_POOL_WAIT_S)
+
     async def connect_directly(self, timeout_s: float) -> None:
         """Open a connection outside the pool and request the status."""
         try:
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -23,7 +23,6 @@
 from ebonyrack.promotion.order import OrderOutcome
 from ebonyrack.promotion.order import PromotionOrder
 from ebonyrack.promotion.order import PromotionOrderClient
-from ebonyrack.promotion.participant import LOST_PRIMARY_TIMEOUT_S
 from ebonyrack.promotion.participant import PromotionParticipant
 from ebonyrack.promotion.planned_change import PlannedChange
 from ebonyrack.promotion.primary_proof import is_serving_primary
@@ -39,8 +38,6 @@
 PRIMARY_WAIT_S = 2.0
 # An order without a response is repeated after this time, while the lease lasts.
 REPEAT_AFTER_S = 0.2
-# Time to wait for a pooled connection to a leaving primary, whose callers use them all.
-LEAVING_POOL_WAIT_S = 0.3
 
 
 class Promoter:
@@ -123,7 +120,7 @@
         try:
             await asyncio.gather(
                 refresh.wait_for_reading(),
-                *(connect_former(each, health) for each in former),
+                *(each.connect_primary(health.is_lost) for each in former),
                 *(each.connect() for each in replicas),
             )
             for participant in replicas:
@@ -181,7 +178,7 @@
         # may lack what they receive from now on.
         is_over = result in KNOWN_NOT_CARRIED_OUT or result is chosen
         if is_over and awaited is None:
-            await self.resume(replicas)
+            await search.resume()
         return result
 
     async def choose_successor(
@@ -219,7 +216,7 @@
             return result
         for former in search.former:
             if former is not chosen and former.is_connected:
-                await self.resume(search.replicas)
+                await search.resume()
                 return await self.order_promotion(search, former, None)
         return result
 
@@ -233,39 +230,17 @@
         search: CandidateSearch,
         chosen: PromotionParticipant,
         awaited: OpenOrder | None,
-    ) -> PromotionResult:
-        """Order the promotion, with a record of the order where it isn't fenced.
-
-        Args:
-            search: The search that found the candidate.
-            chosen: The upstream to be promoted.
-            awaited: An earlier order that may still be carried out, or None.
-
-        Returns:
-            The result of the attempt.
-        """
-        if self.group.leadership is None:
-            return await self.send_order(search, chosen)
-        token = search.lease.fencing_token
-        if not await self.open_order.write(chosen.member.member_id, token):
-            return PromotionResult.NOT_ACCEPTED
-        result = await self.send_order(search, chosen)
-        is_known = result in KNOWN_NOT_CARRIED_OUT or result is PromotionResult.PROMOTED
-        if is_known and awaited is None and not self.was_unanswered:
-            await self.open_order.delete()
-        return result
-
-    async def send_order(
-        self, search: CandidateSearch, chosen: PromotionParticipant
     ) -> PromotionResult:
         """Order the promotion, repeatedly while there is no response.
 
         The token and the upstream stay the same, so it doesn't matter which of the
-        orders is carried out, or whether several are.
+        orders is carried out, or whether several are. Where orders are not fenced, each
+        is recorded first.
 
         Args:
             search: The search that found the candidate.
             chosen: The upstream to be promoted.
+            awaited: An earlier order that may still be carried out, or None.
 
         Returns:
             The result of the attempt.
@@ -273,15 +248,33 @@
         self.was_unanswered = False
         result = PromotionResult.LEASE_NOT_HELD
         while search.lease.allows_order:
-            result = await self.send_order_once(search, chosen)
+            if not await self.record_order(search.lease, chosen):
+                result = PromotionResult.NOT_ACCEPTED
+                break
+            result = await self.send_order(search, chosen)
             is_repeated = result is PromotionResult.UNANSWERED and chosen.is_connected
             if not is_repeated:
                 break
         if self.was_unanswered and result in KNOWN_NOT_CARRIED_OUT:
             return PromotionResult.UNANSWERED
+        is_known = result in KNOWN_NOT_CARRIED_OUT or result is PromotionResult.PROMOTED
+        if is_known and awaited is None and not self.was_unanswered:
+            await self.open_order.delete()
         return result
 
-    async def send_order_once(
+    async def record_order(
+        self, lease: PromotionLease, chosen: PromotionParticipant
+    ) -> bool:
+        """Record an order that is about to be sent, where orders are not fenced.
+
+        Returns:
+            Whether it may be sent.
+        """
+        if self.group.leadership is None:
+            return True
+        return await self.open_order.write(chosen.member.member_id, lease.fencing_token)
+
+    async def send_order(
         self, search: CandidateSearch, chosen: PromotionParticipant
     ) -> PromotionResult:
         """Order the promotion and wait until the upstream is the primary."""
@@ -307,12 +300,12 @@
         is_unanswered = outcome == Ok(OrderOutcome.UNANSWERED)
         self.was_unanswered = self.was_unanswered or is_unanswered
         sent_at_s = boot_time_s()
-        while not self.is_wait_over(search.lease, sent_at_s, is_unanswered):
+        while True:
             if await prove_primary(self.group, chosen):
-                await self.end_former_lead(
-                    [each for each in search.former if each is not chosen]
-                )
+                await search.end_former_lead(chosen)
                 return PromotionResult.PROMOTED
+            if self.is_wait_over(search.lease, sent_at_s, is_unanswered):
+                break
             await search.pause_returned(chosen)
             await asyncio.sleep(PRIMARY_CHECK_PAUSE_S)
         if is_unanswered:
@@ -327,33 +320,3 @@
         if is_unanswered and lease.allows_order:
             return waited_s > REPEAT_AFTER_S
         return waited_s > PRIMARY_WAIT_S
-
-    async def end_former_lead(self, former: list[PromotionParticipant]) -> None:
-        """Make the replaced primary a replica if it can be reached.
-
-        Another proxy may still send it requests; without this it would go on until it
-        reaches the new primary.
-        """
-        if self.group.leadership is None:
-            return
-        term = self.group.primary_tracker.confirmed_term
-        for participant in former:
-            await participant.step_down(term)
-
-    async def resume(self, replicas: list[PromotionParticipant]) -> None:
-        """Let the paused replicas receive again."""
-        for participant in replicas:
-            await participant.resume()
-
-
-async def connect_former(
-    participant: PromotionParticipant, health: PrimaryHealth
-) -> None:
-    """Connect to the primary until now.
-
-    Open connections to a lost one may never reply.
-    """
-    if health is PrimaryHealth.LEAVING:
-        await participant.connect(LEAVING_POOL_WAIT_S)
-    else:
-        await participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
