--- a/ebonyrack/core/route_settings.py
+++ b/ebonyrack/core/route_settings.py
@@ -23,6 +23,8 @@
             refuses outdated orders when it promotes another upstream.
         peer_address: Where other proxies connect; None without links between them.
         processor_share: Processing power of the VM in cores.
+        leaving_limit_s: Seconds for which an upstream that has reported that it is
+            leaving may get work; None for no limit.
     """
 
     name: str
@@ -35,3 +37,4 @@
     is_promotion_fenced: bool = False
     peer_address: Address | None = None
     processor_share: float = 1.0
+    leaving_limit_s: float | None = None
