Let the soak's callers use keys, which are withdrawn meanwhile

Checked of each statement that ran: on a connection of its caller's account, for no key that no version held, and not sent later than 5 s after the withdrawal and the last fault. Draws of its own keep the faults of the known seeds.

Callers of the stand-ins get numbers for their request ids: an address in memory is given to a later caller again.

Tracebacks in logs no longer show the values of variables, which could have been keys, and records show no digests.

--- a/ebonyrack/core/logs.py
+++ b/ebonyrack/core/logs.py
@@ -84,7 +84,13 @@
         atexit.register(writer.stop, EXIT_FLUSH_LIMIT_S)
     logger.remove()
     logger.configure(extra={"proxy": proxy_name})
-    logger.add(write_json_line, level=settings.level.upper(), format="{message}")
+    # Tracebacks must not show the values of variables, which may be callers' keys.
+    logger.add(
+        write_json_line,
+        level=settings.level.upper(),
+        format="{message}",
+        diagnose=False,
+    )
 
 
 def write_json_line(message: Message) -> None:
--- a/ebonyrack/load/soak.py
+++ b/ebonyrack/load/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import tempfile
 from collections import Counter
 from contextlib import AsyncExitStack
@@ -10,6 +11,9 @@
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.load.soak_accounts import ACCOUNTS
+from ebonyrack.load.soak_accounts import APPLY_LIMIT_S
+from ebonyrack.load.soak_accounts import LASTING_KEY
 from ebonyrack.load.soak_caller import SoakCaller
 from ebonyrack.load.soak_daemon import SoakDaemon
 from ebonyrack.load.soak_faults import FAULTS
@@ -21,6 +25,8 @@
 
 # Pauses between the starts of two faults; faults last longer, so they overlap.
 FAULT_PAUSES_S = (0.1, 0.8)
+# Pauses between replacements of an account's key.
+KEY_PAUSES_S = (0.2, 1.0)
 FAULT_DURATIONS_S = (0.2, 2.0)
 # All proxies serve writes within this time after the last fault. It covers the time
 # until the store is stable, a promotion and a restart, also on a busy machine.
@@ -43,16 +49,38 @@
             await wait_for_recovery(system)
             await asyncio.sleep(STABILIZATION_S)
             callers = [
-                SoakCaller(number, system.daemons, options.seed)
+                SoakCaller(number, system.daemons, options.seed, system.accounts)
                 for number in range(options.callers)
             ]
             tasks = [asyncio.create_task(caller.run()) for caller in callers]
+            replacement = asyncio.create_task(replace_keys(system))
             injected = await inject_faults(system)
+            await end_tasks([replacement])
             unrecovered = await wait_for_recovery(system)
+            await withdraw_keys(system)
             await end_tasks(tasks)
             return build_report(system, callers, injected, unrecovered)
 
 
+async def replace_keys(system: SoakSystem) -> None:
+    """Replace a key of some account now and then, until cancelled."""
+    # Draws of its own leave the faults of a seed as they are without accounts.
+    choices = random.Random(system.options.seed)
+    while system.accounts is not None:
+        await asyncio.sleep(choices.uniform(*KEY_PAUSES_S))
+        await system.replace_key(choices.choice(ACCOUNTS))
+
+
+async def withdraw_keys(system: SoakSystem) -> None:
+    """Withdraw a key of each account once all proxies have recovered."""
+    if system.accounts is None:
+        return
+    system.accounts.recovered_s = now_s()
+    for account in ACCOUNTS:
+        await system.replace_key(account)
+    await asyncio.sleep(APPLY_LIMIT_S + STABILIZATION_S)
+
+
 async def inject_faults(system: SoakSystem) -> Counter[str]:
     """Inject random, overlapping faults.
 
@@ -97,7 +125,7 @@
     """Return whether a proxy serves a write."""
     try:
         async with asyncio.timeout(2.0):
-            async with LineCaller(daemon.address, "booking") as caller:
+            async with LineCaller(daemon.address, "booking", LASTING_KEY) as caller:
                 reply = await caller.execute(f"WRITE recovery-{daemon.name} x")
                 return bool(reply) and reply[0].startswith("COMPLETE")
     except (OSError, TimeoutError):
@@ -113,6 +141,8 @@
     """Compare the primary's log with the replies that the callers received."""
     violations = [text for caller in callers for text in caller.ledger.violations]
     violations += [f"{name} did not recover" for name in unrecovered]
+    if system.accounts is not None:
+        violations += system.accounts.find_violations(system.group.records)
     primary = system.group.primary
     stored = Counter(
         data
@@ -136,6 +166,7 @@
         "unknown": sum(len(caller.ledger.unknown) for caller in callers),
         "refused": sum(len(caller.ledger.refused) for caller in callers),
         "promotions": len(system.group.promotions),
+        "withdrawn": len(system.accounts.withdrawn_s) if system.accounts else 0,
         "starts": sum(daemon.start_count for daemon in system.daemons),
         "injected": dict(sorted(injected.items())),
         "faults": violations,
--- a/ebonyrack/load/soak_caller.py
+++ b/ebonyrack/load/soak_caller.py
@@ -8,6 +8,10 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from ebonyrack.core.clock import now_s
+from ebonyrack.load.soak_accounts import ACCOUNTS
+from ebonyrack.load.soak_accounts import SentStatement
+from ebonyrack.load.soak_accounts import SoakAccounts
 from ebonyrack.load.soak_daemon import SoakDaemon
 from ebonyrack.standins.line_system import LineCaller
 
@@ -20,6 +24,9 @@
 # Share of requests that write, and share of writes that use a transaction.
 WRITE_SHARE = 0.4
 TRANSACTION_SHARE = 0.3
+# Share of the sessions that are long, and their number of requests.
+LONG_SHARE = 0.3
+LONG_SESSION = 2000
 
 
 @dataclass(slots=True)
@@ -80,12 +87,22 @@
         daemons: The proxy processes.
         ledger: Outcomes of the caller's writes.
         random: Random number generator of the caller.
+        accounts: Client accounts and their keys, or None.
+        account: Name of its account.
     """
 
-    __slots__ = ("daemons", "ledger", "random")
+    __slots__ = ("daemons", "ledger", "random", "accounts", "account")
 
-    def __init__(self, number: int, daemons: list[SoakDaemon], seed: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        daemons: list[SoakDaemon],
+        seed: int,
+        accounts: SoakAccounts | None = None,
+    ) -> None:
         self.daemons = daemons
+        self.accounts = accounts
+        self.account = ACCOUNTS[number % len(ACCOUNTS)]
         self.ledger = WriteLedger(f"item{number}")
         self.random = random.Random(f"{seed} {number}")
 
@@ -95,6 +112,8 @@
             daemon = self.random.choice(self.daemons)
             database = self.random.choice(["booking", "confirmation"])
             caller = LineCaller(daemon.address, database)
+            if self.accounts is not None:
+                caller.key = self.accounts.choose_key(self.account, self.random)
             with contextlib.suppress(OSError, TimeoutError):
                 async with caller:
                     await self.use_session(caller)
@@ -107,7 +126,7 @@
         # On `confirmation`, reads see the acknowledged writes of their own session, on
         # `booking` those of any session.
         can_check_reads = caller.database == "booking"
-        for _ in range(self.random.randint(1, 30)):
+        for _ in range(self.choose_length()):
             if self.random.random() < WRITE_SHARE:
                 can_check_reads = await self.write(caller) or can_check_reads
             elif can_check_reads:
@@ -115,6 +134,15 @@
                 self.ledger.check_read(reply, caller.database)
             await asyncio.sleep(self.random.uniform(0, 0.02))
 
+    def choose_length(self) -> int:
+        """Return the number of requests of a session.
+
+        With accounts, some sessions outlast their keys.
+        """
+        if self.accounts is not None and self.random.random() < LONG_SHARE:
+            return LONG_SESSION
+        return self.random.randint(1, 30)
+
     async def write(self, caller: LineCaller) -> bool:
         """Write once, maybe in a transaction; return whether it was acknowledged."""
         value = self.ledger.next_value()
@@ -151,8 +179,14 @@
             TimeoutError: If the reply takes longer than `REPLY_TIMEOUT_S`.
             ConnectionResetError: If another reply was incomplete.
         """
-        async with asyncio.timeout(REPLY_TIMEOUT_S):
-            reply = await caller.execute(text)
+        sent_s = now_s()
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                reply = await caller.execute(text)
+        finally:
+            if self.accounts is not None:
+                sent = SentStatement(caller.key, self.account, sent_s)
+                self.accounts.sent[caller.request_id] = sent
         if not reply or not reply[-1].startswith("READY"):
             if text.startswith(("WRITE", "COMMIT")):
                 return []
--- a/ebonyrack/load/soak_faults.py
+++ b/ebonyrack/load/soak_faults.py
@@ -10,7 +10,6 @@
 from ebonyrack.core.registry import Registry
 from ebonyrack.load.soak_system import APPLY_DELAY_S
 from ebonyrack.load.soak_system import SoakSystem
-from ebonyrack.standins.line_system import build_document
 from ebonyrack.standins.line_upstream import LineUpstream
 
 # Long enough for another upstream to be promoted.
@@ -178,8 +177,7 @@
 async def change_routes(system: SoakSystem, duration_s: float) -> None:
     """Write a new version of the routes."""
     system.version += system.random.randint(1, 5)
-    document = build_document(system.version, booking={"timeoutMs": 700})
-    await system.service.put_json("op/config", document)
+    await system.publish_document(system.build_document(booking={"timeoutMs": 700}))
 
 
 @UNFENCED_FAULTS.register("restore_store")
@@ -194,7 +192,7 @@
     await asyncio.sleep(STORE_AWAY_S)
     service.faults.status = 0
     await service.restore_copy()
-    await service.put_json("op/config", build_document(system.version))
+    await system.publish_document(system.build_document())
     for upstream in system.upstreams.values():
         if upstream.server is not None:
             await system.publish_entry(upstream)
--- a/ebonyrack/load/soak_system.py
+++ b/ebonyrack/load/soak_system.py
@@ -5,10 +5,15 @@
 import random
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
+from ebonyrack.core.clock import now_s
 from ebonyrack.load.fault_link import FaultLink
+from ebonyrack.load.soak_accounts import SoakAccounts
 from ebonyrack.load.soak_daemon import SoakDaemon
 from ebonyrack.standins.line_system import LineSystem
+from ebonyrack.standins.line_system import build_document
+from ebonyrack.standins.line_system import require_accounts
 from ebonyrack.standins.line_upstream import LineUpstream
 
 # Time after which replicas apply what they receive, without an injected lag.
@@ -26,6 +31,7 @@
         callers: Number of callers.
         is_promotion_fenced: Whether the platform fences promotions; if not, its store
             is also restored from copies.
+        has_accounts: Whether callers need keys, which are withdrawn now and then.
     """
 
     seed: int
@@ -33,6 +39,7 @@
     proxies: int = 3
     callers: int = 8
     is_promotion_fenced: bool = True
+    has_accounts: bool = False
 
 
 class SoakSystem(LineSystem):
@@ -45,6 +52,7 @@
         daemons: The proxy processes.
         random: Random number generator of the faults.
         version: Version of the newest configuration.
+        accounts: Client accounts and their keys, or None.
     """
 
     def __init__(self, options: SoakOptions, folder: Path) -> None:
@@ -58,6 +66,8 @@
         self.daemons: list[SoakDaemon] = []
         self.random = random.Random(options.seed)
         self.version = 1
+        self.accounts = SoakAccounts() if options.has_accounts else None
+        self.document = self.build_document()
 
     async def start(self) -> None:
         """Start the stand-ins, the fault links and the proxy processes."""
@@ -75,6 +85,25 @@
             )
             self.daemons.append(await self.stack.enter_async_context(daemon))
 
+    def build_document(self, **changes: dict[str, Any]) -> dict[str, Any]:
+        """Return the operators' document as of the current version.
+
+        Args:
+            **changes: Changed fields of a route, by the name of its database.
+        """
+        document = build_document(self.version, **changes)
+        if self.accounts is None:
+            return document
+        return require_accounts(document, self.accounts.keys)
+
+    async def replace_key(self, account: str) -> None:
+        """Give an account another key in place of its oldest one."""
+        assert self.accounts is not None
+        self.version += 1
+        withdrawn = self.accounts.replace_oldest_key(account)
+        await self.publish_document(self.build_document())
+        self.accounts.withdrawn_s[withdrawn] = now_s()
+
     async def publish_entry(self, upstream: LineUpstream, **changes: object) -> None:
         """Write an upstream's entry, with the address of its fault link."""
         link = self.links[upstream.member.member_id]
--- a/ebonyrack/requests/codec.py
+++ b/ebonyrack/requests/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import Protocol
 
 from result import Result
@@ -41,7 +42,7 @@
     """
 
     database: bytes
-    key_digest: bytes
+    key_digest: bytes = field(repr=False)
 
 
 class CallerCodec(Protocol):
--- a/ebonyrack/routes/route.py
+++ b/ebonyrack/routes/route.py
@@ -79,7 +79,7 @@
     routes: dict[bytes, Route] = field(default_factory=dict)
     groups: dict[str, GroupLimits] = field(default_factory=dict)
     accounts: dict[str, ClientAccount] = field(default_factory=dict)
-    account_names: dict[bytes, str] = field(default_factory=dict)
+    account_names: dict[bytes, str] = field(default_factory=dict, repr=False)
     requires_accounts: bool = False
     transaction_idle_s: float = 3.0
     startup_timeout_s: float = 3.0
--- a/ebonyrack/routes/withdrawal.py
+++ b/ebonyrack/routes/withdrawal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 
 from ebonyrack.routes.account import ANONYMOUS
 from ebonyrack.routes.route import RouteTable
@@ -19,7 +20,7 @@
     """
 
     database: bytes
-    key_digest: bytes
+    key_digest: bytes = field(repr=False)
     account: str
 
 
--- a/ebonyrack/scripts/load.py
+++ b/ebonyrack/scripts/load.py
@@ -193,6 +193,7 @@
             arguments.processes,
             arguments.callers,
             not arguments.unfenced,
+            arguments.accounts,
         )
         row = await run_soak(options)
         print(json.dumps(row), flush=True)
--- a/ebonyrack/scripts/load_arguments.py
+++ b/ebonyrack/scripts/load_arguments.py
@@ -48,6 +48,11 @@
         action="store_true",
         help="promotions are not fenced, and the store is restored from copies",
     )
+    soak.add_argument(
+        "--accounts",
+        action="store_true",
+        help="callers need the keys of client accounts, which are withdrawn",
+    )
 
 
 def add_booking(commands: Commands) -> None:
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from contextlib import AsyncExitStack
 from typing import Any
@@ -16,6 +17,8 @@
 from ebonyrack.standins.line_group import LineGroup
 from ebonyrack.standins.line_upstream import LineUpstream
 
+caller_numbers = itertools.count(1)
+
 GROUP = "scheduling"
 MEMBER_IDS = ["up-1", "up-2", "up-3"]
 HEARTBEAT_INTERVAL_S = 0.1
@@ -198,6 +201,7 @@
         database: Database that it connects to.
         key: Its key, or any word where there are no accounts.
         startup_reply: Reply to its startup line.
+        number: Its number.
         request_number: Number of its last request.
     """
 
@@ -206,10 +210,16 @@
         self.database = database
         self.key = key
         self.startup_reply = ""
+        self.number = next(caller_numbers)
         self.request_number = 0
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
+    @property
+    def request_id(self) -> str:
+        """ID of its last request."""
+        return f"{self.number:x}-{self.request_number}"
+
     async def start(self) -> None:
         """Connect and open a session."""
         self.reader, self.writer = await asyncio.open_connection(
@@ -227,9 +237,7 @@
         """Send a statement with a new ID; return the lines of the reply."""
         assert self.writer is not None
         self.request_number += 1
-        self.writer.write(
-            f"QUERY {id(self):x}{self.request_number} {text}\r\n".encode()
-        )
+        self.writer.write(f"QUERY {self.request_id} {text}\r\n".encode())
         return await self.read_reply()
 
     async def write_until_complete(self, item: str, limit_s: float) -> None:
