Show operators who is refused, and count by account

A refused session told neither its caller nor the reason, and a flood of them would have flooded the log: the line has both and its rate is limited. New metrics: sessions refused by error, requests by account and outcome, where at most 20 large accounts have labels (serving/account_labels) and the rest is `other`.

The soak with accounts joins the tests, and the storm of versions checks the account of each statement, now that connections are opened by account.

--- a/ebonyrack/core/line_stream.py
+++ b/ebonyrack/core/line_stream.py
@@ -72,6 +72,14 @@
         if self.transport is not None:
             self.transport.close()
 
+    @property
+    def peer(self) -> str:
+        """Host and port of the other side; empty if they are not known."""
+        if self.transport is None:
+            return ""
+        name = self.transport.get_extra_info("peername")
+        return f"{name[0]}:{name[1]}" if name else ""
+
     @property
     def has_line(self) -> bool:
         """Whether a whole line has arrived that nobody has read."""
--- a/ebonyrack/core/metrics.py
+++ b/ebonyrack/core/metrics.py
@@ -17,6 +17,13 @@
 answer_time = meter.create_histogram(
     "ebonyrack_answer", unit="s", description="Time to an answer, by kind of request"
 )
+account_requests = meter.create_counter(
+    "ebonyrack_account_requests",
+    description="Requests answered, by client account (the largest) and outcome",
+)
+sessions_refused = meter.create_counter(
+    "ebonyrack_sessions_refused", description="Sessions not opened, by kind of error"
+)
 placements = meter.create_counter(
     "ebonyrack_placements", description="Requests placed, by group, role and reason"
 )
--- a/ebonyrack/entry/accounts_test.py
+++ b/ebonyrack/entry/accounts_test.py
@@ -1,5 +1,14 @@
 """Callers identified by the keys of client accounts."""
 
+import asyncio
+import json
+
+import pytest
+from loguru import logger
+
+from ebonyrack.core import logs
+from ebonyrack.requests.codec import Startup
+from ebonyrack.routes.account import digest_key
 from ebonyrack.standins.line_system import build_document
 from ebonyrack.standins.line_system import require_accounts
 
@@ -34,6 +43,16 @@
     assert caller.startup_reply.startswith("ERROR DENIED")
 
 
+async def test_statements_run_on_connections_of_their_account(system, connect):
+    await system.change_document(build_version(2))
+    callers = [await connect("booking", key=key) for key in ("key-1", "key-3")]
+    for caller in callers * 3:
+        await caller.execute(f"READ {caller.key}")
+    accounts = {(each.text, each.account) for each in system.group.records}
+    runs = {each for each in accounts if each[0].startswith("READ")}
+    assert runs == {("READ key-1", "bode960"), ("READ key-3", "palu17")}
+
+
 async def test_malformed_startup_takes_nothing_down(system, connect):
     await system.change_document(build_version(2))
     served = await connect("booking", key="key-1")
@@ -41,3 +60,49 @@
         caller = await connect("booking", key=key)
         assert not caller.startup_reply.startswith("READY")
     assert (await served.execute("READ slot-1"))[0] == "DATAROW none"
+
+
+@pytest.fixture
+def log_lines(monkeypatch):
+    """Collect the lines of the log as a daemon writes them."""
+
+    class Options:
+        level = "debug"
+        decision_sampling = 1.0
+
+    class Writer:
+        def put(self, line):
+            lines.append(line)
+
+    lines = []
+    monkeypatch.setattr(logs, "writer", Writer())
+    logs.start_logging(Options(), "proxy-0")
+    yield lines
+    logger.remove()
+
+
+async def test_no_key_stands_in_the_log(system, connect, log_lines, monkeypatch):
+    await system.change_document(build_version(2, {"bode960": ["secret-1"]}))
+    served = await connect("booking", key="secret-1")
+    await served.execute("READ slot-1")
+    await connect("booking", key="secret-2")
+    document = build_version(3, {"bode960": ["secret-1"], "palu17": ["secret-1"]})
+    await system.publish_document(document)
+    while not any("routes_rejected" in line for line in log_lines):
+        await asyncio.sleep(0.01)
+    await system.change_document(build_version(4, {"bode960": []}))
+
+    def fail(services, route, key_digest):
+        secret = "secret-3"
+        raise ValueError(len(secret))
+
+    monkeypatch.setattr("ebonyrack.serving.services.Services.find_account", fail)
+    await connect("booking", key="secret-3")
+    text = "".join(log_lines)
+    events = {json.loads(line)["event"] for line in log_lines}
+    assert events >= {"session_refused", "account_withdrawn", "caller_task_failed"}
+    assert "secret-1" not in text and "secret-2" not in text
+    # The source line that raises is shown, the values of its variables are not.
+    assert "'secret-3'" not in text and "key_digest=" not in text
+    startup = Startup(b"booking", digest_key(b"secret-1"))
+    assert repr(startup.key_digest) not in repr(startup)
--- a/ebonyrack/entry/caller_connection.py
+++ b/ebonyrack/entry/caller_connection.py
@@ -7,10 +7,12 @@
 from loguru import logger
 from result import Err
 
+from ebonyrack.core import metrics
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import StreamLostError
+from ebonyrack.core.logs import log_failure
 from ebonyrack.requests.codec import BadRequest
 from ebonyrack.requests.codec import CallerCodec
 from ebonyrack.requests.reply import Answer
@@ -87,12 +89,15 @@
             route = self.services.find_route(startup.database)
             account = self.services.find_account(route, startup.key_digest)
         except RequestError as error:
-            logger.bind(
+            metrics.sessions_refused.add(1, {"error": str(error.kind)})
+            log_failure(
+                "session_refused",
+                caller=self.stream.peer,
                 database=startup.database.decode("utf-8", "replace"),
                 error=str(error.kind),
                 reason=error.reason,
                 version=self.services.routes.table.version,
-            ).info("session_refused")
+            )
             self.refuse_session(error)
             return False
         self.session = Session(self.services, startup, account)
--- a/ebonyrack/entry/withdrawn_keys_test.py
+++ b/ebonyrack/entry/withdrawn_keys_test.py
@@ -216,5 +216,10 @@
                 reply = []
             assert (count_runs(system, text) > runs) == may_run
             assert bool(reply and reply[0] == "DATAROW none") == may_run
+            assert all(
+                each.account == account
+                for each in system.group.records
+                if each.text == text
+            )
             if not may_run:
                 del sessions[text]
--- a/ebonyrack/load/soak_test.py
+++ b/ebonyrack/load/soak_test.py
@@ -31,6 +31,14 @@
     assert row["acknowledged"] > 0
 
 
+async def test_guarantees_hold_while_keys_are_withdrawn():
+    options = SoakOptions(1, 6.0, proxies=2, callers=6, has_accounts=True)
+    row = await run_soak(options)
+    assert row["faults"] == []
+    assert row["acknowledged"] > 0
+    assert row["withdrawn"] > 0
+
+
 async def test_overlapping_crashes_restart_the_upstream_once():
     group = LineGroup("scheduling", ["up-1"])
     async with LineUpstream(group, group.members["up-1"]) as upstream:
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -13,6 +13,7 @@
 from ebonyrack.routes.route import Route
 from ebonyrack.routes.state import RouteState
 from ebonyrack.service.drain import Drain
+from ebonyrack.serving.account_labels import AccountLabels
 
 
 @dataclass(slots=True)
@@ -24,12 +25,14 @@
         routes: Routes in force.
         groups: Database groups by name.
         drain: Life cycle state of the proxy.
+        account_labels: Labels of client accounts in metrics.
     """
 
     settings: RouteProxySettings
     routes: RouteState = field(default_factory=RouteState)
     groups: dict[str, Group] = field(default_factory=dict)
     drain: Drain = field(default_factory=Drain)
+    account_labels: AccountLabels = field(default_factory=AccountLabels)
 
     def find_route(self, database: bytes) -> Route:
         """Return the route of a database.
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -137,6 +137,9 @@
         outcome = "served" if answer.error is None else str(answer.error.kind)
         metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
         metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
+        if self.identity.account != ANONYMOUS:
+            label = self.services.account_labels.count_request(self.identity.account)
+            metrics.account_requests.add(1, {"account": label, "outcome": outcome})
         if answer.error is not None:
             route = self.services.routes.table.routes.get(self.database)
             log_failure(
