--- a/ebonyrack/members/session_context.py
+++ b/ebonyrack/members/session_context.py
@@ -47,7 +47,7 @@
     Attributes:
         values: Value by name.
         prepared: Prepared statement by the caller's name.
-        account: Name of the client account; empty for an anonymous caller.
+        account: Name of the client account; empty for anonymous callers.
     """
 
     values: dict[bytes, bytes] = field(default_factory=dict)
