Let requests wait by client account

Requests waited by the name of the database, so an account at many times its usual rate took the turns of all others on its route, and callers that rest in transactions could hold every connection of a pool.

With accounts, requests wait in one queue for each account, weighted by its priority; inside it by the route's priority, then by arrival. A request that can't end in time, or whose caller has left, is refused when that is known (at arrival, and after every release). Refused callers are told the time at which a fair order would reach them. An account takes at most a quarter of a queue; a transaction of an account that already rests in one doesn't get the last connection. Reads count the time of opening a connection where none of their account is idle.

--- a/ebonyrack/entry/caller_connection.py
+++ b/ebonyrack/entry/caller_connection.py
@@ -95,6 +95,7 @@
             self.refuse_session(error)
             return False
         self.session = Session(self.services, startup, account)
+        self.session.context.has_left = self.is_caller_gone
         self.stream.write(self.codec.encode_started())
         return True
 
@@ -131,6 +132,10 @@
             self.stream.write(self.codec.encode_answer(answer))
             await self.stream.drain()
 
+    def is_caller_gone(self) -> bool:
+        """Whether the caller has closed the connection."""
+        return self.stream.lost_reason is not None
+
     def is_finished(self) -> bool:
         """Whether the session is closing and has no open transaction."""
         if not self.is_closing or self.session is None:
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -272,6 +272,8 @@
             database.decode("utf-8", "replace"): PRIORITY_WEIGHTS.get(route.priority, 1)
             for database, route in table.routes.items()
         }
+        for account in table.accounts.values():
+            weights[account.name] = PRIORITY_WEIGHTS.get(account.priority, 1)
         for group in groups.values():
             group.set_weights(weights)
 
--- a/ebonyrack/members/read_candidates.py
+++ b/ebonyrack/members/read_candidates.py
@@ -27,6 +27,7 @@
     Attributes:
         position: Position that it must see; None if it requires the primary.
         caller: Name under which it waits in queues.
+        account: Client account whose connections it uses; empty for none.
         work_class: Class with which it is shed.
         shedding_draw: Random number from 0 to 1; the read is shed if it is below the
             shed share of its class.
@@ -34,6 +35,7 @@
 
     position: LogPosition | None
     caller: str
+    account: str
     work_class: WorkClass
     shedding_draw: float
 
@@ -121,7 +123,7 @@
         or now < member.deprioritized_until_s,
         is_shed=is_shed(group, member, read),
         latency_s=member.expected_reply_s,
-        expected_wait_s=member.pool.estimate_wait(read.caller),
+        expected_wait_s=member.pool.estimate_wait(read.caller, read.account),
     )
 
 
--- a/ebonyrack/members/session_context.py
+++ b/ebonyrack/members/session_context.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from functools import lru_cache
 
+from ebonyrack.pooling.fair_order import never_leaves
+
 # Callers prepare few distinct statements, each of them in many sessions.
 NAME_CACHE_SIZE = 4096
 
@@ -48,8 +51,10 @@
         values: Value by name.
         prepared: Prepared statement by the caller's name.
         account: Name of the client account; empty for anonymous callers.
+        has_left: Returns whether the caller has closed its session.
     """
 
     values: dict[bytes, bytes] = field(default_factory=dict)
     prepared: dict[bytes, PreparedStatement] = field(default_factory=dict)
     account: str = ""
+    has_left: Callable[[], bool] = never_leaves
--- a/ebonyrack/pooling/accounts_test.py
+++ b/ebonyrack/pooling/accounts_test.py
@@ -2,13 +2,16 @@
 
 import asyncio
 
+import pytest
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.errors import RequestError
 from ebonyrack.members.member import MemberQueueSettings
+from ebonyrack.pooling.fair_order import WorkTerms
 from ebonyrack.pooling.pool import Pool
 
 LIMIT = 3
@@ -88,6 +91,22 @@
     assert not held[0].is_clean
 
 
+async def test_work_of_a_caller_that_left_takes_no_connection():
+    upstream = FakeUpstream()
+    held = [await upstream.acquire("haulier") for _ in range(LIMIT)]
+    terms = WorkTerms(has_left=lambda: True)
+    left = asyncio.create_task(
+        upstream.pool.acquire("buyer", now_s() + WAIT_S, "buyer", terms)
+    )
+    staying = asyncio.create_task(upstream.acquire("clerk"))
+    await let_tasks_run()
+    upstream.pool.release(held[0])
+    await let_tasks_run()
+    assert staying.result().account == "clerk"
+    with pytest.raises(RequestError):
+        await left
+
+
 async def let_tasks_run():
     for _ in range(10):
         await asyncio.sleep(0)
--- a/ebonyrack/pooling/admission.py
+++ b/ebonyrack/pooling/admission.py
@@ -4,97 +4,43 @@
 
 import asyncio
 import itertools
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
-from typing import Any
 
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.pooling.account_retry import AccountRetries
+from ebonyrack.pooling.fair_order import FairOrder
+from ebonyrack.pooling.fair_order import Waiter
 from ebonyrack.pooling.wait_estimator import WaitEstimator
 
+# Largest share of the queue that the requests of one client account take.
+MAXIMUM_ACCOUNT_SHARE = 0.25
 
-class Waiter:
-    """A request that waits for a connection.
-
-    Attributes:
-        caller: Name of the requesting application.
-        deadline_s: Monotonic time at which the request gives up.
-        number: Sequence number of its arrival.
-        account: Client account whose connections it may use; None for any.
-        granted: Future resolved to what the request is granted; None until the request
-            is queued.
-    """
-
-    __slots__ = ("caller", "deadline_s", "number", "account", "granted")
-
-    def __init__(
-        self, caller: str, deadline_s: float, number: int, account: str | None = ""
-    ) -> None:
-        self.caller = caller
-        self.deadline_s = deadline_s
-        self.number = number
-        self.account = account
-        self.granted: asyncio.Future[Any] | None = None
 
+class AdmissionQueue(FairOrder):
+    """Bounded queue that serves callers in proportion to their weights.
 
-@dataclass(slots=True)
-class CallerQueue:
-    """The waiters of one application.
-
-    Attributes:
-        weight: Weight of the application relative to the others.
-        progress: Grants so far divided by the weight, in the queue's virtual time.
-        waiters: Waiters in order of arrival.
-    """
-
-    weight: int
-    progress: float = 0.0
-    waiters: deque[Waiter] = field(default_factory=deque)
-
-
-class AdmissionQueue:
-    """Bounded queue that serves applications in proportion to their weights.
-
-    The application with the least progress is served next (stride scheduling), so
-    a flood from one application takes no more than that application's share. When the
-    queue is full, the newest waiter of the application with the most waiters for its
-    weight is refused in favour of an application with fewer.
+    A flood from one caller takes no more than that caller's share. When the queue is
+    full, the newest waiter of the caller with the most waiters for its weight is
+    refused in favour of a caller with fewer.
 
     Attributes:
         limit: Largest number of waiters.
-        weights: Weight by application; others count 1.
-        callers: Queues of the applications that have waiters.
-        virtual_time: Progress of the application served last.
-        count: Number of waiters.
         estimator: Estimates waits from the service times of its requests.
+        retries: Retry-after times of the client accounts.
         arrivals: Sequence numbers for requests in the order of arrival.
     """
 
-    __slots__ = (
-        "limit",
-        "weights",
-        "callers",
-        "virtual_time",
-        "count",
-        "estimator",
-        "arrivals",
-    )
+    __slots__ = ("limit", "estimator", "retries", "arrivals")
 
     def __init__(self, limit: int) -> None:
+        super().__init__()
         self.limit = limit
-        self.weights: dict[str, int] = {}
-        self.callers: dict[str, CallerQueue] = {}
-        self.virtual_time = 0.0
-        self.count = 0
         self.estimator = WaitEstimator()
+        self.retries = AccountRetries()
         self.arrivals = itertools.count()
 
-    def __len__(self) -> int:
-        return self.count
-
     def add(self, waiter: Waiter, servers: int) -> None:
         """Queue a request, or refuse it at once.
 
@@ -106,66 +52,28 @@
             RequestError: WAIT_TOO_LONG if the expected wait ends after the deadline,
                 QUEUE_FULL if the queue has no room for it.
         """
-        expected_s = self.estimate_wait(waiter.caller, servers)
+        priority = waiter.terms.priority if waiter.account else None
+        expected_s = self.estimate_wait(waiter.caller, servers, priority)
         if now_s() + expected_s > waiter.deadline_s:
             raise self.build_refusal(
-                ErrorKind.WAIT_TOO_LONG, f"expected wait {expected_s:.3f} s", servers
+                ErrorKind.WAIT_TOO_LONG,
+                f"expected wait {expected_s:.3f} s",
+                servers,
+                waiter,
             )
+        self.check_account_bound(waiter, servers)
         if self.count >= self.limit:
-            self.make_room(waiter.caller, servers)
+            self.make_room(waiter, servers)
         self.insert(waiter)
 
     def insert(self, waiter: Waiter) -> None:
-        """Insert a request into its application's queue, in the order of arrival.
+        """Insert a request into its queue and create the future of its grant.
 
         Args:
             waiter: The request, which may have been granted a slot before.
         """
         waiter.granted = asyncio.get_running_loop().create_future()
-        queue = self.callers.get(waiter.caller)
-        if queue is None:
-            weight = self.weights.get(waiter.caller, 1)
-            queue = CallerQueue(weight, self.virtual_time)
-            self.callers[waiter.caller] = queue
-        index = len(queue.waiters)
-        while index > 0 and queue.waiters[index - 1].number > waiter.number:
-            index -= 1
-        queue.waiters.insert(index, waiter)
-        self.count += 1
-
-    def pop(self) -> Waiter | None:
-        """Remove and return the waiter to serve next, or None."""
-        if not self.callers:
-            return None
-        name, queue = min(self.callers.items(), key=lambda item: item[1].progress)
-        waiter = queue.waiters.popleft()
-        self.virtual_time = queue.progress
-        queue.progress += 1 / queue.weight
-        self.drop_if_empty(name)
-        self.count -= 1
-        return waiter
-
-    def discard(self, waiter: Waiter) -> None:
-        """Remove a waiter that gives up; ignore one that has left the queue already.
-
-        Args:
-            waiter: The waiter.
-        """
-        queue = self.callers.get(waiter.caller)
-        if queue is None or waiter not in queue.waiters:
-            return
-        queue.waiters.remove(waiter)
-        self.drop_if_empty(waiter.caller)
-        self.count -= 1
-
-    def drop_if_empty(self, name: str) -> None:
-        """Remove the queue of an application that has no waiters.
-
-        Args:
-            name: Name of the application.
-        """
-        if not self.callers[name].waiters:
-            del self.callers[name]
+        super().insert(waiter)
 
     def fail_all(self, build_error: Callable[[], Exception]) -> None:
         """End every wait with an error.
@@ -176,31 +84,43 @@
         while (waiter := self.pop()) is not None:
             fail_waiter(waiter, build_error())
 
-    def make_room(self, caller: str, servers: int) -> None:
-        """Refuse the newest waiter of the application with the most for its weight.
+    def check_account_bound(self, waiter: Waiter, servers: int) -> None:
+        """Refuse a request whose account takes its share of the queue.
+
+        Args:
+            waiter: The request.
+            servers: Connections that serve the queue.
+
+        Raises:
+            RequestError: QUEUE_FULL if the account has too many waiters.
+        """
+        bound = max(1.0, MAXIMUM_ACCOUNT_SHARE * self.limit)
+        if waiter.account and self.count_waiting(waiter.caller) >= bound:
+            raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers, waiter)
+
+    def make_room(self, waiter: Waiter, servers: int) -> None:
+        """Refuse the newest waiter of the caller with the most for its weight.
 
         Args:
-            caller: Application of the request that needs room in the queue.
+            waiter: The request that needs room in the queue.
             servers: Connections that serve the queue.
 
         Raises:
-            RequestError: QUEUE_FULL if no other application has more waiters for its
-                weight.
+            RequestError: QUEUE_FULL if no other caller has more waiters for its weight.
         """
         name = self.find_fullest()
         fullest = self.callers[name]
-        caller_queue = self.callers.get(caller)
-        waiting_count = len(caller_queue.waiters) if caller_queue is not None else 0
+        waiting_count = self.count_waiting(waiter.caller)
         load = len(fullest.waiters) / fullest.weight
-        if (waiting_count + 1) / self.weights.get(caller, 1) >= load:
-            raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers)
+        if (waiting_count + 1) / self.get_weight(waiter.caller) >= load:
+            raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers, waiter)
         self.refuse_newest(name, servers)
 
     def requeue(self, waiter: Waiter, servers: int) -> None:
         """Queue a request again whose granted slot could not be used.
 
         It keeps its place in the order of arrival. If the queue has filled up
-        meanwhile, the newest waiter of the application with the most waiters for its
+        meanwhile, the newest waiter of the caller with the most waiters for its
         weight is refused.
 
         Args:
@@ -211,54 +131,75 @@
         if self.count > self.limit:
             self.refuse_newest(self.find_fullest(), servers)
 
-    def find_fullest(self) -> str:
-        """Return the application with the most waiters for its weight."""
-        return max(
-            self.callers,
-            key=lambda name: (
-                len(self.callers[name].waiters) / self.callers[name].weight
-            ),
-        )
-
     def refuse_newest(self, name: str, servers: int) -> None:
-        """Refuse the newest waiter of an application.
+        """Refuse the newest waiter of a caller.
 
         Args:
-            name: Name of the application.
+            name: Name of the caller.
             servers: Connections that serve the queue.
         """
         waiter = self.callers[name].waiters[-1]
         self.discard(waiter)
-        fail_waiter(waiter, self.build_refusal(ErrorKind.QUEUE_FULL, "", servers))
+        fail_waiter(
+            waiter, self.build_refusal(ErrorKind.QUEUE_FULL, "", servers, waiter)
+        )
 
-    def estimate_wait(self, caller: str, servers: int) -> float:
-        """Return the expected wait of a new request of an application, in seconds.
+    def refuse_hopeless(self, servers: int) -> None:
+        """Refuse waiting requests of accounts that can't be served in time any more.
 
         Args:
-            caller: Name of the application.
             servers: Connections that serve the queue.
         """
-        caller_queue = self.callers.get(caller)
-        rank = 1 + (len(caller_queue.waiters) if caller_queue is not None else 0)
-        weight = self.weights.get(caller, 1)
-        ahead = float(rank)
-        for name, queue in self.callers.items():
-            if name != caller:
-                ahead += min(len(queue.waiters), rank * queue.weight / weight)
-        return self.estimator.estimate_wait(ahead, servers)
-
-    def build_refusal(self, kind: ErrorKind, reason: str, servers: int) -> RequestError:
+        interval_s = self.estimator.estimate_wait(1, servers)
+        service_s = self.estimator.service_s
+        for waiter in self.list_hopeless(now_s(), interval_s, service_s):
+            self.discard(waiter)
+            refusal = self.build_refusal(
+                ErrorKind.WAIT_TOO_LONG, "its turn comes too late", servers, waiter
+            )
+            fail_waiter(waiter, refusal)
+
+    def estimate_wait(
+        self, caller: str, servers: int, priority: int | None = None
+    ) -> float:
+        """Return the expected wait of a new request of a caller, in seconds.
+
+        Args:
+            caller: Name in whose queue it would wait.
+            servers: Connections that serve the queue.
+            priority: Importance among the requests of the caller; None for the least.
+        """
+        rank = 1 + self.count_waiting(caller, priority)
+        return self.estimator.estimate_wait(self.count_turns(caller, rank), servers)
+
+    def build_refusal(
+        self,
+        kind: ErrorKind,
+        reason: str,
+        servers: int,
+        waiter: Waiter | None = None,
+    ) -> RequestError:
         """Build a refusal with a retry-after time.
 
         Args:
             kind: Kind of refusal.
             reason: Why the request is refused.
             servers: Connections that serve the queue.
+            waiter: The request, if the time depends on its account.
 
         Returns:
             The error.
         """
-        retry_after_s = self.estimator.schedule_retry(self.count, servers)
+        if waiter is None or not waiter.account:
+            retry_after_s = self.estimator.schedule_retry(self.count, servers)
+        else:
+            retry_after_s = self.retries.schedule(
+                waiter.caller,
+                self.estimate_wait(waiter.caller, servers),
+                self.estimator.estimate_wait(1, servers),
+                self.weights,
+                now_s(),
+            )
         return RequestError(kind, reason, retry_after_s)
 
 
--- a/ebonyrack/pooling/admission_test.py
+++ b/ebonyrack/pooling/admission_test.py
@@ -7,7 +7,7 @@
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.pooling.admission import AdmissionQueue
-from ebonyrack.pooling.admission import Waiter
+from ebonyrack.pooling.fair_order import Waiter
 from ebonyrack.pooling.wait_estimator import MAXIMUM_RETRY_S
 from ebonyrack.pooling.wait_estimator import RETRY_JITTER
 
--- a/ebonyrack/pooling/connection_opener.py
+++ b/ebonyrack/pooling/connection_opener.py
@@ -14,6 +14,9 @@
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 
 OPEN_TIMEOUT_S = 2.0
+INITIAL_OPENING_S = 0.015
+# Weight of the newest measurement in the moving average of opening times.
+OPENING_SMOOTHING = 0.1
 
 Connection = TypeVar("Connection", bound=PooledConnection)
 Connect = Callable[[float, str], Awaitable[Connection]]
@@ -27,14 +30,16 @@
         connect: Opens one connection within a given number of seconds, for a client
             account.
         attempts: Tasks of the attempts in progress.
+        opening_s: Moving average of the time of an opening, in seconds.
     """
 
-    __slots__ = ("address", "connect", "attempts")
+    __slots__ = ("address", "connect", "attempts", "opening_s")
 
     def __init__(self, address: Address, connect: Connect[Connection]) -> None:
         self.address = address
         self.connect = connect
         self.attempts: set[asyncio.Task[Connection]] = set()
+        self.opening_s = INITIAL_OPENING_S
 
     async def open(self, deadline_s: float, account: str) -> Connection:
         """Open a connection.
@@ -51,6 +56,7 @@
             UpstreamLostError: If the upstream refuses or can't be reached, or the
                 attempts were cancelled.
         """
+        started_s = now_s()
         timeout_s = max(0.0, min(OPEN_TIMEOUT_S, deadline_s - now_s()))
         attempt = asyncio.ensure_future(self.connect(timeout_s, account))
         self.attempts.add(attempt)
@@ -63,7 +69,9 @@
             self.attempts.discard(attempt)
         if attempt.cancelled():
             raise build_not_accepting_error(self.address)
-        return attempt.result()
+        connection = attempt.result()
+        self.opening_s += OPENING_SMOOTHING * (now_s() - started_s - self.opening_s)
+        return connection
 
     def cancel_attempts(self) -> None:
         """Cancel every attempt."""
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -14,12 +14,14 @@
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.pooling.admission import AdmissionQueue
-from ebonyrack.pooling.admission import Waiter
 from ebonyrack.pooling.connection_opener import OPEN_TIMEOUT_S
 from ebonyrack.pooling.connection_opener import Connect
 from ebonyrack.pooling.connection_opener import Connection
 from ebonyrack.pooling.connection_opener import ConnectionOpener
 from ebonyrack.pooling.connection_opener import build_not_accepting_error
+from ebonyrack.pooling.fair_order import DEFAULT_TERMS
+from ebonyrack.pooling.fair_order import Waiter
+from ebonyrack.pooling.fair_order import WorkTerms
 from ebonyrack.pooling.pool_slots import PoolSlots
 from ebonyrack.pooling.pooled_connection import QueueSettings
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
@@ -69,15 +71,19 @@
         """Number of requests that wait for a slot."""
         return len(self.queue)
 
-    def estimate_wait(self, caller: str) -> float:
+    def estimate_wait(self, caller: str, account: str = "") -> float:
         """Return the expected wait of a new request for a connection, in seconds.
 
         Args:
             caller: Name of the requesting application.
+            account: Client account that the connection must have been opened for.
         """
+        opening_s = 0.0
+        if account and self.find_idle(account) is None:
+            opening_s = self.opener.opening_s
         if not self.queue and self.has_free_slot():
-            return 0.0
-        return self.queue.estimate_wait(caller, self.servers)
+            return opening_s
+        return opening_s + self.queue.estimate_wait(caller, self.servers)
 
     def set_weights(self, weights: dict[str, int]) -> None:
         """Set the weights of the applications in the queue.
@@ -88,7 +94,11 @@
         self.queue.weights = weights
 
     async def acquire(
-        self, caller: str, deadline_s: float, account: str | None = ""
+        self,
+        caller: str,
+        deadline_s: float,
+        account: str | None = "",
+        terms: WorkTerms = DEFAULT_TERMS,
     ) -> Connection:
         """Wait for a connection.
 
@@ -98,6 +108,7 @@
             account: Client account that the connection must have been opened for, or
                 empty for the proxy's own name. None accepts any connection, for the
                 proxy's own requests.
+            terms: How work of a client account is queued.
 
         Returns:
             A clean connection, held until `release`.
@@ -108,8 +119,8 @@
                 reached.
         """
         self.check_accepting()
-        waiter = Waiter(caller, deadline_s, next(self.queue.arrivals), account)
-        if not self.queue and self.has_free_slot():
+        waiter = Waiter(caller, deadline_s, next(self.queue.arrivals), account, terms)
+        if not self.queue and self.may_serve(waiter):
             connection = self.take_slot(account)
         else:
             self.queue.limit = self.section.queue_limit
@@ -125,12 +136,18 @@
         if not self.is_accepting:
             raise build_not_accepting_error(self.address)
 
+    def may_serve(self, waiter: Waiter) -> bool:
+        """Return whether there is a free slot that a request may take."""
+        return self.has_free_slot(waiter.account, waiter.terms.begins_transaction)
+
     def grant_slots(self) -> None:
-        """Serve waiters as long as there are free slots."""
+        """Serve waiters as long as there are free slots that they may take."""
+        if self.queue:
+            self.queue.refuse_hopeless(self.servers)
         while self.queue and self.is_accepting and self.has_free_slot():
-            waiter = self.queue.pop()
+            waiter = self.queue.pop(self.may_serve)
             if waiter is None or waiter.granted is None:
-                continue
+                return
             granted = waiter.granted
             if not granted.done():
                 granted.set_result(self.take_slot(waiter.account))
@@ -156,7 +173,7 @@
         except TimeoutError:
             self.return_grant(waiter)
             raise self.queue.build_refusal(
-                ErrorKind.WAIT_TOO_LONG, "the deadline passed", self.servers
+                ErrorKind.WAIT_TOO_LONG, "the deadline passed", self.servers, waiter
             ) from None
         except asyncio.CancelledError:
             self.return_grant(waiter)
--- a/ebonyrack/pooling/pool_slots.py
+++ b/ebonyrack/pooling/pool_slots.py
@@ -8,6 +8,7 @@
 from ebonyrack.pooling.connection_limit import REFUSAL_HOLD_S
 from ebonyrack.pooling.connection_limit import ConnectionLimit
 from ebonyrack.pooling.connection_opener import Connection
+from ebonyrack.pooling.transaction_reserve import may_take_last
 
 # Connections above the limit while transactions are idle. An upstream accepts some more
 # connections than the shares of all proxies add up to.
@@ -69,8 +70,13 @@
 
     @property
     def servers(self) -> int:
-        """Number of connections that may be used at once now."""
-        return min(self.size_limit.current, self.concurrency_limit.current)
+        """Number of connections that serve requests now.
+
+        Those in which a caller of a client account rests serve nobody else.
+        """
+        resting = sum(bool(each.account) for each in self.list_resting())
+        free = max(1, self.size_limit.current - resting)
+        return min(free, self.concurrency_limit.current)
 
     @property
     def working_count(self) -> int:
@@ -96,14 +102,35 @@
         """Serve waiters as long as there are free slots; implemented by the pool."""
         raise NotImplementedError
 
-    def has_free_slot(self) -> bool:
-        """Whether a caller can be served without waiting for a release."""
+    def list_resting(self) -> list[Connection]:
+        """Return the connections in whose transactions the callers rest."""
+        return [each for each in self.busy if each.is_idle_in_transaction]
+
+    def has_free_slot(
+        self, account: str | None = None, begins_transaction: bool = False
+    ) -> bool:
+        """Whether a request can be served without waiting for a release.
+
+        Args:
+            account: Its client account, or None for no bound by account.
+            begins_transaction: Whether it begins a transaction.
+        """
         if self.working_count >= self.concurrency_limit.current:
             return False
         self.remove_lost_idle()
-        if self.idle or self.open_count < self.current_limit:
-            return True
-        return self.may_overflow()
+        free = len(self.idle) + max(0, self.current_limit - self.open_count)
+        if free > 1 or not account:
+            return free > 0 or self.may_overflow()
+        resting = sum(each.account == account for each in self.list_resting())
+        may_use_last = may_take_last(begins_transaction, resting)
+        if free == 1:
+            return may_use_last or not self.was_refused_lately
+        return may_use_last and self.may_overflow()
+
+    @property
+    def was_refused_lately(self) -> bool:
+        """Whether the upstream refused a connection a short time ago."""
+        return now_s() - self.refused_at_s < REFUSAL_HOLD_S
 
     def may_overflow(self) -> bool:
         """Whether a connection above the limit may be opened.
@@ -112,11 +139,10 @@
         and then stay idle would block all others. The extra connection is closed when
         it is released. None is opened shortly after the upstream has refused one.
         """
-        if now_s() - self.refused_at_s < REFUSAL_HOLD_S:
+        if self.was_refused_lately:
             return False
-        has_idle_transaction = any(each.is_idle_in_transaction for each in self.busy)
         return (
-            has_idle_transaction
+            bool(self.list_resting())
             and self.open_count < self.limit + MAXIMUM_OVERFLOW_CONNECTIONS
         )
 
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -145,13 +145,18 @@
         queued_at_s = now_s()
         try:
             link = await member.pool.acquire(
-                statement.caller, statement.connection_deadline_s, statement.account
+                statement.caller,
+                statement.connection_deadline_s,
+                statement.account,
+                statement.build_work_terms(begins_transaction=False),
             )
         except UpstreamLostError as error:
             self.record_lost(member, error.reason)
             return None
         except RequestError as error:
-            member.deprioritize()
+            if not statement.account:
+                # The queue of an account says nothing about the other accounts.
+                member.deprioritize()
             self.check_alternatives(error)
             return None
         started_s = now_s()
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -18,6 +18,8 @@
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
 from ebonyrack.placing.shedding import WorkClass
+from ebonyrack.pooling.fair_order import DEFAULT_TERMS
+from ebonyrack.pooling.fair_order import WorkTerms
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import RequestKind
@@ -61,7 +63,9 @@
 
     @property
     def caller(self) -> str:
-        """Name under which it waits in queues: the database of its route."""
+        """Name under which it waits in queues: its account, else its database."""
+        if self.account:
+            return self.account
         return self.route.database.decode("utf-8", "replace")
 
     @property
@@ -96,6 +100,16 @@
             return self.prepared.writes
         return self.request.kind is RequestKind.WRITE
 
+    def build_work_terms(self, begins_transaction: bool) -> WorkTerms:
+        """Return how it waits for a connection.
+
+        Args:
+            begins_transaction: Whether it begins a transaction.
+        """
+        if not self.account:
+            return DEFAULT_TERMS
+        return WorkTerms(self.route.priority, begins_transaction, self.context.has_left)
+
     def build_placement_request(self, position: LogPosition | None) -> PlacementRequest:
         """Return what its placement depends on.
 
@@ -104,17 +118,21 @@
         """
         route = self.route
         work_class = WorkClass(route.priority, route.target_latency_s)
-        return PlacementRequest(position, self.caller, work_class, self.shedding_draw)
+        return PlacementRequest(
+            position, self.caller, self.account, work_class, self.shedding_draw
+        )
 
     def check_deadline(self, was_sent: bool) -> None:
-        """Fail a statement whose deadline has passed.
+        """Fail a statement whose deadline has passed or whose caller has left.
 
         Args:
             was_sent: Whether it was sent to an upstream.
 
         Raises:
-            RequestError: If its deadline has passed.
+            RequestError: If it can't be served any more.
         """
+        if self.account and not was_sent and self.context.has_left():
+            raise RequestError(ErrorKind.WAIT_TOO_LONG, "the caller has left")
         if self.remaining_s > 0:
             return
         if was_sent:
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -155,14 +155,19 @@
             tried.add(member.member_id)
             try:
                 link = await member.pool.acquire(
-                    statement.caller, statement.connection_deadline_s, statement.account
+                    statement.caller,
+                    statement.connection_deadline_s,
+                    statement.account,
+                    statement.build_work_terms(begins_transaction=True),
                 )
             except UpstreamLostError as error:
                 member.deprioritize()
                 reason = error.reason
                 continue
             except RequestError:
-                member.deprioritize()
+                if not statement.account:
+                    # The queue of an account says nothing about the other accounts.
+                    member.deprioritize()
                 has_alternative = len(tried) < len(self.group.members)
                 if self.requirement.position is None or not has_alternative:
                     raise
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -78,7 +78,10 @@
     """
     try:
         link = await member.pool.acquire(
-            statement.caller, statement.connection_deadline_s, statement.account
+            statement.caller,
+            statement.connection_deadline_s,
+            statement.account,
+            statement.build_work_terms(begins_transaction=False),
         )
     except UpstreamLostError as error:
         return error.reason
