--- a/ebonyrack/core/route_settings.py
+++ b/ebonyrack/core/route_settings.py
@@ -27,6 +27,8 @@
             the limits of client accounts; None if it has none.
         limit_overshoot: Part of a limit by which a window may be above it.
         limit_slack: Operations by which a window may be above that.
+        leaving_limit_s: Seconds for which an upstream that has reported that it is
+            leaving may get work; None for no limit.
     """
 
     name: str
@@ -42,3 +44,4 @@
     limit_window_s: float | None = None
     limit_overshoot: float = 0.0
     limit_slack: float = 0.0
+    leaving_limit_s: float | None = None
--- a/ebonyrack/platform/settings_file.py
+++ b/ebonyrack/platform/settings_file.py
@@ -17,6 +17,8 @@
 # Environment variable in which the platform passes the path of the file.
 PATH_VARIABLE = "EBONYRACK_NODE_FILE"
 
+MS_PER_S = 1000.0
+
 ConfigErrors = tuple[ConfigError, ...]
 
 
@@ -44,6 +46,15 @@
     return value
 
 
+def read_milliseconds(text: str) -> float:
+    """Parse a duration in milliseconds; return it in seconds.
+
+    Raises:
+        ValueError: If it is not a finite number above 0.
+    """
+    return read_seconds(text) / MS_PER_S
+
+
 def read_nonempty(text: str) -> str:
     """Return a string that must not be empty.
 
@@ -101,6 +112,7 @@
     ("limit_window_s", "bounds.quotaWindowS", read_seconds),
     ("limit_overshoot", "bounds.quotaOvershoot", read_nonnegative),
     ("limit_slack", "bounds.quotaSlack", read_nonnegative),
+    ("leaving_limit_s", "bounds.drainMs", read_milliseconds),
 )
 # Attribute of the settings, keys in the file that it is built of, their parser. An
 # attribute keeps its default unless the file has all of them.
@@ -112,6 +124,7 @@
 OPTIONAL_KEYS = frozenset(
     {
         "bounds.requireFencing",
+        "bounds.drainMs",
         "bounds.quotaWindowS",
         "bounds.quotaOvershoot",
         "bounds.quotaSlack",
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -14,6 +14,7 @@
 from ebonyrack.routes.route import Route
 from ebonyrack.routes.state import RouteState
 from ebonyrack.service.drain import Drain
+from ebonyrack.serving.account_labels import AccountLabels
 
 
 @dataclass(slots=True)
@@ -26,6 +27,7 @@
         groups: Database groups by name.
         drain: Life cycle state of the proxy.
         limiter: Keeps the limits of client accounts; None where there are none.
+        account_labels: Labels of client accounts in metrics.
     """
 
     settings: RouteProxySettings
@@ -33,6 +35,7 @@
     groups: dict[str, Group] = field(default_factory=dict)
     drain: Drain = field(default_factory=Drain)
     limiter: FleetLimiter | None = None
+    account_labels: AccountLabels = field(default_factory=AccountLabels)
 
     def find_route(self, database: bytes) -> Route:
         """Return the route of a database.
