--- a/ebonyrack/limits/shard.py
+++ b/ebonyrack/limits/shard.py
@@ -4,9 +4,11 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
 
 SHARD_COUNT = 8
 DIGEST_BYTES = 8
+SHARD_CACHE_SIZE = 4096
 
 
 def hash_text(text: str) -> int:
@@ -15,6 +17,7 @@
     return int.from_bytes(digest, "big")
 
 
+@lru_cache(maxsize=SHARD_CACHE_SIZE)
 def find_shard(account: str) -> int:
     """Return the shard of an account."""
     return hash_text(account) % SHARD_COUNT
--- a/ebonyrack/platform/documents_test.py
+++ b/ebonyrack/platform/documents_test.py
@@ -50,6 +50,23 @@
     assert settings.grace_s == 6.0
 
 
+BOUNDS = """\
+bounds.quotaWindowS=5
+bounds.quotaOvershoot=0.1
+bounds.quotaSlack=20
+"""
+
+
+def test_bounds_of_limits_are_optional():
+    settings = parse_settings(SETTINGS, "boot.conf").ok_value
+    assert settings.limit_window_s is None
+    settings = parse_settings(SETTINGS + BOUNDS, "boot.conf").ok_value
+    assert settings.limit_window_s == 5.0
+    assert (settings.limit_overshoot, settings.limit_slack) == (0.1, 20.0)
+    text = SETTINGS + BOUNDS.replace("0.1", "-0.1").replace("=20", "=inf")
+    assert len(parse_settings(text, "boot.conf").err_value) == 2
+
+
 NETWORK = """\
 ip=10.1.0.8
 internalPorts=7440,7455
