--- a/ebonyrack/entry/accounts_test.py
+++ b/ebonyrack/entry/accounts_test.py
@@ -7,11 +7,13 @@
 from loguru import logger
 
 from ebonyrack.core import logs
+from ebonyrack.core import metrics
 from ebonyrack.requests.codec import Startup
 from ebonyrack.routes.account import digest_key
 from ebonyrack.standins.line_system import build_document
 from ebonyrack.standins.line_system import require_accounts
 
+LIMIT_S = 3.0
 KEYS = {"bode960": ["key-1", "key-2"], "palu17": ["key-3"]}
 
 
@@ -53,6 +55,24 @@
     assert runs == {("READ key-1", "bode960"), ("READ key-3", "palu17")}
 
 
+async def test_metrics_of_accounts_are_recorded(system, connect, monkeypatch):
+    class Recorder:
+        def __init__(self):
+            self.labels = []
+
+        def add(self, amount, labels):
+            self.labels.append(labels)
+
+    requests, refused = Recorder(), Recorder()
+    monkeypatch.setattr(metrics, "account_requests", requests)
+    monkeypatch.setattr(metrics, "sessions_refused", refused)
+    await system.change_document(build_version(2))
+    await (await connect("booking", key="key-1")).execute("READ slot-1")
+    await connect("booking", key="key-9")
+    assert requests.labels == [{"account": "other", "outcome": "served"}]
+    assert refused.labels == [{"error": "unknown_account"}]
+
+
 async def test_malformed_startup_takes_nothing_down(system, connect):
     await system.change_document(build_version(2))
     served = await connect("booking", key="key-1")
@@ -62,6 +82,32 @@
     assert (await served.execute("READ slot-1"))[0] == "DATAROW none"
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"STARTUP\r\n",
+        b"STARTUP booking\r\n",
+        b"STARTUP  key-1\r\n",
+        b"startup booking key-1\r\n",
+        b"\xff\xfe\x00\r\n",
+        b"STARTUP booking \xff\xfe\r\n",
+        b"STARTUP \xff key-1\r\n",
+        b"\r\n",
+        b"QUERY 1 READ slot-1\r\n",
+    ],
+)
+async def test_startup_of_any_bytes_is_refused(system, connect, data):
+    await system.change_document(build_version(2))
+    served = await connect("booking", key="key-1")
+    address = system.proxies[0].proxy.settings.caller_address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(data)
+    async with asyncio.timeout(LIMIT_S):
+        assert (await reader.read()).startswith(b"ERROR ")
+    writer.close()
+    assert (await served.execute("READ slot-1"))[0] == "DATAROW none"
+
+
 @pytest.fixture
 def log_lines(monkeypatch):
     """Collect the lines of the log as a daemon writes them."""
--- a/ebonyrack/routes/state.py
+++ b/ebonyrack/routes/state.py
@@ -48,6 +48,7 @@
             version=table.version,
             previous=previous,
             routes=len(table.routes),
+            accounts=len(table.accounts),
             source=source,
         ).info("routes_in_force")
         for callback in tuple(self.callbacks):
--- a/ebonyrack/service/proxy_test.py
+++ b/ebonyrack/service/proxy_test.py
@@ -254,6 +254,9 @@
 async def test_every_metric_is_recorded(monkeypatch):
     names = [name for name in vars(metrics) if hasattr(vars(metrics)[name], "_name")]
     names.remove("meter")
+    # The proxy for routes records these, see entry/accounts_test.py.
+    names.remove("account_requests")
+    names.remove("sessions_refused")
     assert len(names) == 8
     recorders = {name: Recorder() for name in names}
     for name, recorder in recorders.items():
