--- a/ebonyrack/entry/account_connections_test.py
+++ b/ebonyrack/entry/account_connections_test.py
@@ -25,7 +25,7 @@
             for caller in callers.values():
                 (*_, ready) = await caller.execute(text)
                 assert ready.startswith("READY")
-    accounts = {f"{id(caller):x}": name for name, caller in callers.items()}
+    accounts = {f"{caller.number:x}-": name for name, caller in callers.items()}
     counted = 0
     for record in system.group.records:
         for prefix, name in accounts.items():
