--- a/ebonyrack/core/metrics.py
+++ b/ebonyrack/core/metrics.py
@@ -35,6 +35,13 @@
 peer_bytes = meter.create_counter(
     "ebonyrack_peer_bytes", unit="By", description="Bytes exchanged with peers"
 )
+handed_over = meter.create_counter(
+    "ebonyrack_handed_over", description="Statements handed to homes, by outcome"
+)
+served_for_others = meter.create_counter(
+    "ebonyrack_served_for_others",
+    description="Statements served for other proxies, by outcome",
+)
 
 
 def start_metrics(address: Address | None) -> None:
--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -58,21 +58,31 @@
         promoter: Promotes another upstream to primary.
         is_discovery_complete: Returns whether all upstreams have had time to be
             discovered.
+        is_left_to_others: Returns whether other proxies probe and replace the primary.
         tasks: The tasks that check the primary and replace it.
         probes: Probes in flight, by upstream.
     """
 
-    __slots__ = ("group", "promoter", "is_discovery_complete", "tasks", "probes")
+    __slots__ = (
+        "group",
+        "promoter",
+        "is_discovery_complete",
+        "is_left_to_others",
+        "tasks",
+        "probes",
+    )
 
     def __init__(
         self,
         group: Group,
         promoter: Promoter,
         is_discovery_complete: Callable[[], bool],
+        is_left_to_others: Callable[[], bool] = lambda: False,
     ) -> None:
         self.group = group
         self.promoter = promoter
         self.is_discovery_complete = is_discovery_complete
+        self.is_left_to_others = is_left_to_others
         self.tasks: list[asyncio.Task[None]] = []
         self.probes: dict[str, asyncio.Task[None]] = {}
 
@@ -94,8 +104,11 @@
             pauses.schedule(CHECK_INTERVAL_S)
             await self.group.changed.wait(CHECK_INTERVAL_S * random.uniform(0.8, 1.2))
             self.handle_pause(pauses.measure_pause())
-            self.probe_silent()
             self.group.trim_idle_connections()
+            if self.is_left_to_others():
+                self.forget_unused()
+                continue
+            self.probe_silent()
             primary = self.group.primary
             if self.group.changing_since_s is not None:
                 self.start_leadership_check()
@@ -106,6 +119,13 @@
                 self.start_probe(primary)
             self.group.update_health()
 
+    def forget_unused(self) -> None:
+        """Forget failures of upstreams that this proxy doesn't probe any more."""
+        for member in self.group.members.values():
+            if not member.liveness.unanswered:
+                member.liveness.reset_silence()
+        self.group.update_health()
+
     def is_sample_due(self) -> bool:
         """Whether the position sample of the primary is due to be renewed."""
         is_costly = self.group.is_short_of_connections
@@ -202,6 +222,8 @@
             health = self.group.health
             if not health.needs_promotion or not self.group.members:
                 continue
+            if self.is_left_to_others():
+                continue
             if not self.is_discovery_complete():
                 continue
             await asyncio.sleep(random.uniform(0, PROMOTION_JITTER_S))
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -20,6 +20,9 @@
 from ebonyrack.entry.listener import BALANCER_REMOVAL_S
 from ebonyrack.entry.listener import Listener
 from ebonyrack.entry.primary_monitor import PrimaryMonitor
+from ebonyrack.handover.asking import HomeAsker
+from ebonyrack.handover.front import Front
+from ebonyrack.handover.home import Home
 from ebonyrack.members.directory import DecodeEntry
 from ebonyrack.members.directory import UpstreamDirectory
 from ebonyrack.members.group import Group
@@ -27,6 +30,8 @@
 from ebonyrack.members.presence import Presence
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.peers.proxy_links import ProxyLinks
+from ebonyrack.placing.homes import HomePlan
+from ebonyrack.placing.homes import plan_homes
 from ebonyrack.placing.primary_health import MISSING_ENTRY_LIMIT_S
 from ebonyrack.promotion.order import PromotionOrderClient
 from ebonyrack.promotion.promoter import Promoter
@@ -100,6 +105,8 @@
         directory: The upstreams that are registered in the store.
         presence: The live proxies.
         links: Links to other proxies.
+        home_asker: Asks the homes of groups.
+        home: Serves the work that other proxies hand to this one.
         store_availability: Whether the store answers.
         followers: Apply changes of entries, routes and proxies in the store.
         listener: Accepts callers' connections.
@@ -125,6 +132,9 @@
             build_entry(settings),
         )
         self.links = ProxyLinks(settings, lambda: self.presence.proxies)
+        self.home_asker = HomeAsker(self.links, settings.data_centre)
+        self.home = Home(self.services, self.links)
+        self.services.remote = Front(self.home_asker, self.services.routes)
         store = dependencies.store
         self.store_availability = StoreAvailability()
         self.followers = (
@@ -207,7 +217,8 @@
 
     async def start(self) -> None:
         """Start all components."""
-        await self.stack.enter_async_context(self.links)
+        for component in (self.links, self.home_asker, self.home):
+            await self.stack.enter_async_context(component)
         await self.stack.enter_async_context(self.listener)
         for follower in self.followers:
             await self.stack.enter_async_context(follower)
@@ -236,7 +247,10 @@
             Number of sessions that the shutdown cut.
         """
         await self.services.drain.requested.wait()
-        cut_sessions = await self.listener.drain(self.settings.grace_s)
+        cut_sessions, _ = await asyncio.gather(
+            self.listener.drain(self.settings.grace_s),
+            self.home.drain(self.settings.grace_s),
+        )
         self.services.drain.finish()
         logger.bind(cut_sessions=cut_sessions).info("proxy_drained")
         return cut_sessions
@@ -292,7 +306,12 @@
             self.dependencies.orders,
             self.settings.name,
         )
-        monitor = PrimaryMonitor(group, promoter, self.is_discovery_complete)
+        monitor = PrimaryMonitor(
+            group,
+            promoter,
+            self.is_discovery_complete,
+            lambda: group.hands_work_over and self.home_asker.is_in_reach(group),
+        )
         self.primary_monitors[group.name] = monitor
         await monitor.start()
 
@@ -311,8 +330,24 @@
 
     def update_connection_shares(self) -> None:
         """Set this proxy's share of the connections to the upstreams."""
+        live_count = self.presence.live_count
         for group in self.services.groups.values():
-            group.update_connection_share(self.presence.live_count)
+            group.homes = self.plan_homes(group)
+            group.is_home = (
+                group.homes is not None and self.settings.name in group.homes.homes
+            )
+            group.update_connection_share(live_count)
+
+    def plan_homes(self, group: Group) -> HomePlan | None:
+        """Choose the homes of a group; None if each proxy has its own connections."""
+        if self.presence.entry is None:
+            return None
+        return plan_homes(
+            group.name,
+            group.limits.maximum_connections,
+            self.presence.live_count,
+            self.presence.proxies.values(),
+        )
 
     async def monitor_connectivity(self) -> None:
         """Handle isolation and missing upstreams, until cancelled."""
--- /dev/null
+++ b/ebonyrack/handover/question.py
@@ -0,0 +1,97 @@
+"""What a proxy tells a home of a statement, and reads in the home's answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ebonyrack.core.errors import ErrorKind
+from ebonyrack.core.errors import RequestError
+from ebonyrack.core.position import LogPosition
+from ebonyrack.handover.asking import NoAnswer
+from ebonyrack.handover.statement_messages import HandedAnswer
+from ebonyrack.handover.statement_messages import HandedStatement
+from ebonyrack.requests.reply import Reply
+from ebonyrack.requests.request import RequestKind
+from ebonyrack.serving.statement import Statement
+
+# Homes that are asked for one statement.
+MAXIMUM_HOMES = 2
+# A home ends a statement by itself at its deadline; its answer may be a little later.
+LATE_ANSWER_S = 1.0
+# Errors of a home that another one may not have; they are sent only if nothing ran.
+ERRORS_OF_ONE_HOME = frozenset(
+    {
+        ErrorKind.NO_PRIMARY,
+        ErrorKind.NO_UPSTREAM,
+        ErrorKind.CUT_OFF,
+        ErrorKind.SHUTTING_DOWN,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class TransactionStep:
+    """The transaction to which a handed statement belongs.
+
+    Attributes:
+        number: Number of the transaction, 0 outside of one.
+        begins: Kind of the request that begins it before the statement, or None.
+    """
+
+    number: int = 0
+    begins: RequestKind | None = None
+
+
+OUTSIDE = TransactionStep()
+
+
+def build_question(
+    statement: Statement,
+    last_commit: LogPosition | None,
+    step: TransactionStep,
+    version: int,
+) -> HandedStatement:
+    """Build the message that hands a statement over."""
+    request, prepared = statement.request, statement.prepared
+    position = [] if last_commit is None else [last_commit.term, last_commit.offset]
+    return HandedStatement(
+        version=version,
+        database=statement.route.database,
+        account=statement.context.account,
+        transaction=step.number,
+        begins=str(step.begins) if step.begins is not None else "",
+        kind=str(request.kind),
+        request_id=request.request_id,
+        text=request.text,
+        name=request.name,
+        argument=request.argument,
+        prepared_text=prepared.text if prepared is not None else None,
+        prepared_writes=prepared is not None and prepared.writes,
+        values=statement.context.values,
+        last_commit=position,
+        waited_s=max(0.0, statement.elapsed_s),
+    )
+
+
+def name_outcome(answer: HandedAnswer | NoAnswer) -> str:
+    """Return the outcome of a handed statement, for logs and metrics."""
+    if isinstance(answer, NoAnswer):
+        return "unanswered" if answer.may_have_run else "not_run"
+    return answer.error or "served"
+
+
+def is_served_elsewhere(answer: HandedAnswer) -> bool:
+    """Return whether another home may serve a statement that one rejected."""
+    return answer.error in ERRORS_OF_ONE_HOME
+
+
+def read_answer(answer: HandedAnswer) -> Reply:
+    """Return the reply in a home's answer.
+
+    Raises:
+        RequestError: If the statement failed at the home.
+    """
+    if answer.error:
+        raise RequestError(ErrorKind(answer.error), answer.reason, answer.retry_after_s)
+    position = LogPosition(*answer.position) if answer.position else None
+    return Reply(rows=answer.rows, signature=answer.signature, position=position)
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -14,6 +14,8 @@
 from ebonyrack.placing.connection_share import compute_idle_limit
 from ebonyrack.placing.connection_share import compute_share
 from ebonyrack.placing.connection_share import is_short_of_connections
+from ebonyrack.placing.homes import DIRECT_SHARE
+from ebonyrack.placing.homes import HomePlan
 from ebonyrack.placing.shedding import ReadDemand
 from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.routes.route import GroupLimits
@@ -40,6 +42,9 @@
         started_s: Time since which the proxy serves the group, on the boot clock.
         live_proxies: Number of proxies known to be alive, including this one.
         connection_share: Connections to each upstream that this proxy may hold.
+        homes: The proxies that hold the connections to the upstreams; None if each
+            proxy has connections of its own.
+        is_home: Whether this proxy is one of them.
         queue_weights: Queue weight by database.
         demand: Recent reads of the group by class.
         leadership: Checks that the primary still leads; None where the platform ends
@@ -53,6 +58,8 @@
         "started_s",
         "live_proxies",
         "connection_share",
+        "homes",
+        "is_home",
         "queue_weights",
         "demand",
         "leadership",
@@ -71,6 +78,8 @@
         self.codec = codec
         super().__init__()
         self.started_s = boot_time_s()
+        self.homes: HomePlan | None = None
+        self.is_home = False
         self.update_connection_share(live_proxies)
         self.queue_weights: dict[str, int] = {}
         self.demand = ReadDemand()
@@ -100,13 +109,21 @@
         Args:
             live_proxies: Number of proxies known to be alive, including this one.
         """
-        share = compute_share(self.limits.maximum_connections, live_proxies)
+        if self.homes is None:
+            share = compute_share(self.limits.maximum_connections, live_proxies)
+        else:
+            share = self.homes.connection_share if self.is_home else DIRECT_SHARE
         self.live_proxies = live_proxies
         self.connection_share = share
         for member in self.members.values():
             if member.pool.limit != share:
                 member.pool.resize(share)
 
+    @property
+    def hands_work_over(self) -> bool:
+        """Whether other proxies hold the connections to the upstreams."""
+        return self.homes is not None and not self.is_home
+
     @property
     def is_short_of_connections(self) -> bool:
         """Whether connections from before the proxy's start may use up the limit."""
@@ -118,6 +135,10 @@
     def trim_idle_connections(self) -> None:
         """Close idle connections above the limit."""
         for member in self.members.values():
+            if self.hands_work_over:
+                member.pool.keeps_idle_connections = False
+                member.pool.trim_idle(0, 0.0)
+                continue
             is_primary = member is self.primary
             member.pool.keeps_idle_connections = not (
                 is_primary and self.is_short_of_connections
@@ -148,7 +169,8 @@
                 member.known_since_s = boot_time_s()
             member.pool.set_weights(self.queue_weights)
             member.pool.keeps_idle_connections = not (
-                entry.reports_primary and self.is_short_of_connections
+                self.hands_work_over
+                or (entry.reports_primary and self.is_short_of_connections)
             )
             self.members[entry.member_id] = member
             logger.bind(
--- a/ebonyrack/members/session_context.py
+++ b/ebonyrack/members/session_context.py
@@ -48,8 +48,11 @@
         values: Value by name.
         prepared: Prepared statement by the caller's name.
         account: Name of the client account; empty for anonymous callers.
+        waited_s: Seconds for which the current request waited at another proxy that
+            handed it to this one.
     """
 
     values: dict[bytes, bytes] = field(default_factory=dict)
     prepared: dict[bytes, PreparedStatement] = field(default_factory=dict)
     account: str = ""
+    waited_s: float = 0.0
--- a/ebonyrack/peers/proxy_links.py
+++ b/ebonyrack/peers/proxy_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -178,6 +179,17 @@
         if link is not None:
             link.send(message)
 
+    def is_linked(self, proxy: str) -> bool:
+        """Whether a link to a proxy is open."""
+        link = self.links.get(proxy)
+        return link is not None and link.is_usable
+
+    def prepare(self, proxy: str) -> None:
+        """Start to open a link to a proxy, unless there is one."""
+        if not self.is_linked(proxy) and self.is_reachable(proxy):
+            with contextlib.suppress(PeerLostError):
+                self.start_dial(proxy)
+
     async def find_link(self, proxy: str) -> ProxyLink:
         """Return the link to a proxy; dial it if there is none.
 
@@ -187,17 +199,26 @@
         link = self.links.get(proxy)
         if link is not None and link.is_usable:
             return link
+        return await asyncio.shield(self.start_dial(proxy))
+
+    def start_dial(self, proxy: str) -> asyncio.Task[ProxyLink]:
+        """Start to open a link to a proxy, or return the attempt that is under way.
+
+        Raises:
+            PeerLostError: If there can't be a link now.
+        """
         dial = self.dials.get(proxy)
-        if dial is None:
-            entry = self.list_proxies().get(proxy)
-            if entry is None or self.server is None:
-                raise PeerLostError(f"{proxy} has no address for links")
-            if now_s() < self.dial_after_s.get(proxy, 0.0):
-                raise PeerLostError(f"{proxy} could not be reached lately")
-            dial = asyncio.create_task(self.dial(entry))
-            self.dials[proxy] = dial
-            dial.add_done_callback(lambda ended: self.record_dial(proxy, ended))
-        return await asyncio.shield(dial)
+        if dial is not None:
+            return dial
+        entry = self.list_proxies().get(proxy)
+        if entry is None or self.server is None:
+            raise PeerLostError(f"{proxy} has no address for links")
+        if now_s() < self.dial_after_s.get(proxy, 0.0):
+            raise PeerLostError(f"{proxy} could not be reached lately")
+        dial = asyncio.create_task(self.dial(entry))
+        self.dials[proxy] = dial
+        dial.add_done_callback(lambda ended: self.record_dial(proxy, ended))
+        return dial
 
     async def dial(self, entry: ProxyEntry) -> ProxyLink:
         """Open a link to a proxy."""
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -13,6 +13,7 @@
 from ebonyrack.routes.route import Route
 from ebonyrack.routes.state import RouteState
 from ebonyrack.service.drain import Drain
+from ebonyrack.serving.remote import RemoteServing
 
 
 @dataclass(slots=True)
@@ -24,12 +25,15 @@
         routes: Routes in force.
         groups: Database groups by name.
         drain: Life cycle state of the proxy.
+        remote: Serves the work of groups whose connections other proxies hold; None
+            if this proxy has no links to others.
     """
 
     settings: RouteProxySettings
     routes: RouteState = field(default_factory=RouteState)
     groups: dict[str, Group] = field(default_factory=dict)
     drain: Drain = field(default_factory=Drain)
+    remote: RemoteServing | None = None
 
     def find_route(self, database: bytes) -> Route:
         """Return the route of a database.
@@ -71,6 +75,10 @@
             )
         return account
 
+    def find_remote(self, group: Group) -> RemoteServing | None:
+        """Return what serves a group's work at other proxies; None to serve it here."""
+        return self.remote if group.hands_work_over else None
+
     def find_group(self, route: Route) -> Group:
         """Return the group that serves a route.
 
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -14,6 +14,7 @@
 from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.registry import Registry
+from ebonyrack.members.group import Group
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
 from ebonyrack.requests.codec import Startup
@@ -25,6 +26,8 @@
 from ebonyrack.routes.account import ANONYMOUS
 from ebonyrack.routes.account import ClientAccount
 from ebonyrack.serving.reading import serve_read
+from ebonyrack.serving.remote import RemoteServing
+from ebonyrack.serving.remote import Transaction
 from ebonyrack.serving.services import Services
 from ebonyrack.serving.statement import build_statement
 from ebonyrack.serving.transaction import CallerTransaction
@@ -46,6 +49,8 @@
         context: The caller's session values and prepared statements.
         last_commit: Group and position of the session's newest commit, or None.
         transaction: The open transaction, or None.
+        is_handed_over: Whether another proxy handed the work to this one, which has
+            admitted it and doesn't hand it on.
     """
 
     __slots__ = (
@@ -55,6 +60,7 @@
         "context",
         "last_commit",
         "transaction",
+        "is_handed_over",
     )
 
     def __init__(
@@ -67,7 +73,8 @@
             account=account.name if account is not None else ANONYMOUS
         )
         self.last_commit: tuple[str, LogPosition] | None = None
-        self.transaction: CallerTransaction | None = None
+        self.transaction: Transaction | None = None
+        self.is_handed_over = False
 
     @property
     def state(self) -> TransactionState:
@@ -133,6 +140,10 @@
                 elapsed_s=round(elapsed_s, 4),
             )
 
+    def find_remote(self, group: Group) -> RemoteServing | None:
+        """Return what serves a group's work at other proxies; None to serve it here."""
+        return None if self.is_handed_over else self.services.find_remote(group)
+
     def find_last_commit(self, group: str) -> LogPosition | None:
         """Return the position of the session's newest commit in a group."""
         if self.last_commit is None or self.last_commit[0] != group:
@@ -188,11 +199,16 @@
     route = session.services.find_route(session.database)
     group = session.services.find_group(route)
     statement = build_statement(request, route, group, session.context)
-    if statement.writes:
+    last_commit = session.find_last_commit(group.name)
+    remote = session.find_remote(group)
+    if remote is not None:
+        reply = await remote.serve_statement(statement, last_commit)
+    elif statement.writes:
         reply = await serve_write(statement)
-        session.record_commit(group.name, reply)
     else:
-        reply = await serve_read(statement, session.find_last_commit(group.name))
+        reply = await serve_read(statement, last_commit)
+    if statement.writes:
+        session.record_commit(group.name, reply)
     return build_answer(session, reply)
 
 
@@ -203,6 +219,12 @@
     route = session.services.find_route(session.database)
     group = session.services.find_group(route)
     is_read_only = request.kind is RequestKind.BEGIN_READ_ONLY
+    remote = session.find_remote(group)
+    if remote is not None:
+        session.transaction = remote.begin_transaction(
+            route, group, is_read_only, session.find_last_commit(group.name)
+        )
+        return Answer(session.state)
     if not is_read_only:
         await group.wait_for_primary(now_s() + route.statement_timeout_s)
     session.transaction = CallerTransaction(
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -145,7 +145,7 @@
             prepared.upstream_name,
             request.argument,
         )
-    now = now_s()
+    now = now_s() - context.waited_s
     return Statement(
         request=request,
         prepared=prepared,
