Hand work to the proxies that hold a group's connections

Cause: with 118 or 300 proxies in front of upstreams that accept 73 connections, an equal share is below one connection: some proxies never get one, others open one for each statement.

The others hold no idle connection to that group, probe nothing and replace no primary while a home answers, and hand statements and whole transactions to a home over the links (package handover). The home serves them by the same sessions. Outcome rules hold over the link: not run goes to another home once and is then served directly; a read without an answer goes elsewhere, a write or commit without one is unknown, an open transaction is rolled back and its caller told.

Changed checks: proxy_test.py test_every_metric_is_recorded counts the metrics of the PostgreSQL proxy; the two new ones are recorded by proxies for routes only, so they are named there and handover_test.py checks them. The stand-in upstream reads messages of 1 MiB, as the protocol allows.

Ruled out: connections lent for one transaction (each is opened at the upstream), moving whole sessions.

--- a/ebonyrack/handover/front.py
+++ b/ebonyrack/handover/front.py
@@ -17,10 +17,12 @@
 from ebonyrack.handover.asking import NoAnswer
 from ebonyrack.handover.question import LATE_ANSWER_S
 from ebonyrack.handover.question import MAXIMUM_HOMES
+from ebonyrack.handover.question import MAXIMUM_QUESTION_BYTES
 from ebonyrack.handover.question import OUTSIDE
 from ebonyrack.handover.question import TransactionStep
 from ebonyrack.handover.question import build_question
 from ebonyrack.handover.question import is_served_elsewhere
+from ebonyrack.handover.question import measure_question
 from ebonyrack.handover.question import name_outcome
 from ebonyrack.handover.question import read_answer
 from ebonyrack.handover.remote_transaction import RemoteTransaction
@@ -119,7 +121,10 @@
             timeout_s: Seconds to wait for the answer.
         """
         question = build_question(statement, last_commit, step, self.choose_version())
-        answer = await self.asker.ask(home, question, timeout_s)
+        if measure_question(question) > MAXIMUM_QUESTION_BYTES:
+            answer: HandedAnswer | NoAnswer = NoAnswer(False, "too large to hand over")
+        else:
+            answer = await self.asker.ask(home, question, timeout_s)
         outcome, log = name_outcome(answer), log_decision
         if isinstance(answer, NoAnswer):
             log = log_failure
--- a/ebonyrack/handover/handover_test.py
+++ b/ebonyrack/handover/handover_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.entry import route_proxy
 from ebonyrack.handover.row_parts import PART_BYTES
@@ -25,6 +26,16 @@
 MISSING_PROXIES = 30
 
 
+class Recorder:
+    """A fake counter that keeps the outcomes."""
+
+    def __init__(self):
+        self.outcomes = []
+
+    def add(self, amount, labels):
+        self.outcomes.append(labels["outcome"])
+
+
 class Fleet:
     """Three proxies: two homes of the group and a front.
 
@@ -50,6 +61,11 @@
         busy = [each for each in self.homes if each.home.transactions]
         return (busy or [each for each in self.homes if each.home.serving])[0]
 
+    @property
+    def states(self):
+        """What the front knows of the homes that it asked."""
+        return self.front.home_asker.states.values()
+
     def open_transactions(self):
         return sum(len(each.home.transactions) for each in self.homes)
 
@@ -118,10 +134,25 @@
             if database != "calendar":
                 assert f"DATAROW v{number}" in await caller.execute(f"READ {database}")
     await wait_until(lambda: not has_connections(group_of(fleet.front)))
+    assert fleet.states
     assert fleet.open_transactions() == 0
     assert fleet.system.group.find_lost_entries() == []
 
 
+async def test_handed_work_is_counted_on_both_ends(fleet, connect, monkeypatch):
+    recorders = {"handed_over": Recorder(), "served_for_others": Recorder()}
+    for name, recorder in recorders.items():
+        monkeypatch.setattr(metrics, name, recorder)
+    caller = await connect()
+    await caller.execute("WRITE a mali")
+    fleet.front.home_asker.newest_version = 99
+    await caller.execute("READ a")
+    assert recorders["handed_over"].outcomes == ["served", "not_run", "not_run"] + [
+        "served_here"
+    ]
+    assert recorders["served_for_others"].outcomes == ["served"] + 2 * ["declined"]
+
+
 async def test_fronts_keep_no_connection_and_probe_no_upstream(fleet):
     front = group_of(fleet.front)
     await wait_until(lambda: not has_connections(front))
@@ -154,6 +185,11 @@
     caller = await connect(key="secret-key")
     assert caller.startup_reply.startswith("READY")
     assert is_complete(await caller.execute("WRITE slot-1 mali"))
+    assert is_complete(await caller.execute("BEGIN"))
+    assert is_complete(await caller.execute("READ slot-1"))
+    assert is_complete(await caller.execute("COMMIT"))
+    assert {record.account for record in fleet.records} == {"yard"}
+    assert fleet.states
     refused = await connect(key="other")
     assert refused.startup_reply.startswith("ERROR DENIED")
 
@@ -198,6 +234,22 @@
     assert "DATAROW maliwan" in await caller.execute("READ slot-1")
 
 
+async def test_largest_statement_is_handed_over_and_larger_ones_are_served_here(
+    fleet, connect
+):
+    caller = await connect()
+    data = "x" * (1000 * 1024)
+    assert is_complete(await caller.execute(f"WRITE slot-1 {data}"))
+    await caller.execute("PREPARE put WRITE q1")
+    assert is_complete(await caller.execute(f"EXECUTE put slot-1 {data}"))
+    assert all(state.failing_since_s is None for state in fleet.states)
+    assert not any(each.pool.idle for each in group_of(fleet.front).members.values())
+    for name in ("a", "b"):
+        await caller.execute(f"SET {name} {data}")
+    assert is_complete(await caller.execute(f"WRITE slot-1 {data}"))
+    assert all(state.failing_since_s is None for state in fleet.states)
+
+
 def test_rows_are_split_and_fetched_once():
     parts = RowParts()
     rows = [bytes([number]) * (PART_BYTES // 2) for number in range(5)]
--- a/ebonyrack/handover/question.py
+++ b/ebonyrack/handover/question.py
@@ -18,6 +18,8 @@
 MAXIMUM_HOMES = 2
 # A home ends a statement by itself at its deadline; its answer may be a little later.
 LATE_ANSWER_S = 1.0
+# Larger statements, with their session values, don't surely fit one message.
+MAXIMUM_QUESTION_BYTES = 1800 * 1024
 # Errors of a home that another one may not have; they are sent only if nothing ran.
 ERRORS_OF_ONE_HOME = frozenset(
     {
@@ -53,6 +55,8 @@
 ) -> HandedStatement:
     """Build the message that hands a statement over."""
     request, prepared = statement.request, statement.prepared
+    # Upstreams get the arguments of a prepared statement, not the caller's text.
+    is_execution = request.kind is RequestKind.EXECUTE
     position = [] if last_commit is None else [last_commit.term, last_commit.offset]
     return HandedStatement(
         version=version,
@@ -62,7 +66,7 @@
         begins=str(step.begins) if step.begins is not None else "",
         kind=str(request.kind),
         request_id=request.request_id,
-        text=request.text,
+        text=b"" if is_execution else request.text,
         name=request.name,
         argument=request.argument,
         prepared_text=prepared.text if prepared is not None else None,
@@ -73,6 +77,13 @@
     )
 
 
+def measure_question(question: HandedStatement) -> int:
+    """Return the bytes of the parts of a question that callers choose."""
+    values = sum(len(key) + len(value) for key, value in question.values.items())
+    prepared = len(question.prepared_text or b"")
+    return len(question.text) + len(question.argument) + prepared + values
+
+
 def name_outcome(answer: HandedAnswer | NoAnswer) -> str:
     """Return the outcome of a handed statement, for logs and metrics."""
     if isinstance(answer, NoAnswer):
--- a/ebonyrack/handover/remote_transaction.py
+++ b/ebonyrack/handover/remote_transaction.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 from typing import TYPE_CHECKING
 
 from ebonyrack.core import metrics
@@ -33,7 +34,9 @@
 if TYPE_CHECKING:
     from ebonyrack.handover.front import Front
 
-numbers = itertools.count(1)
+NUMBER_BITS = 48
+# A restarted proxy must not use the numbers of transactions that homes still know.
+numbers = itertools.count(random.getrandbits(NUMBER_BITS))
 
 
 class RemoteTransaction:
--- a/ebonyrack/peers/proxy_link.py
+++ b/ebonyrack/peers/proxy_link.py
@@ -111,6 +111,12 @@
                 if error.correlation > 0:
                     self.send(NotHandled(str(error)), -error.correlation)
 
+    async def request(self, message: Message, timeout_s: float) -> Message:
+        """Ask a question, unless too much is queued; see `RequestLink.request`."""
+        if self.is_queue_full:
+            raise PeerLostError("the other side reads too slowly")
+        return await super().request(message, timeout_s)
+
     async def serve_frame(self, message: Message, correlation: int) -> None:
         """Handle a message, unless too many questions are being handled."""
         if correlation > 0 and self.request_slots.locked():
--- a/ebonyrack/peers/proxy_links.py
+++ b/ebonyrack/peers/proxy_links.py
@@ -317,10 +317,10 @@
             self.opened.pop(link, None)
             if self.links.get(link.peer_name) is link:
                 del self.links[link.peer_name]
-            await link.stop()
             if not link.is_ending:
                 for callback in self.loss_callbacks:
                     callback(link.peer_name)
+            await link.stop()
 
     async def answer(self, sender: str, message: Message) -> Message | None:
         """Answer a question of another proxy."""
--- a/ebonyrack/service/proxy_test.py
+++ b/ebonyrack/service/proxy_test.py
@@ -239,6 +239,10 @@
             await slept
 
 
+# Recorded only by proxies for routes; handover_test.py checks that they are.
+ROUTE_PROXY_METRICS = {"handed_over", "served_for_others"}
+
+
 class Recorder:
     """A fake metric instrument that counts its measurements."""
 
@@ -254,6 +258,8 @@
 async def test_every_metric_is_recorded(monkeypatch):
     names = [name for name in vars(metrics) if hasattr(vars(metrics)[name], "_name")]
     names.remove("meter")
+    assert ROUTE_PROXY_METRICS <= set(names)
+    names = [name for name in names if name not in ROUTE_PROXY_METRICS]
     assert len(names) == 8
     recorders = {name: Recorder() for name in names}
     for name, recorder in recorders.items():
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -111,8 +111,18 @@
 
     def find_withdrawal(self) -> str | None:
         """Return why the session may run no further work, or None if it may."""
+        if self.is_handed_over:
+            # The proxy of the caller has checked the key, which doesn't travel.
+            return self.find_account_removal()
         return find_withdrawal(self.services.routes.table, self.identity)
 
+    def find_account_removal(self) -> str | None:
+        """Return why the account may run no further work, or None if it may."""
+        table, account = self.services.routes.table, self.identity.account
+        if account == ANONYMOUS or account in table.accounts:
+            return None
+        return f"no such account in version {table.version}"
+
     def check_account(self) -> ClientAccount | None:
         """Return the client account as it is in force, or None if anonymous.
 
@@ -142,8 +152,9 @@
     def record_answer(self, request: Request, answer: Answer, elapsed_s: float) -> None:
         """Update the metrics with an answer, and log a failed request."""
         outcome = "served" if answer.error is None else str(answer.error.kind)
-        metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
-        metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
+        if not self.is_handed_over:
+            metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
+            metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
         if answer.error is not None:
             route = self.services.routes.table.routes.get(self.database)
             log_failure(
--- a/ebonyrack/standins/line_upstream.py
+++ b/ebonyrack/standins/line_upstream.py
@@ -17,6 +17,8 @@
 from ebonyrack.standins.line_group import LineMember
 from ebonyrack.standins.line_group import StatementRecord
 
+MAXIMUM_MESSAGE_BYTES = 1024 * 1024
+
 signature_numbers = itertools.count(1)
 session_numbers = itertools.count(1)
 
@@ -111,7 +113,10 @@
     async def start(self) -> None:
         """Start listening."""
         self.server = await asyncio.start_server(
-            self.serve, self.address.host, self.address.port
+            self.serve,
+            self.address.host,
+            self.address.port,
+            limit=MAXIMUM_MESSAGE_BYTES,
         )
         port = self.server.sockets[0].getsockname()[1]
         self.address = Address(self.address.host, port)
