--- /dev/null
+++ b/ebonyrack/entry/account_connections_test.py
@@ -0,0 +1,37 @@
+"""Statements reach upstreams on connections of their caller's account."""
+
+from ebonyrack.standins.line_system import build_document
+from ebonyrack.standins.line_system import require_accounts
+
+KEYS = {name: [f"key-{name}"] for name in ("haulier", "buyer", "clerk", "agent")}
+TEXTS = (
+    "READ slot-1",
+    "WRITE slot-1 mali",
+    "BEGIN",
+    "READ slot-2",
+    "WRITE slot-2 fadia",
+    "COMMIT",
+    "BEGIN READ",
+    "READ slot-3",
+    "ROLLBACK",
+)
+
+
+async def test_statements_run_on_connections_of_their_account(system, connect):
+    await system.change_document(require_accounts(build_document(2), KEYS))
+    callers = {name: await connect("booking", key=f"key-{name}") for name in KEYS}
+    for _ in range(3):
+        for text in TEXTS:
+            for caller in callers.values():
+                (*_, ready) = await caller.execute(text)
+                assert ready.startswith("READY")
+    accounts = {f"{id(caller):x}": name for name, caller in callers.items()}
+    counted = 0
+    for record in system.group.records:
+        for prefix, name in accounts.items():
+            if record.request_id.startswith(prefix):
+                assert record.account == name
+                counted += 1
+    assert counted >= 3 * 4 * 6
+    for record in system.group.records:
+        assert "key-" not in record.account
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -283,6 +283,7 @@
                 self.dependencies.upstream_codec,
                 self.presence.live_count,
                 self.settings.is_promotion_fenced,
+                self.settings.leaving_limit_s,
             )
             groups[name] = group
             await self.directory.add_group(group)
@@ -295,6 +296,8 @@
             database.decode("utf-8", "replace"): PRIORITY_WEIGHTS.get(route.priority, 1)
             for database, route in table.routes.items()
         }
+        for account in table.accounts.values():
+            weights[account.name] = PRIORITY_WEIGHTS.get(account.priority, 1)
         for group in groups.values():
             group.set_weights(weights)
 
@@ -305,6 +308,7 @@
             self.dependencies.store,
             self.dependencies.orders,
             self.settings.name,
+            lambda: self.directory.read(self.dependencies.store),
         )
         monitor = PrimaryMonitor(
             group,
--- a/ebonyrack/handover/home.py
+++ b/ebonyrack/handover/home.py
@@ -62,6 +62,10 @@
     is_busy: bool = False
     is_ended: bool = False
 
+    def has_left(self) -> bool:
+        """Return whether nobody waits for it any more."""
+        return self.is_ended
+
 
 class Home(Component):
     """Serves handed statements: an async context manager.
@@ -131,6 +135,7 @@
             return HandedDeclined(reason)
         if work is None:
             work = HandedWork(sender, self.build_session(question))
+            work.session.context.has_left = work.has_left
             if question.transaction:
                 self.transactions[key] = work
         work.is_busy = True
--- a/ebonyrack/members/session_context.py
+++ b/ebonyrack/members/session_context.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from functools import lru_cache
 
+from ebonyrack.pooling.fair_order import never_leaves
+
 # Callers prepare few distinct statements, each of them in many sessions.
 NAME_CACHE_SIZE = 4096
 
@@ -50,9 +53,11 @@
         account: Name of the client account; empty for anonymous callers.
         waited_s: Seconds for which the current request waited at another proxy that
             handed it to this one.
+        has_left: Returns whether the caller has closed its session.
     """
 
     values: dict[bytes, bytes] = field(default_factory=dict)
     prepared: dict[bytes, PreparedStatement] = field(default_factory=dict)
     account: str = ""
     waited_s: float = 0.0
+    has_left: Callable[[], bool] = never_leaves
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -13,6 +13,7 @@
 from ebonyrack.routes.route import Route
 from ebonyrack.routes.state import RouteState
 from ebonyrack.service.drain import Drain
+from ebonyrack.serving.account_labels import AccountLabels
 from ebonyrack.serving.remote import RemoteServing
 
 
@@ -27,6 +28,7 @@
         drain: Life cycle state of the proxy.
         remote: Serves the work of groups whose connections other proxies hold; None
             if this proxy has no links to others.
+        account_labels: Labels of client accounts in metrics.
     """
 
     settings: RouteProxySettings
@@ -34,6 +36,7 @@
     groups: dict[str, Group] = field(default_factory=dict)
     drain: Drain = field(default_factory=Drain)
     remote: RemoteServing | None = None
+    account_labels: AccountLabels = field(default_factory=AccountLabels)
 
     def find_route(self, database: bytes) -> Route:
         """Return the route of a database.
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -153,8 +153,7 @@
         """Update the metrics with an answer, and log a failed request."""
         outcome = "served" if answer.error is None else str(answer.error.kind)
         if not self.is_handed_over:
-            metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
-            metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
+            self.count_answer(request, outcome, elapsed_s)
         if answer.error is not None:
             route = self.services.routes.table.routes.get(self.database)
             log_failure(
@@ -175,6 +174,14 @@
         """Return what serves a group's work at other proxies; None to serve it here."""
         return None if self.is_handed_over else self.services.find_remote(group)
 
+    def count_answer(self, request: Request, outcome: str, elapsed_s: float) -> None:
+        """Update the metrics with an answer to a caller of this proxy."""
+        metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
+        metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
+        if self.identity.account != ANONYMOUS:
+            label = self.services.account_labels.count_request(self.identity.account)
+            metrics.account_requests.add(1, {"account": label, "outcome": outcome})
+
     def find_last_commit(self, group: str) -> LogPosition | None:
         """Return the position of the session's newest commit in a group."""
         if self.last_commit is None or self.last_commit[0] != group:
