--- a/ebonyrack/handover/handover_test.py
+++ b/ebonyrack/handover/handover_test.py
@@ -101,7 +101,10 @@
                 for each in system.proxies
             )
         )
-        yield Fleet(system)
+        running = Fleet(system)
+        # The connections from before the homes were known are closed.
+        await wait_until(lambda: not has_connections(group_of(running.front)))
+        yield running
 
 
 @pytest.fixture
