--- a/ebonyrack/core/metrics.py
+++ b/ebonyrack/core/metrics.py
@@ -26,6 +26,13 @@
 queue_time = meter.create_histogram(
     "ebonyrack_queue", unit="s", description="Wait for an upstream connection"
 )
+connections_opened = meter.create_counter(
+    "ebonyrack_connections_opened",
+    description="Connections to upstreams, by group, account and outcome",
+)
+refusals = meter.create_counter(
+    "ebonyrack_refusals", description="Requests refused by queues, by account and kind"
+)
 primary_changes = meter.create_counter(
     "ebonyrack_primary_changes", description="Changes of primary seen, by group"
 )
--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -19,7 +19,10 @@
 from ebonyrack.members.group import Group
 from ebonyrack.members.link import ReplyTimeoutError
 from ebonyrack.members.member import Member
+from ebonyrack.placing.connection_share import SCARCE_PROBES_PER_S
+from ebonyrack.placing.connection_share import SCARCE_SEARCHES_PER_S
 from ebonyrack.placing.primary_health import PrimaryHealth
+from ebonyrack.pooling.fair_order import WorkTerms
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.promotion.promoter import Promoter
 from ebonyrack.promotion.result import PromotionResult
@@ -38,6 +41,7 @@
 PROBE_TIMEOUT_S = 0.8
 # Caller name under which probes wait for a connection.
 PROBE_CALLER = "ebonyrack"
+PROBE_TERMS = WorkTerms(waits_for_room=False)
 # Keeps proxies that detect the same loss from requesting the promotion lease at the
 # same moment.
 PROMOTION_JITTER_S = 0.05
@@ -100,17 +104,34 @@
             if self.group.changing_since_s is not None:
                 self.start_leadership_check()
             if primary is None or self.group.health is not PrimaryHealth.SERVING:
-                for member in list(self.group.members.values()):
-                    self.start_probe(member)
+                self.search_primary()
             elif self.is_sample_due():
                 self.start_probe(primary)
             self.group.update_health()
 
+    def search_primary(self) -> None:
+        """Probe the upstreams for a primary."""
+        is_scarce = self.group.is_scarce
+        for member in list(self.group.members.values()):
+            if not is_scarce or self.group.draw_probe(
+                SCARCE_SEARCHES_PER_S, CHECK_INTERVAL_S
+            ):
+                self.start_probe(member)
+
     def is_sample_due(self) -> bool:
-        """Whether the position sample of the primary is due to be renewed."""
-        is_costly = self.group.is_short_of_connections
+        """Whether the position sample of the primary is due to be renewed.
+
+        While connections are scarce, a read without a recent sample goes to the primary
+        and renews it; probes only show whether the primary replies.
+        """
+        is_scarce = self.group.is_scarce
+        is_costly = is_scarce or self.group.is_short_of_connections
         limit_s = MAXIMUM_COSTLY_SAMPLE_AGE_S if is_costly else MAXIMUM_SAMPLE_AGE_S
-        return self.group.position_history.measure_age(boot_time_s()) > limit_s
+        if self.group.position_history.measure_age(boot_time_s()) <= limit_s:
+            return False
+        return not is_scarce or self.group.draw_probe(
+            SCARCE_PROBES_PER_S, CHECK_INTERVAL_S
+        )
 
     def start_leadership_check(self) -> None:
         """Find out whether the change of primary by another proxy has ended."""
@@ -162,7 +183,7 @@
         """Probe whether an upstream is the primary; record its reply in the group."""
         try:
             link = await member.pool.acquire(
-                PROBE_CALLER, now_s() + PROBE_TIMEOUT_S, account=None
+                PROBE_CALLER, now_s() + PROBE_TIMEOUT_S, None, PROBE_TERMS
             )
         except (RequestError, UpstreamLostError) as error:
             logger.bind(
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from loguru import logger
 
 from ebonyrack.core.clock import boot_time_s
@@ -12,7 +14,9 @@
 from ebonyrack.members.member import Member
 from ebonyrack.members.primary_state import PrimaryState
 from ebonyrack.placing.connection_share import compute_idle_limit
-from ebonyrack.placing.connection_share import compute_share
+from ebonyrack.placing.connection_share import compute_limit
+from ebonyrack.placing.connection_share import compute_probe_probability
+from ebonyrack.placing.connection_share import is_scarce
 from ebonyrack.placing.connection_share import is_short_of_connections
 from ebonyrack.placing.shedding import ReadDemand
 from ebonyrack.requests.codec import UpstreamCodec
@@ -100,12 +104,16 @@
         Args:
             live_proxies: Number of proxies known to be alive, including this one.
         """
-        share = compute_share(self.limits.maximum_connections, live_proxies)
+        share = compute_limit(self.limits.maximum_connections, live_proxies)
         self.live_proxies = live_proxies
         self.connection_share = share
         for member in self.members.values():
             if member.pool.limit != share:
                 member.pool.resize(share)
+            member.pool.is_scarce = self.is_scarce
+            if self.is_scarce:
+                member.pool.keeps_idle_connections = False
+                member.pool.close_idle()
 
     @property
     def is_short_of_connections(self) -> bool:
@@ -115,13 +123,36 @@
             age_s, self.limits.maximum_connections, self.live_proxies
         )
 
+    @property
+    def is_scarce(self) -> bool:
+        """Whether an upstream can't accept a connection from every proxy."""
+        return is_scarce(self.limits.maximum_connections, self.live_proxies)
+
+    def draw_probe(self, probes_per_s: float, interval_s: float) -> bool:
+        """Return whether this proxy sends one of the probes of all proxies.
+
+        Args:
+            probes_per_s: Probes of one upstream by all proxies together.
+            interval_s: Time between two calls, in seconds.
+        """
+        probability = compute_probe_probability(
+            probes_per_s, self.live_proxies, interval_s
+        )
+        return random.random() < probability
+
+    def keeps_idle_connections(self, is_primary: bool) -> bool:
+        """Return whether connections to an upstream stay open after use.
+
+        Args:
+            is_primary: Whether it is the primary.
+        """
+        return not self.is_scarce and not (is_primary and self.is_short_of_connections)
+
     def trim_idle_connections(self) -> None:
         """Close idle connections above the limit."""
         for member in self.members.values():
             is_primary = member is self.primary
-            member.pool.keeps_idle_connections = not (
-                is_primary and self.is_short_of_connections
-            )
+            member.pool.keeps_idle_connections = self.keeps_idle_connections(is_primary)
             is_near = member.entry.data_centre == self.data_centre
             idle_limit = compute_idle_limit(self.connection_share, is_near, is_primary)
             member.pool.trim_idle(idle_limit, IDLE_TIMEOUT_S)
@@ -147,9 +178,10 @@
             if boot_time_s() - self.started_s > INITIAL_DISCOVERY_S:
                 member.known_since_s = boot_time_s()
             member.pool.set_weights(self.queue_weights)
-            member.pool.keeps_idle_connections = not (
-                entry.reports_primary and self.is_short_of_connections
+            member.pool.keeps_idle_connections = self.keeps_idle_connections(
+                entry.reports_primary
             )
+            member.pool.is_scarce = self.is_scarce
             self.members[entry.member_id] = member
             logger.bind(
                 group=self.name,
--- a/ebonyrack/members/link.py
+++ b/ebonyrack/members/link.py
@@ -7,6 +7,8 @@
 
 from result import Result
 
+from ebonyrack.core import metrics
+from ebonyrack.core.account_label import label_account
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import StreamLostError
@@ -15,7 +17,7 @@
 from ebonyrack.members.liveness import Liveness
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
-from ebonyrack.pooling.pool import TOO_MANY_CONNECTIONS
+from ebonyrack.pooling.upstream_lost import TOO_MANY_CONNECTIONS
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.requests.reply import RejectionKind
@@ -302,9 +304,17 @@
         raise
     finally:
         liveness.record_ended(number, was_abandoned)
+    too_many = reply.rejection is RejectionKind.TOO_MANY_CONNECTIONS
+    outcome = "opened" if reply.rejection is None else str(reply.rejection)
+    metrics.connections_opened.add(
+        1,
+        {"group": entry.group, "account": label_account(account), "outcome": outcome},
+    )
     if reply.rejection is not None:
         stream.abort("the session was rejected")
-        too_many = reply.rejection is RejectionKind.TOO_MANY_CONNECTIONS
+        if too_many:
+            # It replies, so it is neither silent nor unreachable.
+            liveness.record_reply()
         raise UpstreamLostError(reply.detail, TOO_MANY_CONNECTIONS if too_many else "")
     liveness.record_reply()
     return UpstreamLink(stream, codec, liveness, account)
--- a/ebonyrack/placing/connection_share.py
+++ b/ebonyrack/placing/connection_share.py
@@ -7,6 +7,13 @@
 to the primary, so until the old ones are gone, a proxy that has just started keeps no
 idle connections to the primary: it closes each after use, and another proxy can
 connect.
+
+Where an upstream accepts fewer connections than there are proxies (118 proxies in front
+of upstreams that accept 73), equal shares would leave some proxies without any for
+good. Connections then pass from proxy to proxy all the time: they are opened for work,
+closed after it, and a proxy that is refused one tries again after a moment. Probes,
+which would have to open a connection each, become so rare that all proxies together
+send a few a second.
 """
 
 from __future__ import annotations
@@ -18,6 +25,13 @@
 # Upstreams drop the connections of a lost VM after three seconds, and may detect the
 # loss somewhat late.
 STARTUP_SHORTAGE_S = 3.5
+# Connections to one upstream that a proxy may use at once while they are scarce. Most
+# proxies have no work for an upstream at any one time.
+SCARCE_LIMIT = 3
+# Probes of one upstream by all proxies together while connections are scarce: while its
+# primary serves, and while a new one is searched for.
+SCARCE_PROBES_PER_S = 4.0
+SCARCE_SEARCHES_PER_S = 40.0
 
 
 def compute_share(maximum_connections: int, live_proxies: int) -> int:
@@ -58,3 +72,39 @@
     old_connections = live_proxies * compute_share(maximum_connections, live_proxies)
     is_short = old_connections + live_proxies > maximum_connections
     return is_short and age_s <= STARTUP_SHORTAGE_S
+
+
+def is_scarce(maximum_connections: int, live_proxies: int) -> bool:
+    """Return whether an upstream can't accept a connection from every proxy.
+
+    Args:
+        maximum_connections: Connections that the upstream accepts in total.
+        live_proxies: Number of proxies known to be alive, including this one.
+    """
+    usable = maximum_connections - RESERVED_CONNECTIONS
+    return usable < live_proxies + UNCOUNTED_PROXIES
+
+
+def compute_limit(maximum_connections: int, live_proxies: int) -> int:
+    """Return how many connections to an upstream one proxy may use at once.
+
+    Args:
+        maximum_connections: Connections that the upstream accepts in total.
+        live_proxies: Number of proxies known to be alive, including this one.
+    """
+    if is_scarce(maximum_connections, live_proxies):
+        return SCARCE_LIMIT
+    return compute_share(maximum_connections, live_proxies)
+
+
+def compute_probe_probability(
+    probes_per_s: float, live_proxies: int, interval_s: float
+) -> float:
+    """Return the probability with which a proxy probes, 0 to 1.
+
+    Args:
+        probes_per_s: Probes of one upstream by all proxies together.
+        live_proxies: Number of proxies known to be alive, including this one.
+        interval_s: Time between two decisions of one proxy, in seconds.
+    """
+    return min(1.0, probes_per_s * interval_s / max(1, live_proxies))
--- a/ebonyrack/pooling/admission.py
+++ b/ebonyrack/pooling/admission.py
@@ -6,6 +6,8 @@
 import itertools
 from collections.abc import Callable
 
+from ebonyrack.core import metrics
+from ebonyrack.core.account_label import label_account
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
@@ -193,6 +195,8 @@
         if waiter is None or not waiter.account:
             retry_after_s = self.estimator.schedule_retry(self.count, servers)
         else:
+            label = label_account(waiter.account)
+            metrics.refusals.add(1, {"account": label, "kind": str(kind)})
             retry_after_s = self.retries.schedule(
                 waiter.caller,
                 self.estimate_wait(waiter.caller, servers),
--- a/ebonyrack/pooling/connection_opener.py
+++ b/ebonyrack/pooling/connection_opener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Generic
@@ -11,9 +12,13 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.pooling.pooled_connection import PooledConnection
+from ebonyrack.pooling.upstream_lost import TOO_MANY_CONNECTIONS
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 
 OPEN_TIMEOUT_S = 2.0
+# Range of the pause before another try at a scarce connection, in seconds; statements
+# hold theirs for some ten milliseconds.
+SCARCE_PAUSE_S = (0.01, 0.04)
 INITIAL_OPENING_S = 0.015
 # Weight of the newest measurement in the moving average of opening times.
 OPENING_SMOOTHING = 0.1
@@ -73,6 +78,35 @@
         self.opening_s += OPENING_SMOOTHING * (now_s() - started_s - self.opening_s)
         return connection
 
+    async def retry_open(
+        self, deadline_s: float, account: str, has_left: Callable[[], bool]
+    ) -> Connection | None:
+        """Open a scarce connection; try again while the upstream has none to spare.
+
+        Args:
+            deadline_s: Monotonic time at which to give up.
+            account: Client account that the connection is for; empty for the proxy's
+                own name.
+            has_left: Returns whether the caller that waits for it has left.
+
+        Returns:
+            The connection, or None if the upstream had none to spare in time.
+
+        Raises:
+            UpstreamLostError: If the upstream can't be reached, or the attempts were
+                cancelled.
+        """
+        while True:
+            try:
+                return await self.open(deadline_s, account)
+            except UpstreamLostError as error:
+                if error.sqlstate != TOO_MANY_CONNECTIONS:
+                    raise
+            pause_s = random.uniform(*SCARCE_PAUSE_S)
+            if has_left() or now_s() + pause_s > deadline_s:
+                return None
+            await asyncio.sleep(pause_s)
+
     def cancel_attempts(self) -> None:
         """Cancel every attempt."""
         for attempt in self.attempts:
--- a/ebonyrack/pooling/fair_order.py
+++ b/ebonyrack/pooling/fair_order.py
@@ -35,11 +35,14 @@
         begins_transaction: Whether the connection is held for a transaction, in which
             the caller may rest.
         has_left: Returns whether the caller has closed its session.
+        waits_for_room: Whether it waits for an upstream that has no connection to
+            spare, because no other upstream may serve it.
     """
 
     priority: int = 0
     begins_transaction: bool = False
     has_left: Callable[[], bool] = never_leaves
+    waits_for_room: bool = True
 
 
 DEFAULT_TERMS = WorkTerms()
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -24,10 +24,9 @@
 from ebonyrack.pooling.fair_order import WorkTerms
 from ebonyrack.pooling.pool_slots import PoolSlots
 from ebonyrack.pooling.pooled_connection import QueueSettings
+from ebonyrack.pooling.upstream_lost import TOO_MANY_CONNECTIONS
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
 
-TOO_MANY_CONNECTIONS = "53300"
-
 Settings = TypeVar("Settings", bound=QueueSettings)
 
 
@@ -219,10 +218,10 @@
             UpstreamLostError: If the upstream can't be reached.
         """
         try:
-            connection = await self.opener.open(waiter.deadline_s, waiter.account or "")
+            connection = await self.open_connection(waiter)
         except UpstreamLostError as error:
             self.opening -= 1
-            if error.sqlstate != TOO_MANY_CONNECTIONS:
+            if error.sqlstate != TOO_MANY_CONNECTIONS or self.is_scarce:
                 self.grant_slots()
                 raise
             self.record_refusal()
@@ -235,6 +234,26 @@
             return self.check_opened(connection)
         return await self.wait_for_release(waiter)
 
+    async def open_connection(self, waiter: Waiter) -> Connection:
+        """Open a connection; it is not counted as busy yet.
+
+        Args:
+            waiter: The request, which holds a slot.
+
+        Raises:
+            RequestError: WAIT_TOO_LONG if connections are scarce and the upstream has
+                had none to spare in time.
+            UpstreamLostError: If the upstream can't be reached or refuses.
+        """
+        account = waiter.account or ""
+        if not self.is_scarce or not waiter.terms.waits_for_room:
+            return await self.opener.open(waiter.deadline_s, account)
+        has_left = waiter.terms.has_left
+        connection = await self.opener.retry_open(waiter.deadline_s, account, has_left)
+        if connection is None:
+            raise self.build_no_connection_error()
+        return connection
+
     def check_opened(self, connection: Connection) -> Connection:
         """Release a new connection if the pool has stopped accepting work meanwhile.
 
--- a/ebonyrack/pooling/pool_slots.py
+++ b/ebonyrack/pooling/pool_slots.py
@@ -32,6 +32,8 @@
         is_accepting: Whether new work is accepted.
         keeps_idle_connections: Whether released connections stay open while nobody
             waits for one.
+        is_scarce: Whether the upstream can't accept a connection from every proxy, so
+            that a refused one is soon tried again.
         refused_at_s: Monotonic time at which the upstream last refused a connection.
     """
 
@@ -44,6 +46,7 @@
         "opening",
         "is_accepting",
         "keeps_idle_connections",
+        "is_scarce",
         "refused_at_s",
     )
 
@@ -56,6 +59,7 @@
         self.opening = 0
         self.is_accepting = True
         self.keeps_idle_connections = True
+        self.is_scarce = False
         self.refused_at_s = float("-inf")
 
     @property
--- a/ebonyrack/pooling/upstream_lost.py
+++ b/ebonyrack/pooling/upstream_lost.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+# SQLSTATE of the error of an upstream that has no connection to spare.
+TOO_MANY_CONNECTIONS = "53300"
+
 
 class UpstreamLostError(Exception):
     """The connection to an upstream can no longer be used.
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -148,7 +148,9 @@
                 statement.caller,
                 statement.connection_deadline_s,
                 statement.account,
-                statement.build_work_terms(begins_transaction=False),
+                statement.build_work_terms(
+                    needs_primary=self.requirement.position is None
+                ),
             )
         except UpstreamLostError as error:
             self.record_lost(member, error.reason)
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -18,7 +18,6 @@
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
 from ebonyrack.placing.shedding import WorkClass
-from ebonyrack.pooling.fair_order import DEFAULT_TERMS
 from ebonyrack.pooling.fair_order import WorkTerms
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.request import Request
@@ -100,15 +99,23 @@
             return self.prepared.writes
         return self.request.kind is RequestKind.WRITE
 
-    def build_work_terms(self, begins_transaction: bool) -> WorkTerms:
+    def build_work_terms(
+        self, begins_transaction: bool = False, needs_primary: bool = True
+    ) -> WorkTerms:
         """Return how it waits for a connection.
 
         Args:
             begins_transaction: Whether it begins a transaction.
+            needs_primary: Whether no other upstream may serve it.
         """
         if not self.account:
-            return DEFAULT_TERMS
-        return WorkTerms(self.route.priority, begins_transaction, self.context.has_left)
+            return WorkTerms(waits_for_room=needs_primary)
+        return WorkTerms(
+            self.route.priority,
+            begins_transaction,
+            self.context.has_left,
+            needs_primary,
+        )
 
     def build_placement_request(self, position: LogPosition | None) -> PlacementRequest:
         """Return what its placement depends on.
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -158,7 +158,7 @@
                     statement.caller,
                     statement.connection_deadline_s,
                     statement.account,
-                    statement.build_work_terms(begins_transaction=True),
+                    statement.build_work_terms(True, self.requirement.position is None),
                 )
             except UpstreamLostError as error:
                 member.deprioritize()
--- a/ebonyrack/serving/writing.py
+++ b/ebonyrack/serving/writing.py
@@ -81,7 +81,7 @@
             statement.caller,
             statement.connection_deadline_s,
             statement.account,
-            statement.build_work_terms(begins_transaction=False),
+            statement.build_work_terms(),
         )
     except UpstreamLostError as error:
         return error.reason
