--- a/ebonyrack/core/metrics.py
+++ b/ebonyrack/core/metrics.py
@@ -17,6 +17,13 @@
 answer_time = meter.create_histogram(
     "ebonyrack_answer", unit="s", description="Time to an answer, by kind of request"
 )
+account_requests = meter.create_counter(
+    "ebonyrack_account_requests",
+    description="Requests answered, by client account (the largest) and outcome",
+)
+sessions_refused = meter.create_counter(
+    "ebonyrack_sessions_refused", description="Sessions not opened, by kind of error"
+)
 placements = meter.create_counter(
     "ebonyrack_placements", description="Requests placed, by group, role and reason"
 )
@@ -28,10 +35,7 @@
 )
 connections_opened = meter.create_counter(
     "ebonyrack_connections_opened",
-    description="Connections to upstreams, by group, account and outcome",
-)
-refusals = meter.create_counter(
-    "ebonyrack_refusals", description="Requests refused by queues, by account and kind"
+    description="Connections to upstreams, by group and outcome",
 )
 primary_changes = meter.create_counter(
     "ebonyrack_primary_changes", description="Changes of primary seen, by group"
--- a/ebonyrack/members/link.py
+++ b/ebonyrack/members/link.py
@@ -8,7 +8,6 @@
 from result import Result
 
 from ebonyrack.core import metrics
-from ebonyrack.core.account_label import label_account
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import StreamLostError
@@ -306,15 +305,14 @@
         liveness.record_ended(number, was_abandoned)
     too_many = reply.rejection is RejectionKind.TOO_MANY_CONNECTIONS
     outcome = "opened" if reply.rejection is None else str(reply.rejection)
-    metrics.connections_opened.add(
-        1,
-        {"group": entry.group, "account": label_account(account), "outcome": outcome},
-    )
+    metrics.connections_opened.add(1, {"group": entry.group, "outcome": outcome})
     if reply.rejection is not None:
         stream.abort("the session was rejected")
         if too_many:
             # It replies, so it is neither silent nor unreachable.
             liveness.record_reply()
+        if reply.rejection is RejectionKind.WRONG_UPSTREAM:
+            liveness.record_replaced()
         raise UpstreamLostError(reply.detail, TOO_MANY_CONNECTIONS if too_many else "")
     liveness.record_reply()
     return UpstreamLink(stream, codec, liveness, account)
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -30,6 +30,8 @@
 LOST_PRIMARY_TIMEOUT_S = 0.15
 # Time to wait for a connection of the pool before opening another one.
 POOL_WAIT_S = 0.03
+# The same for a leaving primary.
+PRIMARY_POOL_WAIT_S = 0.3
 # Name under which a promotion waits for a connection.
 POOL_CALLER_NAME = "ebonyrack promotion"
 # Pause before retrying at an upstream whose slots are all in use.
@@ -49,6 +51,7 @@
         status: The last status received, or None.
         is_paused: Whether it was paused on this connection.
         paused_term: Term of that pause.
+        was_paused: Whether another holder had paused it before, or may have.
         is_pooled: Whether the connection belongs to the pool.
     """
 
@@ -57,15 +60,19 @@
     status: UpstreamStatus | None = None
     is_paused: bool = False
     paused_term: int = 0
+    was_paused: bool = False
     is_pooled: bool = False
 
-    async def connect(self) -> None:
+    async def connect(self, pool_wait_s: float = POOL_WAIT_S) -> None:
         """Acquire a connection and request the status; both stay None on failure.
 
         A pooled connection is preferred, as the upstream may accept no others.
+
+        Args:
+            pool_wait_s: Seconds to wait for it.
         """
         self.close()
-        deadline_s = now_s() + POOL_WAIT_S
+        deadline_s = now_s() + pool_wait_s
         try:
             self.link = await self.member.pool.acquire(
                 POOL_CALLER_NAME, deadline_s, account=None
@@ -79,8 +86,20 @@
             return
         await self.request_status(STATUS_REQUEST)
 
+    async def connect_primary(self, is_lost: bool) -> None:
+        """Connect to the primary until now.
+
+        Open connections to a lost one may never reply; those to a leaving one are all
+        in use by callers.
+        """
+        if is_lost:
+            await self.connect_directly(LOST_PRIMARY_TIMEOUT_S)
+        else:
+            await self.connect(PRIMARY_POOL_WAIT_S)
+
     async def connect_directly(self, timeout_s: float) -> None:
         """Open a connection outside the pool and request the status."""
+        self.close()
         try:
             self.link = await self.member.open_link(timeout_s)
         except UpstreamLostError as error:
@@ -111,24 +130,37 @@
 
     async def pause(self, term: int) -> None:
         """Make the upstream receive nothing of terms below a given one."""
+        found = self.status
+        if found is None or found.paused_term not in (0, self.paused_term):
+            self.was_paused = True
         self.paused_term = term
         self.is_paused = (
             await self.request_status(build_pause_request(term)) is not None
         )
 
     async def resume(self) -> None:
-        """Let the upstream receive again, unless another proxy has paused it since.
+        """Let the upstream receive again, unless another proxy has paused it.
 
-        A later lease holder pauses with a higher term.
+        A later lease holder pauses with a higher term. An order of an earlier one may
+        still be carried out, or was carried out while this upstream was cut off.
         """
-        if not self.is_paused:
+        if not self.is_paused or self.was_paused:
             return
         status = await self.request_status(STATUS_REQUEST)
         if status is not None and status.paused_term == self.paused_term:
             await self.request_status(RESUME_REQUEST)
 
-    async def step_down(self, term: int) -> None:
-        """Ask the upstream to end its lead of an earlier term; log the outcome."""
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection to it is open."""
+        return self.link is not None and self.link.is_open
+
+    async def step_down(self, term: int) -> UpstreamStatus | None:
+        """Ask the upstream to end its lead of an earlier term.
+
+        Returns:
+            Its status after that, None without a reply.
+        """
         if self.link is None or not self.link.is_open:
             await self.connect_directly(LOST_PRIMARY_TIMEOUT_S)
         status = await self.request_status(build_step_down_request(term))
@@ -136,7 +168,9 @@
             upstream=self.member.member_id,
             term=term,
             leads=status.is_primary if status is not None else None,
+            received=str(status.received) if status is not None else None,
         ).info("former_primary_stepped_down")
+        return status
 
     async def prove_primary(self) -> PositionSample | None:
         """Probe with a read-write transaction whether the upstream is the primary.
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from contextlib import AsyncExitStack
 from typing import Any
@@ -14,8 +15,11 @@
 from ebonyrack.platform.proxy import PlatformProxy
 from ebonyrack.standins.kv_service import KvService
 from ebonyrack.standins.line_group import LineGroup
+from ebonyrack.standins.line_group import LineMember
 from ebonyrack.standins.line_upstream import LineUpstream
 
+caller_numbers = itertools.count(1)
+
 GROUP = "scheduling"
 MEMBER_IDS = ["up-1", "up-2", "up-3"]
 HEARTBEAT_INTERVAL_S = 0.1
@@ -130,6 +134,31 @@
         await end_tasks(self.publisher_tasks.values())
         await self.stack.aclose()
 
+    async def add_upstream(
+        self, member_id: str, address: Address | None = None
+    ) -> LineUpstream:
+        """Start another replica, which receives the primary's log.
+
+        Args:
+            member_id: ID of the upstream.
+            address: Address of a stopped upstream that it takes over, or None.
+        """
+        member = LineMember(member_id)
+        self.group.members[member_id] = member
+        upstream = LineUpstream(self.group, member)
+        if address is not None:
+            upstream.address = address
+        self.upstreams[member_id] = upstream
+        await self.stack.enter_async_context(upstream)
+        await self.publish_entry(upstream)
+        self.publisher_tasks[member_id] = asyncio.create_task(
+            self.publish_entries(upstream)
+        )
+        primary = self.group.primary
+        if primary is not None:
+            self.group.replicate(primary)
+        return upstream
+
     async def add_proxy(self, name: str) -> PlatformProxy:
         """Start a proxy and wait until it is ready."""
         proxy = PlatformProxy(
@@ -199,6 +228,7 @@
         database: Database that it connects to.
         key: Its key, or any word where there are no accounts.
         startup_reply: Reply to its startup line.
+        number: Its number.
         request_number: Number of its last request.
     """
 
@@ -207,10 +237,16 @@
         self.database = database
         self.key = key
         self.startup_reply = ""
+        self.number = next(caller_numbers)
         self.request_number = 0
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
+    @property
+    def request_id(self) -> str:
+        """ID of its last request."""
+        return f"{self.number:x}-{self.request_number}"
+
     async def start(self) -> None:
         """Connect and open a session."""
         self.reader, self.writer = await asyncio.open_connection(
@@ -228,9 +264,7 @@
         """Send a statement with a new ID; return the lines of the reply."""
         assert self.writer is not None
         self.request_number += 1
-        self.writer.write(
-            f"QUERY {id(self):x}{self.request_number} {text}\r\n".encode()
-        )
+        self.writer.write(f"QUERY {self.request_id} {text}\r\n".encode())
         return await self.read_reply()
 
     async def write_until_complete(self, item: str, limit_s: float) -> None:
