Keep one scarce connection to an upstream in the proxy's data centre

Cause: where connections are scarcer than proxies, every statement outside a transaction opened a connection, which occupies a slot of the upstream about as long as its work.

Change: the proxies in an upstream's own data centre, which send it most of its reads, keep one, if all of them leave three tenths of its connections to the others. The presence entries tell how many there may be; a proxy without one counts as near.

--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -315,8 +315,13 @@
 
     def update_connection_shares(self) -> None:
         """Set this proxy's share of the connections to the upstreams."""
+        live_proxies = self.presence.live_count
+        elsewhere = sum(
+            entry.data_centre != self.settings.data_centre
+            for entry in self.presence.proxies.values()
+        )
         for group in self.services.groups.values():
-            group.update_connection_share(self.presence.live_count)
+            group.update_connection_share(live_proxies, live_proxies - elsewhere)
 
     async def monitor_connectivity(self) -> None:
         """Handle isolation and missing upstreams, until cancelled."""
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -13,11 +13,14 @@
 from ebonyrack.members.leadership_check import LeadershipCheck
 from ebonyrack.members.member import Member
 from ebonyrack.members.primary_state import PrimaryState
+from ebonyrack.placing.connection_share import SCARCE_IDLE_LIMIT
+from ebonyrack.placing.connection_share import STARTUP_SHORTAGE_S
 from ebonyrack.placing.connection_share import compute_idle_limit
 from ebonyrack.placing.connection_share import compute_limit
 from ebonyrack.placing.connection_share import compute_probe_probability
 from ebonyrack.placing.connection_share import is_scarce
 from ebonyrack.placing.connection_share import is_short_of_connections
+from ebonyrack.placing.connection_share import keeps_scarce_connection
 from ebonyrack.placing.shedding import ReadDemand
 from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.routes.route import GroupLimits
@@ -43,6 +46,7 @@
         codec: Protocol of the upstreams.
         started_s: Time since which the proxy serves the group, on the boot clock.
         live_proxies: Number of proxies known to be alive, including this one.
+        near_proxies: How many of them may be in this data centre.
         connection_share: Connections to each upstream that this proxy may hold.
         queue_weights: Queue weight by database.
         demand: Recent reads of the group by class.
@@ -56,6 +60,7 @@
         "codec",
         "started_s",
         "live_proxies",
+        "near_proxies",
         "connection_share",
         "queue_weights",
         "demand",
@@ -99,20 +104,25 @@
             return False
         return self.primary_tracker.confirmed != member.member_id
 
-    def update_connection_share(self, live_proxies: int) -> None:
+    def update_connection_share(
+        self, live_proxies: int, near_proxies: int | None = None
+    ) -> None:
         """Set how many connections to each upstream this proxy may hold.
 
         Args:
             live_proxies: Number of proxies known to be alive, including this one.
+            near_proxies: How many of them may be in this data centre; None if that
+                isn't known.
         """
         share = compute_limit(self.limits.maximum_connections, live_proxies)
         self.live_proxies = live_proxies
+        self.near_proxies = live_proxies if near_proxies is None else near_proxies
         self.connection_share = share
         for member in self.members.values():
             if member.pool.limit != share:
                 member.pool.resize(share)
             member.pool.is_scarce = self.is_scarce
-            if self.is_scarce:
+            if self.is_scarce and not self.keeps_idle_connections(member.entry, False):
                 member.pool.keeps_idle_connections = False
                 member.pool.close_idle()
 
@@ -141,19 +151,33 @@
         )
         return random.random() < probability
 
-    def keeps_idle_connections(self, is_primary: bool) -> bool:
+    def keeps_idle_connections(self, entry: MemberEntry, is_primary: bool) -> bool:
         """Return whether connections to an upstream stay open after use.
 
         Args:
+            entry: The upstream.
             is_primary: Whether it is the primary.
         """
-        return not self.is_scarce and not (is_primary and self.is_short_of_connections)
+        if not self.is_scarce:
+            return not (is_primary and self.is_short_of_connections)
+        return (
+            entry.data_centre == self.data_centre
+            and boot_time_s() - self.started_s > STARTUP_SHORTAGE_S
+            and keeps_scarce_connection(
+                self.limits.maximum_connections, self.near_proxies
+            )
+        )
 
     def trim_idle_connections(self) -> None:
         """Close idle connections above the limit."""
         for member in self.members.values():
             is_primary = member is self.primary
-            member.pool.keeps_idle_connections = self.keeps_idle_connections(is_primary)
+            member.pool.keeps_idle_connections = self.keeps_idle_connections(
+                member.entry, is_primary
+            )
+            if self.is_scarce:
+                member.pool.trim_idle(SCARCE_IDLE_LIMIT, 0.0)
+                continue
             is_near = member.entry.data_centre == self.data_centre
             idle_limit = compute_idle_limit(self.connection_share, is_near, is_primary)
             member.pool.trim_idle(idle_limit, IDLE_TIMEOUT_S)
@@ -184,7 +208,7 @@
                 member.known_since_s = boot_time_s()
             member.pool.set_weights(self.queue_weights)
             member.pool.keeps_idle_connections = self.keeps_idle_connections(
-                entry.reports_primary
+                entry, entry.reports_primary
             )
             member.pool.is_scarce = self.is_scarce
             self.members[entry.member_id] = member
--- a/ebonyrack/placing/connection_share.py
+++ b/ebonyrack/placing/connection_share.py
@@ -11,7 +11,9 @@
 Where an upstream accepts fewer connections than there are proxies (118 proxies in front
 of upstreams that accept 73), equal shares would leave some proxies without any for
 good. Connections then pass from proxy to proxy all the time: they are opened for work,
-closed after it, and a proxy that is refused one tries again after a moment. Probes,
+closed after it, and a proxy that is refused one tries again after a moment. Only the
+proxies of an upstream's own data centre keep one, if they leave enough to the others,
+as they send it most of its reads. Probes,
 which would have to open a connection each, become so rare that all proxies together
 send a few a second.
 """
@@ -28,6 +30,10 @@
 # Connections to one upstream that a proxy may use at once while they are scarce. Most
 # proxies have no work for an upstream at any one time.
 SCARCE_LIMIT = 3
+# Connections that a proxy keeps idle to an upstream of its data centre while they are
+# scarce, and the share of the upstream's connections that may be kept so.
+SCARCE_IDLE_LIMIT = 1
+SCARCE_IDLE_SHARE = 0.7
 # Probes of one upstream by all proxies together while connections are scarce: while its
 # primary serves, and while a new one is searched for.
 SCARCE_PROBES_PER_S = 4.0
@@ -97,6 +103,17 @@
     return compute_share(maximum_connections, live_proxies)
 
 
+def keeps_scarce_connection(maximum_connections: int, near_proxies: int) -> bool:
+    """Return whether proxies keep a scarce connection to an upstream near them.
+
+    Args:
+        maximum_connections: Connections that the upstream accepts in total.
+        near_proxies: Number of live proxies in the upstream's data centre.
+    """
+    usable = maximum_connections - RESERVED_CONNECTIONS
+    return near_proxies + UNCOUNTED_PROXIES <= SCARCE_IDLE_SHARE * usable
+
+
 def compute_probe_probability(
     probes_per_s: float, live_proxies: int, interval_s: float
 ) -> float:
--- a/ebonyrack/placing/connection_share_test.py
+++ b/ebonyrack/placing/connection_share_test.py
@@ -10,8 +10,10 @@
 from ebonyrack.placing.connection_share import compute_probe_probability
 from ebonyrack.placing.connection_share import compute_share
 from ebonyrack.placing.connection_share import is_scarce
+from ebonyrack.placing.connection_share import keeps_scarce_connection
 
 PROXIES = 118
+NEAR_PROXIES = 40
 CONNECTIONS = 73
 SLOTS = 4
 OPENING_S = 0.012
@@ -27,16 +29,18 @@
     """Slots and connections of the primary, with the proxies' policy.
 
     Attributes:
-        keeps: Whether proxies keep their connections open.
+        keepers: Number of proxies that keep their connection open.
         is_open: Whether each proxy has an idle connection open.
         connections: Number of open connections.
+        openings: Number of connections that were opened.
         slots: Times at which the slots become free.
     """
 
-    def __init__(self, keeps):
-        self.keeps = keeps
+    def __init__(self, keepers):
+        self.keepers = keepers
         self.is_open = [False] * PROXIES
         self.connections = 0
+        self.openings = 0
         self.slots = [0.0] * SLOTS
 
     def occupy(self, now_s, work_s):
@@ -50,15 +54,16 @@
             if self.connections >= CONNECTIONS:
                 return None
             self.connections += 1
-            self.is_open[proxy] = self.keeps
+            self.is_open[proxy] = proxy < self.keepers
+            self.openings += 1
             now_s = self.occupy(now_s, OPENING_S)
         return self.occupy(now_s, work_s) if work_s else now_s
 
 
-def replay(keeps, probes_per_s):
-    """Return the share of statements that are served within their target."""
+def replay(keepers, probes_per_s):
+    """Return the share of statements served in time, and the openings a statement."""
     random_ = random.Random(1)
-    primary = Primary(keeps)
+    primary = Primary(keepers)
     events = []
     for kind, rate_per_s in (("statement", STATEMENTS_PER_S), ("probe", probes_per_s)):
         at_s = 0.0
@@ -77,7 +82,7 @@
         work_s = random_.expovariate(1 / WORK_S) if kind == "statement" else 0.0
         done_s = primary.run(proxy, now_s, work_s)
         if done_s is not None:
-            if not keeps:
+            if not primary.is_open[proxy]:
                 heapq.heappush(events, (done_s, random_.random(), "close", proxy))
             if kind == "statement":
                 in_time += done_s - arrived[0] <= TARGET_S
@@ -85,17 +90,26 @@
             again_s = now_s + random_.uniform(*PAUSE_S)
             event = (again_s, random_.random(), kind, proxy, *arrived)
             heapq.heappush(events, event)
-    return in_time / owed
+    return in_time / owed, primary.openings / owed
 
 
 def test_connections_from_hand_to_hand_serve_the_callers_of_every_proxy():
     usual_probes_per_s = PROXIES / USUAL_PROBE_INTERVAL_S
-    equal_shares = replay(keeps=True, probes_per_s=usual_probes_per_s)
-    with_usual_probes = replay(keeps=False, probes_per_s=usual_probes_per_s)
-    from_hand_to_hand = replay(keeps=False, probes_per_s=SCARCE_PROBES_PER_S)
+    equal_shares, _ = replay(PROXIES, usual_probes_per_s)
+    with_usual_probes, _ = replay(0, usual_probes_per_s)
+    from_hand_to_hand, openings = replay(0, SCARCE_PROBES_PER_S)
+    kept_nearby, fewer_openings = replay(NEAR_PROXIES, SCARCE_PROBES_PER_S)
     assert equal_shares < 0.7
     assert with_usual_probes < 0.9
     assert from_hand_to_hand > 0.99
+    assert kept_nearby > 0.99
+    assert fewer_openings < 0.75 * openings
+
+
+def test_only_near_proxies_that_leave_room_keep_a_connection():
+    assert keeps_scarce_connection(CONNECTIONS, NEAR_PROXIES)
+    assert not keeps_scarce_connection(CONNECTIONS, 60)
+    assert not keeps_scarce_connection(CONNECTIONS, PROXIES)
 
 
 def test_all_proxies_together_probe_at_the_given_rate():
