Eject an upstream that fails a part of its statements

Cause: an upstream whose health is good and that fails a part of its statements was tried last for 0.25 s after each failure and then preferred again; a transaction of some statements there rarely ended.

Change: placing/outlier.py counts failures by upstream and ejects one that fails clearly more than the others, for 4 s at first, with a slow return and a floor on how many stay. It holds with client accounts or scarce connections; elsewhere reads are placed as before.

--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -285,6 +285,7 @@
         for account in table.accounts.values():
             weights[account.name] = PRIORITY_WEIGHTS.get(account.priority, 1)
         for group in groups.values():
+            group.has_accounts = table.requires_accounts
             group.set_weights(weights)
 
     async def start_primary_monitor(self, group: Group) -> None:
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -21,8 +21,11 @@
 from ebonyrack.placing.connection_share import is_scarce
 from ebonyrack.placing.connection_share import is_short_of_connections
 from ebonyrack.placing.connection_share import keeps_scarce_connection
+from ebonyrack.placing.outlier import eject_outlier
 from ebonyrack.placing.shedding import ReadDemand
 from ebonyrack.requests.codec import UpstreamCodec
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
 from ebonyrack.routes.route import GroupLimits
 
 # Idle connections above the limit are closed after this time, in seconds. Opening one
@@ -49,6 +52,7 @@
         near_proxies: How many of them may be in this data centre.
         connection_share: Connections to each upstream that this proxy may hold.
         queue_weights: Queue weight by database.
+        has_accounts: Whether the operators' document has client accounts.
         demand: Recent reads of the group by class.
         leadership: Checks that the primary still leads; None where the platform ends
             the lead of a replaced primary.
@@ -63,6 +67,7 @@
         "near_proxies",
         "connection_share",
         "queue_weights",
+        "has_accounts",
         "demand",
         "leadership",
     )
@@ -83,6 +88,7 @@
         self.started_s = boot_time_s()
         self.update_connection_share(live_proxies)
         self.queue_weights: dict[str, int] = {}
+        self.has_accounts = False
         self.demand = ReadDemand()
         self.leadership = None if is_promotion_fenced else LeadershipCheck(self)
 
@@ -188,6 +194,31 @@
         for member in self.members.values():
             member.pool.set_weights(self.queue_weights)
 
+    @property
+    def ejects_outliers(self) -> bool:
+        """Whether upstreams that fail a part of their statements get fewer reads."""
+        return self.has_accounts or self.is_scarce
+
+    def record_outcome(self, member: Member, reply: Reply) -> None:
+        """Count a served or failed statement; eject its upstream if it is an outlier.
+
+        Args:
+            member: The upstream.
+            reply: Its reply; rejections of what it did not run don't count.
+        """
+        is_failed = reply.rejection is RejectionKind.FAILED
+        if not self.ejects_outliers or not (is_failed or reply.rejection is None):
+            return
+        now = boot_time_s()
+        member.failures.record(is_failed, now)
+        others = [each.failures for each in self.members.values() if each is not member]
+        if is_failed and eject_outlier(member.failures, others, now):
+            logger.bind(
+                group=self.name,
+                upstream=member.member_id,
+                ejected_s=member.failures.ejected_for_s,
+            ).warning("upstream_ejected")
+
     async def apply_entry(
         self, entry: MemberEntry, unchanged_at_s: float | None = None
     ) -> None:
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -11,6 +11,7 @@
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.link import open_link
 from ebonyrack.members.liveness import Liveness
+from ebonyrack.placing.outlier import FailureRecord
 from ebonyrack.placing.reply_time import ReplyTime
 from ebonyrack.pooling.pool import Pool
 from ebonyrack.requests.codec import UpstreamCodec
@@ -50,6 +51,7 @@
         deprioritized_until_s: Time until which other upstreams are preferred.
         abandoned_at_s: Time at which its requests were last abandoned.
         reply_time: Statistics of its reply times.
+        failures: Its recent statements that failed, and its last ejection.
         entry_missing_since_s: Time since which its entry is missing, or None.
         write_sent_s: Send time of each write or commit without a reply, by number.
         committed_sent_s: Send time of the newest acknowledged write or commit.
@@ -70,6 +72,7 @@
         "deprioritized_until_s",
         "abandoned_at_s",
         "reply_time",
+        "failures",
         "entry_missing_since_s",
         "write_sent_s",
         "committed_sent_s",
@@ -90,6 +93,7 @@
         self.deprioritized_until_s = 0.0
         self.abandoned_at_s = 0.0
         self.reply_time = ReplyTime()
+        self.failures = FailureRecord()
         self.entry_missing_since_s: float | None = None
         self.write_sent_s: dict[int, float] = {}
         self.committed_sent_s = 0.0
--- a/ebonyrack/members/read_candidates.py
+++ b/ebonyrack/members/read_candidates.py
@@ -112,6 +112,8 @@
         and now < member.lagging_until_s
         and (member.position is None or member.position < position)
     )
+    admission = member.failures.compute_admission(now)
+    is_ejected = 1.0 - read.shedding_draw > admission
     is_silent = member.liveness.measure_silence() > READ_SILENCE_LIMIT_S
     return ReadCandidate(
         member_id=member.member_id,
@@ -120,6 +122,7 @@
         is_reachable=member.is_reachable,
         is_deprioritized=lacks_position
         or is_silent
+        or is_ejected
         or now < member.deprioritized_until_s,
         is_shed=is_shed(group, member, read),
         latency_s=member.expected_reply_s,
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -180,6 +180,7 @@
             return None
         finally:
             member.pool.release(link)
+        statement.group.record_outcome(member, reply)
         if reply.rejection is None:
             member.record_reply_time(now_s() - started_s)
         member.record_position(reply.position)
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -138,6 +138,7 @@
         self.used_at_s = now_s()
         self.has_written = self.has_written or statement.writes
         if self.member is not None:
+            self.group.record_outcome(self.member, reply)
             self.member.pool.grant_slots()
         if reply.rejection is not None:
             raise build_failure(reply)
