Let the test of ejected upstreams allow for reads at the primary

It failed once in three runs on a busy machine: a read without a recent sample of the primary's position goes to the primary, not to the upstream that is to fail it.

--- a/ebonyrack/entry/outlier_test.py
+++ b/ebonyrack/entry/outlier_test.py
@@ -10,6 +10,7 @@
 # Longer than the pause after a single failure.
 PAUSE_S = 0.4
 FAILING = "up-2"
+READS = 10
 
 
 async def read_where(system, caller, item):
@@ -18,6 +19,14 @@
     return system.group.records[-1].member_id
 
 
+async def reads_reach(system, caller, member_id):
+    """Return whether one of several reads is served by an upstream."""
+    for _ in range(READS):
+        if await read_where(system, caller, "slot-1") == member_id:
+            return True
+    return False
+
+
 @pytest.mark.parametrize("has_accounts", [True, False])
 async def test_reads_leave_an_upstream_that_fails_some(system, connect, has_accounts):
     document = build_document(2)
@@ -27,14 +36,12 @@
     caller = await connect("calendar", key="key-1")
     for name in ("up-1", "up-3"):
         system.upstreams[name].faults.delay_s = 0.1
-    failing = system.upstreams[FAILING]
-    for number in range(2):
-        failing.faults.rejections = ["FAILED"]
-        await read_where(system, caller, f"slot-{number}")
-        assert failing.faults.rejections == []
+    failures = system.upstreams[FAILING].faults.rejections
+    for _ in range(2):
+        # Reads without a recent sample of the primary's position go to the primary.
+        assert await reads_reach(system, caller, FAILING)
+        failures.append("FAILED")
+        while failures:
+            await read_where(system, caller, "slot-1")
         await asyncio.sleep(PAUSE_S)
-        if number == 0:
-            # One failure is no pattern.
-            assert await read_where(system, caller, "slot-9") == FAILING
-    served = {await read_where(system, caller, f"item-{each}") for each in range(5)}
-    assert (FAILING not in served) is has_accounts
+    assert await reads_reach(system, caller, FAILING) is not has_accounts
