--- a/ebonyrack/core/metrics.py
+++ b/ebonyrack/core/metrics.py
@@ -33,6 +33,10 @@
 queue_time = meter.create_histogram(
     "ebonyrack_queue", unit="s", description="Wait for an upstream connection"
 )
+connections_opened = meter.create_counter(
+    "ebonyrack_connections_opened",
+    description="Connections to upstreams, by group and outcome",
+)
 primary_changes = meter.create_counter(
     "ebonyrack_primary_changes", description="Changes of primary seen, by group"
 )
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -299,6 +299,7 @@
         for account in table.accounts.values():
             weights[account.name] = PRIORITY_WEIGHTS.get(account.priority, 1)
         for group in groups.values():
+            group.has_accounts = table.requires_accounts
             group.set_weights(weights)
 
     async def start_primary_monitor(self, group: Group) -> None:
@@ -335,12 +336,16 @@
     def update_connection_shares(self) -> None:
         """Set this proxy's share of the connections to the upstreams."""
         live_count = self.presence.live_count
+        elsewhere = sum(
+            entry.data_centre != self.settings.data_centre
+            for entry in self.presence.proxies.values()
+        )
         for group in self.services.groups.values():
             group.homes = self.plan_homes(group)
             group.is_home = (
                 group.homes is not None and self.settings.name in group.homes.homes
             )
-            group.update_connection_share(live_count)
+            group.update_connection_share(live_count, live_count - elsewhere)
 
     def plan_homes(self, group: Group) -> HomePlan | None:
         """Choose the homes of a group; None if each proxy has its own connections."""
--- a/ebonyrack/serving/reading.py
+++ b/ebonyrack/serving/reading.py
@@ -148,7 +148,9 @@
                 statement.caller,
                 statement.connection_deadline_s,
                 statement.account,
-                statement.build_work_terms(begins_transaction=False),
+                statement.build_work_terms(
+                    needs_primary=self.requirement.position is None
+                ),
             )
         except UpstreamLostError as error:
             self.record_lost(member, error.reason)
@@ -178,6 +180,7 @@
             return None
         finally:
             member.pool.release(link)
+        statement.group.record_outcome(member, reply)
         if reply.rejection is None:
             member.record_reply_time(now_s() - started_s)
         member.record_position(reply.position)
--- a/ebonyrack/serving/transaction.py
+++ b/ebonyrack/serving/transaction.py
@@ -138,6 +138,7 @@
         self.used_at_s = now_s()
         self.has_written = self.has_written or statement.writes
         if self.member is not None:
+            self.group.record_outcome(self.member, reply)
             self.member.pool.grant_slots()
         if reply.rejection is not None:
             raise build_failure(reply)
@@ -158,7 +159,7 @@
                     statement.caller,
                     statement.connection_deadline_s,
                     statement.account,
-                    statement.build_work_terms(begins_transaction=True),
+                    statement.build_work_terms(True, self.requirement.position is None),
                 )
             except UpstreamLostError as error:
                 member.deprioritize()
