Show the lost record of an order over the whole time that it may come

The test passed without the check, as another guard held off the promotion for 4 s. It now watches up to 5.8 s of a limit of 6 s, and fails without it.

--- a/ebonyrack/promotion/open_order_test.py
+++ b/ebonyrack/promotion/open_order_test.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import pytest
-from result import Err
 
+from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.position import LogPosition
 from ebonyrack.placing.promotion_candidate import ReplicaState
 from ebonyrack.placing.promotion_candidate import is_safe_candidate
@@ -92,7 +92,8 @@
 async def test_no_order_is_sent_while_a_restored_store_may_have_lost_the_record(
     system, caller, monkeypatch
 ):
-    monkeypatch.setattr(open_order, "LATE_ORDER_LIMIT_S", 5.0)
+    # Longer than a holder of the promotion lease may be forgotten.
+    monkeypatch.setattr(open_order, "LATE_ORDER_LIMIT_S", 6.0)
     proxy = system.proxies[0]
     record = proxy.proxy.primary_monitors["scheduling"].promoter.open_order
     await caller.write_until_complete("slot-1", TIMEOUT_S)
@@ -101,14 +102,12 @@
     await system.service.restore_copy()
     assert RECORD not in system.service.items
     async with asyncio.timeout(TIMEOUT_S):
-        while proxy.store.generation == record.generation:
+        while proxy.store.generation == 1:
             await asyncio.sleep(0.02)
-    # A holder may be found again before the order can't come any more.
     await system.upstreams["up-1"].stop()
-    async with asyncio.timeout(TIMEOUT_S):
-        while isinstance(await record.read(), Err):
-            assert system.group.promotions == []
-            await asyncio.sleep(0.05)
+    while boot_time_s() < proxy.store.generation_seen_s + 5.8:
+        assert system.group.promotions == []
+        await asyncio.sleep(0.05)
     await caller.write_until_complete("slot-2", TIMEOUT_S)
     assert system.group.find_lost_entries() == []
 
