--- a/ebonyrack/entry/caller_connection.py
+++ b/ebonyrack/entry/caller_connection.py
@@ -7,10 +7,12 @@
 from loguru import logger
 from result import Err
 
+from ebonyrack.core import metrics
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import StreamLostError
+from ebonyrack.core.logs import log_failure
 from ebonyrack.requests.codec import BadRequest
 from ebonyrack.requests.codec import CallerCodec
 from ebonyrack.requests.reply import Answer
@@ -81,19 +83,25 @@
                 RequestError(ErrorKind.BAD_REQUEST, result.err_value.reason)
             )
             return False
-        database = result.ok_value
+        startup = result.ok_value
         try:
             await self.wait_for_routes()
-            self.services.find_route(database)
+            route = self.services.find_route(startup.database)
+            account = self.services.find_account(route, startup.key_digest)
         except RequestError as error:
-            logger.bind(
-                database=database.decode("utf-8", "replace"),
+            metrics.sessions_refused.add(1, {"error": str(error.kind)})
+            log_failure(
+                "session_refused",
+                caller=self.stream.peer,
+                database=startup.database.decode("utf-8", "replace"),
                 error=str(error.kind),
+                reason=error.reason,
                 version=self.services.routes.table.version,
-            ).info("session_refused")
+            )
             self.refuse_session(error)
             return False
-        self.session = Session(self.services, database)
+        self.session = Session(self.services, startup, account)
+        self.session.context.has_left = self.is_caller_gone
         self.stream.write(self.codec.encode_started())
         return True
 
@@ -118,6 +126,8 @@
         assert self.session is not None
         while not self.is_finished():
             self.is_waiting = True
+            # A version may have come into force while a request was served.
+            self.end_if_withdrawn()
             result = await self.codec.read_request(self.stream)
             self.is_waiting = False
             if isinstance(result, Err):
@@ -129,6 +139,12 @@
             answer = await self.session.answer(result.ok_value)
             self.stream.write(self.codec.encode_answer(answer))
             await self.stream.drain()
+            if is_denied(answer):
+                return
+
+    def is_caller_gone(self) -> bool:
+        """Whether the caller has closed the connection."""
+        return self.stream.lost_reason is not None
 
     def is_finished(self) -> bool:
         """Whether the session is closing and has no open transaction."""
@@ -158,17 +174,43 @@
         self.end_if_idle()
 
     def end_if_idle(self) -> bool:
-        """End the session if idle outside a transaction; return whether it was idle."""
-        if self.session is None or not self.is_waiting:
+        """End the session if idle outside a transaction; return whether it was idle.
+
+        A request that has arrived and waits to be read is still answered.
+        """
+        if self.session is None or not self.is_waiting or self.stream.has_line:
             return False
         if self.session.state is not TransactionState.IDLE:
             return False
         self.stream.close("idle session closed by the proxy")
         return True
 
+    def end_if_withdrawn(self) -> bool:
+        """End the work of a session whose account is no longer in force.
+
+        An idle session is closed. In a transaction, that is rolled back and the next
+        request ends the session with the error. A request that is being served is
+        finished first.
+
+        Returns:
+            Whether the account of the session is no longer in force.
+        """
+        reason = self.session.find_withdrawal() if self.session is not None else None
+        if self.session is None or reason is None:
+            return False
+        if self.is_waiting:
+            self.session.end_transaction(reason)
+            self.end_if_idle()
+        return True
+
     def end_idle_transaction(self, limit_s: float, reason: str) -> None:
         """Roll back the transaction if its caller has been idle too long."""
         if self.session is None or not self.is_waiting:
             return
         if self.session.is_idle_too_long(limit_s):
             self.session.end_transaction(reason)
+
+
+def is_denied(answer: Answer) -> bool:
+    """Return whether an answer ends the session for the lack of an account."""
+    return answer.error is not None and answer.error.kind is ErrorKind.UNKNOWN_ACCOUNT
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -74,7 +74,9 @@
         self.close()
         deadline_s = now_s() + pool_wait_s
         try:
-            self.link = await self.member.pool.acquire(POOL_CALLER_NAME, deadline_s)
+            self.link = await self.member.pool.acquire(
+                POOL_CALLER_NAME, deadline_s, account=None
+            )
             self.is_pooled = True
         except (RequestError, UpstreamLostError) as error:
             logger.bind(upstream=self.member.member_id, reason=str(error)).debug(
@@ -97,6 +99,7 @@
 
     async def connect_directly(self, timeout_s: float) -> None:
         """Open a connection outside the pool and request the status."""
+        self.close()
         try:
             self.link = await self.member.open_link(timeout_s)
         except UpstreamLostError as error:
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -9,9 +9,11 @@
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.route_settings import RouteProxySettings
 from ebonyrack.members.group import Group
+from ebonyrack.routes.account import ClientAccount
 from ebonyrack.routes.route import Route
 from ebonyrack.routes.state import RouteState
 from ebonyrack.service.drain import Drain
+from ebonyrack.serving.account_labels import AccountLabels
 
 
 @dataclass(slots=True)
@@ -23,12 +25,14 @@
         routes: Routes in force.
         groups: Database groups by name.
         drain: Life cycle state of the proxy.
+        account_labels: Labels of client accounts in metrics.
     """
 
     settings: RouteProxySettings
     routes: RouteState = field(default_factory=RouteState)
     groups: dict[str, Group] = field(default_factory=dict)
     drain: Drain = field(default_factory=Drain)
+    account_labels: AccountLabels = field(default_factory=AccountLabels)
 
     def find_route(self, database: bytes) -> Route:
         """Return the route of a database.
@@ -47,6 +51,29 @@
             )
         return route
 
+    def find_account(self, route: Route, key_digest: bytes) -> ClientAccount | None:
+        """Return the account that a caller of a route acts for.
+
+        Args:
+            route: The route.
+            key_digest: Digest of the key that the caller showed.
+
+        Returns:
+            The account, or None for an anonymous caller.
+
+        Raises:
+            RequestError: UNKNOWN_ACCOUNT if no account in force holds the key and the
+                route doesn't allow anonymous callers.
+        """
+        table = self.routes.table
+        account = table.find_account(key_digest)
+        if account is None and not route.allows_anonymous:
+            raise RequestError(
+                ErrorKind.UNKNOWN_ACCOUNT,
+                f"no account holds the key in version {table.version}",
+            )
+        return account
+
     def find_group(self, route: Route) -> Group:
         """Return the group that serves a route.
 
