Tell callers when a planned change is expected to end

A leaving primary has no successor yet when it rejects requests as a replica, so the time for finding one was too short: callers were told to come back in the middle of the change.

--- a/ebonyrack/members/leaving_test.py
+++ b/ebonyrack/members/leaving_test.py
@@ -8,6 +8,8 @@
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.members.leaving import SENDING_MARGIN_S
 from ebonyrack.members.leaving import measure_overtime
+from ebonyrack.placing.primary_outage import EXPECTED_DISCOVERY_S
+from ebonyrack.placing.primary_outage import EXPECTED_PLANNED_CHANGE_S
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import LineSystem
 
@@ -60,3 +62,12 @@
     primary.leaving_since_s = boot_time_s() - 5.0
     assert measure_overtime(primary, 5.0) >= SENDING_MARGIN_S
     assert measure_overtime(primary, None) == 0.0
+
+
+async def test_requests_wait_for_the_successor_of_a_leaving_primary(system):
+    group = get_group(system)
+    primary = group.members["up-1"]
+    group.record_not_primary(primary)
+    assert group.estimate_outage() == EXPECTED_DISCOVERY_S
+    await group.apply_entry(replace(primary.entry, is_leaving=True))
+    assert group.estimate_outage() == EXPECTED_PLANNED_CHANGE_S
--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -20,6 +20,7 @@
 from ebonyrack.placing.primary_health import PrimaryObservation
 from ebonyrack.placing.primary_health import assess_primary
 from ebonyrack.placing.primary_outage import EXPECTED_DISCOVERY_S
+from ebonyrack.placing.primary_outage import EXPECTED_PLANNED_CHANGE_S
 from ebonyrack.placing.primary_outage import OutageEstimate
 from ebonyrack.placing.primary_outage import decide_wait
 from ebonyrack.placing.primary_tracker import PrimaryTracker
@@ -46,6 +47,7 @@
         changing_since_s: Time since which another proxy is changing the primary, or
             None; known only where promotions are not fenced.
         leaving_limit_s: Seconds for which a leaving upstream may get work, or None.
+        former_primary_id: The last primary that was known, or None.
     """
 
     __slots__ = (
@@ -60,6 +62,7 @@
         "newest_acknowledged",
         "changing_since_s",
         "leaving_limit_s",
+        "former_primary_id",
     )
 
     def __init__(self, leaving_limit_s: float | None) -> None:
@@ -74,6 +77,7 @@
         self.outage_estimate = OutageEstimate()
         self.newest_acknowledged: LogPosition | None = None
         self.changing_since_s: float | None = None
+        self.former_primary_id: str | None = None
 
     @property
     def name(self) -> str:
@@ -171,6 +175,7 @@
             return
         if primary is None:
             self.unknown_since_s = self.unknown_since_s or boot_time_s()
+            self.former_primary_id = before
         else:
             self.unknown_since_s = None
             metrics.primary_changes.add(1, {"group": self.name})
@@ -226,7 +231,7 @@
         now = boot_time_s()
         is_lost = health.is_lost
         if is_lost and self.lost_since_s is None:
-            self.lost_since_s = now
+            self.lost_since_s = self.unknown_since_s or now
         elif not is_lost and self.lost_since_s is not None:
             self.outage_estimate.record_outage(now - self.lost_since_s)
             self.lost_since_s = None
@@ -291,7 +296,11 @@
         """Return the expected total length of the current outage, in seconds."""
         # A primary that rejected a request as a replica already has a successor.
         is_searching = self.primary is None and self.health is PrimaryHealth.SERVING
-        return EXPECTED_DISCOVERY_S if is_searching else self.outage_estimate.expected_s
+        if not is_searching:
+            return self.outage_estimate.expected_s
+        former = self.members.get(self.former_primary_id or "")
+        is_planned = former is not None and former.entry.is_leaving
+        return EXPECTED_PLANNED_CHANGE_S if is_planned else EXPECTED_DISCOVERY_S
 
     def measure_outage(self) -> float:
         """Return the seconds without a serving primary, including before detection."""
--- a/ebonyrack/placing/primary_outage.py
+++ b/ebonyrack/placing/primary_outage.py
@@ -19,6 +19,8 @@
 OUTAGE_SMOOTHING = 0.5
 # A primary that rejects a request as a replica has a successor, which a probe finds.
 EXPECTED_DISCOVERY_S = 0.3
+# A leaving primary steps down before its successor's promotion is ordered.
+EXPECTED_PLANNED_CHANGE_S = 0.8
 # A request waits only if this much of its time remains once the primary is back.
 SERVICE_ALLOWANCE_S = 0.1
 # Minimum estimate of the remainder: an outage may end at any moment, but a request
