Make a stalled primary step down before its successor is ordered

A primary whose commits stall can still be reached. A replica that joins after the others were compared makes its commits count, and they are gone with the promotion: found by test_change_of_a_stalled_primary_loses_no_commit without the change on the unfenced model, example [join d, commit with d]. It steps down now; what has joined is compared once more.

--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -225,6 +225,20 @@
             if status is not None and not status.is_primary:
                 await participant.pause(self.term)
 
+    async def end_lead(self) -> bool:
+        """Make a primary that still replies a replica; return whether there was one.
+
+        Its commits don't count any more then, also with replicas that aren't paused.
+        """
+        has_ended = False
+        for participant in self.former:
+            status = participant.status
+            if participant.is_connected and status is not None and status.is_primary:
+                await participant.step_down(self.term)
+                self.group.record_not_primary(participant.member)
+                has_ended = True
+        return has_ended
+
     async def end_former_lead(self, chosen: PromotionParticipant) -> None:
         """Make the replaced primary a replica if it can be reached.
 
--- a/ebonyrack/promotion/group_change_test.py
+++ b/ebonyrack/promotion/group_change_test.py
@@ -41,6 +41,7 @@
 NAMES = st.sampled_from(FIRST + JOINING)
 REQUEST_S = 0.002
 PLANNED_EVENTS = ("commit", "log", "join", "register", "leave", "restart", "dark")
+STALL_EVENTS = ("commit", "log", "join", "restart", "dark")
 LOSS_EVENTS = ("join", "register", "restart", "dark")
 RETURNING_EVENTS = LOSS_EVENTS + ("return_primary", "commit")
 RETURN_EVENTS = ("back", "carry_out", "catch_up")
@@ -85,7 +86,8 @@
 class Model:
     """The group, the orders, and what was acknowledged."""
 
-    def __init__(self, events):
+    def __init__(self, events, registers_at_once=False):
+        self.registers_at_once = registers_at_once
         self.events = list(events)
         self.upstreams = {name: Upstream(name) for name in FIRST}
         self.acknowledged = {LogPosition(1, 1)}
@@ -138,7 +140,7 @@
     def join(self, name):
         if name in JOINING and name not in self.upstreams:
             self.upstreams[name] = Upstream(name)
-            self.upstreams[name].is_registered = False
+            self.upstreams[name].is_registered = self.registers_at_once
 
     def register(self, name):
         if name in self.upstreams:
@@ -376,3 +378,12 @@
     model.upstreams["a"].is_dark = model.is_crashed = True
     play(model, PrimaryHealth.REFUSING, answers, is_fenced)
     assert model.lost == []
+
+
+@pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
+@given(steps=draw_steps(STALL_EVENTS), answers=ANSWERS)
+@settings(max_examples=300)
+def test_change_of_a_stalled_primary_loses_no_commit(is_fenced, steps, answers):
+    model = Model(steps, registers_at_once=True)
+    play(model, PrimaryHealth.STALLED, answers, is_fenced)
+    assert model.lost == []
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -190,7 +190,15 @@
                 status = participant.status
                 if status is not None and status.is_primary:
                     return await PlannedChange(search, participant).run()
-        return await search.run()
+        chosen = await search.run()
+        if isinstance(chosen, PromotionParticipant) and await search.end_lead():
+            # Commits may have counted with a replica that joined after the comparison.
+            await self.read_entries()
+            await search.update_replicas()
+            await search.pause_others(chosen)
+            if not await search.is_safe(chosen):
+                return PromotionResult.NO_SAFE_SUCCESSOR
+        return chosen
 
     async def restore_lead(
         self,
