--- a/ebonyrack/core/metrics.py
+++ b/ebonyrack/core/metrics.py
@@ -38,6 +38,10 @@
 queue_time = meter.create_histogram(
     "ebonyrack_queue", unit="s", description="Wait for an upstream connection"
 )
+connections_opened = meter.create_counter(
+    "ebonyrack_connections_opened",
+    description="Connections to upstreams, by group and outcome",
+)
 primary_changes = meter.create_counter(
     "ebonyrack_primary_changes", description="Changes of primary seen, by group"
 )
@@ -47,6 +51,13 @@
 peer_bytes = meter.create_counter(
     "ebonyrack_peer_bytes", unit="By", description="Bytes exchanged with peers"
 )
+handed_over = meter.create_counter(
+    "ebonyrack_handed_over", description="Statements handed to homes, by outcome"
+)
+served_for_others = meter.create_counter(
+    "ebonyrack_served_for_others",
+    description="Statements served for other proxies, by outcome",
+)
 
 
 def start_metrics(address: Address | None) -> None:
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -21,6 +21,9 @@
 from ebonyrack.entry.listener import BALANCER_REMOVAL_S
 from ebonyrack.entry.listener import Listener
 from ebonyrack.entry.primary_monitor import PrimaryMonitor
+from ebonyrack.handover.asking import HomeAsker
+from ebonyrack.handover.front import Front
+from ebonyrack.handover.home import Home
 from ebonyrack.limits.fleet_limiter import FleetLimiter
 from ebonyrack.limits.grant_terms import LimitBounds
 from ebonyrack.members.directory import DecodeEntry
@@ -30,6 +33,8 @@
 from ebonyrack.members.presence import Presence
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.peers.proxy_links import ProxyLinks
+from ebonyrack.placing.homes import HomePlan
+from ebonyrack.placing.homes import plan_homes
 from ebonyrack.placing.primary_health import MISSING_ENTRY_LIMIT_S
 from ebonyrack.promotion.order import PromotionOrderClient
 from ebonyrack.promotion.promoter import Promoter
@@ -103,6 +108,8 @@
         directory: The upstreams that are registered in the store.
         presence: The live proxies.
         links: Links to other proxies.
+        home_asker: Asks the homes of groups.
+        home: Serves the work that other proxies hand to this one.
         store_availability: Whether the store answers.
         followers: Apply changes of entries, routes and proxies in the store.
         listener: Accepts callers' connections.
@@ -128,6 +135,9 @@
             build_entry(settings),
         )
         self.links = ProxyLinks(settings, lambda: self.presence.proxies)
+        self.home_asker = HomeAsker(self.links, settings.data_centre)
+        self.home = Home(self.services, self.links)
+        self.services.remote = Front(self.home_asker, self.services.routes)
         store = dependencies.store
         self.store_availability = StoreAvailability()
         self.services.limiter = self.build_limiter()
@@ -235,7 +245,8 @@
 
     async def start(self) -> None:
         """Start all components."""
-        await self.stack.enter_async_context(self.links)
+        for component in (self.links, self.home_asker, self.home):
+            await self.stack.enter_async_context(component)
         if self.services.limiter is not None:
             await self.stack.enter_async_context(self.services.limiter)
         await self.stack.enter_async_context(self.listener)
@@ -266,16 +277,20 @@
             Number of sessions that the shutdown cut.
         """
         await self.services.drain.requested.wait()
-        draining = self.listener.drain(self.settings.grace_s)
-        if self.services.limiter is None:
-            cut_sessions = await draining
-        else:
-            releasing = self.services.limiter.release()
-            cut_sessions, _ = await asyncio.gather(draining, releasing)
+        cut_sessions, *_ = await asyncio.gather(
+            self.listener.drain(self.settings.grace_s),
+            self.home.drain(self.settings.grace_s),
+            self.release_limits(),
+        )
         self.services.drain.finish()
         logger.bind(cut_sessions=cut_sessions).info("proxy_drained")
         return cut_sessions
 
+    async def release_limits(self) -> None:
+        """Give the limits of accounts that this proxy owns to other proxies."""
+        if self.services.limiter is not None:
+            await self.services.limiter.release()
+
     async def apply_store_changes(self, changes: StoreChanges) -> None:
         """Apply a change of the operators' routes in the store."""
         for item in changes.items:
@@ -322,6 +337,7 @@
         for account in table.accounts.values():
             weights[account.name] = PRIORITY_WEIGHTS.get(account.priority, 1)
         for group in groups.values():
+            group.has_accounts = table.requires_accounts
             group.set_weights(weights)
 
     async def start_primary_monitor(self, group: Group) -> None:
@@ -333,7 +349,12 @@
             self.settings.name,
             lambda: self.directory.read(self.dependencies.store),
         )
-        monitor = PrimaryMonitor(group, promoter, self.is_discovery_complete)
+        monitor = PrimaryMonitor(
+            group,
+            promoter,
+            self.is_discovery_complete,
+            lambda: group.hands_work_over and self.home_asker.is_in_reach(group),
+        )
         self.primary_monitors[group.name] = monitor
         await monitor.start()
 
@@ -352,8 +373,28 @@
 
     def update_connection_shares(self) -> None:
         """Set this proxy's share of the connections to the upstreams."""
+        live_count = self.presence.live_count
+        elsewhere = sum(
+            entry.data_centre != self.settings.data_centre
+            for entry in self.presence.proxies.values()
+        )
         for group in self.services.groups.values():
-            group.update_connection_share(self.presence.live_count)
+            group.homes = self.plan_homes(group)
+            group.is_home = (
+                group.homes is not None and self.settings.name in group.homes.homes
+            )
+            group.update_connection_share(live_count, live_count - elsewhere)
+
+    def plan_homes(self, group: Group) -> HomePlan | None:
+        """Choose the homes of a group; None if each proxy has its own connections."""
+        if self.presence.entry is None:
+            return None
+        return plan_homes(
+            group.name,
+            group.limits.maximum_connections,
+            self.presence.live_count,
+            self.presence.proxies.values(),
+        )
 
     async def monitor_connectivity(self) -> None:
         """Handle isolation and missing upstreams, until cancelled."""
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -15,6 +15,7 @@
 from ebonyrack.routes.state import RouteState
 from ebonyrack.service.drain import Drain
 from ebonyrack.serving.account_labels import AccountLabels
+from ebonyrack.serving.remote import RemoteServing
 
 
 @dataclass(slots=True)
@@ -27,6 +28,8 @@
         groups: Database groups by name.
         drain: Life cycle state of the proxy.
         limiter: Keeps the limits of client accounts; None where there are none.
+        remote: Serves the work of groups whose connections other proxies hold; None
+            if this proxy has no links to others.
         account_labels: Labels of client accounts in metrics.
     """
 
@@ -35,6 +38,7 @@
     groups: dict[str, Group] = field(default_factory=dict)
     drain: Drain = field(default_factory=Drain)
     limiter: FleetLimiter | None = None
+    remote: RemoteServing | None = None
     account_labels: AccountLabels = field(default_factory=AccountLabels)
 
     def find_route(self, database: bytes) -> Route:
@@ -77,6 +81,10 @@
             )
         return account
 
+    def find_remote(self, group: Group) -> RemoteServing | None:
+        """Return what serves a group's work at other proxies; None to serve it here."""
+        return self.remote if group.hands_work_over else None
+
     def find_group(self, route: Route) -> Group:
         """Return the group that serves a route.
 
