--- a/ebonyrack/limits/fleet_machine_test.py
+++ b/ebonyrack/limits/fleet_machine_test.py
@@ -19,7 +19,7 @@
 from ebonyrack.limits.shard import find_shard
 from ebonyrack.limits.shard_hold import LEASE_TTL_S
 from ebonyrack.limits.shard_hold import ShardHold
-from ebonyrack.limits.shard_hold import ShardOwner
+from ebonyrack.limits.shard_key import ShardOwner
 from ebonyrack.limits.token_bucket import TokenBucket
 
 BOUNDS = LimitBounds(window_s=5.0, overshoot=0.1, slack=20.0)
--- a/ebonyrack/limits/shard_keeper.py
+++ b/ebonyrack/limits/shard_keeper.py
@@ -22,8 +22,8 @@
 from ebonyrack.limits.shard_hold import RENEWAL_INTERVAL_S
 from ebonyrack.limits.shard_hold import ShardHold
 from ebonyrack.limits.shard_hold import ShardLease
-from ebonyrack.limits.shard_hold import ShardOwner
-from ebonyrack.limits.shard_hold import encode_levels
+from ebonyrack.limits.shard_key import ShardOwner
+from ebonyrack.limits.shard_key import encode_levels
 from ebonyrack.store.follower import FollowOptions
 from ebonyrack.store.follower import StoreAvailability
 from ebonyrack.store.follower import StoreFollower
