Give the stand-ins of each test process a loopback host of their own

Cause: a free port is found by binding and closing it, and another test process can take it before the proxy listens there: "address already in use" in one of some 1,500 tests of one run beside load. Each proxy takes three ports now, so it comes more often.

Change: the host is derived from the process, so only ports of the same process can collide.

Checked: the tests of service/proxy, accounts, handover/ and platform/.

--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import os
 import socket
 from contextlib import AsyncExitStack
 from typing import Any
@@ -29,10 +30,15 @@
 
 
 def find_free_address() -> Address:
-    """Return a loopback address on which nothing listens."""
+    """Return a loopback address on which nothing listens.
+
+    The host depends on the process, so that no other process takes the port meanwhile.
+    """
+    process = os.getpid()
+    host = f"127.{1 + process // 65536 % 200}.{process // 256 % 256}.{process % 256}"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
+        probe.bind((host, 0))
+        return Address(host, probe.getsockname()[1])
 
 
 def build_document(version: int, **changes: dict[str, Any]) -> dict[str, Any]:
