--- a/ebonyrack/handover/remote_transaction.py
+++ b/ebonyrack/handover/remote_transaction.py
@@ -23,6 +23,7 @@
 from ebonyrack.handover.question import read_answer
 from ebonyrack.handover.statement_messages import EndHandedTransaction
 from ebonyrack.handover.statement_messages import HandedAnswer
+from ebonyrack.limits.admission import Admission
 from ebonyrack.members.group import Group
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.reply import TransactionState
@@ -48,6 +49,8 @@
         group: Its database group.
         is_read_only: Whether it may not write.
         last_commit: Position of the session's newest commit at its beginning, or None.
+        admission: Permission under the limit of the client account, if no home takes
+            it.
         number: Number by which the home knows it.
         home: The home at which it is open, or None.
         local: The transaction at an upstream of this proxy, if no home took it.
@@ -62,6 +65,7 @@
         "group",
         "is_read_only",
         "last_commit",
+        "admission",
         "number",
         "home",
         "local",
@@ -77,12 +81,14 @@
         group: Group,
         is_read_only: bool,
         last_commit: LogPosition | None,
+        admission: Admission,
     ) -> None:
         self.front = front
         self.route = route
         self.group = group
         self.is_read_only = is_read_only
         self.last_commit = last_commit
+        self.admission = admission
         self.number = next(numbers)
         self.home: str | None = None
         self.local: CallerTransaction | None = None
@@ -164,7 +170,11 @@
         self.home = None
         metrics.handed_over.add(1, {"outcome": "served_here"})
         self.local = CallerTransaction(
-            self.route, self.group, self.is_read_only, self.last_commit
+            self.route,
+            self.group,
+            self.is_read_only,
+            self.last_commit,
+            self.admission,
         )
         return await self.run_local(statement, self.local)
 
--- a/ebonyrack/serving/remote.py
+++ b/ebonyrack/serving/remote.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from ebonyrack.core.position import LogPosition
+from ebonyrack.limits.admission import Admission
 from ebonyrack.members.group import Group
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.reply import TransactionState
@@ -18,6 +19,7 @@
     Attributes:
         route: Route at its beginning.
         group: Its database group.
+        admission: Permission under the limit of the client account.
         has_written: Whether a write was sent.
         is_failed: Whether it can only be rolled back.
         used_at_s: Monotonic time of its last statement.
@@ -25,6 +27,7 @@
 
     route: Route
     group: Group
+    admission: Admission
     has_written: bool
     is_failed: bool
     used_at_s: float
@@ -71,5 +74,6 @@
         group: Group,
         is_read_only: bool,
         last_commit: LogPosition | None,
+        admission: Admission,
     ) -> Transaction:
         """Begin a transaction, which is sent with its first statement."""
