--- a/ebonyrack/service/proxy_test.py
+++ b/ebonyrack/service/proxy_test.py
@@ -244,6 +244,7 @@
     "account_requests",
     "connections_opened",
     "handed_over",
+    "limit_decisions",
     "served_for_others",
     "sessions_refused",
 }
