Test eight proxies at upstreams that accept six connections

Operations of callers at each proxy, one after the other, all succeed; with nothing counted as scarce the callers of the sixth proxy are refused.

--- a/ebonyrack/entry/scarce_connections_test.py
+++ b/ebonyrack/entry/scarce_connections_test.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from ebonyrack.standins.line_system import LineCaller
+from ebonyrack.standins.line_system import LineSystem
 from ebonyrack.standins.line_system import build_document
 
 WAIT_S = 5.0
@@ -60,3 +62,37 @@
         scarce_system.upstreams[name].faults.is_full = True
     async with asyncio.timeout(WAIT_S):
         assert (await caller.execute("READ slot-1"))[0] == "DATAROW none"
+
+
+OPERATIONS = (
+    ("READ slot-1",),
+    ("WRITE slot-1 mali",),
+    ("BEGIN", "READ slot-2", "WRITE slot-2 mali", "COMMIT"),
+    ("BEGIN READ", "READ slot-3", "COMMIT"),
+)
+
+
+async def run_operations(proxy):
+    """Run each operation through a proxy; return the replies that are errors."""
+    errors = []
+    address = proxy.proxy.settings.caller_address
+    async with LineCaller(address, "booking") as caller:
+        for texts in OPERATIONS:
+            replies = [await caller.execute(text) for text in texts]
+            errors += [reply for reply in replies if reply[0].startswith("ERROR")]
+    return errors
+
+
+async def test_callers_of_more_proxies_than_connections_are_served():
+    async with LineSystem(proxy_count=8) as system:
+        document = build_document(2)
+        document["services"][0]["maxConnections"] = 6
+        await system.change_document(document)
+        for upstream in system.upstreams.values():
+            upstream.faults.maximum_connections = 6
+        for proxy in system.proxies:
+            while proxy.proxy.presence.live_count < len(system.proxies):
+                await asyncio.sleep(0.1)
+        async with asyncio.timeout(4 * WAIT_S):
+            errors = [await run_operations(proxy) for proxy in system.proxies]
+        assert errors == [[]] * len(system.proxies)
--- a/ebonyrack/standins/line_upstream.py
+++ b/ebonyrack/standins/line_upstream.py
@@ -38,6 +38,8 @@
         rejections: Error codes with which the next statements with an ID are rejected.
         delay_s: Delay before each statement with an ID runs, in seconds.
         is_full: Whether it rejects further connections.
+        maximum_connections: Connections that it accepts in total, or None for any
+            number.
     """
 
     is_silent: bool = False
@@ -46,6 +48,7 @@
     rejections: list[str] = field(default_factory=list)
     delay_s: float = 0.0
     is_full: bool = False
+    maximum_connections: int | None = None
 
 
 @dataclass(slots=True)
@@ -174,7 +177,9 @@
 
     def check_startup(self, words: list[str]) -> str:
         """Return the error of a rejected session, or an empty string."""
-        if self.faults.is_full:
+        maximum = self.faults.maximum_connections
+        is_over = maximum is not None and len(self.tasks) > maximum
+        if self.faults.is_full or is_over:
             return "TOOMANY -"
         expected = words[3] if len(words) > 3 else self.member.member_id
         if words[1] != self.group.name or expected != self.member.member_id:
