Give what equal shares leave over to the strongest proxies

Cause: 31 proxies that share 82 connections hold two each, 62 together. Connections of 82 accounts take turns in them, and every change opens one.

Change: with client accounts, the proxies with the most processors, which the presence entries tell, hold one more each, as far as the connections last.

Checked: placing/connection_share_test.py for 31, 34 and 17 proxies: no more than the upstream accepts, with room for one proxy that isn't counted yet.

--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -8,6 +8,7 @@
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.tasks import end_tasks
+from ebonyrack.placing.connection_share import ProxyCounts
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import LineSystem
 
@@ -323,7 +324,7 @@
     caller, reader = await connect("booking"), await connect("calendar")
     group = system.proxies[0].proxy.services.groups["scheduling"]
     group.limits = replace(group.limits, maximum_connections=43)
-    group.update_connection_share(29)
+    group.update_connection_share(ProxyCounts(29, 29, 29))
     group.trim_idle_connections()
     assert (await caller.execute("WRITE slot-1 mali"))[0].startswith("COMPLETE sig")
     assert (await reader.execute("READ slot-1"))[0].startswith("DATAROW")
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -25,6 +25,7 @@
 from ebonyrack.members.group import Group
 from ebonyrack.members.presence import PREFIX as PROXIES_PREFIX
 from ebonyrack.members.presence import Presence
+from ebonyrack.members.proxy_counts import count_proxies
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.peers.proxy_links import ProxyLinks
 from ebonyrack.placing.primary_health import MISSING_ENTRY_LIMIT_S
@@ -277,6 +278,8 @@
         for name in set(groups) - set(table.groups):
             await self.primary_monitors.pop(name).stop()
             await groups.pop(name).stop()
+        for group in groups.values():
+            group.has_accounts = table.requires_accounts
         self.update_connection_shares()
         weights = {
             database.decode("utf-8", "replace"): PRIORITY_WEIGHTS.get(route.priority, 1)
@@ -285,7 +288,6 @@
         for account in table.accounts.values():
             weights[account.name] = PRIORITY_WEIGHTS.get(account.priority, 1)
         for group in groups.values():
-            group.has_accounts = table.requires_accounts
             group.set_weights(weights)
 
     async def start_primary_monitor(self, group: Group) -> None:
@@ -316,13 +318,9 @@
 
     def update_connection_shares(self) -> None:
         """Set this proxy's share of the connections to the upstreams."""
-        live_proxies = self.presence.live_count
-        elsewhere = sum(
-            entry.data_centre != self.settings.data_centre
-            for entry in self.presence.proxies.values()
-        )
+        counts = count_proxies(self.presence, self.settings.data_centre)
         for group in self.services.groups.values():
-            group.update_connection_share(live_proxies, live_proxies - elsewhere)
+            group.update_connection_share(counts)
 
     async def monitor_connectivity(self) -> None:
         """Handle isolation and missing upstreams, until cancelled."""
--- a/ebonyrack/entry/scarce_connections_test.py
+++ b/ebonyrack/entry/scarce_connections_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonyrack.placing.connection_share import ProxyCounts
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import LineSystem
 from ebonyrack.standins.line_system import build_document
@@ -34,7 +35,7 @@
 
 async def test_primary_is_probed_rarely(scarce_system, connect):
     (group,) = scarce_system.proxies[0].proxy.services.groups.values()
-    group.update_connection_share(PROXIES)
+    group.update_connection_share(ProxyCounts(PROXIES, PROXIES, PROXIES))
     await asyncio.sleep(0.5)
     records = scarce_system.group.records
     before = len(records)
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -15,6 +15,7 @@
 from ebonyrack.members.primary_state import PrimaryState
 from ebonyrack.placing.connection_share import SCARCE_IDLE_LIMIT
 from ebonyrack.placing.connection_share import STARTUP_SHORTAGE_S
+from ebonyrack.placing.connection_share import ProxyCounts
 from ebonyrack.placing.connection_share import compute_idle_limit
 from ebonyrack.placing.connection_share import compute_limit
 from ebonyrack.placing.connection_share import compute_probe_probability
@@ -86,9 +87,10 @@
         self.codec = codec
         super().__init__(leaving_limit_s)
         self.started_s = boot_time_s()
-        self.update_connection_share(live_proxies)
-        self.queue_weights: dict[str, int] = {}
         self.has_accounts = False
+        counts = ProxyCounts(live_proxies, live_proxies, live_proxies)
+        self.update_connection_share(counts)
+        self.queue_weights: dict[str, int] = {}
         self.demand = ReadDemand()
         self.leadership = None if is_promotion_fenced else LeadershipCheck(self)
 
@@ -110,19 +112,17 @@
             return False
         return self.primary_tracker.confirmed != member.member_id
 
-    def update_connection_share(
-        self, live_proxies: int, near_proxies: int | None = None
-    ) -> None:
+    def update_connection_share(self, counts: ProxyCounts) -> None:
         """Set how many connections to each upstream this proxy may hold.
 
         Args:
-            live_proxies: Number of proxies known to be alive, including this one.
-            near_proxies: How many of them may be in this data centre; None if that
-                isn't known.
+            counts: Numbers of live proxies.
         """
-        share = compute_limit(self.limits.maximum_connections, live_proxies)
-        self.live_proxies = live_proxies
-        self.near_proxies = live_proxies if near_proxies is None else near_proxies
+        share = compute_limit(
+            self.limits.maximum_connections, counts, self.has_accounts
+        )
+        self.live_proxies = counts.live
+        self.near_proxies = counts.near
         self.connection_share = share
         for member in self.members.values():
             if member.pool.limit != share:
--- a/ebonyrack/placing/connection_share.py
+++ b/ebonyrack/placing/connection_share.py
@@ -20,6 +20,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 # Left for promotions, which open connections outside the pools.
 RESERVED_CONNECTIONS = 2
 # One proxy may have just started and not be counted yet.
@@ -40,6 +42,21 @@
 SCARCE_SEARCHES_PER_S = 40.0
 
 
+@dataclass(frozen=True, slots=True)
+class ProxyCounts:
+    """Numbers of live proxies, each including this one.
+
+    Attributes:
+        live: All that are known to be alive.
+        near: Those that may be in the data centre of this proxy.
+        strength_rank: Rank of this proxy by its processors; 1 has the most.
+    """
+
+    live: int
+    near: int
+    strength_rank: int
+
+
 def compute_share(maximum_connections: int, live_proxies: int) -> int:
     """Return how many connections to an upstream one proxy may hold.
 
@@ -91,16 +108,23 @@
     return usable < live_proxies + UNCOUNTED_PROXIES
 
 
-def compute_limit(maximum_connections: int, live_proxies: int) -> int:
+def compute_limit(
+    maximum_connections: int, counts: ProxyCounts, shares_remainder: bool
+) -> int:
     """Return how many connections to an upstream one proxy may use at once.
 
     Args:
         maximum_connections: Connections that the upstream accepts in total.
-        live_proxies: Number of proxies known to be alive, including this one.
+        counts: Numbers of live proxies.
+        shares_remainder: Whether the proxies with the most processors get one more from
+            what equal shares leave over. Pools that several accounts share use it.
     """
-    if is_scarce(maximum_connections, live_proxies):
+    if is_scarce(maximum_connections, counts.live):
         return SCARCE_LIMIT
-    return compute_share(maximum_connections, live_proxies)
+    share = compute_share(maximum_connections, counts.live)
+    usable = maximum_connections - RESERVED_CONNECTIONS
+    remainder = usable - share * (counts.live + UNCOUNTED_PROXIES)
+    return share + (shares_remainder and counts.strength_rank <= remainder)
 
 
 def keeps_scarce_connection(maximum_connections: int, near_proxies: int) -> bool:
--- a/ebonyrack/placing/connection_share_test.py
+++ b/ebonyrack/placing/connection_share_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ebonyrack.placing.connection_share import SCARCE_PROBES_PER_S
+from ebonyrack.placing.connection_share import ProxyCounts
 from ebonyrack.placing.connection_share import compute_limit
 from ebonyrack.placing.connection_share import compute_probe_probability
 from ebonyrack.placing.connection_share import compute_share
@@ -131,4 +132,17 @@
 def test_scarce_only_with_fewer_connections_than_proxies(maximum, proxies, expected):
     assert is_scarce(maximum, proxies) is expected
     if not expected:
-        assert compute_limit(maximum, proxies) == compute_share(maximum, proxies)
+        counts = ProxyCounts(proxies, proxies, 1)
+        assert compute_limit(maximum, counts, False) == compute_share(maximum, proxies)
+
+
+@pytest.mark.parametrize(("maximum", "proxies"), [(82, 31), (80, 34), (60, 17)])
+def test_strongest_proxies_share_what_equal_shares_leave_over(maximum, proxies):
+    limits = [
+        compute_limit(maximum, ProxyCounts(proxies, proxies, rank), True)
+        for rank in range(1, proxies + 1)
+    ]
+    assert limits == sorted(limits, reverse=True)
+    assert max(limits) - min(limits) <= 1
+    assert sum(limits) + min(limits) <= maximum - 2
+    assert sum(limits) > 0.85 * maximum
