--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -20,6 +20,9 @@
 from ebonyrack.entry.listener import BALANCER_REMOVAL_S
 from ebonyrack.entry.listener import Listener
 from ebonyrack.entry.primary_monitor import PrimaryMonitor
+from ebonyrack.handover.asking import HomeAsker
+from ebonyrack.handover.front import Front
+from ebonyrack.handover.home import Home
 from ebonyrack.members.directory import DecodeEntry
 from ebonyrack.members.directory import UpstreamDirectory
 from ebonyrack.members.group import Group
@@ -28,6 +31,8 @@
 from ebonyrack.members.proxy_counts import count_proxies
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.peers.proxy_links import ProxyLinks
+from ebonyrack.placing.homes import HomePlan
+from ebonyrack.placing.homes import plan_homes
 from ebonyrack.placing.primary_health import MISSING_ENTRY_LIMIT_S
 from ebonyrack.promotion.order import PromotionOrderClient
 from ebonyrack.promotion.promoter import Promoter
@@ -101,6 +106,8 @@
         directory: The upstreams that are registered in the store.
         presence: The live proxies.
         links: Links to other proxies.
+        home_asker: Asks the homes of groups.
+        home: Serves the work that other proxies hand to this one.
         store_availability: Whether the store answers.
         followers: Apply changes of entries, routes and proxies in the store.
         listener: Accepts callers' connections.
@@ -126,6 +133,9 @@
             build_entry(settings),
         )
         self.links = ProxyLinks(settings, lambda: self.presence.proxies)
+        self.home_asker = HomeAsker(self.links, settings.data_centre)
+        self.home = Home(self.services, self.links)
+        self.services.remote = Front(self.home_asker, self.services.routes)
         store = dependencies.store
         self.store_availability = StoreAvailability()
         self.followers = (
@@ -208,7 +218,8 @@
 
     async def start(self) -> None:
         """Start all components."""
-        await self.stack.enter_async_context(self.links)
+        for component in (self.links, self.home_asker, self.home):
+            await self.stack.enter_async_context(component)
         await self.stack.enter_async_context(self.listener)
         for follower in self.followers:
             await self.stack.enter_async_context(follower)
@@ -237,7 +248,10 @@
             Number of sessions that the shutdown cut.
         """
         await self.services.drain.requested.wait()
-        cut_sessions = await self.listener.drain(self.settings.grace_s)
+        cut_sessions, _ = await asyncio.gather(
+            self.listener.drain(self.settings.grace_s),
+            self.home.drain(self.settings.grace_s),
+        )
         self.services.drain.finish()
         logger.bind(cut_sessions=cut_sessions).info("proxy_drained")
         return cut_sessions
@@ -299,7 +313,12 @@
             self.settings.name,
             lambda: self.directory.read(self.dependencies.store),
         )
-        monitor = PrimaryMonitor(group, promoter, self.is_discovery_complete)
+        monitor = PrimaryMonitor(
+            group,
+            promoter,
+            self.is_discovery_complete,
+            lambda: group.hands_work_over and self.home_asker.is_in_reach(group),
+        )
         self.primary_monitors[group.name] = monitor
         await monitor.start()
 
@@ -320,8 +339,23 @@
         """Set this proxy's share of the connections to the upstreams."""
         counts = count_proxies(self.presence, self.settings.data_centre)
         for group in self.services.groups.values():
+            group.homes = self.plan_homes(group)
+            group.is_home = (
+                group.homes is not None and self.settings.name in group.homes.homes
+            )
             group.update_connection_share(counts)
 
+    def plan_homes(self, group: Group) -> HomePlan | None:
+        """Choose the homes of a group; None if each proxy has its own connections."""
+        if self.presence.entry is None:
+            return None
+        return plan_homes(
+            group.name,
+            group.limits.maximum_connections,
+            self.presence.live_count,
+            self.presence.proxies.values(),
+        )
+
     async def monitor_connectivity(self) -> None:
         """Handle isolation and missing upstreams, until cancelled."""
         while True:
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -22,6 +22,8 @@
 from ebonyrack.placing.connection_share import is_scarce
 from ebonyrack.placing.connection_share import is_short_of_connections
 from ebonyrack.placing.connection_share import keeps_scarce_connection
+from ebonyrack.placing.homes import DIRECT_SHARE
+from ebonyrack.placing.homes import HomePlan
 from ebonyrack.placing.outlier import eject_outlier
 from ebonyrack.placing.shedding import ReadDemand
 from ebonyrack.requests.codec import UpstreamCodec
@@ -52,6 +54,9 @@
         live_proxies: Number of proxies known to be alive, including this one.
         near_proxies: How many of them may be in this data centre.
         connection_share: Connections to each upstream that this proxy may hold.
+        homes: The proxies that hold the connections to the upstreams; None if each
+            proxy has connections of its own.
+        is_home: Whether this proxy is one of them.
         queue_weights: Queue weight by database.
         has_accounts: Whether the operators' document has client accounts.
         demand: Recent reads of the group by class.
@@ -67,6 +72,8 @@
         "live_proxies",
         "near_proxies",
         "connection_share",
+        "homes",
+        "is_home",
         "queue_weights",
         "has_accounts",
         "demand",
@@ -87,6 +94,8 @@
         self.codec = codec
         super().__init__(leaving_limit_s)
         self.started_s = boot_time_s()
+        self.homes: HomePlan | None = None
+        self.is_home = False
         self.has_accounts = False
         counts = ProxyCounts(live_proxies, live_proxies, live_proxies)
         self.update_connection_share(counts)
@@ -118,9 +127,12 @@
         Args:
             counts: Numbers of live proxies.
         """
-        share = compute_limit(
-            self.limits.maximum_connections, counts, self.has_accounts
-        )
+        if self.homes is None:
+            share = compute_limit(
+                self.limits.maximum_connections, counts, self.has_accounts
+            )
+        else:
+            share = self.homes.connection_share if self.is_home else DIRECT_SHARE
         self.live_proxies = counts.live
         self.near_proxies = counts.near
         self.connection_share = share
@@ -132,6 +144,11 @@
                 member.pool.keeps_idle_connections = False
                 member.pool.close_idle()
 
+    @property
+    def hands_work_over(self) -> bool:
+        """Whether other proxies hold the connections to the upstreams."""
+        return self.homes is not None and not self.is_home
+
     @property
     def is_short_of_connections(self) -> bool:
         """Whether connections from before the proxy's start may use up the limit."""
@@ -142,8 +159,13 @@
 
     @property
     def is_scarce(self) -> bool:
-        """Whether an upstream can't accept a connection from every proxy."""
-        return is_scarce(self.limits.maximum_connections, self.live_proxies)
+        """Whether upstreams can't accept a connection from every proxy like this one.
+
+        A home has connections of its own, however many proxies there are.
+        """
+        return not self.is_home and is_scarce(
+            self.limits.maximum_connections, self.live_proxies
+        )
 
     def draw_probe(self, probes_per_s: float, interval_s: float) -> bool:
         """Return whether this proxy sends one of the probes of all proxies.
@@ -164,6 +186,8 @@
             entry: The upstream.
             is_primary: Whether it is the primary.
         """
+        if self.hands_work_over:
+            return False
         if not self.is_scarce:
             return not (is_primary and self.is_short_of_connections)
         return (
@@ -181,6 +205,9 @@
             member.pool.keeps_idle_connections = self.keeps_idle_connections(
                 member.entry, is_primary
             )
+            if self.hands_work_over:
+                member.pool.trim_idle(0, 0.0)
+                continue
             if self.is_scarce:
                 member.pool.trim_idle(SCARCE_IDLE_LIMIT, 0.0)
                 continue
@@ -197,7 +224,7 @@
     @property
     def ejects_outliers(self) -> bool:
         """Whether upstreams that fail a part of their statements get fewer reads."""
-        return self.has_accounts or self.is_scarce
+        return self.has_accounts or self.is_scarce or self.homes is not None
 
     def record_outcome(self, member: Member, reply: Reply) -> None:
         """Count a served or failed statement; eject its upstream if it is an outlier.
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -14,6 +14,7 @@
 from ebonyrack.routes.state import RouteState
 from ebonyrack.service.drain import Drain
 from ebonyrack.serving.account_labels import AccountLabels
+from ebonyrack.serving.remote import RemoteServing
 
 
 @dataclass(slots=True)
@@ -25,6 +26,8 @@
         routes: Routes in force.
         groups: Database groups by name.
         drain: Life cycle state of the proxy.
+        remote: Serves the work of groups whose connections other proxies hold; None
+            if this proxy has no links to others.
         account_labels: Labels of client accounts in metrics.
     """
 
@@ -32,6 +35,7 @@
     routes: RouteState = field(default_factory=RouteState)
     groups: dict[str, Group] = field(default_factory=dict)
     drain: Drain = field(default_factory=Drain)
+    remote: RemoteServing | None = None
     account_labels: AccountLabels = field(default_factory=AccountLabels)
 
     def find_route(self, database: bytes) -> Route:
@@ -74,6 +78,10 @@
             )
         return account
 
+    def find_remote(self, group: Group) -> RemoteServing | None:
+        """Return what serves a group's work at other proxies; None to serve it here."""
+        return self.remote if group.hands_work_over else None
+
     def find_group(self, route: Route) -> Group:
         """Return the group that serves a route.
 
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -14,6 +14,7 @@
 from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.registry import Registry
+from ebonyrack.members.group import Group
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
 from ebonyrack.requests.codec import Startup
@@ -27,6 +28,8 @@
 from ebonyrack.routes.withdrawal import SessionIdentity
 from ebonyrack.routes.withdrawal import find_withdrawal
 from ebonyrack.serving.reading import serve_read
+from ebonyrack.serving.remote import RemoteServing
+from ebonyrack.serving.remote import Transaction
 from ebonyrack.serving.services import Services
 from ebonyrack.serving.statement import build_statement
 from ebonyrack.serving.transaction import CallerTransaction
@@ -47,6 +50,8 @@
         context: The caller's session values and prepared statements.
         last_commit: Group and position of the session's newest commit, or None.
         transaction: The open transaction, or None.
+        is_handed_over: Whether another proxy handed the work to this one, which has
+            admitted it and doesn't hand it on.
     """
 
     __slots__ = (
@@ -55,6 +60,7 @@
         "context",
         "last_commit",
         "transaction",
+        "is_handed_over",
     )
 
     def __init__(
@@ -65,7 +71,8 @@
         self.identity = SessionIdentity(startup.database, startup.key_digest, name)
         self.context = SessionContext(account=name)
         self.last_commit: tuple[str, LogPosition] | None = None
-        self.transaction: CallerTransaction | None = None
+        self.transaction: Transaction | None = None
+        self.is_handed_over = False
 
     @property
     def database(self) -> bytes:
@@ -104,8 +111,18 @@
 
     def find_withdrawal(self) -> str | None:
         """Return why the session may run no further work, or None if it may."""
+        if self.is_handed_over:
+            # The proxy of the caller has checked the key, which doesn't travel.
+            return self.find_account_removal()
         return find_withdrawal(self.services.routes.table, self.identity)
 
+    def find_account_removal(self) -> str | None:
+        """Return why the account may run no further work, or None if it may."""
+        table, account = self.services.routes.table, self.identity.account
+        if account == ANONYMOUS or account in table.accounts:
+            return None
+        return f"no such account in version {table.version}"
+
     def check_account(self) -> ClientAccount | None:
         """Return the client account as it is in force, or None if anonymous.
 
@@ -135,11 +152,8 @@
     def record_answer(self, request: Request, answer: Answer, elapsed_s: float) -> None:
         """Update the metrics with an answer, and log a failed request."""
         outcome = "served" if answer.error is None else str(answer.error.kind)
-        metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
-        metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
-        if self.identity.account != ANONYMOUS:
-            label = self.services.account_labels.count_request(self.identity.account)
-            metrics.account_requests.add(1, {"account": label, "outcome": outcome})
+        if not self.is_handed_over:
+            self.count_answer(request, outcome, elapsed_s)
         if answer.error is not None:
             route = self.services.routes.table.routes.get(self.database)
             log_failure(
@@ -156,6 +170,18 @@
                 elapsed_s=round(elapsed_s, 4),
             )
 
+    def find_remote(self, group: Group) -> RemoteServing | None:
+        """Return what serves a group's work at other proxies; None to serve it here."""
+        return None if self.is_handed_over else self.services.find_remote(group)
+
+    def count_answer(self, request: Request, outcome: str, elapsed_s: float) -> None:
+        """Update the metrics with an answer to a caller of this proxy."""
+        metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
+        metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
+        if self.identity.account != ANONYMOUS:
+            label = self.services.account_labels.count_request(self.identity.account)
+            metrics.account_requests.add(1, {"account": label, "outcome": outcome})
+
     def find_last_commit(self, group: str) -> LogPosition | None:
         """Return the position of the session's newest commit in a group."""
         if self.last_commit is None or self.last_commit[0] != group:
@@ -211,11 +237,16 @@
     route = session.services.find_route(session.database)
     group = session.services.find_group(route)
     statement = build_statement(request, route, group, session.context)
-    if statement.writes:
+    last_commit = session.find_last_commit(group.name)
+    remote = session.find_remote(group)
+    if remote is not None:
+        reply = await remote.serve_statement(statement, last_commit)
+    elif statement.writes:
         reply = await serve_write(statement)
-        session.record_commit(group.name, reply)
     else:
-        reply = await serve_read(statement, session.find_last_commit(group.name))
+        reply = await serve_read(statement, last_commit)
+    if statement.writes:
+        session.record_commit(group.name, reply)
     return build_answer(session, reply)
 
 
@@ -226,6 +257,12 @@
     route = session.services.find_route(session.database)
     group = session.services.find_group(route)
     is_read_only = request.kind is RequestKind.BEGIN_READ_ONLY
+    remote = session.find_remote(group)
+    if remote is not None:
+        session.transaction = remote.begin_transaction(
+            route, group, is_read_only, session.find_last_commit(group.name)
+        )
+        return Answer(session.state)
     if not is_read_only:
         await group.wait_for_primary(now_s() + route.statement_timeout_s)
     session.transaction = CallerTransaction(
