Check that openings of connections are counted

The check that every metric is recorded failed (11 instead of 8): the new metric belongs to the proxies for routes, whose own test now covers it.

--- a/ebonyrack/entry/scarce_connections_test.py
+++ b/ebonyrack/entry/scarce_connections_test.py
@@ -1,9 +1,11 @@
 """One proxy in front of upstreams that don't accept a connection from every proxy."""
 
 import asyncio
+from collections import Counter
 
 import pytest
 
+from ebonyrack.core import metrics
 from ebonyrack.placing.connection_share import ProxyCounts
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import LineSystem
@@ -44,7 +46,21 @@
     assert sum(record.text == "BEGIN" for record in records[before:]) <= 2
 
 
-async def test_write_waits_for_a_connection_of_a_full_primary(scarce_system, connect):
+class OutcomeCounter:
+    """Counts openings of connections by outcome, as the metric does."""
+
+    def __init__(self):
+        self.counts = Counter()
+
+    def add(self, count, labels):
+        self.counts[labels["outcome"]] += count
+
+
+async def test_write_waits_for_a_connection_of_a_full_primary(
+    scarce_system, connect, monkeypatch
+):
+    openings = OutcomeCounter()
+    monkeypatch.setattr(metrics, "connections_opened", openings)
     caller = await connect("booking")
     upstream = scarce_system.upstreams["up-1"]
     upstream.faults.is_full = True
@@ -54,6 +70,7 @@
     upstream.faults.is_full = False
     async with asyncio.timeout(WAIT_S):
         assert (await writing)[0].startswith("COMPLETE sig")
+    assert openings.counts["opened"] and openings.counts["too_many_connections"]
 
 
 async def test_read_goes_to_an_upstream_with_room(scarce_system, connect):
--- a/ebonyrack/service/proxy_test.py
+++ b/ebonyrack/service/proxy_test.py
@@ -242,6 +242,7 @@
 # Recorded only by proxies for routes; their tests check that they are.
 ROUTE_PROXY_METRICS = {
     "account_requests",
+    "connections_opened",
     "handed_over",
     "served_for_others",
     "sessions_refused",
