Split the waiting requests off the pool

Moved, not rewritten: pool_queue.py holds the waiting requests and the grants to them. One change: with accounts the time for which a request holds a slot begins with the opening of its connection, as most open one, so that waits aren't underestimated.

Checked: the tests of pooling and upstreams pass; pool_machine_test.py sets the clock of the new module too.

--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Generic
 from typing import TypeVar
 
@@ -11,9 +10,6 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.component import Component
-from ebonyrack.core.errors import ErrorKind
-from ebonyrack.core.errors import RequestError
-from ebonyrack.pooling.admission import AdmissionQueue
 from ebonyrack.pooling.connection_opener import OPEN_TIMEOUT_S
 from ebonyrack.pooling.connection_opener import Connect
 from ebonyrack.pooling.connection_opener import Connection
@@ -22,7 +18,7 @@
 from ebonyrack.pooling.fair_order import DEFAULT_TERMS
 from ebonyrack.pooling.fair_order import Waiter
 from ebonyrack.pooling.fair_order import WorkTerms
-from ebonyrack.pooling.pool_slots import PoolSlots
+from ebonyrack.pooling.pool_queue import PoolQueue
 from ebonyrack.pooling.pooled_connection import QueueSettings
 from ebonyrack.pooling.upstream_lost import TOO_MANY_CONNECTIONS
 from ebonyrack.pooling.upstream_lost import UpstreamLostError
@@ -30,19 +26,17 @@
 Settings = TypeVar("Settings", bound=QueueSettings)
 
 
-class Pool(PoolSlots[Connection], Component, Generic[Connection, Settings]):
+class Pool(PoolQueue[Connection], Component, Generic[Connection, Settings]):
     """Connections to one upstream, each used by one caller at a time.
 
     A request that is granted a connection slot holds it until `release`.
 
     Attributes:
-        address: Address of the upstream.
         section: Settings of the queue and of the connections.
-        queue: Requests that wait for a slot.
         opener: Opens connections until the pool stops accepting work.
     """
 
-    __slots__ = ("address", "section", "queue", "opener")
+    __slots__ = ("section", "opener")
 
     def __init__(
         self,
@@ -51,10 +45,8 @@
         limit: int,
         connect: Connect[Connection],
     ) -> None:
-        super().__init__(limit)
-        self.address = address
+        super().__init__(address, limit, section.queue_limit)
         self.section = section
-        self.queue = AdmissionQueue(section.queue_limit)
         self.opener = ConnectionOpener(address, connect)
 
     async def stop(self) -> None:
@@ -65,11 +57,6 @@
         for connection in list(self.busy):
             connection.close()
 
-    @property
-    def waiting_count(self) -> int:
-        """Number of requests that wait for a slot."""
-        return len(self.queue)
-
     def estimate_wait(self, caller: str, account: str = "") -> float:
         """Return the expected wait of a new request for a connection, in seconds.
 
@@ -84,14 +71,6 @@
             return opening_s
         return opening_s + self.queue.estimate_wait(caller, self.servers)
 
-    def set_weights(self, weights: dict[str, int]) -> None:
-        """Set the weights of the applications in the queue.
-
-        Args:
-            weights: Weight by name of the application; others count 1.
-        """
-        self.queue.weights = weights
-
     async def acquire(
         self,
         caller: str,
@@ -130,78 +109,6 @@
             connection = await self.open_in_slot(waiter)
         return connection
 
-    def check_accepting(self) -> None:
-        """Raise UpstreamLostError while the pool accepts no new work."""
-        if not self.is_accepting:
-            raise build_not_accepting_error(self.address)
-
-    def may_serve(self, waiter: Waiter) -> bool:
-        """Return whether there is a free slot that a request may take."""
-        return self.has_free_slot(waiter.account, waiter.terms.begins_transaction)
-
-    def grant_slots(self) -> None:
-        """Serve waiters as long as there are free slots that they may take."""
-        if self.queue:
-            self.queue.refuse_hopeless(self.servers)
-        while self.queue and self.is_accepting and self.has_free_slot():
-            waiter = self.queue.pop(self.may_serve)
-            if waiter is None or waiter.granted is None:
-                return
-            granted = waiter.granted
-            if not granted.done():
-                granted.set_result(self.take_slot(waiter.account))
-
-    async def wait_for_grant(self, waiter: Waiter) -> Connection | None:
-        """Wait until a slot is granted, up to the waiter's deadline.
-
-        Args:
-            waiter: The queued waiter.
-
-        Returns:
-            A connection, or None for a slot in which one has to be opened.
-
-        Raises:
-            RequestError: WAIT_TOO_LONG at the deadline; QUEUE_FULL if the request was
-                refused in favour of another.
-            UpstreamLostError: If the pool stops accepting work.
-        """
-        assert waiter.granted is not None
-        try:
-            async with asyncio.timeout(waiter.deadline_s - now_s()):
-                connection: Connection | None = await waiter.granted
-        except TimeoutError:
-            self.return_grant(waiter)
-            raise self.queue.build_refusal(
-                ErrorKind.WAIT_TOO_LONG, "the deadline passed", self.servers, waiter
-            ) from None
-        except asyncio.CancelledError:
-            self.return_grant(waiter)
-            raise
-        return connection
-
-    def return_grant(self, waiter: Waiter) -> None:
-        """Return the slot of a waiter that gives up, if it was granted one.
-
-        Args:
-            waiter: The waiter.
-        """
-        self.queue.discard(waiter)
-        granted = waiter.granted
-        if granted is None or not granted.done():
-            return
-        if granted.cancelled() or granted.exception() is not None:
-            return
-        connection = granted.result()
-        if connection is None:
-            self.free_opening_slot()
-        else:
-            self.release(connection)
-
-    def free_opening_slot(self) -> None:
-        """Free the slot of a connection that was not opened."""
-        self.opening -= 1
-        self.grant_slots()
-
     async def open_in_slot(self, waiter: Waiter) -> Connection | None:
         """Open a connection in a slot that is held.
 
@@ -217,6 +124,7 @@
                 QUEUE_FULL if the queue has filled up meanwhile.
             UpstreamLostError: If the upstream can't be reached.
         """
+        started_s = now_s()
         try:
             connection = await self.open_connection(waiter)
         except UpstreamLostError as error:
@@ -230,7 +138,9 @@
             raise
         else:
             self.opening -= 1
-            self.busy[connection] = now_s()
+            # Many requests of accounts open a connection, so that is part of the time
+            # for which they hold a slot.
+            self.busy[connection] = started_s if waiter.account else now_s()
             return self.check_opened(connection)
         return await self.wait_for_release(waiter)
 
@@ -309,41 +219,6 @@
         self.grant_slots()
         return await self.wait_for_grant(waiter)
 
-    def build_no_connection_error(self) -> RequestError:
-        """Build the refusal for an upstream that has no connection to spare."""
-        return self.queue.build_refusal(
-            ErrorKind.WAIT_TOO_LONG, "the upstream has no connection to spare", 1
-        )
-
-    def build_refusal(self, kind: ErrorKind, reason: str) -> RequestError:
-        """Build a refusal whose retry-after time follows from the queue.
-
-        Args:
-            kind: Kind of refusal.
-            reason: Why the request is refused.
-        """
-        return self.queue.build_refusal(kind, reason, self.servers)
-
-    def release(self, connection: Connection) -> None:
-        """Return a connection to the pool; close it if it is not clean.
-
-        Args:
-            connection: A connection from `acquire`.
-
-        Raises:
-            ValueError: If the connection is not in use.
-        """
-        if connection not in self.busy:
-            raise ValueError("the connection is not in use")
-        granted_at_s = self.busy.pop(connection)
-        # The hold time of a connection that broke says nothing about service times.
-        if connection.is_clean:
-            self.queue.estimator.record_service_time(now_s() - granted_at_s)
-        self.keep_or_close(connection)
-        self.grant_slots()
-        if not self.keeps_idle_connections:
-            self.close_idle()
-
     def stop_new_work(self) -> None:
         """Refuse new work; connections in use may finish their statements."""
         self.is_accepting = False
--- a/ebonyrack/upstreams/pool_machine_test.py
+++ b/ebonyrack/upstreams/pool_machine_test.py
@@ -18,6 +18,7 @@
 from ebonyrack.pooling import connection_limit
 from ebonyrack.pooling import connection_opener as opener_module
 from ebonyrack.pooling import pool as pool_module
+from ebonyrack.pooling import pool_queue
 from ebonyrack.pooling import pool_slots
 from ebonyrack.pooling import wait_estimator
 from ebonyrack.upstreams import pool as postgresql_pool
@@ -30,6 +31,7 @@
     connection_limit,
     opener_module,
     pool_module,
+    pool_queue,
     pool_slots,
     wait_estimator,
 )
