Tell refused reads the return time of their account

A read that was shed was told the time at which the whole queue has room; with accounts it is now the one of its account, as for refusals by the queue.

--- a/ebonyrack/members/read_candidates.py
+++ b/ebonyrack/members/read_candidates.py
@@ -62,9 +62,7 @@
     if not ordered:
         for candidate in candidates:
             if candidate.is_reachable:
-                raise build_overload_error(
-                    group.members[candidate.member_id], read.caller
-                )
+                raise build_overload_error(group.members[candidate.member_id], read)
     return ordered
 
 
@@ -76,7 +74,7 @@
     """
     group.demand.record(read.work_class, boot_time_s())
     if is_shed(group, primary, read):
-        raise build_overload_error(primary, read.caller)
+        raise build_overload_error(primary, read)
 
 
 def is_shed(group: Group, member: Member, read: PlacementRequest) -> bool:
@@ -92,11 +90,13 @@
     return member.pool.estimate_wait(caller) + member.expected_reply_s
 
 
-def build_overload_error(member: Member, caller: str) -> RequestError:
+def build_overload_error(member: Member, read: PlacementRequest) -> RequestError:
     """Build the error for a shed read, with a retry-after."""
-    answer_s = estimate_answer_time(member, caller)
+    answer_s = estimate_answer_time(member, read.caller)
     return member.pool.build_refusal(
-        ErrorKind.WAIT_TOO_LONG, f"overloaded, an answer takes {answer_s:.3f} s"
+        ErrorKind.WAIT_TOO_LONG,
+        f"overloaded, an answer takes {answer_s:.3f} s",
+        read.account,
     )
 
 
--- a/ebonyrack/pooling/admission.py
+++ b/ebonyrack/pooling/admission.py
@@ -59,7 +59,7 @@
                 ErrorKind.WAIT_TOO_LONG,
                 f"expected wait {expected_s:.3f} s",
                 servers,
-                waiter,
+                waiter.account,
             )
         self.check_account_bound(waiter, servers)
         if self.count >= self.limit:
@@ -96,7 +96,7 @@
         """
         bound = max(1.0, MAXIMUM_ACCOUNT_SHARE * self.limit)
         if waiter.account and self.count_waiting(waiter.caller) >= bound:
-            raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers, waiter)
+            raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers, waiter.account)
 
     def make_room(self, waiter: Waiter, servers: int) -> None:
         """Refuse the newest waiter of the caller with the most for its weight.
@@ -113,7 +113,7 @@
         waiting_count = self.count_waiting(waiter.caller)
         load = len(fullest.waiters) / fullest.weight
         if (waiting_count + 1) / self.get_weight(waiter.caller) >= load:
-            raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers, waiter)
+            raise self.build_refusal(ErrorKind.QUEUE_FULL, "", servers, waiter.account)
         self.refuse_newest(name, servers)
 
     def requeue(self, waiter: Waiter, servers: int) -> None:
@@ -141,7 +141,8 @@
         waiter = self.callers[name].waiters[-1]
         self.discard(waiter)
         fail_waiter(
-            waiter, self.build_refusal(ErrorKind.QUEUE_FULL, "", servers, waiter)
+            waiter,
+            self.build_refusal(ErrorKind.QUEUE_FULL, "", servers, waiter.account),
         )
 
     def refuse_hopeless(self, servers: int) -> None:
@@ -155,7 +156,10 @@
         for waiter in self.list_hopeless(now_s(), interval_s, service_s):
             self.discard(waiter)
             refusal = self.build_refusal(
-                ErrorKind.WAIT_TOO_LONG, "its turn comes too late", servers, waiter
+                ErrorKind.WAIT_TOO_LONG,
+                "its turn comes too late",
+                servers,
+                waiter.account,
             )
             fail_waiter(waiter, refusal)
 
@@ -177,7 +181,7 @@
         kind: ErrorKind,
         reason: str,
         servers: int,
-        waiter: Waiter | None = None,
+        account: str | None = None,
     ) -> RequestError:
         """Build a refusal with a retry-after time.
 
@@ -185,17 +189,18 @@
             kind: Kind of refusal.
             reason: Why the request is refused.
             servers: Connections that serve the queue.
-            waiter: The request, if the time depends on its account.
+            account: Client account of the request, which determines the time; None or
+                empty if it has none.
 
         Returns:
             The error.
         """
-        if waiter is None or not waiter.account:
+        if not account:
             retry_after_s = self.estimator.schedule_retry(self.count, servers)
         else:
             retry_after_s = self.retries.schedule(
-                waiter.caller,
-                self.estimate_wait(waiter.caller, servers),
+                account,
+                self.estimate_wait(account, servers),
                 self.estimator.estimate_wait(1, servers),
                 self.weights,
                 now_s(),
--- a/ebonyrack/pooling/pool_queue.py
+++ b/ebonyrack/pooling/pool_queue.py
@@ -85,7 +85,10 @@
         except TimeoutError:
             self.return_grant(waiter)
             raise self.queue.build_refusal(
-                ErrorKind.WAIT_TOO_LONG, "the deadline passed", self.servers, waiter
+                ErrorKind.WAIT_TOO_LONG,
+                "the deadline passed",
+                self.servers,
+                waiter.account,
             ) from None
         except asyncio.CancelledError:
             self.return_grant(waiter)
@@ -121,14 +124,17 @@
             ErrorKind.WAIT_TOO_LONG, "the upstream has no connection to spare", 1
         )
 
-    def build_refusal(self, kind: ErrorKind, reason: str) -> RequestError:
+    def build_refusal(
+        self, kind: ErrorKind, reason: str, account: str = ""
+    ) -> RequestError:
         """Build a refusal whose retry-after time follows from the queue.
 
         Args:
             kind: Kind of refusal.
             reason: Why the request is refused.
+            account: Client account of the request; empty for none.
         """
-        return self.queue.build_refusal(kind, reason, self.servers)
+        return self.queue.build_refusal(kind, reason, self.servers, account)
 
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool; close it if it is not clean.
