--- a/ebonyrack/handover/handover_test.py
+++ b/ebonyrack/handover/handover_test.py
@@ -8,6 +8,7 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.entry import route_proxy
+from ebonyrack.handover.home import serve
 from ebonyrack.handover.row_parts import PART_BYTES
 from ebonyrack.handover.row_parts import RowParts
 from ebonyrack.handover.statement_messages import HandedAnswer
@@ -93,7 +94,10 @@
 
 @pytest.fixture
 async def fleet(shortage):
-    async with LineSystem(proxy_count=3) as system:
+    system = LineSystem(proxy_count=3)
+    # Transactions that end in a test don't end because they are idle.
+    system.document["limits"]["txIdleMs"] = 60000
+    async with system:
         await wait_until(
             lambda: all(
                 group_of(each.proxy).homes is not None
@@ -231,10 +235,17 @@
 
 
 async def test_answers_larger_than_a_message_are_whole(fleet, connect, monkeypatch):
-    monkeypatch.setattr("ebonyrack.handover.row_parts.PART_BYTES", 3)
+    async def serve_many_rows(session, question):
+        answer = await serve(session, question)
+        answer.rows = [b"row-%d" % number for number in range(10)]
+        return answer
+
+    monkeypatch.setattr("ebonyrack.handover.row_parts.PART_BYTES", 12)
+    monkeypatch.setattr("ebonyrack.handover.home.serve", serve_many_rows)
     caller = await connect()
-    await caller.execute("WRITE slot-1 maliwan")
-    assert "DATAROW maliwan" in await caller.execute("READ slot-1")
+    reply = await caller.execute("READ slot-1")
+    assert reply[:10] == [f"DATAROW row-{number}" for number in range(10)]
+    assert not any(home.home.row_parts.kept for home in fleet.homes)
 
 
 async def test_largest_statement_is_handed_over_and_larger_ones_are_served_here(
