--- a/ebonyrack/service/proxy_test.py
+++ b/ebonyrack/service/proxy_test.py
@@ -239,8 +239,13 @@
             await slept
 
 
-# Recorded only by proxies for routes; handover_test.py checks that they are.
-ROUTE_PROXY_METRICS = {"handed_over", "served_for_others"}
+# Recorded only by proxies for routes; their tests check that they are.
+ROUTE_PROXY_METRICS = {
+    "account_requests",
+    "handed_over",
+    "served_for_others",
+    "sessions_refused",
+}
 
 
 class Recorder:
