--- a/ebonyrack/handover/front.py
+++ b/ebonyrack/handover/front.py
@@ -27,6 +27,7 @@
 from ebonyrack.handover.question import read_answer
 from ebonyrack.handover.remote_transaction import RemoteTransaction
 from ebonyrack.handover.statement_messages import HandedAnswer
+from ebonyrack.limits.admission import Admission
 from ebonyrack.members.group import Group
 from ebonyrack.requests.reply import Reply
 from ebonyrack.routes.route import Route
@@ -84,9 +85,12 @@
         group: Group,
         is_read_only: bool,
         last_commit: LogPosition | None,
+        admission: Admission,
     ) -> RemoteTransaction:
         """Begin a transaction, which is sent with its first statement."""
-        return RemoteTransaction(self, route, group, is_read_only, last_commit)
+        return RemoteTransaction(
+            self, route, group, is_read_only, last_commit, admission
+        )
 
     def list_homes(self, statement: Statement) -> list[str]:
         """Return the homes that a statement is handed to, the first one first."""
