Test that decisions on limits are counted

service/proxy_test.py leaves the metric out, as only the proxy for routes records it; nothing showed yet that it does. Checked: entry/account_limits_test.py and service/proxy_test.py pass.

--- a/ebonyrack/entry/account_limits_test.py
+++ b/ebonyrack/entry/account_limits_test.py
@@ -6,6 +6,7 @@
 import pytest
 from result import Err
 
+from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.limits.limit_messages import AskGrants
@@ -245,3 +246,17 @@
         assert plain.proxies[0].proxy.services.limiter is None
         await asyncio.sleep(0.5)
         assert not [key for key in plain.service.items if "limits" in key]
+
+
+async def test_decisions_are_counted(system, monkeypatch):
+    class Recorder:
+        outcomes = []
+
+        def add(self, amount, labels):
+            self.outcomes.append(labels["outcome"])
+
+    monkeypatch.setattr(metrics, "limit_decisions", Recorder())
+    address = system.proxies[0].proxy.settings.caller_address
+    async with LineCaller(address, "calendar", KEYS[CALM][0]) as caller:
+        assert (await caller.execute("READ slot-1"))[0] == "DATAROW none"
+    assert Recorder.outcomes == ["admitted"]
