--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -31,6 +31,7 @@
 from ebonyrack.members.group import Group
 from ebonyrack.members.presence import PREFIX as PROXIES_PREFIX
 from ebonyrack.members.presence import Presence
+from ebonyrack.members.proxy_counts import count_proxies
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.peers.proxy_links import ProxyLinks
 from ebonyrack.placing.homes import HomePlan
@@ -329,6 +330,8 @@
         for name in set(groups) - set(table.groups):
             await self.primary_monitors.pop(name).stop()
             await groups.pop(name).stop()
+        for group in groups.values():
+            group.has_accounts = table.requires_accounts
         self.update_connection_shares()
         weights = {
             database.decode("utf-8", "replace"): PRIORITY_WEIGHTS.get(route.priority, 1)
@@ -337,7 +340,6 @@
         for account in table.accounts.values():
             weights[account.name] = PRIORITY_WEIGHTS.get(account.priority, 1)
         for group in groups.values():
-            group.has_accounts = table.requires_accounts
             group.set_weights(weights)
 
     async def start_primary_monitor(self, group: Group) -> None:
@@ -373,17 +375,13 @@
 
     def update_connection_shares(self) -> None:
         """Set this proxy's share of the connections to the upstreams."""
-        live_count = self.presence.live_count
-        elsewhere = sum(
-            entry.data_centre != self.settings.data_centre
-            for entry in self.presence.proxies.values()
-        )
+        counts = count_proxies(self.presence, self.settings.data_centre)
         for group in self.services.groups.values():
             group.homes = self.plan_homes(group)
             group.is_home = (
                 group.homes is not None and self.settings.name in group.homes.homes
             )
-            group.update_connection_share(live_count, live_count - elsewhere)
+            group.update_connection_share(counts)
 
     def plan_homes(self, group: Group) -> HomePlan | None:
         """Choose the homes of a group; None if each proxy has its own connections."""
