Decline handed work of a front that lacks the home's version

A front that is cut off from the store goes on with its version, and hands the statements of a withdrawn key to a home that has the newer one and reaches the store. The home can't know, as the key doesn't travel, and ran them: it acted as only an older version allows after it had shown a newer.

A handed statement names the sender's version; a home whose version is newer and has been in force for 0.25 s, in which it reaches all proxies that reach the store, declines it as not run. The front then serves it itself or rejects it. Transactions that are open at the home go on, as before.

Ruled out: sending key digests (only the account's name travels); declining at once (each change would cost all fronts some hand-overs).

Checked: the new test fails without the check ('served' instead of 'declined') and passes with it.

--- a/ebonyrack/handover/front.py
+++ b/ebonyrack/handover/front.py
@@ -120,7 +120,13 @@
             step: The transaction to which it belongs.
             timeout_s: Seconds to wait for the answer.
         """
-        question = build_question(statement, last_commit, step, self.choose_version())
+        question = build_question(
+            statement,
+            last_commit,
+            step,
+            self.choose_version(),
+            self.routes.table.version,
+        )
         if measure_question(question) > MAXIMUM_QUESTION_BYTES:
             answer: HandedAnswer | NoAnswer = NoAnswer(False, "too large to hand over")
         else:
--- a/ebonyrack/handover/handover_test.py
+++ b/ebonyrack/handover/handover_test.py
@@ -8,6 +8,7 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.entry import route_proxy
+from ebonyrack.handover.home import VERSION_SPREAD_S
 from ebonyrack.handover.row_parts import PART_BYTES
 from ebonyrack.handover.row_parts import RowParts
 from ebonyrack.handover.statement_messages import HandedAnswer
@@ -197,6 +198,28 @@
     assert refused.startup_reply.startswith("ERROR DENIED")
 
 
+async def test_home_runs_nothing_for_a_front_that_lacks_its_version(
+    fleet, connect, monkeypatch
+):
+    document = require_accounts(build_document(7), {"yard": ["key-1", "key-2"]})
+    await fleet.system.change_document(document)
+    caller = await connect(key="key-2")
+    assert is_complete(await caller.execute("READ slot-1"))
+    # The front reads no further version.
+    monkeypatch.setattr(fleet.front, "apply_document", lambda value: asyncio.sleep(0))
+    document = require_accounts(build_document(8), {"yard": ["key-1"]})
+    await fleet.system.publish_document(document)
+    await wait_until(
+        lambda: all(home.services.routes.table.version == 8 for home in fleet.homes)
+    )
+    await asyncio.sleep(VERSION_SPREAD_S + 0.1)
+    declined = Recorder()
+    monkeypatch.setattr(metrics, "served_for_others", declined)
+    assert is_complete(await caller.execute("READ slot-2"))
+    assert set(declined.outcomes) == {"declined"}
+    assert fleet.records[-1].text == "READ slot-2"
+
+
 async def test_idle_transaction_ends_at_the_home_too(fleet, connect):
     document = build_document(7)
     document["limits"]["txIdleMs"] = 300
--- a/ebonyrack/handover/home.py
+++ b/ebonyrack/handover/home.py
@@ -45,6 +45,10 @@
     {RequestKind.READ, RequestKind.WRITE, RequestKind.EXECUTE, RequestKind.COMMIT}
 )
 
+# Time in which a version reaches the proxies that reach the store. One that lacks it
+# for longer may serve a key that was withdrawn, which this proxy must not do.
+VERSION_SPREAD_S = 0.25
+
 
 @dataclass(slots=True, eq=False)
 class HandedWork:
@@ -163,9 +167,13 @@
             return "the transaction is not open here"
         if self.services.drain.is_draining:
             return "draining"
-        table = self.services.routes.table
+        routes = self.services.routes
+        table = routes.table
         if table.version < question.version:
             return f"older version {table.version}"
+        lacks_version = question.sender_version < table.version
+        if lacks_version and routes.compute_in_force_s() > VERSION_SPREAD_S:
+            return f"newer version {table.version}"
         if question.account and question.account not in table.accounts:
             return f"no such account in version {table.version}"
         route = table.routes.get(question.database)
--- a/ebonyrack/handover/question.py
+++ b/ebonyrack/handover/question.py
@@ -52,6 +52,7 @@
     last_commit: LogPosition | None,
     step: TransactionStep,
     version: int,
+    sender_version: int,
 ) -> HandedStatement:
     """Build the message that hands a statement over."""
     request, prepared = statement.request, statement.prepared
@@ -60,6 +61,7 @@
     position = [] if last_commit is None else [last_commit.term, last_commit.offset]
     return HandedStatement(
         version=version,
+        sender_version=sender_version,
         database=statement.route.database,
         account=statement.context.account,
         transaction=step.number,
--- a/ebonyrack/handover/statement_messages.py
+++ b/ebonyrack/handover/statement_messages.py
@@ -12,6 +12,7 @@
 
     Attributes:
         version: Version of the routes that the receiver must have at least.
+        sender_version: Version of the routes in force at the sender.
         database: Name of the database that the caller requested.
         account: Name of the client account; empty for an anonymous caller.
         transaction: Number of the sender's transaction, 0 outside of one.
@@ -31,6 +32,7 @@
     """
 
     version: int
+    sender_version: int
     database: bytes
     account: str
     transaction: int
--- a/ebonyrack/routes/state.py
+++ b/ebonyrack/routes/state.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from ebonyrack.core.clock import boot_time_s
 from ebonyrack.routes.route import EMPTY_TABLE
 from ebonyrack.routes.route import RouteTable
 
@@ -17,19 +18,25 @@
 
     Attributes:
         table: The routes in force.
+        changed_s: Time of the last change, on the boot clock.
         callbacks: Called with each new version.
     """
 
-    __slots__ = ("table", "callbacks")
+    __slots__ = ("table", "changed_s", "callbacks")
 
     def __init__(self) -> None:
         self.table = EMPTY_TABLE
+        self.changed_s = boot_time_s()
         self.callbacks: list[Callback] = []
 
     def subscribe(self, callback: Callback) -> None:
         """Register a function to be called with each new version."""
         self.callbacks.append(callback)
 
+    def compute_in_force_s(self) -> float:
+        """Return the seconds for which the routes have been in force."""
+        return boot_time_s() - self.changed_s
+
     def apply_if_newer(self, table: RouteTable, source: str) -> bool:
         """Put a version in force if it is newer than the current one.
 
@@ -44,6 +51,7 @@
             return False
         previous = self.table.version
         self.table = table
+        self.changed_s = boot_time_s()
         logger.bind(
             version=table.version,
             previous=previous,
