--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from loguru import logger
+from result import Err
 
 from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
@@ -14,6 +15,7 @@
 from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.registry import Registry
+from ebonyrack.limits.admission import Admission
 from ebonyrack.members.group import Group
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
@@ -31,6 +33,7 @@
 from ebonyrack.serving.remote import RemoteServing
 from ebonyrack.serving.remote import Transaction
 from ebonyrack.serving.services import Services
+from ebonyrack.serving.statement import Statement
 from ebonyrack.serving.statement import build_statement
 from ebonyrack.serving.transaction import CallerTransaction
 from ebonyrack.serving.writing import serve_write
@@ -134,6 +137,34 @@
             raise RequestError(ErrorKind.UNKNOWN_ACCOUNT, reason)
         return self.services.routes.table.accounts.get(self.identity.account)
 
+    async def admit(self) -> Admission:
+        """Admit one operation under the limit of the client account.
+
+        Raises:
+            RequestError: RATE_LIMITED if it must not run now.
+        """
+        account = self.services.routes.table.accounts.get(self.identity.account)
+        if account is None or self.services.limiter is None:
+            return Admission()
+        result = await self.services.limiter.admit(account)
+        if isinstance(result, Err):
+            rejection = result.err_value
+            raise RequestError(
+                ErrorKind.RATE_LIMITED, rejection.reason, rejection.retry_after_s
+            )
+        return result.ok_value
+
+    def defer_admission(self) -> Admission:
+        """Return the admission of an operation that another proxy is to serve.
+
+        The proxy that sends it to an upstream admits it; if that is this one after all,
+        it does so just before the sending.
+        """
+        limiter = self.services.limiter
+        if limiter is None or self.identity.account == ANONYMOUS:
+            return Admission()
+        return Admission(limiter, self.identity.account)
+
     def check_state(self, kind: RequestKind) -> None:
         """Reject a request that the state of the transaction doesn't allow.
 
@@ -223,6 +254,16 @@
     return Answer(session.state, reply.rows, reply.signature)
 
 
+async def serve_here(statement: Statement, last_commit: LogPosition | None) -> Reply:
+    """Serve a statement outside a transaction at an upstream of this proxy."""
+    try:
+        if statement.writes:
+            return await serve_write(statement)
+        return await serve_read(statement, last_commit)
+    finally:
+        statement.admission.give_back()
+
+
 @REQUEST_HANDLERS.register(RequestKind.READ)
 @REQUEST_HANDLERS.register(RequestKind.WRITE)
 @REQUEST_HANDLERS.register(RequestKind.EXECUTE)
@@ -233,6 +274,7 @@
         statement = build_statement(
             request, transaction.route, transaction.group, session.context
         )
+        statement.admission = transaction.admission
         return build_answer(session, await transaction.execute(statement))
     route = session.services.find_route(session.database)
     group = session.services.find_group(route)
@@ -240,11 +282,11 @@
     last_commit = session.find_last_commit(group.name)
     remote = session.find_remote(group)
     if remote is not None:
+        statement.admission = session.defer_admission()
         reply = await remote.serve_statement(statement, last_commit)
-    elif statement.writes:
-        reply = await serve_write(statement)
     else:
-        reply = await serve_read(statement, last_commit)
+        statement.admission = await session.admit()
+        reply = await serve_here(statement, last_commit)
     if statement.writes:
         session.record_commit(group.name, reply)
     return build_answer(session, reply)
@@ -260,13 +302,18 @@
     remote = session.find_remote(group)
     if remote is not None:
         session.transaction = remote.begin_transaction(
-            route, group, is_read_only, session.find_last_commit(group.name)
+            route,
+            group,
+            is_read_only,
+            session.find_last_commit(group.name),
+            session.defer_admission(),
         )
         return Answer(session.state)
     if not is_read_only:
         await group.wait_for_primary(now_s() + route.statement_timeout_s)
+    admission = await session.admit()
     session.transaction = CallerTransaction(
-        route, group, is_read_only, session.find_last_commit(group.name)
+        route, group, is_read_only, session.find_last_commit(group.name), admission
     )
     return Answer(session.state)
 
@@ -282,6 +329,7 @@
     statement = build_statement(
         request, transaction.route, transaction.group, session.context
     )
+    statement.admission = transaction.admission
     try:
         reply = await transaction.commit(statement)
     finally:
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import os
 import socket
 from contextlib import AsyncExitStack
 from typing import Any
@@ -29,10 +30,15 @@
 
 
 def find_free_address() -> Address:
-    """Return a loopback address on which nothing listens."""
+    """Return a loopback address on which nothing listens.
+
+    The host depends on the process, so that no other process takes the port meanwhile.
+    """
+    process = os.getpid()
+    host = f"127.{1 + process // 65536 % 200}.{process // 256 % 256}.{process % 256}"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
+        probe.bind((host, 0))
+        return Address(host, probe.getsockname()[1])
 
 
 def build_document(version: int, **changes: dict[str, Any]) -> dict[str, Any]:
@@ -97,6 +103,7 @@
         proxies: The running proxies.
         publisher_tasks: Tasks that renew the entries of the upstreams, by member ID.
         document: The newest document of the operators.
+        setting_changes: Settings of the proxies that differ from the usual ones.
     """
 
     def __init__(self, proxy_count: int = 1, is_promotion_fenced: bool = True) -> None:
@@ -114,6 +121,7 @@
         self.stack = AsyncExitStack()
         self.publisher_tasks: dict[str, asyncio.Task[None]] = {}
         self.document = build_document(1)
+        self.setting_changes: dict[str, Any] = {}
 
     async def start(self) -> None:
         """Start the stand-ins and the proxies; wait until the proxies are ready."""
@@ -172,6 +180,7 @@
                 grace_s=2.0,
                 is_promotion_fenced=self.group.is_promotion_fenced,
                 peer_address=find_free_address(),
+                **self.setting_changes,
             )
         )
         await self.stack.enter_async_context(proxy)
