Leave a leaving primary to a proxy that reaches it

Cause: a holder that couldn't reach a leaving primary fell back to pausing the replicas while the primary went on for others. Its replacement joins just then, so commits counted with it and were lost with the promotion.

Change: such an attempt ends; another proxy makes the primary step down, or it counts as lost for this one too. The way to a pooled connection may take 0.8 s, as the primary serves on meanwhile. A primary that an earlier holder made step down is compared like any replica next. Entries are read each 0.1 s only after a loss, each second in a planned change.

Tests: choose_candidate has no case of a serving primary any more; its assertion moved to choose_successor, with the cases of a leaving replica that alone holds the log and of no holder. The loop of group_change_test waited in real time after a cancelled timer (hung for minutes).

--- a/ebonyrack/placing/decisions_test.py
+++ b/ebonyrack/placing/decisions_test.py
@@ -19,6 +19,7 @@
 from ebonyrack.placing.primary_tracker import PrimaryTracker
 from ebonyrack.placing.promotion_candidate import ReplicaState
 from ebonyrack.placing.promotion_candidate import choose_candidate
+from ebonyrack.placing.promotion_candidate import choose_successor
 from ebonyrack.placing.promotion_candidate import is_safe_candidate
 from ebonyrack.placing.read_order import ReadCandidate
 from ebonyrack.placing.read_order import order_candidates
@@ -203,11 +204,9 @@
 )
 
 
-@given(REPLICAS, st.booleans())
-def test_safe_candidate_holds_all_that_any_paused_replica_received(
-    replicas, primary_serves
-):
-    candidate = choose_candidate(replicas, primary_serves)
+@given(REPLICAS)
+def test_safe_candidate_holds_all_that_any_paused_replica_received(replicas):
+    candidate = choose_candidate(replicas)
     if candidate is None or not is_safe_candidate(candidate, replicas, 1):
         return
     states = {each.member_id: each for each in replicas}
@@ -220,8 +219,17 @@
 def test_longest_log_is_promoted_after_a_loss_even_if_it_is_leaving():
     staying = ReplicaState("a", LogPosition(1, 4), True, False)
     leaving = ReplicaState("b", LogPosition(1, 5), True, True)
-    assert choose_candidate([staying, leaving], primary_serves=False) == "b"
-    assert choose_candidate([staying, leaving], primary_serves=True) == "a"
+    assert choose_candidate([staying, leaving]) == "b"
+
+
+def test_successor_of_a_reachable_primary_stays_unless_only_a_leaving_one_has_all():
+    staying = ReplicaState("a", LogPosition(1, 4), True, False)
+    leaving = ReplicaState("b", LogPosition(1, 5), True, True)
+    silent = ReplicaState("c", None, False, False)
+    replicas = [staying, leaving, silent]
+    assert choose_successor(replicas, LogPosition(1, 4)) == "a"
+    assert choose_successor(replicas, LogPosition(1, 5)) == "b"
+    assert choose_successor(replicas, LogPosition(1, 6)) is None
 
 
 def test_all_proxies_can_connect_after_losing_power_at_once():
--- a/ebonyrack/placing/promotion_candidate.py
+++ b/ebonyrack/placing/promotion_candidate.py
@@ -33,20 +33,15 @@
     is_leaving: bool
 
 
-def choose_candidate(replicas: list[ReplicaState], primary_serves: bool) -> str | None:
-    """Return the upstream that should be promoted, or None.
+def choose_candidate(replicas: list[ReplicaState]) -> str | None:
+    """Return the upstream that should be promoted after a loss, or None.
 
-    While the primary serves, a replica that isn't leaving can still catch up with the
-    others; once the primary is lost, only the most complete log holds all acknowledged
-    commits.
+    Only the most complete log holds all acknowledged commits.
 
     Args:
-        replicas: The upstreams other than the current or lost primary.
-        primary_serves: Whether the primary still serves and replicas receive commits.
+        replicas: The upstreams other than the lost primary.
     """
     replying = [each for each in replicas if each.received is not None]
-    if primary_serves:
-        replying = [each for each in replying if not each.is_leaving] or replying
     if not replying:
         return None
     best = max(
--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -53,11 +53,6 @@
     replicas: list[PromotionParticipant]
     required_id: str | None = None
 
-    @property
-    def primary_serves(self) -> bool:
-        """Whether the primary still serves, so that replicas can catch up with it."""
-        return self.health is PrimaryHealth.LEAVING
-
     @property
     def pauses_candidate(self) -> bool:
         """Whether the candidate must be paused as well before the order.
@@ -82,7 +77,7 @@
                     return candidate
                 # While a replica is silent, pausing the candidate achieves nothing and
                 # would stall commits if the primary is only unreachable from here.
-                if self.all_reply and not self.primary_serves:
+                if self.all_reply:
                     await self.pause(candidate)
             self.log_unsafe()
             await asyncio.sleep(RECHECK_PAUSE_S)
@@ -104,10 +99,7 @@
 
     def choose(self) -> PromotionParticipant | None:
         """Return the replica to be promoted, None without one."""
-        return self.find(
-            self.required_id
-            or choose_candidate(self.list_states(), self.primary_serves)
-        )
+        return self.find(self.required_id or choose_candidate(self.list_states()))
 
     def find(self, member_id: str | None) -> PromotionParticipant | None:
         """Return a replica by its identity, None if it takes no part."""
--- a/ebonyrack/promotion/entry_refresh.py
+++ b/ebonyrack/promotion/entry_refresh.py
@@ -16,6 +16,8 @@
 
 # Pause between two readings, in seconds.
 REFRESH_PAUSE_S = 0.1
+# The same while the primary can be reached: no commit counts once it has stepped down.
+PLANNED_REFRESH_PAUSE_S = 1.0
 # Longest wait for the first reading; a store that takes longer doesn't delay a change.
 FIRST_READING_LIMIT_S = 0.2
 
@@ -23,18 +25,20 @@
 
 
 class EntryRefresh(Component):
-    """Reads the entries repeatedly: an async context manager.
+    """Reads the entries repeatedly, more often after a loss: a context manager.
 
     Attributes:
         read_entries: Reads all entries once and applies them.
+        pause_s: Pause between two readings, in seconds.
         has_read: Set once a reading has ended.
         task: Reads the entries.
     """
 
-    __slots__ = ("read_entries", "has_read", "task")
+    __slots__ = ("read_entries", "pause_s", "has_read", "task")
 
-    def __init__(self, read_entries: ReadEntries) -> None:
+    def __init__(self, read_entries: ReadEntries, is_lost: bool) -> None:
         self.read_entries = read_entries
+        self.pause_s = REFRESH_PAUSE_S if is_lost else PLANNED_REFRESH_PAUSE_S
         self.has_read = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
 
@@ -51,7 +55,7 @@
         while True:
             await self.read_entries()
             self.has_read.set()
-            await asyncio.sleep(REFRESH_PAUSE_S)
+            await asyncio.sleep(self.pause_s)
 
     async def wait_for_reading(self) -> None:
         """Wait for the first reading, but not for long."""
--- a/ebonyrack/promotion/group_change_test.py
+++ b/ebonyrack/promotion/group_change_test.py
@@ -58,8 +58,9 @@
         return self.passed_s
 
     def _run_once(self):
-        if not self._ready and self._scheduled:
-            self.passed_s = max(self.passed_s, self._scheduled[0].when())
+        timers = [each.when() for each in self._scheduled if not each.cancelled()]
+        if not self._ready and timers:
+            self.passed_s = max(self.passed_s, min(timers))
         super()._run_once()
 
 
@@ -300,7 +301,7 @@
         group.primary_tracker.confirm("a", 1)
         promoter = Promoter(group, platform, platform, "proxy-1", read_entries)
         lease = PromotionLease("bookings", 7, clock.boot_time_s() + 3.2, platform, 1)
-        async with EntryRefresh(read_entries) as refresh:
+        async with EntryRefresh(read_entries, health.is_lost) as refresh:
             result = await promoter.change_primary(lease, health, refresh)
         await asyncio.sleep(8.0)
     return result
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -30,8 +30,8 @@
 LOST_PRIMARY_TIMEOUT_S = 0.15
 # Time to wait for a connection of the pool before opening another one.
 POOL_WAIT_S = 0.03
-# The same for a leaving primary.
-PRIMARY_POOL_WAIT_S = 0.3
+# The same for a leaving primary, which serves on meanwhile.
+PRIMARY_POOL_WAIT_S = 0.8
 # Name under which a promotion waits for a connection.
 POOL_CALLER_NAME = "ebonyrack promotion"
 # Pause before retrying at an upstream whose slots are all in use.
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -93,7 +93,7 @@
             return PromotionResult.LEASE_NOT_HELD
         started_s = boot_time_s()
         try:
-            async with EntryRefresh(self.read_entries) as refresh:
+            async with EntryRefresh(self.read_entries, health.is_lost) as refresh:
                 result = await self.change_primary(lease, health, refresh)
         finally:
             await release_promotion_lease(self.store, lease)
@@ -185,11 +185,8 @@
         self, search: CandidateSearch
     ) -> PromotionParticipant | PromotionResult:
         """Choose the upstream to be promoted; a primary that replies steps down."""
-        if search.primary_serves:
-            for participant in search.former:
-                status = participant.status
-                if status is not None and status.is_primary:
-                    return await PlannedChange(search, participant).run()
+        if not search.health.is_lost:
+            return await change_reachable_primary(search)
         chosen = await search.run()
         if isinstance(chosen, PromotionParticipant) and await search.end_lead():
             # Commits may have counted with a replica that joined after the comparison.
@@ -218,7 +215,7 @@
         Returns:
             The result of the last order.
         """
-        if not search.primary_serves or result not in KNOWN_NOT_CARRIED_OUT:
+        if search.health.is_lost or result not in KNOWN_NOT_CARRIED_OUT:
             return result
         if awaited is not None:
             return result
@@ -328,3 +325,23 @@
         if is_unanswered and lease.allows_order:
             return waited_s > REPEAT_AFTER_S
         return waited_s > PRIMARY_WAIT_S
+
+
+async def change_reachable_primary(
+    search: CandidateSearch,
+) -> PromotionParticipant | PromotionResult:
+    """Choose the successor of a leaving primary.
+
+    If the primary doesn't reply to this proxy, which only another one may reach, it is
+    not changed: its commits may count with upstreams that join. Once it is lost for
+    this proxy too, its replicas are paused and compared.
+    """
+    for participant in search.former:
+        status = participant.status
+        if status is None:
+            continue
+        if status.is_primary:
+            return await PlannedChange(search, participant).run()
+        # An earlier holder made it step down; it is compared like any replica next.
+        search.group.record_not_primary(participant.member)
+    return PromotionResult.NO_SAFE_SUCCESSOR
