--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 from result import Err
+from result import Ok
 from result import Result
 
 from ebonyrack import __version__
@@ -20,13 +21,21 @@
 from ebonyrack.entry.listener import BALANCER_REMOVAL_S
 from ebonyrack.entry.listener import Listener
 from ebonyrack.entry.primary_monitor import PrimaryMonitor
+from ebonyrack.handover.asking import HomeAsker
+from ebonyrack.handover.front import Front
+from ebonyrack.handover.home import Home
+from ebonyrack.limits.fleet_limiter import FleetLimiter
+from ebonyrack.limits.grant_terms import LimitBounds
 from ebonyrack.members.directory import DecodeEntry
 from ebonyrack.members.directory import UpstreamDirectory
 from ebonyrack.members.group import Group
 from ebonyrack.members.presence import PREFIX as PROXIES_PREFIX
 from ebonyrack.members.presence import Presence
+from ebonyrack.members.proxy_counts import count_proxies
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.peers.proxy_links import ProxyLinks
+from ebonyrack.placing.homes import HomePlan
+from ebonyrack.placing.homes import plan_homes
 from ebonyrack.placing.primary_health import MISSING_ENTRY_LIMIT_S
 from ebonyrack.promotion.order import PromotionOrderClient
 from ebonyrack.promotion.promoter import Promoter
@@ -100,6 +109,8 @@
         directory: The upstreams that are registered in the store.
         presence: The live proxies.
         links: Links to other proxies.
+        home_asker: Asks the homes of groups.
+        home: Serves the work that other proxies hand to this one.
         store_availability: Whether the store answers.
         followers: Apply changes of entries, routes and proxies in the store.
         listener: Accepts callers' connections.
@@ -125,8 +136,12 @@
             build_entry(settings),
         )
         self.links = ProxyLinks(settings, lambda: self.presence.proxies)
+        self.home_asker = HomeAsker(self.links, settings.data_centre)
+        self.home = Home(self.services, self.links)
+        self.services.remote = Front(self.home_asker, self.services.routes)
         store = dependencies.store
         self.store_availability = StoreAvailability()
+        self.services.limiter = self.build_limiter()
         self.followers = (
             StoreFollower(
                 store,
@@ -205,9 +220,36 @@
         groups = self.services.groups.values()
         return any(group.lacks_upstreams for group in groups)
 
+    def build_limiter(self) -> FleetLimiter | None:
+        """Build what keeps the limits of accounts, where the platform checks them."""
+        settings = self.settings
+        if settings.limit_window_s is None or settings.peer_address is None:
+            return None
+        bounds = LimitBounds(
+            settings.limit_window_s, settings.limit_overshoot, settings.limit_slack
+        )
+        return FleetLimiter(
+            settings,
+            bounds,
+            self.dependencies.store,
+            self.links,
+            lambda: self.presence.proxies,
+            self.refresh_proxies,
+            self.store_availability,
+        )
+
+    async def refresh_proxies(self) -> None:
+        """Read the live proxies from the store now."""
+        found = await self.dependencies.store.read_prefix(PROXIES_PREFIX)
+        if isinstance(found, Ok):
+            await self.presence.apply(found.ok_value)
+
     async def start(self) -> None:
         """Start all components."""
-        await self.stack.enter_async_context(self.links)
+        for component in (self.links, self.home_asker, self.home):
+            await self.stack.enter_async_context(component)
+        if self.services.limiter is not None:
+            await self.stack.enter_async_context(self.services.limiter)
         await self.stack.enter_async_context(self.listener)
         for follower in self.followers:
             await self.stack.enter_async_context(follower)
@@ -236,11 +278,20 @@
             Number of sessions that the shutdown cut.
         """
         await self.services.drain.requested.wait()
-        cut_sessions = await self.listener.drain(self.settings.grace_s)
+        cut_sessions, *_ = await asyncio.gather(
+            self.listener.drain(self.settings.grace_s),
+            self.home.drain(self.settings.grace_s),
+            self.release_limits(),
+        )
         self.services.drain.finish()
         logger.bind(cut_sessions=cut_sessions).info("proxy_drained")
         return cut_sessions
 
+    async def release_limits(self) -> None:
+        """Give the limits of accounts that this proxy owns to other proxies."""
+        if self.services.limiter is not None:
+            await self.services.limiter.release()
+
     async def apply_store_changes(self, changes: StoreChanges) -> None:
         """Apply a change of the operators' routes in the store."""
         for item in changes.items:
@@ -258,6 +309,8 @@
 
     async def apply_routes(self, table: RouteTable) -> None:
         """Update, create and remove groups to match the routes in force."""
+        if self.services.limiter is not None:
+            await self.services.limiter.apply_table(table)
         groups = self.services.groups
         for name, limits in table.groups.items():
             if name in groups:
@@ -277,6 +330,8 @@
         for name in set(groups) - set(table.groups):
             await self.primary_monitors.pop(name).stop()
             await groups.pop(name).stop()
+        for group in groups.values():
+            group.has_accounts = table.requires_accounts
         self.update_connection_shares()
         weights = {
             database.decode("utf-8", "replace"): PRIORITY_WEIGHTS.get(route.priority, 1)
@@ -296,7 +351,12 @@
             self.settings.name,
             lambda: self.directory.read(self.dependencies.store),
         )
-        monitor = PrimaryMonitor(group, promoter, self.is_discovery_complete)
+        monitor = PrimaryMonitor(
+            group,
+            promoter,
+            self.is_discovery_complete,
+            lambda: group.hands_work_over and self.home_asker.is_in_reach(group),
+        )
         self.primary_monitors[group.name] = monitor
         await monitor.start()
 
@@ -315,8 +375,24 @@
 
     def update_connection_shares(self) -> None:
         """Set this proxy's share of the connections to the upstreams."""
+        counts = count_proxies(self.presence, self.settings.data_centre)
         for group in self.services.groups.values():
-            group.update_connection_share(self.presence.live_count)
+            group.homes = self.plan_homes(group)
+            group.is_home = (
+                group.homes is not None and self.settings.name in group.homes.homes
+            )
+            group.update_connection_share(counts)
+
+    def plan_homes(self, group: Group) -> HomePlan | None:
+        """Choose the homes of a group; None if each proxy has its own connections."""
+        if self.presence.entry is None:
+            return None
+        return plan_homes(
+            group.name,
+            group.limits.maximum_connections,
+            self.presence.live_count,
+            self.presence.proxies.values(),
+        )
 
     async def monitor_connectivity(self) -> None:
         """Handle isolation and missing upstreams, until cancelled."""
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from loguru import logger
 
 from ebonyrack.core.clock import boot_time_s
@@ -11,11 +13,22 @@
 from ebonyrack.members.leadership_check import LeadershipCheck
 from ebonyrack.members.member import Member
 from ebonyrack.members.primary_state import PrimaryState
+from ebonyrack.placing.connection_share import SCARCE_IDLE_LIMIT
+from ebonyrack.placing.connection_share import STARTUP_SHORTAGE_S
+from ebonyrack.placing.connection_share import ProxyCounts
 from ebonyrack.placing.connection_share import compute_idle_limit
-from ebonyrack.placing.connection_share import compute_share
+from ebonyrack.placing.connection_share import compute_limit
+from ebonyrack.placing.connection_share import compute_probe_probability
+from ebonyrack.placing.connection_share import is_scarce
 from ebonyrack.placing.connection_share import is_short_of_connections
+from ebonyrack.placing.connection_share import keeps_scarce_connection
+from ebonyrack.placing.homes import DIRECT_SHARE
+from ebonyrack.placing.homes import HomePlan
+from ebonyrack.placing.outlier import eject_outlier
 from ebonyrack.placing.shedding import ReadDemand
 from ebonyrack.requests.codec import UpstreamCodec
+from ebonyrack.requests.reply import RejectionKind
+from ebonyrack.requests.reply import Reply
 from ebonyrack.routes.route import GroupLimits
 
 # Idle connections above the limit are closed after this time, in seconds. Opening one
@@ -39,8 +52,13 @@
         codec: Protocol of the upstreams.
         started_s: Time since which the proxy serves the group, on the boot clock.
         live_proxies: Number of proxies known to be alive, including this one.
+        near_proxies: How many of them may be in this data centre.
         connection_share: Connections to each upstream that this proxy may hold.
+        homes: The proxies that hold the connections to the upstreams; None if each
+            proxy has connections of its own.
+        is_home: Whether this proxy is one of them.
         queue_weights: Queue weight by database.
+        has_accounts: Whether the operators' document has client accounts.
         demand: Recent reads of the group by class.
         leadership: Checks that the primary still leads; None where the platform ends
             the lead of a replaced primary.
@@ -52,8 +70,12 @@
         "codec",
         "started_s",
         "live_proxies",
+        "near_proxies",
         "connection_share",
+        "homes",
+        "is_home",
         "queue_weights",
+        "has_accounts",
         "demand",
         "leadership",
     )
@@ -72,7 +94,11 @@
         self.codec = codec
         super().__init__(leaving_limit_s)
         self.started_s = boot_time_s()
-        self.update_connection_share(live_proxies)
+        self.homes: HomePlan | None = None
+        self.is_home = False
+        self.has_accounts = False
+        counts = ProxyCounts(live_proxies, live_proxies, live_proxies)
+        self.update_connection_share(counts)
         self.queue_weights: dict[str, int] = {}
         self.demand = ReadDemand()
         self.leadership = None if is_promotion_fenced else LeadershipCheck(self)
@@ -95,18 +121,33 @@
             return False
         return self.primary_tracker.confirmed != member.member_id
 
-    def update_connection_share(self, live_proxies: int) -> None:
+    def update_connection_share(self, counts: ProxyCounts) -> None:
         """Set how many connections to each upstream this proxy may hold.
 
         Args:
-            live_proxies: Number of proxies known to be alive, including this one.
+            counts: Numbers of live proxies.
         """
-        share = compute_share(self.limits.maximum_connections, live_proxies)
-        self.live_proxies = live_proxies
+        if self.homes is None:
+            share = compute_limit(
+                self.limits.maximum_connections, counts, self.has_accounts
+            )
+        else:
+            share = self.homes.connection_share if self.is_home else DIRECT_SHARE
+        self.live_proxies = counts.live
+        self.near_proxies = counts.near
         self.connection_share = share
         for member in self.members.values():
             if member.pool.limit != share:
                 member.pool.resize(share)
+            member.pool.is_scarce = self.is_scarce
+            if self.is_scarce and not self.keeps_idle_connections(member.entry, False):
+                member.pool.keeps_idle_connections = False
+                member.pool.close_idle()
+
+    @property
+    def hands_work_over(self) -> bool:
+        """Whether other proxies hold the connections to the upstreams."""
+        return self.homes is not None and not self.is_home
 
     @property
     def is_short_of_connections(self) -> bool:
@@ -116,13 +157,60 @@
             age_s, self.limits.maximum_connections, self.live_proxies
         )
 
+    @property
+    def is_scarce(self) -> bool:
+        """Whether upstreams can't accept a connection from every proxy like this one.
+
+        A home has connections of its own, however many proxies there are.
+        """
+        return not self.is_home and is_scarce(
+            self.limits.maximum_connections, self.live_proxies
+        )
+
+    def draw_probe(self, probes_per_s: float, interval_s: float) -> bool:
+        """Return whether this proxy sends one of the probes of all proxies.
+
+        Args:
+            probes_per_s: Probes of one upstream by all proxies together.
+            interval_s: Time between two calls, in seconds.
+        """
+        probability = compute_probe_probability(
+            probes_per_s, self.live_proxies, interval_s
+        )
+        return random.random() < probability
+
+    def keeps_idle_connections(self, entry: MemberEntry, is_primary: bool) -> bool:
+        """Return whether connections to an upstream stay open after use.
+
+        Args:
+            entry: The upstream.
+            is_primary: Whether it is the primary.
+        """
+        if self.hands_work_over:
+            return False
+        if not self.is_scarce:
+            return not (is_primary and self.is_short_of_connections)
+        return (
+            entry.data_centre == self.data_centre
+            and boot_time_s() - self.started_s > STARTUP_SHORTAGE_S
+            and keeps_scarce_connection(
+                self.limits.maximum_connections, self.near_proxies
+            )
+        )
+
     def trim_idle_connections(self) -> None:
         """Close idle connections above the limit."""
         for member in self.members.values():
             is_primary = member is self.primary
-            member.pool.keeps_idle_connections = not (
-                is_primary and self.is_short_of_connections
+            member.pool.keeps_idle_connections = self.keeps_idle_connections(
+                member.entry, is_primary
             )
+            if self.hands_work_over:
+                member.pool.trim_idle(0, 0.0)
+                continue
+            if self.is_scarce:
+                member.pool.trim_idle(SCARCE_IDLE_LIMIT, 0.0)
+                continue
             is_near = member.entry.data_centre == self.data_centre
             idle_limit = compute_idle_limit(self.connection_share, is_near, is_primary)
             member.pool.trim_idle(idle_limit, IDLE_TIMEOUT_S)
@@ -133,6 +221,31 @@
         for member in self.members.values():
             member.pool.set_weights(self.queue_weights)
 
+    @property
+    def ejects_outliers(self) -> bool:
+        """Whether upstreams that fail a part of their statements get fewer reads."""
+        return self.has_accounts or self.is_scarce or self.homes is not None
+
+    def record_outcome(self, member: Member, reply: Reply) -> None:
+        """Count a served or failed statement; eject its upstream if it is an outlier.
+
+        Args:
+            member: The upstream.
+            reply: Its reply; rejections of what it did not run don't count.
+        """
+        is_failed = reply.rejection is RejectionKind.FAILED
+        if not self.ejects_outliers or not (is_failed or reply.rejection is None):
+            return
+        now = boot_time_s()
+        member.failures.record(is_failed, now)
+        others = [each.failures for each in self.members.values() if each is not member]
+        if is_failed and eject_outlier(member.failures, others, now):
+            logger.bind(
+                group=self.name,
+                upstream=member.member_id,
+                ejected_s=member.failures.ejected_for_s,
+            ).warning("upstream_ejected")
+
     async def apply_entry(
         self, entry: MemberEntry, unchanged_at_s: float | None = None
     ) -> None:
@@ -152,9 +265,10 @@
             if boot_time_s() - self.started_s > INITIAL_DISCOVERY_S:
                 member.known_since_s = boot_time_s()
             member.pool.set_weights(self.queue_weights)
-            member.pool.keeps_idle_connections = not (
-                entry.reports_primary and self.is_short_of_connections
+            member.pool.keeps_idle_connections = self.keeps_idle_connections(
+                entry, entry.reports_primary
             )
+            member.pool.is_scarce = self.is_scarce
             self.members[entry.member_id] = member
             logger.bind(
                 group=self.name,
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -8,12 +8,14 @@
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.route_settings import RouteProxySettings
+from ebonyrack.limits.fleet_limiter import FleetLimiter
 from ebonyrack.members.group import Group
 from ebonyrack.routes.account import ClientAccount
 from ebonyrack.routes.route import Route
 from ebonyrack.routes.state import RouteState
 from ebonyrack.service.drain import Drain
 from ebonyrack.serving.account_labels import AccountLabels
+from ebonyrack.serving.remote import RemoteServing
 
 
 @dataclass(slots=True)
@@ -25,6 +27,9 @@
         routes: Routes in force.
         groups: Database groups by name.
         drain: Life cycle state of the proxy.
+        limiter: Keeps the limits of client accounts; None where there are none.
+        remote: Serves the work of groups whose connections other proxies hold; None
+            if this proxy has no links to others.
         account_labels: Labels of client accounts in metrics.
     """
 
@@ -32,6 +37,8 @@
     routes: RouteState = field(default_factory=RouteState)
     groups: dict[str, Group] = field(default_factory=dict)
     drain: Drain = field(default_factory=Drain)
+    limiter: FleetLimiter | None = None
+    remote: RemoteServing | None = None
     account_labels: AccountLabels = field(default_factory=AccountLabels)
 
     def find_route(self, database: bytes) -> Route:
@@ -74,6 +81,10 @@
             )
         return account
 
+    def find_remote(self, group: Group) -> RemoteServing | None:
+        """Return what serves a group's work at other proxies; None to serve it here."""
+        return self.remote if group.hands_work_over else None
+
     def find_group(self, route: Route) -> Group:
         """Return the group that serves a route.
 
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from loguru import logger
+from result import Err
 
 from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
@@ -14,6 +15,8 @@
 from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.registry import Registry
+from ebonyrack.limits.admission import Admission
+from ebonyrack.members.group import Group
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
 from ebonyrack.requests.codec import Startup
@@ -27,7 +30,10 @@
 from ebonyrack.routes.withdrawal import SessionIdentity
 from ebonyrack.routes.withdrawal import find_withdrawal
 from ebonyrack.serving.reading import serve_read
+from ebonyrack.serving.remote import RemoteServing
+from ebonyrack.serving.remote import Transaction
 from ebonyrack.serving.services import Services
+from ebonyrack.serving.statement import Statement
 from ebonyrack.serving.statement import build_statement
 from ebonyrack.serving.transaction import CallerTransaction
 from ebonyrack.serving.writing import serve_write
@@ -47,6 +53,8 @@
         context: The caller's session values and prepared statements.
         last_commit: Group and position of the session's newest commit, or None.
         transaction: The open transaction, or None.
+        is_handed_over: Whether another proxy handed the work to this one, which has
+            admitted it and doesn't hand it on.
     """
 
     __slots__ = (
@@ -55,6 +63,7 @@
         "context",
         "last_commit",
         "transaction",
+        "is_handed_over",
     )
 
     def __init__(
@@ -65,7 +74,8 @@
         self.identity = SessionIdentity(startup.database, startup.key_digest, name)
         self.context = SessionContext(account=name)
         self.last_commit: tuple[str, LogPosition] | None = None
-        self.transaction: CallerTransaction | None = None
+        self.transaction: Transaction | None = None
+        self.is_handed_over = False
 
     @property
     def database(self) -> bytes:
@@ -104,8 +114,18 @@
 
     def find_withdrawal(self) -> str | None:
         """Return why the session may run no further work, or None if it may."""
+        if self.is_handed_over:
+            # The proxy of the caller has checked the key, which doesn't travel.
+            return self.find_account_removal()
         return find_withdrawal(self.services.routes.table, self.identity)
 
+    def find_account_removal(self) -> str | None:
+        """Return why the account may run no further work, or None if it may."""
+        table, account = self.services.routes.table, self.identity.account
+        if account == ANONYMOUS or account in table.accounts:
+            return None
+        return f"no such account in version {table.version}"
+
     def check_account(self) -> ClientAccount | None:
         """Return the client account as it is in force, or None if anonymous.
 
@@ -117,6 +137,34 @@
             raise RequestError(ErrorKind.UNKNOWN_ACCOUNT, reason)
         return self.services.routes.table.accounts.get(self.identity.account)
 
+    async def admit(self) -> Admission:
+        """Admit one operation under the limit of the client account.
+
+        Raises:
+            RequestError: RATE_LIMITED if it must not run now.
+        """
+        account = self.services.routes.table.accounts.get(self.identity.account)
+        if account is None or self.services.limiter is None:
+            return Admission()
+        result = await self.services.limiter.admit(account)
+        if isinstance(result, Err):
+            rejection = result.err_value
+            raise RequestError(
+                ErrorKind.RATE_LIMITED, rejection.reason, rejection.retry_after_s
+            )
+        return result.ok_value
+
+    def defer_admission(self) -> Admission:
+        """Return the admission of an operation that another proxy is to serve.
+
+        The proxy that sends it to an upstream admits it; if that is this one after all,
+        it does so just before the sending.
+        """
+        limiter = self.services.limiter
+        if limiter is None or self.identity.account == ANONYMOUS:
+            return Admission()
+        return Admission(limiter, self.identity.account)
+
     def check_state(self, kind: RequestKind) -> None:
         """Reject a request that the state of the transaction doesn't allow.
 
@@ -135,11 +183,8 @@
     def record_answer(self, request: Request, answer: Answer, elapsed_s: float) -> None:
         """Update the metrics with an answer, and log a failed request."""
         outcome = "served" if answer.error is None else str(answer.error.kind)
-        metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
-        metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
-        if self.identity.account != ANONYMOUS:
-            label = self.services.account_labels.count_request(self.identity.account)
-            metrics.account_requests.add(1, {"account": label, "outcome": outcome})
+        if not self.is_handed_over:
+            self.count_answer(request, outcome, elapsed_s)
         if answer.error is not None:
             route = self.services.routes.table.routes.get(self.database)
             log_failure(
@@ -156,6 +201,18 @@
                 elapsed_s=round(elapsed_s, 4),
             )
 
+    def find_remote(self, group: Group) -> RemoteServing | None:
+        """Return what serves a group's work at other proxies; None to serve it here."""
+        return None if self.is_handed_over else self.services.find_remote(group)
+
+    def count_answer(self, request: Request, outcome: str, elapsed_s: float) -> None:
+        """Update the metrics with an answer to a caller of this proxy."""
+        metrics.requests.add(1, {"kind": str(request.kind), "outcome": outcome})
+        metrics.answer_time.record(elapsed_s, {"kind": str(request.kind)})
+        if self.identity.account != ANONYMOUS:
+            label = self.services.account_labels.count_request(self.identity.account)
+            metrics.account_requests.add(1, {"account": label, "outcome": outcome})
+
     def find_last_commit(self, group: str) -> LogPosition | None:
         """Return the position of the session's newest commit in a group."""
         if self.last_commit is None or self.last_commit[0] != group:
@@ -197,6 +254,16 @@
     return Answer(session.state, reply.rows, reply.signature)
 
 
+async def serve_here(statement: Statement, last_commit: LogPosition | None) -> Reply:
+    """Serve a statement outside a transaction at an upstream of this proxy."""
+    try:
+        if statement.writes:
+            return await serve_write(statement)
+        return await serve_read(statement, last_commit)
+    finally:
+        statement.admission.give_back()
+
+
 @REQUEST_HANDLERS.register(RequestKind.READ)
 @REQUEST_HANDLERS.register(RequestKind.WRITE)
 @REQUEST_HANDLERS.register(RequestKind.EXECUTE)
@@ -207,15 +274,21 @@
         statement = build_statement(
             request, transaction.route, transaction.group, session.context
         )
+        statement.admission = transaction.admission
         return build_answer(session, await transaction.execute(statement))
     route = session.services.find_route(session.database)
     group = session.services.find_group(route)
     statement = build_statement(request, route, group, session.context)
+    last_commit = session.find_last_commit(group.name)
+    remote = session.find_remote(group)
+    if remote is not None:
+        statement.admission = session.defer_admission()
+        reply = await remote.serve_statement(statement, last_commit)
+    else:
+        statement.admission = await session.admit()
+        reply = await serve_here(statement, last_commit)
     if statement.writes:
-        reply = await serve_write(statement)
         session.record_commit(group.name, reply)
-    else:
-        reply = await serve_read(statement, session.find_last_commit(group.name))
     return build_answer(session, reply)
 
 
@@ -226,10 +299,21 @@
     route = session.services.find_route(session.database)
     group = session.services.find_group(route)
     is_read_only = request.kind is RequestKind.BEGIN_READ_ONLY
+    remote = session.find_remote(group)
+    if remote is not None:
+        session.transaction = remote.begin_transaction(
+            route,
+            group,
+            is_read_only,
+            session.find_last_commit(group.name),
+            session.defer_admission(),
+        )
+        return Answer(session.state)
     if not is_read_only:
         await group.wait_for_primary(now_s() + route.statement_timeout_s)
+    admission = await session.admit()
     session.transaction = CallerTransaction(
-        route, group, is_read_only, session.find_last_commit(group.name)
+        route, group, is_read_only, session.find_last_commit(group.name), admission
     )
     return Answer(session.state)
 
@@ -245,6 +329,7 @@
     statement = build_statement(
         request, transaction.route, transaction.group, session.context
     )
+    statement.admission = transaction.admission
     try:
         reply = await transaction.commit(statement)
     finally:
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -5,12 +5,14 @@
 import itertools
 import random
 from dataclasses import dataclass
+from dataclasses import field
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.position import LogPosition
+from ebonyrack.limits.admission import Admission
 from ebonyrack.members.group import Group
 from ebonyrack.members.link import UpstreamLink
 from ebonyrack.members.member import Member
@@ -18,7 +20,6 @@
 from ebonyrack.members.session_context import PreparedStatement
 from ebonyrack.members.session_context import SessionContext
 from ebonyrack.placing.shedding import WorkClass
-from ebonyrack.pooling.fair_order import DEFAULT_TERMS
 from ebonyrack.pooling.fair_order import WorkTerms
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.request import Request
@@ -49,6 +50,7 @@
             caller that is rejected by then has time to try another proxy, whose
             connections may be free; an answer after its target is worth little.
         shedding_draw: Random number that decides whether the statement is shed.
+        admission: Permission of its operation under the limit of the account.
     """
 
     request: Request
@@ -60,6 +62,7 @@
     deadline_s: float
     queue_deadline_s: float
     shedding_draw: float
+    admission: Admission = field(default_factory=Admission)
 
     @property
     def caller(self) -> str:
@@ -100,15 +103,23 @@
             return self.prepared.writes
         return self.request.kind is RequestKind.WRITE
 
-    def build_work_terms(self, begins_transaction: bool) -> WorkTerms:
+    def build_work_terms(
+        self, begins_transaction: bool = False, needs_primary: bool = True
+    ) -> WorkTerms:
         """Return how it waits for a connection.
 
         Args:
             begins_transaction: Whether it begins a transaction.
+            needs_primary: Whether no other upstream may serve it.
         """
         if not self.account:
-            return DEFAULT_TERMS
-        return WorkTerms(self.route.priority, begins_transaction, self.context.has_left)
+            return WorkTerms(waits_for_room=needs_primary)
+        return WorkTerms(
+            self.route.priority,
+            begins_transaction,
+            self.context.has_left,
+            needs_primary,
+        )
 
     def build_placement_request(self, position: LogPosition | None) -> PlacementRequest:
         """Return what its placement depends on.
@@ -168,7 +179,7 @@
             prepared.upstream_name,
             request.argument,
         )
-    now = now_s()
+    now = now_s() - context.waited_s
     return Statement(
         request=request,
         prepared=prepared,
@@ -183,8 +194,18 @@
 
 
 async def set_up_session(statement: Statement, link: UpstreamLink) -> None:
-    """Set up the caller's session on a connection before its statement is sent."""
+    """Set up the caller's session on a connection before its statement is sent.
+
+    Raises:
+        UpstreamLostError, ReplyTimeoutError: If that failed.
+        RequestError: RATE_LIMITED if the operation may not be sent any more.
+    """
     await link.set_up_session(statement.context, statement.prepared, SETUP_TIMEOUT_S)
+    rejection = await statement.admission.confirm()
+    if rejection is not None:
+        raise RequestError(
+            ErrorKind.RATE_LIMITED, rejection.reason, rejection.retry_after_s
+        )
 
 
 async def send_committing_request(
