Estimate the waits of accounts from single statements

Cause: the connections in whose transactions callers rest don't serve an account's waiting requests, and are left out of the servers; but the average time for which a connection is held included these transactions. A pool that had seen some of a second refused every statement that had to wait at all.

Change: with accounts, waits follow from the time that single statements hold a connection. Without accounts nothing changes.

Checked: accounts_test.py (long transactions don't make statements look late) failed with all holds counted.

--- a/ebonyrack/members/read_candidates.py
+++ b/ebonyrack/members/read_candidates.py
@@ -81,18 +81,20 @@
     """Return whether a read is shed at an upstream."""
     active = group.demand.list_active()
     return read.shedding_draw < compute_shed_share(
-        read.work_class, active, estimate_answer_time(member, read.caller)
+        read.work_class, active, estimate_answer_time(member, read)
     )
 
 
-def estimate_answer_time(member: Member, caller: str) -> float:
+def estimate_answer_time(member: Member, read: PlacementRequest) -> float:
     """Return the expected time to an answer at an upstream, in seconds."""
-    return member.pool.estimate_wait(caller) + member.expected_reply_s
+    return member.pool.estimate_wait(read.caller, read.account) + (
+        member.expected_reply_s
+    )
 
 
 def build_overload_error(member: Member, read: PlacementRequest) -> RequestError:
     """Build the error for a shed read, with a retry-after."""
-    answer_s = estimate_answer_time(member, read.caller)
+    answer_s = estimate_answer_time(member, read)
     return member.pool.build_refusal(
         ErrorKind.WAIT_TOO_LONG,
         f"overloaded, an answer takes {answer_s:.3f} s",
--- a/ebonyrack/pooling/accounts_test.py
+++ b/ebonyrack/pooling/accounts_test.py
@@ -107,6 +107,22 @@
         await left
 
 
+async def test_long_transactions_do_not_make_statements_look_late():
+    upstream = FakeUpstream()
+    pool, terms = upstream.pool, WorkTerms(begins_transaction=True)
+    for _ in range(50):
+        held = await pool.acquire("haulier", now_s() + WAIT_S, "haulier", terms)
+        pool.busy[held] -= 1.0
+        pool.release(held)
+        await upstream.use("buyer")
+    held = [await upstream.acquire("haulier") for _ in range(LIMIT)]
+    waiting = asyncio.create_task(pool.acquire("buyer", now_s() + 0.2, "buyer"))
+    await let_tasks_run()
+    assert not waiting.done()
+    pool.release(held[0])
+    assert (await waiting).account == "buyer"
+
+
 async def let_tasks_run():
     for _ in range(10):
         await asyncio.sleep(0)
--- a/ebonyrack/pooling/admission.py
+++ b/ebonyrack/pooling/admission.py
@@ -28,16 +28,26 @@
     Attributes:
         limit: Largest number of waiters.
         estimator: Estimates waits from the service times of its requests.
+        statement_estimator: Estimates the waits of client accounts, from the service
+            times of single statements: connections in whose transactions callers rest
+            don't count as servers, so their times must not count either.
         retries: Retry-after times of the client accounts.
         arrivals: Sequence numbers for requests in the order of arrival.
     """
 
-    __slots__ = ("limit", "estimator", "retries", "arrivals")
+    __slots__ = (
+        "limit",
+        "estimator",
+        "statement_estimator",
+        "retries",
+        "arrivals",
+    )
 
     def __init__(self, limit: int) -> None:
         super().__init__()
         self.limit = limit
         self.estimator = WaitEstimator()
+        self.statement_estimator = WaitEstimator()
         self.retries = AccountRetries()
         self.arrivals = itertools.count()
 
@@ -53,7 +63,9 @@
                 QUEUE_FULL if the queue has no room for it.
         """
         priority = waiter.terms.priority if waiter.account else None
-        expected_s = self.estimate_wait(waiter.caller, servers, priority)
+        expected_s = self.estimate_wait(
+            waiter.caller, servers, priority, waiter.account
+        )
         if now_s() + expected_s > waiter.deadline_s:
             raise self.build_refusal(
                 ErrorKind.WAIT_TOO_LONG,
@@ -151,8 +163,8 @@
         Args:
             servers: Connections that serve the queue.
         """
-        interval_s = self.estimator.estimate_wait(1, servers)
-        service_s = self.estimator.service_s
+        interval_s = self.statement_estimator.estimate_wait(1, servers)
+        service_s = self.statement_estimator.service_s
         for waiter in self.list_hopeless(now_s(), interval_s, service_s):
             self.discard(waiter)
             refusal = self.build_refusal(
@@ -163,8 +175,23 @@
             )
             fail_waiter(waiter, refusal)
 
+    def record_service_time(self, held_s: float, is_transaction: bool) -> None:
+        """Update the estimates with the time for which a connection was held.
+
+        Args:
+            held_s: Seconds between grant and release.
+            is_transaction: Whether it was held for a transaction.
+        """
+        self.estimator.record_service_time(held_s)
+        if not is_transaction:
+            self.statement_estimator.record_service_time(held_s)
+
     def estimate_wait(
-        self, caller: str, servers: int, priority: int | None = None
+        self,
+        caller: str,
+        servers: int,
+        priority: int | None = None,
+        account: str | None = "",
     ) -> float:
         """Return the expected wait of a new request of a caller, in seconds.
 
@@ -172,9 +199,11 @@
             caller: Name in whose queue it would wait.
             servers: Connections that serve the queue.
             priority: Importance among the requests of the caller; None for the least.
+            account: Client account of the request; None or empty if it has none.
         """
         rank = 1 + self.count_waiting(caller, priority)
-        return self.estimator.estimate_wait(self.count_turns(caller, rank), servers)
+        estimator = self.statement_estimator if account else self.estimator
+        return estimator.estimate_wait(self.count_turns(caller, rank), servers)
 
     def build_refusal(
         self,
@@ -200,8 +229,8 @@
         else:
             retry_after_s = self.retries.schedule(
                 account,
-                self.estimate_wait(account, servers),
-                self.estimator.estimate_wait(1, servers),
+                self.estimate_wait(account, servers, None, account),
+                self.statement_estimator.estimate_wait(1, servers),
                 self.weights,
                 now_s(),
             )
--- a/ebonyrack/pooling/pool.py
+++ b/ebonyrack/pooling/pool.py
@@ -69,7 +69,8 @@
             opening_s = self.opener.opening_s
         if not self.queue and self.has_free_slot():
             return opening_s
-        return opening_s + self.queue.estimate_wait(caller, self.servers)
+        wait_s = self.queue.estimate_wait(caller, self.servers, None, account)
+        return opening_s + wait_s
 
     async def acquire(
         self,
@@ -107,6 +108,8 @@
             connection = await self.wait_for_grant(waiter)
         while connection is None:
             connection = await self.open_in_slot(waiter)
+        if terms.begins_transaction:
+            self.transactions.add(connection)
         return connection
 
     async def open_in_slot(self, waiter: Waiter) -> Connection | None:
--- a/ebonyrack/pooling/pool_queue.py
+++ b/ebonyrack/pooling/pool_queue.py
@@ -21,14 +21,16 @@
     Attributes:
         address: Address of the upstream.
         queue: Requests that wait for a slot.
+        transactions: Connections that are held for transactions of client accounts.
     """
 
-    __slots__ = ("address", "queue")
+    __slots__ = ("address", "queue", "transactions")
 
     def __init__(self, address: Address, limit: int, queue_limit: int) -> None:
         super().__init__(limit)
         self.address = address
         self.queue = AdmissionQueue(queue_limit)
+        self.transactions: set[Connection] = set()
 
     @property
     def waiting_count(self) -> int:
@@ -148,9 +150,11 @@
         if connection not in self.busy:
             raise ValueError("the connection is not in use")
         granted_at_s = self.busy.pop(connection)
+        is_transaction = connection in self.transactions
+        self.transactions.discard(connection)
         # The hold time of a connection that broke says nothing about service times.
         if connection.is_clean:
-            self.queue.estimator.record_service_time(now_s() - granted_at_s)
+            self.queue.record_service_time(now_s() - granted_at_s, is_transaction)
         self.keep_or_close(connection)
         self.grant_slots()
         if not self.keeps_idle_connections:
