--- a/ebonyrack/entry/account_connections_test.py
+++ b/ebonyrack/entry/account_connections_test.py
@@ -1,5 +1,7 @@
 """Statements reach upstreams on connections of their caller's account."""
 
+import asyncio
+
 from ebonyrack.standins.line_system import build_document
 from ebonyrack.standins.line_system import require_accounts
 
@@ -35,3 +37,24 @@
     assert counted >= 3 * 4 * 6
     for record in system.group.records:
         assert "key-" not in record.account
+
+
+async def test_waiting_write_of_a_caller_that_left_is_not_run(system, connect):
+    await system.change_document(require_accounts(build_document(2), KEYS))
+    (group,) = system.proxies[0].proxy.services.groups.values()
+    staying = await connect("booking", key="key-haulier")
+    leaving = await connect("booking", key="key-buyer")
+    group.members["up-1"].pool.resize(1)
+    system.upstreams["up-1"].faults.delay_s = 0.15
+    first = asyncio.create_task(staying.execute("WRITE slot-1 mali"))
+    await asyncio.sleep(0.03)
+    second = asyncio.create_task(leaving.execute("WRITE slot-2 fadia"))
+    await asyncio.sleep(0.03)
+    assert group.members["up-1"].pool.queue.count_waiting("buyer") == 1
+    await leaving.stop()
+    assert (await first)[0].startswith("COMPLETE")
+    assert (await staying.execute("WRITE slot-3 mali"))[0].startswith("COMPLETE")
+    await second
+    texts = {record.text for record in system.group.records}
+    assert "WRITE slot-2 fadia" not in texts
+    assert {"WRITE slot-1 mali", "WRITE slot-3 mali"} <= texts
