--- a/ebonyrack/handover/handover_test.py
+++ b/ebonyrack/handover/handover_test.py
@@ -15,7 +15,7 @@
 from ebonyrack.peers import proxy_link
 from ebonyrack.peers import proxy_links
 from ebonyrack.peers.proxy_link import ProxyLink
-from ebonyrack.placing import homes
+from ebonyrack.placing import connection_share
 from ebonyrack.standins.line_system import GROUP
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import LineSystem
@@ -88,7 +88,7 @@
 @pytest.fixture
 def shortage(monkeypatch):
     """Make three proxies need homes."""
-    monkeypatch.setattr(homes, "UNCOUNTED_PROXIES", MISSING_PROXIES)
+    monkeypatch.setattr(connection_share, "UNCOUNTED_PROXIES", MISSING_PROXIES)
     monkeypatch.setattr(route_proxy, "PROXIES_READ_INTERVAL_S", 0.05)
 
 
--- a/ebonyrack/placing/homes.py
+++ b/ebonyrack/placing/homes.py
@@ -23,7 +23,7 @@
 
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.placing.connection_share import RESERVED_CONNECTIONS
-from ebonyrack.placing.connection_share import UNCOUNTED_PROXIES
+from ebonyrack.placing.connection_share import is_scarce
 
 # Connections to each upstream that a home has at least, so that open transactions don't
 # keep other statements waiting.
@@ -71,17 +71,6 @@
     outstanding: int
 
 
-def needs_homes(maximum_connections: int, live_proxies: int) -> bool:
-    """Return whether each proxy's share is below one connection.
-
-    Args:
-        maximum_connections: Connections that each upstream accepts in total.
-        live_proxies: Number of proxies known to be alive, including this one.
-    """
-    usable = maximum_connections - RESERVED_CONNECTIONS
-    return usable < live_proxies + UNCOUNTED_PROXIES
-
-
 def plan_homes(
     group: str,
     maximum_connections: int,
@@ -100,7 +89,7 @@
         The homes; None if each proxy has connections of its own, or too few proxies
         can be asked.
     """
-    if not needs_homes(maximum_connections, live_proxies):
+    if not is_scarce(maximum_connections, live_proxies):
         return None
     usable = maximum_connections - RESERVED_CONNECTIONS - DIRECT_CONNECTIONS
     count = max(MINIMUM_HOMES, usable // CONNECTIONS_PER_HOME - UNCOUNTED_HOMES)
--- a/ebonyrack/placing/homes_test.py
+++ b/ebonyrack/placing/homes_test.py
@@ -5,8 +5,8 @@
 from ebonyrack.core.address import Address
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.placing.connection_share import compute_share
+from ebonyrack.placing.connection_share import is_scarce
 from ebonyrack.placing.homes import HomeLoad
-from ebonyrack.placing.homes import needs_homes
 from ebonyrack.placing.homes import order_homes
 from ebonyrack.placing.homes import plan_homes
 
@@ -34,7 +34,7 @@
 
 @pytest.mark.parametrize("count", [1, 5, 31, 70])
 def test_proxies_with_connections_of_their_own_need_no_homes(count):
-    assert not needs_homes(LIMIT, count)
+    assert not is_scarce(LIMIT, count)
     assert plan(build_fleet(count)) is None
 
 
