--- a/ebonyrack/handover/home.py
+++ b/ebonyrack/handover/home.py
@@ -16,6 +16,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.component import Component
 from ebonyrack.core.logs import log_decision
+from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
@@ -142,6 +143,11 @@
         self.serving += 1
         try:
             answer = await serve(work.session, question)
+        except asyncio.CancelledError:
+            log_failure(
+                "handed_statement_given_up", request=read_log_id(question), front=sender
+            )
+            raise
         finally:
             work.is_busy = False
             self.serving -= 1
--- a/ebonyrack/serving/session.py
+++ b/ebonyrack/serving/session.py
@@ -53,8 +53,8 @@
         context: The caller's session values and prepared statements.
         last_commit: Group and position of the session's newest commit, or None.
         transaction: The open transaction, or None.
-        is_handed_over: Whether another proxy handed the work to this one, which has
-            admitted it and doesn't hand it on.
+        is_handed_over: Whether another proxy, which has checked the caller's key,
+            handed the work to this one. It isn't handed on.
     """
 
     __slots__ = (
