Give each data centre as many homes of a group

Cause: fronts prefer the homes of their own data centre, but the homes beside the first of each were the first of all proxies, so one home could get a third of a group's work while a data centre with four shared the same amount. Change: homes are chosen in turns, the first of each data centre, then the second. Checked: homes_test.py, where the first six of all proxies leave a data centre with fewer than two in some group, and the new choice never does.

--- a/ebonyrack/placing/homes.py
+++ b/ebonyrack/placing/homes.py
@@ -103,20 +103,19 @@
 def choose_homes(
     group: str, count: int, proxies: Collection[ProxyEntry]
 ) -> list[ProxyEntry]:
-    """Return the homes: the first of each data centre, then the first of all."""
-
-    def rank(entry: ProxyEntry) -> float:
-        return compute_rank(group, entry)
-
-    firsts: dict[str, ProxyEntry] = {}
-    for entry in proxies:
-        first = firsts.get(entry.data_centre)
-        if first is None or rank(entry) < rank(first):
-            firsts[entry.data_centre] = entry
-    chosen = heapq.nsmallest(count, firsts.values(), key=rank)
-    names = {entry.name for entry in chosen}
-    others = [entry for entry in proxies if entry.name not in names]
-    return chosen + heapq.nsmallest(count - len(chosen), others, key=rank)
+    """Return the homes: the first of each data centre, the second of each, and so on.
+
+    Other proxies prefer the homes of their own data centre, so each needs as many.
+    """
+
+    places: dict[str, int] = {}
+    ordered: list[tuple[int, float, ProxyEntry]] = []
+    ranked = [(compute_rank(group, entry), entry) for entry in proxies]
+    for rank, entry in sorted(ranked, key=lambda item: item[0]):
+        place = places[entry.data_centre] = places.get(entry.data_centre, -1) + 1
+        ordered.append((place, rank, entry))
+    first = heapq.nsmallest(count, ordered, key=lambda item: item[:2])
+    return [entry for _, _, entry in first]
 
 
 def compute_rank(group: str, entry: ProxyEntry) -> float:
--- a/ebonyrack/placing/homes_test.py
+++ b/ebonyrack/placing/homes_test.py
@@ -7,6 +7,7 @@
 from ebonyrack.placing.connection_share import compute_share
 from ebonyrack.placing.connection_share import is_scarce
 from ebonyrack.placing.homes import HomeLoad
+from ebonyrack.placing.homes import compute_rank
 from ebonyrack.placing.homes import order_homes
 from ebonyrack.placing.homes import plan_homes
 
@@ -52,6 +53,23 @@
         }
 
 
+def test_each_data_centre_has_as_many_homes():
+    # All fronts of a data centre hand their work to its homes: one home of six would
+    # get a third of the work, as it can where the six are the first of all proxies.
+    fleet = build_fleet(118)
+
+    def find_fewest(homes):
+        centres = [home.data_centre for home in homes]
+        return min(centres.count(name) for name in ("dc-0", "dc-1", "dc-2"))
+
+    first_of_all = [
+        sorted(fleet, key=lambda entry, group=group: compute_rank(group, entry))[:6]
+        for group in GROUPS
+    ]
+    assert min(map(find_fewest, first_of_all)) < 2
+    assert {find_fewest(plan(fleet, group).homes.values()) for group in GROUPS} == {2}
+
+
 @pytest.mark.parametrize("count", [118, 300])
 def test_homes_are_spread_by_processor_share(count):
     fleet = build_fleet(count)
