--- a/ebonyrack/placing/homes.py
+++ b/ebonyrack/placing/homes.py
@@ -23,7 +23,7 @@
 
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.placing.connection_share import RESERVED_CONNECTIONS
-from ebonyrack.placing.connection_share import UNCOUNTED_PROXIES
+from ebonyrack.placing.connection_share import is_scarce
 
 # Connections to each upstream that a home has at least, so that open transactions don't
 # keep other statements waiting.
@@ -71,17 +71,6 @@
     outstanding: int
 
 
-def needs_homes(maximum_connections: int, live_proxies: int) -> bool:
-    """Return whether each proxy's share is below one connection.
-
-    Args:
-        maximum_connections: Connections that each upstream accepts in total.
-        live_proxies: Number of proxies known to be alive, including this one.
-    """
-    usable = maximum_connections - RESERVED_CONNECTIONS
-    return usable < live_proxies + UNCOUNTED_PROXIES
-
-
 def plan_homes(
     group: str,
     maximum_connections: int,
@@ -100,7 +89,7 @@
         The homes; None if each proxy has connections of its own, or too few proxies
         can be asked.
     """
-    if not needs_homes(maximum_connections, live_proxies):
+    if not is_scarce(maximum_connections, live_proxies):
         return None
     usable = maximum_connections - RESERVED_CONNECTIONS - DIRECT_CONNECTIONS
     count = max(MINIMUM_HOMES, usable // CONNECTIONS_PER_HOME - UNCOUNTED_HOMES)
@@ -114,20 +103,19 @@
 def choose_homes(
     group: str, count: int, proxies: Collection[ProxyEntry]
 ) -> list[ProxyEntry]:
-    """Return the homes: the first of each data centre, then the first of all."""
-
-    def rank(entry: ProxyEntry) -> float:
-        return compute_rank(group, entry)
-
-    firsts: dict[str, ProxyEntry] = {}
-    for entry in proxies:
-        first = firsts.get(entry.data_centre)
-        if first is None or rank(entry) < rank(first):
-            firsts[entry.data_centre] = entry
-    chosen = heapq.nsmallest(count, firsts.values(), key=rank)
-    names = {entry.name for entry in chosen}
-    others = [entry for entry in proxies if entry.name not in names]
-    return chosen + heapq.nsmallest(count - len(chosen), others, key=rank)
+    """Return the homes: the first of each data centre, the second of each, and so on.
+
+    Other proxies prefer the homes of their own data centre, so each needs as many.
+    """
+
+    places: dict[str, int] = {}
+    ordered: list[tuple[int, float, ProxyEntry]] = []
+    ranked = [(compute_rank(group, entry), entry) for entry in proxies]
+    for rank, entry in sorted(ranked, key=lambda item: item[0]):
+        place = places[entry.data_centre] = places.get(entry.data_centre, -1) + 1
+        ordered.append((place, rank, entry))
+    first = heapq.nsmallest(count, ordered, key=lambda item: item[:2])
+    return [entry for _, _, entry in first]
 
 
 def compute_rank(group: str, entry: ProxyEntry) -> float:
