Ask all replicas again after a stalled primary has stepped down

Change: every replica is asked once more after the step-down, reconnected and paused if it restarted. The case is an explicit example of the test.

--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -231,6 +231,23 @@
                 has_ended = True
         return has_ended
 
+    async def is_safe_after_lead(self, candidate: PromotionParticipant) -> bool:
+        """Return whether the candidate may still be promoted after `end_lead`.
+
+        Until then, commits may have counted with a replica that joined or restarted.
+        """
+        await asyncio.gather(
+            *(
+                each.request_status(STATUS_REQUEST)
+                for each in self.replicas
+                if each.is_connected
+            )
+        )
+        await self.refresh_replicas()
+        await self.update_replicas()
+        await self.pause_others(candidate)
+        return await self.is_safe(candidate)
+
     async def end_former_lead(self, chosen: PromotionParticipant) -> None:
         """Make the replaced primary a replica if it can be reached.
 
--- a/ebonyrack/promotion/group_change_test.py
+++ b/ebonyrack/promotion/group_change_test.py
@@ -383,6 +383,7 @@
 
 @pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
 @given(steps=draw_steps(STALL_EVENTS), answers=ANSWERS)
+@example(steps=[[], [], [], [], [("restart", "b"), ("commit", "b")]], answers=[])
 @settings(max_examples=300)
 def test_change_of_a_stalled_primary_loses_no_commit(is_fenced, steps, answers):
     model = Model(steps, registers_at_once=True)
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -189,11 +189,8 @@
             return await change_reachable_primary(search)
         chosen = await search.run()
         if isinstance(chosen, PromotionParticipant) and await search.end_lead():
-            # Commits may have counted with a replica that joined after the comparison.
             await self.read_entries()
-            await search.update_replicas()
-            await search.pause_others(chosen)
-            if not await search.is_safe(chosen):
+            if not await search.is_safe_after_lead(chosen):
                 return PromotionResult.NO_SAFE_SUCCESSOR
         return chosen
 
