--- a/ebonyrack/handover/handover_test.py
+++ b/ebonyrack/handover/handover_test.py
@@ -16,6 +16,7 @@
 from ebonyrack.peers import proxy_links
 from ebonyrack.peers.proxy_link import ProxyLink
 from ebonyrack.placing import connection_share
+from ebonyrack.promotion.promoter import Promoter
 from ebonyrack.standins.line_system import GROUP
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import LineSystem
@@ -298,13 +299,25 @@
 FAULTS = {"cut": cut_link, "killed": kill_home}
 
 
+def is_at_upstream(home):
+    """Return whether a home waits for an upstream's reply to a handed statement."""
+    if not home.home.serving:
+        return False
+    links = [
+        link for each in group_of(home).members.values() for link in each.pool.busy
+    ]
+    return any(link.outstanding_replies for link in links)
+
+
 async def run_with_fault(fleet, caller, text, fault):
     """Let a fault happen while a statement is being served; return its reply."""
     for upstream in fleet.system.upstreams.values():
         upstream.faults.delay_s = 0.2
     running = asyncio.create_task(caller.execute(text))
-    await wait_until(lambda: any(each.home.serving for each in fleet.homes))
-    home = next(each for each in fleet.homes if each.home.serving)
+    await wait_until(lambda: any(is_at_upstream(each) for each in fleet.homes))
+    # The upstream has received the statement, and runs it after the delay.
+    await asyncio.sleep(0.05)
+    home = next(each for each in fleet.homes if is_at_upstream(each))
     await fault(fleet, home)
     for upstream in fleet.system.upstreams.values():
         upstream.faults.delay_s = 0.0
@@ -434,22 +447,34 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "expected"),
-    [("READ a", "COMPLETE"), ("WRITE a x", "ERROR INDOUBT")],
+    ("texts", "expected"),
+    [
+        (["READ a"], "DATAROW mali"),
+        (["WRITE a x"], "ERROR INDOUBT"),
+        (["BEGIN", "WRITE a x"], "ERROR ABORTED"),
+        (["BEGIN", "WRITE a x", "READ a"], "ERROR ABORTED"),
+        (["BEGIN", "WRITE a x", "COMMIT"], "ERROR INDOUBT"),
+        (["BEGIN", "READ a", "COMMIT"], "ERROR ABORTED"),
+    ],
 )
-async def test_silent_link_is_found(fleet, connect, monkeypatch, text, expected):
-    monkeypatch.setattr(proxy_link, "SILENCE_LIMIT_S", 0.1)
-    monkeypatch.setattr(proxy_links, "CHECK_INTERVAL_S", 0.02)
-    monkeypatch.setattr(proxy_links, "CHECK_AFTER_S", 0.02)
+async def test_silent_link_is_found(fleet, connect, monkeypatch, texts, expected):
     document = build_document(7, booking={"timeoutMs": 20000})
     await fleet.system.change_document(document)
     caller = await connect()
     await caller.execute("WRITE a mali")
+    for text in texts[:-1]:
+        assert is_complete(await caller.execute(text))
+    monkeypatch.setattr(proxy_link, "SILENCE_LIMIT_S", 0.1)
+    monkeypatch.setattr(proxy_links, "CHECK_INTERVAL_S", 0.02)
+    monkeypatch.setattr(proxy_links, "CHECK_AFTER_S", 0.02)
     for home in fleet.homes:
         for link in home.links.opened:
             link.writer.transport.pause_reading()
-    reply = await caller.execute(text)
-    assert any(line.startswith(expected) for line in reply)
+    reply = await caller.execute(texts[-1])
+    assert reply[0].startswith(expected)
+    await caller.execute("ROLLBACK")
+    # The link to the other home is silent too.
+    await caller.write_until_complete("b", TIMEOUT_S)
 
 
 async def test_draining_home_finishes_its_transactions_and_takes_no_new_work(
@@ -523,6 +548,23 @@
     await wait_until(lambda: history.samples)
 
 
+async def test_homes_replace_a_lost_primary(fleet, connect, monkeypatch):
+    ran = []
+
+    async def run(promoter, health):
+        ran.append(promoter.name)
+        return await unchanged(promoter, health)
+
+    unchanged = Promoter.run
+    monkeypatch.setattr(Promoter, "run", run)
+    caller = await connect()
+    await caller.execute("WRITE a mali")
+    await fleet.system.upstreams["up-1"].stop()
+    await caller.write_until_complete("b", TIMEOUT_S)
+    assert fleet.system.group.find_lost_entries() == []
+    assert ran and fleet.front.settings.name not in ran
+
+
 async def test_proxies_with_connections_of_their_own_hand_nothing_over():
     async with LineSystem(proxy_count=2) as system:
         for each in system.proxies:
--- a/ebonyrack/placing/homes.py
+++ b/ebonyrack/placing/homes.py
@@ -107,7 +107,6 @@
 
     Other proxies prefer the homes of their own data centre, so each needs as many.
     """
-
     places: dict[str, int] = {}
     ordered: list[tuple[int, float, ProxyEntry]] = []
     ranked = [(compute_rank(group, entry), entry) for entry in proxies]
