--- a/ebonyrack/handover/home.py
+++ b/ebonyrack/handover/home.py
@@ -16,6 +16,7 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.component import Component
 from ebonyrack.core.logs import log_decision
+from ebonyrack.core.logs import log_failure
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
@@ -45,6 +46,10 @@
     {RequestKind.READ, RequestKind.WRITE, RequestKind.EXECUTE, RequestKind.COMMIT}
 )
 
+# Time in which a version reaches the proxies that reach the store. One that lacks it
+# for longer may serve a key that was withdrawn, which this proxy must not do.
+VERSION_SPREAD_S = 0.25
+
 
 @dataclass(slots=True, eq=False)
 class HandedWork:
@@ -142,6 +147,11 @@
         self.serving += 1
         try:
             answer = await serve(work.session, question)
+        except asyncio.CancelledError:
+            log_failure(
+                "handed_statement_given_up", request=read_log_id(question), front=sender
+            )
+            raise
         finally:
             work.is_busy = False
             self.serving -= 1
@@ -163,9 +173,13 @@
             return "the transaction is not open here"
         if self.services.drain.is_draining:
             return "draining"
-        table = self.services.routes.table
+        routes = self.services.routes
+        table = routes.table
         if table.version < question.version:
             return f"older version {table.version}"
+        lacks_version = question.sender_version < table.version
+        if lacks_version and routes.compute_in_force_s() > VERSION_SPREAD_S:
+            return f"newer version {table.version}"
         if question.account and question.account not in table.accounts:
             return f"no such account in version {table.version}"
         route = table.routes.get(question.database)
