--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -4,29 +4,25 @@
 
 import asyncio
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
-from typing import Protocol
 
 from loguru import logger
 from result import Err
 from result import Ok
-from result import Result
 
 from ebonyrack import __version__
-from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.component import Component
 from ebonyrack.core.route_settings import RouteProxySettings
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
-from ebonyrack.entry.listener import BALANCER_REMOVAL_S
+from ebonyrack.entry.isolation import Isolation
 from ebonyrack.entry.listener import Listener
 from ebonyrack.entry.primary_monitor import PrimaryMonitor
+from ebonyrack.entry.proxy_dependencies import ProxyDependencies
 from ebonyrack.handover.asking import HomeAsker
 from ebonyrack.handover.front import Front
 from ebonyrack.handover.home import Home
 from ebonyrack.limits.fleet_limiter import FleetLimiter
 from ebonyrack.limits.grant_terms import LimitBounds
-from ebonyrack.members.directory import DecodeEntry
 from ebonyrack.members.directory import UpstreamDirectory
 from ebonyrack.members.group import Group
 from ebonyrack.members.presence import PREFIX as PROXIES_PREFIX
@@ -37,16 +33,12 @@
 from ebonyrack.placing.homes import HomePlan
 from ebonyrack.placing.homes import plan_homes
 from ebonyrack.placing.primary_health import MISSING_ENTRY_LIMIT_S
-from ebonyrack.promotion.order import PromotionOrderClient
 from ebonyrack.promotion.promoter import Promoter
-from ebonyrack.requests.codec import CallerCodec
-from ebonyrack.requests.codec import UpstreamCodec
 from ebonyrack.routes.route import RouteTable
 from ebonyrack.serving.services import Services
 from ebonyrack.store.follower import FollowOptions
 from ebonyrack.store.follower import StoreAvailability
 from ebonyrack.store.follower import StoreFollower
-from ebonyrack.store.leasing_store import LeasingStore
 from ebonyrack.store.leasing_store import StoreChanges
 
 MONITOR_INTERVAL_S = 0.5
@@ -59,46 +51,10 @@
 # pools keep their limits. A list of proxies that is some seconds old is recent enough,
 # because proxies that have gone are counted for longer than that.
 PROXIES_READ_INTERVAL_S = 10.0
-# A proxy counts as isolated once it has reached neither the store nor some group's
-# primary for this long; the store is queried at least every 2 s, a primary several
-# times a second.
-ISOLATED_AFTER_S = 1.0
 # Weight in the queues by priority of the route, 0 the highest; all others weigh 1.
 PRIORITY_WEIGHTS = {0: 8, 1: 4, 2: 2}
 
 
-class RouteDecoder(Protocol):
-    """Decodes routes from their stored form."""
-
-    def __call__(self, value: bytes, /) -> Result[RouteTable, str]:
-        """Decode the routes, or return why they are invalid."""
-
-
-@dataclass(frozen=True, slots=True)
-class ProxyDependencies:
-    """Platform services and protocols that an adapter injects into the proxy.
-
-    Attributes:
-        store: The platform's key-value store.
-        orders: Accepts orders to change a primary.
-        caller_codec: Protocol spoken with callers.
-        upstream_codec: Protocol spoken with upstreams.
-        document_key: Key of the operators' routes in the store.
-        decode_document: Decodes the operators' routes.
-        entry_prefix: Prefix of the keys of upstreams' entries.
-        decode_entry: Decodes the entry of one upstream.
-    """
-
-    store: LeasingStore
-    orders: PromotionOrderClient
-    caller_codec: CallerCodec
-    upstream_codec: UpstreamCodec
-    document_key: str
-    decode_document: RouteDecoder
-    entry_prefix: str
-    decode_entry: DecodeEntry
-
-
 class RouteProxy(Component):
     """One proxy process: an async context manager that runs all components.
 
@@ -115,8 +71,7 @@
         followers: Apply changes of entries, routes and proxies in the store.
         listener: Accepts callers' connections.
         primary_monitors: Monitor of each group's primary, by name of the group.
-        isolated_since_s: Time since which the proxy is isolated, or None; reset to the
-            current time whenever idle sessions are closed.
+        isolation: Sends callers elsewhere while this proxy is isolated.
         discovery_completed: Whether all upstreams have once had time to be discovered.
     """
 
@@ -173,7 +128,9 @@
         self.listener = Listener(self.services, dependencies.caller_codec)
         self.primary_monitors: dict[str, PrimaryMonitor] = {}
         self.discovery_completed = False
-        self.isolated_since_s: float | None = None
+        self.isolation = Isolation(
+            self.services.groups, self.store_availability, self.listener
+        )
         self.stack = AsyncExitStack()
         self.monitor_task: asyncio.Task[None] | None = None
 
@@ -184,36 +141,7 @@
             return False
         groups = self.services.groups.values()
         has_upstreams = any(group.members for group in groups)
-        return has_upstreams and not self.is_isolated()
-
-    def is_isolated(self) -> bool:
-        """Whether another proxy would serve callers better.
-
-        True if neither the store nor some group's primary has been reachable from here
-        for a while: other proxies may have replaced that primary meanwhile.
-        """
-        if self.store_availability.compute_unavailable_s() < ISOLATED_AFTER_S:
-            return False
-        groups = self.services.groups.values()
-        return any(group.measure_outage() > ISOLATED_AFTER_S for group in groups)
-
-    def shed_if_isolated(self) -> None:
-        """Close idle sessions while isolated, so that callers use other proxies.
-
-        The load balancer gets time to notice first; otherwise callers would reconnect
-        to this proxy.
-        """
-        if not self.is_isolated():
-            self.isolated_since_s = None
-            return
-        now = boot_time_s()
-        if self.isolated_since_s is None:
-            self.isolated_since_s = now
-            logger.warning("proxy_isolated")
-        elif now - self.isolated_since_s > BALANCER_REMOVAL_S:
-            count = self.listener.close_idle_sessions()
-            logger.bind(sessions=count).info("idle_callers_shed")
-            self.isolated_since_s = now
+        return has_upstreams and not self.isolation.is_isolated
 
     def lacks_upstreams(self) -> bool:
         """Whether a group lacks upstreams, so that the store is read more often."""
@@ -398,7 +326,7 @@
         """Handle isolation and missing upstreams, until cancelled."""
         while True:
             await asyncio.sleep(MONITOR_INTERVAL_S)
-            self.shed_if_isolated()
+            self.isolation.shed_if_isolated()
             await self.directory.remove_missing(
                 self.store_availability.available_since_s, MISSING_ENTRY_LIMIT_S
             )
--- a/ebonyrack/platform/proxy.py
+++ b/ebonyrack/platform/proxy.py
@@ -6,7 +6,7 @@
 
 from ebonyrack.core.component import Component
 from ebonyrack.core.route_settings import RouteProxySettings
-from ebonyrack.entry.route_proxy import ProxyDependencies
+from ebonyrack.entry.proxy_dependencies import ProxyDependencies
 from ebonyrack.entry.route_proxy import RouteProxy
 from ebonyrack.platform import caller_codec  # noqa: F401 (fills the registry)
 from ebonyrack.platform import member_entries
