--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -156,7 +156,7 @@
     def start_leadership_check(self) -> None:
         """Find out whether the change of primary by another proxy has ended."""
         if self.group.leadership is not None:
-            self.group.leadership.start()
+            self.group.leadership.request()
 
     def handle_pause(self, pause_s: float) -> None:
         """Restart the measurement of silence after a pause of this process."""
--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -8,11 +8,12 @@
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.component import Component
+from ebonyrack.members.commit_check import CommitCheck
 from ebonyrack.members.entry import MemberEntry
-from ebonyrack.members.leadership_check import CHECK_CALLER
 from ebonyrack.members.leadership_check import LeadershipCheck
 from ebonyrack.members.member import Member
 from ebonyrack.members.primary_state import PrimaryState
+from ebonyrack.members.replica_status import CHECK_CALLER
 from ebonyrack.placing.connection_share import SCARCE_IDLE_LIMIT
 from ebonyrack.placing.connection_share import STARTUP_SHORTAGE_S
 from ebonyrack.placing.connection_share import ProxyCounts
@@ -62,6 +63,7 @@
         demand: Recent reads of the group by class.
         leadership: Checks that the primary still leads; None where the platform ends
             the lead of a replaced primary.
+        commit_check: Checks that a commit outlives a change of primary.
     """
 
     __slots__ = (
@@ -78,6 +80,7 @@
         "has_accounts",
         "demand",
         "leadership",
+        "commit_check",
     )
 
     def __init__(
@@ -102,11 +105,13 @@
         self.queue_weights: dict[str, int] = {}
         self.demand = ReadDemand()
         self.leadership = None if is_promotion_fenced else LeadershipCheck(self)
+        self.commit_check = CommitCheck(self)
 
     async def stop(self) -> None:
         """Close every connection."""
         if self.leadership is not None:
             await self.leadership.stop()
+        await self.commit_check.stop()
         for member in list(self.members.values()):
             await member.stop()
 
--- a/ebonyrack/members/link.py
+++ b/ebonyrack/members/link.py
@@ -33,6 +33,8 @@
 # between data centres take a few milliseconds, so only a network partition or a lost VM
 # delays acknowledgements for so long.
 UNACKNOWLEDGED_LIMIT_MS = 1500
+# Reason of the end of a connection that this proxy has closed.
+CLOSED_HERE = "closed by the proxy"
 
 
 class ReplyTimeoutError(Exception):
@@ -105,7 +107,9 @@
 
     def close(self) -> None:
         """Close the connection at once; an open transaction is rolled back."""
-        self.stream.abort("closed by the proxy")
+        if self.stream.lost_reason not in (None, CLOSED_HERE):
+            self.liveness.record_interruption()
+        self.stream.abort(CLOSED_HERE)
 
     async def exchange(
         self,
@@ -141,6 +145,8 @@
                     replies.append(await self.read_reply())
         except StreamLostError as error:
             was_abandoned = True
+            if error.reason != CLOSED_HERE:
+                self.liveness.record_interruption()
             raise UpstreamLostError(error.reason) from error
         except TimeoutError:
             was_abandoned = True
--- a/ebonyrack/members/liveness.py
+++ b/ebonyrack/members/liveness.py
@@ -6,6 +6,9 @@
 
 from ebonyrack.core.clock import boot_time_s
 
+# Silence below this is usual under load, in seconds.
+DISTURBING_SILENCE_S = 0.2
+
 
 class Liveness:
     """Records unanswered exchanges with an upstream and the time of its last reply.
@@ -22,6 +25,10 @@
         refused_at_s: Time of the last refused connection; far in the past if none was.
         is_replaced: Whether another upstream has answered at its address since its last
             reply.
+        disturbed_at_s: Time at which it was last known to be silent or to refuse
+            connections; far in the past if it never was.
+        interrupted_at_s: Time at which a connection was last refused or found broken,
+            as by a restart; far in the past if none was.
         exchange_numbers: Source of exchange numbers.
     """
 
@@ -32,6 +39,8 @@
         "refused_since_s",
         "refused_at_s",
         "is_replaced",
+        "disturbed_at_s",
+        "interrupted_at_s",
         "exchange_numbers",
     )
 
@@ -42,6 +51,8 @@
         self.refused_since_s: float | None = None
         self.refused_at_s = float("-inf")
         self.is_replaced = False
+        self.disturbed_at_s = float("-inf")
+        self.interrupted_at_s = float("-inf")
         self.exchange_numbers = itertools.count()
 
     def record_sent(self) -> int:
@@ -52,6 +63,8 @@
 
     def record_reply(self) -> None:
         """Record a reply."""
+        if self.is_disturbed():
+            self.disturbed_at_s = boot_time_s()
         self.replied_at_s = boot_time_s()
         self.abandoned_sent_s = None
         self.refused_since_s = None
@@ -61,9 +74,13 @@
         """Record that another upstream answered at the address."""
         self.is_replaced = True
 
+    def record_interruption(self) -> None:
+        """Record that a connection was broken by the upstream or on the way."""
+        self.interrupted_at_s = boot_time_s()
+
     def record_refusal(self) -> None:
         """Record a refused connection."""
-        self.refused_at_s = boot_time_s()
+        self.refused_at_s = self.interrupted_at_s = boot_time_s()
         if self.refused_since_s is None:
             self.refused_since_s = boot_time_s()
 
@@ -84,6 +101,7 @@
     def reset_silence(self) -> None:
         """Measure silence from now on, as this proxy itself was suspended."""
         now = boot_time_s()
+        self.disturbed_at_s = now
         self.unanswered = dict.fromkeys(self.unanswered, now)
         self.abandoned_sent_s = None
         self.refused_since_s = None
@@ -97,6 +115,24 @@
             return 0.0
         return max(0.0, boot_time_s() - max(min(sent_s), self.replied_at_s))
 
+    def is_disturbed(self) -> bool:
+        """Return whether it is silent or refuses connections now."""
+        if self.refused_since_s is not None:
+            return True
+        return self.measure_silence() > DISTURBING_SILENCE_S
+
+    def measure_calm(self, since_s: float) -> float:
+        """Return the seconds since it was last silent or refused connections.
+
+        Args:
+            since_s: Time on the boot clock; what was before it doesn't count.
+        """
+        if self.is_disturbed():
+            return 0.0
+        if self.disturbed_at_s < since_s:
+            return float("inf")
+        return boot_time_s() - self.disturbed_at_s
+
     def measure_refusal(self) -> float:
         """Return for how long connections have been refused, in seconds."""
         if self.refused_since_s is None:
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -46,6 +46,7 @@
         liveness: Records whether it replies.
         pool: Connections to it.
         position: Newest position that it has reported.
+        position_at_s: Time of its last report of a position, on the boot clock.
         missing_position: Position that it lacked when a read required it, or None.
         lagging_until_s: Time until which it is tried last for that position.
         deprioritized_until_s: Time until which other upstreams are preferred.
@@ -67,6 +68,7 @@
         "liveness",
         "pool",
         "position",
+        "position_at_s",
         "missing_position",
         "lagging_until_s",
         "deprioritized_until_s",
@@ -88,6 +90,7 @@
             entry.address, MemberQueueSettings(), limit, self.open_link
         )
         self.position: LogPosition | None = None
+        self.position_at_s = float("-inf")
         self.missing_position: LogPosition | None = None
         self.lagging_until_s = 0.0
         self.deprioritized_until_s = 0.0
@@ -167,7 +170,10 @@
 
     def record_position(self, position: LogPosition | None) -> None:
         """Record the position in a reply."""
-        if position is not None and (self.position is None or position > self.position):
+        if position is None:
+            return
+        self.position_at_s = boot_time_s()
+        if self.position is None or position > self.position:
             self.position = position
 
     def record_lagging(self, position: LogPosition) -> None:
--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -48,6 +48,7 @@
             None; known only where promotions are not fenced.
         leaving_limit_s: Seconds for which a leaving upstream may get work, or None.
         former_primary_id: The last primary that was known, or None.
+        led_since_s: Time at which this proxy learned that the primary leads its term.
     """
 
     __slots__ = (
@@ -63,6 +64,7 @@
         "changing_since_s",
         "leaving_limit_s",
         "former_primary_id",
+        "led_since_s",
     )
 
     def __init__(self, leaving_limit_s: float | None) -> None:
@@ -78,6 +80,7 @@
         self.newest_acknowledged: LogPosition | None = None
         self.changing_since_s: float | None = None
         self.former_primary_id: str | None = None
+        self.led_since_s = float("-inf")
 
     @property
     def name(self) -> str:
@@ -178,6 +181,8 @@
             self.former_primary_id = before
         else:
             self.unknown_since_s = None
+            if primary != self.former_primary_id:
+                self.led_since_s = boot_time_s()
             metrics.primary_changes.add(1, {"group": self.name})
         logger.bind(
             group=self.name,
--- a/ebonyrack/placing/position_history.py
+++ b/ebonyrack/placing/position_history.py
@@ -68,6 +68,17 @@
                 return sample.position
         return None
 
+    def find_newest_before(self, time_s: float) -> LogPosition | None:
+        """Return the newest position that the primary had before a time, or None.
+
+        Args:
+            time_s: The time, on the boot clock.
+        """
+        for sample in reversed(self.samples):
+            if sample.sent_at_s < time_s:
+                return sample.position
+        return None
+
     def measure_age(self, now_s: float) -> float:
         """Return the age of the newest sample in seconds, infinite without one."""
         return now_s - self.samples[-1].sent_at_s if self.samples else float("inf")
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -21,6 +21,7 @@
 from ebonyrack.members.session_context import SessionContext
 from ebonyrack.placing.shedding import WorkClass
 from ebonyrack.pooling.fair_order import WorkTerms
+from ebonyrack.pooling.upstream_lost import UpstreamLostError
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.request import Request
 from ebonyrack.requests.request import RequestKind
@@ -228,9 +229,11 @@
         The reply.
 
     Raises:
-        UpstreamLostError: If the connection broke; the outcome is not known.
+        UpstreamLostError: If the connection broke, or a change of primary may lose the
+            commit; the outcome is not known.
         ReplyTimeoutError: If no reply came in time; the outcome is not known.
     """
+    deadline_s = now_s() + timeout_s
     # The commit comes after this position, so what was logged up to it is acknowledged
     # with the commit; the reply may report a log that has grown further.
     position_before = member.position
@@ -243,6 +246,11 @@
         member.write_sent_s.pop(number, None)
     if reply.rejection is None:
         member.committed_sent_s = max(member.committed_sent_s, sent_at_s)
+        doubt = await group.commit_check.confirm(
+            member, reply.position, deadline_s - now_s()
+        )
+        if doubt is not None:
+            raise UpstreamLostError(doubt)
         group.record_acknowledged(position_before)
         group.record_primary_reply(member, sent_at_s, reply.position)
     return reply
