--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -20,9 +20,11 @@
 from ebonyrack.placing.connection_share import compute_idle_limit
 from ebonyrack.placing.connection_share import compute_limit
 from ebonyrack.placing.connection_share import compute_probe_probability
+from ebonyrack.placing.connection_share import compute_startup_share
 from ebonyrack.placing.connection_share import is_scarce
-from ebonyrack.placing.connection_share import is_short_of_connections
 from ebonyrack.placing.connection_share import keeps_scarce_connection
+from ebonyrack.placing.connection_share import may_be_starting_together
+from ebonyrack.placing.connection_share import may_others_be_starting
 from ebonyrack.placing.homes import DIRECT_SHARE
 from ebonyrack.placing.homes import HomePlan
 from ebonyrack.placing.outlier import eject_outlier
@@ -52,6 +54,8 @@
         data_centre: Data centre of this proxy.
         codec: Protocol of the upstreams.
         started_s: Time since which the proxy serves the group, on the boot clock.
+        is_limited_for_start: Whether the pools have the limit of a proxy that has just
+            started.
         live_proxies: Number of proxies known to be alive, including this one.
         near_proxies: How many of them may be in this data centre.
         connection_share: Connections to each upstream that this proxy may hold.
@@ -71,6 +75,7 @@
         "data_centre",
         "codec",
         "started_s",
+        "is_limited_for_start",
         "live_proxies",
         "near_proxies",
         "connection_share",
@@ -97,6 +102,7 @@
         self.codec = codec
         super().__init__(leaving_limit_s)
         self.started_s = boot_time_s()
+        self.is_limited_for_start = True
         self.homes: HomePlan | None = None
         self.is_home = False
         self.has_accounts = False
@@ -141,14 +147,36 @@
         self.live_proxies = counts.live
         self.near_proxies = counts.near
         self.connection_share = share
+        self.limit_pools()
         for member in self.members.values():
-            if member.pool.limit != share:
-                member.pool.resize(share)
             member.pool.is_scarce = self.is_scarce
             if self.is_scarce and not self.keeps_idle_connections(member.entry, False):
                 member.pool.keeps_idle_connections = False
                 member.pool.close_idle()
 
+    def limit_pools(self) -> None:
+        """Apply this proxy's share to the connections to each upstream."""
+        self.is_limited_for_start = self.is_starting
+        for member in self.members.values():
+            member.pool.allows_overflow = not self.is_starting
+            if member.pool.limit != self.pool_limit:
+                member.pool.resize(self.pool_limit)
+
+    @property
+    def is_starting(self) -> bool:
+        """Whether other proxies that lost power with this one may not be back."""
+        return may_others_be_starting(boot_time_s() - self.started_s)
+
+    @property
+    def pool_limit(self) -> int:
+        """Connections to each upstream that this proxy may hold now."""
+        if not self.is_starting or self.homes is not None or self.is_scarce:
+            return self.connection_share
+        startup_share = compute_startup_share(
+            self.limits.maximum_connections, self.live_proxies
+        )
+        return min(self.connection_share, startup_share) or self.connection_share
+
     @property
     def hands_work_over(self) -> bool:
         """Whether other proxies hold the connections to the upstreams."""
@@ -157,10 +185,11 @@
     @property
     def is_short_of_connections(self) -> bool:
         """Whether connections from before the proxy's start may use up the limit."""
-        age_s = boot_time_s() - self.started_s
-        return is_short_of_connections(
-            age_s, self.limits.maximum_connections, self.live_proxies
+        startup_share = compute_startup_share(
+            self.limits.maximum_connections, self.live_proxies
         )
+        age_s = boot_time_s() - self.started_s
+        return may_be_starting_together(age_s) and startup_share == 0
 
     @property
     def is_scarce(self) -> bool:
@@ -205,6 +234,8 @@
 
     def trim_idle_connections(self) -> None:
         """Close idle connections above the limit."""
+        if self.is_limited_for_start and not self.is_starting:
+            self.limit_pools()
         for member in self.members.values():
             is_primary = member is self.primary
             member.pool.keeps_idle_connections = self.keeps_idle_connections(
@@ -266,7 +297,8 @@
             await self.remove(entry.member_id, "it restarted")
             member = None
         if member is None:
-            member = Member(entry, self.codec, self.connection_share)
+            member = Member(entry, self.codec, self.pool_limit)
+            member.pool.allows_overflow = not self.is_starting
             if boot_time_s() - self.started_s > INITIAL_DISCOVERY_S:
                 member.known_since_s = boot_time_s()
             member.pool.set_weights(self.queue_weights)
--- a/ebonyrack/placing/connection_share.py
+++ b/ebonyrack/placing/connection_share.py
@@ -3,10 +3,11 @@
 The limits suit 29 proxies in front of upstreams that accept 43 connections, also when
 all proxies lose power at once. Upstreams keep the old connections open for some
 seconds, so only the remaining ones can be opened meanwhile: the fewer idle connections
-a proxy keeps, the more proxies can serve again at once. Every proxy needs connections
-to the primary, so until the old ones are gone, a proxy that has just started keeps no
-idle connections to the primary: it closes each after use, and another proxy can
-connect.
+a proxy keeps, the more proxies can serve again at once. Until the old ones are gone, a
+proxy that has just started takes no more than its part of the others, so that the last
+one to start finds one too. Where these are fewer than the proxies, it keeps no idle
+connections to the primary, which every proxy needs: it closes each after use, and
+another proxy can connect.
 
 Where an upstream accepts fewer connections than there are proxies (118 proxies in front
 of upstreams that accept 73), equal shares would leave some proxies without any for
@@ -20,7 +21,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 # Left for promotions, which open connections outside the pools.
 RESERVED_CONNECTIONS = 2
@@ -29,6 +30,9 @@
 # Upstreams drop the connections of a lost VM after three seconds, and may detect the
 # loss somewhat late.
 STARTUP_SHORTAGE_S = 3.5
+# Proxies that lost power together are back within this time of each other. After it, a
+# proxy that wants more than its part takes it, unless the upstream refuses.
+STARTUP_SPREAD_S = 1.5
 # Connections to one upstream that a proxy may use at once while they are scarce. Most
 # proxies have no work for an upstream at any one time.
 SCARCE_LIMIT = 3
@@ -42,8 +46,7 @@
 SCARCE_SEARCHES_PER_S = 40.0
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyCounts:
+class ProxyCounts(Struct, frozen=True):
     """Numbers of live proxies, each including this one.
 
     Attributes:
@@ -79,22 +82,40 @@
     return share if is_near or is_primary else 0
 
 
-def is_short_of_connections(
-    age_s: float, maximum_connections: int, live_proxies: int
-) -> bool:
-    """Return whether a proxy must not keep idle connections to the primary.
+def compute_startup_share(maximum_connections: int, live_proxies: int) -> int:
+    """Return how many connections a proxy may hold soon after its start.
 
-    This holds soon after its start if the primary can't accept one connection from
-    every proxy in addition to the old ones that may still be open.
+    All proxies may have started at once, and the connections that they had before may
+    still be open.
 
     Args:
-        age_s: Seconds since the proxy started.
         maximum_connections: Connections that the upstream accepts in total.
         live_proxies: Number of proxies known to be alive, including this one.
+
+    Returns:
+        The number; 0 if there isn't one for each.
+    """
+    live = max(1, live_proxies)
+    old_connections = live * compute_share(maximum_connections, live)
+    return max(0, maximum_connections - old_connections) // live
+
+
+def may_be_starting_together(age_s: float) -> bool:
+    """Return whether connections from before a proxy's start may still be open.
+
+    Args:
+        age_s: Seconds since the proxy started.
+    """
+    return age_s <= STARTUP_SHORTAGE_S
+
+
+def may_others_be_starting(age_s: float) -> bool:
+    """Return whether proxies that lost power together may not all be back.
+
+    Args:
+        age_s: Seconds since the proxy started.
     """
-    old_connections = live_proxies * compute_share(maximum_connections, live_proxies)
-    is_short = old_connections + live_proxies > maximum_connections
-    return is_short and age_s <= STARTUP_SHORTAGE_S
+    return age_s <= STARTUP_SPREAD_S
 
 
 def is_scarce(maximum_connections: int, live_proxies: int) -> bool:
--- a/ebonyrack/placing/connection_share_test.py
+++ b/ebonyrack/placing/connection_share_test.py
@@ -10,6 +10,7 @@
 from ebonyrack.placing.connection_share import compute_limit
 from ebonyrack.placing.connection_share import compute_probe_probability
 from ebonyrack.placing.connection_share import compute_share
+from ebonyrack.placing.connection_share import compute_startup_share
 from ebonyrack.placing.connection_share import is_scarce
 from ebonyrack.placing.connection_share import keeps_scarce_connection
 
@@ -146,3 +147,28 @@
     assert max(limits) - min(limits) <= 1
     assert sum(limits) + min(limits) <= maximum - 2
     assert sum(limits) > 0.85 * maximum
+
+
+def count_refused(proxies, maximum, hold):
+    """Return how many proxies get no connection after losing power together.
+
+    Args:
+        proxies: Number of proxies, which come back one after the other.
+        maximum: Connections that the upstream accepts.
+        hold: Connections that each proxy opens as soon as it is back.
+    """
+    free = maximum - proxies * compute_share(maximum, proxies)
+    refused = 0
+    for _ in range(proxies):
+        refused += free < 1
+        free -= min(hold, free)
+    return refused
+
+
+@pytest.mark.parametrize(("proxies", "maximum"), [(5, 16), (5, 22), (4, 60), (7, 30)])
+def test_last_proxy_after_a_loss_of_power_finds_a_connection(proxies, maximum):
+    share = compute_startup_share(maximum, proxies)
+    assert share >= 1
+    assert count_refused(proxies, maximum, share) == 0
+    # Two each, as before the loss, leave the last ones without any.
+    assert count_refused(5, 16, compute_share(16, 5)) == 2
--- a/ebonyrack/pooling/pool_slots.py
+++ b/ebonyrack/pooling/pool_slots.py
@@ -35,6 +35,7 @@
         is_scarce: Whether the upstream can't accept a connection from every proxy, so
             that a refused one is soon tried again.
         refused_at_s: Monotonic time at which the upstream last refused a connection.
+        allows_overflow: Whether a connection above the limit may be opened.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         "keeps_idle_connections",
         "is_scarce",
         "refused_at_s",
+        "allows_overflow",
     )
 
     def __init__(self, limit: int) -> None:
@@ -61,6 +63,7 @@
         self.keeps_idle_connections = True
         self.is_scarce = False
         self.refused_at_s = float("-inf")
+        self.allows_overflow = True
 
     @property
     def limit(self) -> int:
@@ -143,7 +146,7 @@
         and then stay idle would block all others. The extra connection is closed when
         it is released. None is opened shortly after the upstream has refused one.
         """
-        if self.was_refused_lately:
+        if self.was_refused_lately or not self.allows_overflow:
             return False
         return (
             bool(self.list_resting())
