--- a/ebonyrack/core/config_error.py
+++ b/ebonyrack/core/config_error.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigError:
+class ConfigError(Struct, frozen=True):
     """One error in a configuration document.
 
     Attributes:
--- a/ebonyrack/core/errors.py
+++ b/ebonyrack/core/errors.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 # Bounds of the random retry-after of errors that don't depend on a queue.
 SHORTEST_RETRY_S = 0.02
 LONGEST_RETRY_S = 0.2
@@ -54,8 +55,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True, slots=True)
-class ErrorAnswer:
+class ErrorAnswer(Struct, frozen=True):
     """Answer to a caller for one kind of error.
 
     Attributes:
--- a/ebonyrack/core/route_settings.py
+++ b/ebonyrack/core/route_settings.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from ebonyrack.core.address import Address
 
 
-@dataclass(frozen=True, slots=True)
-class RouteProxySettings:
+class RouteProxySettings(Struct, frozen=True):
     """Identity, listeners and remote addresses of a process.
 
     Attributes:
--- a/ebonyrack/entry/failures_test.py
+++ b/ebonyrack/entry/failures_test.py
@@ -1,9 +1,9 @@
 """Outcomes of requests while upstreams or the platform fail."""
 
 import asyncio
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.clock import now_s
--- a/ebonyrack/entry/proxy_dependencies.py
+++ b/ebonyrack/entry/proxy_dependencies.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
 from result import Result
 
 from ebonyrack.members.directory import DecodeEntry
@@ -22,8 +22,7 @@
         """Decode the routes, or return why they are invalid."""
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyDependencies:
+class ProxyDependencies(Struct, frozen=True):
     """Platform services and protocols that an adapter injects into the proxy.
 
     Attributes:
--- a/ebonyrack/handover/asking.py
+++ b/ebonyrack/handover/asking.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
-from dataclasses import field
 
+from msgspec import Struct
+from msgspec import field
 from result import Err
 
 from ebonyrack.core.clock import now_s
@@ -32,8 +32,7 @@
 OUT_OF_REACH_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class NoAnswer:
+class NoAnswer(Struct, frozen=True):
     """Why a home gave no answer to a statement.
 
     Attributes:
@@ -45,8 +44,7 @@
     reason: str
 
 
-@dataclass(slots=True)
-class HomeState:
+class HomeState(Struct):
     """What is known of one home.
 
     Attributes:
--- a/ebonyrack/handover/home.py
+++ b/ebonyrack/handover/home.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from loguru import logger
+from msgspec import Struct
 
 from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
@@ -51,8 +51,7 @@
 VERSION_SPREAD_S = 0.25
 
 
-@dataclass(slots=True, eq=False)
-class HandedWork:
+class HandedWork(Struct, eq=False):
     """A statement or a transaction of another proxy.
 
     Attributes:
--- a/ebonyrack/handover/question.py
+++ b/ebonyrack/handover/question.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
@@ -31,8 +31,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class TransactionStep:
+class TransactionStep(Struct, frozen=True):
     """The transaction to which a handed statement belongs.
 
     Attributes:
--- a/ebonyrack/limits/account_stock.py
+++ b/ebonyrack/limits/account_stock.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
-from dataclasses import field
+
+from msgspec import Struct
+from msgspec import field
 
 from ebonyrack.limits.use_rate import UseRate
 
@@ -28,8 +29,7 @@
 MAXIMUM_UNUSED = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Token:
+class Token(Struct, frozen=True):
     """Permission for one operation.
 
     Attributes:
@@ -43,8 +43,7 @@
     expires_s: float
 
 
-@dataclass(slots=True)
-class AccountStock:
+class AccountStock(Struct):
     """Grants of one account at one proxy.
 
     Attributes:
--- a/ebonyrack/limits/admission.py
+++ b/ebonyrack/limits/admission.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from ebonyrack.limits.account_stock import Token
 
 if TYPE_CHECKING:
     from ebonyrack.limits.fleet_limiter import FleetLimiter
 
 
-@dataclass(frozen=True, slots=True)
-class LimitRejection:
+class LimitRejection(Struct, frozen=True):
     """Why an operation was not admitted. It has not run.
 
     Attributes:
--- a/ebonyrack/limits/grant_asker.py
+++ b/ebonyrack/limits/grant_asker.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
+from msgspec import Struct
 from result import Err
 
 from ebonyrack.core.clock import boot_time_s
@@ -37,8 +37,7 @@
 Waiter = asyncio.Future[Token | None]
 
 
-@dataclass(frozen=True, slots=True)
-class AskFailure:
+class AskFailure(Struct, frozen=True):
     """The last failure to get an answer of a shard's owner.
 
     Attributes:
--- a/ebonyrack/limits/grant_book.py
+++ b/ebonyrack/limits/grant_book.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from ebonyrack.limits.grant_terms import LimitBounds
 from ebonyrack.limits.grant_terms import choose_terms
@@ -24,8 +25,7 @@
 LotKey = tuple[str, int, str]
 
 
-@dataclass(frozen=True, slots=True)
-class AccountLimit:
+class AccountLimit(Struct, frozen=True):
     """Limit of an account in one version of the configuration.
 
     Attributes:
@@ -39,8 +39,7 @@
     burst: float
 
 
-@dataclass(frozen=True, slots=True)
-class GrantedLot:
+class GrantedLot(Struct, frozen=True):
     """Grants of one account in one reply.
 
     Attributes:
--- a/ebonyrack/limits/grant_terms.py
+++ b/ebonyrack/limits/grant_terms.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 # Part of what the bounds allow above the limit that the terms use up. The rest is for
 # reads that are repeated at another upstream and for processes that are suspended
@@ -26,8 +26,7 @@
 SEND_ALLOWANCE_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class LimitBounds:
+class LimitBounds(Struct, frozen=True):
     """How strictly the platform checks the limits of accounts.
 
     Attributes:
@@ -41,8 +40,7 @@
     slack: float
 
 
-@dataclass(frozen=True, slots=True)
-class GrantTerms:
+class GrantTerms(Struct, frozen=True):
     """Terms on which operations of one account are granted.
 
     Attributes:
--- a/ebonyrack/limits/shard_hold.py
+++ b/ebonyrack/limits/shard_hold.py
@@ -17,7 +17,8 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from ebonyrack.limits.grant_book import GrantBook
 from ebonyrack.limits.grant_terms import LimitBounds
@@ -43,8 +44,7 @@
 LONGEST_CLAIM_DELAY_S = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class ShardLease:
+class ShardLease(Struct, frozen=True):
     """The lease of this proxy's keys.
 
     Attributes:
--- a/ebonyrack/limits/shard_key.py
+++ b/ebonyrack/limits/shard_key.py
@@ -4,12 +4,12 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
 
+from msgspec import Struct
+from msgspec import field
 
-@dataclass(frozen=True, slots=True)
-class ShardOwner:
+
+class ShardOwner(Struct, frozen=True):
     """The value of a shard's key.
 
     Attributes:
@@ -53,8 +53,7 @@
     return ShardOwner(*words) if len(words) == 3 else None
 
 
-@dataclass(frozen=True, slots=True)
-class ShardKey:
+class ShardKey(Struct, frozen=True):
     """The key of a shard, as it was read last.
 
     Attributes:
--- a/ebonyrack/limits/token_bucket.py
+++ b/ebonyrack/limits/token_bucket.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import field
+from msgspec import Struct
+from msgspec import field
 
 from ebonyrack.limits.grant_terms import GrantTerms
 
@@ -16,8 +16,7 @@
 MAXIMUM_TAKES = 64
 
 
-@dataclass(slots=True)
-class TakeRecord:
+class TakeRecord(Struct):
     """The room in a bucket just before tokens were taken.
 
     Attributes:
@@ -29,8 +28,7 @@
     room: float
 
 
-@dataclass(slots=True)
-class TokenBucket:
+class TokenBucket(Struct):
     """Tokens of one account, of which each permits one operation. It starts empty.
 
     Attributes:
--- a/ebonyrack/limits/use_rate.py
+++ b/ebonyrack/limits/use_rate.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 TIME_CONSTANT_S = 4.0
 
 
-@dataclass(slots=True)
-class UseRate:
+class UseRate(Struct):
     """Recent rate of an event.
 
     Attributes:
--- a/ebonyrack/members/entry.py
+++ b/ebonyrack/members/entry.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from ebonyrack.core.address import Address
 
 
-@dataclass(frozen=True, slots=True)
-class MemberEntry:
+class MemberEntry(Struct, frozen=True):
     """One upstream of a group, as registered by itself.
 
     Attributes:
--- a/ebonyrack/members/leaving_test.py
+++ b/ebonyrack/members/leaving_test.py
@@ -1,9 +1,9 @@
 """Work for a primary that is leaving, up to the time that the platform allows."""
 
 import asyncio
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.members.leaving import SENDING_MARGIN_S
--- a/ebonyrack/members/member.py
+++ b/ebonyrack/members/member.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.component import Component
@@ -25,8 +25,7 @@
 DEPRIORITIZED_S = 0.25
 
 
-@dataclass(slots=True)
-class MemberQueueSettings:
+class MemberQueueSettings(Struct):
     """Settings of the queue for one upstream's connections.
 
     Attributes:
--- a/ebonyrack/members/read_candidates.py
+++ b/ebonyrack/members/read_candidates.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.errors import ErrorKind
@@ -20,8 +20,7 @@
 READ_SILENCE_LIMIT_S = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementRequest:
+class PlacementRequest(Struct, frozen=True):
     """What placing a read or a read-only transaction depends on.
 
     Attributes:
--- a/ebonyrack/members/session_context.py
+++ b/ebonyrack/members/session_context.py
@@ -4,18 +4,18 @@
 
 import hashlib
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from functools import lru_cache
 
+from msgspec import Struct
+from msgspec import field
+
 from ebonyrack.pooling.fair_order import never_leaves
 
 # Callers prepare few distinct statements, each of them in many sessions.
 NAME_CACHE_SIZE = 4096
 
 
-@dataclass(frozen=True, slots=True)
-class PreparedStatement:
+class PreparedStatement(Struct, frozen=True):
     """A prepared statement.
 
     Attributes:
@@ -43,8 +43,7 @@
     return f"{kind}{digest}".encode()
 
 
-@dataclass(slots=True)
-class SessionContext:
+class SessionContext(Struct):
     """Values and prepared statements of one caller's session.
 
     Attributes:
--- a/ebonyrack/peers/frames.py
+++ b/ebonyrack/peers/frames.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 import msgpack
+from msgspec import Struct
 
 from ebonyrack.core import metrics
 from ebonyrack.core.clock import now_s
@@ -23,8 +23,7 @@
 SEND_QUEUE_BYTES = 4 * 1024 * 1024
 
 
-@dataclass(slots=True)
-class Traffic:
+class Traffic(Struct):
     """Counters of the links of one process.
 
     Attributes:
--- a/ebonyrack/peers/proxy_entry.py
+++ b/ebonyrack/peers/proxy_entry.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import msgpack
+from msgspec import Struct
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.address import parse_address
@@ -14,8 +13,7 @@
 FIELD_COUNT = 5
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyEntry:
+class ProxyEntry(Struct, frozen=True):
     """A live proxy that can be asked over a link.
 
     Attributes:
--- a/ebonyrack/peers/proxy_links.py
+++ b/ebonyrack/peers/proxy_links.py
@@ -8,11 +8,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 from typing import TypeVar
 
 from loguru import logger
+from msgspec import Struct
 from result import Err
 from result import Ok
 from result import Result
@@ -49,8 +49,7 @@
 QuestionHandler = Callable[[str, AnyMessage], Awaitable[Message | None]]
 
 
-@dataclass(frozen=True, slots=True)
-class LinkFailure:
+class LinkFailure(Struct, frozen=True):
     """Why a question has no answer.
 
     Attributes:
--- a/ebonyrack/placing/commit_safety.py
+++ b/ebonyrack/placing/commit_safety.py
@@ -12,9 +12,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from ebonyrack.core.position import LogPosition
 from ebonyrack.placing.leadership import MINIMUM_RUNNING_S
 from ebonyrack.requests.reply import UpstreamStatus
@@ -42,8 +43,7 @@
     NOT_SHOWN = "not_shown"
 
 
-@dataclass(frozen=True, slots=True)
-class GroupObservation:
+class GroupObservation(Struct, frozen=True):
     """What a proxy knows of a group when an upstream has acknowledged a commit.
 
     Attributes:
@@ -61,8 +61,7 @@
     replica_position: LogPosition | None
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaReply:
+class ReplicaReply(Struct, frozen=True):
     """Status of a replica, and since when it can't have joined or restarted.
 
     Attributes:
--- a/ebonyrack/placing/homes.py
+++ b/ebonyrack/placing/homes.py
@@ -19,7 +19,8 @@
 import math
 from collections.abc import Callable
 from collections.abc import Collection
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from ebonyrack.peers.proxy_entry import ProxyEntry
 from ebonyrack.placing.connection_share import RESERVED_CONNECTIONS
@@ -39,8 +40,7 @@
 HASH_BYTES = 8
 
 
-@dataclass(frozen=True, slots=True)
-class HomePlan:
+class HomePlan(Struct, frozen=True):
     """The homes of a group.
 
     Attributes:
@@ -52,8 +52,7 @@
     connection_share: int
 
 
-@dataclass(frozen=True, slots=True)
-class HomeLoad:
+class HomeLoad(Struct, frozen=True):
     """What a proxy knows of a home that it may hand work to.
 
     Attributes:
--- a/ebonyrack/placing/primary_health.py
+++ b/ebonyrack/placing/primary_health.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 # Upstreams reply within milliseconds, and within half a second under the worst known
 # load, during which some replies still arrive.
 SILENCE_LIMIT_S = 0.5
@@ -39,8 +40,7 @@
         return self not in (PrimaryHealth.SERVING, PrimaryHealth.LEAVING)
 
 
-@dataclass(frozen=True, slots=True)
-class PrimaryObservation:
+class PrimaryObservation(Struct, frozen=True):
     """What a proxy observes of the primary.
 
     Attributes:
--- a/ebonyrack/placing/primary_outage.py
+++ b/ebonyrack/placing/primary_outage.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 # Initial estimate of the time from detecting the loss of a primary until writes are
 # served again: pausing the replicas plus the promotion itself, which takes the
@@ -32,8 +33,7 @@
 RETRY_SPREAD_S = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class OutageDecision:
+class OutageDecision(Struct, frozen=True):
     """Whether a request waits for a primary.
 
     Attributes:
--- a/ebonyrack/placing/promotion_candidate.py
+++ b/ebonyrack/placing/promotion_candidate.py
@@ -10,13 +10,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from ebonyrack.core.position import LogPosition
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaState:
+class ReplicaState(Struct, frozen=True):
     """State of an upstream other than the current or lost primary.
 
     Attributes:
--- a/ebonyrack/placing/read_order.py
+++ b/ebonyrack/placing/read_order.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 # Latency advantage in seconds that another data centre needs to be preferred; below
 # the targets of routes, which are 150 ms and more.
@@ -21,8 +21,7 @@
 DEPRIORITIZED_COST_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ReadCandidate:
+class ReadCandidate(Struct, frozen=True):
     """An upstream that could serve a read.
 
     Attributes:
--- a/ebonyrack/placing/shedding.py
+++ b/ebonyrack/placing/shedding.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 # Expected answer time at which shedding starts, as a share of the strictest target; the
 # rest of it covers the network and the error of the estimate.
@@ -23,8 +24,7 @@
 MINIMUM_DEMAND_SHARE = 0.05
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class WorkClass:
+class WorkClass(Struct, frozen=True, order=True):
     """Reads of the same importance, which are shed together.
 
     Attributes:
--- a/ebonyrack/pooling/fair_order.py
+++ b/ebonyrack/pooling/fair_order.py
@@ -16,18 +16,18 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from typing import Any
 
+from msgspec import Struct
+from msgspec import field
+
 
 def never_leaves() -> bool:
     """Return False: the caller is not known to have left."""
     return False
 
 
-@dataclass(frozen=True, slots=True)
-class WorkTerms:
+class WorkTerms(Struct, frozen=True):
     """How the work of a client account is queued.
 
     Attributes:
@@ -84,8 +84,7 @@
         return self.terms.priority, self.number
 
 
-@dataclass(slots=True)
-class CallerQueue:
+class CallerQueue(Struct):
     """The waiters of one caller name.
 
     Attributes:
--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -6,9 +6,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from loguru import logger
+from msgspec import Struct
 
 from ebonyrack.members.group import Group
 from ebonyrack.members.member import Member
@@ -31,8 +31,7 @@
 )
 
 
-@dataclass(slots=True)
-class CandidateSearch:
+class CandidateSearch(Struct):
     """The search for the replica to be promoted, during one promotion.
 
     Attributes:
--- a/ebonyrack/promotion/lease.py
+++ b/ebonyrack/promotion/lease.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 import secrets
-from dataclasses import dataclass
 
 from loguru import logger
+from msgspec import Struct
 from result import Err
 
 from ebonyrack.core.clock import boot_time_s
@@ -27,8 +27,7 @@
 ORDER_ALLOWANCE_S = 0.6
 
 
-@dataclass(frozen=True, slots=True)
-class PromotionLease:
+class PromotionLease(Struct, frozen=True):
     """A group's promotion lease while it is held.
 
     Attributes:
--- a/ebonyrack/promotion/open_order.py
+++ b/ebonyrack/promotion/open_order.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from loguru import logger
+from msgspec import Struct
 from result import Err
 from result import Ok
 from result import Result
@@ -26,8 +25,7 @@
 LATE_ORDER_LIMIT_S = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class OpenOrder:
+class OpenOrder(Struct, frozen=True):
     """An order that was sent, or was about to be, without a known fate.
 
     Attributes:
--- a/ebonyrack/promotion/order.py
+++ b/ebonyrack/promotion/order.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
+from msgspec import Struct
 from result import Result
 
 
-@dataclass(frozen=True, slots=True)
-class PromotionOrder:
+class PromotionOrder(Struct, frozen=True):
     """An order to promote one upstream.
 
     Attributes:
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from loguru import logger
+from msgspec import Struct
 from result import Err
 
 from ebonyrack.core.clock import boot_time_s
@@ -38,8 +38,7 @@
 BUSY_PAUSE_S = 0.03
 
 
-@dataclass(slots=True)
-class PromotionParticipant:
+class PromotionParticipant(Struct):
     """An upstream's connection during a promotion and the status received on it.
 
     The connection stays open from the pause to the order: as long as it is open, the
--- a/ebonyrack/promotion/planned_change.py
+++ b/ebonyrack/promotion/planned_change.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from loguru import logger
+from msgspec import Struct
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.position import LogPosition
@@ -30,8 +30,7 @@
 RECHECK_PAUSE_S = 0.02
 
 
-@dataclass(slots=True)
-class PlannedChange:
+class PlannedChange(Struct):
     """One change of a primary that can be reached.
 
     Attributes:
--- a/ebonyrack/requests/reply.py
+++ b/ebonyrack/requests/reply.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import field
 from enum import StrEnum
 
+from msgspec import Struct
+from msgspec import field
+
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.position import LogPosition
 
@@ -49,8 +50,7 @@
 )
 
 
-@dataclass(slots=True)
-class Reply:
+class Reply(Struct):
     """An upstream's complete reply to one request.
 
     Attributes:
@@ -70,8 +70,7 @@
     position: LogPosition | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamStatus:
+class UpstreamStatus(Struct, frozen=True):
     """Status that an upstream reports of itself.
 
     Attributes:
@@ -93,8 +92,7 @@
     connections: int
 
 
-@dataclass(slots=True)
-class Answer:
+class Answer(Struct):
     """Answer to one request of a caller.
 
     Attributes:
--- a/ebonyrack/requests/request.py
+++ b/ebonyrack/requests/request.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import replace
 from enum import StrEnum
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from ebonyrack.core.position import LogPosition
 
 
@@ -30,8 +31,7 @@
     STEP_DOWN = "step_down"
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(Struct, frozen=True):
     """One request.
 
     Attributes:
--- a/ebonyrack/routes/account.py
+++ b/ebonyrack/routes/account.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 # Name of the account of callers that act for none.
 ANONYMOUS = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ClientAccount:
+class ClientAccount(Struct, frozen=True):
     """A client account of one version of the configuration.
 
     Attributes:
--- a/ebonyrack/routes/route.py
+++ b/ebonyrack/routes/route.py
@@ -6,6 +6,8 @@
 from dataclasses import field
 from enum import StrEnum
 
+from msgspec import Struct
+
 from ebonyrack.routes.account import ClientAccount
 
 
@@ -17,8 +19,7 @@
     READ_YOUR_WRITES = "read_your_writes"
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """Settings for the callers of one database.
 
     Attributes:
@@ -43,8 +44,7 @@
     allows_anonymous: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class GroupLimits:
+class GroupLimits(Struct, frozen=True):
     """The operators' settings of a database group.
 
     Attributes:
--- a/ebonyrack/scripts/route_daemon.py
+++ b/ebonyrack/scripts/route_daemon.py
@@ -7,10 +7,10 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass
 from pathlib import Path
 
 from loguru import logger
+from msgspec import Struct
 from result import Err
 
 from ebonyrack import __version__
@@ -35,8 +35,7 @@
 METRICS_DELAY_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class LogArguments:
+class LogArguments(Struct, frozen=True):
     """Logging options of the command line.
 
     Attributes:
--- a/ebonyrack/serving/read_requirement.py
+++ b/ebonyrack/serving/read_requirement.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.registry import Registry
@@ -12,8 +13,7 @@
 from ebonyrack.routes.route import Route
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRequirement:
+class ReadRequirement(Struct, frozen=True):
     """What a read must see.
 
     Attributes:
--- a/ebonyrack/serving/services.py
+++ b/ebonyrack/serving/services.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import field
+from msgspec import Struct
+from msgspec import field
 
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
@@ -18,8 +18,7 @@
 from ebonyrack.serving.remote import RemoteServing
 
 
-@dataclass(slots=True)
-class Services:
+class Services(Struct):
     """Parts of the proxy that a session uses.
 
     Attributes:
--- a/ebonyrack/serving/statement.py
+++ b/ebonyrack/serving/statement.py
@@ -4,8 +4,9 @@
 
 import itertools
 import random
-from dataclasses import dataclass
-from dataclasses import field
+
+from msgspec import Struct
+from msgspec import field
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.clock import now_s
@@ -35,8 +36,7 @@
 write_numbers = itertools.count()
 
 
-@dataclass(slots=True)
-class Statement:
+class Statement(Struct):
     """One statement of a caller that is being served.
 
     Attributes:
--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -12,9 +12,9 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from loguru import logger
+from msgspec import Struct
 from result import Err
 from result import Ok
 from result import Result
@@ -41,8 +41,7 @@
 Apply = Callable[[StoreChanges], Awaitable[None]]
 
 
-@dataclass(frozen=True, slots=True)
-class FollowOptions:
+class FollowOptions(Struct, frozen=True):
     """How a key prefix is followed.
 
     Attributes:
--- a/ebonyrack/store/leasing_store.py
+++ b/ebonyrack/store/leasing_store.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
 from result import Result
 
 from ebonyrack.store.store_response import StoreError
 
 
-@dataclass(frozen=True, slots=True)
-class StoreItem:
+class StoreItem(Struct, frozen=True):
     """A key and its value.
 
     Attributes:
@@ -27,8 +26,7 @@
     created_revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class StoreChanges:
+class StoreChanges(Struct, frozen=True):
     """Result of a watch, or all items with a prefix.
 
     Attributes:
@@ -44,8 +42,7 @@
     is_complete: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class StoreWrite:
+class StoreWrite(Struct, frozen=True):
     """A conditional write of one key in a transaction.
 
     Attributes:
--- a/ebonyrack/store/store_response.py
+++ b/ebonyrack/store/store_response.py
@@ -5,11 +5,11 @@
 import base64
 import binascii
 import json
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import Any
 
+from msgspec import Struct
 from result import Err
 from result import Ok
 from result import Result
@@ -26,8 +26,7 @@
     REFUSED = "refused"
 
 
-@dataclass(frozen=True, slots=True)
-class StoreError:
+class StoreError(Struct, frozen=True):
     """Error of a failed call.
 
     Attributes:
@@ -40,16 +39,14 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class StoreValue:
+class StoreValue(Struct, frozen=True):
     """A value and its index, which a compare-and-swap expects."""
 
     value: bytes
     index: int
 
 
-@dataclass(frozen=True, slots=True)
-class StoreResponse:
+class StoreResponse(Struct, frozen=True):
     """Response of the store to one HTTP call."""
 
     status: int
