--- a/ebonyrack/store/http_client.py
+++ b/ebonyrack/store/http_client.py
@@ -3,25 +3,31 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
-import httpcore
+import h11
+from msgspec import Struct
 from result import Err
 from result import Ok
 from result import Result
 
 from ebonyrack.core.address import Address
+from ebonyrack.core.clock import now_s
 from ebonyrack.core.component import Component
 from ebonyrack.core.socket_options import SocketOptions
+from ebonyrack.core.tasks import end_tasks
+from ebonyrack.store.http_connection import HttpConnection
+from ebonyrack.store.http_connection import HttpHeaders
+from ebonyrack.store.http_connection import open_http_connection
 from ebonyrack.store.store_response import StoreError
 from ebonyrack.store.store_response import StoreErrorKind
 
-MAXIMUM_CONNECTIONS = 4
+MAXIMUM_CONNECTIONS = 8
 IDLE_EXPIRY_S = 30.0
+# Largest number of times that a repeatable request is sent.
+MAXIMUM_ATTEMPTS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
+class HttpRequest(Struct, frozen=True):
     """One HTTP request.
 
     Attributes:
@@ -31,6 +37,8 @@
         headers: Headers in addition to those that the client adds.
         timeout_s: Seconds for connecting, and again for the response.
         wait_s: Seconds for which the server may hold the response back.
+        repeat_after_s: Seconds without a response after which the request, which
+            changes nothing, is sent again on another connection; None for never.
     """
 
     method: str
@@ -39,14 +47,14 @@
     headers: tuple[tuple[str, str], ...] = ()
     timeout_s: float = 1.0
     wait_s: float = 0.0
+    repeat_after_s: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class HttpResponse:
+class HttpResponse(Struct, frozen=True):
     """Status, headers and body of a response with any status."""
 
     status: int
-    headers: tuple[tuple[bytes, bytes], ...]
+    headers: HttpHeaders
     body: bytes
 
 
@@ -60,29 +68,31 @@
         address: Address of the service.
         socket_options: Socket options of each connection; `KEEPALIVE_OPTIONS` if
             responses may be held back for long.
-        pool: HTTP connection pool; None unless the client is open.
+        room: Limits the connections; None unless the client is open.
+        idle: Idle connections and the monotonic time since which each is, the most
+            recently used one last.
+        busy: Connections in use.
     """
 
-    __slots__ = ("address", "socket_options", "pool")
+    __slots__ = ("address", "socket_options", "room", "idle", "busy")
 
     def __init__(self, address: Address, socket_options: SocketOptions = ()) -> None:
         self.address = address
         self.socket_options = socket_options
-        self.pool: httpcore.AsyncConnectionPool | None = None
+        self.room: asyncio.Semaphore | None = None
+        self.idle: list[tuple[HttpConnection, float]] = []
+        self.busy: set[HttpConnection] = set()
 
     async def start(self) -> None:
-        """Open the connection pool; connections are made on demand."""
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=MAXIMUM_CONNECTIONS,
-            keepalive_expiry=IDLE_EXPIRY_S,
-            socket_options=self.socket_options,
-        )
+        """Allow requests; connections are made on demand."""
+        self.room = asyncio.Semaphore(MAXIMUM_CONNECTIONS)
 
     async def stop(self) -> None:
         """Close the connections."""
-        if self.pool is not None:
-            await self.pool.aclose()
-            self.pool = None
+        self.room = None
+        for connection in [*self.busy, *(each for each, _ in self.idle)]:
+            connection.close()
+        self.idle.clear()
 
     async def send(self, request: HttpRequest) -> Result[HttpResponse, StoreError]:
         """Send a request and classify a failure.
@@ -94,28 +104,100 @@
             The response, or the error: UNREACHABLE if the request was certainly not
             sent, UNKNOWN if it may have taken effect or still may.
         """
-        if self.pool is None:
+        if request.repeat_after_s is None:
+            return await self.send_once(request)
+        return await self.send_repeatedly(request, request.repeat_after_s)
+
+    async def send_repeatedly(
+        self, request: HttpRequest, repeat_after_s: float
+    ) -> Result[HttpResponse, StoreError]:
+        """Send a request again while no response comes; return the first response.
+
+        A server that was silent doesn't respond to what it received meanwhile, but
+        soon to what it receives afterwards.
+        """
+        pending = {asyncio.create_task(self.send_once(request))}
+        attempts = 1
+        try:
+            while True:
+                may_repeat = attempts < MAXIMUM_ATTEMPTS
+                done, pending = await asyncio.wait(
+                    pending,
+                    timeout=repeat_after_s if may_repeat else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    if isinstance(task.result(), Ok) or not pending:
+                        return task.result()
+                if not done:
+                    pending.add(asyncio.create_task(self.send_once(request)))
+                    attempts += 1
+        finally:
+            await end_tasks(list(pending))
+
+    async def send_once(self, request: HttpRequest) -> Result[HttpResponse, StoreError]:
+        """Send a request when a connection may be used."""
+        room = self.room
+        if room is None:
             return Err(StoreError(StoreErrorKind.UNREACHABLE, "the client is not open"))
-        limits = dict.fromkeys(("connect", "write", "pool"), request.timeout_s)
-        limits["read"] = request.timeout_s + request.wait_s
         try:
-            async with asyncio.timeout(2 * request.timeout_s + request.wait_s):
-                response = await self.pool.request(
-                    request.method,
-                    f"http://{self.address}{request.target}",
-                    content=request.body,
-                    headers=list(request.headers),
-                    extensions={"timeout": limits},
+            async with asyncio.timeout(request.timeout_s):
+                await room.acquire()
+        except TimeoutError:
+            reason = "all connections are in use"
+            return Err(StoreError(StoreErrorKind.UNREACHABLE, reason))
+        try:
+            return await self.send_on_connection(request)
+        finally:
+            room.release()
+
+    async def send_on_connection(
+        self, request: HttpRequest
+    ) -> Result[HttpResponse, StoreError]:
+        """Send a request on an idle connection, or on a new one."""
+        try:
+            async with asyncio.timeout(request.timeout_s):
+                connection = self.take_idle() or await open_http_connection(
+                    self.address, self.socket_options
                 )
-        except (
-            httpcore.ConnectError,
-            httpcore.ConnectTimeout,
-            httpcore.PoolTimeout,
-        ) as error:
+        except (OSError, TimeoutError) as error:
             return Err(StoreError(StoreErrorKind.UNREACHABLE, repr(error)))
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            return Err(StoreError(StoreErrorKind.UNKNOWN, repr(error)))
-        except (httpcore.TimeoutException, TimeoutError) as error:
+        self.busy.add(connection)
+        try:
+            async with asyncio.timeout(request.timeout_s + request.wait_s):
+                response = await connection.exchange(
+                    request.method,
+                    request.target,
+                    self.build_headers(request),
+                    request.body,
+                )
+        except (OSError, h11.ProtocolError, TimeoutError) as error:
             return Err(StoreError(StoreErrorKind.UNKNOWN, repr(error)))
-        headers = tuple(response.headers)
-        return Ok(HttpResponse(response.status, headers, response.content))
+        finally:
+            self.busy.discard(connection)
+            self.keep_or_close(connection)
+        return Ok(HttpResponse(*response))
+
+    def build_headers(self, request: HttpRequest) -> list[tuple[str, str]]:
+        """Return all headers of a request."""
+        headers = [("Host", str(self.address)), *request.headers]
+        if request.body or request.method == "POST":
+            headers.append(("Content-Length", str(len(request.body))))
+        return headers
+
+    def take_idle(self) -> HttpConnection | None:
+        """Take the most recently used idle connection that still works, or None."""
+        expired_s = now_s() - IDLE_EXPIRY_S
+        while self.idle:
+            connection, since_s = self.idle.pop()
+            if connection.is_reusable and since_s > expired_s:
+                return connection
+            connection.close()
+        return None
+
+    def keep_or_close(self, connection: HttpConnection) -> None:
+        """Keep a connection whose exchange was completed; close any other."""
+        if connection.is_reusable and self.room is not None:
+            self.idle.append((connection, now_s()))
+        else:
+            connection.close()
