--- a/ebonyrack/entry/primary_monitor.py
+++ b/ebonyrack/entry/primary_monitor.py
@@ -31,10 +31,8 @@
 from ebonyrack.serving.primary_proof import start_proof
 
 CHECK_INTERVAL_S = 0.1
-# A position sample is renewed at this age; the lowest maximum staleness that routes
-# set is well above 1 s.
-MAXIMUM_SAMPLE_AGE_S = 0.4
-# The same limit while each probe has to open a connection of its own.
+# Age at which a position sample is renewed while each probe has to open a connection of
+# its own.
 MAXIMUM_COSTLY_SAMPLE_AGE_S = 1.0
 # A primary that is only busy answers a probe within a few milliseconds, because a
 # probe takes none of its request slots.
@@ -146,7 +144,9 @@
         """
         is_scarce = self.group.is_scarce
         is_costly = is_scarce or self.group.is_short_of_connections
-        limit_s = MAXIMUM_COSTLY_SAMPLE_AGE_S if is_costly else MAXIMUM_SAMPLE_AGE_S
+        limit_s = self.group.sample_age_s
+        if is_costly:
+            limit_s = max(limit_s, MAXIMUM_COSTLY_SAMPLE_AGE_S)
         if self.group.position_history.measure_age(boot_time_s()) <= limit_s:
             return False
         return not is_scarce or self.group.draw_probe(
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -33,6 +33,7 @@
 from ebonyrack.placing.homes import HomePlan
 from ebonyrack.placing.homes import plan_homes
 from ebonyrack.placing.primary_health import MISSING_ENTRY_LIMIT_S
+from ebonyrack.placing.sample_age import compute_sample_age
 from ebonyrack.promotion.promoter import Promoter
 from ebonyrack.routes.route import RouteTable
 from ebonyrack.serving.services import Services
@@ -260,6 +261,7 @@
             await groups.pop(name).stop()
         for group in groups.values():
             group.has_accounts = table.requires_accounts
+            group.sample_age_s = compute_sample_age(table.routes.values(), group.name)
         self.update_connection_shares()
         weights = {
             database.decode("utf-8", "replace"): PRIORITY_WEIGHTS.get(route.priority, 1)
--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -24,6 +24,7 @@
 from ebonyrack.placing.primary_outage import OutageEstimate
 from ebonyrack.placing.primary_outage import decide_wait
 from ebonyrack.placing.primary_tracker import PrimaryTracker
+from ebonyrack.placing.sample_age import SHORTEST_SAMPLE_AGE_S
 from ebonyrack.requests.reply import UpstreamStatus
 
 # Longest time between two checks of a request that waits for a primary.
@@ -37,6 +38,7 @@
         members: Upstreams by identity.
         primary_tracker: Determines the primary.
         position_history: Positions of the primary at known times.
+        sample_age_s: Age in seconds at which the newest of them is renewed.
         changed: Wakes requests that wait for a primary.
         unknown_since_s: Time since which no primary is known, or None.
         health: Health state of the primary at the last assessment.
@@ -55,6 +57,7 @@
         "members",
         "primary_tracker",
         "position_history",
+        "sample_age_s",
         "changed",
         "unknown_since_s",
         "health",
@@ -72,6 +75,7 @@
         self.members: dict[str, Member] = {}
         self.primary_tracker = PrimaryTracker()
         self.position_history = PositionHistory()
+        self.sample_age_s = SHORTEST_SAMPLE_AGE_S
         self.changed = Notifier()
         self.unknown_since_s: float | None = boot_time_s()
         self.health = PrimaryHealth.SERVING
