--- a/ebonyrack/platform/kv_store.py
+++ b/ebonyrack/platform/kv_store.py
@@ -34,8 +34,6 @@
 
 # The store replies in milliseconds; this allows for one lost packet and some delay.
 CALL_TIMEOUT_S = 0.8
-# A read without a response is sent again after this time.
-REPEAT_READ_AFTER_S = 0.25
 MS_PER_S = 1000
 JSON_HEADERS = (("Content-Type", "application/json"),)
 STATUS_OK = 200
@@ -298,13 +296,7 @@
         """Make a GET call and count it."""
         metrics.store_calls.add(1, {"kind": kind})
         target = f"{path}?{urlencode(query)}"
-        request = HttpRequest(
-            "GET",
-            target,
-            timeout_s=self.timeout_s,
-            wait_s=wait_s,
-            repeat_after_s=REPEAT_READ_AFTER_S if wait_s == 0.0 else None,
-        )
+        request = HttpRequest("GET", target, timeout_s=self.timeout_s, wait_s=wait_s)
         return (await self.client.send(request)).and_then(self.era.accept)
 
     async def post(
