--- a/ebonyrack/store/http_client.py
+++ b/ebonyrack/store/http_client.py
@@ -14,17 +14,14 @@
 from ebonyrack.core.clock import now_s
 from ebonyrack.core.component import Component
 from ebonyrack.core.socket_options import SocketOptions
-from ebonyrack.core.tasks import end_tasks
 from ebonyrack.store.http_connection import HttpConnection
 from ebonyrack.store.http_connection import HttpHeaders
 from ebonyrack.store.http_connection import open_http_connection
 from ebonyrack.store.store_response import StoreError
 from ebonyrack.store.store_response import StoreErrorKind
 
-MAXIMUM_CONNECTIONS = 8
+MAXIMUM_CONNECTIONS = 4
 IDLE_EXPIRY_S = 30.0
-# Largest number of times that a repeatable request is sent.
-MAXIMUM_ATTEMPTS = 3
 
 
 class HttpRequest(Struct, frozen=True):
@@ -37,8 +34,6 @@
         headers: Headers in addition to those that the client adds.
         timeout_s: Seconds for connecting, and again for the response.
         wait_s: Seconds for which the server may hold the response back.
-        repeat_after_s: Seconds without a response after which the request, which
-            changes nothing, is sent again on another connection; None for never.
     """
 
     method: str
@@ -47,7 +42,6 @@
     headers: tuple[tuple[str, str], ...] = ()
     timeout_s: float = 1.0
     wait_s: float = 0.0
-    repeat_after_s: float | None = None
 
 
 class HttpResponse(Struct, frozen=True):
@@ -104,39 +98,6 @@
             The response, or the error: UNREACHABLE if the request was certainly not
             sent, UNKNOWN if it may have taken effect or still may.
         """
-        if request.repeat_after_s is None:
-            return await self.send_once(request)
-        return await self.send_repeatedly(request, request.repeat_after_s)
-
-    async def send_repeatedly(
-        self, request: HttpRequest, repeat_after_s: float
-    ) -> Result[HttpResponse, StoreError]:
-        """Send a request again while no response comes; return the first response.
-
-        A server that was silent doesn't respond to what it received meanwhile, but
-        soon to what it receives afterwards.
-        """
-        pending = {asyncio.create_task(self.send_once(request))}
-        attempts = 1
-        try:
-            while True:
-                may_repeat = attempts < MAXIMUM_ATTEMPTS
-                done, pending = await asyncio.wait(
-                    pending,
-                    timeout=repeat_after_s if may_repeat else None,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for task in done:
-                    if isinstance(task.result(), Ok) or not pending:
-                        return task.result()
-                if not done:
-                    pending.add(asyncio.create_task(self.send_once(request)))
-                    attempts += 1
-        finally:
-            await end_tasks(list(pending))
-
-    async def send_once(self, request: HttpRequest) -> Result[HttpResponse, StoreError]:
-        """Send a request when a connection may be used."""
         room = self.room
         if room is None:
             return Err(StoreError(StoreErrorKind.UNREACHABLE, "the client is not open"))
