--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,15 +1,15 @@
-"""RECOVER: one unreadable entry in the store, and restarted proxies serve nothing."""
+"""LOST: a healthy primary steps down for a replica that lacks its commits."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
-import time
 from pathlib import Path
 
+from standins.backends import HEARTBEAT_S
 from standins.backends import Service
 from standins.harness import HOST
 from standins.harness import Caller
+from standins.harness import NotRunError
 from standins.harness import Proxy
 from standins.harness import Recorder
 from standins.harness import build_config
@@ -19,90 +19,91 @@
 from standins.store import Store
 
 SERVICE = "huvo11a"
-MEMBERS = ["i-31b174c273", "i-7f3a91c2d0", "i-9e16b79e8c"]
-DATABASES = {
-    "lepu270": "primary",
-    "fiti832ti23": "read_your_writes",
-    "xapu221ny95": "bounded_staleness",
-}
-ZONES = ["bkk-a", "bkk-b", "nonthaburi"]
-# The entry of another writer: 2,000 opening brackets are no JSON that can be read.
-FOREIGN_KEY = "servers/agent-1"
-FOREIGN_VALUE = b"[" * 2000
-BEFORE_S = 5.0
-DOWN_S = 1.0
-# `recoveryS` of the deployment, and a margin for the start of the processes.
-RECOVERY_S = 12.0
-START_MARGIN_S = 2.0
-AFTER_S = 8.0
-PAUSE_S = 0.05
-SERVED_SHARE = 0.25
+PRIMARY, NEAR, DEAF = "i-31b174c273", "i-7f3a91c2d0", "i-9e16b79e8c"
+DATABASE = "lepu270"
+TIMEOUT_MS = 2000
+# A replica receives nothing for 6.5 s: the dose of the site.
+DEAF_S = 6.5
+COMMITS = 8
+# Writers that start one after the other, so that some write always waits.
+WRITERS = 8
+WRITER_PAUSE_S = 0.1
+WATCHED_S = 10.0
 
 
-async def play_traffic(proxies: list[Proxy], length_s: float, log: Recorder) -> float:
-    """Send operations through all proxies; return the share that is served."""
-    end_s = time.monotonic() + length_s
-    asked = served = 0
-    numbers = itertools.count()
+async def write(caller: Caller, item: str) -> bool:
+    """Write an item; return whether it was acknowledged."""
+    _, lines = await caller.query(f"WRITE {item} data")
+    return is_success(lines)
 
-    async def operate(proxy: Proxy, database: str) -> bool:
-        caller = Caller(proxy, database, log)
-        opened = await caller.open()
-        try:
-            if not opened.startswith("READY"):
-                log(f"{proxy.name} {database}: {opened}")
-                return False
-            number = next(numbers)
-            text = f"WRITE {number % 20:x} data" if number % 3 == 0 else "READ 1a4"
-            _, lines = await caller.query(text)
-            return is_success(lines)
-        finally:
-            caller.close()
 
-    while time.monotonic() < end_s:
-        results = await asyncio.gather(
-            *(operate(proxy, name) for proxy in proxies for name in DATABASES)
-        )
-        asked += len(results)
-        served += sum(results)
-        await asyncio.sleep(PAUSE_S)
-    return served / max(1, asked)
+async def write_forever(proxy: Proxy, number: int, log: Recorder) -> None:
+    """Write through a proxy, one write after the other."""
+    await asyncio.sleep(number * WRITER_PAUSE_S)
+    count = 0
+    while True:
+        caller = Caller(proxy, DATABASE, log)
+        if (await caller.open()).startswith("READY"):
+            count += 1
+            await write(caller, f"b{number}-{count}")
+        caller.close()
+        await asyncio.sleep(0.05)
 
 
 async def play(scratch: Path, log: Recorder) -> bool:
     """Play the case; return whether the rule held."""
     store = Store(HOST, log)
     await store.start()
-    service = Service(SERVICE, MEMBERS, store, HOST, log)
+    service = Service(SERVICE, [PRIMARY, NEAR, DEAF], store, HOST, log)
     store.promote = service.promote
     await service.start()
-    store.put("op/config", build_config(7, DATABASES, SERVICE))
-    proxies = [
-        Proxy(f"front-{zone}-1", zone, store.port, scratch, log) for zone in ZONES
-    ]
+    store.put("op/config", build_config(7, {DATABASE: "primary"}, SERVICE, TIMEOUT_MS))
+    first = Proxy("front-se-mid-a-1", "bkk-a", store.port, scratch, log, False)
+    second = Proxy("front-se-mid-b-1", "bkk-b", store.port, scratch, log, False)
+    near, deaf = service.backends[NEAR], service.backends[DEAF]
+    writers: list[asyncio.Task[None]] = []
     try:
-        for proxy in proxies:
+        for proxy in (first, second):
             proxy.start()
-        for proxy in proxies:
+        for proxy in (first, second):
             await proxy.wait_until_ready()
-        before = await play_traffic(proxies, BEFORE_S, log)
-        log(f"served before the final fault: {before:.3f}")
+        # The proxies know the backends for longer than any change could last.
+        await asyncio.sleep(14.0)
+        sequence = near.sequence
+        while near.sequence == sequence:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.9 * HEARTBEAT_S)
         if has_trouble():
-            store.put(FOREIGN_KEY, FOREIGN_VALUE)
-            log(f"another writer wrote {FOREIGN_KEY}: {len(FOREIGN_VALUE)} bytes")
-        for proxy in proxies:
-            proxy.kill()
-        await asyncio.sleep(DOWN_S)
-        for proxy in proxies:
-            proxy.start()
-        await asyncio.sleep(RECOVERY_S + START_MARGIN_S)
-        for proxy in proxies:
-            log(f"{proxy.name}: /ready answers {await proxy.ask_ready()}")
-        after = await play_traffic(proxies, AFTER_S, log)
-        log(f"served later than {RECOVERY_S} s after the restart: {after:.3f}")
-        return before < SERVED_SHARE or after >= SERVED_SHARE
+            deaf.is_deaf = True
+            log(f"{DEAF} receives nothing from here on")
+        started_s = log.elapsed_s
+        caller = Caller(first, DATABASE, log)
+        await caller.open()
+        for number in range(COMMITS):
+            if not await write(caller, f"a{number}"):
+                raise NotRunError("a write failed before the loss")
+        caller.close()
+        if has_trouble():
+            await near.stop()
+            log(f"{NEAR} is lost for good")
+        writers = [
+            asyncio.create_task(write_forever(second, number, log))
+            for number in range(WRITERS)
+        ]
+        while log.elapsed_s < started_s + WATCHED_S and not service.promoted:
+            await asyncio.sleep(0.01)
+            if deaf.is_deaf and log.elapsed_s >= started_s + DEAF_S:
+                deaf.is_deaf = False
+                service.replicate()
+                log(f"{DEAF} receives again")
+        for member, lost in service.promoted:
+            log(f"promoted: {member}, without the acknowledged commits {lost}")
+        return not any(lost for _, lost in service.promoted)
     finally:
-        for proxy in proxies:
+        for task in writers:
+            task.cancel()
+        await asyncio.gather(*writers, return_exceptions=True)
+        for proxy in (first, second):
             proxy.kill()
         await service.stop()
         await store.stop()
