--- a/ebonyrack/load/soak_daemon.py
+++ b/ebonyrack/load/soak_daemon.py
@@ -10,7 +10,6 @@
 from ebonyrack.core.address import Address
 from ebonyrack.core.component import Component
 from ebonyrack.core.tasks import end_tasks
-from ebonyrack.standins.line_system import find_free_address
 
 RESTART_PAUSE_S = 0.1
 SETTINGS = """\
@@ -34,6 +33,7 @@
         store: Address of the platform's service.
         is_promotion_fenced: Whether the platform fences promotions.
         address: Address at which callers connect.
+        ready_address: Address at which it tells whether it is ready.
         process: The current process, or None before the first start.
         start_count: Number of times that the process was started.
         task: Task that restarts the process.
@@ -45,19 +45,27 @@
         "store",
         "is_promotion_fenced",
         "address",
+        "ready_address",
         "process",
         "start_count",
         "task",
     )
 
     def __init__(
-        self, name: str, folder: Path, store: Address, is_promotion_fenced: bool
+        self,
+        name: str,
+        folder: Path,
+        store: Address,
+        is_promotion_fenced: bool,
+        address: Address,
+        ready_address: Address,
     ) -> None:
         self.name = name
         self.folder = folder
         self.store = store
         self.is_promotion_fenced = is_promotion_fenced
-        self.address = find_free_address()
+        self.address = address
+        self.ready_address = ready_address
         self.process: asyncio.subprocess.Process | None = None
         self.start_count = 0
         self.task: asyncio.Task[None] | None = None
@@ -67,7 +75,7 @@
         text = SETTINGS.format(
             name=self.name,
             front=self.address,
-            ready=find_free_address(),
+            ready=self.ready_address,
             store=self.store,
             fenced=str(self.is_promotion_fenced).lower(),
         )
--- a/ebonyrack/load/soak_system.py
+++ b/ebonyrack/load/soak_system.py
@@ -13,6 +13,7 @@
 from ebonyrack.load.soak_daemon import SoakDaemon
 from ebonyrack.standins.line_system import LineSystem
 from ebonyrack.standins.line_system import build_document
+from ebonyrack.standins.line_system import find_free_addresses
 from ebonyrack.standins.line_system import require_accounts
 from ebonyrack.standins.line_upstream import LineUpstream
 
@@ -76,12 +77,15 @@
         for link in self.links.values():
             await self.stack.enter_async_context(link)
         await super().start()
+        addresses = find_free_addresses(2 * self.options.proxies)
         for number in range(self.options.proxies):
             daemon = SoakDaemon(
                 f"proxy-{number}",
                 self.folder,
                 self.service.address,
                 self.options.is_promotion_fenced,
+                addresses[2 * number],
+                addresses[2 * number + 1],
             )
             self.daemons.append(await self.stack.enter_async_context(daemon))
 
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -7,6 +7,7 @@
 import os
 import socket
 from contextlib import AsyncExitStack
+from contextlib import ExitStack
 from typing import Any
 
 from ebonyrack.core.address import Address
@@ -29,16 +30,22 @@
 WRITE_PAUSE_S = 0.05
 
 
-def find_free_address() -> Address:
-    """Return a loopback address on which nothing listens.
+def find_free_addresses(count: int) -> list[Address]:
+    """Return different loopback addresses on which nothing listens.
 
-    The host depends on the process, so that no other process takes the port meanwhile.
+    The host depends on the process, so that no other process takes the ports meanwhile.
+
+    Args:
+        count: Number of addresses.
     """
     process = os.getpid()
     host = f"127.{1 + process // 65536 % 200}.{process // 256 % 256}.{process % 256}"
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return Address(host, probe.getsockname()[1])
+    with ExitStack() as stack:
+        # A port may be given out again as soon as its probe is closed.
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [Address(host, probe.getsockname()[1]) for probe in probes]
 
 
 def build_document(version: int, **changes: dict[str, Any]) -> dict[str, Any]:
@@ -169,17 +176,18 @@
 
     async def add_proxy(self, name: str) -> PlatformProxy:
         """Start a proxy and wait until it is ready."""
+        caller_address, ready_address, peer_address = find_free_addresses(3)
         proxy = PlatformProxy(
             RouteProxySettings(
                 name=name,
                 data_centre=DATA_CENTRE,
-                caller_address=find_free_address(),
-                ready_address=find_free_address(),
+                caller_address=caller_address,
+                ready_address=ready_address,
                 store_address=self.service.address,
                 order_address=self.service.address,
                 grace_s=2.0,
                 is_promotion_fenced=self.group.is_promotion_fenced,
-                peer_address=find_free_address(),
+                peer_address=peer_address,
                 **self.setting_changes,
             )
         )
