--- a/ebonyrack/members/group.py
+++ b/ebonyrack/members/group.py
@@ -341,6 +341,7 @@
         logger.bind(group=self.name, upstream=member_id, reason=reason).info(
             "upstream_removed"
         )
+        self.departures.record(boot_time_s())
         with self.track_primary_change(reason):
             self.primary_tracker.forget(member_id)
         await member.stop()
--- a/ebonyrack/members/primary_state.py
+++ b/ebonyrack/members/primary_state.py
@@ -13,6 +13,7 @@
 from ebonyrack.core.position import LogPosition
 from ebonyrack.members.leaving import measure_overtime
 from ebonyrack.members.member import Member
+from ebonyrack.placing.departures import Departures
 from ebonyrack.placing.leadership import LeadershipVerdict
 from ebonyrack.placing.position_history import PositionHistory
 from ebonyrack.placing.position_history import PositionSample
@@ -51,6 +52,7 @@
         leaving_limit_s: Seconds for which a leaving upstream may get work, or None.
         former_primary_id: The last primary that was known, or None.
         led_since_s: Time at which this proxy learned that the primary leads its term.
+        departures: What upstreams that have left the group may hold.
     """
 
     __slots__ = (
@@ -68,6 +70,7 @@
         "leaving_limit_s",
         "former_primary_id",
         "led_since_s",
+        "departures",
     )
 
     def __init__(self, leaving_limit_s: float | None) -> None:
@@ -85,6 +88,7 @@
         self.changing_since_s: float | None = None
         self.former_primary_id: str | None = None
         self.led_since_s = float("-inf")
+        self.departures = Departures(boot_time_s())
 
     @property
     def name(self) -> str:
@@ -118,7 +122,10 @@
             # primary discarded; no upstream will ever reach those positions.
             self.position_history.clear()
         if self.primary_tracker.confirmed == member.member_id:
-            self.position_history.add(PositionSample(sent_at_s, position))
+            self.departures.record_primary(member.member_id, sent_at_s)
+            sample = PositionSample(sent_at_s, position)
+            self.position_history.add(sample)
+            self.departures.add_sample(sample)
 
     def record_acknowledged(self, position: LogPosition | None) -> None:
         """Record a position up to which all commits are acknowledged."""
--- a/ebonyrack/placing/promotion_candidate.py
+++ b/ebonyrack/placing/promotion_candidate.py
@@ -4,8 +4,8 @@
 candidate must hold all that any other replica has received, as each may have
 acknowledged commits; the others are paused first, so that they can't acknowledge any
 further ones. A primary that can be reached is made a replica first. All commits that it
-ever acknowledged are in its log then, so the candidate must hold that log, whatever the
-other replicas hold.
+ever acknowledged are in its log then, so a candidate that holds that log is safe,
+whatever the other replicas hold. Every path to a promotion passes `is_safe_candidate`.
 """
 
 from __future__ import annotations
@@ -32,6 +32,29 @@
     is_leaving: bool
 
 
+class CommitEvidence(Struct, frozen=True):
+    """What is known of acknowledged commits, besides what the replicas have received.
+
+    Attributes:
+        newest_acknowledged: Newest position whose commit is known to be acknowledged,
+            or None.
+        primary_position: Position of the newest primary, if it replies: all commits
+            that it has acknowledged until then are at or before it. None if it doesn't
+            reply, or a newer primary can't be excluded.
+        may_have_departed: Whether an upstream that has left may have received commits
+            that the others lack.
+        departed_position: Position that covers those commits; None if it isn't known.
+    """
+
+    newest_acknowledged: LogPosition | None = None
+    primary_position: LogPosition | None = None
+    may_have_departed: bool = False
+    departed_position: LogPosition | None = None
+
+
+NO_EVIDENCE = CommitEvidence()
+
+
 def choose_candidate(replicas: list[ReplicaState]) -> str | None:
     """Return the upstream that should be promoted after a loss, or None.
 
@@ -77,33 +100,59 @@
     candidate: str,
     replicas: list[ReplicaState],
     acknowledging_replicas: int,
-    newest_acknowledged: LogPosition | None = None,
+    evidence: CommitEvidence = NO_EVIDENCE,
 ) -> bool:
     """Return whether an upstream holds every commit that was acknowledged.
 
+    It does if it holds the log of the newest primary. Otherwise, every upstream that
+    may have received an acknowledged commit must be known to hold no more than the
+    candidate: those that are there by their own words, those that have left by a
+    position that the primary had after that.
+
     Args:
         candidate: The upstream to be promoted.
         replicas: All upstreams that may have acknowledged a commit.
         acknowledging_replicas: Number of replicas that must receive a commit before
             it is acknowledged.
-        newest_acknowledged: Newest position whose commit is known to be acknowledged,
-            or None. The replica that received it may have left the group since.
+        evidence: What else is known of acknowledged commits.
     """
     if acknowledging_replicas == 0:
         return True
     states = {each.member_id: each for each in replicas}
-    candidate_position = states[candidate].received
-    if candidate_position is None:
+    position = states[candidate].received
+    if position is None:
         return False
-    if newest_acknowledged is not None and candidate_position < newest_acknowledged:
+    newest = evidence.newest_acknowledged
+    if newest is not None and position < newest:
         return False
-    for other in replicas:
-        if other.member_id == candidate:
-            continue
-        if (
-            other.received is None
-            or not other.is_paused
-            or other.received > candidate_position
-        ):
-            return False
-    return True
+    if holds_primary_log(position, evidence):
+        return True
+    return holds_departed(position, evidence) and all(
+        other.received is not None and other.is_paused and other.received <= position
+        for other in replicas
+        if other.member_id != candidate
+    )
+
+
+def holds_primary_log(position: LogPosition, evidence: CommitEvidence) -> bool:
+    """Return whether a log up to a position is the newest primary's, as far as known.
+
+    Args:
+        position: The position.
+        evidence: What is known of acknowledged commits.
+    """
+    end = evidence.primary_position
+    return end is not None and position >= end
+
+
+def holds_departed(position: LogPosition, evidence: CommitEvidence) -> bool:
+    """Return whether a log covers what upstreams that have left may hold.
+
+    Args:
+        position: Position up to which the log goes.
+        evidence: What is known of acknowledged commits.
+    """
+    if not evidence.may_have_departed:
+        return True
+    covered = evidence.departed_position
+    return covered is not None and position >= covered
--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -10,11 +10,15 @@
 from loguru import logger
 from msgspec import Struct
 
+from ebonyrack.core.position import LogPosition
 from ebonyrack.members.group import Group
 from ebonyrack.members.member import Member
 from ebonyrack.placing.primary_health import PrimaryHealth
+from ebonyrack.placing.promotion_candidate import CommitEvidence
 from ebonyrack.placing.promotion_candidate import ReplicaState
 from ebonyrack.placing.promotion_candidate import choose_candidate
+from ebonyrack.placing.promotion_candidate import holds_departed
+from ebonyrack.placing.promotion_candidate import holds_primary_log
 from ebonyrack.placing.promotion_candidate import is_safe_candidate
 from ebonyrack.promotion.lease import PromotionLease
 from ebonyrack.promotion.participant import LOST_PRIMARY_TIMEOUT_S
@@ -42,6 +46,9 @@
         former: The primary until now, if it is known.
         replicas: All other upstreams.
         required_id: The only upstream that may be promoted, or None for any.
+        is_primary_reached: Whether a primary replied when the search began.
+        primary_position: End of its log, or None if it isn't known.
+        has_stepped_down: Whether it is a replica now, so that its log ends there.
     """
 
     group: Group
@@ -51,6 +58,24 @@
     former: list[PromotionParticipant]
     replicas: list[PromotionParticipant]
     required_id: str | None = None
+    is_primary_reached: bool = False
+    primary_position: LogPosition | None = None
+    has_stepped_down: bool = False
+
+    def __post_init__(self) -> None:
+        leading = self.leading
+        if leading is not None and leading.status is not None:
+            self.is_primary_reached = True
+            self.primary_position = leading.status.received
+
+    @property
+    def leading(self) -> PromotionParticipant | None:
+        """The primary until now, if it replies and leads; None otherwise."""
+        for participant in self.former:
+            status = participant.status
+            if participant.is_connected and status is not None and status.is_primary:
+                return participant
+        return None
 
     @property
     def pauses_candidate(self) -> bool:
@@ -70,6 +95,13 @@
         while self.lease.is_held:
             await self.update_replicas()
             candidate = self.choose()
+            if not self.may_become_safe(candidate):
+                # A pause would keep the primary's commits from a replica.
+                if self.is_primary_reached:
+                    return self.find_fallback()
+                if await self.wait_for_recovery():
+                    return PromotionResult.NOT_NEEDED
+                continue
             await self.pause_others(candidate)
             if candidate is not None and candidate.status is not None:
                 if await self.is_safe(candidate):
@@ -78,15 +110,44 @@
                 # would stall commits if the primary is only unreachable from here.
                 if self.all_reply:
                     await self.pause(candidate)
-            self.log_unsafe()
-            await asyncio.sleep(RECHECK_PAUSE_S)
-            has_primary_recovered, _ = await asyncio.gather(
-                self.has_primary_recovered(), self.refresh_replicas()
-            )
-            if has_primary_recovered:
+            if await self.wait_for_recovery():
                 return PromotionResult.NOT_NEEDED
         return PromotionResult.NO_SAFE_SUCCESSOR
 
+    async def wait_for_recovery(self) -> bool:
+        """Wait a moment; return whether the primary serves after all."""
+        self.log_unsafe()
+        await asyncio.sleep(RECHECK_PAUSE_S)
+        has_primary_recovered, _ = await asyncio.gather(
+            self.has_primary_recovered(), self.refresh_replicas()
+        )
+        return has_primary_recovered
+
+    def may_become_safe(self, candidate: PromotionParticipant | None) -> bool:
+        """Return whether a replica may be promoted once the others are compared."""
+        if candidate is None or candidate.status is None:
+            return True
+        if self.group.limits.acknowledging_replicas == 0:
+            return True
+        position, evidence = candidate.status.received, self.build_evidence()
+        return holds_primary_log(position, evidence) or holds_departed(
+            position, evidence
+        )
+
+    def find_fallback(self) -> PromotionParticipant | PromotionResult:
+        """Return the primary itself if nothing but earlier pauses stalls it.
+
+        Its next term ends them. Otherwise it isn't interrupted.
+        """
+        leading = self.leading
+        replying = [each for each in self.replicas if each.status is not None]
+        is_paused = all(each.is_paused_by_another for each in replying)
+        if leading is None or not replying or not is_paused:
+            return PromotionResult.NO_SAFE_SUCCESSOR
+        if self.required_id not in (None, leading.member.member_id):
+            return PromotionResult.NO_SAFE_SUCCESSOR
+        return leading
+
     def list_states(self) -> list[ReplicaState]:
         """Return the states of the replicas for the choice of the candidate."""
         return [build_replica_state(participant) for participant in self.replicas]
@@ -171,7 +232,34 @@
             candidate.member.member_id,
             self.list_states(),
             self.group.limits.acknowledging_replicas,
-            self.group.newest_acknowledged,
+            self.build_evidence(),
+        )
+
+    def build_evidence(self) -> CommitEvidence:
+        """Return what is known of acknowledged commits besides the replicas' logs."""
+        departures = self.group.departures
+        may_primary_return = any(
+            each.member.entry_missing_since_s is None
+            and self.group.members.get(each.member.member_id) is each.member
+            for each in self.former
+        )
+        return CommitEvidence(
+            newest_acknowledged=self.group.newest_acknowledged,
+            primary_position=self.primary_position if self.is_term_known else None,
+            # What was there before this proxy knew the group may have left as well.
+            may_have_departed=self.is_primary_reached
+            or (departures.has_departed and may_primary_return),
+            departed_position=departures.position,
+        )
+
+    @property
+    def is_term_known(self) -> bool:
+        """Whether the primary that replies leads the newest term for certain.
+
+        An earlier holder of the lease may have promoted a replica that doesn't reply.
+        """
+        return self.all_reply or not any(
+            each.is_paused_by_another for each in self.replicas
         )
 
     async def has_primary_recovered(self) -> bool:
@@ -216,36 +304,19 @@
             if status is not None and not status.is_primary:
                 await participant.pause(self.term)
 
-    async def end_lead(self) -> bool:
-        """Make a primary that still replies a replica; return whether there was one.
+    async def end_lead(self, former: PromotionParticipant) -> None:
+        """Make the primary a replica, and record the end of its log.
 
         Its commits don't count any more then, also with replicas that aren't paused.
         """
-        has_ended = False
-        for participant in self.former:
-            status = participant.status
-            if participant.is_connected and status is not None and status.is_primary:
-                await participant.step_down(self.term)
-                self.group.record_not_primary(participant.member)
-                has_ended = True
-        return has_ended
-
-    async def is_safe_after_lead(self, candidate: PromotionParticipant) -> bool:
-        """Return whether the candidate may still be promoted after `end_lead`.
-
-        Until then, commits may have counted with a replica that joined or restarted.
-        """
-        await asyncio.gather(
-            *(
-                each.request_status(STATUS_REQUEST)
-                for each in self.replicas
-                if each.is_connected
-            )
+        status = await former.step_down(self.term)
+        self.has_stepped_down = status is not None and not status.is_primary
+        self.primary_position = (
+            status.received if status is not None and self.has_stepped_down else None
         )
-        await self.refresh_replicas()
-        await self.update_replicas()
-        await self.pause_others(candidate)
-        return await self.is_safe(candidate)
+        if self.has_stepped_down:
+            # Not its term: reads of a stated age still need the positions of its log.
+            self.group.record_not_primary(former.member)
 
     async def end_former_lead(self, chosen: PromotionParticipant) -> None:
         """Make the replaced primary a replica if it can be reached.
@@ -273,6 +344,8 @@
             group=self.group.name,
             required=self.required_id,
             acknowledged=str(self.group.newest_acknowledged),
+            primary=str(self.primary_position),
+            departed=str(self.group.departures.position),
             replicas={
                 each.member_id: f"{each.received} paused={each.is_paused}"
                 for each in self.list_states()
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -149,6 +149,13 @@
         if status is not None and status.paused_term == self.paused_term:
             await self.request_status(RESUME_REQUEST)
 
+    @property
+    def is_paused_by_another(self) -> bool:
+        """Whether another holder of the lease has paused it, or may have."""
+        if self.paused_term:
+            return self.was_paused
+        return self.status is not None and self.status.is_paused
+
     @property
     def is_connected(self) -> bool:
         """Whether a connection to it is open."""
--- a/ebonyrack/promotion/planned_change.py
+++ b/ebonyrack/promotion/planned_change.py
@@ -50,14 +50,13 @@
         """
         if not await self.wait_for_successor():
             return PromotionResult.NO_SAFE_SUCCESSOR
-        status = await self.former.step_down(self.search.term)
-        if status is None or status.is_primary:
+        await self.search.end_lead(self.former)
+        final_position = self.search.primary_position
+        if final_position is None:
             return PromotionResult.NO_SAFE_SUCCESSOR
-        # Not its term: reads of a stated age still need the positions of its log.
-        self.search.group.record_not_primary(self.former.member)
-        chosen = await self.wait_for_holder(status.received)
+        chosen = await self.wait_for_holder(final_position)
         if chosen is None:
-            return self.find_fallback(status.received)
+            return self.find_fallback(final_position)
         await self.pause_replicas(chosen)
         return chosen
 
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -13,6 +13,7 @@
 from ebonyrack.placing.primary_health import PrimaryHealth
 from ebonyrack.promotion.candidate_search import CLEARED_BY_PROOF
 from ebonyrack.promotion.candidate_search import CandidateSearch
+from ebonyrack.promotion.ended_lead import EndedLead
 from ebonyrack.promotion.entry_refresh import EntryRefresh
 from ebonyrack.promotion.entry_refresh import ReadEntries
 from ebonyrack.promotion.lease import PromotionLease
@@ -188,11 +189,10 @@
         if not search.health.is_lost:
             return await change_reachable_primary(search)
         chosen = await search.run()
-        if isinstance(chosen, PromotionParticipant) and await search.end_lead():
-            await self.read_entries()
-            if not await search.is_safe_after_lead(chosen):
-                return PromotionResult.NO_SAFE_SUCCESSOR
-        return chosen
+        leading = search.leading
+        if isinstance(chosen, PromotionResult) or leading is None:
+            return chosen
+        return await EndedLead(search, leading, self.read_entries).choose(chosen)
 
     async def restore_lead(
         self,
@@ -212,7 +212,7 @@
         Returns:
             The result of the last order.
         """
-        if search.health.is_lost or result not in KNOWN_NOT_CARRIED_OUT:
+        if not search.has_stepped_down or result not in KNOWN_NOT_CARRIED_OUT:
             return result
         if awaited is not None:
             return result
--- a/ebonyrack/requests/reply.py
+++ b/ebonyrack/requests/reply.py
@@ -91,6 +91,11 @@
     busy_slots: int
     connections: int
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether it receives nothing in its term; a newer term ends its pause."""
+        return self.paused_term > self.term
+
 
 class Answer(Struct):
     """Answer to one request of a caller.
