--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -93,6 +93,7 @@
             The candidate, or the result of the attempt if none is safe.
         """
         while self.lease.is_held:
+            self.admit_replaced()
             await self.update_replicas()
             candidate = self.choose()
             if not self.may_become_safe(candidate):
@@ -168,6 +169,18 @@
                 return participant
         return None
 
+    def admit_replaced(self) -> None:
+        """Compare a former primary that is a replica now like the other replicas.
+
+        Its log may be the only one with some commits.
+        """
+        for participant in list(self.former):
+            status = participant.status
+            if status is not None and not status.is_primary:
+                self.former.remove(participant)
+                self.replicas.append(participant)
+                self.group.record_not_primary(participant.member)
+
     async def update_replicas(self) -> None:
         """Adapt the replicas to the upstreams that have joined or are gone since."""
         for participant in list(self.replicas):
--- a/ebonyrack/promotion/group_change_test.py
+++ b/ebonyrack/promotion/group_change_test.py
@@ -182,6 +182,10 @@
         if name in self.upstreams:
             self.upstreams[name].is_dark = False
 
+    def step_down(self, name):
+        """Let an earlier holder of the lease make the primary a replica."""
+        self.upstreams["a"].leads = False
+
     def sample(self, name):
         """The proxy learns the position of the primary."""
 
@@ -534,3 +538,35 @@
     model = Model(steps, True, history, is_sampled)
     play(model, PrimaryHealth.STALLED, answers, is_fenced)
     assert model.lost == []
+
+
+LOST_HEALTH = st.sampled_from([each for each in PrimaryHealth if each.is_lost])
+
+
+@pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
+@given(
+    health=LOST_HEALTH,
+    history=HISTORY,
+    steps=draw_steps(DEPARTURE_EVENTS),
+    answers=ANSWERS,
+)
+@settings(max_examples=300)
+def test_primary_that_an_earlier_holder_made_a_replica_is_compared(
+    is_fenced, health, history, steps, answers
+):
+    # That holder ended before its order, and this proxy takes it for the primary still.
+    model = Model(steps, True, [*history, ("step_down", "a")], True)
+    play(model, health, answers, is_fenced)
+    assert model.lost == []
+
+
+@pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
+@pytest.mark.parametrize("health", [PrimaryHealth.STALLED, PrimaryHealth.SILENT])
+def test_primary_that_an_earlier_holder_made_a_replica_may_lead_again(
+    is_fenced, health
+):
+    # Nobody else has its commits, and this proxy takes it for the primary still.
+    history = [("commit", "b"), ("leave", "b"), ("step_down", "a")]
+    model = Model([], True, history, True)
+    play(model, health, [], is_fenced)
+    assert model.promoted == ["a"]
