--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -49,6 +49,7 @@
         is_primary_reached: Whether a primary replied when the search began.
         primary_position: End of its log, or None if it isn't known.
         has_stepped_down: Whether it is a replica now, so that its log ends there.
+        has_serving_primary: Whether an upstream that has joined serves as the primary.
     """
 
     group: Group
@@ -61,6 +62,7 @@
     is_primary_reached: bool = False
     primary_position: LogPosition | None = None
     has_stepped_down: bool = False
+    has_serving_primary: bool = False
 
     def __post_init__(self) -> None:
         leading = self.leading
@@ -95,6 +97,8 @@
         while self.lease.is_held:
             self.admit_replaced()
             await self.update_replicas()
+            if self.has_serving_primary:
+                return PromotionResult.NOT_NEEDED
             candidate = self.choose()
             if not self.may_become_safe(candidate):
                 # A pause would keep the primary's commits from a replica.
@@ -195,6 +199,8 @@
                 self.replicas.append(participant)
                 self.log_changed(participant, "promotion_with_upstream")
                 await participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
+                if await is_serving_primary(self.group, participant):
+                    self.has_serving_primary = True
 
     def is_gone(self, member: Member) -> bool:
         """Return whether an upstream has certainly left, so that it holds up nothing.
--- a/ebonyrack/promotion/group_change_test.py
+++ b/ebonyrack/promotion/group_change_test.py
@@ -30,6 +30,7 @@
 from ebonyrack.promotion.order import OrderOutcome
 from ebonyrack.promotion.participant import PromotionParticipant
 from ebonyrack.promotion.promoter import Promoter
+from ebonyrack.promotion.result import PromotionResult
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import Reply
 from ebonyrack.requests.reply import UpstreamStatus
@@ -80,6 +81,7 @@
         self.is_dark = False
         self.is_leaving = False
         self.is_registered = True
+        self.is_read_late = False
 
     def report(self):
         return UpstreamStatus(
@@ -186,6 +188,19 @@
         """Let an earlier holder of the lease make the primary a replica."""
         self.upstreams["a"].leads = False
 
+    def skip_reading(self, name):
+        """Let the proxy read the entry of an upstream only when its change begins."""
+        self.upstreams[name].is_read_late = True
+
+    def lead_next_term(self, name):
+        """Let an upstream that has joined lead the next term, with all others."""
+        self.join(name)
+        for each in self.upstreams.values():
+            each.leads = each.name == name
+            each.term = 2
+            each.log = [LogPosition(1, 1), LogPosition(2, 2)]
+        self.acknowledged.add(LogPosition(2, 2))
+
     def sample(self, name):
         """The proxy learns the position of the primary."""
 
@@ -417,6 +432,8 @@
                 group.members["a"], clock.boot_time_s(), position
             )
         await apply_history(model, group)
+        for upstream in model.upstreams.values():
+            upstream.is_registered |= upstream.is_read_late
         promoter = Promoter(group, platform, platform, "proxy-1", read_entries)
         lease = PromotionLease("bookings", 7, clock.boot_time_s() + 3.2, platform, 1)
         async with EntryRefresh(read_entries, health.is_lost) as refresh:
@@ -570,3 +587,14 @@
     model = Model([], True, history, True)
     play(model, health, [], is_fenced)
     assert model.promoted == ["a"]
+
+
+@pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
+@pytest.mark.parametrize("health", [PrimaryHealth.UNKNOWN, PrimaryHealth.SILENT])
+def test_primary_that_becomes_known_during_a_change_is_not_replaced(is_fenced, health):
+    # A proxy that the store turned away reads the entry of the successor late.
+    model = Model([], history=[("lead_next_term", "d"), ("skip_reading", "d")])
+    result = play(model, health, [], is_fenced)
+    assert result is PromotionResult.NOT_NEEDED
+    assert model.promoted == []
+    assert not any(each.paused_term for each in model.upstreams.values())
--- a/ebonyrack/promotion/planned_change.py
+++ b/ebonyrack/promotion/planned_change.py
@@ -48,7 +48,10 @@
             The upstream to be promoted: such a replica, or the primary itself if there
             is none. The result of the attempt if the primary did not step down.
         """
-        if not await self.wait_for_successor():
+        has_successor = await self.wait_for_successor()
+        if self.search.has_serving_primary:
+            return PromotionResult.NOT_NEEDED
+        if not has_successor:
             return PromotionResult.NO_SAFE_SUCCESSOR
         await self.search.end_lead(self.former)
         final_position = self.search.primary_position
@@ -72,6 +75,8 @@
                 return True
             await asyncio.sleep(RECHECK_PAUSE_S)
             await self.search.update_replicas()
+            if self.search.has_serving_primary:
+                return False
             await self.former.request_status(STATUS_REQUEST)
         self.log_no_successor("no replica keeps up with the primary")
         return False
