--- a/ebonyrack/promotion/ended_lead.py
+++ b/ebonyrack/promotion/ended_lead.py
@@ -48,7 +48,8 @@
         await search.end_lead(self.former)
         await self.read_entries()
         await self.compare_again(candidate)
-        if candidate is not self.former and await search.is_safe(candidate):
+        # It may have left since.
+        if candidate in search.replicas and await search.is_safe(candidate):
             return candidate
         return await self.find_holder()
 
