--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -25,10 +25,13 @@
 from ebonyrack.promotion.participant import PromotionParticipant
 from ebonyrack.promotion.primary_proof import is_serving_primary
 from ebonyrack.promotion.result import PromotionResult
+from ebonyrack.requests.request import RESUME_REQUEST
 from ebonyrack.requests.request import STATUS_REQUEST
 
 # Pause between checks of replicas that must catch up or reply.
 RECHECK_PAUSE_S = 0.05
+# An attempt that finds no successor ends this long before its lease, to end its pauses.
+RESUME_ALLOWANCE_S = 0.3
 # In these health states a primary that proves its role is not replaced.
 CLEARED_BY_PROOF = frozenset(
     {PrimaryHealth.SILENT, PrimaryHealth.REFUSING, PrimaryHealth.UNKNOWN}
@@ -94,7 +97,7 @@
         Returns:
             The candidate, or the result of the attempt if none is safe.
         """
-        while self.lease.is_held:
+        while self.lease.remaining_s > RESUME_ALLOWANCE_S:
             self.admit_replaced()
             await self.update_replicas()
             if self.has_serving_primary:
@@ -231,7 +234,7 @@
 
     async def pause(self, participant: PromotionParticipant) -> None:
         """Pause a replica unless it is paused already."""
-        if not participant.is_paused:
+        if not participant.is_paused and self.lease.is_held:
             await participant.pause(self.term)
 
     async def is_safe(self, candidate: PromotionParticipant) -> bool:
@@ -328,6 +331,9 @@
 
         Its commits don't count any more then, also with replicas that aren't paused.
         """
+        if not self.lease.is_held:
+            self.primary_position = None
+            return
         status = await former.step_down(self.term)
         self.has_stepped_down = status is not None and not status.is_primary
         self.primary_position = (
@@ -353,9 +359,32 @@
                 await participant.step_down(self.group.primary_tracker.confirmed_term)
 
     async def resume(self) -> None:
-        """Let the paused replicas receive again."""
+        """End this holder's pauses, while no other proxy may hold the lease."""
+        for participant in self.replicas:
+            if self.lease.is_held:
+                await participant.resume()
+
+    async def end_outlasting_pauses(self) -> None:
+        """Let replicas receive whose pause goes on in the term of the new primary.
+
+        A holder that took a later term for the newest one paused them. While a former
+        primary may go on elsewhere, they stay paused, as its commits would count.
+        """
+        term = 0
+        for participant in self.former + self.replicas:
+            if participant.member is self.group.primary:
+                status = await participant.request_status(STATUS_REQUEST)
+                if status is not None and status.is_primary:
+                    term = status.term
+            elif participant in self.former and self.pauses_candidate:
+                if participant.status is None or participant.status.is_primary:
+                    return
         for participant in self.replicas:
-            await participant.resume()
+            if not term or not self.lease.is_held or not participant.is_connected:
+                continue
+            found = await participant.request_status(STATUS_REQUEST)
+            if found is not None and found.paused_term > term:
+                await participant.request_status(RESUME_REQUEST)
 
     def log_unsafe(self) -> None:
         """Log why no replica can be promoted yet."""
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -129,13 +129,14 @@
 
     async def pause(self, term: int) -> None:
         """Make the upstream receive nothing of terms below a given one."""
-        found = self.status
-        if found is None or found.paused_term not in (0, self.paused_term):
+        found = self.status or await self.request_status(STATUS_REQUEST)
+        if found is None:
+            return
+        if found.is_paused and found.paused_term != self.paused_term:
             self.was_paused = True
         self.paused_term = term
-        self.is_paused = (
-            await self.request_status(build_pause_request(term)) is not None
-        )
+        paused = await self.request_status(build_pause_request(term))
+        self.is_paused = paused is not None and paused.paused_term >= term
 
     async def resume(self) -> None:
         """Let the upstream receive again, unless another proxy has paused it.
@@ -143,8 +144,11 @@
         A later lease holder pauses with a higher term. An order of an earlier one may
         still be carried out, or was carried out while this upstream was cut off.
         """
-        if not self.is_paused or self.was_paused:
+        if not self.paused_term or self.was_paused:
             return
+        # The reply to the pause may have been lost.
+        if not self.is_connected:
+            await self.connect_directly(REQUEST_TIMEOUT_S)
         status = await self.request_status(STATUS_REQUEST)
         if status is not None and status.paused_term == self.paused_term:
             await self.request_status(RESUME_REQUEST)
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -150,14 +150,14 @@
             if isinstance(found, Err):
                 return PromotionResult.NO_SAFE_SUCCESSOR
             awaited = found.ok_value
-        statuses = [
-            participant.status
+        terms = [
+            participant.status.term
             for participant in former + replicas
             if participant.status is not None
         ]
-        newest_term = max(
-            (max(status.term, status.paused_term) for status in statuses), default=0
-        )
+        # Not the terms of earlier pauses: the new primary leads the next term after
+        # those that an upstream led, and a higher pause would go on below it.
+        newest_term = max([self.group.primary_tracker.confirmed_term, *terms])
         search = CandidateSearch(
             self.group,
             lease,
@@ -177,6 +177,8 @@
             result = await self.restore_lead(search, chosen, awaited, result)
         # Replicas stay paused if an order may still be carried out: the new primary
         # may lack what they receive from now on.
+        if result is PromotionResult.PROMOTED:
+            await search.end_outlasting_pauses()
         is_over = result in KNOWN_NOT_CARRIED_OUT or result is chosen
         if is_over and awaited is None:
             await search.resume()
