--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -52,6 +52,7 @@
         read_entries: Reads the upstreams' entries once.
         open_order: Record of an order whose fate is unknown.
         was_unanswered: Whether the last order got no response.
+        has_ordered: Whether the current attempt has sent an order.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "read_entries",
         "open_order",
         "was_unanswered",
+        "has_ordered",
     )
 
     def __init__(
@@ -79,6 +81,7 @@
         self.read_entries = read_entries
         self.open_order = OpenOrderRecord(store, group.name)
         self.was_unanswered = False
+        self.has_ordered = False
 
     async def run(self, health: PrimaryHealth) -> PromotionResult:
         """Acquire the promotion lease and attempt one change of primary.
@@ -167,6 +170,18 @@
             replicas,
             awaited.member_id if awaited is not None else None,
         )
+        self.has_ordered = False
+        try:
+            return await self.promote_successor(search, awaited)
+        except asyncio.CancelledError:
+            if not self.has_ordered and awaited is None:
+                await search.resume()
+            raise
+
+    async def promote_successor(
+        self, search: CandidateSearch, awaited: OpenOrder | None
+    ) -> PromotionResult:
+        """Choose the successor and promote it; end the pauses if that is safe."""
         chosen = await self.choose_successor(search)
         result = (
             chosen
@@ -284,6 +299,7 @@
         """Order the promotion and wait until the upstream is the primary."""
         lease = search.lease
         member = chosen.member
+        self.has_ordered = True
         outcome = await self.order_client.promote(
             PromotionOrder(
                 self.group.name, member.member_id, self.name, lease.fencing_token
--- a/ebonyrack/promotion/promoter_test.py
+++ b/ebonyrack/promotion/promoter_test.py
@@ -120,3 +120,21 @@
     await participant.resume()
     assert system.group.members["up-2"].paused_below_term == 0
     participant.close()
+
+
+async def test_attempt_that_a_shutdown_ends_leaves_no_pause(system):
+    # Commits would wait for the paused replica after another one is lost.
+    await system.add_upstream("up-4")
+    await write(system, 1)
+    promoter = get_promoter(system)
+    while "up-4" not in promoter.group.members:
+        await asyncio.sleep(0.01)
+    system.upstreams["up-3"].faults.is_silent = True
+    running = asyncio.create_task(promoter.run(PrimaryHealth.STALLED))
+    async with asyncio.timeout(2.0):
+        while not any(each.paused_below_term for each in system.group.members.values()):
+            await asyncio.sleep(0.01)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    assert not any(each.paused_below_term for each in system.group.members.values())
+    assert system.group.promotions == []
