--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -50,6 +50,7 @@
         replicas: All other upstreams.
         required_id: The only upstream that may be promoted, or None for any.
         is_primary_reached: Whether a primary replied when the search began.
+        primary_term: Term that it led.
         primary_position: End of its log, or None if it isn't known.
         has_stepped_down: Whether it is a replica now, so that its log ends there.
         has_serving_primary: Whether an upstream that has joined serves as the primary.
@@ -63,6 +64,7 @@
     replicas: list[PromotionParticipant]
     required_id: str | None = None
     is_primary_reached: bool = False
+    primary_term: int = 0
     primary_position: LogPosition | None = None
     has_stepped_down: bool = False
     has_serving_primary: bool = False
@@ -71,6 +73,7 @@
         leading = self.leading
         if leading is not None and leading.status is not None:
             self.is_primary_reached = True
+            self.primary_term = leading.status.term
             self.primary_position = leading.status.received
 
     @property
@@ -152,6 +155,8 @@
         is_paused = all(each.is_paused_by_another for each in replying)
         if leading is None or not replying or not is_paused:
             return PromotionResult.NO_SAFE_SUCCESSOR
+        if not self.is_term_known:
+            return PromotionResult.NO_SAFE_SUCCESSOR
         if self.required_id not in (None, leading.member.member_id):
             return PromotionResult.NO_SAFE_SUCCESSOR
         return leading
@@ -280,6 +285,8 @@
 
         An earlier holder of the lease may have promoted a replica that doesn't reply.
         """
+        if self.primary_term + 1 < self.term:
+            return False
         return self.all_reply or not any(
             each.is_paused_by_another for each in self.replicas
         )
--- a/ebonyrack/promotion/group_change_test.py
+++ b/ebonyrack/promotion/group_change_test.py
@@ -196,6 +196,15 @@
         """The same by one that counted with later terms."""
         self.upstreams[name].paused_term = self.upstreams[name].term + 3
 
+    def promote_hidden(self, name):
+        """Let an earlier holder promote an upstream that goes dark with its replica."""
+        self.join("d")
+        self.pause("b")
+        for each in (self.upstreams[name], self.upstreams["d"]):
+            each.term, each.is_dark = 2, True
+            each.log = [LogPosition(1, 1), LogPosition(2, 2)]
+        self.acknowledged.add(LogPosition(2, 2))
+
     def skip_reading(self, name):
         """Let the proxy read the entry of an upstream only when its change begins."""
         self.upstreams[name].is_read_late = True
@@ -623,3 +632,13 @@
     for each in model.upstreams.values():
         assert each.paused_term <= model.leader.term
     assert model.lost == []
+
+
+@pytest.mark.parametrize("health", [PrimaryHealth.LEAVING, PrimaryHealth.STALLED])
+def test_pause_of_an_earlier_holder_may_hide_a_newer_primary(health):
+    # Replaced primaries go on where promotions are not fenced. The newer one and its
+    # replica can't be reached, the replica that is left stands where the old one does.
+    model = Model([], registers_at_once=True, history=[("promote_hidden", "c")])
+    play(model, health, [], is_fenced=False)
+    assert model.lost == []
+    assert model.promoted == []
--- a/ebonyrack/promotion/planned_change.py
+++ b/ebonyrack/promotion/planned_change.py
@@ -95,6 +95,8 @@
 
     def find_holder(self, position: LogPosition) -> PromotionParticipant | None:
         """Return the best replica that holds a position, None without one."""
+        if not self.search.is_term_known:
+            return None
         states = self.search.list_states()
         required_id = self.search.required_id
         if required_id is not None:
