--- a/ebonyrack/members/directory.py
+++ b/ebonyrack/members/directory.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 from result import Err
+from result import Ok
 from result import Result
 
 from ebonyrack.core.clock import boot_time_s
@@ -36,6 +37,7 @@
         is_loaded: Whether the store has been read once.
         applied_revision: Store revision of the newest reading that was applied.
         read_at_s: Time of that reading, on the boot clock; None before the first.
+        unreadable: Revision of each entry that can't be used, by key.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "is_loaded",
         "applied_revision",
         "read_at_s",
+        "unreadable",
     )
 
     def __init__(
@@ -58,6 +61,7 @@
         self.is_loaded = False
         self.applied_revision = 0
         self.read_at_s: float | None = None
+        self.unreadable: dict[str, int] = {}
 
     async def read(self, store: LeasingStore) -> None:
         """Read all entries now and apply them; a failure is logged."""
@@ -85,9 +89,15 @@
         for item in changes.items:
             if item.key.startswith(self.prefix):
                 present.add(item.key.removeprefix(self.prefix))
-                await self.apply_item(item, unchanged_at_s)
+                await self.apply_readable_item(item, unchanged_at_s)
         if changes.is_complete:
             self.is_loaded = True
+            kept = {self.prefix + member_id for member_id in present}
+            self.unreadable = {
+                key: revision
+                for key, revision in self.unreadable.items()
+                if key in kept
+            }
             missing = set(self.entries) - present
         else:
             missing = {
@@ -98,21 +108,39 @@
         for member_id in missing:
             self.record_missing(member_id)
 
-    async def apply_item(self, item: StoreItem, unchanged_at_s: float | None) -> None:
-        """Apply one entry; an undecodable one is logged and ignored.
+    async def apply_readable_item(
+        self, item: StoreItem, unchanged_at_s: float | None
+    ) -> None:
+        """Apply one entry; one that can't be used is logged once and ignored.
+
+        Another writer may have left anything there, and the other entries hold.
 
         Args:
             item: The entry.
             unchanged_at_s: Time of the reading before, which did not have it yet; None
                 if this is the first reading.
         """
-        found = self.decode(item)
-        if isinstance(found, Err):
-            logger.bind(key=item.key, reason=found.err_value).warning(
-                "upstream_entry_unreadable"
-            )
+        if self.unreadable.get(item.key) == item.revision:
             return
-        entry = found.ok_value
+        self.unreadable.pop(item.key, None)
+        try:
+            found = self.decode(item)
+            if isinstance(found, Ok):
+                await self.apply_entry(found.ok_value, unchanged_at_s)
+                return
+            reason = found.err_value
+        except Exception as error:
+            logger.bind(key=f"{item.key:.80}").exception("upstream_entry_not_applied")
+            reason = f"{error!r:.200}"
+        self.unreadable[item.key] = item.revision
+        logger.bind(key=f"{item.key:.80}", reason=reason).warning(
+            "upstream_entry_unreadable"
+        )
+
+    async def apply_entry(
+        self, entry: MemberEntry, unchanged_at_s: float | None
+    ) -> None:
+        """Apply one entry to its group, unless a newer one is known."""
         known = self.entries.get(entry.member_id)
         if known is not None and reverts_leaving(known, entry):
             logger.bind(group=entry.group, upstream=entry.member_id).info(
--- a/ebonyrack/platform/member_entries.py
+++ b/ebonyrack/platform/member_entries.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from result import Err
@@ -10,7 +9,11 @@
 from result import Result
 
 from ebonyrack.core.address import parse_address
+from ebonyrack.core.decoding import DECODING_ERRORS
+from ebonyrack.core.decoding import parse_json
+from ebonyrack.core.decoding import read_integer
 from ebonyrack.members.entry import MemberEntry
+from ebonyrack.platform.account_entries import is_word
 from ebonyrack.store.leasing_store import StoreItem
 
 PREFIX = "servers/"
@@ -28,27 +31,38 @@
         The entry, or why it can't be used.
     """
     try:
-        body: Any = json.loads(item.value)
-        # Upstreams of older versions don't publish their start time.
-        started_at_ms = body.get("born", 0)
-        slots = body["slots"]
-        if type(started_at_ms) is not int or type(slots) is not int:
-            return Err("born and slots must be integers")
+        body: Any = parse_json(item.value)
+        address = parse_address(read_text(body, "address"))
+        if address.port == 0:
+            return Err("invalid entry: nobody listens on port 0")
         return Ok(
             MemberEntry(
-                member_id=item.key.removeprefix(PREFIX),
-                group=read_text(body, "service"),
-                address=parse_address(read_text(body, "address")),
+                # Upstreams are told the first two as words of a line.
+                member_id=check_word(item.key.removeprefix(PREFIX)),
+                group=check_word(read_text(body, "service")),
+                address=address,
                 data_centre=read_text(body, "zone"),
-                slots=slots,
+                slots=read_integer(body["slots"]),
                 is_leaving=IS_LEAVING_BY_PHASE[read_text(body, "phase")],
                 reports_primary=IS_PRIMARY_BY_ROLE[read_text(body, "dbRole")],
-                started_at_ms=started_at_ms,
+                # Upstreams of older versions don't publish their start time.
+                started_at_ms=read_integer(body.get("born", 0)),
                 revision=item.revision,
             )
         )
-    except (ValueError, LookupError, TypeError, AttributeError) as error:
-        return Err(f"invalid entry: {error!r}")
+    except DECODING_ERRORS as error:
+        return Err(f"invalid entry: {error!r:.200}")
+
+
+def check_word(text: str) -> str:
+    """Return a text that must be one printable word.
+
+    Raises:
+        ValueError: If it is not.
+    """
+    if not is_word(text):
+        raise ValueError("not a printable word")
+    return text
 
 
 def read_text(body: dict[str, Any], name: str) -> str:
