--- a/ebonyrack/config/stored.py
+++ b/ebonyrack/config/stored.py
@@ -8,6 +8,7 @@
 
 import msgpack
 
+from ebonyrack.core.decoding import DECODING_ERRORS
 from ebonyrack.store.consul_store import MAXIMUM_VALUE_BYTES
 
 DOCUMENT_KEY = "document"
@@ -100,8 +101,10 @@
         if version != FORMAT_VERSION or not isinstance(text, str):
             raise ValueError(f"unknown format {version!r}")
         return StoredDocument(int(revision), text, tuple(map(decode_record, history)))
-    except (zlib.error, ValueError, TypeError, msgpack.UnpackException) as error:
-        raise BadStoredDocumentError(f"not a stored document: {error!r}") from error
+    except (zlib.error, msgpack.UnpackException, *DECODING_ERRORS) as error:
+        raise BadStoredDocumentError(
+            f"not a stored document: {error!r:.200}"
+        ) from error
 
 
 def encode_record(edit: EditRecord) -> list[Any]:
--- a/ebonyrack/limits/shard_keeper.py
+++ b/ebonyrack/limits/shard_keeper.py
@@ -14,6 +14,7 @@
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.component import Component
+from ebonyrack.core.decoding import parse_integer
 from ebonyrack.core.notifier import Notifier
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
@@ -122,8 +123,9 @@
         now_s = boot_time_s()
         found = {item.key: item for item in changes.items}
         mark = found.pop(MARK_KEY, None)
-        if mark is not None and mark.value.isdigit():
-            self.hold.mark = (mark.revision, int(mark.value))
+        number = parse_integer(mark.value) if mark is not None else None
+        if mark is not None and number is not None:
+            self.hold.mark = (mark.revision, number)
         for shard in range(SHARD_COUNT):
             item = found.get(f"{PREFIX}{shard}")
             if item is not None:
--- a/ebonyrack/limits/shard_key.py
+++ b/ebonyrack/limits/shard_key.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 
 from msgspec import Struct
 from msgspec import field
 
+from ebonyrack.core.decoding import DECODING_ERRORS
+from ebonyrack.core.decoding import parse_json
+
 
 class ShardOwner(Struct, frozen=True):
     """The value of a shard's key.
@@ -41,10 +45,10 @@
 def decode_levels(value: bytes) -> dict[str, float]:
     """Return the levels that the key of a released shard holds; none if malformed."""
     try:
-        body = json.loads(value)
-        return {str(name): float(level) for name, level in body.items()}
-    except (ValueError, TypeError, AttributeError):
+        levels = {name: float(level) for name, level in parse_json(value).items()}
+    except DECODING_ERRORS:
         return {}
+    return {name: level for name, level in levels.items() if math.isfinite(level)}
 
 
 def decode_owner(value: bytes) -> ShardOwner | None:
--- a/ebonyrack/peers/proxy_entry.py
+++ b/ebonyrack/peers/proxy_entry.py
@@ -7,10 +7,13 @@
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.address import parse_address
+from ebonyrack.core.decoding import DECODING_ERRORS
 
 ENTRY_VERSION = 1
 # Fields of a known version; later versions may append others.
 FIELD_COUNT = 5
+# Processing power of one VM, in cores.
+LARGEST_PROCESSOR_SHARE = 4096.0
 
 
 class ProxyEntry(Struct, frozen=True):
@@ -62,7 +65,8 @@
         entry = ProxyEntry(
             name, parse_address(address), data_centre, float(processor_share), build
         )
-    except (ValueError, TypeError, AttributeError, KeyError, msgpack.UnpackException):
+    except (msgpack.UnpackException, *DECODING_ERRORS):
         return None
     is_text = isinstance(data_centre, str) and isinstance(build, str)
-    return entry if is_text and 0 < entry.processor_share < float("inf") else None
+    is_in_range = 0 < entry.processor_share <= LARGEST_PROCESSOR_SHARE
+    return entry if is_text and is_in_range and entry.address.port else None
--- a/ebonyrack/platform/kv_bodies.py
+++ b/ebonyrack/platform/kv_bodies.py
@@ -4,13 +4,16 @@
 
 import base64
 import binascii
-import json
 from typing import Any
 
+from loguru import logger
 from result import Err
 from result import Ok
 from result import Result
 
+from ebonyrack.core.decoding import DECODING_ERRORS
+from ebonyrack.core.decoding import parse_json
+from ebonyrack.core.decoding import read_integer
 from ebonyrack.platform.store_era import StoreEra
 from ebonyrack.store.http_client import HttpResponse
 from ebonyrack.store.leasing_store import StoreChanges
@@ -36,7 +39,7 @@
         reason = f"the store replied with status {response.status}"
         return Err(StoreError(StoreErrorKind.REFUSED, reason))
     try:
-        body = json.loads(response.body) if response.body else {}
+        body = parse_json(response.body) if response.body else {}
     except ValueError as error:
         return Err(build_bad_response_error(error))
     if not isinstance(body, dict):
@@ -57,13 +60,52 @@
     except binascii.Error as error:
         raise ValueError(f"invalid value: {error}") from error
     return StoreItem(
-        str(item["key"]),
+        read_key(item),
         value,
-        era.extend_revision(int(item["revision"])),
-        era.extend_revision(int(item["createdRev"])),
+        era.extend_revision(read_integer(item["revision"])),
+        era.extend_revision(read_integer(item["createdRev"])),
     )
 
 
+def read_key(item: dict[str, Any]) -> str:
+    """Return the key of an item or event.
+
+    Raises:
+        ValueError, LookupError, TypeError: If it has none.
+    """
+    key = item["key"]
+    if not isinstance(key, str):
+        raise TypeError("a key must be a string")
+    return key
+
+
+def decode_items(items: list[dict[str, Any]], era: StoreEra) -> list[StoreItem]:
+    """Decode the items of a reading; malformed ones don't hide the others.
+
+    Raises:
+        TypeError, LookupError: If it is no list, or an item has no key.
+    """
+    if not isinstance(items, list):
+        raise TypeError("items must be a list")
+    return [decode_known_item(item, era) for item in items]
+
+
+def decode_known_item(item: dict[str, Any], era: StoreEra) -> StoreItem:
+    """Decode an item; a malformed one is there, but without a value.
+
+    Raises:
+        TypeError, LookupError: If it has no key.
+    """
+    key = read_key(item)
+    try:
+        return decode_item(item, era)
+    except DECODING_ERRORS as error:
+        logger.bind(key=f"{key:.80}", reason=f"{error!r:.200}").warning(
+            "store_item_unreadable"
+        )
+        return StoreItem(key, b"", 0, 0)
+
+
 def decode_changes(
     body: dict[str, Any], era: StoreEra
 ) -> Result[StoreChanges | None, StoreError]:
@@ -73,19 +115,19 @@
     try:
         # The last event of a key replaces its earlier ones.
         for event in body["events"]:
-            key = str(event["key"])
+            key = read_key(event)
             items = [item for item in items if item.key != key]
             deleted = [other for other in deleted if other != key]
             if event.get("tombstone"):
                 deleted.append(key)
             else:
-                items.append(decode_item(event, era))
-        revision = era.extend_revision(int(body["currentRev"]))
-    except (ValueError, LookupError, TypeError, AttributeError) as error:
+                items.append(decode_known_item(event, era))
+        revision = era.extend_revision(read_integer(body["currentRev"]))
+    except DECODING_ERRORS as error:
         return Err(build_bad_response_error(error))
     return Ok(StoreChanges(tuple(items), tuple(deleted), revision))
 
 
 def build_bad_response_error(error: object) -> StoreError:
     """Build the error for a response that can't be decoded."""
-    return StoreError(StoreErrorKind.UNKNOWN, f"invalid response: {error!r}")
+    return StoreError(StoreErrorKind.UNKNOWN, f"invalid response: {error!r:.200}")
--- a/ebonyrack/platform/kv_store.py
+++ b/ebonyrack/platform/kv_store.py
@@ -16,12 +16,16 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
 from ebonyrack.core.component import Component
+from ebonyrack.core.decoding import DECODING_ERRORS
+from ebonyrack.core.decoding import read_integer
 from ebonyrack.core.socket_options import KEEPALIVE_OPTIONS
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.platform.kv_bodies import build_bad_response_error
 from ebonyrack.platform.kv_bodies import decode_changes
 from ebonyrack.platform.kv_bodies import decode_item
+from ebonyrack.platform.kv_bodies import decode_items
 from ebonyrack.platform.kv_bodies import read_body
+from ebonyrack.platform.kv_bodies import read_key
 from ebonyrack.platform.store_era import StoreEra
 from ebonyrack.store.http_client import HttpClient
 from ebonyrack.store.http_client import HttpRequest
@@ -111,17 +115,21 @@
                 return await self.read_prefix(prefix, allow_stale)
             era = self.era.number
             try:
-                page = [decode_item(item, self.era) for item in body.ok_value["items"]]
+                found = body.ok_value["items"]
+                page = decode_items(found, self.era)
                 revision = revision or self.era.extend_revision(
-                    int(body.ok_value["currentRev"])
+                    read_integer(body.ok_value["currentRev"])
                 )
-                is_truncated = bool(body.ok_value["truncated"])
-            except (ValueError, LookupError, TypeError) as error:
+                is_truncated = bool(body.ok_value["truncated"]) and bool(found)
+                next_after = read_key(found[-1]) if is_truncated else ""
+            except DECODING_ERRORS as error:
                 return Err(build_bad_response_error(error))
             items += page
-            if not is_truncated or not page:
+            if not is_truncated:
                 return Ok(StoreChanges(tuple(items), (), revision, is_complete=True))
-            after = page[-1].key
+            if next_after == after:
+                return Err(build_bad_response_error("the same page again"))
+            after = next_after
 
     async def watch_prefix(
         self, prefix: str, revision: int, wait_s: float
@@ -226,8 +234,10 @@
         if response.unwrap().status != STATUS_OK:
             return Ok(None)
         try:
-            return Ok(self.era.extend_revision(int(result.ok_value["revision"])))
-        except (ValueError, LookupError, TypeError) as error:
+            return Ok(
+                self.era.extend_revision(read_integer(result.ok_value["revision"]))
+            )
+        except DECODING_ERRORS as error:
             return Err(build_bad_response_error(error))
 
     async def read_key(self, key: str) -> Result[StoreItem | None, StoreError]:
@@ -247,7 +257,7 @@
             return body
         try:
             return Ok(decode_item(body.ok_value, self.era))
-        except (ValueError, LookupError, TypeError) as error:
+        except DECODING_ERRORS as error:
             return Err(build_bad_response_error(error))
 
     async def grant_lease(self, ttl_s: float) -> Result[int, StoreError]:
@@ -265,8 +275,12 @@
         if isinstance(result, Err):
             return result
         try:
-            return Ok(self.era.extend_lease(int(result.ok_value["lease"])))
-        except (ValueError, LookupError, TypeError) as error:
+            return Ok(
+                self.era.extend_lease(
+                    read_integer(result.ok_value["lease"], highest=2**64 - 1)
+                )
+            )
+        except DECODING_ERRORS as error:
             return Err(build_bad_response_error(error))
 
     async def renew_lease(self, lease: int) -> Result[bool, StoreError]:
--- a/ebonyrack/platform/route_document.py
+++ b/ebonyrack/platform/route_document.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from result import Err
 from result import Ok
 from result import Result
 
+from ebonyrack.core.decoding import DECODING_ERRORS
+from ebonyrack.core.decoding import parse_json
+from ebonyrack.core.decoding import read_integer
 from ebonyrack.platform.account_entries import InvalidDocumentError
 from ebonyrack.platform.account_entries import decode_accounts
 from ebonyrack.routes.route import Consistency
@@ -20,6 +22,9 @@
 # Absent from the documents of deployments without client accounts.
 ACCOUNTS = "tenants"
 MS_PER_S = 1000.0
+LARGEST_COUNT = 10**9
+# About thirty years, in milliseconds.
+LONGEST_DURATION_MS = 10**12
 CONSISTENCIES = {
     "primary": Consistency.PRIMARY,
     "bounded_staleness": Consistency.STATED_AGE,
@@ -37,7 +42,7 @@
         The routes, or why they can't be decoded.
     """
     try:
-        body: Any = json.loads(value)
+        body: Any = parse_json(value)
         requires_accounts = ACCOUNTS in body
         routes = [decode_route(each, requires_accounts) for each in body["routes"]]
         groups = [decode_limits(service) for service in body["services"]]
@@ -45,19 +50,19 @@
         limits = body["limits"]
         return Ok(
             RouteTable(
-                version=int(body["version"]),
+                version=read_integer(body["version"]),
                 routes={route.database: route for route in routes},
                 groups={group.name: group for group in groups},
                 accounts=accounts,
                 account_names=account_names,
                 requires_accounts=requires_accounts,
-                transaction_idle_s=limits["txIdleMs"] / MS_PER_S,
-                startup_timeout_s=limits["headerTimeoutMs"] / MS_PER_S,
+                transaction_idle_s=read_duration(limits["txIdleMs"]),
+                startup_timeout_s=read_duration(limits["headerTimeoutMs"]),
             )
         )
     except (InvalidDocumentError, LookupError, TypeError, AttributeError) as error:
-        return Err(f"invalid configuration: {error!r}")
-    except (ValueError, ArithmeticError, RecursionError) as error:
+        return Err(f"invalid configuration: {error!r:.200}")
+    except DECODING_ERRORS as error:
         # Their messages may quote the value, and thereby a key.
         return Err(f"invalid configuration: {type(error).__name__}")
 
@@ -77,14 +82,14 @@
         raise InvalidDocumentError("allowAnonymous must be true or false")
     return Route(
         # The field is called host but contains the name of the database.
-        database=str(route["host"]).encode(),
-        group=str(route["service"]),
+        database=read_name(route["host"]).encode(),
+        group=read_name(route["service"]),
         consistency=CONSISTENCIES[route["kind"]],
         # This limits one statement; the target latency is for the whole operation.
-        statement_timeout_s=route["timeoutMs"] / MS_PER_S,
-        target_latency_s=route["targetLatencyMs"] / MS_PER_S,
-        priority=int(route["priority"]),
-        maximum_age_s=route.get("maxStalenessMs", 0) / MS_PER_S,
+        statement_timeout_s=read_duration(route["timeoutMs"]),
+        target_latency_s=read_duration(route["targetLatencyMs"]),
+        priority=read_integer(route["priority"]),
+        maximum_age_s=read_duration(route.get("maxStalenessMs", 0)),
         allows_anonymous=allows_anonymous,
     )
 
@@ -96,7 +101,40 @@
         ValueError, LookupError, TypeError: If it is malformed.
     """
     return GroupLimits(
-        name=str(service["name"]),
-        maximum_connections=int(service["maxConnections"]),
-        acknowledging_replicas=int(service.get("syncReplicas", 0)),
+        name=read_name(service["name"]),
+        maximum_connections=read_count(service["maxConnections"]),
+        acknowledging_replicas=read_count(service.get("syncReplicas", 0)),
     )
+
+
+def read_name(value: object) -> str:
+    """Return the name of a database or a group.
+
+    Raises:
+        InvalidDocumentError: If it is no text.
+    """
+    if not isinstance(value, str):
+        raise InvalidDocumentError("a name must be a string")
+    return value
+
+
+def read_count(value: object) -> int:
+    """Return a number of connections or upstreams.
+
+    Raises:
+        ValueError: If it is no whole number from 0, or too large.
+    """
+    return read_integer(value, highest=LARGEST_COUNT)
+
+
+def read_duration(value: object) -> float:
+    """Return a duration in milliseconds as seconds.
+
+    Raises:
+        InvalidDocumentError: If it is no number from 0, or too large.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise InvalidDocumentError("a duration must be a number")
+    if not 0 <= value <= LONGEST_DURATION_MS:
+        raise InvalidDocumentError("a duration is out of range")
+    return value / MS_PER_S
--- a/ebonyrack/platform/store_era.py
+++ b/ebonyrack/platform/store_era.py
@@ -13,6 +13,7 @@
 from result import Result
 
 from ebonyrack.core.clock import boot_time_s
+from ebonyrack.core.decoding import parse_integer
 from ebonyrack.core.notifier import Notifier
 from ebonyrack.store.http_client import HttpResponse
 from ebonyrack.store.store_response import StoreError
@@ -23,6 +24,7 @@
 # era's revisions; leases have any number of 64 bits.
 REVISION_BITS = 32
 LEASE_BITS = 64
+LARGEST_ERA = 2**31 - 1
 
 
 class StoreEra:
@@ -89,6 +91,6 @@
 def read_era(response: HttpResponse) -> int | None:
     """Return the era that a response states, or None."""
     for name, value in response.headers:
-        if name.lower() == ERA_HEADER and value.isdigit():
-            return int(value)
+        if name.lower() == ERA_HEADER:
+            return parse_integer(value, LARGEST_ERA)
     return None
--- a/ebonyrack/promotion/open_order.py
+++ b/ebonyrack/promotion/open_order.py
@@ -14,6 +14,7 @@
 from result import Result
 
 from ebonyrack.core.clock import boot_time_s
+from ebonyrack.core.decoding import parse_integer
 from ebonyrack.store.leasing_store import LeasingStore
 from ebonyrack.store.leasing_store import StoreItem
 from ebonyrack.store.leasing_store import StoreWrite
@@ -149,7 +150,8 @@
     if item is None:
         return None
     member_id, _, token = item.value.decode("utf-8", "replace").partition(" ")
-    if not token.isdigit():
+    number = parse_integer(token, highest=2**127)
+    if number is None:
         logger.bind(key=item.key).warning("order_record_unreadable")
         return OpenOrder(member_id, 0, item.revision)
-    return OpenOrder(member_id, int(token), item.revision)
+    return OpenOrder(member_id, number, item.revision)
--- a/ebonyrack/store/store_response.py
+++ b/ebonyrack/store/store_response.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
-import json
 from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import Any
@@ -14,6 +12,11 @@
 from result import Ok
 from result import Result
 
+from ebonyrack.core.decoding import DECODING_ERRORS
+from ebonyrack.core.decoding import parse_integer
+from ebonyrack.core.decoding import parse_json
+from ebonyrack.core.decoding import read_integer
+
 if TYPE_CHECKING:
     from ebonyrack.store.http_client import HttpResponse
 
@@ -57,8 +60,8 @@
 def read_index(response: HttpResponse) -> int:
     """Return the index at which a watch continues, or 0 if there is none."""
     for name, value in response.headers:
-        if name.lower() == b"x-consul-index" and value.isdigit():
-            return int(value)
+        if name.lower() == b"x-consul-index":
+            return parse_integer(value) or 0
     return 0
 
 
@@ -67,10 +70,10 @@
     if response.status == 404:
         return Ok(None)
     try:
-        entry: Any = json.loads(response.body)[0]
+        entry: Any = parse_json(response.body)[0]
         value = base64.b64decode(entry["Value"] or "", validate=True)
-        return Ok(StoreValue(value, int(entry["ModifyIndex"])))
-    except (ValueError, LookupError, TypeError, binascii.Error) as error:
+        return Ok(StoreValue(value, read_integer(entry["ModifyIndex"])))
+    except DECODING_ERRORS as error:
         return Err(StoreError(StoreErrorKind.UNKNOWN, f"malformed response: {error!r}"))
 
 
--- a/ebonyrack/store/vm_list.py
+++ b/ebonyrack/store/vm_list.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,6 +9,8 @@
 from result import Ok
 from result import Result
 
+from ebonyrack.core.decoding import DECODING_ERRORS
+from ebonyrack.core.decoding import parse_json
 from ebonyrack.store.consul_store import ConsulStore
 from ebonyrack.store.store_response import StoreError
 from ebonyrack.store.store_response import StoreErrorKind
@@ -89,12 +90,14 @@
 def read_listing(response: StoreResponse) -> Result[VmListing, StoreError]:
     """Read the leaving VMs from a response."""
     try:
-        nodes: list[dict[str, Any]] = json.loads(response.body)
+        nodes: list[dict[str, Any]] = parse_json(response.body)
+        if not isinstance(nodes, list):
+            raise TypeError("the VMs must be a list")
         leaving = frozenset(
             str(node["Node"])
             for node in nodes
             if (node.get("Meta") or {}).get("state") == LEAVING_STATE
         )
-    except (ValueError, LookupError, TypeError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         return Err(StoreError(StoreErrorKind.UNKNOWN, f"malformed response: {error!r}"))
     return Ok(VmListing(response.index, leaving))
