--- a/ebonyrack/core/route_settings.py
+++ b/ebonyrack/core/route_settings.py
@@ -28,6 +28,8 @@
         limit_slack: Operations by which a window may be above that.
         leaving_limit_s: Seconds for which an upstream that has reported that it is
             leaving may get work; None for no limit.
+        apply_limit_s: Seconds within which a change of the configuration must be in
+            force.
     """
 
     name: str
@@ -44,3 +46,4 @@
     limit_overshoot: float = 0.0
     limit_slack: float = 0.0
     leaving_limit_s: float | None = None
+    apply_limit_s: float = 3.0
--- a/ebonyrack/entry/account_limits_test.py
+++ b/ebonyrack/entry/account_limits_test.py
@@ -11,6 +11,8 @@
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.limits.limit_messages import AskGrants
 from ebonyrack.limits.shard import find_shard
+from ebonyrack.limits.shard_keeper import MARK_KEY
+from ebonyrack.limits.shard_keeper import PREFIX
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import LineSystem
 from ebonyrack.standins.line_system import build_document
@@ -260,3 +262,22 @@
     async with LineCaller(address, "calendar", KEYS[CALM][0]) as caller:
         assert (await caller.execute("READ slot-1"))[0] == "DATAROW none"
     assert Recorder.outcomes == ["admitted"]
+
+
+async def test_lost_response_to_a_watch_hides_no_owner_past_the_limit(system):
+    # A proxy went on to ask an owner that had left.
+    limiter = system.proxies[0].proxy.services.limiter
+    limit_s = system.proxies[0].proxy.settings.apply_limit_s
+    service, generation = system.service, limiter.hold.mark[1]
+    service.faults.lose_watch_answers.add(PREFIX)
+    async with asyncio.timeout(limit_s):
+        while service.faults.lose_watch_answers:
+            generation += 1
+            await service.put(MARK_KEY, str(generation).encode())
+            await asyncio.sleep(0.05)
+    async with asyncio.timeout(limit_s):
+        while not all(
+            each.proxy.services.limiter.hold.mark[1] == generation
+            for each in system.proxies
+        ):
+            await asyncio.sleep(0.02)
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -40,12 +40,10 @@
 from ebonyrack.store.follower import FollowOptions
 from ebonyrack.store.follower import StoreAvailability
 from ebonyrack.store.follower import StoreFollower
+from ebonyrack.store.follower import compute_watch_time
 from ebonyrack.store.leasing_store import StoreChanges
 
 MONITOR_INTERVAL_S = 0.5
-# A watch of the document returns early with each change; a silent connection is
-# detected by its keep-alive probes. The platform holds a watch for 30 s at most.
-DOCUMENT_WATCH_S = 25.0
 # An upstream that is leaving keeps serving for at least twice as long.
 ENTRIES_READ_INTERVAL_S = 3.0
 # Connection shares follow a change of the proxies within this time; until then the
@@ -111,7 +109,10 @@
             ),
             StoreFollower(
                 store,
-                FollowOptions(dependencies.document_key, watch_s=DOCUMENT_WATCH_S),
+                FollowOptions(
+                    dependencies.document_key,
+                    watch_s=compute_watch_time(settings.apply_limit_s),
+                ),
                 self.apply_store_changes,
                 lambda: False,
                 self.store_availability,
--- a/ebonyrack/limits/fleet_limiter.py
+++ b/ebonyrack/limits/fleet_limiter.py
@@ -32,6 +32,7 @@
 from ebonyrack.routes.account import ClientAccount
 from ebonyrack.routes.route import RouteTable
 from ebonyrack.store.follower import StoreAvailability
+from ebonyrack.store.follower import compute_watch_time
 from ebonyrack.store.leasing_store import LeasingStore
 
 # Accounts that metrics show by name; the others are shown together.
@@ -81,6 +82,7 @@
             refresh_names,
             self.update_books,
             availability,
+            compute_watch_time(settings.apply_limit_s),
         )
         self.asker = GrantAsker(
             links, store, self.hold, self.stock, self.keeper.changed
--- a/ebonyrack/limits/shard_keeper.py
+++ b/ebonyrack/limits/shard_keeper.py
@@ -34,7 +34,6 @@
 
 PREFIX = "ebonyrack/limits/"
 MARK_KEY = PREFIX + "mark"
-WATCH_S = 25.0
 CLAIM_INTERVAL_S = 0.25
 # The same while a shard has no owner.
 UNOWNED_INTERVAL_S = 0.05
@@ -80,6 +79,7 @@
         refresh_names: Callable[[], Awaitable[None]],
         on_owned: Callable[[], None],
         availability: StoreAvailability,
+        watch_s: float,
     ) -> None:
         self.store = store
         self.hold = hold
@@ -88,7 +88,7 @@
         self.on_owned = on_owned
         self.follower = StoreFollower(
             store,
-            FollowOptions(PREFIX, watch_s=WATCH_S),
+            FollowOptions(PREFIX, watch_s=watch_s),
             self.apply,
             lambda: False,
             availability,
--- a/ebonyrack/platform/kv_store.py
+++ b/ebonyrack/platform/kv_store.py
@@ -38,6 +38,8 @@
 
 # The store replies in milliseconds; this allows for one lost packet and some delay.
 CALL_TIMEOUT_S = 0.8
+# The same after the wait of a watch; a lost response may hide a change until then.
+WATCH_REPLY_TIMEOUT_S = 0.5
 MS_PER_S = 1000
 JSON_HEADERS = (("Content-Type", "application/json"),)
 STATUS_OK = 200
@@ -310,7 +312,8 @@
         """Make a GET call and count it."""
         metrics.store_calls.add(1, {"kind": kind})
         target = f"{path}?{urlencode(query)}"
-        request = HttpRequest("GET", target, timeout_s=self.timeout_s, wait_s=wait_s)
+        timeout_s = WATCH_REPLY_TIMEOUT_S if wait_s else self.timeout_s
+        request = HttpRequest("GET", target, timeout_s=timeout_s, wait_s=wait_s)
         return (await self.client.send(request)).and_then(self.era.accept)
 
     async def post(
--- a/ebonyrack/platform/settings_file.py
+++ b/ebonyrack/platform/settings_file.py
@@ -113,6 +113,7 @@
     ("limit_overshoot", "bounds.quotaOvershoot", read_nonnegative),
     ("limit_slack", "bounds.quotaSlack", read_nonnegative),
     ("leaving_limit_s", "bounds.drainMs", read_milliseconds),
+    ("apply_limit_s", "bounds.configApplyMs", read_milliseconds),
 )
 # Attribute of the settings, keys in the file that it is built of, their parser. An
 # attribute keeps its default unless the file has all of them.
@@ -125,6 +126,7 @@
     {
         "bounds.requireFencing",
         "bounds.drainMs",
+        "bounds.configApplyMs",
         "bounds.quotaWindowS",
         "bounds.quotaOvershoot",
         "bounds.quotaSlack",
--- a/ebonyrack/standins/kv_service.py
+++ b/ebonyrack/standins/kv_service.py
@@ -6,6 +6,7 @@
 import base64
 import json
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 from typing import Any
 
@@ -31,12 +32,15 @@
     Attributes:
         status: HTTP status with which every call is rejected, or 0.
         lose_answers: Number of further changes that take effect without a reply.
+        lose_watch_answers: Prefixes whose next watch gets no reply, while its
+            connection stays open.
         late_orders_s: Delay in seconds after which promotion orders are carried out
             without a reply; 0 for none.
     """
 
     status: int = 0
     lose_answers: int = 0
+    lose_watch_answers: set[str] = field(default_factory=set)
     late_orders_s: float = 0.0
 
 
@@ -151,6 +155,10 @@
             self.faults.lose_answers -= 1
             assert request.transport is not None
             request.transport.abort()
+        prefix = request.query.get("prefix", "")
+        if request.path == "/kv-watch" and prefix in self.faults.lose_watch_answers:
+            self.faults.lose_watch_answers.discard(prefix)
+            await asyncio.Event().wait()
         return response
 
     async def put(self, key: str, value: bytes, lease: int = 0) -> int:
--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -38,6 +38,13 @@
 # Limit on the wait for the probing follower; then the others call the store themselves.
 MAXIMUM_WAIT_S = 1.0
 
+# The platform holds a watch for 30 s at most.
+LONGEST_WATCH_S = 25.0
+SHORTEST_WATCH_S = 0.5
+# A watch whose response was lost is given up, and all keys are read, within this time
+# after the store should have answered it.
+LOST_WATCH_ALLOWANCE_S = 1.0
+
 Apply = Callable[[StoreChanges], Awaitable[None]]
 
 
@@ -57,6 +64,18 @@
     allow_stale: bool = False
 
 
+def compute_watch_time(limit_s: float) -> float:
+    """Return for how long a watch may wait, in seconds.
+
+    A lost response can't be told from one that is held back, so the wait bounds how
+    long it hides a change.
+
+    Args:
+        limit_s: Seconds within which a change must be in force.
+    """
+    return min(LONGEST_WATCH_S, max(SHORTEST_WATCH_S, limit_s - LOST_WATCH_ALLOWANCE_S))
+
+
 class StoreAvailability:
     """Tracks whether the store answers, for all followers of a process.
 
