--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -270,6 +270,10 @@
             if not await self.record_order(search.lease, chosen):
                 result = PromotionResult.NOT_ACCEPTED
                 break
+            if not search.lease.allows_order:
+                # Recording it took until the lease ended.
+                result = PromotionResult.LEASE_NOT_HELD
+                break
             result = await self.send_order(search, chosen)
             is_repeated = result is PromotionResult.UNANSWERED and chosen.is_connected
             if not is_repeated:
