--- a/ebonyrack/core/settings.py
+++ b/ebonyrack/core/settings.py
@@ -38,7 +38,9 @@
     address: AddressField
     prefix: str = "ebonyrack"
     timeout_s: float = Field(1.0, gt=0)
-    watch_s: float = Field(30.0, gt=0)
+    # A lost response hides a change for this long, a sixteenth more (the store's own
+    # jitter) and the timeout.
+    watch_s: float = Field(8.0, gt=0)
     maximum_calls_per_s: float = Field(5.0, gt=0)
     watchers_per_data_centre: int = Field(2, ge=1)
 
