--- a/ebonyrack/platform/upstream_codec.py
+++ b/ebonyrack/platform/upstream_codec.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from result import Err
 from result import Ok
 from result import Result
 
+from ebonyrack.core.decoding import parse_integer
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import LineTooLongError
 from ebonyrack.core.line_stream import StreamLostError
@@ -143,12 +145,12 @@
             return Ok(
                 UpstreamStatus(
                     is_primary=role == b"primary",
-                    term=int(term),
+                    term=read_number(term),
                     received=parse_position(received),
-                    paused_term=int(paused_term),
-                    lag_s=float(lag_ms) / MS_PER_S,
-                    busy_slots=int(busy),
-                    connections=int(connections),
+                    paused_term=read_number(paused_term),
+                    lag_s=read_lag(lag_ms),
+                    busy_slots=read_number(busy),
+                    connections=read_number(connections),
                 )
             )
         except ValueError as error:
@@ -183,7 +185,29 @@
     Raises:
         ValueError: If the text is malformed.
     """
-    term, dot, number = text.partition(b".")
-    if not (dot and term.isdigit() and number.isdigit()):
-        raise ValueError(f"not a log position: {text[:40]!r}")
-    return LogPosition(int(term), int(number))
+    term, _, number = text.partition(b".")
+    return LogPosition(read_number(term), read_number(number))
+
+
+def read_number(text: bytes) -> int:
+    """Return a term, an offset or a count.
+
+    Raises:
+        ValueError: If it is no whole number from 0, or too large.
+    """
+    number = parse_integer(text)
+    if number is None:
+        raise ValueError(f"not a number: {text[:40]!r}")
+    return number
+
+
+def read_lag(text: bytes) -> float:
+    """Return a lag in milliseconds as seconds.
+
+    Raises:
+        ValueError: If it is no finite number.
+    """
+    lag_ms = float(text)
+    if not math.isfinite(lag_ms):
+        raise ValueError(f"not a lag: {text[:40]!r}")
+    return lag_ms / MS_PER_S
