--- a/ebonyrack/limits/grant_book.py
+++ b/ebonyrack/limits/grant_book.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from msgspec import Struct
@@ -152,6 +153,7 @@
         limits = {
             name: AccountLimit(ask.version, values[0], values[1])
             for name, values in ask.limits.items()
+            if is_limit(values)
         }
         self.learn_limits(limits, now_s)
         if ask.number <= self.last_numbers.get(ask.asker, 0):
@@ -202,7 +204,7 @@
     def take_back(self, ask: AskGrants, now_s: float) -> None:
         """Put the unused grants that an asker tells back into the buckets, once."""
         for account, counts in ask.unused.items():
-            for number, count in counts:
+            for number, count in (each for each in counts if len(each) == 2):
                 lot = self.lots.pop((ask.asker, number, account), None)
                 if lot is not None:
                     unused = min(max(0, count), lot.count)
@@ -214,3 +216,10 @@
             if now_s - lot.granted_at_s < LOT_LIFETIME_S:
                 break
             del self.lots[key]
+
+
+def is_limit(values: list[float]) -> bool:
+    """Return whether values that an asker tells are a rate and a burst."""
+    return len(values) == 2 and all(
+        math.isfinite(value) and value >= 0 for value in values
+    )
