--- a/ebonyrack/promotion/promoter_test.py
+++ b/ebonyrack/promotion/promoter_test.py
@@ -138,3 +138,25 @@
     await asyncio.gather(running, return_exceptions=True)
     assert not any(each.paused_below_term for each in system.group.members.values())
     assert system.group.promotions == []
+
+
+async def test_stalled_primary_leads_again_if_the_platform_refuses_the_order(
+    system, monkeypatch
+):
+    # It had stepped down, and nobody led until another holder came.
+    await write(system, 1)
+    accept = system.service.accept_token
+    refused = []
+
+    def refuse_first(group, token):
+        if not refused:
+            refused.append(token)
+            return False
+        return accept(group, token)
+
+    monkeypatch.setattr(system.service, "accept_token", refuse_first)
+    result = await get_promoter(system).run(PrimaryHealth.STALLED)
+    assert result is PromotionResult.PROMOTED
+    assert [name for name, _ in system.group.promotions] == ["up-1"]
+    await write(system, 1)
+    assert system.group.find_lost_entries() == []
