--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -80,8 +80,7 @@
     def leading(self) -> PromotionParticipant | None:
         """The primary until now, if it replies and leads; None otherwise."""
         for participant in self.former:
-            status = participant.status
-            if participant.is_connected and status is not None and status.is_primary:
+            if participant.is_connected and participant.leads:
                 return participant
         return None
 
@@ -106,6 +105,12 @@
             if self.has_serving_primary:
                 return PromotionResult.NOT_NEEDED
             candidate = self.choose()
+            if candidate is not None and candidate.leads:
+                # It may have been too busy for the probe that shows it.
+                if await is_serving_primary(self.group, candidate):
+                    return PromotionResult.NOT_NEEDED
+                await self.wait_for_recovery()
+                continue
             if not self.may_become_safe(candidate):
                 # A pause would keep the primary's commits from a replica.
                 if self.is_primary_reached:
--- a/ebonyrack/promotion/group_change_test.py
+++ b/ebonyrack/promotion/group_change_test.py
@@ -109,6 +109,8 @@
         # After so many requests or records the holder stands still past its lease.
         self.requests_until_freeze = None
         self.late_orders = []
+        # Probes that the upstreams are too busy to run.
+        self.busy_probes = 0
 
     def count_request(self):
         """Let the holder stand still when it has made so many requests."""
@@ -341,6 +343,9 @@
             self.close()
             raise UpstreamLostError("dark")
         rejection = None if self.upstream.leads else RejectionKind.READ_ONLY
+        if self.model.busy_probes > 0:
+            self.model.busy_probes -= 1
+            rejection = RejectionKind.BUSY
         return Reply(rejection=rejection, position=self.upstream.log[-1]), clock.now_s()
 
 
@@ -689,3 +694,15 @@
     model.requests_until_freeze = requests
     play(model, health, [], is_fenced)
     assert model.late_orders == []
+
+
+@pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
+@pytest.mark.parametrize("health", [PrimaryHealth.UNKNOWN, PrimaryHealth.SILENT])
+def test_primary_that_is_too_busy_for_a_probe_is_not_ordered(is_fenced, health):
+    # It was the replica with the longest log, and all others were paused for it.
+    model = Model([], history=[("lead_next_term", "d")], registers_at_once=True)
+    model.busy_probes = 6
+    result = play(model, health, [], is_fenced)
+    assert result is PromotionResult.NOT_NEEDED
+    assert model.orders == []
+    assert not any(each.paused_term for each in model.upstreams.values())
--- a/ebonyrack/promotion/participant.py
+++ b/ebonyrack/promotion/participant.py
@@ -153,6 +153,11 @@
         if status is not None and status.paused_term == self.paused_term:
             await self.request_status(RESUME_REQUEST)
 
+    @property
+    def leads(self) -> bool:
+        """Whether it has told that it leads a term."""
+        return self.status is not None and self.status.is_primary
+
     @property
     def is_paused_by_another(self) -> bool:
         """Whether another holder of the lease has paused it, or may have."""
