--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -25,6 +25,7 @@
 from ebonyrack.promotion.participant import PromotionParticipant
 from ebonyrack.promotion.primary_proof import is_serving_primary
 from ebonyrack.promotion.result import PromotionResult
+from ebonyrack.requests.reply import UpstreamStatus
 from ebonyrack.requests.request import RESUME_REQUEST
 from ebonyrack.requests.request import STATUS_REQUEST
 
@@ -49,8 +50,8 @@
         former: The primary until now, if it is known.
         replicas: All other upstreams.
         required_id: The only upstream that may be promoted, or None for any.
-        is_primary_reached: Whether a primary replied when the search began.
-        primary_term: Term that it led.
+        is_primary_reached: Whether the primary of the newest term that is known replied
+            when the search began.
         primary_position: End of its log, or None if it isn't known.
         has_stepped_down: Whether it is a replica now, so that its log ends there.
         has_serving_primary: Whether an upstream that has joined serves as the primary.
@@ -64,17 +65,20 @@
     replicas: list[PromotionParticipant]
     required_id: str | None = None
     is_primary_reached: bool = False
-    primary_term: int = 0
     primary_position: LogPosition | None = None
     has_stepped_down: bool = False
     has_serving_primary: bool = False
 
     def __post_init__(self) -> None:
         leading = self.leading
-        if leading is not None and leading.status is not None:
+        status = leading.status if leading is not None else None
+        if status is not None and not self.is_outdated(status):
             self.is_primary_reached = True
-            self.primary_term = leading.status.term
-            self.primary_position = leading.status.received
+            self.primary_position = status.received
+
+    def is_outdated(self, status: UpstreamStatus) -> bool:
+        """Return whether an upstream that leads has been replaced in a later term."""
+        return status.term + 1 < self.term
 
     @property
     def leading(self) -> PromotionParticipant | None:
@@ -100,6 +104,7 @@
             The candidate, or the result of the attempt if none is safe.
         """
         while self.lease.remaining_s > RESUME_ALLOWANCE_S:
+            await self.end_outdated_leads()
             self.admit_replaced()
             await self.update_replicas()
             if self.has_serving_primary:
@@ -107,7 +112,7 @@
             candidate = self.choose()
             if candidate is not None and candidate.leads:
                 # It may have been too busy for the probe that shows it.
-                if await is_serving_primary(self.group, candidate):
+                if await is_serving_primary(self.group, candidate, self.term - 1):
                     return PromotionResult.NOT_NEEDED
                 await self.wait_for_recovery()
                 continue
@@ -186,6 +191,13 @@
                 return participant
         return None
 
+    async def end_outdated_leads(self) -> None:
+        """Make primaries of older terms replicas, which can be paused."""
+        for participant in self.former + self.replicas:
+            status = participant.status
+            if status is not None and participant.leads and self.is_outdated(status):
+                await participant.step_down(self.term)
+
     def admit_replaced(self) -> None:
         """Compare a former primary that is a replica now like the other replicas.
 
@@ -212,7 +224,7 @@
                 self.replicas.append(participant)
                 self.log_changed(participant, "promotion_with_upstream")
                 await participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
-                if await is_serving_primary(self.group, participant):
+                if await is_serving_primary(self.group, participant, self.term - 1):
                     self.has_serving_primary = True
 
     def is_gone(self, member: Member) -> bool:
@@ -290,7 +302,7 @@
 
         An earlier holder of the lease may have promoted a replica that doesn't reply.
         """
-        if self.primary_term + 1 < self.term:
+        if not self.is_primary_reached:
             return False
         return self.all_reply or not any(
             each.is_paused_by_another for each in self.replicas
@@ -305,7 +317,7 @@
                 await participant.connect_directly(LOST_PRIMARY_TIMEOUT_S)
             else:
                 await participant.request_status(STATUS_REQUEST)
-            if await is_serving_primary(self.group, participant):
+            if await is_serving_primary(self.group, participant, self.term - 1):
                 return True
         return False
 
--- a/ebonyrack/promotion/group_change_test.py
+++ b/ebonyrack/promotion/group_change_test.py
@@ -234,6 +234,15 @@
             each.log = [LogPosition(1, 1), LogPosition(2, 2)]
         self.acknowledged.add(LogPosition(2, 2))
 
+    def leave_for_good(self, name):
+        """Let a primary be lost for good, and its entry be removed."""
+        del self.upstreams[name]
+
+    def lead_on(self, name):
+        """Let a replaced primary that hasn't heard of its successor go on."""
+        self.upstreams[name].leads, self.upstreams[name].term = True, 1
+        self.upstreams[name].log = [LogPosition(1, 1), LogPosition(1, 2)]
+
     def skip_reading(self, name):
         """Let the proxy read the entry of an upstream only when its change begins."""
         self.upstreams[name].is_read_late = True
@@ -706,3 +715,14 @@
     assert result is PromotionResult.NOT_NEEDED
     assert model.orders == []
     assert not any(each.paused_term for each in model.upstreams.values())
+
+
+def test_replaced_primary_that_goes_on_holds_up_no_promotion():
+    # It can't be paused like a replica, and its commits would count with one.
+    history = [("lead_next_term", "d"), ("commit", "b"), ("leave_for_good", "d")]
+    model = Model([], history=[*history, ("lead_on", "a")], registers_at_once=True)
+    result = play(model, PrimaryHealth.UNKNOWN, [], is_fenced=False)
+    assert result is PromotionResult.PROMOTED
+    assert model.promoted == ["b"]
+    assert not model.upstreams["a"].leads
+    assert model.lost == []
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -127,13 +127,11 @@
                 *(each.connect_primary(health.is_lost) for each in former),
                 *(each.connect() for each in replicas),
             )
-            for participant in replicas:
-                if await is_serving_primary(self.group, participant):
+            newest_term = self.find_newest_term(participants)
+            asked = participants if health in CLEARED_BY_PROOF else replicas
+            for participant in list(asked):
+                if await is_serving_primary(self.group, participant, newest_term):
                     return PromotionResult.NOT_NEEDED
-            if health in CLEARED_BY_PROOF:
-                for participant in former:
-                    if await is_serving_primary(self.group, participant):
-                        return PromotionResult.NOT_NEEDED
             return await self.promote_candidate(lease, health, former, replicas)
         finally:
             for participant in former + replicas:
@@ -153,14 +151,7 @@
             if isinstance(found, Err):
                 return PromotionResult.NO_SAFE_SUCCESSOR
             awaited = found.ok_value
-        terms = [
-            participant.status.term
-            for participant in former + replicas
-            if participant.status is not None
-        ]
-        # Not the terms of earlier pauses: the new primary leads the next term after
-        # those that an upstream led, and a higher pause would go on below it.
-        newest_term = max([self.group.primary_tracker.confirmed_term, *terms])
+        newest_term = self.find_newest_term(former + replicas)
         search = CandidateSearch(
             self.group,
             lease,
@@ -178,6 +169,15 @@
                 await search.resume()
             raise
 
+    def find_newest_term(self, participants: list[PromotionParticipant]) -> int:
+        """Return the newest term that is known to have been led.
+
+        The terms of pauses don't count: the new primary leads the next term after those
+        that an upstream led, and a higher pause would go on below it.
+        """
+        terms = [each.status.term for each in participants if each.status is not None]
+        return max([self.group.primary_tracker.confirmed_term, *terms])
+
     async def promote_successor(
         self, search: CandidateSearch, awaited: OpenOrder | None
     ) -> PromotionResult:
