--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -151,15 +151,14 @@
             if isinstance(found, Err):
                 return PromotionResult.NO_SAFE_SUCCESSOR
             awaited = found.ok_value
-        newest_term = self.find_newest_term(former + replicas)
         search = CandidateSearch(
             self.group,
             lease,
-            health,
-            newest_term + 1,
+            self.find_newest_term(former + replicas) + 1,
             former,
             replicas,
-            awaited.member_id if awaited is not None else None,
+            health=health,
+            required_id=awaited.member_id if awaited is not None else None,
         )
         self.has_ordered = False
         try:
