--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -185,6 +185,7 @@
         """Read and watch until cancelled."""
         backoff = Backoff(FIRST_BACKOFF_S, MAXIMUM_BACKOFF_S)
         while True:
+            started_s = boot_time_s()
             result = await self.fetch_once()
             if isinstance(result, Err):
                 # The store may drop changes that the failed watch did not deliver. A
@@ -199,6 +200,9 @@
             pause_s = self.options.pause_s
             if self.is_incomplete():
                 pause_s = min(pause_s, INCOMPLETE_PAUSE_S)
+            if not result.ok_value:
+                # Nothing has changed in all that time; a change is not to wait now.
+                pause_s = max(0.0, pause_s - (boot_time_s() - started_s))
             await self.pause(pause_s)
 
     async def pause(self, pause_s: float) -> None:
@@ -208,8 +212,12 @@
         else:
             await asyncio.sleep(pause_s)
 
-    async def fetch_once(self) -> Result[None, StoreError]:
-        """Read all keys once, or make one watch call."""
+    async def fetch_once(self) -> Result[bool, StoreError]:
+        """Read all keys once, or make one watch call.
+
+        Returns:
+            Whether anything was read that may have changed, or why not.
+        """
         found: Result[StoreChanges | None, StoreError]
         options = self.options
         if self.revision == 0 or options.watch_s == 0.0:
@@ -224,10 +232,10 @@
         if changes is None:
             logger.bind(revision=self.revision).warning("store_history_lost")
             self.revision = 0
-            return Ok(None)
+            return Ok(True)
         self.revision = changes.revision
         await self.apply(changes)
-        return Ok(None)
+        return Ok(changes.is_complete or bool(changes.items or changes.deleted))
 
     def record_failure(self, error: StoreError) -> None:
         """Report a failed call; a watch can fail although the store is available."""
--- a/ebonyrack/store/follower_test.py
+++ b/ebonyrack/store/follower_test.py
@@ -3,6 +3,7 @@
 from result import Err
 from result import Ok
 
+from ebonyrack.core.clock import now_s
 from ebonyrack.store.follower import FollowOptions
 from ebonyrack.store.follower import StoreAvailability
 from ebonyrack.store.follower import StoreFollower
@@ -124,3 +125,20 @@
         assert availability.unavailable_since_s is None
         route_store.results = [REFUSED]
         await follow(routes, lambda: availability.unavailable_since_s is not None)
+
+
+async def test_watch_that_ends_without_a_change_is_repeated_at_once():
+    # The pause after it would hold back a change of that moment.
+    class SlowStore(FakeStore):
+        async def watch_prefix(self, prefix, revision, wait_s):
+            self.times_s.append(now_s())
+            await asyncio.sleep(0.3)
+            return Ok(StoreChanges((), (), revision))
+
+    store = SlowStore()
+    store.times_s = []
+    store.results = [Ok(StoreChanges((), (), 7, is_complete=True))]
+    options = FollowOptions("op/", watch_s=0.3, pause_s=0.25)
+    follower, _ = build_follower(store, options, StoreAvailability())
+    await follow(follower, lambda: len(store.times_s) == 3)
+    assert store.times_s[2] - store.times_s[0] < 0.3 + 0.3 + 0.25
