--- a/ebonyrack/placing/promotion_candidate.py
+++ b/ebonyrack/placing/promotion_candidate.py
@@ -5,7 +5,8 @@
 acknowledged commits; the others are paused first, so that they can't acknowledge any
 further ones. A primary that can be reached is made a replica first. All commits that it
 ever acknowledged are in its log then, so a candidate that holds that log is safe,
-whatever the other replicas hold. Every path to a promotion passes `is_safe_candidate`.
+whatever the other replicas hold. Every replica that is ordered has passed
+`is_safe_candidate`; else only the former primary itself is.
 """
 
 from __future__ import annotations
--- a/ebonyrack/promotion/candidate_search.py
+++ b/ebonyrack/promotion/candidate_search.py
@@ -13,6 +13,7 @@
 from ebonyrack.placing.primary_health import PrimaryHealth
 from ebonyrack.placing.promotion_candidate import CommitEvidence
 from ebonyrack.placing.promotion_candidate import choose_candidate
+from ebonyrack.placing.promotion_candidate import choose_successor
 from ebonyrack.placing.promotion_candidate import holds_departed
 from ebonyrack.placing.promotion_candidate import holds_primary_log
 from ebonyrack.placing.promotion_candidate import is_safe_candidate
@@ -133,6 +134,22 @@
             return PromotionResult.NO_SAFE_SUCCESSOR
         return leading
 
+    def find_holder(self) -> PromotionParticipant | None:
+        """Return the best replica that holds the primary's whole log, None without one.
+
+        An earlier order may leave only one upstream that may be promoted.
+        """
+        end = self.primary_position
+        if end is None or not self.is_term_known:
+            return None
+        allowed = [
+            each
+            for each in self.list_states()
+            if self.required_id in (None, each.member_id)
+        ]
+        holder = self.find(choose_successor(allowed, end))
+        return holder if holder is not None and self.holds_all(holder) else None
+
     def choose(self) -> PromotionParticipant | None:
         """Return the replica to be promoted, None without one."""
         return self.find(self.required_id or choose_candidate(self.list_states()))
--- a/ebonyrack/promotion/ended_lead.py
+++ b/ebonyrack/promotion/ended_lead.py
@@ -12,7 +12,6 @@
 from loguru import logger
 from msgspec import Struct
 
-from ebonyrack.placing.promotion_candidate import choose_successor
 from ebonyrack.promotion.candidate_search import CandidateSearch
 from ebonyrack.promotion.entry_refresh import ReadEntries
 from ebonyrack.promotion.participant import PromotionParticipant
@@ -51,7 +50,7 @@
         # It may have left since.
         if candidate in search.replicas and await search.is_safe(candidate):
             return candidate
-        return await self.find_holder()
+        return await self.choose_holder()
 
     async def compare_again(self, candidate: PromotionParticipant) -> None:
         """Update the replicas; commits may have counted with one that has joined."""
@@ -67,18 +66,13 @@
         await search.update_replicas()
         await search.pause_others(candidate)
 
-    async def find_holder(self) -> PromotionParticipant | PromotionResult:
+    async def choose_holder(self) -> PromotionParticipant | PromotionResult:
         """Return an upstream that holds the whole log of the former primary."""
         search = self.search
-        if not search.has_stepped_down or search.primary_position is None:
+        if not search.has_stepped_down:
             return PromotionResult.NO_SAFE_SUCCESSOR
         former_id = self.former.member.member_id
-        allowed = [
-            each
-            for each in search.list_states()
-            if search.required_id in (None, each.member_id)
-        ]
-        holder = search.find(choose_successor(allowed, search.primary_position))
+        holder = search.find_holder()
         if holder is not None and await search.is_safe(holder):
             return holder
         if search.required_id not in (None, former_id):
--- a/ebonyrack/promotion/planned_change.py
+++ b/ebonyrack/promotion/planned_change.py
@@ -15,7 +15,6 @@
 
 from ebonyrack.core.clock import boot_time_s
 from ebonyrack.core.position import LogPosition
-from ebonyrack.placing.promotion_candidate import choose_successor
 from ebonyrack.promotion.candidate_search import CandidateSearch
 from ebonyrack.promotion.participant import PromotionParticipant
 from ebonyrack.promotion.result import PromotionResult
@@ -57,7 +56,7 @@
         final_position = self.search.primary_position
         if final_position is None:
             return PromotionResult.NO_SAFE_SUCCESSOR
-        chosen = await self.wait_for_holder(final_position)
+        chosen = await self.wait_for_holder()
         if chosen is None:
             return self.find_fallback(final_position)
         await self.pause_replicas(chosen)
@@ -71,7 +70,8 @@
                 return False
             # The replicas are asked after the primary, so one that keeps up holds it.
             await self.refresh_replicas()
-            if self.find_holder(status.received) is not None:
+            self.search.primary_position = status.received
+            if self.search.find_holder() is not None:
                 return True
             await asyncio.sleep(RECHECK_PAUSE_S)
             await self.search.update_replicas()
@@ -81,28 +81,16 @@
         self.log_no_successor("no replica keeps up with the primary")
         return False
 
-    async def wait_for_holder(
-        self, final_position: LogPosition
-    ) -> PromotionParticipant | None:
+    async def wait_for_holder(self) -> PromotionParticipant | None:
         """Wait for a replica that holds the whole log of the former primary."""
         deadline_s = boot_time_s() + CATCH_UP_S
         while True:
             await self.refresh_replicas()
-            chosen = self.find_holder(final_position)
+            chosen = self.search.find_holder()
             if chosen is not None or boot_time_s() > deadline_s:
                 return chosen
             await asyncio.sleep(RECHECK_PAUSE_S)
 
-    def find_holder(self, position: LogPosition) -> PromotionParticipant | None:
-        """Return the best replica that holds a position, None without one."""
-        if not self.search.is_term_known:
-            return None
-        states = self.search.list_states()
-        required_id = self.search.required_id
-        if required_id is not None:
-            states = [each for each in states if each.member_id == required_id]
-        return self.search.find(choose_successor(states, position))
-
     def find_fallback(
         self, final_position: LogPosition
     ) -> PromotionParticipant | PromotionResult:
