--- a/ebonyrack/entry/foreign_values_test.py
+++ b/ebonyrack/entry/foreign_values_test.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+from loguru import logger
 
 from ebonyrack.members.presence import PREFIX as PROXIES_PREFIX
 from ebonyrack.standins.line_system import LineCaller
@@ -103,3 +104,20 @@
     document = {**system.document, "version": version + 3}
     async with asyncio.timeout(TIMEOUT_S):
         await system.change_document(document)
+
+
+async def test_foreign_value_is_logged_once_a_change(system):
+    # Each reading logged a traceback.
+    proxy = system.proxies[0].proxy
+    lines = []
+    sink = logger.add(lambda line: lines.append(line.record["message"]))
+    try:
+        await write_foreign_value(system, FOREIGN_VALUES["nested-list"])
+        for _ in range(5):
+            await proxy.directory.read(system.proxies[0].store)
+            await proxy.refresh_proxies()
+    finally:
+        logger.remove(sink)
+    assert lines.count("upstream_entry_unreadable") == 4
+    assert lines.count("proxy_entry_unreadable") == 1
+    assert not [line for line in lines if line == "loop_failed"]
--- a/ebonyrack/members/directory.py
+++ b/ebonyrack/members/directory.py
@@ -128,14 +128,12 @@
             if isinstance(found, Ok):
                 await self.apply_entry(found.ok_value, unchanged_at_s)
                 return
-            reason = found.err_value
-        except Exception as error:
+            logger.bind(key=f"{item.key:.80}", reason=found.err_value).warning(
+                "upstream_entry_unreadable"
+            )
+        except Exception:
             logger.bind(key=f"{item.key:.80}").exception("upstream_entry_not_applied")
-            reason = f"{error!r:.200}"
         self.unreadable[item.key] = item.revision
-        logger.bind(key=f"{item.key:.80}", reason=reason).warning(
-            "upstream_entry_unreadable"
-        )
 
     async def apply_entry(
         self, entry: MemberEntry, unchanged_at_s: float | None
--- a/ebonyrack/members/presence.py
+++ b/ebonyrack/members/presence.py
@@ -46,6 +46,7 @@
         live_names: Names that the store listed last.
         proxies: The live proxies that told an address, this one too, by name.
         departed_at_s: Time at which each recently removed name went missing.
+        unreadable: Hash of each value that can't be used, by name.
         on_change: Called when the live proxies change.
         task: Keeps the name in the store.
     """
@@ -57,6 +58,7 @@
         "live_names",
         "proxies",
         "departed_at_s",
+        "unreadable",
         "on_change",
         "task",
     )
@@ -76,6 +78,7 @@
         if entry is not None:
             self.proxies[name] = entry
         self.departed_at_s: dict[str, float] = {}
+        self.unreadable: dict[str, int] = {}
         self.on_change = on_change
         self.task: asyncio.Task[None] | None = None
 
@@ -113,6 +116,11 @@
         known = self.live_names
         self.live_names = (set() if changes.is_complete else known) | found
         self.live_names -= removed
+        self.unreadable = {
+            name: value
+            for name, value in self.unreadable.items()
+            if name in self.live_names
+        }
         self.record_departed(known - self.live_names)
         self.proxies = self.build_proxies(values)
         if self.live_count != before:
@@ -135,10 +143,21 @@
             entry = decode_entry(name, value)
             if entry is not None and name in self.live_names:
                 proxies[name] = entry
+            self.record_unreadable(name, value, entry is not None)
         if self.entry is not None:
             proxies[self.name] = self.entry
         return proxies
 
+    def record_unreadable(self, name: str, value: bytes, is_readable: bool) -> None:
+        """Log a value that can't be used, once; builds without links have none."""
+        if is_readable or not value:
+            self.unreadable.pop(name, None)
+        elif self.unreadable.get(name) != hash(value):
+            self.unreadable[name] = hash(value)
+            logger.bind(proxy_name=f"{name:.80}", value=repr(value[:40])).warning(
+                "proxy_entry_unreadable"
+            )
+
     def record_departed(self, names: set[str]) -> None:
         """Record missing names, which still count for a while."""
         now = boot_time_s()
--- a/ebonyrack/platform/kv_bodies.py
+++ b/ebonyrack/platform/kv_bodies.py
@@ -93,6 +93,8 @@
 def decode_known_item(item: dict[str, Any], era: StoreEra) -> StoreItem:
     """Decode an item; a malformed one is there, but without a value.
 
+    Its reader logs it as a value that can't be used.
+
     Raises:
         TypeError, LookupError: If it has no key.
     """
@@ -100,7 +102,7 @@
     try:
         return decode_item(item, era)
     except DECODING_ERRORS as error:
-        logger.bind(key=f"{key:.80}", reason=f"{error!r:.200}").warning(
+        logger.bind(key=f"{key:.80}", reason=f"{error!r:.200}").debug(
             "store_item_unreadable"
         )
         return StoreItem(key, b"", 0, 0)
