--- a/ebonyrack/store/follower.py
+++ b/ebonyrack/store/follower.py
@@ -201,7 +201,7 @@
             if self.is_incomplete():
                 pause_s = min(pause_s, INCOMPLETE_PAUSE_S)
             if not result.ok_value:
-                # Nothing has changed in all that time; a change is not to wait now.
+                # The pause is for bursts; a change that comes now is not held back.
                 pause_s = max(0.0, pause_s - (boot_time_s() - started_s))
             await self.pause(pause_s)
 
