--- a/ebonyrack/config/watch_test.py
+++ b/ebonyrack/config/watch_test.py
@@ -9,12 +9,17 @@
 from ebonyrack.config.edit_test import TEXT
 from ebonyrack.config.stored import EMPTY_STORED
 from ebonyrack.config.stored import pack_stored
+from ebonyrack.config.watch import FIRST_BACKOFF_S
 from ebonyrack.config.watch import PROBE_AFTER_FRACTION
 from ebonyrack.core.clock import now_s
+from ebonyrack.core.settings import StoreSettings
 from ebonyrack.peers.member_messages import Heartbeat
 from ebonyrack.standins.control_plane import wait_until
 from ebonyrack.standins.key_value import Node
 
+# A change of the configuration is in force everywhere within this time.
+PROPAGATION_LIMIT_S = 11.0
+
 
 async def apply_edit(plane, old="", new="", edit_id="first"):
     base = plane.state.stored if old else EMPTY_STORED
@@ -210,3 +215,10 @@
         await apply_edit(watcher, "user = booking", "user = new", "second")
     assert Heartbeat in other.hub.handlers
     await fleet.wait_for_revision(2)
+
+
+def test_lost_response_to_a_watch_hides_no_change_past_the_limit():
+    # The store may add a sixteenth to the wait; then the watch is repeated.
+    store = StoreSettings(address="127.0.0.1:8500")
+    hidden_s = store.watch_s * 17 / 16 + 2 * store.timeout_s + FIRST_BACKOFF_S
+    assert hidden_s < PROPAGATION_LIMIT_S
--- a/ebonyrack/placing/promotion_candidate.py
+++ b/ebonyrack/placing/promotion_candidate.py
@@ -107,8 +107,8 @@
 
     It does if it holds the log of the newest primary. Otherwise, every upstream that
     may have received an acknowledged commit must be known to hold no more than the
-    candidate: those that are there by their own words, those that have left by a
-    position that the primary had after that.
+    candidate: those that are there by their status, those that have left by a position
+    that the primary had after that.
 
     Args:
         candidate: The upstream to be promoted.
