--- a/ebonyrack/core/line_stream.py
+++ b/ebonyrack/core/line_stream.py
@@ -10,7 +10,9 @@
 from ebonyrack.core.connection_stream import ConnectionStream
 from ebonyrack.core.socket_options import connect_socket
 
-# Longest line without its line feed; the supported protocols allow no longer messages.
+# What ends a line. A lone carriage return or line feed is part of the line.
+LINE_END = b"\r\n"
+# Longest line without its end; the supported protocols allow no longer messages.
 MAXIMUM_LINE_BYTES = 1024 * 1024
 READ_BUFFER_BYTES = 256 * 1024
 # Size of the send buffer above which writers wait for the other side.
@@ -83,7 +85,7 @@
     @property
     def has_line(self) -> bool:
         """Whether a whole line has arrived that nobody has read."""
-        return self.buffer.find(b"\n", self.searched) >= 0
+        return self.buffer.find(LINE_END, self.searched) >= 0
 
     def pop_line(self) -> bytes | None:
         """Remove and return the next whole line without its end, or return None.
@@ -91,18 +93,19 @@
         Raises:
             LineTooLongError: If the line exceeds the limit.
         """
-        end = self.buffer.find(b"\n", self.searched)
+        end = self.buffer.find(LINE_END, self.searched)
         if end < 0:
-            self.searched = len(self.buffer)
+            # A carriage return in the last place may be half of the line's end.
+            self.searched = len(self.buffer) - self.buffer.endswith(LINE_END[:1])
             if self.searched > MAXIMUM_LINE_BYTES:
                 raise LineTooLongError
             return None
         if end > MAXIMUM_LINE_BYTES:
             raise LineTooLongError
         line = bytes(self.buffer[:end])
-        del self.buffer[: end + 1]
+        del self.buffer[: end + len(LINE_END)]
         self.searched = 0
-        return line.removesuffix(b"\r")
+        return line
 
     async def read_line(self) -> bytes:
         """Wait for the next whole line.
--- a/ebonyrack/platform/caller_codec.py
+++ b/ebonyrack/platform/caller_codec.py
@@ -10,11 +10,11 @@
 
 from ebonyrack.core.errors import ERROR_ANSWERS
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.line_stream import LINE_END
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import LineTooLongError
 from ebonyrack.core.registry import Registry
 from ebonyrack.platform.line_protocol import ERROR_CODES
-from ebonyrack.platform.line_protocol import LINE_END
 from ebonyrack.platform.line_protocol import NO_VALUE
 from ebonyrack.platform.line_protocol import STATE_CODES
 from ebonyrack.requests.codec import CALLER_CODECS
@@ -99,18 +99,18 @@
 
     def encode_answer(self, answer: Answer) -> bytes:
         """Return the response to a request."""
-        parts = [b"DATAROW %b\r\n" % row for row in answer.rows]
+        parts = [b"DATAROW " + row + LINE_END for row in answer.rows]
         if answer.error is not None:
             parts.append(encode_error(answer.error))
         else:
-            parts.append(b"COMPLETE %b\r\n" % (answer.signature or NO_VALUE))
+            parts.append(b"COMPLETE " + (answer.signature or NO_VALUE) + LINE_END)
         parts.append(encode_ready(answer.state))
         return b"".join(parts)
 
 
 def encode_ready(state: TransactionState) -> bytes:
     """Return the end of a response; callers need no position."""
-    return b"READY %b %b\r\n" % (STATE_CODES[state], NO_VALUE)
+    return b"READY %b %b" % (STATE_CODES[state], NO_VALUE) + LINE_END
 
 
 def encode_error(error: RequestError) -> bytes:
@@ -118,8 +118,8 @@
     text = error.reason or ERROR_ANSWERS[error.kind].text
     if error.retry_after_s is not None:
         text = f"{text}; retry after {round(error.retry_after_s * 1000)} ms"
-    plain = text.replace("\r", " ").replace("\n", " ")
-    return b"ERROR %b %b" % (ERROR_CODES[error.kind], plain.encode()) + LINE_END
+    one_line = text.encode("utf-8", "backslashreplace").replace(LINE_END, b" ")
+    return b"ERROR %b %b" % (ERROR_CODES[error.kind], one_line) + LINE_END
 
 
 def parse_statement(request_id: bytes, text: bytes) -> Result[Request, BadRequest]:
--- a/ebonyrack/platform/line_protocol.py
+++ b/ebonyrack/platform/line_protocol.py
@@ -6,7 +6,6 @@
 from ebonyrack.requests.reply import RejectionKind
 from ebonyrack.requests.reply import TransactionState
 
-LINE_END = b"\r\n"
 # Placeholder for a missing id, signature or position.
 NO_VALUE = b"-"
 
--- a/ebonyrack/platform/upstream_codec.py
+++ b/ebonyrack/platform/upstream_codec.py
@@ -10,11 +10,11 @@
 from result import Result
 
 from ebonyrack.core.decoding import parse_integer
+from ebonyrack.core.line_stream import LINE_END
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import LineTooLongError
 from ebonyrack.core.line_stream import StreamLostError
 from ebonyrack.core.position import LogPosition
-from ebonyrack.platform.line_protocol import LINE_END
 from ebonyrack.platform.line_protocol import NO_VALUE
 from ebonyrack.platform.line_protocol import REJECTIONS_BY_CODE
 from ebonyrack.platform.line_protocol import STATES_BY_CODE
@@ -81,7 +81,7 @@
         if request.minimum_position is not None:
             position = request.minimum_position
             text = b"AFTER %d.%d %b" % (position.term, position.offset, text)
-        return b"QUERY %b %b\r\n" % (request.request_id or NO_VALUE, text)
+        return b"QUERY %b %b" % (request.request_id or NO_VALUE, text) + LINE_END
 
     async def read_reply(self, stream: LineStream) -> Reply:
         """Read the reply to the oldest statement that has none.
@@ -114,11 +114,9 @@
             elif word == b"COMPLETE":
                 reply.signature = rest
             elif word == b"ERROR":
-                code, _, detail = rest.partition(b" ")
+                code = rest.partition(b" ")[0]
                 reply.rejection = REJECTIONS_BY_CODE.get(code, RejectionKind.OTHER)
-                reply.detail = f"{code.decode('ascii', 'replace')} " + detail.decode(
-                    "utf-8", "replace"
-                )
+                reply.detail = rest.decode("utf-8", "backslashreplace")
             elif word == b"READY":
                 return read_ready(stream, reply, rest)
             else:
