--- a/ebonyrack/core/line_stream.py
+++ b/ebonyrack/core/line_stream.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import socket
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+from contextlib import asynccontextmanager
 
 from ebonyrack.core.address import Address
 from ebonyrack.core.connection_stream import ConnectionStream
@@ -23,6 +25,10 @@
     """The other side sent a line that exceeds the limit."""
 
 
+class LineIncompleteError(Exception):
+    """The other side did not send the rest of a line in time."""
+
+
 class StreamLostError(Exception):
     """The connection has ended.
 
@@ -107,20 +113,71 @@
         self.searched = 0
         return line
 
-    async def read_line(self) -> bytes:
+    async def read_line(self, rest_limit_s: float | None = None) -> bytes:
         """Wait for the next whole line.
 
+        Args:
+            rest_limit_s: Seconds from the line's first byte to its end, or None for no
+                limit. A line that hasn't begun may take any time.
+
         Raises:
             StreamLostError: If the connection ended before a whole line arrived.
             LineTooLongError: If the line exceeds the limit.
+            LineIncompleteError: If its rest did not arrive in time.
         """
         while True:
             line = self.pop_line()
             if line is not None:
                 return line
-            if self.lost_reason is not None:
-                raise StreamLostError(self.lost_reason)
-            await self.wait_for_bytes()
+            if self.buffer and rest_limit_s is not None:
+                async with limit_line(rest_limit_s):
+                    return await self.read_line()
+            await self.wait_for_more()
+
+    async def skip_line(self, limit_s: float) -> None:
+        """Drop the rest of a line as it arrives, without keeping it.
+
+        Args:
+            limit_s: Seconds until its end must have arrived.
+
+        Raises:
+            StreamLostError: If the connection ended before the end of the line.
+            LineIncompleteError: If the end did not arrive in time.
+        """
+        async with limit_line(limit_s):
+            while (end := self.buffer.find(LINE_END)) < 0:
+                kept_bytes = self.buffer.endswith(LINE_END[:1])
+                del self.buffer[: len(self.buffer) - kept_bytes]
+                await self.wait_for_more()
+        del self.buffer[: end + len(LINE_END)]
+        self.searched = 0
+
+    async def wait_for_more(self) -> None:
+        """Wait until more bytes arrive.
+
+        Raises:
+            StreamLostError: If the connection has ended.
+        """
+        if self.lost_reason is not None:
+            raise StreamLostError(self.lost_reason)
+        await self.wait_for_bytes()
+
+
+@asynccontextmanager
+async def limit_line(limit_s: float) -> AsyncIterator[None]:
+    """Limit the time in which the rest of a line must arrive.
+
+    Args:
+        limit_s: The time in seconds.
+
+    Raises:
+        LineIncompleteError: If it takes longer.
+    """
+    try:
+        async with asyncio.timeout(limit_s):
+            yield
+    except TimeoutError:
+        raise LineIncompleteError from None
 
 
 async def open_line_stream(
--- a/ebonyrack/entry/caller_connection.py
+++ b/ebonyrack/entry/caller_connection.py
@@ -10,6 +10,7 @@
 from ebonyrack.core import metrics
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.line_stream import LineIncompleteError
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import StreamLostError
 from ebonyrack.core.logs import log_failure
@@ -71,7 +72,7 @@
 
     async def start_session(self) -> bool:
         """Open the session; return whether this succeeded."""
-        limit_s = self.services.routes.table.startup_timeout_s
+        limit_s = self.services.routes.table.message_timeout_s
         try:
             async with asyncio.timeout(limit_s):
                 result = await self.codec.read_startup(self.stream)
@@ -79,9 +80,9 @@
             logger.bind(limit_s=limit_s).info("caller_sent_no_startup")
             return False
         if isinstance(result, Err):
-            self.refuse_session(
-                RequestError(ErrorKind.BAD_REQUEST, result.err_value.reason)
-            )
+            rejected = result.err_value
+            self.refuse_session(RequestError(rejected.kind, rejected.reason))
+            await self.skip_rest(rejected)
             return False
         startup = result.ok_value
         try:
@@ -128,10 +129,12 @@
             self.is_waiting = True
             # A version may have come into force while a request was served.
             self.end_if_withdrawn()
-            result = await self.codec.read_request(self.stream)
+            result = await self.codec.read_request(
+                self.stream, self.services.routes.table.message_timeout_s
+            )
             self.is_waiting = False
             if isinstance(result, Err):
-                if not self.reject_malformed(result.err_value):
+                if not await self.reject_unread(result.err_value):
                     return
                 continue
             if result.ok_value is None:
@@ -152,21 +155,37 @@
             return False
         return self.session.state is TransactionState.IDLE
 
-    def reject_malformed(self, malformed: BadRequest) -> bool:
-        """Answer a malformed request; return whether the session continues."""
+    async def reject_unread(self, rejected: BadRequest) -> bool:
+        """Answer a request that can't be parsed; return whether the session goes on."""
         assert self.session is not None
-        kind = (
-            ErrorKind.REQUEST_TOO_LARGE
-            if malformed.ends_session
-            else ErrorKind.BAD_REQUEST
+        error = RequestError(rejected.kind, rejected.reason)
+        log_failure(
+            "request_not_understood",
+            request=rejected.request_id.decode("ascii", "backslashreplace"),
+            caller=self.stream.peer,
+            error=str(error.kind),
+            reason=error.reason,
         )
-        answer = Answer(self.session.state, error=RequestError(kind, malformed.reason))
-        logger.bind(
-            request=malformed.request_id.decode("ascii", "replace"),
-            reason=malformed.reason,
-        ).info("request_not_understood")
+        answer = Answer(self.session.state, error=error)
         self.stream.write(self.codec.encode_answer(answer))
-        return not malformed.ends_session
+        return await self.skip_rest(rejected) and not rejected.ends_session
+
+    async def skip_rest(self, rejected: BadRequest) -> bool:
+        """Skip the rest of a rejected message; return whether its end was found.
+
+        A connection that is closed before would be reset, and the answer lost.
+        """
+        if not rejected.has_rest:
+            return True
+        limit_s = self.services.routes.table.message_timeout_s
+        try:
+            await self.stream.skip_line(limit_s)
+        except LineIncompleteError:
+            log_failure(
+                "caller_sent_no_message_end", caller=self.stream.peer, limit_s=limit_s
+            )
+            return False
+        return True
 
     def close_when_idle(self) -> None:
         """End the session once no transaction is open, at once if it is idle."""
--- a/ebonyrack/entry/message_end_test.py
+++ b/ebonyrack/entry/message_end_test.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from ebonyrack.core.line_stream import MAXIMUM_LINE_BYTES
 from ebonyrack.standins.line_messages import encode_message
 from ebonyrack.standins.line_system import LineCaller
 from ebonyrack.standins.line_system import build_document
@@ -244,3 +245,114 @@
     assert list_runs(system) == [
         (str(number), text) for number, text in enumerate(texts)
     ]
+
+
+async def send_endless(caller, data):
+    """Send bytes without an end for as long as the proxy reads them."""
+    while not caller.writer.is_closing():
+        caller.writer.write(data)
+        await caller.writer.drain()
+        await asyncio.sleep(0.01)
+
+
+def get_connection(system):
+    """Return the proxy's only connection to a caller."""
+    (connection,) = system.proxies[0].proxy.listener.connections.values()
+    return connection
+
+
+@pytest.mark.parametrize("ends", ["", "T"])
+@pytest.mark.parametrize("size", [1, MAXIMUM_LINE_BYTES])
+async def test_message_over_the_limit_leaves_the_session_in_step(
+    system, connect, size, ends
+):
+    # Before, the connection was closed with bytes unread, which resets it: callers
+    # lost the answer, or their transaction.
+    caller = await connect("booking")
+    if ends:
+        await caller.execute("BEGIN")
+        await caller.execute("WRITE 1a4 data")
+    head = b"QUERY 5c WRITE 1a5 \n"
+    data = b"y" * (MAXIMUM_LINE_BYTES + size - len(head))
+    reply = await caller.send_line(head + data + b"\r\n")
+    assert reply[0].startswith("ERROR TOOLARGE")
+    assert reply[1:] == [f"READY {ends or 'I'} -"]
+    await check_in_step(caller, state=ends or "I")
+    if ends:
+        assert (await caller.execute("COMMIT"))[0].startswith("COMPLETE sig")
+        assert (await caller.execute("READ 1a4"))[0] == "DATAROW data"
+    assert all("1a5" not in text for _, text in list_runs(system))
+
+
+async def test_largest_message_is_served(system, connect):
+    caller = await connect("booking")
+    head = "WRITE 1a4 \n"
+    data = "y" * (MAXIMUM_LINE_BYTES - len(head) - len("QUERY 5c "))
+    reply = await caller.send_line(encode_message(f"QUERY 5c {head}{data}"))
+    assert reply[0].startswith("COMPLETE sig")
+    assert list_runs(system) == [("5c", head + data)]
+
+
+async def test_message_over_the_limit_is_answered_before_its_end(system, connect):
+    caller = await connect("booking")
+    caller.writer.write(b"QUERY 5c WRITE 1a4 " + b"\r" * (MAXIMUM_LINE_BYTES + 1))
+    async with asyncio.timeout(1.0):
+        reply = await caller.read_reply()
+    assert reply[0].startswith("ERROR TOOLARGE")
+    for piece in (b"x\n", b"\n" * 10, b"\r", b"\n"):
+        caller.writer.write(piece)
+        await asyncio.sleep(0.02)
+    await check_in_step(caller)
+
+
+async def test_message_without_an_end_takes_bounded_memory_and_time(system, connect):
+    document = build_document(2)
+    document["limits"]["headerTimeoutMs"] = 700
+    await system.change_document(document)
+    caller = await connect("booking")
+    sending = asyncio.create_task(send_endless(caller, b"x" * 65536))
+    async with asyncio.timeout(3.0):
+        reply = await caller.read_reply()
+        assert reply[0].startswith("ERROR TOOLARGE")
+        stream = get_connection(system).stream
+        while system.proxies[0].proxy.listener.connections:
+            assert len(stream.buffer) <= MAXIMUM_LINE_BYTES + 512 * 1024
+            await asyncio.sleep(0.01)
+    sending.cancel()
+    await asyncio.gather(sending, return_exceptions=True)
+
+
+@pytest.mark.parametrize("start", [b"QUERY 5c WRITE 1a4 data\n", b"\r", b"Q"])
+async def test_caller_that_owes_the_rest_of_a_message_is_not_awaited(
+    system, connect, start
+):
+    # Before, a session waited for the rest of a message without a limit.
+    document = build_document(2)
+    document["limits"]["headerTimeoutMs"] = 300
+    await system.change_document(document)
+    caller = await connect("booking")
+    caller.writer.write(start)
+    async with asyncio.timeout(2.0):
+        reply = await caller.read_reply()
+        assert reply[0].startswith("ERROR MALFORMED")
+        assert await caller.read_reply() == []
+    assert list_runs(system) == []
+
+
+async def test_session_that_is_idle_between_messages_is_kept(system, connect):
+    document = build_document(2)
+    document["limits"]["headerTimeoutMs"] = 200
+    await system.change_document(document)
+    caller = await connect("booking")
+    await check_in_step(caller)
+    await asyncio.sleep(0.6)
+    await check_in_step(caller)
+
+
+async def test_startup_over_the_limit_is_rejected_with_an_error(system, connect):
+    address = system.proxies[0].proxy.settings.caller_address
+    async with LineCaller(address, "b" * (MAXIMUM_LINE_BYTES + 1)) as caller:
+        assert caller.startup_reply.startswith("ERROR TOOLARGE")
+        assert await caller.read_reply() == []
+    async with LineCaller(address, "booking") as caller:
+        await check_in_step(caller)
--- a/ebonyrack/platform/caller_codec.py
+++ b/ebonyrack/platform/caller_codec.py
@@ -9,8 +9,11 @@
 from result import Result
 
 from ebonyrack.core.errors import ERROR_ANSWERS
+from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.line_stream import LINE_END
+from ebonyrack.core.line_stream import MAXIMUM_LINE_BYTES
+from ebonyrack.core.line_stream import LineIncompleteError
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.line_stream import LineTooLongError
 from ebonyrack.core.registry import Registry
@@ -36,6 +39,8 @@
 # Number of fields in a line of the protocol; the last field may contain spaces.
 STARTUP_FIELDS = 3
 QUERY_FIELDS = 3
+# Start of a rejected message in which its ID is looked for.
+MAXIMUM_LOGGED_BYTES = 256
 
 
 @CALLER_CODECS.register("lines")
@@ -59,18 +64,19 @@
         try:
             fields = (await stream.read_line()).split(b" ", STARTUP_FIELDS - 1)
         except LineTooLongError:
-            return Err(BadRequest(NO_VALUE, "the message is too long", True))
+            return Err(reject_long_message(stream))
         if len(fields) != STARTUP_FIELDS or fields[0] != b"STARTUP" or not fields[1]:
-            return Err(BadRequest(NO_VALUE, "not a startup message", True))
+            return Err(BadRequest(NO_VALUE, "not a startup message"))
         return Ok(Startup(fields[1], digest_key(fields[2])))
 
     async def read_request(
-        self, stream: LineStream
+        self, stream: LineStream, rest_limit_s: float
     ) -> Result[Request | None, BadRequest]:
         """Read the next request.
 
         Args:
             stream: The caller's connection.
+            rest_limit_s: Seconds from the first byte of a request to its last.
 
         Returns:
             The request, None at the end of the session, or why it is invalid.
@@ -79,9 +85,12 @@
             StreamLostError: If the caller has disconnected.
         """
         try:
-            line = await stream.read_line()
+            line = await stream.read_line(rest_limit_s)
         except LineTooLongError:
-            return Err(BadRequest(NO_VALUE, "the message is too long", True))
+            return Err(reject_long_message(stream))
+        except LineIncompleteError:
+            reason = f"the message did not end within {rest_limit_s:g} s"
+            return Err(BadRequest(read_id(stream), reason, ends_session=True))
         if line == b"TERMINATE":
             return Ok(None)
         fields = line.split(b" ", QUERY_FIELDS - 1)
@@ -108,6 +117,21 @@
         return b"".join(parts)
 
 
+def reject_long_message(stream: LineStream) -> BadRequest:
+    """Return the rejection of a message whose end is not looked for."""
+    reason = f"the message is longer than {MAXIMUM_LINE_BYTES} bytes"
+    return BadRequest(
+        read_id(stream), reason, ErrorKind.REQUEST_TOO_LARGE, has_rest=True
+    )
+
+
+def read_id(stream: LineStream) -> bytes:
+    """Return the ID of a request that has not arrived as a whole, for logs."""
+    start = bytes(stream.buffer[:MAXIMUM_LOGGED_BYTES])
+    fields = start.split(b" ", QUERY_FIELDS - 1)
+    return fields[1] if len(fields) == QUERY_FIELDS else NO_VALUE
+
+
 def encode_ready(state: TransactionState) -> bytes:
     """Return the end of a response; callers need no position."""
     return b"READY %b %b" % (STATE_CODES[state], NO_VALUE) + LINE_END
--- a/ebonyrack/platform/route_document.py
+++ b/ebonyrack/platform/route_document.py
@@ -57,7 +57,7 @@
                 account_names=account_names,
                 requires_accounts=requires_accounts,
                 transaction_idle_s=read_duration(limits["txIdleMs"]),
-                startup_timeout_s=read_duration(limits["headerTimeoutMs"]),
+                message_timeout_s=read_duration(limits["headerTimeoutMs"]),
             )
         )
     except (InvalidDocumentError, LookupError, TypeError, AttributeError) as error:
--- a/ebonyrack/requests/codec.py
+++ b/ebonyrack/requests/codec.py
@@ -8,6 +8,7 @@
 
 from result import Result
 
+from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
 from ebonyrack.core.line_stream import LineStream
 from ebonyrack.core.registry import Registry
@@ -19,16 +20,20 @@
 
 @dataclass(frozen=True, slots=True)
 class BadRequest:
-    """A request that can't be parsed.
+    """A message that is rejected unread; nothing of it has run.
 
     Attributes:
         request_id: The caller's id of the request, if it could be read.
         reason: What is wrong with it.
+        kind: Kind of the error that the caller gets.
+        has_rest: Whether its rest is still to arrive and must be skipped.
         ends_session: Whether the rest of the stream can't be parsed either.
     """
 
     request_id: bytes
     reason: str
+    kind: ErrorKind = ErrorKind.BAD_REQUEST
+    has_rest: bool = False
     ends_session: bool = False
 
 
@@ -52,9 +57,14 @@
         """Read the first message of a caller."""
 
     async def read_request(
-        self, stream: LineStream
+        self, stream: LineStream, rest_limit_s: float
     ) -> Result[Request | None, BadRequest]:
-        """Read the next request; None at the end of the session."""
+        """Read the next request; None at the end of the session.
+
+        Args:
+            stream: The caller's connection.
+            rest_limit_s: Seconds from the first byte of a request to its last.
+        """
 
     def encode_started(self) -> bytes:
         """Return the answer that confirms an opened session."""
--- a/ebonyrack/routes/route.py
+++ b/ebonyrack/routes/route.py
@@ -72,7 +72,8 @@
         requires_accounts: Whether the operators' document has client accounts.
         transaction_idle_s: Idle time after which a transaction may be ended, in
             seconds.
-        startup_timeout_s: Time limit for the first message of a caller, in seconds.
+        message_timeout_s: Time limit for the first message of a caller, and for the
+            rest of a later one that has begun to arrive, in seconds.
     """
 
     version: int
@@ -82,7 +83,7 @@
     account_names: dict[bytes, str] = field(default_factory=dict, repr=False)
     requires_accounts: bool = False
     transaction_idle_s: float = 3.0
-    startup_timeout_s: float = 3.0
+    message_timeout_s: float = 3.0
 
     def find_account(self, key_digest: bytes) -> ClientAccount | None:
         """Return the account that holds a key, or None.
