--- a/ebonyrack/entry/caller_connection.py
+++ b/ebonyrack/entry/caller_connection.py
@@ -168,6 +168,7 @@
         )
         answer = Answer(self.session.state, error=error)
         self.stream.write(self.codec.encode_answer(answer))
+        await self.stream.drain()
         return await self.skip_rest(rejected) and not rejected.ends_session
 
     async def skip_rest(self, rejected: BadRequest) -> bool:
--- a/ebonyrack/entry/message_end_test.py
+++ b/ebonyrack/entry/message_end_test.py
@@ -356,3 +356,21 @@
         assert await caller.read_reply() == []
     async with LineCaller(address, "booking") as caller:
         await check_in_step(caller)
+
+
+async def test_answers_to_malformed_messages_wait_for_a_caller_that_reads_nothing(
+    system, connect
+):
+    # Before, the answers to messages that can't be parsed piled up in the proxy.
+    caller = await connect("booking")
+    stream = get_connection(system).stream
+    stream.pause_writing()
+    caller.writer.write(b"nonsense\r\n" * 3)
+    await caller.read_reply()
+    second = asyncio.create_task(caller.read_reply())
+    await asyncio.sleep(0.2)
+    assert not second.done()
+    stream.resume_writing()
+    assert (await second)[0].startswith("ERROR MALFORMED")
+    assert (await caller.read_reply())[0].startswith("ERROR MALFORMED")
+    await check_in_step(caller)
