--- a/ebonyrack/entry/message_end_test.py
+++ b/ebonyrack/entry/message_end_test.py
@@ -374,3 +374,50 @@
     assert (await second)[0].startswith("ERROR MALFORMED")
     assert (await caller.read_reply())[0].startswith("ERROR MALFORMED")
     await check_in_step(caller)
+
+
+@pytest.mark.parametrize(
+    "texts",
+    [
+        ["PREPARE s WRITE {}"],
+        ["PREPARE s READ q", "EXECUTE s {}"],
+        ["PREPARE s WRITE q", "EXECUTE s 1a4 {}"],
+        ["READ {}"],
+        ["BEGIN READ", "READ {}"],
+    ],
+)
+@pytest.mark.parametrize("spare", [0, 60, 200])
+async def test_message_that_grows_on_its_way_is_served_or_rejected_unrun(
+    system, connect, texts, spare
+):
+    # What the proxy adds (a position, its own name of a prepared statement) took the
+    # message past the limit: the upstream closed the connection, again and again.
+    caller = await connect("confirmation")
+    await caller.execute("WRITE 1a3 data")
+    *first, last = texts
+    for text in first:
+        assert (await caller.execute(text))[0].startswith("COMPLETE")
+    padding = MAXIMUM_LINE_BYTES - spare - len("QUERY 5c ") - len(last) + len("{}")
+    reply = await caller.send_line(
+        encode_message("QUERY 5c " + last.format("y" * padding))
+    )
+    assert reply[0].startswith("ERROR TOOLARGE") or reply[-2].startswith("COMPLETE")
+    if spare == 200:
+        assert reply[-2].startswith("COMPLETE")
+    elif last.startswith("PREPARE") and reply[0] == "COMPLETE -":
+        assert (await caller.execute("EXECUTE s 1a4 x"))[0].startswith("COMPLETE sig")
+    assert all(upstream.connections < 20 for upstream in system.upstreams.values())
+    if "BEGIN READ" in texts:
+        assert (await caller.execute("COMMIT"))[0].startswith("COMPLETE")
+    await check_in_step(caller)
+
+
+async def test_error_of_an_upstream_fits_one_message(system, connect):
+    caller = await connect("booking")
+    text = "\n" * (MAXIMUM_LINE_BYTES - 20)
+    for upstream in system.upstreams.values():
+        upstream.faults.rejections.append(f"FAILED {text}")
+    await caller.execute("BEGIN")
+    reply = await caller.execute("WRITE 1a4 data")
+    assert reply[0].startswith("ERROR ") and len(reply[0]) <= MAXIMUM_LINE_BYTES
+    assert reply[1] == "READY E -"
--- a/ebonyrack/platform/caller_codec.py
+++ b/ebonyrack/platform/caller_codec.py
@@ -39,6 +39,10 @@
 # Number of fields in a line of the protocol; the last field may contain spaces.
 STARTUP_FIELDS = 3
 QUERY_FIELDS = 3
+# Kinds of requests to which a proxy adds the position that the upstream must hold, or
+# its own name of a prepared statement; and their longest message.
+GROWING_KINDS = frozenset({RequestKind.READ, RequestKind.PREPARE, RequestKind.EXECUTE})
+LONGEST_GROWING_BYTES = MAXIMUM_LINE_BYTES - 96
 # Start of a rejected message in which its ID is looked for.
 MAXIMUM_LOGGED_BYTES = 256
 
@@ -96,7 +100,11 @@
         fields = line.split(b" ", QUERY_FIELDS - 1)
         if len(fields) != QUERY_FIELDS or fields[0] != b"QUERY" or not fields[1]:
             return Err(BadRequest(NO_VALUE, "not a query message"))
-        return parse_statement(fields[1], fields[2])
+        request = parse_statement(fields[1], fields[2])
+        if isinstance(request, Ok) and has_no_room(request.ok_value, line):
+            reason = f"the message is longer than {LONGEST_GROWING_BYTES} bytes"
+            return Err(BadRequest(fields[1], reason, ErrorKind.REQUEST_TOO_LARGE))
+        return request
 
     def encode_started(self) -> bytes:
         """Return the response to a session that was opened."""
@@ -117,6 +125,11 @@
         return b"".join(parts)
 
 
+def has_no_room(request: Request, line: bytes) -> bool:
+    """Return whether a message is too long to be sent on with what a proxy adds."""
+    return len(line) > LONGEST_GROWING_BYTES and request.kind in GROWING_KINDS
+
+
 def reject_long_message(stream: LineStream) -> BadRequest:
     """Return the rejection of a message whose end is not looked for."""
     reason = f"the message is longer than {MAXIMUM_LINE_BYTES} bytes"
@@ -143,7 +156,8 @@
     if error.retry_after_s is not None:
         text = f"{text}; retry after {round(error.retry_after_s * 1000)} ms"
     one_line = text.encode("utf-8", "backslashreplace").replace(LINE_END, b" ")
-    return b"ERROR %b %b" % (ERROR_CODES[error.kind], one_line) + LINE_END
+    line = b"ERROR %b %b" % (ERROR_CODES[error.kind], one_line)
+    return line[:MAXIMUM_LINE_BYTES] + LINE_END
 
 
 def parse_statement(request_id: bytes, text: bytes) -> Result[Request, BadRequest]:
