--- a/ebonyrack/members/link.py
+++ b/ebonyrack/members/link.py
@@ -93,10 +93,11 @@
 
     @property
     def is_clean(self) -> bool:
-        """Whether it is open and idle, with no reply outstanding."""
+        """Whether it is open and idle, with no reply outstanding or unasked for."""
         return (
             self.is_open
             and self.outstanding_replies == 0
+            and not self.stream.buffer
             and self.state is TransactionState.IDLE
         )
 
@@ -138,6 +139,9 @@
         replies: list[Reply] = []
         try:
             data = b"".join(self.codec.encode_request(request) for request in requests)
+            if self.outstanding_replies == 0 and self.stream.buffer:
+                # It would be taken for the reply to the first request.
+                self.stream.abort("the upstream sent a reply that was not asked for")
             self.stream.write(data)
             self.outstanding_replies += len(requests)
             async with asyncio.timeout(timeout_s):
@@ -197,8 +201,17 @@
         return self.codec.read_status(reply)
 
     async def read_reply(self) -> Reply:
-        """Wait for the reply to the oldest unanswered request."""
+        """Wait for the reply to the oldest unanswered request.
+
+        Raises:
+            StreamLostError: If the connection ended before a whole reply arrived, or
+                the reply has no outcome.
+        """
         reply = await self.codec.read_reply(self.stream)
+        if not reply.signature and reply.rejection is None:
+            reason = "the upstream ended a reply without an outcome"
+            self.stream.abort(reason)
+            raise StreamLostError(reason)
         self.outstanding_replies -= 1
         self.state = reply.state
         self.liveness.record_reply()
--- a/ebonyrack/standins/line_upstream.py
+++ b/ebonyrack/standins/line_upstream.py
@@ -41,6 +41,8 @@
         rejections: Error codes with which the next statements with an ID are rejected.
         delay_s: Delay before each statement with an ID runs, in seconds.
         signature_end: Text that it adds to its signatures.
+        replies: Messages with which it answers the next statements with an ID instead
+            of its own reply, after they have run.
         is_full: Whether it rejects further connections.
         maximum_connections: Connections that it accepts in total, or None for any
             number.
@@ -52,6 +54,7 @@
     rejections: list[str] = field(default_factory=list)
     delay_s: float = 0.0
     signature_end: str = ""
+    replies: list[list[str]] = field(default_factory=list)
     is_full: bool = False
     maximum_connections: int | None = None
 
@@ -181,6 +184,10 @@
             if request_id != "-" and self.faults.suppress_answers > 0:
                 self.faults.suppress_answers -= 1
                 continue
+            if request_id != "-" and self.faults.replies:
+                messages = map(encode_message, self.faults.replies.pop(0))
+                writer.write(b"".join(messages))
+                continue
             writer.write(reply + self.render_ready(session))
             await writer.drain()
 
