--- a/ebonyrack/platform/upstream_codec.py
+++ b/ebonyrack/platform/upstream_codec.py
@@ -29,6 +29,7 @@
 APPLICATION_NAME = "ebonyrack"
 STATUS_FIELDS = 7
 MS_PER_S = 1000.0
+IS_PRIMARY_BY_ROLE = {b"primary": True, b"replica": False}
 
 Render = Callable[[Request], bytes]
 
@@ -135,14 +136,14 @@
         """
         if reply.rejection is not None or len(reply.rows) != 1:
             return Err(reply.detail or "no status was received")
-        fields = reply.rows[0].split()
+        fields = reply.rows[0].split(b" ")
         if len(fields) != STATUS_FIELDS:
             return Err(f"invalid status: {reply.rows[0][:80]!r}")
         try:
             role, term, received, paused_term, lag_ms, busy, connections = fields
             return Ok(
                 UpstreamStatus(
-                    is_primary=role == b"primary",
+                    is_primary=read_role(role),
                     term=read_number(term),
                     received=parse_position(received),
                     paused_term=read_number(paused_term),
@@ -199,13 +200,25 @@
     return number
 
 
+def read_role(word: bytes) -> bool:
+    """Return whether an upstream sees itself as the primary.
+
+    Raises:
+        ValueError: If the word is no role.
+    """
+    if word not in IS_PRIMARY_BY_ROLE:
+        raise ValueError(f"not a role: {word[:40]!r}")
+    return IS_PRIMARY_BY_ROLE[word]
+
+
 def read_lag(text: bytes) -> float:
     """Return a lag in milliseconds as seconds.
 
     Raises:
         ValueError: If it is no finite number.
     """
-    lag_ms = float(text)
+    # Python skips white space around a number, which is no part of it here.
+    lag_ms = float(text) if text == text.strip() else math.nan
     if not math.isfinite(lag_ms):
         raise ValueError(f"not a lag: {text[:40]!r}")
     return lag_ms / MS_PER_S
--- a/ebonyrack/platform/upstream_codec_test.py
+++ b/ebonyrack/platform/upstream_codec_test.py
@@ -90,3 +90,20 @@
 @pytest.mark.parametrize("row", [b"replica 3", b"replica x 3.1 0 0 0 0", b""])
 def test_malformed_status_is_rejected(row):
     assert isinstance(CODEC.read_status(Reply(rows=[row])), Err)
+
+
+STATUS = b"replica 3 3.1209 0 12 2 17"
+
+
+@pytest.mark.parametrize("byte", [b"\n", b"\r", b"\t", b"\x0b", b"\x0c", b"\x85", b" "])
+@pytest.mark.parametrize("place", range(len(STATUS) + 1))
+def test_status_with_other_characters_than_its_own_is_rejected(place, byte):
+    # Fields were split at any white space, and another role was taken for a replica.
+    row = STATUS[:place] + byte + STATUS[place:]
+    assert isinstance(CODEC.read_status(Reply(rows=[row])), Err)
+
+
+@pytest.mark.parametrize("role", [b"", b"Primary", b"primary\n", b"standby"])
+def test_status_with_an_unknown_role_is_rejected(role):
+    row = role + b" 3 3.1209 0 12 2 17"
+    assert isinstance(CODEC.read_status(Reply(rows=[row])), Err)
