--- a/ebonyrack/handover/home.py
+++ b/ebonyrack/handover/home.py
@@ -20,6 +20,7 @@
 from ebonyrack.core.position import LogPosition
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
+from ebonyrack.handover.question import is_one_message
 from ebonyrack.handover.row_parts import RowParts
 from ebonyrack.handover.statement_messages import EndHandedTransaction
 from ebonyrack.handover.statement_messages import FetchRows
@@ -165,6 +166,8 @@
         """Return why nothing of a statement is run here, or an empty text."""
         if question.kind not in HANDED_KINDS:
             return f"{question.kind} is not handed over"
+        if not is_one_message(question):
+            return "more than one message"
         if work is not None:
             is_valid = not (work.is_busy or work.is_ended or question.begins)
             return "" if is_valid else "the transaction is in use"
--- a/ebonyrack/handover/question.py
+++ b/ebonyrack/handover/question.py
@@ -6,6 +6,7 @@
 
 from ebonyrack.core.errors import ErrorKind
 from ebonyrack.core.errors import RequestError
+from ebonyrack.core.line_stream import LINE_END
 from ebonyrack.core.position import LogPosition
 from ebonyrack.handover.asking import NoAnswer
 from ebonyrack.handover.statement_messages import HandedAnswer
@@ -78,6 +79,21 @@
     )
 
 
+def is_one_message(question: HandedStatement) -> bool:
+    """Return whether each field fits its place in one message to an upstream.
+
+    Another version of the proxy may have split or checked the caller's message in
+    another way.
+    """
+    names = [question.request_id or b"", question.name, *question.values]
+    texts = [question.text, question.argument, question.prepared_text or b""]
+    texts += question.values.values()
+    return not (
+        any(b" " in name or LINE_END in name for name in names)
+        or any(LINE_END in text for text in texts)
+    )
+
+
 def measure_question(question: HandedStatement) -> int:
     """Return the bytes of the parts of a question that callers choose."""
     values = sum(len(key) + len(value) for key, value in question.values.items())
