--- a/ebonyrack/handover/home.py
+++ b/ebonyrack/handover/home.py
@@ -278,7 +278,7 @@
 
 def read_log_id(question: HandedStatement) -> str:
     """Return the caller's id of a handed statement, for logs."""
-    return (question.request_id or b"-").decode("ascii", "replace")
+    return (question.request_id or b"-").decode("ascii", "backslashreplace")
 
 
 async def serve(session: Session, question: HandedStatement) -> Answer:
--- a/ebonyrack/platform/caller_codec_test.py
+++ b/ebonyrack/platform/caller_codec_test.py
@@ -134,3 +134,10 @@
         ErrorKind.CANCELLED,
     }
     assert set(ERROR_CODES) == set(ErrorKind) - not_raised_by_sessions
+
+
+def test_requests_with_different_ids_differ_in_the_log():
+    # Bytes that are not ASCII were all logged as one replacement character.
+    ids = [b"a\x85", b"a\xff", b"a\xc3\xa4", b"a\n", b"a"]
+    requests = [parse_statement(each, b"READ x").ok_value for each in ids]
+    assert len({request.log_id for request in requests}) == len(ids)
--- a/ebonyrack/requests/request.py
+++ b/ebonyrack/requests/request.py
@@ -55,7 +55,7 @@
     @property
     def log_id(self) -> str:
         """The caller's id, for logs."""
-        return (self.request_id or b"-").decode("ascii", "replace")
+        return (self.request_id or b"-").decode("ascii", "backslashreplace")
 
     def with_position(self, position: LogPosition | None) -> Request:
         """Return the same request with a position that the log must hold."""
