--- a/ebonyrack/core/line_stream.py
+++ b/ebonyrack/core/line_stream.py
@@ -88,11 +88,6 @@
         name = self.transport.get_extra_info("peername")
         return f"{name[0]}:{name[1]}" if name else ""
 
-    @property
-    def has_line(self) -> bool:
-        """Whether a whole line has arrived that nobody has read."""
-        return self.buffer.find(LINE_END, self.searched) >= 0
-
     def pop_line(self) -> bytes | None:
         """Remove and return the next whole line without its end, or return None.
 
--- a/ebonyrack/entry/caller_connection.py
+++ b/ebonyrack/entry/caller_connection.py
@@ -196,9 +196,9 @@
     def end_if_idle(self) -> bool:
         """End the session if idle outside a transaction; return whether it was idle.
 
-        A request that has arrived and waits to be read is still answered.
+        A request that has arrived, or has begun to, is still answered.
         """
-        if self.session is None or not self.is_waiting or self.stream.has_line:
+        if self.session is None or not self.is_waiting or self.stream.buffer:
             return False
         if self.session.state is not TransactionState.IDLE:
             return False
--- a/ebonyrack/entry/message_end_test.py
+++ b/ebonyrack/entry/message_end_test.py
@@ -484,3 +484,20 @@
         assert reply[0].startswith("ERROR ABORTED") and reply[1] == "READY E -"
         assert (await caller.execute("ROLLBACK")) == ["COMPLETE -", "READY I -"]
     await check_in_step(caller)
+
+
+@pytest.mark.parametrize("cut", [1, 30, -2, -1])
+async def test_shutdown_answers_a_message_whose_rest_is_on_its_way(
+    system, connect, cut
+):
+    # Before, a session was idle until the last byte of a message had arrived.
+    caller = await connect("booking")
+    message = encode_message("QUERY 5c WRITE 1a4 first\nsecond\r")
+    caller.writer.write(message[:cut])
+    await asyncio.sleep(0.05)
+    get_connection(system).close_when_idle()
+    await asyncio.sleep(0.05)
+    caller.writer.write(message[cut:])
+    reply = await caller.read_reply()
+    assert reply[0].startswith("COMPLETE sig") and reply[1] == "READY I -"
+    assert await caller.read_reply() == []
