--- a/ebonyrack/config/text.py
+++ b/ebonyrack/config/text.py
@@ -6,6 +6,8 @@
 import hashlib
 import re
 
+from ebonyrack.core.text_file import list_lines
+
 HEADER = re.compile(r"^\[(?P<title>[^\]\n]+)\]", re.MULTILINE)
 PREAMBLE = ""
 DIGEST_BYTES = 8
@@ -103,8 +105,8 @@
         The diff.
     """
     lines = difflib.unified_diff(
-        ours.splitlines(keepends=True),
-        theirs.splitlines(keepends=True),
+        list_lines(ours),
+        list_lines(theirs),
         f"yours [{title}]",
         f"in force [{title}]",
     )
--- a/ebonyrack/load/decision_log.py
+++ b/ebonyrack/load/decision_log.py
@@ -9,6 +9,9 @@
 from pathlib import Path
 from typing import Any
 
+from ebonyrack.core.text_file import read_text
+from ebonyrack.core.text_file import split_lines
+
 
 def read_events(
     logs: tuple[Path, ...], events: Collection[str]
@@ -22,7 +25,7 @@
     # A file may also contain lines that are not JSON, such as those of a traceback.
     patterns = [f'"event": "{event}"' for event in events]
     for path in logs:
-        for text in path.read_text(encoding="utf-8").splitlines():
+        for text in split_lines(read_text(path)):
             if any(pattern in text for pattern in patterns):
                 yield json.loads(text)
 
--- a/ebonyrack/load/results.py
+++ b/ebonyrack/load/results.py
@@ -10,6 +10,9 @@
 from pathlib import Path
 from typing import Any
 
+from ebonyrack.core.text_file import read_text
+from ebonyrack.core.text_file import split_lines
+
 Row = dict[str, Any]
 
 
@@ -39,7 +42,7 @@
 
 def read_results(path: Path) -> tuple[Row, list[Row]]:
     """Read the header and the rows of a result file."""
-    lines = path.read_text(encoding="utf-8").splitlines()
+    lines = split_lines(read_text(path))
     header, *rows = (json.loads(line) for line in lines)
     return header, rows
 
--- a/ebonyrack/ops/base_file.py
+++ b/ebonyrack/ops/base_file.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from ebonyrack.config.stored import StoredDocument
+from ebonyrack.core import text_file
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
 
@@ -25,7 +26,7 @@
         CommandError: If the file can't be read.
     """
     try:
-        return path.read_text(encoding="utf-8")
+        return text_file.read_text(path)
     except (OSError, UnicodeDecodeError) as error:
         raise CommandError(ExitStatus.USAGE, f"{path}: {error}") from error
 
--- a/ebonyrack/ops/timeline.py
+++ b/ebonyrack/ops/timeline.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Any
 
+from ebonyrack.core.text_file import split_lines
 from ebonyrack.ops.base_file import read_text
 from ebonyrack.ops.exit_status import CommandError
 from ebonyrack.ops.exit_status import ExitStatus
@@ -66,7 +67,7 @@
 
 def read_lines(path: Path) -> Iterator[dict[str, Any]]:
     """Yield the JSON objects of a log; text before the opening brace is skipped."""
-    for text in read_text(path).splitlines():
+    for text in split_lines(read_text(path)):
         start = text.find("{")
         try:
             line = json.loads(text[start:]) if start >= 0 else None
--- a/ebonyrack/platform/documents_test.py
+++ b/ebonyrack/platform/documents_test.py
@@ -158,3 +158,16 @@
     document = build_document(7)
     del document[field]
     assert isinstance(decode_document(json.dumps(document).encode()), Err)
+
+
+@pytest.mark.parametrize(
+    "character", ["\x85", "\u2028", "\u2029", "\x0b", "\x0c", "\x1c", "\x1e", "\r"]
+)
+def test_settings_end_lines_at_line_feeds_only(character):
+    # Such a character in a field that isn't known kept the process from starting.
+    text = SETTINGS.replace("unheard.of=1", f"unheard.of=a{character}b")
+    assert parse_settings(text, "boot.conf").ok_value.name == "front-bkk-a-1"
+    text = SETTINGS.replace("nodeName=front-bkk-a-1", f"nodeName=a{character}b")
+    assert parse_settings(text, "boot.conf").ok_value.name == f"a{character}b"
+    text = SETTINGS.replace("\n", "\r\n")
+    assert parse_settings(text, "boot.conf").ok_value.name == "front-bkk-a-1"
--- a/ebonyrack/platform/settings_file.py
+++ b/ebonyrack/platform/settings_file.py
@@ -13,11 +13,14 @@
 from ebonyrack.core.address import parse_address
 from ebonyrack.core.config_error import ConfigError
 from ebonyrack.core.route_settings import RouteProxySettings
+from ebonyrack.core.text_file import split_lines
 
 # Environment variable in which the platform passes the path of the file.
 PATH_VARIABLE = "EBONYRACK_NODE_FILE"
 
 MS_PER_S = 1000.0
+# What may stand around a key and a value.
+BLANKS = " \t"
 
 ConfigErrors = tuple[ConfigError, ...]
 
@@ -146,13 +149,13 @@
     """
     values: dict[str, str] = {}
     errors: list[ConfigError] = []
-    for number, line in enumerate(text.splitlines(), start=1):
+    for number, line in enumerate(split_lines(text), start=1):
         key, equals, value = line.partition("=")
-        if line.strip() and not equals:
+        if line.strip(BLANKS) and not equals:
             errors.append(
                 ConfigError(source, "", f"line {number}", "must be key=value")
             )
-        values[key.strip()] = value.strip()
+        values[key.strip(BLANKS)] = value.strip(BLANKS)
     settings: dict[str, Any] = {}
     for attribute, key, read in FIELDS:
         if key not in values:
--- a/ebonyrack/scripts/settings_text.py
+++ b/ebonyrack/scripts/settings_text.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from ebonyrack.core.config_error import ConfigError
+from ebonyrack.core.text_file import read_text
 
 
 def read_settings_text(path: Path) -> str | None:
@@ -18,7 +19,7 @@
         path: The file.
     """
     try:
-        return path.read_text(encoding="utf-8")
+        return read_text(path)
     except (OSError, UnicodeDecodeError) as error:
         print(f"{path}: cannot be read: {error}", file=sys.stderr)
         return None
