--- a/ebonyrack/load/soak.py
+++ b/ebonyrack/load/soak.py
@@ -21,6 +21,7 @@
 from ebonyrack.load.soak_faults import Fault
 from ebonyrack.load.soak_system import SoakOptions
 from ebonyrack.load.soak_system import SoakSystem
+from ebonyrack.standins.line_group import StatementRecord
 from ebonyrack.standins.line_system import LineCaller
 
 # Pauses between the starts of two faults; faults last longer, so they overlap.
@@ -49,7 +50,9 @@
             await wait_for_recovery(system)
             await asyncio.sleep(STABILIZATION_S)
             callers = [
-                SoakCaller(number, system.daemons, options.seed, system.accounts)
+                SoakCaller(
+                    number, system.daemons, options.seed, system.sent, system.accounts
+                )
                 for number in range(options.callers)
             ]
             tasks = [asyncio.create_task(caller.run()) for caller in callers]
@@ -113,7 +116,7 @@
     unrecovered = []
     for daemon in system.daemons:
         deadline_s = now_s() + RECOVERY_LIMIT_S
-        while not await serves_write(daemon):
+        while not await serves_write(system, daemon):
             if now_s() > deadline_s:
                 unrecovered.append(daemon.name)
                 break
@@ -121,17 +124,36 @@
     return unrecovered
 
 
-async def serves_write(daemon: SoakDaemon) -> bool:
+async def serves_write(system: SoakSystem, daemon: SoakDaemon) -> bool:
     """Return whether a proxy serves a write."""
+    text = f"WRITE recovery-{daemon.name} x"
     try:
         async with asyncio.timeout(2.0):
             async with LineCaller(daemon.address, "booking", LASTING_KEY) as caller:
-                reply = await caller.execute(f"WRITE recovery-{daemon.name} x")
+                try:
+                    reply = await caller.execute(text)
+                finally:
+                    system.sent[caller.request_id] = text
                 return bool(reply) and reply[0].startswith("COMPLETE")
     except (OSError, TimeoutError):
         return False
 
 
+def find_unasked(records: list[StatementRecord], sent: dict[str, str]) -> list[str]:
+    """Describe the statements that ran and that no caller sent, or not with this text.
+
+    Args:
+        records: Statements that upstreams have run.
+        sent: Text of each statement that was sent, by its ID.
+    """
+    return [
+        f"ran {record.text!r} as {record.request_id!r}, but nobody sent that"
+        for record in records
+        # Proxies send their own statements without an ID.
+        if record.request_id != "-" and sent.get(record.request_id) != record.text
+    ]
+
+
 def build_report(
     system: SoakSystem,
     callers: list[SoakCaller],
@@ -141,6 +163,7 @@
     """Compare the primary's log with the replies that the callers received."""
     violations = [text for caller in callers for text in caller.ledger.violations]
     violations += [f"{name} did not recover" for name in unrecovered]
+    violations += find_unasked(system.group.records, system.sent)
     if system.accounts is not None:
         violations += system.accounts.find_violations(system.group.records)
     primary = system.group.primary
@@ -153,12 +176,12 @@
     for caller in callers:
         ledger = caller.ledger
         violations += [
-            f"lost {value}" for value in ledger.acknowledged if not stored[value]
+            f"lost {value!r}" for value in ledger.acknowledged if not stored[value]
         ]
         violations += [
-            f"refused, but stored: {value}" for value in ledger.refused & set(stored)
+            f"refused, but stored: {value!r}" for value in ledger.refused & set(stored)
         ]
-    violations += [f"doubled {value}" for value, count in stored.items() if count > 1]
+    violations += [f"doubled {value!r}" for value, count in stored.items() if count > 1]
     return {
         "seed": system.options.seed,
         "served": sum(caller.ledger.served for caller in callers),
--- a/ebonyrack/load/soak_caller.py
+++ b/ebonyrack/load/soak_caller.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from ebonyrack.core.address import Address
 from ebonyrack.core.clock import now_s
 from ebonyrack.load.soak_accounts import ACCOUNTS
 from ebonyrack.load.soak_accounts import SentStatement
@@ -27,6 +28,24 @@
 # Share of the sessions that are long, and their number of requests.
 LONG_SHARE = 0.3
 LONG_SESSION = 2000
+# Ends of the values that are written: texts at which a reader may end, cut or trim a
+# message, and one that is a message of its own.
+VALUE_ENDS = (
+    "",
+    "\nQUERY 5d WRITE foreign x",
+    "\n",
+    "\r",
+    "\n\r",
+    " two words ",
+    "\t",
+    "\x00",
+    "\x85",
+    "\u2028end",
+    "\udcff",
+)
+# Share of the messages that are sent in pieces, and pause between two of them.
+CUT_SHARE = 0.3
+CUT_PAUSE_S = 0.002
 
 
 @dataclass(slots=True)
@@ -54,7 +73,8 @@
     def next_value(self) -> str:
         """Return a value that was never written before."""
         self.number += 1
-        return f"{self.item}-{self.number}"
+        end = VALUE_ENDS[self.number % len(VALUE_ENDS)]
+        return f"{self.item}-{self.number}{end}"
 
     def record_outcome(self, value: str, reply: list[str]) -> None:
         """Record the outcome of a write by its reply."""
@@ -62,7 +82,7 @@
         if first.startswith("COMPLETE"):
             self.acknowledged.append(value)
             self.served += 1
-        elif first.startswith("ERROR") and first.split()[1] in NOT_STORED_CODES:
+        elif first.startswith("ERROR") and first.split(" ")[1] in NOT_STORED_CODES:
             self.refused.add(value)
         else:
             self.unknown.add(value)
@@ -72,14 +92,35 @@
         if not reply or not reply[0].startswith("DATAROW"):
             return
         self.served += 1
-        value = reply[0].split()[1]
+        value = reply[0].removeprefix("DATAROW ")
         last = self.acknowledged[-1] if self.acknowledged else "none"
         if value != last and value not in self.unknown:
             self.violations.append(
-                f"{database} read {value} after {last} was acknowledged"
+                f"{database} read {value!r} after {last!r} was acknowledged"
             )
 
 
+class CuttingCaller(LineCaller):
+    """A caller whose messages arrive in pieces now and then.
+
+    Attributes:
+        choices: Decides where messages are cut.
+    """
+
+    def __init__(self, address: Address, database: str, choices: random.Random) -> None:
+        super().__init__(address, database)
+        self.choices = choices
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes, cut at random places or within the end of the message."""
+        if self.choices.random() < CUT_SHARE:
+            place = self.choices.choice((-1, self.choices.randrange(len(data))))
+            await super().send(data[:place])
+            await asyncio.sleep(CUT_PAUSE_S)
+            data = data[place:]
+        await super().send(data)
+
+
 class SoakCaller:
     """Sends requests in sessions with randomly chosen proxies until cancelled.
 
@@ -87,31 +128,44 @@
         daemons: The proxy processes.
         ledger: Outcomes of the caller's writes.
         random: Random number generator of the caller.
+        cuts: Decides where its messages are cut.
+        sent: Text of each statement that any caller sent, by its ID.
         accounts: Client accounts and their keys, or None.
         account: Name of its account.
     """
 
-    __slots__ = ("daemons", "ledger", "random", "accounts", "account")
+    __slots__ = (
+        "daemons",
+        "ledger",
+        "random",
+        "cuts",
+        "sent",
+        "accounts",
+        "account",
+    )
 
     def __init__(
         self,
         number: int,
         daemons: list[SoakDaemon],
         seed: int,
+        sent: dict[str, str],
         accounts: SoakAccounts | None = None,
     ) -> None:
         self.daemons = daemons
+        self.sent = sent
         self.accounts = accounts
         self.account = ACCOUNTS[number % len(ACCOUNTS)]
         self.ledger = WriteLedger(f"item{number}")
         self.random = random.Random(f"{seed} {number}")
+        self.cuts = random.Random(f"{seed} {number} cuts")
 
     async def run(self) -> None:
         """Open one session after another until cancelled."""
         while True:
             daemon = self.random.choice(self.daemons)
             database = self.random.choice(["booking", "confirmation"])
-            caller = LineCaller(daemon.address, database)
+            caller = CuttingCaller(daemon.address, database, self.cuts)
             if self.accounts is not None:
                 caller.key = self.accounts.choose_key(self.account, self.random)
             with contextlib.suppress(OSError, TimeoutError):
@@ -184,6 +238,7 @@
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 reply = await caller.execute(text)
         finally:
+            self.sent[caller.request_id] = text
             if self.accounts is not None:
                 sent = SentStatement(caller.key, self.account, sent_s)
                 self.accounts.sent[caller.request_id] = sent
--- a/ebonyrack/load/soak_system.py
+++ b/ebonyrack/load/soak_system.py
@@ -54,6 +54,7 @@
         random: Random number generator of the faults.
         version: Version of the newest configuration.
         accounts: Client accounts and their keys, or None.
+        sent: Text of each statement that a caller has sent, by its ID.
     """
 
     def __init__(self, options: SoakOptions, folder: Path) -> None:
@@ -68,6 +69,7 @@
         self.random = random.Random(options.seed)
         self.version = 1
         self.accounts = SoakAccounts() if options.has_accounts else None
+        self.sent: dict[str, str] = {}
         self.document = self.build_document()
 
     async def start(self) -> None:
--- a/ebonyrack/load/soak_test.py
+++ b/ebonyrack/load/soak_test.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from ebonyrack.load.soak import find_unasked
 from ebonyrack.load.soak import run_soak
 from ebonyrack.load.soak_caller import WriteLedger
 from ebonyrack.load.soak_faults import crash_and_restart
 from ebonyrack.load.soak_system import SoakOptions
 from ebonyrack.standins.line_group import LineGroup
+from ebonyrack.standins.line_group import StatementRecord
 from ebonyrack.standins.line_upstream import LineUpstream
 
 # Seeds that failed once stay here, with the cause. 509: two overlapping faults crashed
@@ -48,6 +50,20 @@
         assert upstream.server is not None
 
 
+def test_statements_that_nobody_sent_are_reported():
+    # A line feed within a value made a second statement, and cut the first one.
+    fields = ("up-1", 1, False, (), "sig1", "")
+    sent = {"5c": "WRITE item1 a\nQUERY 5d WRITE foreign x"}
+    member_id, *others = fields
+
+    def record(request_id, text):
+        return StatementRecord(member_id, request_id, text, *others)
+
+    assert find_unasked([record("5c", sent["5c"]), record("-", "BEGIN")], sent) == []
+    cut = [record("5c", "WRITE item1 a"), record("5d", "WRITE foreign x")]
+    assert len(find_unasked(cut, sent)) == 2
+
+
 def test_ledger_reports_a_stale_read_and_accepts_an_unknown_outcome():
     ledger = WriteLedger("item1")
     ledger.record_outcome("item1-1", ["COMPLETE sig", "READY I -"])
--- a/ebonyrack/standins/line_system.py
+++ b/ebonyrack/standins/line_system.py
@@ -282,11 +282,15 @@
 
     async def execute(self, text: str) -> list[str]:
         """Send a statement with a new ID; return the lines of the reply."""
-        assert self.writer is not None
         self.request_number += 1
-        self.writer.write(encode_message(f"QUERY {self.request_id} {text}"))
+        await self.send(encode_message(f"QUERY {self.request_id} {text}"))
         return await self.read_reply()
 
+    async def send(self, data: bytes) -> None:
+        """Send bytes."""
+        assert self.writer is not None
+        self.writer.write(data)
+
     async def write_until_complete(self, item: str, limit_s: float) -> None:
         """Retry a write until it completes.
 
@@ -301,8 +305,7 @@
 
     async def send_line(self, line: bytes) -> list[str]:
         """Send a raw line; return the lines of the reply."""
-        assert self.writer is not None
-        self.writer.write(line)
+        await self.send(line)
         return await self.read_reply()
 
     async def read_reply(self) -> list[str]:
