--- a/ebonyrack/entry/message_end_test.py
+++ b/ebonyrack/entry/message_end_test.py
@@ -501,3 +501,32 @@
     reply = await caller.read_reply()
     assert reply[0].startswith("COMPLETE sig") and reply[1] == "READY I -"
     assert await caller.read_reply() == []
+
+
+@pytest.mark.parametrize("text", ["WRITE 1a4 data", "READ 1a4", "BEGIN"])
+async def test_row_over_the_limit_is_no_success(system, connect, text):
+    caller = await connect("booking")
+    await caller.execute("WRITE 1a4 data")
+    if text == "BEGIN":
+        await caller.execute(text)
+    for upstream in system.upstreams.values():
+        row = "DATAROW " + "\n" * (MAXIMUM_LINE_BYTES + 1)
+        upstream.faults.replies.append([row, FORGED, READY])
+    answer = await caller.execute("READ 1a4" if text == "BEGIN" else text)
+    assert answer[0] == "DATAROW data" or answer[0].startswith("ERROR ")
+    for upstream in system.upstreams.values():
+        upstream.faults.replies.clear()
+    if text == "BEGIN":
+        # A first statement that has no whole reply may be repeated elsewhere.
+        is_failed = answer[0].startswith("ERROR ")
+        assert answer[-1] == ("READY E -" if is_failed else "READY T -")
+        assert await caller.execute("ROLLBACK") == ["COMPLETE -", "READY I -"]
+    await check_in_step(caller)
+
+
+async def test_largest_row_is_answered(system, connect):
+    caller = await connect("booking")
+    data = "\n" * (MAXIMUM_LINE_BYTES - len("DATAROW "))
+    for upstream in system.upstreams.values():
+        upstream.faults.replies.append([f"DATAROW {data}", FORGED, READY])
+    assert (await caller.execute("READ 1a4"))[0] == f"DATAROW {data}"
--- a/ebonyrack/platform/settings_file.py
+++ b/ebonyrack/platform/settings_file.py
@@ -14,6 +14,7 @@
 from ebonyrack.core.config_error import ConfigError
 from ebonyrack.core.route_settings import RouteProxySettings
 from ebonyrack.core.text_file import split_lines
+from ebonyrack.platform.account_entries import is_word
 
 # Environment variable in which the platform passes the path of the file.
 PATH_VARIABLE = "EBONYRACK_NODE_FILE"
@@ -69,6 +70,17 @@
     return text
 
 
+def read_word(text: str) -> str:
+    """Return a string that must be one printable word, as in headers of requests.
+
+    Raises:
+        ValueError: If it is not.
+    """
+    if not is_word(text):
+        raise ValueError("must be one printable word")
+    return text
+
+
 def read_flag(text: str) -> bool:
     """Parse true or false.
 
@@ -103,7 +115,7 @@
 
 # Attribute of the settings, key in the file, parser of the value.
 FIELDS: tuple[tuple[str, str, Callable[[str], Any]], ...] = (
-    ("name", "nodeName", read_nonempty),
+    ("name", "nodeName", read_word),
     ("data_centre", "zone", read_nonempty),
     ("caller_address", "listen.front", parse_address),
     ("ready_address", "listen.healthAddr", parse_address),
