--- a/ebonyrack/handover/message_end_test.py
+++ b/ebonyrack/handover/message_end_test.py
@@ -1,10 +1,18 @@
 """Statements that are handed to homes keep every byte, as one message (issue 41)."""
 
+import asyncio
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from ebonyrack.core.line_stream import MAXIMUM_LINE_BYTES
+from ebonyrack.handover.statement_messages import HandedAnswer
 from ebonyrack.handover.statement_messages import HandedDeclined
 from ebonyrack.handover.statement_messages import HandedStatement
+from ebonyrack.peers.codec import pack_message
+from ebonyrack.peers.frames import FrameStream
+from ebonyrack.peers.frames import Traffic
 from ebonyrack.standins.line_messages import encode_message
 
 INNER = "QUERY 5d WRITE 2b5 second"
@@ -135,3 +143,58 @@
     assert reply[0].startswith("COMPLETE sig")
     assert_handed_over(fleet)
     assert (await other.execute("COMMIT"))[0].startswith("COMPLETE sig")
+
+
+ANY_BYTES = st.binary(max_size=40) | st.sampled_from(
+    [b"\r\n", b"\n", b"a\r\nQUERY 1 X"]
+)
+
+
+@given(
+    st.builds(
+        HandedStatement,
+        version=st.integers(0, 9),
+        sender_version=st.integers(0, 9),
+        database=ANY_BYTES,
+        account=st.text(st.characters(codec="utf-8"), max_size=5),
+        transaction=st.integers(0, 9),
+        begins=st.sampled_from(["", "begin"]),
+        kind=st.sampled_from(["read", "execute"]),
+        request_id=st.none() | ANY_BYTES,
+        text=ANY_BYTES,
+        name=ANY_BYTES,
+        argument=ANY_BYTES,
+        prepared_text=st.none() | ANY_BYTES,
+        prepared_writes=st.booleans(),
+        values=st.dictionaries(ANY_BYTES, ANY_BYTES, max_size=3),
+        last_commit=st.sampled_from([[], [1, 2]]),
+        waited_s=st.just(0.5),
+    )
+    | st.builds(
+        HandedAnswer,
+        rows=st.lists(ANY_BYTES, max_size=4),
+        more_rows=st.integers(0, 3),
+        signature=st.none() | ANY_BYTES,
+        position=st.sampled_from([[], [1, 2]]),
+        error=st.just(""),
+        reason=st.text(st.characters(codec="utf-8"), max_size=20),
+        retry_after_s=st.none(),
+        version=st.integers(0, 9),
+    ),
+    st.lists(st.integers(0, 10_000), max_size=8),
+)
+def test_messages_between_proxies_keep_every_byte(message, cuts):
+    data = pack_message(message, 7) + pack_message(HandedDeclined("next"), 8)
+    places = [0, *sorted(cut % (len(data) + 1) for cut in cuts), len(data)]
+
+    async def run():
+        reader = asyncio.StreamReader()
+        stream = FrameStream(reader, None, Traffic())
+        stream.accept_full_frames()
+        first = asyncio.create_task(stream.read_frame())
+        for start, end in zip(places, places[1:], strict=False):
+            reader.feed_data(data[start:end])
+            await asyncio.sleep(0)
+        return await first, await stream.read_frame()
+
+    assert asyncio.run(run()) == ((message, 7), (HandedDeclined("next"), 8))
