--- a/ebonyrack/standins/line_group.py
+++ b/ebonyrack/standins/line_group.py
@@ -213,6 +213,8 @@
             member.term = primary.term
             if member.log == primary.log:
                 continue
+            kept = count_common_entries(member.log, primary.log)
+            member.applied_count = min(member.applied_count, kept)
             member.log = list(primary.log)
             if member.apply_delay_s == 0:
                 member.applied_count = len(member.log)
@@ -297,3 +299,15 @@
         primary = self.primary
         kept = primary.log if primary is not None else []
         return [entry for entry in self.acknowledged if entry not in kept]
+
+
+def count_common_entries(log: list[LogEntry], other: list[LogEntry]) -> int:
+    """Return the number of leading entries that two logs have in common."""
+    if other[: len(log)] == log:
+        return len(log)
+    differing = (
+        index
+        for index, (entry, each) in enumerate(zip(log, other, strict=False))
+        if entry != each
+    )
+    return next(differing, len(other))
