--- a/ebonyrack/building/build.py
+++ b/ebonyrack/building/build.py
@@ -1,4 +1,4 @@
-"""Builds what the deploy file runs: the libraries.
+"""Builds what the deploy file runs: libraries, modules and their bytecode.
 
     python3 -I -B ebonyrack/building/build.py
 
@@ -157,7 +157,47 @@
         compile_folder(folder, self.path, PycInvalidationMode.UNCHECKED_HASH)
 
     def list_contents(self, folder: Path) -> list[str]:
-        """Return the files of the libraries."""
+        """Return the files of the libraries without the project's own modules."""
+        modules = self.settings.package.name
+        return [
+            path
+            for path in list_files(folder)
+            if not path.startswith(f"{modules}{os.sep}") and path != RECORD_NAME
+        ]
+
+
+class Modules(BuiltFolder):
+    """Links to the project's modules, with bytecode beside the links.
+
+    The bytecode is valid for the contents of a module, so that no other version of a
+    module runs than the one in the checkout.
+    """
+
+    __slots__ = ()
+
+    def get_path(self) -> Path:
+        """Return the folder of the package beside the libraries."""
+        return self.settings.target / "deps" / self.settings.package.name
+
+    def digest_sources(self) -> dict[str, str]:
+        """Return the digest of the modules."""
+        return {"modules": digest_modules(self.settings.package)}
+
+    def fill(self, folder: Path) -> None:
+        """Link and compile the modules."""
+        package = self.settings.package
+        # The staged folder is as deep below the checkout as the final one.
+        to_package = os.path.relpath(package, folder)
+        for module in list_modules(package):
+            link = folder / module
+            link.parent.mkdir(parents=True, exist_ok=True)
+            to_folder = os.path.relpath(folder, link.parent)
+            link.symlink_to(os.path.normpath(f"{to_folder}/{to_package}/{module}"))
+        if not compile_folder(folder, self.path, PycInvalidationMode.CHECKED_HASH):
+            raise BuildError("a module of the project can't be compiled")
+
+    def list_contents(self, folder: Path) -> list[str]:
+        """Return the links to the modules."""
         return [path for path in list_files(folder) if path != RECORD_NAME]
 
 
@@ -179,6 +219,22 @@
     )
 
 
+def list_modules(package: Path) -> list[str]:
+    """Return the relative paths of a package's modules, sorted, without tests."""
+    return [
+        path
+        for path in list_files(package)
+        if path.endswith(".py")
+        and not path.endswith("_test.py")
+        and os.path.basename(path) != "conftest.py"
+    ]
+
+
+def digest_modules(package: Path) -> str:
+    """Return the digest of the modules of a package: their paths and contents."""
+    return digest_files(package, list_modules(package))
+
+
 def digest_files(folder: Path, paths: Iterable[str]) -> str:
     """Return the digest of files, in hexadecimal digits.
 
@@ -273,7 +329,7 @@
 
 
 def make_folders(settings: BuildSettings, keeps_current: bool) -> None:
-    """Make the libraries.
+    """Make the libraries and the modules.
 
     Args:
         settings: Paths of the build.
@@ -282,9 +338,11 @@
     Raises:
         BuildError: If a step fails.
     """
-    folder = Libraries(settings)
-    if not (keeps_current and folder.is_current()):
-        folder.make()
+    # The modules are below the libraries and are replaced with them.
+    for kind in (Libraries, Modules):
+        folder = kind(settings)
+        if not (keeps_current and folder.is_current()):
+            folder.make()
 
 
 def build(settings: BuildSettings) -> str:
--- a/ebonyrack/building/build_test.py
+++ b/ebonyrack/building/build_test.py
@@ -1,5 +1,6 @@
 """What runs is what is in the checkout, whatever state an earlier build left."""
 
+import compileall
 import json
 import os
 import shutil
@@ -33,6 +34,37 @@
     check_built(checkout)
 
 
+# Guards against bytecode of an earlier version: a tree was updated by files with the
+# same times, and old and new modules ran together.
+def test_no_bytecode_of_an_earlier_version_runs(checkout):
+    checkout.set_times(TIME_S)
+    check_built(checkout)
+    # Other programs compile what they find, as the platform does.
+    compileall.compile_dir(checkout.root, quiet=1)
+    checkout.write("ebonyrack/part.py", "PART = 'part-2'\n")
+    checkout.set_times(TIME_S)
+    check_built(checkout, "library-1 part-2")
+
+
+def test_bytecode_of_the_build_is_valid_for_the_contents_only(checkout):
+    checkout.set_times(TIME_S)
+    check_built(checkout)
+    checkout.write("ebonyrack/part.py", "PART = 'part-2'\n")
+    checkout.set_times(TIME_S)
+    assert checkout.run() == "library-1 part-2"
+
+
+def test_added_and_removed_modules_follow_the_checkout(checkout):
+    check_built(checkout)
+    checkout.write("ebonyrack/more.py", "PART = 'more'\n")
+    checkout.write("ebonyrack/part.py", "from ebonyrack.more import PART\n")
+    check_built(checkout, "library-1 more")
+    (checkout.root / "ebonyrack/more.py").unlink()
+    checkout.write("ebonyrack/part.py", "PART = 'part-1'\n")
+    check_built(checkout)
+    assert not (checkout.libraries / "ebonyrack/more.py").is_symlink()
+
+
 # Guards against libraries of another machine or Python that were carried over: the
 # build succeeded since their folder was newer than the list of libraries.
 def test_libraries_that_were_made_elsewhere_are_installed_afresh(checkout):
@@ -72,6 +104,15 @@
     assert not (checkout.root / "target/staging-0").exists()
 
 
+# Guards against a build that needs to write beside the sources.
+def test_nothing_is_written_beside_the_sources(checkout):
+    for folder in ("ebonyrack", "ebonyrack/building"):
+        checkout.write(f"{folder}/__pycache__", "")
+    before = sorted((checkout.root / "ebonyrack").rglob("*"))
+    check_built(checkout)
+    assert sorted((checkout.root / "ebonyrack").rglob("*")) == before
+
+
 # Guards against a changed list of libraries whose file is older than the folder.
 def test_changed_requirements_are_installed_whatever_their_time(checkout):
     check_built(checkout)
@@ -110,6 +151,22 @@
     assert "build failed: what was built does not start: NameError" in ended.stderr
 
 
+def test_module_that_can_not_be_compiled_fails_the_build(checkout):
+    checkout.write("ebonyrack/more.py", "PART = \n")
+    ended = checkout.build()
+    assert ended.returncode != 0
+    assert "a module of the project can't be compiled" in ended.stderr
+
+
+def test_tree_that_was_moved_runs(checkout):
+    check_built(checkout)
+    moved = checkout.root.with_name("moved")
+    checkout.root.rename(moved)
+    checkout.root = moved
+    assert checkout.run() == CURRENT
+    check_built(checkout)
+
+
 def test_python_that_is_too_old_fails_the_build(checkout, monkeypatch):
     monkeypatch.setattr(sys, "version_info", (3, 10, 12))
     with pytest.raises(build.BuildError, match=r"Python 3\.11 or later is needed"):
