--- a/ebonyrack/building/build_test.py
+++ b/ebonyrack/building/build_test.py
@@ -9,6 +9,7 @@
 import pytest
 
 from ebonyrack.building import build
+from ebonyrack.building.build_info import read_made_from
 from ebonyrack.building.conftest import LIBRARY
 from ebonyrack.building.conftest import write_wheel
 
@@ -32,6 +33,9 @@
 
 def test_fresh_checkout_is_built(checkout):
     check_built(checkout)
+    machine = os.uname().machine
+    for folder in (checkout.libraries, checkout.libraries / "ebonyrack"):
+        assert read_made_from(folder)["machine"] == machine
 
 
 # Guards against bytecode of an earlier version: a tree was updated by files with the
--- a/ebonyrack/core/metrics.py
+++ b/ebonyrack/core/metrics.py
@@ -7,6 +7,7 @@
 from opentelemetry import metrics
 
 if TYPE_CHECKING:
+    from ebonyrack.building.build_info import BuildInfo
     from ebonyrack.core.address import Address
 
 meter = metrics.get_meter("ebonyrack")
@@ -60,13 +61,14 @@
 )
 
 
-def start_metrics(address: Address | None) -> None:
+def start_metrics(address: Address | None, build: BuildInfo) -> None:
     """Collect metrics and serve them for scraping.
 
     Without an address nothing is collected, which saves the memory of the exporter.
 
     Args:
         address: Where the Prometheus text format is served, or None.
+        build: The build of this process, which is a metric too.
     """
     if address is None:
         return
@@ -76,4 +78,9 @@
     from prometheus_client import start_http_server
 
     metrics.set_meter_provider(MeterProvider(metric_readers=[PrometheusMetricReader()]))
+    meter.create_observable_gauge(
+        "ebonyrack_build",
+        [lambda _: [metrics.Observation(1, dict(build.list_fields()))]],
+        description="Always 1, with the running build as attributes",
+    )
     start_http_server(address.port, addr=address.host)
--- a/ebonyrack/scripts/ctl.py
+++ b/ebonyrack/scripts/ctl.py
@@ -12,7 +12,6 @@
 import argcomplete
 from loguru import logger
 
-from ebonyrack import __version__
 from ebonyrack.core.address import parse_address
 from ebonyrack.core.settings import StoreSettings
 from ebonyrack.ops import configuration
@@ -29,6 +28,7 @@
 from ebonyrack.ops.output import Output
 from ebonyrack.ops.timeline import TimelineQuery
 from ebonyrack.ops.timeline import show_timeline
+from ebonyrack.scripts.arguments import VersionAction
 from ebonyrack.scripts.arguments import parse_address_argument
 from ebonyrack.store.consul_store import ConsulStore
 
@@ -56,7 +56,7 @@
         epilog=EXIT_STATUS_HELP,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument("--version", action=VersionAction)
     add_access_options(parser)
     commands = parser.add_subparsers(dest="command", required=True)
     commands.add_parser("status", help="proxies and groups as seen by one proxy")
--- a/ebonyrack/scripts/daemon.py
+++ b/ebonyrack/scripts/daemon.py
@@ -8,11 +8,14 @@
 import sys
 from pathlib import Path
 
-from ebonyrack import __version__
+from loguru import logger
+
+from ebonyrack.building.build_info import read_build_info
 from ebonyrack.core import logs
 from ebonyrack.core import metrics
 from ebonyrack.core.settings import Settings
 from ebonyrack.core.settings import parse_settings
+from ebonyrack.scripts.arguments import VersionAction
 from ebonyrack.scripts.settings_text import print_config_errors
 from ebonyrack.scripts.settings_text import read_settings_text
 from ebonyrack.service.proxy import Proxy
@@ -46,7 +49,7 @@
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
-    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument("--version", action=VersionAction)
     return parser
 
 
@@ -114,7 +117,9 @@
         print(f"{options.config}: no errors")
         return EXIT_OK
     logs.start_logging(settings.log, settings.proxy.name)
-    metrics.start_metrics(settings.proxy.metrics_address)
+    build = read_build_info()
+    logger.bind(**build.list_fields()).info("program_started")
+    metrics.start_metrics(settings.proxy.metrics_address, build)
     cut_requests = asyncio.run(run_proxy(settings, options.config))
     return EXIT_REQUESTS_CUT if cut_requests else EXIT_OK
 
--- a/ebonyrack/scripts/route_daemon.py
+++ b/ebonyrack/scripts/route_daemon.py
@@ -13,7 +13,8 @@
 from msgspec import Struct
 from result import Err
 
-from ebonyrack import __version__
+from ebonyrack.building.build_info import BuildInfo
+from ebonyrack.building.build_info import read_build_info
 from ebonyrack.core import logs
 from ebonyrack.core import metrics
 from ebonyrack.core.address import Address
@@ -23,6 +24,7 @@
 from ebonyrack.platform.proxy import PlatformProxy
 from ebonyrack.platform.settings_file import PATH_VARIABLE
 from ebonyrack.platform.settings_file import parse_settings
+from ebonyrack.scripts.arguments import VersionAction
 from ebonyrack.scripts.settings_text import print_config_errors
 from ebonyrack.scripts.settings_text import read_settings_text
 
@@ -31,8 +33,8 @@
 # Only a sample of the successful requests is logged. Failed requests are not sampled.
 DEFAULT_DECISION_SAMPLING = 0.02
 # Metrics start after the first callers are served, because loading their libraries
-# takes a third as long as the whole startup.
-METRICS_DELAY_S = 2.0
+# takes a third as long as the whole startup. Reading all modules waits as well.
+DEFERRED_START_S = 2.0
 
 
 class LogArguments(Struct, frozen=True):
@@ -73,7 +75,7 @@
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
-    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument("--version", action=VersionAction)
     return parser
 
 
@@ -112,25 +114,40 @@
 
 
 async def run_proxy(
-    settings: RouteProxySettings, path: Path | None, metrics_address: Address | None
+    settings: RouteProxySettings, options: argparse.Namespace, build: BuildInfo
 ) -> None:
-    """Run a proxy until it is shut down."""
+    """Run a proxy until it is shut down.
+
+    Args:
+        settings: Checked settings.
+        options: Options of the command line.
+        build: The build of this process.
+    """
     platform_proxy = PlatformProxy(settings)
     drain = platform_proxy.proxy.services.drain
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, drain.request, signal_number.name)
-    loop.add_signal_handler(signal.SIGHUP, recheck_settings, path, settings)
-    metrics_task = asyncio.create_task(start_metrics_later(metrics_address))
+    loop.add_signal_handler(signal.SIGHUP, recheck_settings, options.settings, settings)
+    deferred = asyncio.create_task(start_deferred(options.metrics, build))
     async with platform_proxy:
         await platform_proxy.proxy.serve()
-    await end_tasks([metrics_task])
+    await end_tasks([deferred])
+
+
+async def start_deferred(metrics_address: Address | None, build: BuildInfo) -> None:
+    """Start serving metrics and check the build, after the startup."""
+    await asyncio.sleep(DEFERRED_START_S)
+    await asyncio.to_thread(metrics.start_metrics, metrics_address, build)
+    await asyncio.to_thread(check_modules, build)
 
 
-async def start_metrics_later(address: Address | None) -> None:
-    """Start serving metrics after the startup."""
-    await asyncio.sleep(METRICS_DELAY_S)
-    await asyncio.to_thread(metrics.start_metrics, address)
+def check_modules(build: BuildInfo) -> None:
+    """Log whether modules were changed after they were built."""
+    present = read_build_info(is_recorded=False)
+    if present.modules != build.modules:
+        fields = {"built": build.modules, "present": present.modules}
+        logger.bind(**fields).warning("modules_changed_after_build")
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -151,7 +168,9 @@
         return EXIT_OK
     log_arguments = LogArguments(options.log_level or "info", options.log_sampling)
     logs.start_logging(log_arguments, settings.name)
-    asyncio.run(run_proxy(settings, options.settings, options.metrics))
+    build = read_build_info()
+    logger.bind(**build.list_fields()).info("program_started")
+    asyncio.run(run_proxy(settings, options, build))
     return EXIT_OK
 
 
