--- a/ebonyrack/core/decoding.py
+++ b/ebonyrack/core/decoding.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 # What reading a value of another shape, size or nesting raises.
@@ -18,6 +20,23 @@
 LARGEST_INTEGER = 2**63 - 1
 
 
+class ProgramDefectError(Exception):
+    """The program is at fault, not the value that it decodes."""
+
+
+@contextmanager
+def raise_defects() -> Iterator[None]:
+    """Tell errors of our own constructors from those that a value causes.
+
+    Raises:
+        ProgramDefectError: If a constructor doesn't take the arguments it is given.
+    """
+    try:
+        yield
+    except TypeError as error:
+        raise ProgramDefectError(str(error)) from error
+
+
 def parse_json(data: bytes | str) -> Any:
     """Parse a JSON value.
 
--- a/ebonyrack/entry/route_proxy.py
+++ b/ebonyrack/entry/route_proxy.py
@@ -11,6 +11,7 @@
 
 from ebonyrack import __version__
 from ebonyrack.core.component import Component
+from ebonyrack.core.decoding import ProgramDefectError
 from ebonyrack.core.route_settings import RouteProxySettings
 from ebonyrack.core.tasks import end_tasks
 from ebonyrack.core.tasks import start_loop
@@ -72,6 +73,7 @@
         primary_monitors: Monitor of each group's primary, by name of the group.
         isolation: Sends callers elsewhere while this proxy is isolated.
         discovery_completed: Whether all upstreams have once had time to be discovered.
+        reported_defects: Texts of the program's own errors that have been logged.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self.services.remote = Front(self.home_asker, self.services.routes)
         store = dependencies.store
         self.store_availability = StoreAvailability()
+        self.reported_defects: set[str] = set()
         self.services.limiter = self.build_limiter()
         self.followers = (
             StoreFollower(
@@ -230,13 +233,24 @@
 
     async def apply_document(self, value: bytes) -> None:
         """Put the operators' routes in force, unless they can't be decoded."""
-        result = self.dependencies.decode_document(value)
+        try:
+            result = self.dependencies.decode_document(value)
+        except ProgramDefectError as error:
+            self.report_defect(error)
+            return
         if isinstance(result, Err):
             logger.bind(reason=result.err_value).error("routes_rejected")
             return
         if self.services.routes.apply_if_newer(result.ok_value, "store"):
             await self.apply_routes(result.ok_value)
 
+    def report_defect(self, error: ProgramDefectError) -> None:
+        """Log that the program can't read the operators' routes."""
+        # The same defect shows at each version.
+        if str(error) not in self.reported_defects:
+            self.reported_defects.add(str(error))
+            logger.opt(exception=error).critical("routes_not_read_by_defect")
+
     async def apply_routes(self, table: RouteTable) -> None:
         """Update, create and remove groups to match the routes in force."""
         if self.services.limiter is not None:
--- a/ebonyrack/platform/account_entries.py
+++ b/ebonyrack/platform/account_entries.py
@@ -5,6 +5,7 @@
 import math
 from typing import Any
 
+from ebonyrack.core.decoding import raise_defects
 from ebonyrack.routes.account import ClientAccount
 from ebonyrack.routes.account import digest_key
 
@@ -67,7 +68,8 @@
     if "ratePerS" in tenant:
         rate_per_s = read_limit(tenant, "ratePerS")
     burst = read_limit(tenant, "burst") if "burst" in tenant else 0.0
-    return ClientAccount(name, priority, rate_per_s, burst)
+    with raise_defects():
+        return ClientAccount(name, priority, rate_per_s, burst)
 
 
 def decode_keys(keys: list[str], name: str) -> list[bytes]:
--- a/ebonyrack/platform/route_document.py
+++ b/ebonyrack/platform/route_document.py
@@ -10,6 +10,7 @@
 
 from ebonyrack.core.decoding import DECODING_ERRORS
 from ebonyrack.core.decoding import parse_json
+from ebonyrack.core.decoding import raise_defects
 from ebonyrack.core.decoding import read_integer
 from ebonyrack.platform.account_entries import InvalidDocumentError
 from ebonyrack.platform.account_entries import decode_accounts
@@ -40,6 +41,9 @@
 
     Returns:
         The routes, or why they can't be decoded.
+
+    Raises:
+        ProgramDefectError: If the program is at fault, not the configuration.
     """
     try:
         body: Any = parse_json(value)
@@ -47,19 +51,22 @@
         routes = [decode_route(each, requires_accounts) for each in body["routes"]]
         groups = [decode_limits(service) for service in body["services"]]
         accounts, account_names = decode_accounts(body.get(ACCOUNTS, []))
+        version = read_integer(body["version"])
         limits = body["limits"]
-        return Ok(
-            RouteTable(
-                version=read_integer(body["version"]),
+        transaction_idle_s = read_duration(limits["txIdleMs"])
+        message_timeout_s = read_duration(limits["headerTimeoutMs"])
+        with raise_defects():
+            table = RouteTable(
+                version=version,
                 routes={route.database: route for route in routes},
                 groups={group.name: group for group in groups},
                 accounts=accounts,
                 account_names=account_names,
                 requires_accounts=requires_accounts,
-                transaction_idle_s=read_duration(limits["txIdleMs"]),
-                message_timeout_s=read_duration(limits["headerTimeoutMs"]),
+                transaction_idle_s=transaction_idle_s,
+                message_timeout_s=message_timeout_s,
             )
-        )
+        return Ok(table)
     except (InvalidDocumentError, LookupError, TypeError, AttributeError) as error:
         return Err(f"invalid configuration: {error!r:.200}")
     except DECODING_ERRORS as error:
@@ -80,18 +87,26 @@
     allows_anonymous = route.get("allowAnonymous", not requires_accounts)
     if not isinstance(allows_anonymous, bool):
         raise InvalidDocumentError("allowAnonymous must be true or false")
-    return Route(
-        # The field is called host but contains the name of the database.
-        database=read_name(route["host"]).encode(),
-        group=read_name(route["service"]),
-        consistency=CONSISTENCIES[route["kind"]],
-        # This limits one statement; the target latency is for the whole operation.
-        statement_timeout_s=read_duration(route["timeoutMs"]),
-        target_latency_s=read_duration(route["targetLatencyMs"]),
-        priority=read_integer(route["priority"]),
-        maximum_age_s=read_duration(route.get("maxStalenessMs", 0)),
-        allows_anonymous=allows_anonymous,
-    )
+    # The field is called host but contains the name of the database.
+    database = read_name(route["host"]).encode()
+    group = read_name(route["service"])
+    consistency = CONSISTENCIES[route["kind"]]
+    # This limits one statement; the target latency is for the whole operation.
+    statement_timeout_s = read_duration(route["timeoutMs"])
+    target_latency_s = read_duration(route["targetLatencyMs"])
+    priority = read_integer(route["priority"])
+    maximum_age_s = read_duration(route.get("maxStalenessMs", 0))
+    with raise_defects():
+        return Route(
+            database=database,
+            group=group,
+            consistency=consistency,
+            statement_timeout_s=statement_timeout_s,
+            target_latency_s=target_latency_s,
+            priority=priority,
+            maximum_age_s=maximum_age_s,
+            allows_anonymous=allows_anonymous,
+        )
 
 
 def decode_limits(service: dict[str, Any]) -> GroupLimits:
@@ -100,11 +115,15 @@
     Raises:
         ValueError, LookupError, TypeError: If it is malformed.
     """
-    return GroupLimits(
-        name=read_name(service["name"]),
-        maximum_connections=read_count(service["maxConnections"]),
-        acknowledging_replicas=read_count(service.get("syncReplicas", 0)),
-    )
+    name = read_name(service["name"])
+    maximum_connections = read_count(service["maxConnections"])
+    acknowledging_replicas = read_count(service.get("syncReplicas", 0))
+    with raise_defects():
+        return GroupLimits(
+            name=name,
+            maximum_connections=maximum_connections,
+            acknowledging_replicas=acknowledging_replicas,
+        )
 
 
 def read_name(value: object) -> str:
