--- a/ebonyrack/entry/reply_end_test.py
+++ b/ebonyrack/entry/reply_end_test.py
@@ -22,6 +22,10 @@
     [FORGED, "READY I\n1.1"],
     ["DATAROW\nx", FORGED, READY],
     ["", FORGED, READY],
+    [FORGED, "DATAROW x", READY],
+    [FORGED, "ERROR BUSY x", READY],
+    ["ERROR BUSY x", FORGED, READY],
+    [FORGED, FORGED, READY],
 ]
 
 
--- a/ebonyrack/platform/upstream_codec.py
+++ b/ebonyrack/platform/upstream_codec.py
@@ -31,6 +31,9 @@
 MS_PER_S = 1000.0
 IS_PRIMARY_BY_ROLE = {b"primary": True, b"replica": False}
 
+# Messages of a reply that precede its end.
+REPLY_WORDS = frozenset({b"DATAROW", b"COMPLETE", b"ERROR"})
+
 Render = Callable[[Request], bytes]
 
 
@@ -110,6 +113,10 @@
                 if reply.rejection is not None and not stream.buffer:
                     return reply
                 raise
+            if word in REPLY_WORDS and has_outcome(reply):
+                raise abort_stream(
+                    stream, f"the upstream sent {word!r} after the outcome of a reply"
+                )
             if word == b"DATAROW":
                 reply.rows.append(rest)
             elif word == b"COMPLETE":
@@ -156,6 +163,11 @@
             return Err(f"invalid status: {error}")
 
 
+def has_outcome(reply: Reply) -> bool:
+    """Return whether a reply has succeeded or failed, so that only its end follows."""
+    return reply.signature is not None or reply.rejection is not None
+
+
 def read_ready(stream: LineStream, reply: Reply, rest: bytes) -> Reply:
     """Parse the end of a reply."""
     code, _, position = rest.partition(b" ")
--- a/ebonyrack/platform/upstream_codec_test.py
+++ b/ebonyrack/platform/upstream_codec_test.py
@@ -56,6 +56,18 @@
         await CODEC.read_reply(feed(data))
 
 
+# Guards against two replies that are taken for one: a reply without READY, or one that
+# was cut off, and the next one.
+@pytest.mark.parametrize("outcome", [b"COMPLETE 1", b"ERROR BUSY -"])
+@pytest.mark.parametrize(
+    "message", [b"DATAROW a", b"COMPLETE 2", b"ERROR FAILED x", b"ERROR BUSY -"]
+)
+async def test_only_ready_follows_an_outcome(feed, outcome, message):
+    data = b"\r\n".join((b"DATAROW b", outcome, message, b"READY I 1.1", b""))
+    with pytest.raises(StreamLostError):
+        await CODEC.read_reply(feed(data))
+
+
 @given(st.binary(max_size=300))
 def test_arbitrary_bytes_give_a_reply_or_lose_the_connection(data):
     stream = LineStream()
