--- a/ebonyrack/handover/message_end_test.py
+++ b/ebonyrack/handover/message_end_test.py
@@ -108,6 +108,11 @@
         {"text": b"WRITE 1a4 data\r\nQUERY 5d WRITE 2b5 second"},
         {"request_id": b"5c WRITE 1a4 x\r\nQUERY 5d"},
         {"request_id": b"5c WRITE"},
+        # Upstreams would take it for a statement of the proxy's own.
+        {"request_id": None},
+        {"request_id": b""},
+        {"kind": "execute", "name": b"", "argument": b"a", "prepared_text": b"q"},
+        {"values": {b"": b"far"}},
         {
             "kind": "execute",
             "name": b"s",
--- a/ebonyrack/handover/question.py
+++ b/ebonyrack/handover/question.py
@@ -85,13 +85,17 @@
     Another version of the proxy may have split or checked the caller's message in
     another way.
     """
-    names = [question.request_id or b"", question.name, *question.values]
+    names = [question.request_id or b"", *question.values]
+    if question.kind == RequestKind.EXECUTE:
+        names.append(question.name)
     texts = [question.text, question.argument, question.prepared_text or b""]
     texts += question.values.values()
-    return not (
-        any(b" " in name or LINE_END in name for name in names)
-        or any(LINE_END in text for text in texts)
-    )
+    return all(map(is_field, names)) and not any(LINE_END in text for text in texts)
+
+
+def is_field(name: bytes) -> bool:
+    """Return whether a name fits a field that isn't the last one of a message."""
+    return bool(name) and b" " not in name and LINE_END not in name
 
 
 def measure_question(question: HandedStatement) -> int:
