--- a/ebonyrack/upstreams/upstream.py
+++ b/ebonyrack/upstreams/upstream.py
@@ -30,6 +30,10 @@
 
 # A timeout that is noticed this much too late shows that this process was paused.
 PAUSE_LIMIT_S = 0.1
+# One that is noticed this much too late may have passed while the process stood still.
+LATE_LIMIT_S = 0.01
+# Time for the repetition of such a poll, as a share of that for a poll.
+REPEATED_POLL_SHARE = 0.25
 # Control connections to a replica: one for polls and one for position waits.
 REPLICA_CONTROL_CONNECTIONS = 2
 PRIMARY_CONTROL_CONNECTIONS = 1
@@ -269,14 +273,32 @@
             try:
                 status = await self.query_status(started_s + timeout_s)
             except UpstreamLostError as error:
-                if error.sqlstate != TOO_MANY_CONNECTIONS:
-                    self.record_poll_failure(error, now_s() - started_s - timeout_s)
-                raise
+                late_s = now_s() - started_s - timeout_s
+                if late_s <= LATE_LIMIT_S:
+                    self.record_poll_failure(error, late_s)
+                    raise
+                started_s = now_s()
+                status = await self.repeat_poll(timeout_s * REPEATED_POLL_SHARE)
         self.record_poll_time(now_s() - started_s)
         self.position_waits.resolve_reached(status)
         self.record_status(status, started_s)
         return status
 
+    async def repeat_poll(self, timeout_s: float) -> UpstreamStatus:
+        """Poll again after a timeout during which this process stood still.
+
+        The reply may have arrived meanwhile; it is dropped with the connection.
+
+        Args:
+            timeout_s: Seconds to wait for the reply.
+        """
+        deadline_s = now_s() + timeout_s
+        try:
+            return await self.query_status(deadline_s)
+        except UpstreamLostError as error:
+            self.record_poll_failure(error, now_s() - deadline_s)
+            raise
+
     def record_poll_time(self, duration_s: float) -> None:
         """Record the duration of a plain poll; one that is not slow ends a slow series.
 
@@ -363,7 +385,7 @@
             error: The error of the poll.
             late_s: Seconds between the timeout and the moment this process noticed it.
         """
-        if late_s > PAUSE_LIMIT_S:
+        if late_s > PAUSE_LIMIT_S or error.sqlstate == TOO_MANY_CONNECTIONS:
             return
         self.refuses_connections = isinstance(error.__cause__, ConnectionRefusedError)
         if self.lost_at_s is None:
--- a/ebonyrack/upstreams/upstream_test.py
+++ b/ebonyrack/upstreams/upstream_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 from dataclasses import replace
 
 import pytest
@@ -98,6 +99,38 @@
     assert upstream.state == "lost"
 
 
+# Guards against a ballot over a healthy primary: this process stood still for a moment
+# while the reply was on its way, and took the primary for lost.
+async def test_poll_that_timed_out_while_this_process_stood_still_is_repeated(
+    upstream,
+):
+    await upstream.poll()
+    limit_s = upstream.section.suspect_after_s
+    poll = upstream.start_poll()
+    while upstream.next_poll is not None:
+        await asyncio.sleep(0)
+    time.sleep(limit_s + PAUSE_LIMIT_S / 2)
+    await poll
+    assert upstream.state == "answering"
+
+
+async def test_silent_upstream_is_lost_although_the_timeout_was_noticed_late(
+    standins, upstream
+):
+    await upstream.poll()
+    standins.freeze("up-1")
+    limit_s = upstream.section.suspect_after_s
+    poll = upstream.start_poll()
+    while upstream.next_poll is not None:
+        await asyncio.sleep(0)
+    started_s = now_s()
+    time.sleep(limit_s + PAUSE_LIMIT_S / 2)
+    with pytest.raises(UpstreamLostError):
+        await poll
+    assert upstream.state == "lost"
+    assert now_s() - started_s < 2 * limit_s
+
+
 async def test_late_status_of_a_lower_term_is_dropped(upstream):
     old = await upstream.poll()
     poll_sent_at_s = now_s()
