--- a/ebonyrack/failover/coordinator.py
+++ b/ebonyrack/failover/coordinator.py
@@ -67,6 +67,8 @@
         renewal: Brings back upstreams that are fenced above the primary's term.
         failures: Consecutive failed ballots.
         highest_term: Highest term that an upstream is known to have granted.
+        lacks_majority: Whether a failed primary can't be replaced for now, as too few
+            upstreams answer.
         has_membership_changed: Whether the rank must be computed again.
         pause_detector: Detects pauses of this process.
         ballot_lock: Held while a ballot runs.
@@ -94,6 +96,7 @@
         self.slowness = SlownessCheck(self)
         self.failures = 0
         self.highest_term = 0
+        self.lacks_majority = False
         self.pause_detector = PauseDetector(PAUSE_LIMIT_S)
         self.ballot_lock = asyncio.Lock()
         self.has_membership_changed = True
@@ -196,6 +199,9 @@
             failure: The detected failure of the primary.
             rank: Coordinator rank of this proxy.
         """
+        if not self.has_majority(failure):
+            await asyncio.sleep(RECHECK_INTERVAL_S)
+            return
         term = self.group.term
         durations_s = {"detection_s": now_s() - failure.since_s}
         started_s = now_s()
@@ -218,6 +224,30 @@
         if not outcome.won:
             await self.back_off()
 
+    def has_majority(self, failure: PrimaryFailure) -> bool:
+        """Return whether enough upstreams answer for a ballot to be won.
+
+        Any other ballot would only fence those that are left, and a primary that was
+        taken for lost could not go on when it is seen again.
+
+        Args:
+            failure: The detected failure of the primary.
+        """
+        upstreams = self.group.upstreams.values()
+        reachable = [each.name for each in upstreams if each.is_reachable]
+        lacks_majority = len(reachable) < self.group.majority
+        if lacks_majority != self.lacks_majority:
+            self.lacks_majority = lacks_majority
+            log_decision(
+                "ballot_majority",
+                group=self.group.name,
+                reason=str(failure.reason),
+                present=not lacks_majority,
+                reachable=reachable,
+                needed=self.group.majority,
+            )
+        return not lacks_majority
+
     async def run_pre_vote(self, failure: PrimaryFailure) -> bool:
         """Ask the peers whether a ballot may begin.
 
--- a/ebonyrack/failover/renewal_test.py
+++ b/ebonyrack/failover/renewal_test.py
@@ -1,5 +1,7 @@
 """Term renewal brings back upstreams that an abandoned ballot fenced."""
 
+import asyncio
+
 from ebonyrack.core.clock import now_s
 from ebonyrack.failover.bench_test import until
 from ebonyrack.standins.upstream import StandinUpstream
@@ -63,6 +65,29 @@
     await proxy.write_until_acknowledged("r-0")
 
 
+# Guards against ballots that can't be won: a primary that was taken for lost while a
+# majority was missing was fenced by its own proxy, again and again.
+async def test_no_ballot_begins_without_a_majority(start_bench):
+    bench = await start_bench(proxies=1, count=5)
+    proxy = bench.proxies["proxy-1"]
+    killed = ("up-2", "up-3", "up-4")
+    for name in killed:
+        await bench.standins.kill(name)
+    upstreams = proxy.group.upstreams
+    await until(lambda: not any(upstreams[name].is_reachable for name in killed))
+    bench.standins.freeze("up-1")
+    await until(lambda: upstreams["up-1"].state == "lost")
+    await asyncio.sleep(1.0)
+    bench.standins.resume("up-1")
+    await until(lambda: upstreams["up-1"].state == "answering")
+    await asyncio.sleep(0.5)
+    assert bench.standins["up-1"].fenced_term == 1
+    assert bench.standins["up-5"].fenced_term == 1
+    await bench.standins.restart("up-2")
+    await bench.standins.restart("up-3")
+    await proxy.write_until_acknowledged("r-0")
+
+
 async def test_each_renewal_makes_the_next_one_wait_longer(start_bench):
     bench = await start_bench()
     group = bench.proxies["proxy-1"].group
