--- a/ebonyrack/building/build.py
+++ b/ebonyrack/building/build.py
@@ -328,6 +328,18 @@
     return ended.stdout.strip()
 
 
+def check_python() -> None:
+    """Check the version of Python.
+
+    Raises:
+        BuildError: If it is too old.
+    """
+    if sys.version_info < OLDEST_PYTHON:
+        needed = ".".join(map(str, OLDEST_PYTHON))
+        present = platform.python_version()
+        raise BuildError(f"Python {needed} or later is needed, this is {present}")
+
+
 def make_folders(settings: BuildSettings, keeps_current: bool) -> None:
     """Make the libraries and the modules.
 
@@ -352,10 +364,7 @@
         BuildError: If a step fails.
         OSError: If a file can't be read or written.
     """
-    if sys.version_info < OLDEST_PYTHON:
-        needed = ".".join(map(str, OLDEST_PYTHON))
-        present = platform.python_version()
-        raise BuildError(f"Python {needed} or later is needed, this is {present}")
+    check_python()
     with locked_target(settings.target):
         make_folders(settings, keeps_current=True)
         try:
