--- a/ebonyrack/entry/account_limits_test.py
+++ b/ebonyrack/entry/account_limits_test.py
@@ -178,7 +178,18 @@
     assert hot.served >= 0.9 * LIMITS[HOT]["ratePerS"] * PLAY_S
 
 
+# Guards against a claim that costs an account operations far below its limit: the bucket
+# of a new owner starts empty.
+async def test_account_below_its_limit_is_served_right_after_a_claim(system):
+    calm = Load(system.proxies, CALM, 30, PLAY_S)
+    await calm.play()
+    assert calm.served + calm.rejected == 30 < LIMITS[CALM]["burst"]
+    assert calm.rejected == 0
+
+
 async def test_drain_of_the_owner_costs_nobody_anything(system):
+    # The test above is about the time right after a claim.
+    await asyncio.sleep(LIMITS[CALM]["burst"] / LIMITS[CALM]["ratePerS"])
     owner, *others = find_owner(system)
 
     async def drain():
