--- a/ebonyrack/building/build.py
+++ b/ebonyrack/building/build.py
@@ -201,6 +201,10 @@
         return [path for path in list_files(folder) if path != RECORD_NAME]
 
 
+# The modules are below the libraries and are replaced with them.
+FOLDER_KINDS = (Libraries, Modules)
+
+
 def describe_platform() -> dict[str, str]:
     """Return which Python and machine compiled code must be for."""
     return {"python": EXTENSION_SUFFIXES[0], "machine": platform.machine()}
@@ -350,11 +354,11 @@
     Raises:
         BuildError: If a step fails.
     """
-    # The modules are below the libraries and are replaced with them.
-    for kind in (Libraries, Modules):
-        folder = kind(settings)
-        if not (keeps_current and folder.is_current()):
-            folder.make()
+    with locked_target(settings.target):
+        for kind in FOLDER_KINDS:
+            folder = kind(settings)
+            if not (keeps_current and folder.is_current()):
+                folder.make()
 
 
 def build(settings: BuildSettings) -> str:
@@ -365,14 +369,15 @@
         OSError: If a file can't be read or written.
     """
     check_python()
-    with locked_target(settings.target):
+    # Nothing is written if all is current: the target may be read-only then.
+    if not all(kind(settings).is_current() for kind in FOLDER_KINDS):
         make_folders(settings, keeps_current=True)
-        try:
-            return check_start(settings)
-        except BuildError:
-            # What was kept may hold bytecode that was cut off.
-            make_folders(settings, keeps_current=False)
-            return check_start(settings)
+    try:
+        return check_start(settings)
+    except BuildError:
+        # What was kept may hold bytecode that was cut off.
+        make_folders(settings, keeps_current=False)
+        return check_start(settings)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/ebonyrack/building/build_test.py
+++ b/ebonyrack/building/build_test.py
@@ -148,6 +148,14 @@
     check_built(checkout)
 
 
+def test_second_build_writes_nothing(checkout):
+    check_built(checkout)
+    # In its place no file can be opened for writing, as in a target that is read-only.
+    (checkout.root / "target/build.lock").unlink()
+    (checkout.root / "target/build.lock").mkdir()
+    check_built(checkout)
+
+
 def test_program_that_does_not_start_fails_the_build(checkout):
     checkout.write("ebonyrack/part.py", "PART = undefined\n")
     ended = checkout.build()
