--- a/ebonyrack/entry/account_limits_test.py
+++ b/ebonyrack/entry/account_limits_test.py
@@ -178,8 +178,8 @@
     assert hot.served >= 0.9 * LIMITS[HOT]["ratePerS"] * PLAY_S
 
 
-# Guards against a claim that costs an account operations far below its limit: the bucket
-# of a new owner starts empty.
+# Guards against a claim that costs an account operations far below its limit: a new
+# owner's bucket starts empty.
 async def test_account_below_its_limit_is_served_right_after_a_claim(system):
     calm = Load(system.proxies, CALM, 30, PLAY_S)
     await calm.play()
