--- a/ebonyrack/promotion/change_play_test.py
+++ b/ebonyrack/promotion/change_play_test.py
@@ -24,6 +24,7 @@
 from ebonyrack.promotion.group_model_test import JOINING
 from ebonyrack.promotion.group_model_test import VirtualLoop
 from ebonyrack.promotion.lease import PromotionLease
+from ebonyrack.promotion.open_order import PREFIX
 from ebonyrack.promotion.order import OrderOutcome
 from ebonyrack.promotion.participant import PromotionParticipant
 from ebonyrack.promotion.promoter import Promoter
@@ -218,6 +219,9 @@
     """Run one attempt of the product's promoter against the model."""
     group = build_group(is_fenced)
     platform = Platform(model, answers)
+    if model.open_order is not None:
+        value = f"{model.open_order} 3".encode()
+        platform.items[f"{PREFIX}bookings"] = StoreItem("order", value, 1, 1)
 
     async def read_entries():
         await asyncio.sleep(REQUEST_S)
--- a/ebonyrack/promotion/earlier_holder_test.py
+++ b/ebonyrack/promotion/earlier_holder_test.py
@@ -99,6 +99,28 @@
     assert model.late_orders == []
 
 
+# Guards against a primary that is stalled by what an attempt left: it was lost for a
+# moment while its own promotion was recorded as unanswered, and both replicas stayed
+# paused.
+def test_attempt_over_a_primary_that_returns_ends_its_pauses():
+    steps = [[("return_primary_soon", "a")]]
+    model = Model(steps, history=[("lose", "a")])
+    model.open_order = "a"
+    result = play(model, PrimaryHealth.SILENT, [], is_fenced=False)
+    assert result is PromotionResult.NOT_NEEDED
+    assert not any(each.paused_term for each in model.upstreams.values())
+
+
+def test_attempt_that_awaits_the_order_of_another_upstream_leaves_its_pauses():
+    # That upstream may still be promoted, and lacks what the others would receive.
+    steps = [[("return_primary_soon", "a")]]
+    model = Model(steps, history=[("commit", "c"), ("lose", "a")])
+    model.open_order = "b"
+    result = play(model, PrimaryHealth.SILENT, [], is_fenced=False)
+    assert result is PromotionResult.NOT_NEEDED
+    assert any(each.paused_term for each in model.upstreams.values())
+
+
 @pytest.mark.parametrize("is_fenced", [True, False], ids=["fenced", "unfenced"])
 @pytest.mark.parametrize("health", [PrimaryHealth.UNKNOWN, PrimaryHealth.SILENT])
 def test_primary_that_is_too_busy_for_a_probe_is_not_ordered(is_fenced, health):
--- a/ebonyrack/promotion/group_model_test.py
+++ b/ebonyrack/promotion/group_model_test.py
@@ -8,6 +8,7 @@
 FIRST = ("a", "b", "c")
 JOINING = ("d", "e")
 FREEZE_S = 5.0
+RETURN_S = 0.5
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -69,6 +70,8 @@
         self.late_orders = []
         # Probes that the upstreams are too busy to run.
         self.busy_probes = 0
+        # Upstream of an order without a response that may still be carried out.
+        self.open_order = None
 
     def count_request(self):
         """Let the holder stand still when it has made so many requests."""
@@ -222,11 +225,19 @@
         self.upstreams["a"].is_dark = self.is_crashed = True
         self.observer.lose_primary()
 
+    def lose(self, name):
+        """Let the primary go dark before the change begins."""
+        self.upstreams[name].is_dark = self.is_crashed = True
+
     def return_primary(self, name):
         """Let a lost primary come back, or reach its replicas and callers again."""
         self.is_crashed = False
         self.upstreams["a"].is_dark = False
 
+    def return_primary_soon(self, name):
+        """The same, some time after the replicas have been paused."""
+        asyncio.get_running_loop().call_later(RETURN_S, self.return_primary, name)
+
     def carry_out(self, name):
         """Promote the upstream of an order that was accepted or left unanswered."""
         if not self.orders:
--- a/ebonyrack/promotion/promoter.py
+++ b/ebonyrack/promotion/promoter.py
@@ -194,10 +194,22 @@
         if result is PromotionResult.PROMOTED:
             await search.end_outlasting_pauses()
         is_over = result in KNOWN_NOT_CARRIED_OUT or result is chosen
-        if is_over and awaited is None:
+        if is_over and (awaited is None or self.is_primary(awaited, result)):
             await search.resume()
         return result
 
+    def is_primary(self, awaited: OpenOrder, result: PromotionResult) -> bool:
+        """Return whether an open order names the primary that serves.
+
+        It changes nothing then, so that nobody has to lack what replicas receive.
+        """
+        primary = self.group.primary
+        return (
+            result is PromotionResult.NOT_NEEDED
+            and primary is not None
+            and primary.member_id == awaited.member_id
+        )
+
     async def choose_successor(
         self, search: CandidateSearch
     ) -> PromotionParticipant | PromotionResult:
