--- a/ebonyrack/building/build.py
+++ b/ebonyrack/building/build.py
@@ -69,6 +69,7 @@
     """A folder that is made as a whole or kept.
 
     Attributes:
+        location: Path below the target.
         settings: Paths of the build.
         path: Where it is in the end.
         made_from: Digests and names of what it is made from.
@@ -76,15 +77,13 @@
 
     __slots__ = ("settings", "path", "made_from")
 
+    location = ""
+
     def __init__(self, settings: BuildSettings) -> None:
         self.settings = settings
-        self.path = self.get_path()
+        self.path = settings.target / self.location
         self.made_from = {**describe_platform(), **self.digest_sources()}
 
-    def get_path(self) -> Path:
-        """Return where the folder is in the end."""
-        raise NotImplementedError
-
     def digest_sources(self) -> dict[str, str]:
         """Return the digests of the files from which it is made."""
         raise NotImplementedError
@@ -134,9 +133,8 @@
 
     __slots__ = ()
 
-    def get_path(self) -> Path:
-        """Return the folder that is on Python's path."""
-        return self.settings.target / "deps"
+    # The platform puts this folder on Python's path.
+    location = "deps"
 
     def digest_sources(self) -> dict[str, str]:
         """Return the digest of the list of libraries."""
@@ -175,9 +173,7 @@
 
     __slots__ = ()
 
-    def get_path(self) -> Path:
-        """Return the folder of the package beside the libraries."""
-        return self.settings.target / "deps" / self.settings.package.name
+    location = "deps/ebonyrack"
 
     def digest_sources(self) -> dict[str, str]:
         """Return the digest of the modules."""
