--- a/ebonyrack/building/build.py
+++ b/ebonyrack/building/build.py
@@ -183,7 +183,7 @@
         """Link and compile the modules."""
         package = self.settings.package
         # The staged folder is as deep below the checkout as the final one.
-        to_package = os.path.relpath(package, folder)
+        to_package = os.path.relpath(package, folder.resolve())
         for module in list_modules(package):
             link = folder / module
             link.parent.mkdir(parents=True, exist_ok=True)
--- a/ebonyrack/building/build_test.py
+++ b/ebonyrack/building/build_test.py
@@ -179,6 +179,12 @@
     check_built(checkout)
 
 
+def test_target_may_be_a_link_to_another_place(checkout, tmp_path):
+    (tmp_path / "some/other/place").mkdir(parents=True)
+    (checkout.root / "target").symlink_to(tmp_path / "some/other/place")
+    check_built(checkout)
+
+
 def test_python_that_is_too_old_fails_the_build(checkout, monkeypatch):
     monkeypatch.setattr(sys, "version_info", (3, 10, 12))
     with pytest.raises(build.BuildError, match=r"Python 3\.11 or later is needed"):
